--- a/halldeal/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""halldeal: decides, beside each submitter, which worker gets which job and when."""
--- /dev/null
+++ b/reedspoke/__init__.py
@@ -0,0 +1,1 @@
+"""reedspoke: decides, beside each submitter, which worker gets which job and when."""
--- a/halldeal/adapter.py
+++ b/reedspoke/adapter.py
@@ -1,6 +1,6 @@
 """Speaks the simulator's wire for many isolated Dispatchers: translates, and decides nothing.
 
-Run as `python -m halldeal.adapter`; reads batches on standard input, writes one reply for each.
+Run as `python -m reedspoke.adapter`; reads batches on standard input, writes one reply for each.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 import msgspec
 from msgspec import Struct
 
-from halldeal import interface as plain
-from halldeal.logic import Dispatcher
+from reedspoke import interface as plain
+from reedspoke.logic import Dispatcher
 
 EFFECTS = {"pure": plain.Effect.SAFE, "token": plain.Effect.KEYED, "side_effect": plain.Effect.UNSAFE}
 GROUPS = {group.value: group for group in plain.Group}
@@ -463,7 +463,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"halldeal.adapter: {error}", file=sys.stderr)
+        print(f"reedspoke.adapter: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/halldeal/interface.py
+++ b/reedspoke/interface.py
@@ -1,4 +1,4 @@
-"""The types that go into and come out of halldeal/logic.py: settings, events and actions.
+"""The types that go into and come out of reedspoke/logic.py: settings, events and actions.
 
 All times are integer microseconds of the caller's clock; `work` is time on a standard core.
 """
--- a/halldeal/logic.py
+++ b/reedspoke/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of halldeal. Its settings, events and actions are named in halldeal/interface.py.
+"""Every decision of reedspoke. Its settings, events and actions are named in reedspoke/interface.py.
 
 The ordinary path is 2DFQ^E (Mace et al., SIGCOMM 2016); docs/design.md says what was kept and changed.
 Symbols: f is a tenant (Flow), S_f its start tag, phi_f its share, v the virtual clock, L_max^f the largest
@@ -13,11 +13,11 @@
 from typing import Any
 from zlib import crc32
 
-from halldeal.interface import (  # isort: skip
+from reedspoke.interface import (  # isort: skip
     Action, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListKind, Log, Members, Note, NoteKind,
     Outcome, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Timer, Watch, WorkerState,
 )  # fmt: skip
-from halldeal.records import Attempt, Flow, Job, Worker, Zone
+from reedspoke.records import Attempt, Flow, Job, Worker, Zone
 
 ALPHA = 0.99  # decay of L_max a completion, as in the paper
 REFRESH = 10_000  # us between bills of running jobs, as in the paper
--- a/halldeal/records.py
+++ b/reedspoke/records.py
@@ -5,7 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from halldeal.interface import ClassSettings, WorkerState
+from reedspoke.interface import ClassSettings, WorkerState
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -69,7 +69,7 @@
 def run(lines: list[Any], hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
     return subprocess.run(
-        [sys.executable, "-m", "halldeal.adapter"],
+        [sys.executable, "-m", "reedspoke.adapter"],
         input=text, capture_output=True, text=True, timeout=60, check=False,
         env={"PYTHONHASHSEED": hash_seed},
     )  # fmt: skip
--- a/tests/test_combined.py
+++ b/tests/test_combined.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from halldeal import interface as api
+from reedspoke import interface as api
 from tests.world import MS, SECOND, World, entry, settings
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from halldeal import interface as api
-from halldeal.logic import ALPHA
-from halldeal.records import Flow
+from reedspoke import interface as api
+from reedspoke.logic import ALPHA
+from reedspoke.records import Flow
 from tests.world import MS, SAFE, SECOND, World, entry, keyed, settings
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 from hypothesis import given, settings as hypothesis_settings, strategies as st  # isort: skip
 
-from halldeal import interface as api
+from reedspoke import interface as api
 from tests.world import CLASSES, MS, SECOND, World, entry, keyed, settings
 
 WORKERS = ("a", "b", "c", "d", "e")
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-LOGIC = Path(__file__).parent.parent / "halldeal" / "logic.py"
+LOGIC = Path(__file__).parent.parent / "reedspoke" / "logic.py"
 MOST_LINES = 400
 MOST_COLUMNS = 110
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from halldeal import interface as api
-from halldeal.logic import Dispatcher
+from reedspoke import interface as api
+from reedspoke.logic import Dispatcher
 
 MS = 1000
 SECOND = 1000 * MS
