--- a/reedspoke/adapter.py
+++ b/reedspoke/adapter.py
@@ -7,16 +7,15 @@
 
 import sys
 from collections.abc import Callable, Iterable
-from typing import BinaryIO, TypeVar
+from typing import BinaryIO
 
 import msgspec
 from msgspec import Struct
 
 from reedspoke import interface as plain
 from reedspoke.logic import Dispatcher
+from reedspoke.settings import Info, known, settings
 
-EFFECTS = {"pure": plain.Effect.SAFE, "token": plain.Effect.KEYED, "side_effect": plain.Effect.UNSAFE}
-GROUPS = {group.value: group for group in plain.Group}
 REASONS = {
     "delivered": plain.Reason.OK,
     "app_error": plain.Reason.ERROR,
@@ -35,17 +34,6 @@
     "lost": plain.ListKind.LOST,
 }
 NOTES = {1: plain.NoteKind.STARTED, 2: plain.NoteKind.PROGRESS}
-DISCOVERY = {"pushed": False, "on_request": True}
-WORTH_BY = {"work": True, "request": False}
-REPORT_HOW = {"answers": True, "probe": False, "none": False}
-REPORT_NAMES = {
-    "concurrent": "inflight",
-    "depth": "queue",
-    "load_share": "util",
-    "mean_ms": "latency_ms",
-    "tps": "qps",
-    "err_ps": "eps",
-}
 
 
 class WireError(Exception):
@@ -55,76 +43,6 @@
 # ---- the wire's messages; msgspec checks presence and type of each field and skips unknown ones ----
 
 
-class Category(Struct):
-    name: str
-    repeat: str
-    hard_limit: int
-    aim: int
-    importance: float
-    group: str = "all"
-    window: int = 0
-    aim_stretch: float | None = None
-    late_share: float = 0.0
-    streaming: bool = False
-
-
-class Ceilings(Struct):
-    try_limit: int
-    cancelling: bool = False
-    probes: bool = False
-    retry_after: bool = False
-    max_retry_after: int = 0
-    connect_timeout: int = 0
-
-
-class Safety(Struct):
-    drain_grace: int
-    answer_slack: int
-    cold_from: float
-    warm_up: int
-    tip_multiple: float
-    fall: int
-    ask_within: int = 0
-
-
-class Tenant(Struct):
-    name: str
-    portion: float
-
-
-class FamilyInfo(Struct):
-    class_kind: list[int] = []
-    class_stretch: list[float] = []
-    tells_start: bool = False
-    progress: int = 0
-
-
-class Report(Struct):
-    how: str = "none"
-    names: list[str] = []
-
-
-class Deductions(Struct):
-    cross_zone: float = 0.0
-
-
-class Info(Struct):
-    balancers: int
-    categories: list[Category]
-    ceilings: Ceilings
-    discovery: str
-    me: int
-    safety: Safety
-    zone: str
-    resolution: int
-    worth_by: str = "request"
-    tenants: list[Tenant] = []
-    flavors: list[str] = []
-    family_info: FamilyInfo = msgspec.field(default_factory=FamilyInfo)
-    report: Report = msgspec.field(default_factory=Report)
-    deductions: Deductions = msgspec.field(default_factory=Deductions)
-
-
 class Turn(Struct):
     sim_time: int
 
@@ -251,72 +169,6 @@
 DECODE = {name: msgspec.json.Decoder(message).decode for name, message in MESSAGES.items()}
 
 
-T = TypeVar("T")
-
-
-def known(table: dict[str, T], word: str, field: str) -> T:
-    """The meaning of one of the wire's words."""
-    try:
-        return table[word]
-    except KeyError:
-        raise WireError(f"field `{field}` has an unknown value {word!r}") from None
-
-
-def class_settings(index: int, told: Category, family: FamilyInfo) -> plain.ClassSettings:
-    stretch = told.aim_stretch
-    if stretch is None:
-        stretch = family.class_stretch[index] if index < len(family.class_stretch) else 0.0
-    return plain.ClassSettings(
-        name=told.name,
-        effect=known(EFFECTS, told.repeat, "repeat"),
-        group=known(GROUPS, told.group, "group"),
-        window=told.window,
-        aim=told.aim,
-        stretch=stretch,
-        deadline=told.hard_limit,
-        worth=told.importance,
-        late_worth=told.late_share,
-        kind=family.class_kind[index] if index < len(family.class_kind) else -1,
-        stream=told.streaming,
-    )
-
-
-def settings(info: Info) -> plain.Settings:
-    """The wire's settings in the module's words."""
-    return plain.Settings(
-        me=info.me,
-        schedulers=info.balancers,
-        zone=info.zone,
-        classes=tuple(class_settings(i, told, info.family_info) for i, told in enumerate(info.categories)),
-        tenants=tuple(plain.TenantSettings(told.name, told.portion) for told in info.tenants),
-        kinds=tuple(info.flavors),
-        limits=plain.Limits(
-            max_attempts=info.ceilings.try_limit,
-            cancel=info.ceilings.cancelling,
-            probes=info.ceilings.probes,
-            max_retry_after=info.ceilings.max_retry_after if info.ceilings.retry_after else 0,
-            connect_timeout=info.ceilings.connect_timeout,
-        ),
-        rules=plain.Rules(
-            drain_grace=info.safety.drain_grace,
-            answer_slack=info.safety.answer_slack,
-            ask_within=info.safety.ask_within,
-            cold_from=info.safety.cold_from,
-            cold_time=info.safety.warm_up,
-            fall_multiple=info.safety.tip_multiple,
-            fall_time=info.safety.fall,
-        ),
-        tick=info.resolution,
-        ask_for_list=known(DISCOVERY, info.discovery, "discovery"),
-        tells_start=info.family_info.tells_start,
-        progress_every=info.family_info.progress,
-        report_fields=tuple(REPORT_NAMES.get(name, name) for name in info.report.names),
-        report_in_answers=known(REPORT_HOW, info.report.how, "how"),
-        worth_by_work=known(WORTH_BY, info.worth_by, "worth_by"),
-        cross_zone_price=info.deductions.cross_zone,
-    )
-
-
 def entry(told: Member) -> plain.Entry:
     state = known(STATES, told.condition, "condition")
     return plain.Entry(told.worker, told.az, told.sku, told.bay, state, told.power_hint, told.born)
--- /dev/null
+++ b/reedspoke/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real scheduler: the decision module on sockets."""
--- /dev/null
+++ b/reedspoke/net/acquirer.py
@@ -0,0 +1,288 @@
+"""The acquirer side: the listener, authorisations that come in over HTTP, and the answers to them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import count
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from reedspoke.net import effects as fx
+from reedspoke.net.http import SCANT, Buffer, Head, MalformedError, Requests
+from reedspoke.net.message import Message, authorisation
+from reedspoke.net.reducer import SECOND
+from reedspoke.net.runtime import Runtime
+from reedspoke.net.streams import read, start_read, stream
+
+log = logging.getLogger("reedspoke")
+
+BACKLOG = 512
+LINGER = 1.0  # s that a connection stays half open, so that its last answer is not lost to a reset
+WRITING = 10.0  # s for a client to take its answer
+MOST_PIPELINED = 128 * 1024  # bytes read ahead of the answer in hand
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    411: "Length Required", 413: "Content Too Large", 417: "Expectation Failed",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}  # fmt: skip
+STATUS = {
+    fx.Verdict.SERVED: 200,
+    fx.Verdict.DECLINED: 503,
+    fx.Verdict.FAILED: 502,
+    fx.Verdict.LATE: 504,
+    fx.Verdict.INVALID: 400,
+}
+
+
+def answer_head(status: int, length: int, *, close: bool, more: bytes = b"") -> bytes:
+    end = b"Connection: close\r\n" if close else b"Connection: keep-alive\r\n"
+    first = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {length}\r\n".encode()
+    return first + more + end + b"\r\n"
+
+
+class Client:
+    """One connection of a client, served by one coroutine."""
+
+    def __init__(self, side: Acquirer, number: int, stream: IOStream) -> None:
+        self.side, self.number, self.stream = side, number, stream
+        self.buffer = Buffer()
+        self.requests = Requests(self.buffer)
+        self.answer: asyncio.Future[fx.Answer] | None = None
+        self.begun = False  # an authorisation has begun to come in
+        self._reading: asyncio.Future[int] | None = None
+
+    async def serve(self) -> None:
+        emit = self.side.runtime.emit
+        try:
+            while await self._serve_one():
+                pass
+        except MalformedError as error:
+            log.info("authorisation malformed: %d %s", error.status, error)
+            await self._last(error.status)
+        except StreamClosedError:
+            pass
+        except Exception:
+            # Guards the others, and what this client has asked: it gets an answer whatever went wrong here.
+            log.exception("fault: client connection")
+            await self._last(500)
+        finally:
+            self.stream.close()
+            emit(fx.Parted(self.number))
+
+    async def _serve_one(self) -> bool:
+        """One authorisation and its answer; False where the connection ends with it."""
+        while (head := self._head()) is None:
+            await self._read()
+        if not self.begun:
+            self._begin()
+        plain = self._plain(head)
+        if plain is not None:
+            status, last = plain
+            await self._write(answer_head(status, 0, close=last, more=b"Cache-Control: no-store\r\n"))
+            self._answered()
+            return await self._end(last)
+        length = head.length()
+        if length is None:
+            raise MalformedError(411, "no length")
+        self.requests.expect(length)
+        message = authorisation(head, self.side.classes)
+        expected = head.tokens(b"expect")
+        if expected and expected != [b"100-continue"]:
+            raise MalformedError(417, "unknown expectation")
+        body = self.requests.body()
+        if body is None and expected and head.version == 1:
+            await self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        while body is None:
+            await self._read(self.requests.wanted())
+            body = self.requests.body()
+        message.body = body
+        answer = await self._ask(message)
+        last = answer.last or not head.keeps_alive()
+        more = b""
+        if answer.retry_after > 0:
+            more = b"Retry-After: %.3f\r\n" % (answer.retry_after / SECOND)
+        await self._write(
+            answer_head(STATUS[answer.verdict], len(answer.result), close=last, more=more) + answer.result
+        )
+        self._answered()
+        return await self._end(last)
+
+    def _head(self) -> Head | None:
+        head = self.requests.head()
+        if head is None and len(self.buffer) and not self.begun:
+            self._begin()
+        return head
+
+    def _begin(self) -> None:
+        self.begun = True
+        self.side.runtime.emit(fx.Reading(self.number))
+
+    def _answered(self) -> None:
+        self.begun = False
+        self.side.runtime.emit(fx.Answered(self.number))
+
+    def _plain(self, head: Head) -> tuple[int, bool] | None:
+        """The answer to what is no authorisation: its status, and whether the connection ends with it."""
+        path = bytes(head.target).partition(b"?")[0]
+        bare = head.length() in (None, 0)
+        last = not head.keeps_alive() or not bare or self.side.runtime.leaving()
+        if path == b"/ready":
+            if head.method not in (b"GET", b"HEAD"):
+                return 405, True
+            return (200 if self.side.runtime.ready() else 503), last
+        if path.strip(b"/").partition(b"/")[0].decode("ascii") not in self.side.classes:
+            return 404, last
+        if head.method != b"POST":
+            return 405, last
+        return None
+
+    async def _ask(self, message: Message) -> fx.Answer:
+        """The answer; meanwhile what the client sends ahead is read, and so is its leaving."""
+        self.answer = asyncio.get_running_loop().create_future()
+        self.side.runtime.emit(message.arrived(self.number))
+        try:
+            while not self.answer.done():
+                waits: set[asyncio.Future[Any]] = {self.answer}
+                if len(self.buffer) < MOST_PIPELINED:
+                    waits.add(self._start_reading())
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+                if self._reading is not None and self._reading.done() and not self.answer.done():
+                    self._take_read()
+            return self.answer.result()
+        finally:
+            self.answer = None
+
+    def _start_reading(self, room: int = SCANT) -> asyncio.Future[int]:
+        if self._reading is None:
+            self._reading = start_read(self.stream, self.buffer, room)
+        return self._reading
+
+    def _take_read(self) -> None:
+        assert self._reading is not None
+        reading, self._reading = self._reading, None
+        self.buffer.filled(reading.result())
+
+    async def _read(self, room: int = SCANT) -> None:
+        """More bytes. A read that began while the last answer was awaited goes on where it was to go."""
+        await asyncio.wait({self._start_reading(room)})
+        self._take_read()
+
+    async def _write(self, data: bytes) -> None:
+        await asyncio.wait_for(asyncio.shield(self.stream.write(data)), WRITING)
+
+    async def _last(self, status: int) -> None:
+        """Tell a client what is wrong with what it sent, as far as it still listens."""
+        with suppress(StreamClosedError, TimeoutError):
+            await self._write(answer_head(status, 0, close=True))
+            await self._end(True)
+
+    async def _end(self, last: bool) -> bool:
+        """Guards the last answer: closing with bytes unread would reset the connection and take it along."""
+        if not last:
+            return True
+        self.stream.socket.shutdown(socket.SHUT_WR)
+        sink = Buffer()
+
+        async def drain() -> None:
+            while True:
+                if self._reading is not None:
+                    await asyncio.wait({self._reading})
+                    self._reading.result()
+                    self._reading = None
+                sink.start = sink.end = 0
+                await read(self.stream, sink)
+
+        with suppress(StreamClosedError, TimeoutError):
+            await asyncio.wait_for(drain(), LINGER)
+        return False
+
+    def drop(self, begun: bool) -> None:
+        if not self.begun:
+            self.stream.close()
+        elif begun and self.answer is None:
+            asyncio.ensure_future(self._drop_slow())
+
+    async def _drop_slow(self) -> None:
+        await self._last(408)
+        self.stream.close()
+
+
+class Acquirer:
+    def __init__(self, runtime: Runtime, classes: dict[str, int], listen: tuple[str, int]) -> None:
+        self.runtime = runtime
+        self.classes = classes  # with how long a client waits at the most
+        self._listen = listen
+        self._listener: socket.socket | None = None
+        self._clients: dict[int, Client] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._numbers = count(1)
+        self._accepting = True
+
+    def effects(self) -> dict[type, Callable[[Any], None]]:
+        return {fx.Answer: self._answer, fx.Drop: self._drop, fx.Accept: self._accept, fx.Shut: self._shut}
+
+    def open(self) -> None:
+        host, port = self._listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._listener = socket.socket(family, socket.SOCK_STREAM)
+        self._listener.setblocking(False)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((host, port))
+        self._listener.listen(BACKLOG)
+        asyncio.get_running_loop().add_reader(self._listener.fileno(), self._take_in)
+        self.runtime.emit(fx.Listening())
+
+    def _take_in(self) -> None:
+        """Take in all who wait."""
+        while self._listener is not None and self._accepting:
+            try:
+                connection, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:  # the peer is gone again, or descriptors ran out in spite of the budget
+                log.error("fault: accept: %s", error)
+                return
+            client = Client(self, next(self._numbers), stream(connection))
+            self._clients[client.number] = client
+            self.runtime.emit(fx.Joined(client.number))
+            task = asyncio.ensure_future(client.serve())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(lambda _, number=client.number: self._clients.pop(number, None))  # type: ignore[misc]
+
+    def _answer(self, effect: fx.Answer) -> None:
+        client = self._clients.get(effect.client)
+        if client is not None and client.answer is not None and not client.answer.done():
+            client.answer.set_result(effect)
+
+    def _drop(self, effect: fx.Drop) -> None:
+        if (client := self._clients.get(effect.client)) is not None:
+            client.drop(effect.begun)
+
+    def _accept(self, effect: fx.Accept) -> None:
+        self._accepting = effect.on
+        if self._listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        if effect.on:
+            self._listener.listen(BACKLOG)
+            loop.add_reader(self._listener.fileno(), self._take_in)
+        else:  # whom the system takes in for us waits unserved: let that be few
+            self._listener.listen(0)
+            loop.remove_reader(self._listener.fileno())
+
+    def _shut(self, _: fx.Shut) -> None:
+        self._take_in()
+        self.close()
+
+    def close(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener.fileno())
+            self._listener.close()
+            self._listener = None
--- /dev/null
+++ b/reedspoke/net/config.py
@@ -0,0 +1,90 @@
+"""What the platform tells a scheduler through PROXY_*, checked before anything starts."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+from reedspoke import interface as api
+from reedspoke.settings import Info, settings
+
+LEAST_SOCKETS = 32
+
+
+class ConfigError(Exception):
+    """The scheduler cannot start as told; the text says why."""
+
+
+class Limits(Struct):
+    memory_mb: float = 192
+    sockets: int = 1024
+
+
+class Told(Struct):
+    settings: Info
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: msgspec.Raw = msgspec.Raw(b'{"rev":0,"all":true,"targets":[]}')
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    memory_mb: float
+    known: bytes  # the list of issuer hosts in discovery's form, maybe old
+    settings: api.Settings
+    conn_idle: int  # us after which an issuer host closes an idle connection, 0: not told
+
+
+def address(text: str, what: str = "an address") -> tuple[str, int]:
+    """`ip:port`; names are not resolved, the platform has no DNS."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        raise ConfigError(f"{what} is no ip:port: {text!r}") from None
+    if not 0 < number < 65536:
+        raise ConfigError(f"{what} has no port from 1 to 65535: {text!r}")
+    return host, number
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    path = environ.get("PROXY_CONFIG", "")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set")
+    try:
+        told = msgspec.json.decode(Path(path).read_bytes(), type=Told)
+        meant = settings(told.settings)
+        seed = int(told.seed or "0", 16)
+    except OSError as error:
+        raise ConfigError(f"PROXY_CONFIG cannot be read: {error}") from None
+    except ValueError as error:  # msgspec's errors are ValueErrors too
+        raise ConfigError(f"PROXY_CONFIG is malformed: {error}") from None
+    if told.limits.sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets is {told.limits.sockets}, at least {LEAST_SOCKETS} are needed")
+    return Config(
+        name=environ.get("PROXY_NAME") or told.name,
+        listen=address(environ.get("PROXY_LISTEN") or told.listen, "PROXY_LISTEN"),
+        discovery=address(environ.get("PROXY_DISCOVERY") or told.discovery, "PROXY_DISCOVERY"),
+        seed=seed,
+        sockets=told.limits.sockets,
+        memory_mb=told.limits.memory_mb,
+        known=bytes(told.known),
+        settings=meant,
+        conn_idle=told.settings.ceilings.conn_idle,
+    )
--- /dev/null
+++ b/reedspoke/net/directory.py
@@ -0,0 +1,131 @@
+"""Discovery: the list of issuer hosts, from the configuration at first, then from a watch on its changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+from tornado.iostream import IOStream, StreamClosedError
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net.config import ConfigError, address
+from reedspoke.net.http import Answers, Buffer, End, Head, Lines, MalformedError
+from reedspoke.net.message import authority
+from reedspoke.net.runtime import Runtime
+from reedspoke.net.streams import connect, read
+
+log = logging.getLogger("reedspoke")
+
+STATES = {
+    "Ready": api.WorkerState.UP,
+    "Terminating": api.WorkerState.DRAINING,
+    "Gone": api.WorkerState.GONE,
+}
+MOST_LINE = 4 * 1024 * 1024
+
+
+class Entry(Struct):
+    uid: str
+    state: str
+    endpoint: str = ""
+    az: str = ""
+    model: str = ""
+    pod_group: int = 0
+    capacity_hint: float = 1.0
+    boot_ms: float = 0
+
+
+class List(Struct):
+    rev: int
+    all: bool
+    targets: list[msgspec.Raw] = []
+
+
+ENTRY = msgspec.json.Decoder(Entry).decode
+LIST = msgspec.json.Decoder(List).decode
+
+
+def target(raw: msgspec.Raw) -> fx.Target | None:
+    """None, and a line in the log, for what is no entry: the others count all the same."""
+    try:
+        told = ENTRY(raw)
+        state = STATES[told.state]
+        gone = state is api.WorkerState.GONE
+        endpoint = ("", 0) if gone else address(told.endpoint, "endpoint")
+    except (ValueError, KeyError, ConfigError) as error:
+        log.warning("directory: entry skipped: %s: %s", error, bytes(raw)[:200].decode(errors="replace"))
+        return None
+    born = int(told.boot_ms * 1000)
+    entry = api.Entry(told.uid, told.az, told.model, told.pod_group, state, told.capacity_hint, born)
+    return fx.Target(entry, endpoint)
+
+
+def listed(raw: bytes | memoryview, kind: api.ListKind | None = None) -> fx.Listed:
+    told = LIST(raw)
+    targets = [found for entry in told.targets if (found := target(entry)) is not None]
+    return fx.Listed(kind or (api.ListKind.FULL if told.all else api.ListKind.CHANGES), told.rev, targets)
+
+
+class Directory:
+    def __init__(self, runtime: Runtime, endpoint: tuple[str, int]) -> None:
+        self.runtime = runtime
+        self._endpoint = endpoint
+        self._stream: IOStream | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def effects(self) -> dict[type, Callable[[Any], None]]:
+        return {fx.Follow: self._follow, fx.Unfollow: lambda _: self.close()}
+
+    def _follow(self, effect: fx.Follow) -> None:
+        self.close()
+        self._task = asyncio.ensure_future(self._watch(effect.rev))
+
+    def close(self) -> None:
+        self._task = None
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    async def _watch(self, rev: int) -> None:
+        task, why = asyncio.current_task(), "it ended"
+        try:
+            self._stream = stream = connect(self._endpoint)
+            await stream.connect(self._endpoint)
+            ask = b"GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n"
+            await stream.write(ask % (rev, authority(self._endpoint)))
+            why = await self._read(stream, task)
+        except (StreamClosedError, OSError) as error:
+            why = f"connection ended ({error})"
+        except (MalformedError, ValueError) as error:  # msgspec's errors are ValueErrors too
+            why = f"malformed: {error}"
+        except Exception:
+            log.exception("fault: directory")
+        if self._task is task:
+            self.close()
+            self.runtime.emit(fx.Unlisted(why))
+
+    async def _read(self, stream: IOStream, task: asyncio.Task[None] | None) -> str:
+        buffer = Buffer()
+        answers, lines = Answers(buffer), Lines(MOST_LINE)
+        while True:
+            buffer.recycle()
+            await read(stream, buffer)
+            if self._task is not task:
+                return "another has begun"
+            for item in answers.feed():
+                if isinstance(item, Head):
+                    if item.status != 200:
+                        return f"status {item.status}"
+                elif isinstance(item, End):
+                    return "the answer ended"
+                else:
+                    for raw in lines.feed(item):
+                        if bytes(raw).strip():
+                            self.runtime.emit(listed(raw))
+                        else:
+                            self.runtime.emit(fx.Beaten())
--- /dev/null
+++ b/reedspoke/net/effects.py
@@ -0,0 +1,272 @@
+"""What the reducer is told (events) and what it asks for (effects). Both know nothing of HTTP."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from reedspoke import interface as api
+
+TimerKey = tuple[str, int]
+
+
+class Verdict(Enum):
+    """The final answer to an authorisation."""
+
+    SERVED = "served"
+    DECLINED = "declined"  # trying again is harmless
+    FAILED = "failed"
+    LATE = "late"  # the last guard's
+    INVALID = "invalid"  # it should not have come
+
+
+# ---- events ----
+
+
+@dataclass(slots=True)
+class Joined:
+    """A client has connected."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class Reading:
+    """The first bytes of an authorisation have come from a client."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class Arrived:
+    """The last byte of an authorisation has come. `message` is what its legs will carry."""
+
+    client: int
+    name: str
+    message: object
+    cls: str
+    span: int  # us that the client will wait
+    hint: int
+    slots: int
+    memory: float
+    tenant: str
+    key: str
+
+
+@dataclass(slots=True)
+class Answered:
+    """An answer has been written, or an ill-formed authorisation has been told so."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class Parted:
+    """A client's connection has ended."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class Opened:
+    """A connection to an issuer host has come up."""
+
+    conn: int
+
+
+@dataclass(slots=True)
+class Written:
+    """The last byte of a leg is written."""
+
+    conn: int
+
+
+@dataclass(slots=True)
+class Noted:
+    """A leg tells that its job has started, or how far it is."""
+
+    conn: int
+    kind: api.NoteKind
+    share: float
+
+
+@dataclass(slots=True)
+class Concluded:
+    """A leg or a probe has its outcome; the rest of the answer may still be on its way."""
+
+    conn: int
+    reason: api.Reason
+    report: tuple[float, ...] = ()
+    result: bytes = b""
+
+
+@dataclass(slots=True)
+class Freed:
+    """The whole answer has come: the connection can carry the next leg."""
+
+    conn: int
+
+
+@dataclass(slots=True)
+class Broken:
+    """A connection to an issuer host never came up or has ended."""
+
+    conn: int
+
+
+@dataclass(slots=True)
+class Target:
+    """An issuer host as the directory lists it."""
+
+    entry: api.Entry
+    endpoint: tuple[str, int]
+
+
+@dataclass(slots=True)
+class Listed:
+    kind: api.ListKind
+    rev: int
+    targets: list[Target]
+
+
+@dataclass(slots=True)
+class Beaten:
+    """The directory gives a sign of life."""
+
+
+@dataclass(slots=True)
+class Unlisted:
+    """The watch has failed or has ended."""
+
+    why: str
+
+
+@dataclass(slots=True)
+class Rung:
+    key: TimerKey
+
+
+@dataclass(slots=True)
+class Listening:
+    """The listener is open."""
+
+
+@dataclass(slots=True)
+class Stop:
+    """The platform asks for a planned end."""
+
+
+Event = (
+    Joined | Reading | Arrived | Answered | Parted | Opened | Written | Noted | Concluded | Freed | Broken
+    | Listed | Beaten | Unlisted | Rung | Listening | Stop
+)  # fmt: skip
+
+# ---- effects ----
+
+
+@dataclass(slots=True)
+class Answer:
+    client: int
+    verdict: Verdict
+    result: bytes = b""
+    retry_after: int = 0
+    last: bool = False  # the connection ends with it
+
+
+@dataclass(slots=True)
+class Drop:
+    """End a client's connection, unless an authorisation has begun to come in on it."""
+
+    client: int
+    begun: bool = False  # end it then too
+
+
+@dataclass(slots=True)
+class Accept:
+    """Take clients from now on, or leave them waiting while no descriptor is free."""
+
+    on: bool
+
+
+@dataclass(slots=True)
+class Shut:
+    """Take in who is waiting, then close the listener."""
+
+
+@dataclass(slots=True)
+class Dial:
+    conn: int
+    endpoint: tuple[str, int]
+
+
+@dataclass(slots=True)
+class Transmit:
+    conn: int
+    message: object
+    wait: int  # us that the answer is waited for
+
+
+@dataclass(slots=True)
+class Ask:
+    """Send a probe."""
+
+    conn: int
+
+
+@dataclass(slots=True)
+class Hangup:
+    conn: int
+
+
+@dataclass(slots=True)
+class Follow:
+    """Watch the directory for what has changed since `rev`."""
+
+    rev: int
+
+
+@dataclass(slots=True)
+class Unfollow:
+    pass
+
+
+@dataclass(slots=True)
+class Ring:
+    key: TimerKey
+    at: int
+
+
+@dataclass(slots=True)
+class Quiet:
+    key: TimerKey
+
+
+@dataclass(slots=True)
+class Say:
+    """A line for the log."""
+
+    text: str
+    fault: bool = False
+
+
+@dataclass(slots=True)
+class Exit:
+    pass
+
+
+Effect = (
+    Answer
+    | Drop
+    | Accept
+    | Shut
+    | Dial
+    | Transmit
+    | Ask
+    | Hangup
+    | Follow
+    | Unfollow
+    | Ring
+    | Quiet
+    | Say
+    | Exit
+)
--- /dev/null
+++ b/reedspoke/net/http.py
@@ -0,0 +1,297 @@
+"""Incremental HTTP/1.1 parsers over a buffer; no sockets. What they hand out are slices of that buffer."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+SMALL = 4096  # a buffer's first size
+SCANT = 1024  # with less room than this a buffer moves
+MOST_HEAD = 16 * 1024
+MOST_BODY = 64 * 1024
+MOST_CHUNK_LINE = 256
+
+REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/([0-9])\.([0-9])\r\n")
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?\r\n")
+FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
+BLANKS = (32, 9)
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
+NEWLINE = re.compile(rb"\n")
+NUMBER = re.compile(rb"[0-9]{1,18}")
+ONCE = frozenset((b"host", b"content-length", b"transfer-encoding"))
+
+
+class MalformedError(Exception):
+    """The bytes are not HTTP as this program takes it; `status` is the answer that says so."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Buffer:
+    """Bytes read and not yet used. A slice taken stays as it is, unless its owner calls `recycle`."""
+
+    def __init__(self, size: int = SMALL) -> None:
+        self.data = bytearray(size)
+        self.start = self.end = 0
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    def room(self, wanted: int = SCANT) -> memoryview:
+        """Where to read to. Where too little is left, the rest moves to a fresh buffer."""
+        if len(self.data) - self.end < wanted:
+            used = len(self)
+            fresh = bytearray(max(SMALL, used + max(used, wanted)))
+            fresh[:used] = memoryview(self.data)[self.start : self.end]
+            self.data, self.start, self.end = fresh, 0, used
+        return memoryview(self.data)[self.end :]
+
+    def filled(self, count: int) -> None:
+        self.end += count
+
+    def take(self, count: int) -> memoryview:
+        self.start += count
+        return memoryview(self.data)[self.start - count : self.start]
+
+    def recycle(self) -> None:
+        """No slice is in use any more: an empty buffer may be written from its beginning."""
+        if self.start == self.end:
+            if len(self.data) > 4 * SMALL:
+                self.data = bytearray(SMALL)
+            self.start = self.end = 0
+
+
+@dataclass(slots=True)
+class Head:
+    """A first line and its fields; names are in small letters."""
+
+    version: int  # the minor one
+    method: bytes = b""
+    target: memoryview = field(default_factory=lambda: memoryview(b""))
+    status: int = 0
+    fields: list[tuple[bytes, memoryview]] = field(default_factory=list)
+
+    def get(self, name: bytes) -> bytes | None:
+        """The field's value, where it stands more than once the values as a list; a copy."""
+        values = [bytes(value) for key, value in self.fields if key == name]
+        return b", ".join(values) if values else None
+
+    def tokens(self, name: bytes) -> list[bytes]:
+        return [token.strip().lower() for token in (self.get(name) or b"").split(b",") if token.strip()]
+
+    def keeps_alive(self) -> bool:
+        told = self.tokens(b"connection")
+        return b"close" not in told and (self.version == 1 or b"keep-alive" in told)
+
+    def length(self) -> int | None:
+        """Of the body: -1 where it comes in chunks, None where nothing tells."""
+        for name in ONCE:
+            if sum(key == name for key, _ in self.fields) > 1:
+                raise MalformedError(400, f"field {name.decode()} twice")
+        told, coding = self.get(b"content-length"), self.tokens(b"transfer-encoding")
+        if coding:
+            if told is not None or self.version == 0:
+                raise MalformedError(400, "a length and a transfer coding")
+            if coding != [b"chunked"]:
+                raise MalformedError(501, "unknown transfer coding")
+            return -1
+        if told is None:
+            return None
+        if not NUMBER.fullmatch(told):
+            raise MalformedError(400, "a length that is no number")
+        return int(told)
+
+
+def parse_head(buffer: Buffer, *, answer: bool = False) -> Head | None:
+    """The head at the front of the buffer, None until it is whole."""
+    data = buffer.data
+    while not answer and data.startswith(b"\r\n", buffer.start, buffer.end):
+        buffer.take(2)  # a blank line before a request is passed over
+    start = buffer.start
+    end = data.find(b"\r\n\r\n", start, buffer.end)
+    if end < 0 or end - start > MOST_HEAD:
+        if len(buffer) > MOST_HEAD:
+            raise MalformedError(431, "the head is too large")
+        if not answer and data.find(b"\n", start, min(buffer.end, start + MOST_HEAD)) >= 0:
+            check_first_line(data, start, buffer.end)
+        return None
+    end += 2
+    first = (STATUS_LINE if answer else REQUEST_LINE).match(data, start, end)
+    if first is None:
+        raise MalformedError(400, "the first line is malformed")
+    if answer:
+        head = Head(int(first[1]), status=int(first[2]))
+    else:
+        if first[3] != b"1":
+            raise MalformedError(505, "not HTTP/1")
+        head = Head(min(1, int(first[4])), first[1], memoryview(data)[first.start(2) : first.end(2)])
+    at, view = first.end(), memoryview(data)
+    while at < end:
+        found = FIELD.match(data, at, end)
+        if found is None:
+            raise MalformedError(400, "a header field is malformed")
+        first_byte, last_byte = found.span(2)
+        while first_byte < last_byte and data[first_byte] in BLANKS:
+            first_byte += 1
+        while first_byte < last_byte and data[last_byte - 1] in BLANKS:
+            last_byte -= 1
+        head.fields.append((found[1].lower(), view[first_byte:last_byte]))
+        at = found.end()
+    buffer.take(end + 2 - start)
+    return head
+
+
+def check_first_line(data: bytearray, start: int, end: int) -> None:
+    """Garbage is told at its first line: its sender may never send the blank line that ends a head."""
+    if REQUEST_LINE.match(data, start, end) is None:
+        raise MalformedError(400, "the first line is malformed")
+
+
+class Chunks:
+    """Takes a chunked body apart."""
+
+    def __init__(self) -> None:
+        self.left = -1  # of the chunk in hand; -1: a size line comes next, -2: the line end behind a chunk
+        self.trailer = 0  # bytes of the trailer so far, from 1 once it has begun
+        self.done = False
+
+    def feed(self, buffer: Buffer) -> Iterator[memoryview]:
+        while not self.done and len(buffer):
+            if self.left > 0:
+                part = buffer.take(min(self.left, len(buffer)))
+                self.left -= len(part)
+                if not self.left:
+                    self.left = -2
+                yield part
+            elif self.left == -2:
+                if len(buffer) < 2:
+                    return
+                if bytes(buffer.take(2)) != b"\r\n":
+                    raise MalformedError(400, "a chunk has no end")
+                self.left = -1
+            else:
+                end = buffer.data.find(b"\r\n", buffer.start, buffer.end)
+                if end < 0:
+                    if len(buffer) > (MOST_HEAD if self.trailer else MOST_CHUNK_LINE):
+                        raise MalformedError(400, "a chunk's line is too long")
+                    return
+                self._line(buffer, end + 2)
+
+    def _line(self, buffer: Buffer, end: int) -> None:
+        line = CHUNK_LINE.fullmatch(buffer.data, buffer.start, end)
+        size = end - buffer.start
+        buffer.take(size)
+        if self.trailer:
+            self.trailer += size
+            self.done = size == 2
+            if self.trailer > MOST_HEAD:
+                raise MalformedError(431, "the trailer is too large")
+        elif line is None:
+            raise MalformedError(400, "a chunk's size is malformed")
+        else:
+            self.left = int(line[1], 16) or -1
+            self.trailer = int(self.left == -1)
+
+
+class Requests:
+    """Requests one after another: `head` until there is one, then `body` until it is whole."""
+
+    def __init__(self, buffer: Buffer) -> None:
+        self.buffer = buffer
+        self._length = 0
+        self._chunks: Chunks | None = None
+        self._joined = bytearray()
+
+    def head(self) -> Head | None:
+        return parse_head(self.buffer)
+
+    def expect(self, length: int) -> None:
+        """A body comes, of this length or, with -1, in chunks."""
+        if length > MOST_BODY:
+            raise MalformedError(413, "the body is too large")
+        self._length = length
+        self._chunks, self._joined = (Chunks() if length < 0 else None), bytearray()
+
+    def wanted(self) -> int:
+        """Room to ask for: a whole body lies in one piece."""
+        return max(SCANT, self._length - len(self.buffer))
+
+    def body(self) -> memoryview | None:
+        if self._chunks is None:
+            return self.buffer.take(self._length) if len(self.buffer) >= self._length else None
+        for part in self._chunks.feed(self.buffer):  # joined in a copy: pieces don't lie side by side
+            if len(self._joined) + len(part) > MOST_BODY:
+                raise MalformedError(413, "the body is too large")
+            self._joined += part
+        return memoryview(self._joined) if self._chunks.done else None
+
+
+@dataclass(slots=True)
+class End:
+    reusable: bool
+
+
+class Answers:
+    """Answers on one connection: yields the head, slices of the body, then End."""
+
+    def __init__(self, buffer: Buffer) -> None:
+        self.buffer = buffer
+        self._head: Head | None = None
+        self._left: int | None = None  # None: until the connection ends
+        self._chunks: Chunks | None = None
+
+    def feed(self) -> Iterator[Head | memoryview | End]:
+        """What has come by now; a slice holds until the next step."""
+        while len(self.buffer) or self._head is not None:
+            if self._head is None:
+                head = parse_head(self.buffer, answer=True)
+                if head is None:
+                    return
+                if 100 <= head.status < 200:
+                    continue
+                self._head, length = head, head.length()
+                if head.status in (204, 304):
+                    length = 0
+                self._chunks = Chunks() if length == -1 else None
+                self._left = length if length != -1 else None
+                yield head
+            if self._chunks is not None:
+                yield from self._chunks.feed(self.buffer)
+                if not self._chunks.done:
+                    return
+            else:
+                count = len(self.buffer) if self._left is None else min(self._left, len(self.buffer))
+                if count:
+                    yield self.buffer.take(count)
+                if self._left is None:
+                    return
+                self._left -= count
+                if self._left:
+                    return
+            reusable, self._head = self._head.keeps_alive(), None
+            yield End(reusable)
+
+
+class Lines:
+    """Joins slices to lines; only a line that lies across two slices is copied."""
+
+    def __init__(self, most: int = 256 * 1024) -> None:
+        self._most = most
+        self._begun = bytearray()
+
+    def feed(self, part: memoryview) -> Iterator[memoryview | bytes]:
+        at = 0
+        for end in [found.start() for found in NEWLINE.finditer(part)]:
+            if self._begun:
+                self._begun += part[at:end]
+                yield bytes(self._begun)
+                self._begun.clear()
+            else:
+                yield part[at:end]
+            at = end + 1
+        if len(self._begun) + len(part) - at > self._most:
+            raise MalformedError(400, "a line is too long")
+        self._begun += part[at:]
--- /dev/null
+++ b/reedspoke/net/issuer.py
@@ -0,0 +1,166 @@
+"""Connections to issuer hosts: dials, legs, probes, and their answers. The reducer keeps the pools."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net import message as words
+from reedspoke.net.http import Answers, Buffer, End, Head, Lines, MalformedError
+from reedspoke.net.message import Message
+from reedspoke.net.runtime import Runtime
+from reedspoke.net.streams import connect, read
+
+log = logging.getLogger("reedspoke")
+
+
+class Connection:
+    def __init__(self, side: Issuer, number: int, endpoint: tuple[str, int]) -> None:
+        self.side, self.number, self.endpoint = side, number, endpoint
+        self.stream: IOStream | None = None
+        self.asked = ""  # the id that answers must bear, "": it is a probe
+        self.busy = False  # an answer is due
+        self.told = False  # the outcome of the leg in hand
+
+    def emit(self, event: fx.Event) -> None:
+        if self.side.holds(self):
+            self.side.runtime.emit(event)
+
+    async def serve(self) -> None:
+        try:
+            self.stream = connect(self.endpoint)
+            await self.stream.connect(self.endpoint)
+            self.emit(fx.Opened(self.number))
+            await self._read()
+        except (StreamClosedError, OSError):
+            pass
+        except MalformedError as error:
+            log.warning("issuer host %s:%d: malformed answer: %s", *self.endpoint, error)
+        except Exception:
+            log.exception("fault: connection to an issuer host")
+        finally:
+            if self.stream is not None:
+                self.stream.close()
+            self.emit(fx.Broken(self.number))
+            self.side.forget(self)
+
+    async def _read(self) -> None:
+        assert self.stream is not None
+        buffer = Buffer()
+        answers, lines, status = Answers(buffer), Lines(), 0
+        while True:
+            buffer.recycle()
+            await read(self.stream, buffer)
+            if not self.busy:
+                raise MalformedError(400, "bytes that nobody asked for")
+            for item in answers.feed():
+                if isinstance(item, Head):
+                    lines, status = Lines(), item.status
+                    if status != 200 or not self.asked:
+                        self._conclude_by_status(item)
+                elif isinstance(item, End):
+                    if not self.told or not item.reusable:
+                        return
+                    self.busy = False
+                    self.emit(fx.Freed(self.number))
+                elif status == 200 and self.asked and not self.told:
+                    for raw in lines.feed(item):
+                        if raw and raw != b"\r":
+                            self._take_line(raw)
+
+    def _conclude_by_status(self, head: Head) -> None:
+        self.told = True
+        report = words.report(words.load_field(head.get(b"x-load")), self.side.report_fields)
+        if not self.asked:
+            reason = api.Reason.OK if head.status == 200 else api.Reason.FULL
+        else:
+            reason = words.reason_of(head.status, head.get(b"x-not-run") == b"1")
+            if reason is api.Reason.ERROR and head.status != 500:
+                log.warning("issuer host %s:%d: status %d", *self.endpoint, head.status)
+        self.emit(fx.Concluded(self.number, reason, report))
+
+    def _take_line(self, raw: memoryview | bytes) -> None:
+        if self.told:
+            return
+        told = words.line(raw)
+        if told.id != self.asked:
+            raise MalformedError(400, "an answer to something else")
+        if (kind := words.NOTES.get(told.state)) is not None:
+            self.emit(fx.Noted(self.number, kind, told.share))
+        elif (reason := words.STATES.get(told.state)) is not None:
+            self.told = True
+            report = words.report(told.load, self.side.report_fields)
+            result = words.result(told.result) if reason is api.Reason.OK else b""
+            self.emit(fx.Concluded(self.number, reason, report, result))
+
+    def transmit(self, message: Message, wait: int) -> None:
+        assert self.stream is not None
+        self.asked, self.busy, self.told = message.name, True, False
+        try:
+            written = self.stream.write(message.leg_head(self.endpoint, wait))
+            if len(message.body):
+                written = self.stream.write(message.body)
+        except StreamClosedError:
+            return  # its coroutine tells
+        if written.done() and written.exception() is None:
+            self.emit(fx.Written(self.number))
+        else:
+            written.add_done_callback(self._written)
+
+    def _written(self, written: asyncio.Future[None]) -> None:
+        if not written.cancelled() and written.exception() is None:
+            self.emit(fx.Written(self.number))
+
+    def probe(self) -> None:
+        assert self.stream is not None
+        self.asked, self.busy, self.told = "", True, False
+        path = b"/status/load" if self.side.report_fields else b"/health"
+        try:
+            self.stream.write(b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (path, words.authority(self.endpoint)))
+        except StreamClosedError:
+            return
+
+
+class Issuer:
+    def __init__(self, runtime: Runtime, report_fields: tuple[str, ...]) -> None:
+        self.runtime = runtime
+        self.report_fields = report_fields
+        self._connections: dict[int, Connection] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def effects(self) -> dict[type, Callable[[Any], None]]:
+        return {
+            fx.Dial: self._dial,
+            fx.Transmit: self._transmit,
+            fx.Ask: lambda effect: self._connections[effect.conn].probe(),
+            fx.Hangup: self._hang_up,
+        }
+
+    def holds(self, connection: Connection) -> bool:
+        return self._connections.get(connection.number) is connection
+
+    def forget(self, connection: Connection) -> None:
+        self._connections.pop(connection.number, None)
+
+    def _dial(self, effect: fx.Dial) -> None:
+        connection = Connection(self, effect.conn, effect.endpoint)
+        self._connections[effect.conn] = connection
+        task = asyncio.ensure_future(connection.serve())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _transmit(self, effect: fx.Transmit) -> None:
+        assert isinstance(effect.message, Message)
+        self._connections[effect.conn].transmit(effect.message, effect.wait)
+
+    def _hang_up(self, effect: fx.Hangup) -> None:
+        if (
+            connection := self._connections.pop(effect.conn, None)
+        ) is not None and connection.stream is not None:
+            connection.stream.close()
--- /dev/null
+++ b/reedspoke/net/message.py
@@ -0,0 +1,168 @@
+"""The platform's words for an authorisation, a leg's answer and a load report."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass, field
+
+import msgspec
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net.http import Head, MalformedError
+
+ONCE = (b"x-request-id", b"x-deadline", b"x-class", b"x-tenant", b"x-key", b"x-cost-hint", b"x-extras")
+OWN = frozenset(  # fields of one connection, and those that a leg writes itself
+    (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"expect", b"host")
+    + (b"content-length", b"proxy-connection", b"x-deadline")
+)
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
+LONGEST = 86_400.0  # s
+
+
+@dataclass(slots=True)
+class Message:
+    """An authorisation as it came: slices of the buffer that it was read into."""
+
+    head: Head
+    cls: str
+    name: str
+    span: int
+    hint: int
+    slots: int
+    memory: float
+    tenant: str
+    key: str
+    body: memoryview = field(default_factory=lambda: memoryview(b""))
+
+    def arrived(self, client: int) -> fx.Arrived:
+        return fx.Arrived(
+            client, self.name, self, self.cls, self.span, self.hint, self.slots, self.memory,
+            self.tenant, self.key,
+        )  # fmt: skip
+
+    def leg_head(self, endpoint: tuple[str, int], wait: int) -> bytes:
+        """The head of a leg: what came, but for the fields of the connection that it came on."""
+        own = OWN.union(self.head.tokens(b"connection"))
+        first_line = b" ".join((self.head.method, self.head.target, b"HTTP/1.1"))
+        lines = [first_line, b"Host: " + authority(endpoint)]
+        lines += [b": ".join((name, value)) for name, value in self.head.fields if name not in own]
+        lines.append(b"X-Deadline: %.6f" % (max(0, wait) / 1_000_000))
+        lines.append(b"Content-Length: %d\r\n\r\n" % len(self.body))
+        return b"\r\n".join(lines)
+
+
+def authority(endpoint: tuple[str, int]) -> bytes:
+    host, port = endpoint
+    return (f"[{host}]:{port}" if ":" in host else f"{host}:{port}").encode()
+
+
+def text(head: Head, name: bytes) -> str:
+    return (head.get(name) or b"").decode("utf-8", "replace")
+
+
+def decimal(head: Head, name: bytes) -> float | None:
+    told = text(head, name)
+    if not told:
+        return None
+    if not DECIMAL.fullmatch(told):
+        raise MalformedError(400, f"{name.decode()} is no decimal")
+    return float(told)
+
+
+def extras(told: str) -> dict[str, float]:
+    """`name=value,name=value`; what is no figure is passed over."""
+    figures = {}
+    for part in told.split(","):
+        name, _, value = part.partition("=")
+        try:
+            figures[name.strip().lower()] = float(value)
+        except ValueError:
+            continue
+    return {name: value for name, value in figures.items() if math.isfinite(value)}
+
+
+def authorisation(head: Head, classes: dict[str, int]) -> Message:
+    """Reads the head of an authorisation; one of a known class, by POST."""
+    if head.version == 1 and head.get(b"host") is None:
+        raise MalformedError(400, "no host")
+    for once in ONCE:
+        if sum(key == once for key, _ in head.fields) > 1:
+            raise MalformedError(400, f"{once.decode()} twice")
+    cls = bytes(head.target).partition(b"?")[0].strip(b"/").partition(b"/")[0].decode("ascii")
+    if text(head, b"x-class") not in ("", cls):
+        raise MalformedError(400, "the class of the path is not that of x-class")
+    name = text(head, b"x-request-id")
+    if not name:
+        raise MalformedError(400, "no x-request-id")
+    span = decimal(head, b"x-deadline")
+    longest = classes[cls] / 1_000_000
+    figures = extras(text(head, b"x-extras"))
+    hint = decimal(head, b"x-cost-hint")
+    return Message(
+        head=head,
+        cls=cls,
+        name=name,
+        span=int(1_000_000 * min(longest if span is None else span, LONGEST)),
+        hint=int(hint or 0),
+        slots=max(1, math.ceil(figures.get("slots", 1))),
+        memory=max(0.0, figures.get("memory", 0.0)),
+        tenant=text(head, b"x-tenant"),
+        key=text(head, b"x-key"),
+    )
+
+
+# ---- what comes back ----
+
+NAMES = {"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms"}
+STATES = {
+    "done": api.Reason.OK,
+    "failed": api.Reason.ERROR,
+    "returned": api.Reason.FULL,
+    "lost": api.Reason.RESET,
+}
+NOTES = {"started": api.NoteKind.STARTED, "running": api.NoteKind.PROGRESS}
+
+
+class Line(msgspec.Struct):
+    """One object of the stream that a host answers with."""
+
+    state: str
+    id: str = ""
+    share: float = 0.0
+    result: msgspec.Raw = msgspec.Raw(b"")
+    load: dict[str, float] = {}
+
+
+LINE = msgspec.json.Decoder(Line).decode
+
+
+def line(raw: memoryview | bytes) -> Line:
+    try:
+        return LINE(raw)
+    except ValueError as error:
+        raise MalformedError(400, f"a line of an answer: {error}") from None
+
+
+def result(raw: msgspec.Raw) -> bytes:
+    """The body for the client: a text's own bytes, anything else as it stands."""
+    told = bytes(raw)
+    return msgspec.json.decode(told, type=str).encode() if told[:1] == b'"' else told
+
+
+def report(load: dict[str, float], fields: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report in the order of the settings; empty where a value is missing."""
+    meant = {NAMES.get(name, name): value for name, value in load.items()}
+    return tuple(meant[name] for name in fields) if fields and all(name in meant for name in fields) else ()
+
+
+def load_field(told: bytes | None) -> dict[str, float]:
+    """`TEXT inflight=7, queue=2`."""
+    kind, _, rest = (told or b"").decode("utf-8", "replace").strip().partition(" ")
+    return extras(rest) if kind == "TEXT" else {}
+
+
+def reason_of(status: int, never_ran: bool) -> api.Reason:
+    """What an answer means that is no stream: a 503 that does not say so may have run."""
+    return api.Reason.FULL if status in (503, 504) and never_ran else api.Reason.ERROR
--- /dev/null
+++ b/reedspoke/net/node.py
@@ -0,0 +1,80 @@
+"""A real scheduler, for a program or to embed: `await Node(config).run()`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net.acquirer import Acquirer
+from reedspoke.net.config import Config, ConfigError, load
+from reedspoke.net.directory import Directory, listed
+from reedspoke.net.issuer import Issuer
+from reedspoke.net.reducer import Budget, Reducer
+from reedspoke.net.runtime import Clock, Runtime
+
+log = logging.getLogger("reedspoke")
+
+
+class Node:
+    """Make it inside a running loop."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        budget = Budget.of(config.sockets)
+        reducer = Reducer(config.settings, config.seed, budget, config.conn_idle)
+        self.runtime = Runtime(Clock(), reducer)
+        classes = {cls.name: cls.deadline for cls in config.settings.classes}
+        self.acquirer = Acquirer(self.runtime, classes, config.listen)
+        self.directory = Directory(self.runtime, config.discovery)
+        for part in (self.acquirer, self.directory, Issuer(self.runtime, config.settings.report_fields)):
+            self.runtime.attach(part)
+
+    def stop(self) -> None:
+        """Begin a planned end: answer what was taken, then let `run` return."""
+        self.runtime.emit(fx.Stop())
+
+    async def run(self) -> None:
+        try:
+            known = listed(self.config.known, api.ListKind.STALE)
+        except ValueError as error:  # an old list is a help, not a need
+            log.warning("directory: known list skipped: %s", error)
+            known = fx.Listed(api.ListKind.STALE, 0, [])
+        self.runtime.emit(known)
+        self.acquirer.open()
+        log.info(
+            "serving: %s on %s:%d, %d hosts known", self.config.name, *self.config.listen, len(known.targets)
+        )
+        await self.runtime.over.wait()
+        self.acquirer.close()
+        self.runtime.tell_figures()
+        log.info("stopped")
+
+
+async def serve(config: Config) -> None:
+    node = Node(config)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stop)
+    gc.freeze()  # what stands now stays: the collector need not look at it
+    await node.run()
+
+
+def main() -> int:
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+        datefmt="%H:%M:%S",
+    )  # fmt: skip
+    try:
+        asyncio.run(serve(load()))
+    except ConfigError as error:
+        print(f"reedspoke: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"reedspoke: cannot listen: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/reedspoke/net/state.py
@@ -0,0 +1,103 @@
+"""What the reducer remembers. Only the reducer changes it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from reedspoke import interface as api
+
+
+class Phase(Enum):
+    """Of a connection to an issuer host."""
+
+    DIALLING = "dialling"
+    BUSY = "busy"  # its leg or probe is out
+    ENDING = "ending"  # its leg has its outcome, the rest of the answer has not come
+    IDLE = "idle"
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    id: int
+    authorisation: Authorisation | None = None
+    reading: bool = False
+    served: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Authorisation:
+    id: int
+    name: str
+    client: int
+    message: object
+    deadline: int
+    legs: int = 0  # made so far
+    out: dict[int, Leg] = field(default_factory=dict)
+    open: bool = True  # owed its final answer
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    authorisation: Authorisation
+    number: int
+    host: str
+    made: int
+    until: int  # nobody waits for it any longer
+    conn: int = 0
+    written: bool = False  # its last byte: from here on its job may have run
+
+
+@dataclass(slots=True, eq=False)
+class Conn:
+    id: int
+    host: str
+    endpoint: tuple[str, int]
+    phase: Phase = Phase.DIALLING
+    leg: Leg | None = None
+    probe_at: int = 0  # when its probe was asked for, 0: it carries none
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    """An issuer host as listed last."""
+
+    uid: str
+    endpoint: tuple[str, int]
+    state: api.WorkerState
+    born: int
+    idle: list[int] = field(default_factory=list)  # its idle connections, the latest used last
+
+
+class Life(Enum):
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"  # SIGTERM has come; clients still connect
+    SHUT = "shut"  # the listener is closed
+    OVER = "over"
+
+
+@dataclass(slots=True)
+class State:
+    life: Life = Life.STARTING
+    listed: bool = False  # a list that names an issuer host has been told to the module
+    accepting: bool = True
+    rev: int = 0
+    clients: dict[int, Client] = field(default_factory=dict)
+    waiting: dict[int, None] = field(default_factory=dict)  # clients with nothing asked, the longest first
+    authorisations: dict[int, Authorisation] = field(default_factory=dict)
+    names: set[str] = field(default_factory=set)  # of the authorisations that are open
+    hosts: dict[str, Host] = field(default_factory=dict)
+    conns: dict[int, Conn] = field(default_factory=dict)
+    idle: dict[int, None] = field(default_factory=dict)  # idle connections of all hosts, the longest first
+    timers: dict[int, str] = field(default_factory=dict)  # the module's, with their tokens
+    figures: Counter[str] = field(default_factory=Counter)
+    last_id: int = 0
+
+    def next_id(self) -> int:
+        self.last_id += 1
+        return self.last_id
+
+    def ready(self) -> bool:
+        return self.life is Life.SERVING and self.listed
--- /dev/null
+++ b/reedspoke/net/streams.py
@@ -0,0 +1,35 @@
+"""What both sides need of Tornado's streams."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any, cast
+
+from tornado.iostream import IOStream
+
+from reedspoke.net.http import SCANT, Buffer
+
+MOST_BUFFERED = 512 * 1024
+
+
+def connect(endpoint: tuple[str, int]) -> IOStream:
+    """A stream that is still to be connected."""
+    family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
+    return stream(socket.socket(family, socket.SOCK_STREAM))
+
+
+def stream(raw: socket.socket) -> IOStream:
+    raw.setblocking(False)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return IOStream(raw, max_buffer_size=MOST_BUFFERED, max_write_buffer_size=MOST_BUFFERED)
+
+
+def start_read(source: IOStream, buffer: Buffer, room: int = SCANT) -> asyncio.Future[int]:
+    """Begin to read into the buffer. Tornado takes any writable place, though it names one type."""
+    place = cast(Any, buffer.room(room))
+    return cast("asyncio.Future[int]", source.read_into(place, partial=True))
+
+
+async def read(source: IOStream, buffer: Buffer) -> None:
+    buffer.filled(await start_read(source, buffer))
