Tests that start the program and speak to it as clients, hosts and discovery would

Found by them: at a planned end a client that closed while its last answer was written ended its coroutine with an error (Client._end took the socket of a closed stream); that is checked now. A target that is no path is 400.

--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -14,7 +14,7 @@
 
 from reedspoke.net import effects as fx
 from reedspoke.net.http import SCANT, Buffer, Head, MalformedError, Requests
-from reedspoke.net.message import Message, authorisation
+from reedspoke.net.message import Message, authorisation, class_of, path
 from reedspoke.net.reducer import SECOND
 from reedspoke.net.runtime import Runtime
 from reedspoke.net.streams import read, start_read, stream
@@ -129,14 +129,14 @@
 
     def _plain(self, head: Head) -> tuple[int, bool] | None:
         """The answer to what is no authorisation: its status, and whether the connection ends with it."""
-        path = bytes(head.target).partition(b"?")[0]
+        named = path(head)
         bare = head.length() in (None, 0)
         last = not head.keeps_alive() or not bare or self.side.runtime.leaving()
-        if path == b"/ready":
+        if named == b"/ready":
             if head.method not in (b"GET", b"HEAD"):
                 return 405, True
             return (200 if self.side.runtime.ready() else 503), last
-        if path.strip(b"/").partition(b"/")[0].decode("ascii") not in self.side.classes:
+        if class_of(named) not in self.side.classes:
             return 404, last
         if head.method != b"POST":
             return 405, last
@@ -186,7 +186,10 @@
         """Guards the last answer: closing with bytes unread would reset the connection and take it along."""
         if not last:
             return True
-        self.stream.socket.shutdown(socket.SHUT_WR)
+        if self.stream.closed():  # the client was faster: seen at a planned end, when all leave at once
+            return False
+        with suppress(OSError):
+            self.stream.socket.shutdown(socket.SHUT_WR)
         sink = Buffer()
 
         async def drain() -> None:
--- a/reedspoke/net/message.py
+++ b/reedspoke/net/message.py
@@ -83,6 +83,21 @@
     return {name: value for name, value in figures.items() if math.isfinite(value)}
 
 
+def path(head: Head) -> bytes:
+    """The target's path, also where it came in absolute form."""
+    target = bytes(head.target)
+    if target[:7].lower() == b"http://":
+        target = b"/" + target[7:].partition(b"/")[2]
+    if not target.startswith(b"/") and target != b"*":
+        raise MalformedError(400, "the target is no path")
+    return target.partition(b"?")[0]
+
+
+def class_of(named: bytes) -> str:
+    """The first part of a path."""
+    return named.lstrip(b"/").partition(b"/")[0].decode("ascii")
+
+
 def authorisation(head: Head, classes: dict[str, int]) -> Message:
     """Reads the head of an authorisation; one of a known class, by POST."""
     if head.version == 1 and head.get(b"host") is None:
@@ -90,7 +105,7 @@
     for once in ONCE:
         if sum(key == once for key, _ in head.fields) > 1:
             raise MalformedError(400, f"{once.decode()} twice")
-    cls = bytes(head.target).partition(b"?")[0].strip(b"/").partition(b"/")[0].decode("ascii")
+    cls = class_of(path(head))
     if text(head, b"x-class") not in ("", cls):
         raise MalformedError(400, "the class of the path is not that of x-class")
     name = text(head, b"x-request-id")
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -225,8 +225,9 @@
         yield start
         for node in started:
             assert node.process.poll() is None or node.process.returncode == 0, node.log()
-            node.process.terminate()
-            assert node.process.wait(WAIT) == 0, node.log()
+            for wire in node.clients:
+                wire.close()
+            assert node.stop() == 0, node.log()
             assert "fault" not in node.log()
     finally:
         for node in started:
--- /dev/null
+++ b/tests/test_acquirer.py
@@ -0,0 +1,191 @@
+"""The acquirer side: what is an authorisation, what is none, and how answers come back."""
+
+from __future__ import annotations
+
+import select
+import time
+
+import pytest
+
+from tests.peers import WAIT, Start, Wire, ask, took
+
+HEAD = "POST /quote HTTP/1.1\r\nHost: n\r\nX-Request-Id: 1a\r\nX-Deadline: 1\r\n"
+BOTH = "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+LARGEST = 64 * 1024
+
+
+def post(fields: str, body: str = "") -> bytes:
+    return f"{HEAD}{fields}\r\n{body}".encode("latin-1")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
+        (b"nonsense\r\n", 400),
+        (b"POST /quote\r\n\r\n", 400),
+        (b"POST quote HTTP/1.1\r\nHost: n\r\n\r\n", 400),
+        (b"POST /quote HTTP/2.0\r\nHost: n\r\n\r\n", 505),
+        (b"POST /quote HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400),
+        (post("Bad Name: 1\r\nContent-Length: 0\r\n"), 400),
+        (post("X-Folded: 1\r\n 2\r\nContent-Length: 0\r\n"), 400),
+        (post("X-Nul: \x00\r\nContent-Length: 0\r\n"), 400),
+        (post("Content-Length: four\r\n", "work"), 400),
+        (post("Content-Length: -4\r\n", "work"), 400),
+        (post("Content-Length: 4\r\nContent-Length: 5\r\n", "work"), 400),
+        (post(BOTH, "4\r\nwork\r\n0\r\n\r\n"), 400),
+        (post("Transfer-Encoding: chunked\r\n", "zz\r\nwork\r\n"), 400),
+        (post("Transfer-Encoding: chunked\r\n", "4\r\nworks\r\n"), 400),
+        (post("Transfer-Encoding: gzip, chunked\r\n"), 501),
+        (post(""), 411),
+        (post(f"Content-Length: {LARGEST + 1}\r\n"), 413),
+        (post(f"Content-Length: {10**30}\r\n"), 400),
+        (
+            post("Transfer-Encoding: chunked\r\n", f"{LARGEST + 1:x}\r\n{'x' * (LARGEST + 1)}\r\n0\r\n\r\n"),
+            413,
+        ),
+        (post("Expect: miracles\r\nContent-Length: 4\r\n"), 417),
+        (post("X-Long: " + "x" * 20_000 + "\r\nContent-Length: 0\r\n"), 431),
+        (post("X-Request-Id: 2b\r\nContent-Length: 0\r\n"), 400),
+        (post("X-Class: book\r\nContent-Length: 0\r\n"), 400),
+        (post("Content-Length: 0\r\n").replace(b"X-Deadline: 1", b"X-Deadline: soon"), 400),
+        (post("Content-Length: 0\r\n").replace(b"X-Deadline: 1", b"X-Deadline: -1"), 400),
+        (post("Content-Length: 0\r\n").replace(b"X-Deadline: 1", b"X-Deadline: nan"), 400),
+        (post("Content-Length: 0\r\n").replace(b"X-Request-Id: 1a\r\n", b""), 400),
+        (post("Content-Length: 0\r\n").replace(b"/quote", b"/nothing"), 404),
+        (post("Content-Length: 0\r\n").replace(b"/quote", b"/"), 404),
+        (post("Content-Length: 0\r\n").replace(b"POST", b"PUT"), 405),
+        (b"GET /quote HTTP/1.1\r\nHost: n\r\n\r\n", 405),
+        (b"POST /ready HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n", 405),
+    ],
+)
+def test_what_is_no_authorisation_is_told_so_and_hurts_nobody_else(
+    start: Start, data: bytes, status: int
+) -> None:
+    node = start(hosts=1)
+    client = node.client(data)
+    answer = client.message()
+    assert answer.status == status
+    assert answer.fields["connection"] == "close" or status in (404, 405)
+    assert node.quiet(0.02), "nothing of it goes out"
+    other = node.client(ask())
+    node.leg().serve()
+    assert other.message().status == 200
+
+
+def test_one_byte_at_a_time(start: Start) -> None:
+    node = start(hosts=1)
+    client = node.client()
+    for byte in b"\r\n" + ask(body=b"slowly"):
+        client.send(bytes([byte]))
+    wire = node.leg()
+    leg = wire.message()
+    assert leg.body == b"slowly"
+    wire.serve(leg)
+    assert client.message().body == b"fine"
+
+
+def test_authorisations_sent_ahead_are_answered_in_order(start: Start) -> None:
+    node = start(hosts=1)
+    client = node.client(b"".join(ask(f"{n}", body=b"%d" % n * 3000) for n in range(4)))
+    wire = node.leg()
+    for n in range(4):
+        leg = wire.message()
+        assert (leg.fields["x-request-id"], leg.body) == (f"{n}", b"%d" % n * 3000)
+        wire.serve(leg, result=f"result {n}")
+    assert [client.message().body for _ in range(4)] == [b"result %d" % n for n in range(4)]
+
+
+@pytest.mark.parametrize("size", [0, 1, 4096, LARGEST])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_body_arrives_whole(start: Start, size: int, chunked: bool) -> None:
+    node = start(hosts=1)
+    body = bytes(n % 251 for n in range(size))
+    if chunked:
+        parts = [body[at : at + 1000] for at in range(0, size, 1000)]
+        coded = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+        node.client(post("Transfer-Encoding: chunked\r\n") + coded)
+    else:
+        node.client(ask(body=body))
+    leg = node.leg().message()
+    assert leg.body == body
+    assert "transfer-encoding" not in leg.fields
+
+
+def test_expectation_is_met_before_the_body_comes(start: Start) -> None:
+    node = start(hosts=1)
+    client = node.client(post("Expect: 100-continue\r\nContent-Length: 4\r\n"))
+    assert client.head().status == 100
+    client.send(b"work")
+    wire = node.leg()
+    leg = wire.message()
+    assert leg.body == b"work"
+    assert "expect" not in leg.fields
+    wire.serve(leg)
+    assert client.message().status == 200
+
+
+@pytest.mark.parametrize(
+    ("version", "field", "kept"),
+    [("1.1", "", True), ("1.1", "Connection: close\r\n", False), ("1.0", "", False)]
+    + [("1.0", "Connection: keep-alive\r\n", True)],
+)
+def test_connection_is_kept_as_the_client_asks(start: Start, version: str, field: str, kept: bool) -> None:
+    node = start(hosts=1)
+    client = node.client(ask(more=field).replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+    wire = node.leg()
+    wire.serve()
+    assert client.message().body == b"fine"
+    if kept:
+        client.send(ask("2b"))
+        wire.serve()
+        assert client.message().body == b"fine"
+    else:
+        assert client.ended()
+
+
+def test_same_id_twice_at_once_runs_once(start: Start) -> None:
+    """Guards a job that must never run twice against a twin that comes while it is out."""
+    node = start(hosts=2)
+    first = node.client(ask(cls="book"))
+    wire = node.leg()
+    leg = wire.message()
+    assert node.client(ask(cls="book")).message().status == 400
+    assert node.quiet()
+    wire.serve(leg)
+    assert first.message().status == 200
+
+
+@pytest.mark.parametrize("deadline", [0.0, 0.05])
+def test_decline_is_told_at_once_and_when_to_come_back(start: Start, deadline: float) -> None:
+    """What the module has given up on is not held back until its deadline."""
+    node = start(hosts=1)
+    node.list(node.hosts[0].entry("Terminating"), full=True)
+    node.list(node.hosts[0].entry("Gone", endpoint=""))
+    since = time.monotonic()
+    answer = node.client(ask(deadline=deadline)).message()
+    assert answer.status == 503
+    assert 0 < float(answer.fields["retry-after"]) <= 2
+    assert took(since) < deadline + 0.07
+
+
+def test_more_clients_than_descriptors(start: Start) -> None:
+    """Guards against running out of descriptors: nobody is taken in that could not be answered."""
+    node = start(hosts=1, sockets=40)
+    waiting = [node.client(ask(f"{n}", cls="book")) for n in range(30)]
+    wires: list[Wire] = []
+    answers = []
+    while waiting:
+        sources = [wire.sock for wire in waiting + wires]
+        ready = select.select([node.hosts[0].sock, *sources], [], [], WAIT)[0]
+        assert ready, "nobody is left without an answer"
+        for wire in [wire for wire in waiting if wire.sock in ready]:
+            answers.append(wire.message().status)
+            waiting.remove(wire)
+        for wire in [wire for wire in wires if wire.sock in ready]:
+            wire.serve()
+        if node.hosts[0].sock in ready:
+            wires.append(node.hosts[0].accept())
+    assert set(answers) <= {200, 503}, "served, or declined by the module: the queue is long"
+    assert 200 in answers
+    assert "budget is full" in node.log()
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,137 @@
+"""Discovery: the list at the start, its changes, and a watch that breaks."""
+
+from __future__ import annotations
+
+import json
+import socket
+
+import pytest
+
+from tests.peers import Node, Start, Wire, ask
+
+
+def test_known_list_serves_until_the_watch_tells_more(start: Start) -> None:
+    node = start(hosts=2)
+    assert node.followed == "GET /v1/endpoints?follow=1&since=41 HTTP/1.1"
+    assert node.ready() == 200
+    node.watch.begin()
+    node.list(node.hosts[0].entry())
+    client = node.client(ask())
+    node.leg().serve()
+    assert client.message().status == 200
+
+
+def told_off(node: Node, uid: int, how: str) -> None:
+    """Tell the node that a host leaves, and let a later line prove that it has read it."""
+    node.watch.begin()
+    others = [host.entry() for host in node.hosts if host.uid != f"s-{uid}"]
+    if how == "not in a full list":
+        node.list(*others, full=True)
+    else:
+        node.list(node.hosts[uid].entry(how))
+    node.watch.chunk(b"\n")
+
+
+@pytest.mark.parametrize("how", ["Terminating", "Gone", "not in a full list"])
+def test_host_that_leaves_gets_nothing_new(start: Start, how: str) -> None:
+    node = start(hosts=2)
+    told_off(node, 0, how)
+    wires: list[Wire] = []
+    for number in range(5):
+        client = node.client(ask(f"{number}"))
+        wires = [node.leg(*wires)]
+        assert wires[0].sock.getsockname() == node.hosts[1].sock.getsockname()
+        wires[0].serve()
+        assert client.message().status == 200
+
+
+def test_host_that_drains_finishes_what_it_has(start: Start) -> None:
+    node = start(hosts=1)
+    client = node.client(ask())
+    wire = node.leg()
+    leg = wire.message()
+    told_off(node, 0, "Terminating")
+    wire.serve(leg)
+    assert client.message().status == 200
+    assert wire.ended(), "its connection is not kept for more"
+
+
+def test_drain_told_during_a_slow_dial_is_kept(start: Start) -> None:
+    """Guards the drain rule: a send counts from its first byte, which may be long after the decision."""
+    node = start(hosts=1, connect_timeout=4_000_000)
+    host = node.hosts[0]
+    host.sock.listen(0)
+    fillers = [socket.socket() for _ in range(2)]
+    for filler in fillers:  # the system takes in one too many, then lets others wait
+        filler.setblocking(False)
+        filler.connect_ex(host.sock.getsockname())
+    client = node.client(ask())
+    assert node.ready() == 200, "what came before this is on its way by now"
+    told_off(node, 0, "Terminating")
+    for _ in fillers:
+        host.accept().close()
+    assert host.accept().ended(), "it comes up in the end, and not a byte is written"
+    assert client.message().status == 503
+
+
+def test_host_moves_and_restarts_under_its_uid(start: Start) -> None:
+    node = start(hosts=2)
+    moved = node.hosts.pop()
+    node.watch.begin()
+    node.list(node.hosts[0].entry(endpoint=moved.endpoint, boot_ms=1), full=True)
+    node.watch.chunk(b"\n")
+    node.hosts = [moved]
+    client = node.client(ask())
+    node.leg().serve()
+    assert client.message().status == 200
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        "no object",
+        {},
+        {"uid": 7, "state": "Ready", "endpoint": "127.0.0.1:1"},
+        {"uid": "s-x", "state": "Ready", "endpoint": "worker.local:80"},
+        {"uid": "s-x", "state": "Ready", "endpoint": "127.0.0.1:99999"},
+        {"uid": "s-x", "state": "Sleepy", "endpoint": "127.0.0.1:1"},
+        {"uid": "s-x", "state": "Ready"},
+    ],
+    ids=str,
+)
+def test_bad_entry_is_skipped_and_logged(start: Start, bad: object) -> None:
+    node = start(hosts=1)
+    node.watch.begin()
+    node.list(bad, node.hosts[0].entry(), full=True)
+    node.watch.chunk(b"\n")
+    client = node.client(ask())
+    node.leg().serve()
+    assert client.message().status == 200
+    assert "entry skipped" in node.log()
+
+
+@pytest.mark.parametrize("how", ["503", "reset", "end", "nonsense", "silence", "refused at first"])
+def test_watch_that_breaks_is_asked_for_again(start: Start, how: str) -> None:
+    node = start(hosts=1)
+    if how != "503":
+        node.watch.begin()
+        node.list(node.hosts[0].entry(), rev=57)
+    if how == "503":
+        node.watch.send(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+    elif how == "reset":
+        node.watch.close()
+    elif how == "end":
+        node.watch.end()
+    elif how == "nonsense":
+        node.watch.chunk(json.dumps({"rev": "x"}).encode() + b"\n")
+    elif how == "refused at first":
+        node.watch.close()
+        node.discovery.accept().close()
+    again = node.discovery.accept()
+    assert again.message().first.endswith(f"since={41 if how == '503' else 57} HTTP/1.1")
+    if how == "silence":
+        assert node.watch.ended(), "the old watch is closed before the new one is asked for"
+    assert node.ready() == 200
+    client = node.client(ask())
+    node.leg().serve()
+    assert client.message().status == 200, "the last list stays in force"
