--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Targets for daily work; `make run` needs the PROXY_* variables that README.md names.
+PYTHON = .venv/bin/python
+export PYTHONDONTWRITEBYTECODE = 1
+
+.PHONY: build test lint format run check
+
+build: .venv/made
+
+.venv/made: requirements.txt requirements-dev.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest
+
+lint: build
+	.venv/bin/ruff check --no-cache .
+	.venv/bin/ruff format --no-cache --check .
+	.venv/bin/mypy --cache-dir=/dev/null
+
+format: build
+	.venv/bin/ruff check --no-cache --fix .
+	.venv/bin/ruff format --no-cache .
+
+check: build
+	./check
+
+run: build
+	$(PYTHON) -m reedspoke
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,167 @@
+"""The reducer without sockets: events go in, effects come out."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net.reducer import SECOND, Budget, Reducer
+from reedspoke.net.wheel import Wheel
+from tests.world import MS, settings
+
+NOW = 1_700_000_000 * SECOND
+
+
+def listed(*uids: str, state: api.WorkerState = api.WorkerState.UP, full: bool = True) -> fx.Listed:
+    kind = api.ListKind.FULL if full else api.ListKind.CHANGES
+    entries = [api.Entry(uid, "here", "big", 0, state, 1.0, 0) for uid in uids]
+    return fx.Listed(kind, 7, [fx.Target(entry, ("127.0.0.1", 80)) for entry in entries])
+
+
+def arrived(client: int, cls: str = "read", name: str = "") -> fx.Arrived:
+    return fx.Arrived(client, name or f"n{client}", "message", cls, 2 * SECOND, 50 * MS, 1, 0.0, "", "")
+
+
+class Play:
+    """A reducer whose timers ring; keeps what it asked for."""
+
+    def __init__(self, budget: Budget | None = None) -> None:
+        self.reducer = Reducer(settings(ask=True), 1, budget or Budget(10, 12), 60 * SECOND)
+        self.now, self.wheel, self.asked = NOW, Wheel(5 * MS, NOW), list[fx.Effect]()
+
+    def tell(self, *events: fx.Event) -> list[fx.Effect]:
+        begun = len(self.asked)
+        for event in events:
+            effects = self.reducer.handle(event, self.now)
+            self.asked += effects
+            for effect in effects:
+                if isinstance(effect, fx.Ring):
+                    self.wheel.set(effect.key, effect.at)
+                elif isinstance(effect, fx.Quiet):
+                    self.wheel.stop(effect.key)
+        return self.asked[begun:]
+
+    def advance(self, span: int) -> list[fx.Effect]:
+        begun, end = len(self.asked), self.now + span
+        while self.now < end:
+            self.now += 5 * MS
+            self.tell(*[fx.Rung(key) for key in self.wheel.advance(self.now)])  # type: ignore[arg-type]
+        return self.asked[begun:]
+
+    def answers(self) -> list[fx.Verdict]:
+        return [effect.verdict for effect in self.asked if isinstance(effect, fx.Answer)]
+
+    def faults(self) -> list[str]:
+        return [effect.text for effect in self.asked if isinstance(effect, fx.Say) and effect.fault]
+
+
+def conn_of(effects: list[fx.Effect]) -> int:
+    return next(effect.conn for effect in effects if isinstance(effect, fx.Dial))
+
+
+def test_module_that_never_answers_is_covered_by_the_last_guard(monkeypatch: pytest.MonkeyPatch) -> None:
+    play = Play()
+    monkeypatch.setattr(play.reducer.module, "handle", lambda now, event: [])
+    play.tell(listed("a"), fx.Joined(1), arrived(1))
+    play.advance(2 * SECOND - 5 * MS)
+    assert play.answers() == []
+    play.advance(20 * MS)  # the answer slack is 16 ms
+    assert play.answers() == [fx.Verdict.LATE]
+    assert len(play.faults()) == 1
+
+
+def test_module_that_fails_costs_one_authorisation(monkeypatch: pytest.MonkeyPatch) -> None:
+    play, handle = Play(), Reducer(settings(), 1, Budget(10, 12)).module.handle
+    play.tell(listed("a"), fx.Joined(1), fx.Joined(2))
+
+    def fails(now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request) and event.cls == "pay":
+            raise RuntimeError("out of order")
+        return handle(now, event)
+
+    monkeypatch.setattr(play.reducer.module, "handle", fails)
+    play.tell(arrived(1, "pay"))
+    assert play.answers() == [fx.Verdict.FAILED]
+    assert "out of order" in play.faults()[0]
+    play.tell(arrived(2))
+    play.advance(3 * SECOND)
+    assert len(play.answers()) == 2
+
+
+@pytest.mark.parametrize("written", [False, True])
+@pytest.mark.parametrize("cls", ["read", "pay"])
+def test_break_counts_as_run_from_the_last_byte_on(cls: str, written: bool) -> None:
+    """Guards jobs that must never run twice, and those that may go out again because they never ran."""
+    play = Play()
+    play.tell(listed("a", "b"), fx.Joined(1))
+    conn = conn_of(play.tell(arrived(1, cls)))
+    assert any(isinstance(effect, fx.Transmit) for effect in play.tell(fx.Opened(conn)))
+    effects = play.tell(*([fx.Written(conn)] if written else []), fx.Broken(conn))
+    again = any(isinstance(effect, fx.Dial) for effect in effects)
+    assert again == (cls == "read" or not written)
+    assert play.answers() == ([] if again else [fx.Verdict.FAILED])
+
+
+def test_events_of_a_connection_that_was_given_up_change_nothing() -> None:
+    play = Play()
+    play.tell(listed("a"), fx.Joined(1))
+    conn = conn_of(play.tell(arrived(1)))
+    play.tell(fx.Opened(conn), fx.Written(conn), fx.Parted(1))
+    late: list[fx.Event] = [
+        fx.Concluded(conn, api.Reason.OK, (), b"late"),
+        fx.Freed(conn),
+        fx.Broken(conn),
+        fx.Written(conn),
+    ]
+    assert not [effect for effect in play.tell(*late) if not isinstance(effect, fx.Quiet)]
+    assert play.answers() == []
+    state = play.reducer.state
+    assert not [*state.authorisations, *state.conns, *state.names, *state.clients]
+
+
+def test_idle_connection_makes_room_for_a_leg_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the budget of descriptors: the longest idle goes; where none is idle, nobody is dialled."""
+    play, hosts = Play(Budget(10, 1)), iter("abc")
+    play.tell(listed("a", "b", "c"), *[fx.Joined(n) for n in range(1, 4)])
+    monkeypatch.setattr(
+        play.reducer.module,
+        "handle",
+        lambda now, event: [api.Send(event.id, next(hosts))] if isinstance(event, api.Request) else [],
+    )
+    first = conn_of(play.tell(arrived(1)))
+    play.tell(fx.Opened(first), fx.Written(first), fx.Concluded(first, api.Reason.OK), fx.Freed(first))
+    effects = play.tell(arrived(2))
+    assert fx.Hangup(first) in effects
+    assert conn_of(effects) != first
+    assert not any(isinstance(effect, fx.Dial) for effect in play.tell(arrived(3)))
+    assert play.faults() == ["no descriptor is left for a leg"]
+
+
+@pytest.mark.parametrize("sockets", [32, 64, 1024])
+def test_budget_leaves_a_leg_for_each_client(sockets: int) -> None:
+    budget = Budget.of(sockets)
+    assert budget.legs > budget.clients >= 4
+    assert budget.legs + budget.clients <= sockets - 20
+
+
+def test_wheel_rings_in_order_and_never_early() -> None:
+    wheel = Wheel(5, 1000)
+    for key, at in (
+        ("far", 9000),
+        ("b", 1012),
+        ("a", 1003),
+        ("past", 500),
+        ("stopped", 1003),
+        ("moved", 1003),
+    ):
+        wheel.set(key, at)
+    wheel.stop("stopped")
+    wheel.set("moved", 1030)
+    assert wheel.advance(1004) == []
+    assert wheel.advance(1005) == ["a", "past"]
+    assert wheel.advance(1014) == []
+    assert wheel.advance(1030) == ["b", "moved"]
+    assert wheel.advance(8999) == []
+    assert wheel.advance(50_000) == ["far"]
+    assert len(wheel) == 0
