SIGHUP rereads the configuration and moves the watch; it ended the program before

Cause: node.py serve() had handlers for SIGTERM and SIGINT only, so the system's default ended the process. The file alone would not have helped: config.load puts PROXY_DISCOVERY first, and the environment still names the old address, so reload() lets the file's own change go before it. Checked: the silence guard (3.5 s) would have found the closed old watch in time but asked the old address again. Open: a loop lag of 225 ms in the first 10 s of both schedulers.

--- a/reedspoke/net/config.py
+++ b/reedspoke/net/config.py
@@ -5,7 +5,7 @@
 import ipaddress
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -41,6 +41,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    filed_discovery: str  # as the file itself has it: a change of it goes before the variable
     seed: int
     sockets: int
     memory_mb: float
@@ -63,6 +64,15 @@
     return host, number
 
 
+def reload(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
+    """The configuration after SIGHUP. Guards against the environment, which is as old as the process: what is
+    new in the file as discovery's address counts, whatever PROXY_DISCOVERY said at the start."""
+    new = load(environ)
+    if new.filed_discovery and new.filed_discovery != old.filed_discovery:
+        return replace(new, discovery=address(new.filed_discovery, "discovery"))
+    return replace(new, discovery=old.discovery)
+
+
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     path = environ.get("PROXY_CONFIG", "")
     if not path:
@@ -81,6 +91,7 @@
         name=environ.get("PROXY_NAME") or told.name,
         listen=address(environ.get("PROXY_LISTEN") or told.listen, "PROXY_LISTEN"),
         discovery=address(environ.get("PROXY_DISCOVERY") or told.discovery, "PROXY_DISCOVERY"),
+        filed_discovery=told.discovery,
         seed=seed,
         sockets=told.limits.sockets,
         memory_mb=told.limits.memory_mb,
--- a/reedspoke/net/directory.py
+++ b/reedspoke/net/directory.py
@@ -72,9 +72,8 @@
 
 
 class Directory:
-    def __init__(self, runtime: Runtime, endpoint: tuple[str, int]) -> None:
+    def __init__(self, runtime: Runtime) -> None:
         self.runtime = runtime
-        self._endpoint = endpoint
         self._stream: IOStream | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -83,7 +82,7 @@
 
     def _follow(self, effect: fx.Follow) -> None:
         self.close()
-        self._task = asyncio.ensure_future(self._watch(effect.rev))
+        self._task = asyncio.ensure_future(self._watch(effect.endpoint, effect.rev))
 
     def close(self) -> None:
         self._task = None
@@ -91,13 +90,15 @@
             self._stream.close()
             self._stream = None
 
-    async def _watch(self, rev: int) -> None:
+    async def _watch(self, endpoint: tuple[str, int], rev: int) -> None:
         task, why = asyncio.current_task(), "it ended"
+        if self._task is not task:
+            return  # replaced before it began: nothing would ever close what is opened now
         try:
-            self._stream = stream = connect(self._endpoint)
-            await stream.connect(self._endpoint)
+            self._stream = stream = connect(endpoint)
+            await stream.connect(endpoint)
             ask = b"GET /v1/endpoints?follow=1&since=%d HTTP/1.1\r\nHost: %b\r\n\r\n"
-            await stream.write(ask % (rev, authority(self._endpoint)))
+            await stream.write(ask % (rev, authority(endpoint)))
             why = await self._read(stream, task)
         except (StreamClosedError, OSError) as error:
             why = f"connection ended ({error})"
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -156,9 +156,21 @@
     """The platform asks for a planned end."""
 
 
+@dataclass(slots=True)
+class Reload:
+    """The platform has a new configuration."""
+
+
+@dataclass(slots=True)
+class Reloaded:
+    """It is read and holds; so far only the directory's address can change in service."""
+
+    directory: tuple[str, int]
+
+
 Event = (
     Joined | Reading | Arrived | Answered | Parted | Opened | Written | Noted | Concluded | Freed | Broken
-    | Listed | Beaten | Unlisted | Rung | Listening | Stop
+    | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
 )  # fmt: skip
 
 # ---- effects ----
@@ -220,8 +232,9 @@
 
 @dataclass(slots=True)
 class Follow:
-    """Watch the directory for what has changed since `rev`."""
+    """Watch the directory for what has changed since `rev`; another watch ends with that."""
 
+    endpoint: tuple[str, int]
     rev: int
 
 
@@ -230,6 +243,11 @@
     pass
 
 
+@dataclass(slots=True)
+class Reread:
+    """Read the configuration again."""
+
+
 @dataclass(slots=True)
 class Ring:
     key: TimerKey
@@ -265,6 +283,7 @@
     | Hangup
     | Follow
     | Unfollow
+    | Reread
     | Ring
     | Quiet
     | Say
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -7,11 +7,13 @@
 import logging
 import signal
 import sys
+from collections.abc import Callable
+from typing import Any
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.acquirer import Acquirer
-from reedspoke.net.config import Config, ConfigError, load
+from reedspoke.net.config import Config, ConfigError, load, reload
 from reedspoke.net.directory import Directory, listed
 from reedspoke.net.issuer import Issuer
 from reedspoke.net.reducer import Budget, Reducer
@@ -26,18 +28,34 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         budget = Budget.of(config.sockets)
-        reducer = Reducer(config.settings, config.seed, budget, config.conn_idle)
+        reducer = Reducer(config.settings, config.seed, budget, config.conn_idle, config.discovery)
         self.runtime = Runtime(Clock(), reducer)
         classes = {cls.name: cls.deadline for cls in config.settings.classes}
         self.acquirer = Acquirer(self.runtime, classes, config.listen)
-        self.directory = Directory(self.runtime, config.discovery)
-        for part in (self.acquirer, self.directory, Issuer(self.runtime, config.settings.report_fields)):
+        self.directory = Directory(self.runtime)
+        issuer = Issuer(self.runtime, config.settings.report_fields)
+        for part in (self.acquirer, self.directory, issuer, self):
             self.runtime.attach(part)
 
     def stop(self) -> None:
         """Begin a planned end: answer what was taken, then let `run` return."""
         self.runtime.emit(fx.Stop())
 
+    def reload(self) -> None:
+        """Read the configuration again and take up what can change in service."""
+        self.runtime.emit(fx.Reload())
+
+    def effects(self) -> dict[type, Callable[[Any], None]]:
+        return {fx.Reread: self._reread}
+
+    def _reread(self, _: fx.Reread) -> None:
+        try:
+            self.config = reload(self.config)
+        except ConfigError as error:  # half a file, say: what is in force goes on
+            log.error("reload: the old configuration stays in force: %s", error)
+        else:
+            self.runtime.emit(fx.Reloaded(self.config.discovery))
+
     async def run(self) -> None:
         try:
             known = listed(self.config.known, api.ListKind.STALE)
@@ -60,6 +78,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     gc.freeze()  # what stands now stays: the collector need not look at it
     await node.run()
 
@@ -69,6 +88,9 @@
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
         datefmt="%H:%M:%S",
     )  # fmt: skip
+    signal.signal(
+        signal.SIGHUP, signal.SIG_IGN
+    )  # until it is handled; what it would tell is read at the start
     try:
         asyncio.run(serve(load()))
     except ConfigError as error:
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -48,8 +48,15 @@
 
 
 class Reducer:
-    def __init__(self, settings: api.Settings, seed: int, budget: Budget, conn_idle: int = 0) -> None:
-        self.state = State()
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        budget: Budget,
+        conn_idle: int = 0,
+        directory: tuple[str, int] = ("", 0),
+    ) -> None:
+        self.state = State(directory=directory)
         self.module = Dispatcher(settings, seed)
         self.settings = settings
         self.budget = budget
@@ -63,7 +70,8 @@
             fx.Written: self._on_written, fx.Noted: self._on_noted, fx.Concluded: self._on_concluded,
             fx.Freed: self._on_freed, fx.Broken: self._on_broken, fx.Listed: self._on_listed,
             fx.Beaten: self._on_beaten, fx.Unlisted: self._on_unlisted, fx.Rung: self._on_rung,
-            fx.Listening: self._on_listening, fx.Stop: self._on_stop,
+            fx.Listening: self._on_listening, fx.Stop: self._on_stop, fx.Reload: self._on_reload,
+            fx.Reloaded: self._on_reloaded,
         }  # fmt: skip
         self._rings: dict[str, Callable[[int], None]] = {
             "module": self._ring_module, "leg": self._ring_leg, "idle": self._ring_idle,
@@ -108,8 +116,7 @@
                 self._final(action.id, fx.Verdict.FAILED)
             case api.Watch():
                 self._count("watches")
-                self._effects.append(fx.Follow(self.state.rev))
-                self._ring(("silence", 0), self.now + SILENCE)
+                self._follow()
             case api.Probe():
                 self._probe(action)
             case api.Log():
@@ -417,6 +424,11 @@
 
     # ---- the directory ----
 
+    def _follow(self) -> None:
+        self.state.watching = True
+        self._effects.append(fx.Follow(self.state.directory, self.state.rev))
+        self._ring(("silence", 0), self.now + SILENCE)
+
     def _on_listed(self, event: fx.Listed) -> None:
         state = self.state
         state.rev = event.rev
@@ -463,6 +475,7 @@
         self._ring(("silence", 0), self.now + SILENCE)
 
     def _on_unlisted(self, event: fx.Unlisted) -> None:
+        self.state.watching = False
         self._quiet(("silence", 0))
         self._count("watches lost")
         self._effects.append(fx.Say(f"directory: watch lost: {event.why}"))
@@ -480,6 +493,23 @@
     def _leaving(self) -> bool:
         return self.state.life in (Life.LEAVING, Life.SHUT)
 
+    def _on_reload(self, _: fx.Reload) -> None:
+        self._effects.append(fx.Reread())
+
+    def _on_reloaded(self, event: fx.Reloaded) -> None:
+        """Moves the watch; the module keeps what it knows, and its legs and clients go on."""
+        state = self.state
+        moved = event.directory != state.directory
+        host, port = event.directory
+        self._effects.append(
+            fx.Say(f"reload: directory {'moves to' if moved else 'stays at'} {host}:{port}")
+        )  # fmt: skip
+        if moved:
+            # Versions are the old one's: asked for changes since 0, the new one tells all that it has.
+            state.directory, state.rev = event.directory, 0
+            if state.watching:  # else the module asks for a new watch by itself
+                self._follow()
+
     def _on_stop(self, _: fx.Stop) -> None:
         if self._leaving():
             return
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -84,6 +84,8 @@
     listed: bool = False  # a list that names an issuer host has been told to the module
     accepting: bool = True
     full_told: int = 0  # when the log was told last that there is no room for a client
+    directory: tuple[str, int] = ("", 0)
+    watching: bool = False  # a watch is asked for and has not been lost
     rev: int = 0
     clients: dict[int, Client] = field(default_factory=dict)
     waiting: dict[int, None] = field(default_factory=dict)  # clients with nothing asked, the longest first
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,6 +5,7 @@
 import json
 import os
 import select
+import signal
 import socket
 import subprocess
 import sys
@@ -166,12 +167,14 @@
             "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.endpoint, "known": known,
             "settings": settings,
         }  # fmt: skip
-        path = folder / "config.json"
-        path.write_text(json.dumps(told))
+        self.told, self.config = told, folder / "config.json"
+        self.config.write_text(json.dumps(told))
         self.errors = folder / "log"
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "reedspoke"], env={**os.environ, "PROXY_CONFIG": str(path)}, cwd=ROOT,
-            stderr=self.errors.open("wb"),
+            [sys.executable, "-m", "reedspoke"], cwd=ROOT, stderr=self.errors.open("wb"),
+            env={
+                **os.environ, "PROXY_CONFIG": str(self.config), "PROXY_DISCOVERY": self.discovery.endpoint
+            },
         )  # fmt: skip
         self.watch = self.discovery.accept()  # it asks soon after it has begun to listen
         self.followed = self.watch.message().first
@@ -201,6 +204,17 @@
     def ready(self) -> int:
         return self.client(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n").message().status
 
+    def reload(self, text: str) -> None:
+        """Replace the configuration and tell the program so."""
+        self.config.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
+    def logged(self, text: str) -> None:
+        """Wait until the log says so."""
+        end = time.monotonic() + WAIT
+        while text not in self.log():
+            assert time.monotonic() < end, self.log()
+
     def stop(self) -> int:
         self.process.terminate()
         return self.process.wait(WAIT)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,10 +4,11 @@
 
 import json
 import socket
+import time
 
 import pytest
 
-from tests.peers import Node, Start, Wire, ask
+from tests.peers import Node, Peer, Start, Wire, ask, took
 
 
 def test_known_list_serves_until_the_watch_tells_more(start: Start) -> None:
@@ -132,3 +133,59 @@
     client = node.client(ask())
     node.leg().serve()
     assert client.message().status == 200, "the last list stays in force"
+
+
+def test_sighup_moves_the_watch_and_disturbs_nobody(start: Start) -> None:
+    """Guards against an end by SIGHUP, and against PROXY_DISCOVERY, which names the old address for ever."""
+    node = start(hosts=1)
+    node.watch.begin()
+    idle, busy = node.client(ask("0a")), node.client()
+    wire = node.leg()
+    wire.serve()
+    assert idle.message().status == 200
+    busy.send(ask())
+    leg = wire.message()
+    moved, host = Peer(), Peer("s-9")
+    since = time.monotonic()
+    node.reload(json.dumps({**node.told, "discovery": moved.endpoint}))
+    watch = moved.accept()
+    assert watch.message().first == "GET /v1/endpoints?follow=1&since=0 HTTP/1.1"
+    assert took(since) < 1, "4 s are given for all of it"
+    assert node.watch.ended(), "the old watch is given up"
+    node.watch = watch
+    node.watch.begin()
+    node.list(host.entry(), full=True, rev=3)
+    wire.serve(leg)
+    assert busy.message().status == 200
+    idle.send(ask("2b"))
+    node.hosts = [host]
+    node.leg().serve()
+    assert idle.message().status == 200, "the new list counts"
+    assert node.process.poll() is None
+    assert node.stop() == 0, "SIGTERM may follow"
+
+
+def test_watch_lost_after_sighup_is_asked_for_at_the_new_address(start: Start) -> None:
+    node = start(hosts=1)
+    moved = Peer()
+    node.reload(json.dumps({**node.told, "discovery": moved.endpoint}))
+    moved.accept().close()
+    assert "follow=1" in moved.accept().message().first
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", '{"name": "n0"', "{}", '{"settings": {}}', "no address"],
+    ids=["empty", "half", "bare", "bad", "address"],
+)
+def test_sighup_with_an_unusable_file_changes_nothing(start: Start, text: str) -> None:
+    node = start(hosts=1)
+    node.reload(text if text != "no address" else json.dumps({**node.told, "discovery": "elsewhere"}))
+    node.logged("reload: the old configuration stays in force: ")
+    node.watch.begin()
+    node.list(node.hosts[0].entry())
+    client = node.client(ask())
+    node.leg().serve()
+    assert client.message().status == 200
+    node.reload(json.dumps(node.told))
+    node.logged("reload: directory stays at ")
