--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -24,7 +24,9 @@
 BACKLOG = 512
 LINGER = 1.0  # s that a connection stays half open, so that its last answer is not lost to a reset
 WRITING = 10.0  # s for a client to take its answer
-MOST_PIPELINED = 128 * 1024  # bytes read ahead of the answer in hand
+AT_ONCE = 16  # clients taken in between two looks at what has come
+MOST_LINGER = 256 * 1024  # bytes read and forgotten behind a last answer
+MOST_PIPELINED = 16 * 1024  # bytes read ahead of the answer in hand
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     411: "Length Required", 413: "Content Too Large", 417: "Expectation Failed",
@@ -57,6 +59,7 @@
         self.begun = False  # an authorisation has begun to come in
         self.replied = False  # the writing of its answer has begun
         self._reading: asyncio.Future[int] | None = None
+        self._slow: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def serve(self) -> None:
         emit = self.side.runtime.emit
@@ -64,7 +67,7 @@
             while await self._serve_one():
                 pass
         except MalformedError as error:
-            log.info("authorisation malformed: %d %s", error.status, error)
+            emit(fx.Refused(error.status, str(error)))
             await self._last(error.status)
         except (StreamClosedError, TimeoutError):
             pass
@@ -173,7 +176,10 @@
 
     async def _read(self, room: int = SCANT) -> None:
         """More bytes. A read that began while the last answer was awaited goes on where it was to go."""
-        await asyncio.wait({self._start_reading(room)})
+        reading: asyncio.Future[Any] = self._start_reading(room)
+        await asyncio.wait({reading, self._slow}, return_when=asyncio.FIRST_COMPLETED)
+        if not reading.done():
+            raise MalformedError(408, "its bytes come too slowly")
         self._take_read()
 
     async def _write(self, data: bytes) -> None:
@@ -191,34 +197,37 @@
             return True
         if self.stream.closed():  # the client was faster: seen at a planned end, when all leave at once
             return False
+        self.side.runtime.emit(fx.Ending(self.number))
+        if self.stream.closed():  # its place was needed at once
+            return False
         with suppress(OSError):
             self.stream.socket.shutdown(socket.SHUT_WR)
-        sink = Buffer()
+        sink = Buffer(MOST_LINGER // 4)
 
         async def drain() -> None:
-            while True:
+            """Guards the core: what is far more than one authorisation is cut off, not read to its end."""
+            left = MOST_LINGER
+            while left > 0:
                 if self._reading is not None:
                     await asyncio.wait({self._reading})
-                    self._reading.result()
+                    left -= self._reading.result()
                     self._reading = None
                 sink.start = sink.end = 0
                 await read(self.stream, sink)
+                left -= sink.end
 
         with suppress(StreamClosedError, TimeoutError):
             await asyncio.wait_for(drain(), LINGER)
         return False
 
-    def drop(self, begun: bool) -> None:
-        read = len(self.buffer) > 0 or (self._reading is not None and self._reading.done())
-        if not self.begun:
-            if not read:  # what has been read is taken: it gets its answer
-                self.stream.close()
-        elif begun and self.answer is None:
-            asyncio.ensure_future(self._drop_slow())
-
-    async def _drop_slow(self) -> None:
-        await self._last(408)
-        self.stream.close()
+    def drop(self, how: fx.Farewell) -> None:
+        read = self._reading is not None and self._reading.done()
+        if self.answer is not None or read:
+            return  # what has been read is taken: it gets its answer
+        if how is fx.Farewell.NOW or not (self.begun or len(self.buffer)):
+            self.stream.close()
+        elif how is fx.Farewell.TOLD and not self._slow.done():
+            self._slow.set_result(None)
 
 
 class Acquirer:
@@ -247,8 +256,10 @@
         self.runtime.emit(fx.Listening())
 
     def _take_in(self) -> None:
-        """Take in all who wait."""
-        while self._listener is not None and self._accepting:
+        """Take in some of those who wait: their first bytes are read before others may crowd them out."""
+        for _ in range(AT_ONCE):
+            if self._listener is None or not self._accepting:
+                return
             try:
                 connection, _ = self._listener.accept()
             except BlockingIOError:
@@ -271,7 +282,7 @@
 
     def _drop(self, effect: fx.Drop) -> None:
         if (client := self._clients.get(effect.client)) is not None:
-            client.drop(effect.begun)
+            client.drop(effect.how)
 
     def _accept(self, effect: fx.Accept) -> None:
         self._accepting = effect.on
@@ -279,14 +290,13 @@
             return
         loop = asyncio.get_running_loop()
         if effect.on:
-            self._listener.listen(BACKLOG)
             loop.add_reader(self._listener.fileno(), self._take_in)
-        else:  # whom the system takes in for us waits unserved: let that be few
-            self._listener.listen(0)
+        else:  # the system holds who comes now: a place is free as soon as one answer is given
             loop.remove_reader(self._listener.fileno())
 
     def _shut(self, _: fx.Shut) -> None:
-        self._take_in()
+        for _some in range(0, BACKLOG, AT_ONCE):
+            self._take_in()
         self.close()
 
     def close(self) -> None:
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -10,6 +10,14 @@
 TimerKey = tuple[str, int]
 
 
+class Farewell(Enum):
+    """How a client's connection is ended. One whose authorisation waits for its answer is never dropped."""
+
+    IDLE = "idle"  # unless bytes of an authorisation have come
+    TOLD = "told"  # also half an authorisation, with an answer that says so
+    NOW = "now"  # also half an authorisation, at once
+
+
 class Verdict(Enum):
     """The final answer to an authorisation."""
 
@@ -60,6 +68,21 @@
     client: int
 
 
+@dataclass(slots=True)
+class Ending:
+    """The last answer on a client's connection is given; what still comes is read and forgotten."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class Refused:
+    """What a client sent is no authorisation; `status` tells it so."""
+
+    status: int
+    why: str
+
+
 @dataclass(slots=True)
 class Parted:
     """A client's connection has ended."""
@@ -98,6 +121,7 @@
     reason: api.Reason
     report: tuple[float, ...] = ()
     result: bytes = b""
+    invalid: bool = False  # the host says that the authorisation itself is at fault
 
 
 @dataclass(slots=True)
@@ -169,8 +193,8 @@
 
 
 Event = (
-    Joined | Reading | Arrived | Answered | Parted | Opened | Written | Noted | Concluded | Freed | Broken
-    | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
+    Joined | Reading | Arrived | Answered | Ending | Refused | Parted | Opened | Written | Noted | Concluded
+    | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
 )  # fmt: skip
 
 # ---- effects ----
@@ -187,10 +211,10 @@
 
 @dataclass(slots=True)
 class Drop:
-    """End a client's connection, unless an authorisation has begun to come in on it."""
+    """End a client's connection."""
 
     client: int
-    begun: bool = False  # end it then too
+    how: Farewell = Farewell.IDLE
 
 
 @dataclass(slots=True)
--- a/reedspoke/net/issuer.py
+++ b/reedspoke/net/issuer.py
@@ -77,15 +77,17 @@
                             self._take_line(raw)
 
     def _conclude_by_status(self, head: Head) -> None:
-        self.told = True
+        self.told, invalid = True, False
         report = words.report(words.load_field(head.get(b"x-load")), self.side.report_fields)
         if not self.asked:
             reason = api.Reason.OK if head.status == 200 else api.Reason.FULL
         else:
             reason = words.reason_of(head.status, head.get(b"x-not-run") == b"1")
-            if reason is api.Reason.ERROR and head.status != 500:
+            if invalid := head.status in words.AT_FAULT:
+                self.emit(fx.Refused(head.status, "an issuer host says so"))
+            elif reason is api.Reason.ERROR and head.status != 500:
                 log.warning("issuer host %s:%d: status %d", *self.endpoint, head.status)
-        self.emit(fx.Concluded(self.number, reason, report))
+        self.emit(fx.Concluded(self.number, reason, report, invalid=invalid))
 
     def _take_line(self, raw: memoryview | bytes) -> None:
         if self.told:
--- a/reedspoke/net/message.py
+++ b/reedspoke/net/message.py
@@ -178,6 +178,9 @@
     return extras(rest) if kind == "TEXT" else {}
 
 
+AT_FAULT = frozenset((400, 404, 405, 411, 413, 414, 431))  # a host's word that an authorisation is unusable
+
+
 def reason_of(status: int, never_ran: bool) -> api.Reason:
     """What an answer means that is no stream: a 503 that does not say so may have run."""
     return api.Reason.FULL if status in (503, 504) and never_ran else api.Reason.ERROR
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -16,7 +16,7 @@
 from reedspoke import interface as api
 from reedspoke.logic import Dispatcher
 from reedspoke.net import effects as fx
-from reedspoke.net.state import Authorisation, Client, Conn, Host, Leg, Life, Phase, State
+from reedspoke.net.state import Authorisation, Client, Conn, Host, Leg, Life, Phase, Standing, State
 
 MS = 1000
 SECOND = 1000 * MS
@@ -27,8 +27,12 @@
 PROBE_WAIT = 500 * MS
 SILENCE = 3500 * MS  # of the directory, which beats every 2 s; what changes counts as told after 6 s
 CLIENT_IDLE = 300 * SECOND
-CLIENT_SLOW = 30 * SECOND  # for the bytes of one authorisation
-FULL_TOLD = 60 * SECOND  # between lines that say so: at the limit it comes and goes all the time
+CLIENT_FIRST = (
+    2 * SECOND
+)  # from connecting to the last byte of a first authorisation: an answer is due in 3 s
+CLIENT_SLOW = 2 * SECOND  # for the bytes of one authorisation
+CLIENT_FRESH = 50 * MS  # a client that means to ask has sent its first bytes by then
+SELDOM = 10 * SECOND  # between lines on the same matter that clients or hosts can cause at will
 LEAVE = 500 * MS  # clients keep connecting for up to 400 ms after SIGTERM
 LAST_CALL = 200 * MS  # for the first bytes of those taken in last
 GUARD = 0.5  # of the answer slack: where the last guard stands
@@ -67,6 +71,7 @@
         self._reactions: dict[type, Callable[[Any], None]] = {
             fx.Joined: self._on_joined, fx.Reading: self._on_reading, fx.Arrived: self._on_arrived,
             fx.Answered: self._on_answered, fx.Parted: self._on_parted, fx.Opened: self._on_opened,
+            fx.Ending: self._on_ending, fx.Refused: self._on_refused,
             fx.Written: self._on_written, fx.Noted: self._on_noted, fx.Concluded: self._on_concluded,
             fx.Freed: self._on_freed, fx.Broken: self._on_broken, fx.Listed: self._on_listed,
             fx.Beaten: self._on_beaten, fx.Unlisted: self._on_unlisted, fx.Rung: self._on_rung,
@@ -76,7 +81,8 @@
         self._rings: dict[str, Callable[[int], None]] = {
             "module": self._ring_module, "leg": self._ring_leg, "idle": self._ring_idle,
             "guard": self._ring_guard, "client": self._ring_client, "silence": self._ring_silence,
-            "leave": self._ring_leave, "last call": self._ring_last_call, "end": self._ring_end,
+            "room": lambda _: self._make_room(), "leave": self._ring_leave,
+            "last call": self._ring_last_call, "end": self._ring_end,
         }  # fmt: skip
 
     def handle(self, event: fx.Event, now: int) -> list[fx.Effect]:
@@ -139,44 +145,71 @@
     # ---- acquirer side ----
 
     def _on_joined(self, event: fx.Joined) -> None:
-        state = self.state
-        state.clients[event.client] = Client(event.client)
-        state.waiting[event.client] = None
-        self._most("clients", len(state.clients))
-        self._ring(("client", event.client), self.now + CLIENT_IDLE)
+        client = self.state.clients[event.client] = Client(event.client, self.now)
+        self._rest(client, Standing.SILENT)
+        self._most("clients", len(self.state.clients))
+        self._ring(("client", client.id), self.now + CLIENT_FIRST)
         self._make_room()
 
+    def _rest(self, client: Client, standing: Standing | None) -> None:
+        if client.standing is not None:
+            self.state.resting[client.standing].pop(client.id, None)
+        client.standing = standing
+        if standing is not None:
+            self.state.resting[standing][client.id] = None
+
     def _make_room(self) -> None:
-        """Guards against running out of descriptors: idle clients go first, and where all are busy nobody
-        else is taken in, since what came in could not be answered."""
+        """Guards against clients that crowd out others by holding connections: where the budget is full, one
+        that is owed nothing goes. Only where all wait for answers nobody else is taken in meanwhile."""
         state = self.state
-        if len(state.clients) >= self.budget.clients:
-            for client in state.waiting:
-                if state.clients[client].served:  # it may close between two authorisations
-                    self._effects.append(fx.Drop(client))
-                    break
-        accepting = len(state.clients) < self.budget.clients
+        while len(state.clients) - len(state.parting) >= self.budget.clients:
+            if (client := self._least_missed()) is None:
+                break
+            self._count("crowded out")
+            self._rest(client, None)
+            state.parting.add(client.id)
+            self._effects.append(fx.Drop(client.id, fx.Farewell.NOW))
+        accepting = len(state.clients) - len(state.parting) < self.budget.clients
         if accepting != state.accepting:
             state.accepting = accepting
             self._effects.append(fx.Accept(accepting))
             if not accepting:
                 self._count("budget full")
-                if self.now - state.full_told >= FULL_TOLD:
-                    state.full_told = self.now
-                    self._effects.append(fx.Say("clients: budget is full"))
+                self._say_seldom("full", "clients: budget is full")
+
+    def _least_missed(self) -> Client | None:
+        """Who was answered before sends again elsewhere what crosses the end. Who has only just connected
+        would have failed: it stays until its first bytes had the time to come, and meanwhile others wait."""
+        state = self.state
+        for standing in (Standing.ENDING, Standing.ANSWERED, Standing.SILENT, Standing.KEPT):
+            if (number := next(iter(state.resting[standing]), None)) is None:
+                continue
+            client = state.clients[number]
+            if standing is not Standing.SILENT or self.now >= client.joined + CLIENT_FRESH:
+                return client
+        if state.resting[Standing.SILENT]:
+            self._ring(("room", 0), self.now + CLIENT_FRESH)
+        return None
 
     def _on_reading(self, event: fx.Reading) -> None:
         if (client := self.state.clients.get(event.client)) is not None:
             client.reading = True
-            self.state.waiting.pop(client.id, None)
-            self._ring(("client", client.id), self.now + CLIENT_SLOW)
+            self.state.parting.discard(client.id)
+            if client.answered:  # else its time runs since it has connected
+                self._rest(client, None)
+                self._ring(("client", client.id), self.now + CLIENT_SLOW)
+
+    def _on_refused(self, event: fx.Refused) -> None:
+        self._count(f"malformed {event.status}")
+        self._say_seldom(f"malformed {event.status}", f"authorisation malformed: {event.status} {event.why}")
 
     def _on_arrived(self, event: fx.Arrived) -> None:
         state = self.state
         if (client := state.clients.get(event.client)) is None:
             return
         client.reading = False
-        state.waiting.pop(client.id, None)
+        state.parting.discard(client.id)
+        self._rest(client, None)
         self._quiet(("client", client.id))
         self._count("authorisations")
         if event.name in state.names:  # its twin is out and might run twice
@@ -212,6 +245,7 @@
         self._close(auth)
         if (client := self.state.clients.get(auth.client)) is not None and client.authorisation is auth:
             client.authorisation = None
+            client.served |= verdict is fx.Verdict.SERVED
             self._effects.append(fx.Answer(client.id, verdict, result, retry_after, self._leaving()))
 
     def _close(self, auth: Authorisation) -> None:
@@ -227,19 +261,25 @@
 
     def _on_answered(self, event: fx.Answered) -> None:
         if (client := self.state.clients.get(event.client)) is not None:
-            client.served += 1
+            client.answered += 1
             client.reading = False
-            self.state.waiting[client.id] = None
+            self._rest(client, Standing.KEPT if client.served else Standing.ANSWERED)
             self._ring(("client", client.id), self.now + CLIENT_IDLE)
             if self.state.life is Life.SHUT:
                 self._effects.append(fx.Drop(client.id))
             else:
                 self._make_room()
 
+    def _on_ending(self, event: fx.Ending) -> None:
+        if (client := self.state.clients.get(event.client)) is not None:
+            self._rest(client, Standing.ENDING)
+            self._make_room()
+
     def _on_parted(self, event: fx.Parted) -> None:
         if (client := self.state.clients.pop(event.client, None)) is None:
             return
-        self.state.waiting.pop(client.id, None)
+        self._rest(client, None)
+        self.state.parting.discard(client.id)
         self._quiet(("client", client.id))
         if (auth := client.authorisation) is not None:
             self._count("gone")
@@ -251,7 +291,9 @@
     def _ring_client(self, number: int) -> None:
         client = self.state.clients.get(number)
         if client is not None and client.authorisation is None:
-            self._effects.append(fx.Drop(number, begun=client.reading))
+            if not client.answered and not client.reading:
+                self._count("silent")
+            self._effects.append(fx.Drop(number, fx.Farewell.TOLD if client.reading else fx.Farewell.IDLE))
 
     def _ring_guard(self, number: int) -> None:
         """Guards against an authorisation that nobody answers: its time is up whatever the module does."""
@@ -349,6 +391,11 @@
             if event.reason is api.Reason.OK and auth.open:
                 del auth.out[leg.number]
                 self._answer(auth, fx.Verdict.SERVED, event.result)
+            elif event.invalid and auth.open:
+                # Guards the hosts: what one of them finds unusable is so for all, and further legs would only
+                # hold their slots. It is the host's verdict, passed on as a result is.
+                del auth.out[leg.number]
+                self._answer(auth, fx.Verdict.INVALID)
             self._outcome(leg, event.reason, event.report)
         else:
             self._probed(conn, event.reason, event.report)
@@ -521,9 +568,9 @@
         self._ring(("end", 0), self.now + LEAVE + longest + SECOND)
 
     def _drop_waiting(self, *, kept: bool) -> None:
-        """`kept`: only those that were served before; a new client's first bytes may be on their way."""
-        for client in list(self.state.waiting):
-            if self.state.clients[client].served or not kept:
+        """`kept`: only those that were answered before; a new client's first bytes may be on their way."""
+        for standing in (Standing.ANSWERED, Standing.KEPT) if kept else Standing:
+            for client in self.state.resting[standing]:
                 self._effects.append(fx.Drop(client))
 
     def _ring_leave(self, _: int) -> None:
@@ -568,6 +615,12 @@
         self._count("faults")
         self._effects.append(fx.Say(text, fault=True))
 
+    def _say_seldom(self, about: str, text: str) -> None:
+        """Guards the log against those who can cause a line as often as they like."""
+        if self.now - self.state.told.get(about, 0) >= SELDOM:
+            self.state.told[about] = self.now
+            self._effects.append(fx.Say(text))
+
     def _count(self, what: str) -> None:
         self.state.figures[what] += 1
 
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -18,12 +18,24 @@
     IDLE = "idle"
 
 
+class Standing(Enum):
+    """Of a client's connection on which no answer is owed."""
+
+    ENDING = "ending"  # it has its last answer
+    ANSWERED = "answered"  # it has had answers, and none of them was a result
+    SILENT = "silent"  # it has not asked anything as yet, or not wholly
+    KEPT = "kept"  # it was served
+
+
 @dataclass(slots=True, eq=False)
 class Client:
     id: int
+    joined: int
     authorisation: Authorisation | None = None
     reading: bool = False
-    served: int = 0
+    answered: int = 0
+    served: bool = False
+    standing: Standing | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -83,12 +95,15 @@
     life: Life = Life.STARTING
     listed: bool = False  # a list that names an issuer host has been told to the module
     accepting: bool = True
-    full_told: int = 0  # when the log was told last that there is no room for a client
+    told: dict[str, int] = field(default_factory=dict)  # when a line that may come often was logged last
     directory: tuple[str, int] = ("", 0)
     watching: bool = False  # a watch is asked for and has not been lost
     rev: int = 0
     clients: dict[int, Client] = field(default_factory=dict)
-    waiting: dict[int, None] = field(default_factory=dict)  # clients with nothing asked, the longest first
+    resting: dict[Standing, dict[int, None]] = field(  # clients that are owed nothing, the longest first
+        default_factory=lambda: {standing: {} for standing in Standing}
+    )
+    parting: set[int] = field(default_factory=set)  # clients that are to be dropped
     authorisations: dict[int, Authorisation] = field(default_factory=dict)
     names: set[str] = field(default_factory=set)  # of the authorisations that are open
     hosts: dict[str, Host] = field(default_factory=dict)
--- a/tests/test_acquirer.py
+++ b/tests/test_acquirer.py
@@ -4,6 +4,7 @@
 
 import select
 import time
+from contextlib import suppress
 
 import pytest
 
@@ -192,3 +193,71 @@
     assert set(answers) <= {200, 503}, "served, or declined by the module: the queue is long"
     assert 200 in answers
     assert "budget is full" in node.log()
+
+
+HALF = ask("2b")[:60]
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", HALF, ask("2b", body=b"x" * 9000)[:-8000]], ids=["silent", "head", "body"]
+)
+def test_who_does_not_ask_is_let_go_within_three_seconds(start: Start, sent: bytes) -> None:
+    """Guards descriptors against clients that connect and never send a whole authorisation."""
+    node = start(hosts=1)
+    since = time.monotonic()
+    client = node.client(sent)
+    if sent:
+        assert client.message().status == 408
+    assert client.ended()
+    assert 1.5 < took(since) < 3
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", HALF, b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n", b"nonsense\r\n"],
+    ids=["silent", "half", "answered", "ending"],
+)  # fmt: skip
+def test_clients_that_hold_connections_crowd_nobody_out(start: Start, sent: bytes) -> None:
+    """Guards the usual clients: far more connections than places, none of which is owed an answer."""
+    node = start(hosts=1, sockets=40)
+    usual = node.client(ask("0a"))
+    wire = node.leg()
+    wire.serve()
+    assert usual.message().status == 200
+    for _ in range(30):
+        node.client(sent)
+    since = time.monotonic()
+    client = node.client(ask())
+    wire = node.leg(wire)
+    wire.serve()
+    assert client.message().status == 200
+    assert took(since) < 1
+
+
+def test_body_of_60_mb_is_told_off_at_its_head(start: Start) -> None:
+    """Guards memory and core: it is neither kept nor read to its end."""
+    node = start(hosts=1)
+    client = node.client(post(f"Content-Length: {60 << 20}\r\n"))
+    since, sent = time.monotonic(), 0
+    with suppress(ConnectionError):
+        while sent < 60 << 20:
+            sent += client.sock.send(b"x" * 65536)
+    assert sent < 16 << 20, "what the system holds for both ends, and little more"
+    assert took(since) < 3
+    assert client.message().status == 413
+
+
+@pytest.mark.parametrize("cls", ["quote", "book"])
+@pytest.mark.parametrize("status", [400, 404])
+def test_host_that_finds_an_authorisation_unusable_has_the_last_word(
+    start: Start, cls: str, status: int
+) -> None:
+    """Guards the hosts' slots: no other host would find it usable, so it does not go out again."""
+    node = start(hosts=2)
+    client = node.client(ask(cls=cls))
+    wire = node.leg()
+    wire.message()
+    wire.send(b"HTTP/1.1 %d Any\r\nContent-Length: 0\r\n\r\n" % status)
+    assert client.message().status == 400
+    client.send(ask("2b"))
+    assert node.leg(wire).serve().fields["x-request-id"] == "2b"
+    assert client.message().status == 200
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -6,7 +6,7 @@
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
-from reedspoke.net.reducer import SECOND, Budget, Reducer
+from reedspoke.net.reducer import CLIENT_FRESH, SECOND, Budget, Reducer
 from reedspoke.net.wheel import Wheel
 from tests.world import MS, settings
 
@@ -174,3 +174,29 @@
     assert wheel.advance(8999) == []
     assert wheel.advance(50_000) == ["far"]
     assert len(wheel) == 0
+
+
+def test_full_budget_parts_with_the_least_missed_client_first() -> None:
+    """Guards who was served, and who has only just connected: the others go before them."""
+    play = Play(Budget(5, 8))
+    play.tell(listed("a"), fx.Joined(1), fx.Joined(2), fx.Joined(3), fx.Joined(4))
+    conn = conn_of(play.tell(arrived(1)))
+    play.tell(fx.Opened(conn), fx.Written(conn), fx.Concluded(conn, api.Reason.OK), fx.Answered(1))
+    play.tell(fx.Answered(2), fx.Ending(3))
+    play.advance(CLIENT_FRESH)
+    play.tell(*[fx.Joined(number) for number in (5, 6, 7)])
+    assert [drop.client for drop in play.asked if isinstance(drop, fx.Drop)] == [3, 2, 4]
+    play.tell(fx.Joined(8))
+    drops = [drop.client for drop in play.asked if isinstance(drop, fx.Drop)]
+    assert drops[3:] == [1], "even the one that was served before those that are fresh"
+    play.tell(*[fx.Parted(number) for number in drops], fx.Joined(9))
+    assert fx.Accept(False) in play.asked
+    assert not any(isinstance(effect, fx.Drop) for effect in play.advance(CLIENT_FRESH - 5 * MS))
+    assert fx.Accept(True) in play.advance(10 * MS), "those who said nothing are fresh no longer"
+
+
+def test_lines_that_clients_cause_are_few() -> None:
+    play = Play()
+    play.tell(*[fx.Refused(400, "why")] * 50, fx.Refused(413, "large"))
+    assert len([effect for effect in play.asked if isinstance(effect, fx.Say)]) == 2
+    assert play.reducer.state.figures["malformed 400"] == 50
