Kept connections are let be once one failed, and mute legs free their positions

A line at each first byte (not kept) showed that a host acknowledges at once, 34 of 520 over 20 ms, also what it queues. At fault: reducer.py _send (any idle connection was good) and _give_up (a kept connection that had ended before its leg was written counted as a host that cannot be reached); logic.py on_outcome, look_after and on_probed. Now: after one kept connection failed each leg gets a new one until 60 s have passed; a leg not acknowledged within 300 ms is told to the module, which takes it for no queue, frees its position, and sends a safe job elsewhere; a stream that stopped short frees its position; a failed dial rests its host briefly, longer in a row; a probe that is refused at once parts no network.

--- a/reedspoke/interface.py
+++ b/reedspoke/interface.py
@@ -54,6 +54,7 @@
 class NoteKind(Enum):
     STARTED = "started"
     PROGRESS = "progress"
+    MUTE = "mute"  # the worker has not acknowledged the attempt in time, though all of it was sent
 
 
 # ---- settings ----
--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -37,6 +37,8 @@
 JAM = 2.0  # tightest aims of usual wait: the tight jobs start late nearly everywhere
 CROWD = 16.0  # schedulers: where more share the workers, a queue is the others' and no job may rely on it
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
+FAILED_FIRST = 0.125  # of a usual response, doubled for each failed connection: one is let be for a quarter
+FAILED_MOST = 4.0  # usual responses: a worker that is back is tried again within about 2 s
 ALIVE = (Reason.OK, Reason.ERROR, Reason.FULL)  # outcomes that a worker itself has sent
 UNRUN = (Reason.FULL, Reason.CONNECT_FAILED, Reason.MOOT)  # outcomes that prove a job never ran
 
@@ -99,7 +101,11 @@
                 self.answer(job)
 
     def on_note(self, note: Note) -> None:
-        if (attempt := self.out.get((note.id, note.attempt))) is not None:
+        if (attempt := self.out.get((note.id, note.attempt))) is None:
+            return
+        if note.kind is NoteKind.MUTE:
+            self.miss(attempt)
+        else:
             self.hear(attempt.worker)
             if note.kind is NoteKind.STARTED and not attempt.started:
                 attempt.start(self.now)
@@ -116,10 +122,11 @@
         self.settle(attempt, outcome.reason)
         if outcome.reason in ALIVE:
             self.hear(worker)
-        if outcome.reason in (Reason.FULL, Reason.CONNECT_FAILED):  # let it work some off, or come back
+        if outcome.reason is Reason.FULL:  # let it work some off
             self.cut(worker, attempt.sent)
-            self.ask(worker.zone, attempt.sent)
             worker.rest_until = self.now + int(self.response)
+        elif outcome.reason is Reason.CONNECT_FAILED:
+            self.let_be(worker, attempt.sent)
         if outcome.ended or not job.open:
             self.close(job)
         elif not self.hopeless(job) and any(self.may_repeat(job, worker) for worker in self.up):
@@ -181,6 +188,7 @@
 
     def hear(self, worker: Worker) -> None:
         worker.heard = worker.zone.heard = self.now  # a sign of life: the way to its zone is open
+        worker.failed = 0
         if worker.zone.cut_at:
             worker.zone.cut_at = 0
             self.rank()
@@ -194,10 +202,34 @@
             if there and self.limits.probes:
                 self.actions.append(Probe(self.random.choice(there)))
 
+    def let_be(self, worker: Worker, since: int) -> None:
+        """A connection failed. One alone says little and costs its worker a moment; the more fail with no
+        sign of life between them, the longer it is left alone, and then it is tried again."""
+        worker.failed += 1
+        worker.rest_until = self.now + int(self.response * min(FAILED_MOST, FAILED_FIRST * 2**worker.failed))
+        if worker.failed > 1:
+            self.cut(worker, since)
+        self.ask(worker.zone, since)
+
+    def miss(self, attempt: Attempt) -> None:
+        """Not acknowledged, as a live worker does at once: the connection is dead, or all of the worker.
+        It is no sign of a queue, so it frees its position; where a repeat is safe the job goes elsewhere."""
+        job, worker = attempt.job, attempt.worker
+        if attempt.lost_at or attempt.started:
+            return
+        attempt.lose(self.now)
+        worker.delay = min(worker.delay, self.usual)
+        if worker.heard < attempt.sent:
+            self.let_be(worker, attempt.sent)
+        if job.open and job.cls.effect is Effect.SAFE and len(job.attempts) < self.limits.max_attempts:
+            self.cancel(attempt)
+
     def on_probed(self, probed: Probed) -> None:
         worker = self.workers.get(probed.worker)
         if worker is not None and probed.reason in ALIVE:
             self.hear(worker)
+        elif probed.took < self.limits.connect_timeout:
+            pass  # refused or reset: something answered, so the way is open
         elif worker is not None and worker.zone.heard < self.now - probed.took and not worker.zone.cut_at:
             worker.zone.cut_at = self.now
             self.actions.append(Log("zone out of reach: left out and probed"))
@@ -419,6 +451,11 @@
         limit = self.tightest + OVERDUE * max(self.response, attempt.job.work * worker.pace)
         if self.settings.tells_start and not attempt.started:
             limit = PROMPT * self.tightest
+        if attempt.lost_at:
+            return
+        if attempt.started and worker.heard > attempt.started + limit:
+            attempt.lose(self.now)  # its worker lives and should have ended it: its stream has stopped short
+            return
         waited = self.now - (max(attempt.sent, worker.heard) if attempt.started else attempt.sent)
         if waited > limit:
             worker.delay, worker.delay_at = max(self.wait(worker), waited), self.now
@@ -448,12 +485,16 @@
         job.open = False  # no answer is owed any more: leave the queue, call off what is still out
         self.unhold(job)
         for attempt in job.attempts:
-            if self.limits.cancel and not (attempt.over or attempt.cancelled or attempt.number == keep):
-                attempt.cancelled = True
-                self.actions.append(Cancel(job.id, attempt.number))
+            if attempt.number != keep:
+                self.cancel(attempt)
         if not job.out():
             self.jobs.pop(job.id, None)
 
+    def cancel(self, attempt: Attempt) -> None:
+        if self.limits.cancel and not (attempt.over or attempt.cancelled):
+            attempt.cancelled = True
+            self.actions.append(Cancel(attempt.job.id, attempt.number))
+
 
 def average(old: float, sample: float) -> float:
     return old + LEARN * (min(sample, OUTLIER * old) - old)
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -104,6 +104,13 @@
     conn: int
 
 
+@dataclass(slots=True)
+class Heard:
+    """A host has begun to answer a leg: it has taken it."""
+
+    conn: int
+
+
 @dataclass(slots=True)
 class Noted:
     """A leg tells that its job has started, or how far it is."""
@@ -193,8 +200,8 @@
 
 
 Event = (
-    Joined | Reading | Arrived | Answered | Ending | Refused | Parted | Opened | Written | Noted | Concluded
-    | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
+    Joined | Reading | Arrived | Answered | Ending | Refused | Parted | Opened | Written | Heard | Noted
+    | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
 )  # fmt: skip
 
 # ---- effects ----
--- a/reedspoke/net/issuer.py
+++ b/reedspoke/net/issuer.py
@@ -64,6 +64,7 @@
             for item in answers.feed():
                 if isinstance(item, Head):
                     lines, status = Lines(), item.status
+                    self.emit(fx.Heard(self.number))
                     if status != 200 or not self.asked:
                         self._conclude_by_status(item)
                 elif isinstance(item, End):
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -25,6 +25,8 @@
 IDLE_SHARE = 0.75  # of `conn_idle`: a leg written as its host closes the connection would end as a reset
 ENDING = SECOND  # how long the rest of an answer may take behind its outcome
 PROBE_WAIT = 500 * MS
+MUTE = 300 * MS  # a host that lives begins to answer at once, also what it queues; it may pause for 170 ms
+DISTRUST = 60 * SECOND  # for kept connections, since the last one that failed
 SILENCE = 3500 * MS  # of the directory, which beats every 2 s; what changes counts as told after 6 s
 CLIENT_IDLE = 300 * SECOND
 CLIENT_FIRST = (
@@ -71,7 +73,7 @@
         self._reactions: dict[type, Callable[[Any], None]] = {
             fx.Joined: self._on_joined, fx.Reading: self._on_reading, fx.Arrived: self._on_arrived,
             fx.Answered: self._on_answered, fx.Parted: self._on_parted, fx.Opened: self._on_opened,
-            fx.Ending: self._on_ending, fx.Refused: self._on_refused,
+            fx.Heard: self._on_heard, fx.Ending: self._on_ending, fx.Refused: self._on_refused,
             fx.Written: self._on_written, fx.Noted: self._on_noted, fx.Concluded: self._on_concluded,
             fx.Freed: self._on_freed, fx.Broken: self._on_broken, fx.Listed: self._on_listed,
             fx.Beaten: self._on_beaten, fx.Unlisted: self._on_unlisted, fx.Rung: self._on_rung,
@@ -80,8 +82,8 @@
         }  # fmt: skip
         self._rings: dict[str, Callable[[int], None]] = {
             "module": self._ring_module, "leg": self._ring_leg, "idle": self._ring_idle,
-            "guard": self._ring_guard, "client": self._ring_client, "silence": self._ring_silence,
-            "room": lambda _: self._make_room(), "leave": self._ring_leave,
+            "mute": self._ring_mute, "guard": self._ring_guard, "client": self._ring_client,
+            "silence": self._ring_silence, "room": lambda _: self._make_room(), "leave": self._ring_leave,
             "last call": self._ring_last_call, "end": self._ring_end,
         }  # fmt: skip
 
@@ -320,7 +322,11 @@
         if host is None or not auth.open:
             self._fault("the module sends to a host that is not listed, or what has its answer")
             self._outcome(leg, api.Reason.MOOT)
-        elif host.idle:
+        else:
+            self._carry(leg, host)
+
+    def _carry(self, leg: Leg, host: Host) -> None:
+        if host.idle:
             conn = self.state.conns[host.idle.pop()]  # the latest used: it is the farthest from its end
             del self.state.idle[conn.id]
             self._quiet(("idle", conn.id))
@@ -349,7 +355,7 @@
         return conn
 
     def _transmit(self, conn: Conn, leg: Leg) -> None:
-        conn.phase = Phase.BUSY
+        conn.phase, conn.heard, conn.legs = Phase.BUSY, False, conn.legs + 1
         self._effects.append(fx.Transmit(conn.id, leg.authorisation.message, leg.until - self.now))
         self._ring(("leg", conn.id), leg.until)
 
@@ -373,6 +379,35 @@
     def _on_written(self, event: fx.Written) -> None:
         if (conn := self.state.conns.get(event.conn)) is not None and conn.leg is not None:
             conn.leg.written = True
+            if not conn.heard:
+                self._ring(("mute", conn.id), self.now + MUTE)
+
+    def _on_heard(self, event: fx.Heard) -> None:
+        if (conn := self.state.conns.get(event.conn)) is not None:
+            conn.heard = True
+            self._quiet(("mute", conn.id))
+
+    def _ring_mute(self, number: int) -> None:
+        conn = self.state.conns.get(number)
+        if conn is not None and conn.leg is not None and not conn.heard:
+            self._count("mute")
+            self._distrust(conn)
+            leg = conn.leg
+            self._told.append(api.Note(leg.authorisation.id, leg.number, leg.host, api.NoteKind.MUTE))
+
+    def _distrust(self, conn: Conn) -> None:
+        """Guards legs against connections that died unseen while they were kept: nothing tells so before the
+        next leg is written, and then its job may have run. Where one did, more will: for a while each leg
+        gets a connection of its own."""
+        state = self.state
+        if conn.legs < 2 or conn.heard:
+            return  # not a kept one, or it lived
+        if self.now >= state.distrust_until:
+            self._effects.append(fx.Say(f"kept connections fail: none is used for {DISTRUST // SECOND} s"))
+            for kept in list(state.idle):
+                self._hang_up(state.conns[kept])
+        self._count("kept failed")
+        state.distrust_until = self.now + DISTRUST
 
     def _on_noted(self, event: fx.Noted) -> None:
         conn = self.state.conns.get(event.conn)
@@ -417,6 +452,9 @@
         if host is None or host.state is not api.WorkerState.UP or host.endpoint != conn.endpoint:
             self._hang_up(conn)
             return
+        if self.now < self.state.distrust_until:
+            self._hang_up(conn)
+            return
         conn.phase = Phase.IDLE
         host.idle.append(conn.id)
         self.state.idle[conn.id] = None
@@ -436,7 +474,16 @@
     def _give_up(self, conn: Conn, reason: api.Reason) -> None:
         """What a connection carried ends with it; before its last byte was written it never ran."""
         if conn.leg is not None:
-            self._outcome(conn.leg, reason if conn.leg.written else api.Reason.CONNECT_FAILED)
+            leg = conn.leg
+            self._distrust(conn)
+            host = self.state.hosts.get(conn.host)
+            ours = host is not None and host.state is api.WorkerState.UP and leg.authorisation.open
+            if conn.legs > 1 and not leg.written and ours and host is not None and self.now < leg.until:
+                # A kept connection had ended before it could carry the leg: that says nothing of its host,
+                # and as nothing was sent wholly this is the same leg on another connection.
+                self._carry(leg, host)
+                return
+            self._outcome(leg, reason if conn.leg.written else api.Reason.CONNECT_FAILED)
         elif conn.probe_at and conn.phase in (Phase.DIALLING, Phase.BUSY):
             self._probed(conn, reason if conn.phase is Phase.BUSY else api.Reason.CONNECT_FAILED)
 
@@ -453,6 +500,7 @@
                 host.idle.remove(conn.id)
         self._quiet(("leg", conn.id))
         self._quiet(("idle", conn.id))
+        self._quiet(("mute", conn.id))
         self._effects.append(fx.Hangup(conn.id))
 
     def _probe(self, action: api.Probe) -> None:
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -68,6 +68,8 @@
     endpoint: tuple[str, int]
     phase: Phase = Phase.DIALLING
     leg: Leg | None = None
+    legs: int = 0  # that it has carried, the one in hand included
+    heard: bool = False  # its host has begun to answer the leg in hand
     probe_at: int = 0  # when its probe was asked for, 0: it carries none
 
 
@@ -109,6 +111,7 @@
     hosts: dict[str, Host] = field(default_factory=dict)
     conns: dict[int, Conn] = field(default_factory=dict)
     idle: dict[int, None] = field(default_factory=dict)  # idle connections of all hosts, the longest first
+    distrust_until: int = 0  # until then kept connections to issuer hosts are not used again
     timers: dict[int, str] = field(default_factory=dict)  # the module's, with their tokens
     figures: Counter[str] = field(default_factory=Counter)
     last_id: int = 0
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -40,6 +40,7 @@
     heard: int = 0  # last sign of life
     away: float = 0.0  # distance on the ring of ranks from our part of the fleet, from 0 to 1
     rest_until: int = 0  # nothing is sent before
+    failed: int = 0  # connections that failed or stayed mute since the last sign of life
     cold_sends: deque[tuple[int, float]] = field(default_factory=deque)  # (time, work) of the current window
 
 
@@ -90,6 +91,7 @@
     over: bool = False
     unrun: bool = False  # proven never to have run
     cancelled: bool = False
+    lost_at: int = 0  # when it was given up for lost; it holds no position any more
 
     def begin(self) -> None:
         self.job.attempts.append(self)
@@ -106,6 +108,14 @@
     def end(self, unrun: bool) -> None:
         self.over, self.unrun = True, unrun
         self.job.flow.out -= 1
+        if not self.lost_at:
+            self.leave()
+
+    def lose(self, now: int) -> None:
+        self.lost_at = now
+        self.leave()
+
+    def leave(self) -> None:
         self.worker.used -= self.job.slots
         self.worker.load -= self.job.work
         self.worker.memory -= self.job.memory
@@ -114,7 +124,7 @@
 
     def cost(self, now: int) -> float:
         """Slots times time, from the start notice where one came."""
-        return self.job.slots * float(now - (self.started or self.sent))
+        return self.job.slots * float((self.lost_at or now) - (self.started or self.sent))
 
     def pay(self, total: float) -> None:
         """Bring what the tenant has paid for this attempt to `total`."""
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -194,6 +194,30 @@
     assert client.message().status == 200
 
 
+@pytest.mark.parametrize("fails", ["reset", "mute"])
+def test_kept_connections_are_let_be_once_one_failed(start: Start, fails: str) -> None:
+    """Guards jobs that must never run twice: where one kept connection failed at its next leg, more will."""
+    node = start(hosts=2)
+    clients = [node.client(ask(f"{n}")) for n in range(2)]
+    wires = [node.leg() for _ in clients]
+    for wire in wires:
+        wire.serve()
+    for client in clients:
+        assert client.message().status == 200
+    clients[0].send(ask("2b"))
+    failing = node.leg(*wires)
+    failing.message()
+    if fails == "reset":
+        resets(failing, Message("", {}))
+    assert next(wire for wire in wires if wire is not failing).ended()
+    assert node.leg().serve().fields["x-request-id"] == "2b", "a safe job goes out again at once, elsewhere"
+    assert clients[0].message().status == 200
+    clients[1].send(ask("3c", cls="book"))
+    node.leg().serve()
+    assert clients[1].message().status == 200
+    node.logged("kept connections fail")
+
+
 def test_client_that_leaves_ends_its_leg(start: Start) -> None:
     node = start(hosts=1)
     client = node.client(ask())
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -607,3 +607,78 @@
     world.advance(60 * SECOND)
     world.request(2)
     assert [sent.worker for sent in world.out()] == [unseen.id], "what was known of the other is old by now"
+
+
+@pytest.mark.parametrize("cls", ["read", "pay"])
+def test_attempt_that_is_not_acknowledged_holds_no_position(cls: str) -> None:
+    """Seen on days with silent connections: one of them made its sound worker look jammed for 15 s."""
+    world = World(settings(), [entry("a"), entry("b")])
+    world.request(1, cls)
+    mute = world.out()[0]
+    worker = world.dispatcher.workers[mute.worker]
+    world.advance(300 * MS)
+    world.tell(api.Note(1, mute.number, mute.worker, api.NoteKind.MUTE))
+    assert worker.used == 0
+    called_off = [action for action in world.actions if isinstance(action, api.Cancel)]
+    assert bool(called_off) == (cls == "read"), "what must never run twice is waited for"
+    world.outcome(mute, api.Reason.CANCELLED if called_off else api.Reason.TIMEOUT)
+    assert worker.used == 0
+    assert [sent.worker != mute.worker for sent in world.out()] == ([True] if called_off else [])
+
+
+def test_stream_that_stops_short_gives_its_position_back() -> None:
+    """Guards against a position held, and a tenant billed, until the deadline of a job that is long over."""
+    world = World(settings(), [entry("a")])
+    world.request(1, "pay", hint=50 * MS)
+    (stopped,) = world.out()
+    world.started(stopped)
+    for number in range(2, 30):  # its worker goes on with others
+        world.request(number, hint=50 * MS)
+        world.started(world.out()[-1])
+        world.advance(50 * MS)
+        world.outcome(world.out()[-1], api.Reason.OK)
+    assert world.out() == [stopped]
+    assert world.dispatcher.workers["a"].used == 0
+    world.dispatcher.bill_running()
+    start = flow(world, "").start
+    world.advance(SECOND)
+    world.dispatcher.bill_running()
+    assert flow(world, "").start == start
+
+
+def test_worker_rests_longer_the_more_connections_fail_in_a_row() -> None:
+    """Seen on days with resets: a single one kept a sound worker out for a usual response."""
+    world, rests = World(settings(attempts=9), [entry("a")]), list[int]()
+    worker = world.dispatcher.workers["a"]
+    number = 0
+    while len(rests) < 8:
+        number += 1
+        world.request(number)
+        world.advance(100 * MS)
+        for sent in world.out():
+            world.outcome(sent, api.Reason.CONNECT_FAILED)
+            rests.append(worker.rest_until - world.now)
+    assert 0 < rests[0] <= 0.26 * world.dispatcher.response
+    assert rests == sorted(rests)
+    assert rests[-1] == 4 * world.dispatcher.response, "it is always tried again"
+    while not world.out():
+        number += 1
+        world.request(number)
+        world.advance(100 * MS)
+    world.started(world.out()[-1])
+    assert worker.failed == 0
+
+
+def test_refused_probe_does_not_part_the_network() -> None:
+    """Guards a whole zone against one connection that was reset: something there has answered."""
+    world, far = parted()
+    for number in range(12):
+        world.request(number)
+    world.advance(20 * MS)
+    for sent in [sent for sent in world.out() if sent.worker in far]:
+        world.outcome(sent, api.Reason.CONNECT_FAILED)
+    for sent in [sent for sent in world.out() if sent.worker not in far]:
+        world.started(sent)
+    for worker in far:
+        world.tell(api.Probed(worker, api.Reason.CONNECT_FAILED, 1 * MS))
+    assert not any(worker.zone.cut_at for worker in world.dispatcher.up)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -6,7 +6,7 @@
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
-from reedspoke.net.reducer import CLIENT_FRESH, SECOND, Budget, Reducer
+from reedspoke.net.reducer import CLIENT_FRESH, MUTE, SECOND, Budget, Reducer
 from reedspoke.net.wheel import Wheel
 from tests.world import MS, settings
 
@@ -200,3 +200,42 @@
     play.tell(*[fx.Refused(400, "why")] * 50, fx.Refused(413, "large"))
     assert len([effect for effect in play.asked if isinstance(effect, fx.Say)]) == 2
     assert play.reducer.state.figures["malformed 400"] == 50
+
+
+def kept(play: Play) -> int:
+    """A connection that has carried a leg and is idle."""
+    play.tell(listed("a"), fx.Joined(1))
+    conn = conn_of(play.tell(arrived(1, "pay")))
+    play.tell(fx.Opened(conn), fx.Written(conn), fx.Heard(conn), fx.Concluded(conn, api.Reason.OK))
+    play.tell(fx.Freed(conn), fx.Answered(1))
+    return conn
+
+
+def test_leg_that_a_kept_connection_could_not_carry_goes_on_another() -> None:
+    """Guards the module's belief: a kept connection that ended says nothing of its host."""
+    play = Play()
+    conn = kept(play)
+    assert fx.Transmit(conn, "message", 2 * SECOND) in play.tell(arrived(1, "pay", "2b"))
+    other = conn_of(play.tell(fx.Broken(conn)))
+    assert not any(key.startswith("leg connect") for key in play.reducer.state.figures)
+    assert any(isinstance(effect, fx.Transmit) for effect in play.tell(fx.Opened(other)))
+
+
+@pytest.mark.parametrize(("heard", "told"), [(False, True), (True, False)])
+def test_leg_that_its_host_does_not_acknowledge_is_told(
+    monkeypatch: pytest.MonkeyPatch, heard: bool, told: bool
+) -> None:
+    play = Play()
+    events = list[api.Event]()
+
+    def handle(now: int, event: api.Event) -> list[api.Action]:
+        events.append(event)
+        return [api.Send(event.id, "a")] if isinstance(event, api.Request) else []
+
+    monkeypatch.setattr(play.reducer.module, "handle", handle)
+    play.tell(listed("a"), fx.Joined(1))
+    conn = conn_of(play.tell(arrived(1)))
+    play.tell(fx.Opened(conn), fx.Written(conn), *([fx.Heard(conn)] if heard else []))
+    play.advance(MUTE + 5 * MS)
+    notes = [event.kind for event in events if isinstance(event, api.Note)]
+    assert notes == ([api.NoteKind.MUTE] if told else [])
