--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -37,6 +37,8 @@
 JAM = 2.0  # tightest aims of usual wait: the tight jobs start late nearly everywhere
 CROWD = 16.0  # schedulers: where more share the workers, a queue is the others' and no job may rely on it
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
+TRUST = 0.9  # least soundness for a job that must not be repeated: four results in a row after a failure
+TRIAL = 0.5  # soundness under which a worker is tried with one job at a time
 FAILED_FIRST = 0.125  # of a usual response, doubled for each failed connection: one is let be for a quarter
 FAILED_MOST = 4.0  # usual responses: a worker that is back is tried again within about 2 s
 ALIVE = (Reason.OK, Reason.ERROR, Reason.FULL)  # outcomes that a worker itself has sent
@@ -127,6 +129,8 @@
             worker.rest_until = self.now + int(self.response)
         elif outcome.reason is Reason.CONNECT_FAILED:
             self.let_be(worker, attempt.sent)
+        elif outcome.reason in (Reason.OK, Reason.ERROR, Reason.RESET):
+            self.judge(worker, outcome.reason is Reason.OK)
         if outcome.ended or not job.open:
             self.close(job)
         elif not self.hopeless(job) and any(self.may_repeat(job, worker) for worker in self.up):
@@ -179,7 +183,7 @@
             worker = Worker(entry.worker, crc32(entry.worker.encode()), self.pace, CAP_START)
             self.workers[worker.id] = worker
         elif entry.born != worker.born:  # it has restarted: what was learned of its load is void
-            worker.cap, worker.delay, worker.rest_until = CAP_START, 0.0, 0
+            worker.cap, worker.delay, worker.rest_until, worker.sound = CAP_START, 0.0, 0, 1.0
         worker.zone = self.zones.setdefault(entry.zone, Zone(entry.zone))
         worker.kind, worker.cell, worker.state, worker.born = entry.kind, entry.cell, entry.state, entry.born
 
@@ -211,6 +215,20 @@
             self.cut(worker, since)
         self.ask(worker.zone, since)
 
+    def judge(self, worker: Worker, sound: bool) -> None:
+        """Guards jobs against a worker that fails them at once: its positions are free all the time, so it
+        would draw more jobs than any other. The less sound it is the longer it rests between trials."""
+        worker.sound += LEARN * (sound - worker.sound)
+        if not sound:
+            rest = min(FAILED_MOST, 1 / worker.sound - 1) * self.response
+            worker.rest_until = max(worker.rest_until, self.now + int(rest))
+
+    def trusted(self, job: Job, worker: Worker) -> bool:
+        """Whether it may have the job: safe ones try it out, one at a time if it fails most of them."""
+        if worker.sound >= TRUST or all(other.sound < TRUST for other in self.up):
+            return True
+        return job.cls.effect is Effect.SAFE and (worker.sound >= TRIAL or not worker.used)
+
     def miss(self, attempt: Attempt) -> None:
         """Not acknowledged, as a live worker does at once: the connection is dead, or all of the worker.
         It is no sign of a queue, so it frees its position; where a repeat is safe the job goes elsewhere."""
@@ -368,6 +386,7 @@
         return (
             self.suits(job, worker)
             and self.now >= worker.rest_until
+            and self.trusted(job, worker)
             and (not worker.used or worker.used + job.slots <= worker.cap)  # one that is ours alone takes any
             and worker.memory + job.memory <= max(job.memory, worker.cap)  # one unit for each slot
             and (self.warmth(worker) >= 1 or self.cold_budget(worker) >= job.work * job.slots)
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -428,10 +428,10 @@
                 self._answer(auth, fx.Verdict.SERVED, event.result)
             elif event.invalid and auth.open:
                 # Guards the hosts: what one of them finds unusable is so for all, and further legs would only
-                # hold their slots. It is the host's verdict, passed on as a result is.
+                # hold their slots. It is the host's verdict, passed on as a result is, and no failure of it.
                 del auth.out[leg.number]
                 self._answer(auth, fx.Verdict.INVALID)
-            self._outcome(leg, event.reason, event.report)
+            self._outcome(leg, api.Reason.MOOT if event.invalid else event.reason, event.report)
         else:
             self._probed(conn, event.reason, event.report)
 
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -40,6 +40,7 @@
     heard: int = 0  # last sign of life
     away: float = 0.0  # distance on the ring of ranks from our part of the fleet, from 0 to 1
     rest_until: int = 0  # nothing is sent before
+    sound: float = 1.0  # share of its answers that were results, the latest count most
     failed: int = 0  # connections that failed or stayed mute since the last sign of life
     cold_sends: deque[tuple[int, float]] = field(default_factory=deque)  # (time, work) of the current window
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -682,3 +682,40 @@
     for worker in far:
         world.tell(api.Probed(worker, api.Reason.CONNECT_FAILED, 1 * MS))
     assert not any(worker.zone.cut_at for worker in world.dispatcher.up)
+
+
+def test_worker_that_fails_its_jobs_at_once_draws_few_and_none_that_must_not_repeat() -> None:
+    """Seen in an incident: one of nine workers got 40 % of all attempts, as it failed each at once."""
+    world, lost, got = World(settings(), [entry(f"w{i}") for i in range(4)]), 0, 0
+
+    def play(first: int, bad: str) -> None:
+        nonlocal lost, got
+        for number in range(first, first + 200):
+            world.request(number, "pay" if number % 2 else "read")
+            for sent in world.out():
+                if sent.worker == bad:
+                    got, lost = got + 1, lost + number % 2
+                    world.outcome(sent, api.Reason.ERROR)
+                elif not sent.started:
+                    world.started(sent)
+                elif world.now - sent.at >= 60 * MS:
+                    world.outcome(sent, api.Reason.OK)
+            world.advance(20 * MS)
+
+    world.request(1000)
+    (first,) = world.out()
+    world.outcome(first, api.Reason.OK)
+    play(0, first.worker)
+    assert 3 <= got <= 20, "it is tried now and then"
+    assert lost <= 2
+    got = 0
+    play(200, "")
+    assert world.dispatcher.workers[first.worker].sound > 0.9, "it finds its way back"
+
+
+def test_fleet_that_fails_as_a_whole_is_not_left_alone() -> None:
+    world = World(settings(), [entry("a"), entry("b")])
+    for worker in world.dispatcher.workers.values():
+        worker.sound = 0.4
+    world.request(1, "pay")
+    assert world.out(), "none is better than the others"
