--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -37,7 +37,7 @@
 JAM = 2.0  # tightest aims of usual wait: the tight jobs start late nearly everywhere
 CROWD = 16.0  # schedulers: where more share the workers, a queue is the others' and no job may rely on it
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
-TRUST = 0.9  # least soundness for a job that must not be repeated: four results in a row after a failure
+TRUST = 0.75  # least soundness for a job that must not be repeated: one failure among results is usual
 TRIAL = 0.5  # soundness under which a worker is tried with one job at a time
 FAILED_FIRST = 0.125  # of a usual response, doubled for each failed connection: one is let be for a quarter
 FAILED_MOST = 4.0  # usual responses: a worker that is back is tried again within about 2 s
@@ -219,7 +219,7 @@
         """Guards jobs against a worker that fails them at once: its positions are free all the time, so it
         would draw more jobs than any other. The less sound it is the longer it rests between trials."""
         worker.sound += LEARN * (sound - worker.sound)
-        if not sound:
+        if worker.sound < TRUST and not sound:
             rest = min(FAILED_MOST, 1 / worker.sound - 1) * self.response
             worker.rest_until = max(worker.rest_until, self.now + int(rest))
 
