--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -13,9 +13,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from reedspoke.net import effects as fx
+from reedspoke.net.core import SECOND
 from reedspoke.net.http import SCANT, Buffer, Head, MalformedError, Requests
 from reedspoke.net.message import Message, authorisation, class_of, path
-from reedspoke.net.reducer import SECOND
 from reedspoke.net.runtime import Runtime
 from reedspoke.net.streams import read, start_read, stream
 
--- /dev/null
+++ b/reedspoke/net/core.py
@@ -0,0 +1,75 @@
+"""What each concern of the reducer stands on: state, the effects asked for, and what the module is told."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from reedspoke import interface as api
+from reedspoke.logic import Dispatcher
+from reedspoke.net import effects as fx
+from reedspoke.net.state import State
+
+MS = 1000
+SECOND = 1000 * MS
+OWN_DESCRIPTORS = 20  # standard streams, the loop's own, listener, directory, the configuration
+OWN_MEMORY = 24  # MB; 17 MB were measured on calm days
+CLIENT_MEMORY = 80  # KB: a body of 64 KB, a head, a stream and its coroutine
+SPARE_LEGS = 4  # for probes, beyond one leg for each client
+SELDOM = 10 * SECOND  # between lines on the same matter that clients or hosts can cause at will
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """Descriptors: a client that is served needs one of its own and one for its leg."""
+
+    clients: int
+    legs: int
+
+    @classmethod
+    def of(cls, sockets: int, memory_mb: float = 192) -> Budget:
+        """Each client may hold the largest body. Usual ones take a third of the descriptors at most, and that
+        many are always taken in."""
+        clients = (sockets - OWN_DESCRIPTORS - SPARE_LEGS) // 2
+        held = int((memory_mb - OWN_MEMORY) * 1024 / CLIENT_MEMORY)
+        clients = min(clients, max(held, sockets // 3))
+        return cls(clients, clients + SPARE_LEGS)
+
+
+class Core:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        budget: Budget,
+        directory: tuple[str, int] = ("", 0),
+    ) -> None:
+        self.state = State(directory=directory)
+        self.module = Dispatcher(settings, seed)
+        self.settings = settings
+        self.budget = budget
+        self.now = 0
+        self._effects: list[fx.Effect] = []
+        self._told: deque[api.Event] = deque()  # for the module, in the order in which it happened
+
+    def _ring(self, key: fx.TimerKey, at: int) -> None:
+        self._effects.append(fx.Ring(key, at))
+
+    def _quiet(self, key: fx.TimerKey) -> None:
+        self._effects.append(fx.Quiet(key))
+
+    def _fault(self, text: str) -> None:
+        self._count("faults")
+        self._effects.append(fx.Say(text, fault=True))
+
+    def _say_seldom(self, about: str, text: str) -> None:
+        """Guards the log against those who can cause a line as often as they like."""
+        if self.now - self.state.told.get(about, 0) >= SELDOM:
+            self.state.told[about] = self.now
+            self._effects.append(fx.Say(text))
+
+    def _count(self, what: str) -> None:
+        self.state.figures[what] += 1
+
+    def _most(self, what: str, number: int) -> None:
+        self.state.figures[f"most {what}"] = max(self.state.figures[f"most {what}"], number)
--- /dev/null
+++ b/reedspoke/net/hosts.py
@@ -0,0 +1,74 @@
+"""Issuer hosts as the directory lists them, and the watch on it."""
+
+from __future__ import annotations
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net.core import MS
+from reedspoke.net.legs import Legs
+from reedspoke.net.state import Host
+
+SILENCE = 3500 * MS  # of the directory, which beats every 2 s; what changes counts as told after 6 s
+
+
+class Hosts(Legs):
+    def _follow(self) -> None:
+        self.state.watching = True
+        self._effects.append(fx.Follow(self.state.directory, self.state.rev))
+        self._ring(("silence", 0), self.now + SILENCE)
+
+    def _on_listed(self, event: fx.Listed) -> None:
+        state = self.state
+        state.rev = event.rev
+        full = event.kind is not api.ListKind.CHANGES
+        named = {target.entry.worker for target in event.targets}
+        for host in list(state.hosts.values()):
+            if full and host.uid not in named:
+                self._remove(host)
+        for target in event.targets:
+            self._learn(target)
+        state.listed = state.listed or bool(state.hosts)
+        if event.kind is not api.ListKind.STALE:
+            self._ring(("silence", 0), self.now + SILENCE)
+        self._told.append(api.Members(event.kind, [target.entry for target in event.targets]))
+
+    def _learn(self, target: fx.Target) -> None:
+        entry = target.entry
+        host = self.state.hosts.get(entry.worker)
+        if entry.state is api.WorkerState.GONE:
+            if host is not None:
+                self._remove(host)
+            return
+        if host is None:
+            host = Host(entry.worker, target.endpoint, entry.state, entry.born)
+            self.state.hosts[host.uid] = host
+            return
+        if entry.state is not api.WorkerState.UP or (target.endpoint, entry.born) != (
+            host.endpoint,
+            host.born,
+        ):
+            self._drop_idle(host)  # their other end may be another process by now
+        host.endpoint, host.state, host.born = target.endpoint, entry.state, entry.born
+
+    def _remove(self, host: Host) -> None:
+        """Forgotten at once, or the table would grow with every deploy; legs that are out go on."""
+        self._drop_idle(host)
+        del self.state.hosts[host.uid]
+
+    def _drop_idle(self, host: Host) -> None:
+        for conn in list(host.idle):
+            self._hang_up(self.state.conns[conn])
+
+    def _on_beaten(self, _: fx.Beaten) -> None:
+        self._ring(("silence", 0), self.now + SILENCE)
+
+    def _on_unlisted(self, event: fx.Unlisted) -> None:
+        self.state.watching = False
+        self._quiet(("silence", 0))
+        self._count("watches lost")
+        self._effects.append(fx.Say(f"directory: watch lost: {event.why}"))
+        self._told.append(api.Members(api.ListKind.LOST, []))
+
+    def _ring_silence(self, _: int) -> None:
+        self._effects.append(fx.Unfollow())
+        self._on_unlisted(fx.Unlisted("silence"))
--- /dev/null
+++ b/reedspoke/net/lifecycle.py
@@ -0,0 +1,72 @@
+"""The start, a new configuration, and the planned end."""
+
+from __future__ import annotations
+
+from reedspoke.net import effects as fx
+from reedspoke.net.core import MS, SECOND
+from reedspoke.net.hosts import Hosts
+from reedspoke.net.state import Life, Standing
+
+LEAVE = 500 * MS  # clients keep connecting for up to 400 ms after SIGTERM
+LAST_CALL = 200 * MS  # for the first bytes of those taken in last
+
+
+class Lifecycle(Hosts):
+    def _on_listening(self, _: fx.Listening) -> None:
+        self.state.life = Life.SERVING
+
+    def _on_reload(self, _: fx.Reload) -> None:
+        self._effects.append(fx.Reread())
+
+    def _on_reloaded(self, event: fx.Reloaded) -> None:
+        """Moves the watch; the module keeps what it knows, and its legs and clients go on."""
+        state = self.state
+        moved = event.directory != state.directory
+        host, port = event.directory
+        self._effects.append(
+            fx.Say(f"reload: directory {'moves to' if moved else 'stays at'} {host}:{port}")
+        )  # fmt: skip
+        if moved:
+            # Versions are the old one's: asked for changes since 0, the new one tells all that it has.
+            state.directory, state.rev = event.directory, 0
+            if state.watching:  # else the module asks for a new watch by itself
+                self._follow()
+
+    def _on_stop(self, _: fx.Stop) -> None:
+        if self.state.leaving():
+            return
+        self.state.life = Life.LEAVING
+        self._effects.append(fx.Say(f"stopping: {len(self.state.names)} authorisations open"))
+        self._drop_waiting(kept=True)
+        self._ring(("leave", 0), self.now + LEAVE)
+        longest = max(cls.deadline for cls in self.settings.classes)
+        self._ring(("end", 0), self.now + LEAVE + longest + SECOND)
+
+    def _drop_waiting(self, *, kept: bool) -> None:
+        """`kept`: only those that were answered before; a new client's first bytes may be on their way."""
+        for standing in (Standing.ANSWERED, Standing.KEPT) if kept else Standing:
+            for client in self.state.resting[standing]:
+                self._effects.append(fx.Drop(client))
+
+    def _ring_leave(self, _: int) -> None:
+        self._effects.append(fx.Shut())
+        self._ring(("last call", 0), self.now + LAST_CALL)
+
+    def _ring_last_call(self, _: int) -> None:
+        self.state.life = Life.SHUT
+        self._drop_waiting(kept=False)
+
+    def _ring_end(self, _: int) -> None:
+        self._over()
+
+    def _see_end(self) -> None:
+        if self.state.life is Life.SHUT and not self.state.clients:
+            self._over()
+
+    def _over(self) -> None:
+        if self.state.life is not Life.OVER:
+            self.state.life = Life.OVER
+            for conn in list(self.state.conns.values()):
+                self._hang_up(conn)
+            self._effects.append(fx.Unfollow())
+            self._effects.append(fx.Exit())
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -14,9 +14,10 @@
 from reedspoke.net import effects as fx
 from reedspoke.net.acquirer import Acquirer
 from reedspoke.net.config import Config, ConfigError, load, reload
+from reedspoke.net.core import Budget
 from reedspoke.net.directory import Directory, listed
 from reedspoke.net.issuer import Issuer
-from reedspoke.net.reducer import Budget, Reducer
+from reedspoke.net.reducer import Reducer
 from reedspoke.net.runtime import Clock, Runtime
 
 log = logging.getLogger("reedspoke")
--- a/reedspoke/net/runtime.py
+++ b/reedspoke/net/runtime.py
@@ -11,7 +11,8 @@
 from typing import Any, Protocol
 
 from reedspoke.net import effects as fx
-from reedspoke.net.reducer import MS, SECOND, Reducer
+from reedspoke.net.core import MS, SECOND
+from reedspoke.net.reducer import Reducer
 from reedspoke.net.state import Life
 from reedspoke.net.wheel import Wheel
 
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -122,3 +122,7 @@
 
     def ready(self) -> bool:
         return self.life is Life.SERVING and self.listed
+
+    def leaving(self) -> bool:
+        """Each answer is its client's last here."""
+        return self.life in (Life.LEAVING, Life.SHUT)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -6,7 +6,10 @@
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
-from reedspoke.net.reducer import CLIENT_FRESH, MUTE, SECOND, Budget, Reducer
+from reedspoke.net.clients import CLIENT_FRESH
+from reedspoke.net.core import SECOND, Budget
+from reedspoke.net.legs import MUTE
+from reedspoke.net.reducer import Reducer
 from reedspoke.net.wheel import Wheel
 from tests.world import MS, settings
 
