--- a/reedspoke/interface.py
+++ b/reedspoke/interface.py
@@ -231,7 +231,15 @@
     token: str
 
 
-Event = Members | Request | Outcome | Note | First | Gone | Probed | Timer
+@dataclass(slots=True)
+class Suspended:
+    """Operators leave a worker out, or put it back: whatever the list says of it meanwhile."""
+
+    worker: str
+    on: bool
+
+
+Event = Suspended | Members | Request | Outcome | Note | First | Gone | Probed | Timer
 
 # ---- actions ----
 
--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -15,7 +15,8 @@
 
 from reedspoke.interface import (  # isort: skip
     Action, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListKind, Log, Members, Note, NoteKind,
-    Outcome, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Timer, Watch, WorkerState,
+    Outcome, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended, Timer, Watch,
+    WorkerState,
 )  # fmt: skip
 from reedspoke.records import Attempt, Flow, Job, Worker, Zone
 
@@ -55,6 +56,7 @@
         self.actions: list[Action] = []
         self.classes = {cls.name: cls for cls in settings.classes}
         self.workers: dict[str, Worker] = {}
+        self.suspended: set[str] = set()  # ids left out by hand; apart from the list, which ends no ban
         self.up: list[Worker] = []  # those that may be sent to, the ones in reach first, then by distance
         self.zones: dict[str, Zone] = {}
         self.jobs: dict[int, Job] = {}
@@ -71,6 +73,7 @@
         self.reactions: dict[type, Callable[[Any], None]] = {
             Request: self.on_request, Outcome: self.on_outcome, Note: self.on_note, Timer: self.on_timer,
             Members: self.on_members, Gone: self.on_gone, First: self.on_gone, Probed: self.on_probed,
+            Suspended: self.on_suspended,
         }  # fmt: skip
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -156,7 +159,34 @@
                 del self.workers[worker.id]
         for entry in members.entries:
             self.learn_entry(entry)
-        self.up = [worker for worker in self.workers.values() if worker.state is WorkerState.UP]
+        self.line_up()
+
+    def on_suspended(self, event: Suspended) -> None:
+        worker = self.workers.get(event.worker)
+        if event.on:
+            self.suspended.add(event.worker)
+        elif event.worker in self.suspended:
+            self.suspended.discard(event.worker)
+            if worker is not None:  # it was worked on: it may be cold, and what was held against it is void
+                worker.back, worker.failed, worker.heard = self.now, 0, self.now
+                self.renew(worker)
+        self.line_up()
+
+    def renew(self, worker: Worker) -> None:
+        worker.cap, worker.delay, worker.rest_until, worker.sound = CAP_START, 0.0, 0, 1.0
+
+    def avoided(self, now: int) -> set[str]:
+        """Listed workers that get nothing now: by hand, or by our own choice."""
+        return {
+            worker.id
+            for worker in self.workers.values()
+            if worker.id in self.suspended
+            or worker.state is WorkerState.UP
+            and (worker.rest_until > now or worker.zone.cut_at or worker.sound < TRIAL)
+        }
+
+    def line_up(self) -> None:
+        self.up = [worker for worker in self.workers.values() if self.listed(worker)]
         self.up.sort(key=lambda worker: (worker.rank, worker.id))
         home = (self.settings.me + 0.5) / self.settings.schedulers
         for index, worker in enumerate(self.up):
@@ -164,6 +194,9 @@
             worker.away = 2 * min(away, 1 - away)
         self.rank()
 
+    def listed(self, worker: Worker) -> bool:
+        return worker.state is WorkerState.UP and worker.id not in self.suspended
+
     def on_timer(self, _: Timer) -> None:
         self.beating = False
         if self.settings.ask_for_list and not self.watching and self.watch_at <= self.now:
@@ -183,7 +216,7 @@
             worker = Worker(entry.worker, crc32(entry.worker.encode()), self.pace, CAP_START)
             self.workers[worker.id] = worker
         elif entry.born != worker.born:  # it has restarted: what was learned of its load is void
-            worker.cap, worker.delay, worker.rest_until, worker.sound = CAP_START, 0.0, 0, 1.0
+            self.renew(worker)
         worker.zone = self.zones.setdefault(entry.zone, Zone(entry.zone))
         worker.kind, worker.cell, worker.state, worker.born = entry.kind, entry.cell, entry.state, entry.born
 
@@ -394,7 +427,7 @@
 
     def suits(self, job: Job, worker: Worker) -> bool:
         kind = self.settings.kinds[job.cls.kind] if job.cls.kind >= 0 else worker.kind
-        up = worker.state is WorkerState.UP and kind == worker.kind and not worker.zone.cut_at
+        up = self.listed(worker) and kind == worker.kind and not worker.zone.cut_at
         return up and (not job.attempts or self.may_repeat(job, worker))
 
     def may_repeat(self, job: Job, worker: Worker) -> bool:
@@ -410,8 +443,9 @@
 
     def warmth(self, worker: Worker) -> float:
         """The least share of its capacity that a worker has by now."""
-        least, age = self.rules.cold_from, max(0, self.now - worker.born)
-        cold = worker.born and age < self.rules.cold_time
+        started = max(worker.born, worker.back)
+        least, age = self.rules.cold_from, max(0, self.now - started)
+        cold = started and age < self.rules.cold_time
         return least + (1 - least) * age / self.rules.cold_time if cold else 1.0
 
     def cold_budget(self, worker: Worker) -> float:
--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -17,7 +17,7 @@
 from reedspoke.net.http import SCANT, Buffer, Head, MalformedError, Requests
 from reedspoke.net.message import Message, authorisation, class_of, path
 from reedspoke.net.runtime import Runtime
-from reedspoke.net.streams import read, start_read, stream
+from reedspoke.net.streams import listen, read, start_read, stream
 
 log = logging.getLogger("reedspoke")
 
@@ -245,13 +245,7 @@
         return {fx.Answer: self._answer, fx.Drop: self._drop, fx.Accept: self._accept, fx.Shut: self._shut}
 
     def open(self) -> None:
-        host, port = self._listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM)
-        self._listener.setblocking(False)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, port))
-        self._listener.listen(BACKLOG)
+        self._listener = listen(self._listen, BACKLOG)
         asyncio.get_running_loop().add_reader(self._listener.fileno(), self._take_in)
         self.runtime.emit(fx.Listening())
 
--- a/reedspoke/net/clients.py
+++ b/reedspoke/net/clients.py
@@ -13,6 +13,13 @@
 )  # from connecting to the last byte of a first authorisation: an answer is due in 3 s
 CLIENT_SLOW = 2 * SECOND  # for the bytes of one authorisation
 CLIENT_FRESH = 50 * MS  # a client that means to ask has sent its first bytes by then
+ENDS = {  # the figure that a job's end counts under
+    fx.Verdict.SERVED: "succeeded",
+    fx.Verdict.DECLINED: "declined",
+    fx.Verdict.FAILED: "aborted",
+    fx.Verdict.LATE: "aborted",
+    fx.Verdict.INVALID: "aborted",
+}
 GUARD = 0.5  # of the answer slack: where the last guard stands
 
 
@@ -90,7 +97,7 @@
             self._effects.append(fx.Answer(client.id, fx.Verdict.INVALID, last=self.state.leaving()))
             return
         auth = Authorisation(
-            state.next_id(), event.name, client.id, event.message, self.now + event.span
+            state.next_id(), event.name, event.cls, client.id, event.message, self.now + event.span
         )  # fmt: skip
         state.authorisations[auth.id] = client.authorisation = auth
         state.names.add(event.name)
@@ -115,6 +122,7 @@
     ) -> None:
         """The one final answer."""
         self._count(verdict.value)
+        self._tally(ENDS[verdict], auth.cls)
         self._close(auth)
         if (client := self.state.clients.get(auth.client)) is not None and client.authorisation is auth:
             client.authorisation = None
--- a/reedspoke/net/config.py
+++ b/reedspoke/net/config.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from reedspoke import interface as api
+from reedspoke.net.core import DOOR
 from reedspoke.settings import Info, settings
 
 LEAST_SOCKETS = 32
@@ -31,6 +32,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    ops: str = ""
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
     known: msgspec.Raw = msgspec.Raw(b'{"rev":0,"all":true,"targets":[]}')
@@ -42,6 +44,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     filed_discovery: str  # as the file itself has it: a change of it goes before the variable
+    ops: tuple[str, int] | None  # the operators' door, None: there is none
     seed: int
     sockets: int
     memory_mb: float
@@ -85,13 +88,16 @@
         raise ConfigError(f"PROXY_CONFIG cannot be read: {error}") from None
     except ValueError as error:  # msgspec's errors are ValueErrors too
         raise ConfigError(f"PROXY_CONFIG is malformed: {error}") from None
-    if told.limits.sockets < LEAST_SOCKETS:
-        raise ConfigError(f"limits.sockets is {told.limits.sockets}, at least {LEAST_SOCKETS} are needed")
+    ops = environ.get("PROXY_OPS") or told.ops
+    least = LEAST_SOCKETS + (DOOR if ops else 0)
+    if told.limits.sockets < least:
+        raise ConfigError(f"limits.sockets is {told.limits.sockets}, at least {least} are needed")
     return Config(
         name=environ.get("PROXY_NAME") or told.name,
         listen=address(environ.get("PROXY_LISTEN") or told.listen, "PROXY_LISTEN"),
         discovery=address(environ.get("PROXY_DISCOVERY") or told.discovery, "PROXY_DISCOVERY"),
         filed_discovery=told.discovery,
+        ops=address(ops, "PROXY_OPS") if ops else None,
         seed=seed,
         sockets=told.limits.sockets,
         memory_mb=told.limits.memory_mb,
--- a/reedspoke/net/core.py
+++ b/reedspoke/net/core.py
@@ -15,6 +15,8 @@
 OWN_DESCRIPTORS = 20  # standard streams, the loop's own, listener, directory, the configuration
 OWN_MEMORY = 24  # MB; 17 MB were measured on calm days
 CLIENT_MEMORY = 80  # KB: a body of 64 KB, a head, a stream and its coroutine
+CALLERS = 16  # at the operators' door at once; those it needs and no more, each holds a descriptor
+DOOR = CALLERS + 2  # descriptors set aside for it: its listener, and a caller taken in before one goes
 SPARE_LEGS = 4  # for probes, beyond one leg for each client
 SELDOM = 10 * SECOND  # between lines on the same matter that clients or hosts can cause at will
 
@@ -27,10 +29,10 @@
     legs: int
 
     @classmethod
-    def of(cls, sockets: int, memory_mb: float = 192) -> Budget:
+    def of(cls, sockets: int, memory_mb: float = 192, door: int = 0) -> Budget:
         """Each client may hold the largest body. Usual ones take a third of the descriptors at most, and that
         many are always taken in."""
-        clients = (sockets - OWN_DESCRIPTORS - SPARE_LEGS) // 2
+        clients = (sockets - OWN_DESCRIPTORS - door - SPARE_LEGS) // 2
         held = int((memory_mb - OWN_MEMORY) * 1024 / CLIENT_MEMORY)
         clients = min(clients, max(held, sockets // 3))
         return cls(clients, clients + SPARE_LEGS)
@@ -71,5 +73,9 @@
     def _count(self, what: str) -> None:
         self.state.figures[what] += 1
 
+    def _tally(self, what: str, cls: str = "") -> None:
+        """For the operators' figures."""
+        self.state.counted[what, cls] += 1
+
     def _most(self, what: str, number: int) -> None:
         self.state.figures[f"most {what}"] = max(self.state.figures[f"most {what}"], number)
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -28,6 +28,25 @@
     INVALID = "invalid"  # it should not have come
 
 
+class Order(Enum):
+    """What operators ask for."""
+
+    READY = "ready"
+    FIGURES = "figures"
+    SUSPEND = "suspend"
+    RESUME = "resume"
+    DRAIN = "drain"
+    ACTIVATE = "activate"
+
+
+class Word(Enum):
+    """What operators are told."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "no such worker"
+
+
 # ---- events ----
 
 
@@ -199,9 +218,38 @@
     directory: tuple[str, int]
 
 
+@dataclass(slots=True)
+class Rang:
+    """An operator has connected at the door."""
+
+    caller: int
+
+
+@dataclass(slots=True)
+class Called:
+    """A whole call has come; `host` is the issuer host that it names, if any."""
+
+    caller: int
+    order: Order
+    host: str = ""
+
+
+@dataclass(slots=True)
+class Hungup:
+    """An operator's connection has ended."""
+
+    caller: int
+
+
+@dataclass(slots=True)
+class Unloaded:
+    """The new configuration is unusable: the old one stays in force."""
+
+
 Event = (
     Joined | Reading | Arrived | Answered | Ending | Refused | Parted | Opened | Written | Heard | Noted
     | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
+    | Unloaded | Rang | Called | Hungup
 )  # fmt: skip
 
 # ---- effects ----
@@ -298,6 +346,22 @@
     fault: bool = False
 
 
+@dataclass(slots=True)
+class Reply:
+    """Answer an operator's call."""
+
+    caller: int
+    word: Word
+    figures: bool = False  # with all figures as its text
+
+
+@dataclass(slots=True)
+class Dismiss:
+    """End an operator's connection that has not called."""
+
+    caller: int
+
+
 @dataclass(slots=True)
 class Exit:
     pass
@@ -318,5 +382,7 @@
     | Ring
     | Quiet
     | Say
+    | Reply
+    | Dismiss
     | Exit
 )
--- a/reedspoke/net/hosts.py
+++ b/reedspoke/net/hosts.py
@@ -8,6 +8,7 @@
 from reedspoke.net.legs import Legs
 from reedspoke.net.state import Host
 
+MOST_PAST = 1000  # ids of hosts that have gone and are known still, for the operators' calls
 SILENCE = 3500 * MS  # of the directory, which beats every 2 s; what changes counts as told after 6 s
 
 
@@ -27,11 +28,31 @@
                 self._remove(host)
         for target in event.targets:
             self._learn(target)
+        for uid in [uid for uid in state.ever_listed if uid not in state.hosts][: -MOST_PAST or None]:
+            del state.ever_listed[uid]
         state.listed = state.listed or bool(state.hosts)
         if event.kind is not api.ListKind.STALE:
             self._ring(("silence", 0), self.now + SILENCE)
+        self._heed_bans()  # before the list, or the module might use who is new on it
         self._told.append(api.Members(event.kind, [target.entry for target in event.targets]))
 
+    def _heed_bans(self) -> None:
+        """Guards the operators' ban: it is for the machine as well as for its id, which may come back with a
+        fresh one at the same address."""
+        state, none = self.state, ("", 0)
+        for uid in state.suspended:
+            if (host := state.hosts.get(uid)) is not None:
+                state.suspended[uid] = host.endpoint
+        places = set(state.suspended.values()) - {none}
+        barred = set(state.suspended) | {host.uid for host in state.hosts.values() if host.endpoint in places}
+        for uid in sorted(barred ^ state.barred):
+            if (host := state.hosts.get(uid)) is not None:
+                self._drop_idle(host)  # it is worked on: their other end will be another process
+            self._told.append(api.Suspended(uid, uid in barred))
+        state.barred = barred
+        for host in state.hosts.values():
+            host.suspended = host.uid in barred
+
     def _learn(self, target: fx.Target) -> None:
         entry = target.entry
         host = self.state.hosts.get(entry.worker)
@@ -42,6 +63,7 @@
         if host is None:
             host = Host(entry.worker, target.endpoint, entry.state, entry.born)
             self.state.hosts[host.uid] = host
+            self.state.ever_listed[host.uid] = None
             return
         if entry.state is not api.WorkerState.UP or (target.endpoint, entry.born) != (
             host.endpoint,
--- a/reedspoke/net/legs.py
+++ b/reedspoke/net/legs.py
@@ -78,8 +78,9 @@
             self._effects.append(fx.Ask(conn.id))
             self._ring(("leg", conn.id), self.now + PROBE_WAIT)
         elif conn.leg is not None:
-            # The list may have changed while the connection came up, and a drain counts from the first byte.
-            if host is None or host.state is not api.WorkerState.UP or host.endpoint != conn.endpoint:
+            # The list, or the operators' mind, may have changed while the connection came up, and a drain
+            # counts from the first byte.
+            if host is None or not host.takes() or host.endpoint != conn.endpoint:
                 leg = conn.leg
                 self._hang_up(conn)
                 self._outcome(leg, api.Reason.CONNECT_FAILED)
@@ -89,6 +90,7 @@
     def _on_written(self, event: fx.Written) -> None:
         if (conn := self.state.conns.get(event.conn)) is not None and conn.leg is not None:
             conn.leg.written = True
+            self._tally("forwards")
             if not conn.heard:
                 self._ring(("mute", conn.id), self.now + MUTE)
 
@@ -159,7 +161,7 @@
         if conn is None or conn.phase is not Phase.ENDING:
             return
         host = self.state.hosts.get(conn.host)
-        if host is None or host.state is not api.WorkerState.UP or host.endpoint != conn.endpoint:
+        if host is None or not host.takes() or host.endpoint != conn.endpoint:
             self._hang_up(conn)
             return
         if self.now < self.state.distrust_until:
@@ -187,7 +189,7 @@
             leg = conn.leg
             self._distrust(conn)
             host = self.state.hosts.get(conn.host)
-            ours = host is not None and host.state is api.WorkerState.UP and leg.authorisation.open
+            ours = host is not None and host.takes() and leg.authorisation.open
             if conn.legs > 1 and not leg.written and ours and host is not None and self.now < leg.until:
                 # A kept connection had ended before it could carry the leg: that says nothing of its host,
                 # and as nothing was sent wholly this is the same leg on another connection.
--- a/reedspoke/net/lifecycle.py
+++ b/reedspoke/net/lifecycle.py
@@ -21,6 +21,7 @@
     def _on_reloaded(self, event: fx.Reloaded) -> None:
         """Moves the watch; the module keeps what it knows, and its legs and clients go on."""
         state = self.state
+        self._tally("sighup_applied")
         moved = event.directory != state.directory
         host, port = event.directory
         self._effects.append(
@@ -32,8 +33,11 @@
             if state.watching:  # else the module asks for a new watch by itself
                 self._follow()
 
+    def _on_unloaded(self, _: fx.Unloaded) -> None:
+        self._tally("sighup_rejected")
+
     def _on_stop(self, _: fx.Stop) -> None:
-        if self.state.leaving():
+        if self.state.life not in (Life.STARTING, Life.SERVING):
             return
         self.state.life = Life.LEAVING
         self._effects.append(fx.Say(f"stopping: {len(self.state.names)} authorisations open"))
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -14,9 +14,10 @@
 from reedspoke.net import effects as fx
 from reedspoke.net.acquirer import Acquirer
 from reedspoke.net.config import Config, ConfigError, load, reload
-from reedspoke.net.core import Budget
+from reedspoke.net.core import DOOR, Budget
 from reedspoke.net.directory import Directory, listed
 from reedspoke.net.issuer import Issuer
+from reedspoke.net.operators import Door
 from reedspoke.net.reducer import Reducer
 from reedspoke.net.runtime import Clock, Runtime
 
@@ -28,15 +29,18 @@
 
     def __init__(self, config: Config) -> None:
         self.config = config
-        budget = Budget.of(config.sockets, config.memory_mb)
+        budget = Budget.of(config.sockets, config.memory_mb, DOOR if config.ops else 0)
         reducer = Reducer(config.settings, config.seed, budget, config.conn_idle, config.discovery)
         self.runtime = Runtime(Clock(), reducer)
         classes = {cls.name: cls.deadline for cls in config.settings.classes}
         self.acquirer = Acquirer(self.runtime, classes, config.listen)
         self.directory = Directory(self.runtime)
         issuer = Issuer(self.runtime, config.settings.report_fields)
+        self.door = Door(self.runtime, config.ops) if config.ops else None
         for part in (self.acquirer, self.directory, issuer, self):
             self.runtime.attach(part)
+        if self.door is not None:
+            self.runtime.attach(self.door)
 
     def stop(self) -> None:
         """Begin a planned end: answer what was taken, then let `run` return."""
@@ -54,6 +58,7 @@
             self.config = reload(self.config)
         except ConfigError as error:  # half a file, say: what is in force goes on
             log.error("reload: the old configuration stays in force: %s", error)
+            self.runtime.emit(fx.Unloaded())
         else:
             self.runtime.emit(fx.Reloaded(self.config.discovery))
 
@@ -64,12 +69,16 @@
             log.warning("directory: known list skipped: %s", error)
             known = fx.Listed(api.ListKind.STALE, 0, [])
         self.runtime.emit(known)
+        if self.door is not None:
+            self.door.open()
         self.acquirer.open()
         log.info(
             "serving: %s on %s:%d, %d hosts known", self.config.name, *self.config.listen, len(known.targets)
         )
         await self.runtime.over.wait()
         self.acquirer.close()
+        if self.door is not None:
+            self.door.close()
         self.runtime.tell_figures()
         log.info("stopped")
 
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -2,7 +2,8 @@
 
 Only here is the decision module called. It picks hosts, repeats, declines and delays; what stands around it
 keeps the platform's rules: what counts as sent, what is told of it, and that each authorisation gets one
-answer. Each concern is a module of its own, from `core` up: `clients`, `legs`, `hosts`, `lifecycle`.
+answer. Each concern is a module of its own, from `core` up: `clients`, `legs`, `hosts`, `lifecycle`,
+`upkeep`.
 """
 
 from __future__ import annotations
@@ -15,10 +16,10 @@
 from reedspoke.net import effects as fx
 from reedspoke.net.core import Budget
 from reedspoke.net.legs import IDLE_MOST, IDLE_SHARE
-from reedspoke.net.lifecycle import Lifecycle
+from reedspoke.net.upkeep import Upkeep
 
 
-class Reducer(Lifecycle):
+class Reducer(Upkeep):
     def __init__(
         self,
         settings: api.Settings,
@@ -37,13 +38,15 @@
             fx.Freed: self._on_freed, fx.Broken: self._on_broken, fx.Listed: self._on_listed,
             fx.Beaten: self._on_beaten, fx.Unlisted: self._on_unlisted, fx.Rung: self._on_rung,
             fx.Listening: self._on_listening, fx.Stop: self._on_stop, fx.Reload: self._on_reload,
-            fx.Reloaded: self._on_reloaded,
+            fx.Reloaded: self._on_reloaded, fx.Unloaded: self._on_unloaded, fx.Rang: self._on_rang,
+            fx.Called: self._on_called, fx.Hungup: self._on_hungup,
         }  # fmt: skip
         self._rings: dict[str, Callable[[int], None]] = {
             "module": self._ring_module, "leg": self._ring_leg, "idle": self._ring_idle,
             "mute": self._ring_mute, "guard": self._ring_guard, "client": self._ring_client,
             "silence": self._ring_silence, "room": lambda _: self._make_room(), "leave": self._ring_leave,
-            "last call": self._ring_last_call, "end": self._ring_end,
+            "last call": self._ring_last_call, "end": self._ring_end, "caller": self._ring_caller,
+            "away": self._ring_away,
         }  # fmt: skip
 
     def handle(self, event: fx.Event, now: int) -> list[fx.Effect]:
--- a/reedspoke/net/runtime.py
+++ b/reedspoke/net/runtime.py
@@ -126,4 +126,4 @@
         return self.reducer.state.ready()
 
     def leaving(self) -> bool:
-        return self.reducer.state.life in (Life.LEAVING, Life.SHUT, Life.OVER)
+        return self.reducer.state.leaving() or self.reducer.state.life is Life.OVER
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -42,6 +42,7 @@
 class Authorisation:
     id: int
     name: str
+    cls: str
     client: int
     message: object
     deadline: int
@@ -81,8 +82,13 @@
     endpoint: tuple[str, int]
     state: api.WorkerState
     born: int
+    suspended: bool = False  # by hand, whatever the list says
     idle: list[int] = field(default_factory=list)  # its idle connections, the latest used last
 
+    def takes(self) -> bool:
+        """Legs may go there, as far as the list and the operators say."""
+        return self.state is api.WorkerState.UP and not self.suspended
+
 
 class Life(Enum):
     STARTING = "starting"
@@ -114,15 +120,26 @@
     distrust_until: int = 0  # until then kept connections to issuer hosts are not used again
     timers: dict[int, str] = field(default_factory=dict)  # the module's, with their tokens
     figures: Counter[str] = field(default_factory=Counter)
+    counted: Counter[tuple[str, str]] = field(default_factory=Counter)  # what operators see: (what, class)
+    callers: dict[int, bool] = field(default_factory=dict)  # the longest first; True: has called
+    suspended: dict[str, tuple[str, int]] = field(default_factory=dict)  # by hand; with its endpoint then
+    barred: set[str] = field(default_factory=set)  # those, and who stands at their endpoints by another id
+    ever_listed: dict[str, None] = field(default_factory=dict)
+    drained: bool = False  # by hand: clients are sent away
     last_id: int = 0
 
     def next_id(self) -> int:
         self.last_id += 1
         return self.last_id
 
-    def ready(self) -> bool:
+    def able(self) -> bool:
+        """This process can serve, whether or not clients are sent to it."""
         return self.life is Life.SERVING and self.listed
 
+    def ready(self) -> bool:
+        """Clients may be sent here."""
+        return self.able() and not self.drained
+
     def leaving(self) -> bool:
         """Each answer is its client's last here."""
-        return self.life in (Life.LEAVING, Life.SHUT)
+        return self.drained or self.life in (Life.LEAVING, Life.SHUT)
--- a/reedspoke/net/streams.py
+++ b/reedspoke/net/streams.py
@@ -25,6 +25,20 @@
     return IOStream(raw, max_buffer_size=MOST_BUFFERED, max_write_buffer_size=MOST_BUFFERED)
 
 
+def listen(address: tuple[str, int], backlog: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setblocking(False)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 def start_read(source: IOStream, buffer: Buffer, room: int = SCANT) -> asyncio.Future[int]:
     """Begin to read into the buffer. Tornado takes any writable place, though it names one type."""
     place = cast(Any, buffer.room(room))
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -29,6 +29,7 @@
     cell: int = 0
     state: WorkerState = WorkerState.GONE
     born: int = 0  # its latest start, 0: long ago
+    back: int = 0  # when operators put it back last, 0: never
     used: int = 0  # slots that our attempts hold
     memory: float = 0.0  # units that our attempts hold
     load: float = 0.0  # work of our attempts that are out
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -149,6 +149,12 @@
     ).encode() + body
 
 
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
 class Node:
     """The program, started as the platform does."""
 
@@ -156,9 +162,7 @@
         self.hosts = [Peer(f"s-{i}") for i in range(hosts)]
         self.discovery = Peer()
         self.clients: list[Wire] = []
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
+        self.port, self.door = free_port(), free_port()
         settings = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **ceilings}}
         known = {"rev": 41, "all": True, "targets": [host.entry() for host in self.hosts]}
         told = {
@@ -173,7 +177,8 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "reedspoke"], cwd=ROOT, stderr=self.errors.open("wb"),
             env={
-                **os.environ, "PROXY_CONFIG": str(self.config), "PROXY_DISCOVERY": self.discovery.endpoint
+                **os.environ, "PROXY_CONFIG": str(self.config), "PROXY_DISCOVERY": self.discovery.endpoint,
+                "PROXY_OPS": f"127.0.0.1:{self.door}",
             },
         )  # fmt: skip
         self.watch = self.discovery.accept()  # it asks soon after it has begun to listen
@@ -185,6 +190,24 @@
         self.clients.append(wire)  # one that is dropped would close, and its client be gone
         return wire
 
+    def caller(self, data: bytes = b"") -> Wire:
+        wire = Wire(socket.create_connection(("127.0.0.1", self.door), WAIT))
+        wire.send(data)
+        self.clients.append(wire)
+        return wire
+
+    def call(self, path: str, method: str = "") -> Message:
+        """A whole call at the operators' door."""
+        method = method or ("GET" if path in ("/v1/readyz", "/v1/metrics") else "POST")
+        wire = self.caller(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+        answer = wire.message()
+        assert wire.ended(), "one call to a connection"
+        return answer
+
+    def figures(self) -> dict[str, int]:
+        lines = self.call("/v1/metrics").body.decode().splitlines()
+        return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines if line[0] != "#")}
+
     def leg(self, *wires: Wire) -> Wire:
         """Where the next leg comes: on one of these connections, or on a new one to any host."""
         sources = [host.sock for host in self.hosts if host.sock.fileno() >= 0] + [
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -57,7 +57,8 @@
     assert wire.ended(), "its connection is not kept for more"
 
 
-def test_drain_told_during_a_slow_dial_is_kept(start: Start) -> None:
+@pytest.mark.parametrize("by", ["list", "hand"])
+def test_drain_told_during_a_slow_dial_is_kept(start: Start, by: str) -> None:
     """Guards the drain rule: a send counts from its first byte, which may be long after the decision."""
     node = start(hosts=1, connect_timeout=4_000_000)
     host = node.hosts[0]
@@ -65,7 +66,10 @@
     filler = socket.create_connection(host.sock.getsockname())  # the system lets all others wait
     client = node.client(ask())
     assert node.ready() == 200, "what came before this is on its way by now"
-    told_off(node, 0, "Terminating")
+    if by == "list":
+        told_off(node, 0, "Terminating")
+    else:
+        assert node.call("/v1/workers/s-0/suspend").status == 200
     host.accept().close()
     filler.close()
     assert host.accept().ended(), "it comes up in the end, and not a byte is written"
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,180 @@
+"""The operators' door: its calls, its figures, hosts left out by hand, clients sent away."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from reedspoke.net import metrics
+from reedspoke.net.state import Host, State
+from tests.peers import Message, Node, Start, Wire, ask, nodes, took
+
+WHOLE = b"GET /v1/readyz HTTP/1.1\r\nHost: ops\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("call", "status"),
+    [
+        ("GET /v1/readyz", 200),
+        ("GET /v1/metrics", 200),
+        ("GET /v1/metrics?all=1", 200),
+        ("GET /v1/nothing", 404),
+        ("GET /", 404),
+        ("POST /v1/workers//suspend", 404),
+        ("POST /v1/workers/s-0/stop", 404),
+        ("POST /v1/workers/never-listed/suspend", 404),
+        ("POST /v1/workers/never-listed/resume", 404),
+        ("POST /v1/workers/%73-0/suspend", 200),
+        ("POST /v1/workers/%ff/suspend", 400),
+        ("POST /v1/readyz", 405),
+        ("GET /v1/scheduler/drain", 405),
+        ("GET /v1/workers/s-0/resume", 405),
+        ("GET nowhere", 400),
+        ("no call at all", 400),
+        (f"GET /{'x' * 8000}", 431),
+    ],
+    ids=lambda value: str(value)[:40],
+)
+def test_each_call_has_its_answer(node: Node, call: str, status: int) -> None:
+    wire = node.caller(f"{call} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+    answer = wire.message()
+    assert answer.status == status
+    assert answer.fields["connection"] == "close"
+    assert answer.fields.get("allow") == {405: "GET" if "readyz" in call else "POST"}.get(status)
+    assert wire.ended()
+
+
+@pytest.fixture(scope="module")
+def node(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Node]:
+    with nodes(tmp_path_factory.mktemp("door")) as starter:
+        yield starter(hosts=1)
+
+
+def test_a_call_is_read_however_it_is_cut(node: Node) -> None:
+    for at in range(1, len(WHOLE)):
+        wire = node.caller(WHOLE[:at])
+        wire.send(WHOLE[at:])
+        assert wire.message().status == 200
+
+
+def test_callers_that_never_end_their_call_delay_no_other(node: Node) -> None:
+    """Guards the door: more of them than it has places, and each whole call is answered within 1 s."""
+    stalled = [node.caller(WHOLE[: 3 * (at % 2)]) for at in range(40)]
+    for _ in range(5):
+        since = time.monotonic()
+        assert node.call("/v1/readyz").status == 200
+        assert took(since) < 1
+    assert all(wire.ended() for wire in stalled), "they are dropped in time"
+
+
+def legs_by_name(*wires: Wire) -> dict[str, tuple[Wire, Message]]:
+    legs = [(wire, wire.message()) for wire in wires]
+    return {leg.fields["x-request-id"]: (wire, leg) for wire, leg in legs}
+
+
+def test_figures_count_what_crosses_the_sockets(start: Start) -> None:
+    node = start(hosts=1)
+    assert node.figures() == {
+        **{f'scheduler_{end}_total{{service="{cls}"}}': 0
+           for end in ("succeeded", "declined", "aborted") for cls in ("quote", "book")},
+        "scheduler_forwards_total": 0, "scheduler_sighup_applied_total": 0,
+        "scheduler_sighup_rejected_total": 0, "scheduler_outstanding": 0, "scheduler_discovered": 1,
+        "scheduler_ejected": 0,
+    }  # fmt: skip
+    served, lost = node.client(ask("1a")), node.client(ask("2b", cls="book"))
+    legs = legs_by_name(node.leg(), node.leg())
+    assert node.figures()["scheduler_outstanding"] == 2
+    legs["1a"][0].serve(legs["1a"][1])
+    legs["2b"][0].close()
+    assert (served.message().status, lost.message().status) == (200, 502)
+    node.reload("{")
+    node.logged("the old configuration stays")
+    found = node.figures()
+    assert {name: value for name, value in found.items() if value} == {
+        'scheduler_succeeded_total{service="quote"}': 1, 'scheduler_aborted_total{service="book"}': 1,
+        "scheduler_forwards_total": 2, "scheduler_sighup_rejected_total": 1, "scheduler_discovered": 1,
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("cls", "shown"), [("a", '"a"'), ('a"b', r'"a\"b"'), ("a\\b", r'"a\\b"'), ("a\nb", r'"a\nb"')]
+)
+def test_label_values_are_escaped(cls: str, shown: str) -> None:
+    state = State()
+    state.counted["declined", cls] = 3
+    assert f"scheduler_declined_total{{service={shown}}} 3\n" in metrics.text(state, [cls], [])
+
+
+def test_only_listed_hosts_count_as_ejected() -> None:
+    state = State(hosts={"a": Host("a", ("127.0.0.1", 1), 0, 0)})  # type: ignore[arg-type]
+    assert "scheduler_ejected 1\n" in metrics.text(state, [], ["a", "gone"])
+
+
+def no_list(_: Node) -> None:
+    pass
+
+
+def ready_again(node: Node) -> None:
+    node.watch.begin()
+    node.list(node.hosts[0].entry(boot_ms=int(time.time() * 1000)), node.hosts[1].entry(), full=True)
+
+
+def fresh_uid(node: Node) -> None:
+    node.watch.begin()
+    node.list({**node.hosts[0].entry(), "uid": "s-new"}, node.hosts[1].entry(), full=True)
+
+
+@pytest.mark.parametrize("news", [no_list, ready_again, fresh_uid], ids=lambda news: news.__name__)
+def test_a_suspended_host_gets_nothing_until_it_is_resumed(
+    start: Start, news: Callable[[Node], None]
+) -> None:
+    """Guards the operators' ban: no list, and no new uid at its address, ends it early."""
+    node = start(hosts=2)
+    for _ in range(2):
+        assert node.call("/v1/workers/s-0/suspend").status == 200
+    assert node.figures()["scheduler_ejected"] == 1
+    news(node)
+    node.hosts[0].sock.setblocking(False)
+    other = node.hosts.pop(1)
+    for number in range(4):
+        client = node.client(ask(f"{number}"))
+        wire = other.accept()
+        wire.serve()
+        assert client.message().status == 200
+        wire.close()
+    with pytest.raises(BlockingIOError):
+        node.hosts[0].sock.accept()
+    assert node.call("/v1/workers/s-0/resume").status == 200
+    assert node.figures()["scheduler_ejected"] == 0
+
+
+def test_a_drained_scheduler_sends_clients_away_and_comes_back(start: Start) -> None:
+    node = start(hosts=1)
+    kept, busy = node.client(ask("1a")), node.client(ask("2b"))
+    first, second = node.leg(), node.leg()
+    legs = legs_by_name(first, second)
+    legs["2b"][0].begin()  # else it would be given up as mute
+    legs["2b"][0].state(legs["2b"][1], "started")
+    legs["1a"][0].serve(legs["1a"][1])
+    assert kept.message().fields["connection"] == "keep-alive"
+    since = time.monotonic()
+    assert node.call("/v1/scheduler/drain").status == 200
+    assert node.ready() == 503
+    assert node.call("/v1/readyz").status == 200, "it can serve"
+    late = node.client(ask("3c"))
+    node.leg(legs["1a"][0]).serve()
+    assert late.message().fields["connection"] == "close"
+    assert took(since) < 0.5, "the front may send for a while, and is served"
+    assert kept.ended()
+    assert 0.5 < took(since) < 2
+    legs["2b"][0].state(legs["2b"][1], "done", result="fine")
+    legs["2b"][0].end()
+    answer = busy.message()
+    assert (answer.status, answer.fields["connection"]) == (200, "close")
+    assert node.call("/v1/scheduler/activate").status == 200
+    assert node.ready() == 200
+    again = node.client(ask("4d"))
+    node.leg(first, second).serve()
+    assert again.message().fields["connection"] == "keep-alive"
