--- a/reedspoke/interface.py
+++ b/reedspoke/interface.py
@@ -239,7 +239,15 @@
     on: bool
 
 
-Event = Suspended | Members | Request | Outcome | Note | First | Gone | Probed | Timer
+@dataclass(slots=True)
+class Partner:
+    """Other processes act for this scheduler as well, while one replaces another: what they hold."""
+
+    count: int
+    slots: dict[str, int]  # at each worker
+
+
+Event = Suspended | Partner | Members | Request | Outcome | Note | First | Gone | Probed | Timer
 
 # ---- actions ----
 
--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -15,8 +15,8 @@
 
 from reedspoke.interface import (  # isort: skip
     Action, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListKind, Log, Members, Note, NoteKind,
-    Outcome, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended, Timer, Watch,
-    WorkerState,
+    Outcome, Partner, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended, Timer,
+    Watch, WorkerState,
 )  # fmt: skip
 from reedspoke.records import Attempt, Flow, Job, Worker, Zone
 
@@ -56,6 +56,7 @@
         self.actions: list[Action] = []
         self.classes = {cls.name: cls for cls in settings.classes}
         self.workers: dict[str, Worker] = {}
+        self.partner = Partner(0, {})
         self.suspended: set[str] = set()  # ids left out by hand; apart from the list, which ends no ban
         self.up: list[Worker] = []  # those that may be sent to, the ones in reach first, then by distance
         self.zones: dict[str, Zone] = {}
@@ -73,7 +74,7 @@
         self.reactions: dict[type, Callable[[Any], None]] = {
             Request: self.on_request, Outcome: self.on_outcome, Note: self.on_note, Timer: self.on_timer,
             Members: self.on_members, Gone: self.on_gone, First: self.on_gone, Probed: self.on_probed,
-            Suspended: self.on_suspended,
+            Suspended: self.on_suspended, Partner: self.on_partner,
         }  # fmt: skip
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -172,6 +173,9 @@
                 self.renew(worker)
         self.line_up()
 
+    def on_partner(self, partner: Partner) -> None:
+        self.partner = partner
+
     def renew(self, worker: Worker) -> None:
         worker.cap, worker.delay, worker.rest_until, worker.sound = CAP_START, 0.0, 0, 1.0
 
@@ -416,11 +420,12 @@
     # ---- the rules: each Send passes `send`, each final answer `answer` ----
 
     def may_send(self, job: Job, worker: Worker) -> bool:
+        there = worker.used + self.partner.slots.get(worker.id, 0)
         return (
             self.suits(job, worker)
             and self.now >= worker.rest_until
             and self.trusted(job, worker)
-            and (not worker.used or worker.used + job.slots <= worker.cap)  # one that is ours alone takes any
+            and (not worker.used or there + job.slots <= worker.cap)  # one that is ours alone takes any
             and worker.memory + job.memory <= max(job.memory, worker.cap)  # one unit for each slot
             and (self.warmth(worker) >= 1 or self.cold_budget(worker) >= job.work * job.slots)
         )
@@ -457,6 +462,7 @@
         budget = self.rules.fall_multiple * self.warmth(worker) * slots / worker.pace * self.rules.fall_time
         if self.now - self.born < self.rules.fall_time:
             budget /= 2  # before a restart we may have used this window
+        budget /= 1 + self.partner.count  # it is one budget for the processes of a scheduler
         return budget * COLD_PART / self.settings.schedulers - sum(work for _, work in sends)
 
     def send(self, job: Job, worker: Worker) -> None:
--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -48,6 +48,10 @@
     return first + more + end + b"\r\n"
 
 
+class PartedError(Exception):
+    """A client that is owed nothing is sent away."""
+
+
 class Client:
     """One connection of a client, served by one coroutine."""
 
@@ -59,7 +63,7 @@
         self.begun = False  # an authorisation has begun to come in
         self.replied = False  # the writing of its answer has begun
         self._reading: asyncio.Future[int] | None = None
-        self._slow: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._dropped: asyncio.Future[fx.Farewell] = asyncio.get_running_loop().create_future()
 
     async def serve(self) -> None:
         emit = self.side.runtime.emit
@@ -69,6 +73,8 @@
         except MalformedError as error:
             emit(fx.Refused(error.status, str(error)))
             await self._last(error.status)
+        except PartedError:
+            await self._end(True)
         except (StreamClosedError, TimeoutError):
             pass
         except Exception:
@@ -151,7 +157,9 @@
     async def _ask(self, message: Message) -> fx.Answer:
         """The answer; meanwhile what the client sends ahead is read, and so is its leaving."""
         self.answer = asyncio.get_running_loop().create_future()
-        self.side.runtime.emit(message.arrived(self.number))
+        arrived = message.arrived(self.number)
+        arrived.elsewhere = not self.side.claim(message.name)
+        self.side.runtime.emit(arrived)
         try:
             while not self.answer.done():
                 waits: set[asyncio.Future[Any]] = {self.answer}
@@ -177,8 +185,10 @@
     async def _read(self, room: int = SCANT) -> None:
         """More bytes. A read that began while the last answer was awaited goes on where it was to go."""
         reading: asyncio.Future[Any] = self._start_reading(room)
-        await asyncio.wait({reading, self._slow}, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait({reading, self._dropped}, return_when=asyncio.FIRST_COMPLETED)
         if not reading.done():
+            if self._dropped.result() is fx.Farewell.IDLE:
+                raise PartedError
             raise MalformedError(408, "its bytes come too slowly")
         self._take_read()
 
@@ -224,15 +234,30 @@
         read = self._reading is not None and self._reading.done()
         if self.answer is not None or read:
             return  # what has been read is taken: it gets its answer
-        if how is fx.Farewell.NOW or not (self.begun or len(self.buffer)):
+        idle = not (self.begun or len(self.buffer))
+        if how is fx.Farewell.NOW:
             self.stream.close()
-        elif how is fx.Farewell.TOLD and not self._slow.done():
-            self._slow.set_result(None)
+        elif not self._dropped.done() and (not self._sent() if idle else how is fx.Farewell.TOLD):
+            self._dropped.set_result(fx.Farewell.IDLE if idle else how)
+
+    def _sent(self) -> bool:
+        """Guards a client against a reset: bytes that it has sent wait to be read, and get their answer."""
+        try:
+            return bool(self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
 
 
 class Acquirer:
-    def __init__(self, runtime: Runtime, classes: dict[str, int], listen: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        classes: dict[str, int],
+        listen: tuple[str, int],
+        claim: Callable[[str], bool] = lambda _: True,
+    ) -> None:
         self.runtime = runtime
+        self.claim = claim  # whether an authorisation of that id may be taken
         self.classes = classes  # with how long a client waits at the most
         self._listen = listen
         self._listener: socket.socket | None = None
@@ -240,13 +265,19 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._numbers = count(1)
         self._accepting = True
+        self._inherited = False
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
         return {fx.Answer: self._answer, fx.Drop: self._drop, fx.Accept: self._accept, fx.Shut: self._shut}
 
-    def open(self) -> None:
-        self._listener = listen(self._listen, BACKLOG)
-        asyncio.get_running_loop().add_reader(self._listener.fileno(), self._take_in)
+    def open(self, inherited: socket.socket | None = None) -> None:
+        """With a listener of its own, or with one that is given; from that it takes nobody in before it is
+        told to, as another process may serve them until then."""
+        self._listener = inherited or listen(self._listen, BACKLOG)
+        self._inherited = inherited is not None
+        self._accepting = not self._inherited
+        if self._accepting:
+            asyncio.get_running_loop().add_reader(self._listener.fileno(), self._take_in)
         self.runtime.emit(fx.Listening())
 
     def _take_in(self) -> None:
@@ -256,7 +287,7 @@
                 return
             try:
                 connection, _ = self._listener.accept()
-            except BlockingIOError:
+            except BlockingIOError:  # nobody waits, or another process that shares the listener was faster
                 return
             except OSError as error:  # the peer is gone again, or descriptors ran out in spite of the budget
                 log.error("fault: accept: %s", error)
@@ -289,8 +320,9 @@
             loop.remove_reader(self._listener.fileno())
 
     def _shut(self, _: fx.Shut) -> None:
-        for _some in range(0, BACKLOG, AT_ONCE):
-            self._take_in()
+        if not self._inherited:  # else those who wait are its successor's
+            for _some in range(0, BACKLOG, AT_ONCE):
+                self._take_in()
         self.close()
 
     def close(self) -> None:
--- a/reedspoke/net/clients.py
+++ b/reedspoke/net/clients.py
@@ -49,11 +49,12 @@
             self._rest(client, None)
             state.parting.add(client.id)
             self._effects.append(fx.Drop(client.id, fx.Farewell.NOW))
-        accepting = len(state.clients) - len(state.parting) < self.budget.clients
+        free = len(state.clients) - len(state.parting) < self.budget.clients
+        accepting = free and state.settled
         if accepting != state.accepting:
             state.accepting = accepting
             self._effects.append(fx.Accept(accepting))
-            if not accepting:
+            if not free:
                 self._count("budget full")
                 self._say_seldom("full", "clients: budget is full")
 
@@ -86,18 +87,21 @@
     def _on_arrived(self, event: fx.Arrived) -> None:
         state = self.state
         if (client := state.clients.get(event.client)) is None:
+            if not event.elsewhere and event.name not in state.names:
+                self._effects.append(fx.Unclaim(event.name))
             return
         client.reading = False
         state.parting.discard(client.id)
         self._rest(client, None)
         self._quiet(("client", client.id))
         self._count("authorisations")
-        if event.name in state.names:  # its twin is out and might run twice
+        if event.elsewhere or event.name in state.names:  # its twin is out and might run twice
             self._count("invalid")
             self._effects.append(fx.Answer(client.id, fx.Verdict.INVALID, last=self.state.leaving()))
             return
         auth = Authorisation(
-            state.next_id(), event.name, event.cls, client.id, event.message, self.now + event.span
+            state.next_id(), event.name, event.cls, client.id, event.message, self.now + event.span,
+            event.slots,
         )  # fmt: skip
         state.authorisations[auth.id] = client.authorisation = auth
         state.names.add(event.name)
@@ -133,6 +137,7 @@
         auth.open = False
         auth.message = None
         self.state.names.discard(auth.name)
+        self._effects.append(fx.Unclaim(auth.name))
         self._quiet(("guard", auth.id))
         self._forget(auth)
 
--- a/reedspoke/net/config.py
+++ b/reedspoke/net/config.py
@@ -45,6 +45,8 @@
     discovery: tuple[str, int]
     filed_discovery: str  # as the file itself has it: a change of it goes before the variable
     ops: tuple[str, int] | None  # the operators' door, None: there is none
+    inherited: int | None  # descriptor of a listener that the platform holds
+    folder: str  # what it shares with its other process, "": nothing
     seed: int
     sockets: int
     memory_mb: float
@@ -92,12 +94,17 @@
     least = LEAST_SOCKETS + (DOOR if ops else 0)
     if told.limits.sockets < least:
         raise ConfigError(f"limits.sockets is {told.limits.sockets}, at least {least} are needed")
+    inherited = environ.get("PROXY_FD", "")
+    if inherited and not (inherited.isascii() and inherited.isdigit()):
+        raise ConfigError(f"PROXY_FD is no descriptor: {inherited!r}")
     return Config(
         name=environ.get("PROXY_NAME") or told.name,
         listen=address(environ.get("PROXY_LISTEN") or told.listen, "PROXY_LISTEN"),
         discovery=address(environ.get("PROXY_DISCOVERY") or told.discovery, "PROXY_DISCOVERY"),
         filed_discovery=told.discovery,
         ops=address(ops, "PROXY_OPS") if ops else None,
+        inherited=int(inherited) if inherited else None,
+        folder=environ.get("TMPDIR", ""),
         seed=seed,
         sockets=told.limits.sockets,
         memory_mb=told.limits.memory_mb,
--- a/reedspoke/net/core.py
+++ b/reedspoke/net/core.py
@@ -27,6 +27,9 @@
 
     clients: int
     legs: int
+    sockets: int = 0  # what it was made of
+    memory_mb: float = 0
+    door: int = 0
 
     @classmethod
     def of(cls, sockets: int, memory_mb: float = 192, door: int = 0) -> Budget:
@@ -35,7 +38,8 @@
         clients = (sockets - OWN_DESCRIPTORS - door - SPARE_LEGS) // 2
         held = int((memory_mb - OWN_MEMORY) * 1024 / CLIENT_MEMORY)
         clients = min(clients, max(held, sockets // 3))
-        return cls(clients, clients + SPARE_LEGS)
+        clients = max(1, clients)
+        return cls(clients, clients + SPARE_LEGS, sockets, memory_mb, door)
 
 
 class Core:
@@ -45,11 +49,13 @@
         seed: int,
         budget: Budget,
         directory: tuple[str, int] = ("", 0),
+        inherited: bool = False,
     ) -> None:
-        self.state = State(directory=directory)
+        self.state = State(directory=directory, inherited=inherited)
+        self.state.settled = self.state.accepting = not inherited
         self.module = Dispatcher(settings, seed)
         self.settings = settings
-        self.budget = budget
+        self.budget = self.whole = budget
         self.now = 0
         self._effects: list[fx.Effect] = []
         self._told: deque[api.Event] = deque()  # for the module, in the order in which it happened
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -78,6 +78,7 @@
     memory: float
     tenant: str
     key: str
+    elsewhere: bool = False  # one of that id is open in this scheduler's other process
 
 
 @dataclass(slots=True)
@@ -246,10 +247,43 @@
     """The new configuration is unusable: the old one stays in force."""
 
 
+@dataclass(slots=True)
+class Partner:
+    """What another process of this scheduler holds, while one replaces the other."""
+
+    leaving: bool
+    descriptors: int
+    slots: dict[str, int]  # at each issuer host
+
+
+@dataclass(slots=True)
+class Accompanied:
+    """Which other processes of this scheduler live, and what they hold."""
+
+    partners: tuple[Partner, ...]
+
+
+@dataclass(slots=True)
+class Ordered:
+    """All that operators have ordered, as kept for both processes."""
+
+    suspended: dict[str, tuple[str, int]]
+    drained: bool
+    caller: int = 0  # whose call changed it, 0: none here
+
+
+@dataclass(slots=True)
+class Unrecorded:
+    """An order could not be kept; `again`: for the moment."""
+
+    record: Record
+    again: bool
+
+
 Event = (
     Joined | Reading | Arrived | Answered | Ending | Refused | Parted | Opened | Written | Heard | Noted
     | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
-    | Unloaded | Rang | Called | Hungup
+    | Unloaded | Rang | Called | Hungup | Accompanied | Ordered | Unrecorded
 )  # fmt: skip
 
 # ---- effects ----
@@ -281,7 +315,7 @@
 
 @dataclass(slots=True)
 class Shut:
-    """Take in who is waiting, then close the listener."""
+    """Close the listener; where nobody else has it, take in who is waiting first."""
 
 
 @dataclass(slots=True)
@@ -362,6 +396,37 @@
     caller: int
 
 
+@dataclass(slots=True)
+class Record:
+    """Keep an operator's order where both processes see it."""
+
+    caller: int
+    order: Order
+    host: str = ""
+    endpoint: tuple[str, int] = ("", 0)
+
+
+@dataclass(slots=True)
+class Look:
+    """See what the other process, if there is one, has left for this one."""
+
+
+@dataclass(slots=True)
+class Hold:
+    """Tell the other process what this one holds."""
+
+    leaving: bool
+    descriptors: int
+    slots: dict[str, int]
+
+
+@dataclass(slots=True)
+class Unclaim:
+    """An authorisation is not open any more."""
+
+    name: str
+
+
 @dataclass(slots=True)
 class Exit:
     pass
@@ -384,5 +449,9 @@
     | Say
     | Reply
     | Dismiss
+    | Record
+    | Look
+    | Hold
+    | Unclaim
     | Exit
 )
--- /dev/null
+++ b/reedspoke/net/handover.py
@@ -0,0 +1,254 @@
+"""What two processes of one scheduler share while one replaces the other, and the listener that both inherit.
+
+In `$TMPDIR`, each file replaced whole by a rename:
+- reedspoke-orders: what operators have ordered; changed under a lock, followed by each process.
+- reedspoke-process-TOKEN: what one process holds of the budgets that count for the two together.
+- reedspoke-locks: never written; records of it are locked. One stands for a process, one for each open
+  authorisation. They go with the process that holds them, so nothing waits for one that is dead.
+Without a folder a process is alone and remembers its orders by itself.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import hashlib
+import logging
+import os
+import secrets
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from reedspoke.net import effects as fx
+from reedspoke.net.runtime import Runtime
+
+log = logging.getLogger("reedspoke")
+
+ORDERS = "reedspoke-orders"
+PROCESS = "reedspoke-process-"
+LOCKS = "reedspoke-locks"
+MOST_FILE = 1024 * 1024
+IDS = 1 << 61  # locked records from here on stand for authorisations, those before it for processes
+
+
+class Orders(msgspec.Struct, forbid_unknown_fields=True):
+    """The form of the file with what operators have ordered."""
+
+    name: str  # of the scheduler
+    version: int
+    suspended: dict[str, tuple[str, int]]
+    drained: bool
+
+
+class Holding(msgspec.Struct, forbid_unknown_fields=True):
+    """The form of the file with what one process holds."""
+
+    name: str
+    leaving: bool
+    descriptors: int
+    slots: dict[str, int]  # at each issuer host
+
+
+def inherited(number: int) -> socket.socket:
+    """The listener that the platform holds. It is another process's as well: it is neither bound nor asked to
+    listen here, and never shut down."""
+    listener = socket.socket(fileno=os.dup(number))
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        listener.close()
+        raise OSError(f"PROXY_FD {number} is no socket that listens")
+    listener.setblocking(False)
+    return listener
+
+
+def record(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big") >> 4
+
+
+class Handover:
+    def __init__(self, runtime: Runtime, name: str, folder: Path | None) -> None:
+        self.runtime, self.name, self.folder = runtime, name, folder
+        self._orders = Orders(name, 0, {}, False)
+        self._seen: tuple[int, ...] = ()  # the file of orders as looked at last
+        self._skipped: set[str] = set()  # files that were told to be unusable
+        self._partners: list[fx.Partner] = []
+        self._locks = -1
+        self._token = secrets.token_hex(8)
+        if folder is not None:
+            try:
+                self._locks = os.open(folder / LOCKS, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+                self._lock(record(self._token))
+            except OSError as error:  # a folder that cannot be written: this process serves alone
+                log.error("handover: nothing is shared: %s", error)
+                self.folder = None
+
+    def effects(self) -> dict[type, Callable[[Any], None]]:
+        return {fx.Record: self._record, fx.Look: self._look, fx.Hold: self._hold, fx.Unclaim: self._unclaim}
+
+    # ---- records that are locked ----
+
+    def _lock(self, offset: int) -> bool:
+        try:
+            fcntl.lockf(self._locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, offset)
+        except (BlockingIOError, PermissionError):
+            return False
+        return True
+
+    def claim(self, name: str) -> bool:
+        """Whether an authorisation of that id may be taken: not where it is open in the other process."""
+        return self._locks < 0 or self._lock(IDS | record(name))
+
+    def _unclaim(self, effect: fx.Unclaim) -> None:
+        if self._locks >= 0:
+            fcntl.lockf(self._locks, fcntl.LOCK_UN, 1, IDS | record(effect.name))
+
+    # ---- files ----
+
+    def _replace(self, path: Path, data: bytes) -> None:
+        fresh = path.with_name(f"{path.name}.{self._token}")
+        try:
+            fresh.write_bytes(data)
+            fresh.replace(path)
+        except OSError:
+            with suppress(OSError):
+                fresh.unlink()
+            raise
+
+    def _skip(self, path: Path, why: object) -> None:
+        """Guards the log: a file that stays unusable is told once."""
+        if path.name not in self._skipped:
+            self._skipped.add(path.name)
+            log.warning("handover: %s is unusable and skipped: %s", path.name, why)
+
+    def _read_orders(self) -> Orders | None:
+        """What the file says, None where it is torn, another scheduler's or older than what is in force."""
+        assert self.folder is not None
+        path = self.folder / ORDERS
+        try:
+            with path.open("rb") as file:
+                told = msgspec.json.decode(file.read(MOST_FILE), type=Orders)
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError) as error:  # msgspec's errors are ValueErrors too
+            self._skip(path, error)
+            return None
+        if told.name != self.name:
+            self._skip(path, f"it is of {told.name!r}")
+        elif told.version < self._orders.version:
+            self._skip(
+                path, f"version {told.version} is older than {self._orders.version}, which is in force"
+            )
+        else:
+            self._skipped.discard(path.name)
+            return told
+        return None
+
+    # ---- orders ----
+
+    @contextmanager
+    def _alone(self) -> Iterator[None]:
+        """No other process changes the orders meanwhile."""
+        assert self.folder is not None
+        lock = os.open(self.folder / f"{ORDERS}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            yield
+        finally:
+            os.close(lock)
+
+    def _record(self, effect: fx.Record) -> None:
+        """Change the orders where both processes see them."""
+        try:
+            if self.folder is None:
+                self._orders = self._changed(self._orders, effect)
+            else:
+                with self._alone():
+                    orders = self._changed(self._read_orders() or self._orders, effect)
+                    self._replace(self.folder / ORDERS, msgspec.json.encode(orders))
+                    self._orders = orders
+        except BlockingIOError:  # the other process is at it: a matter of moments
+            self.runtime.emit(fx.Unrecorded(effect, again=True))
+        except OSError as error:
+            log.error("handover: orders cannot be kept: %s", error)
+            self.runtime.emit(fx.Unrecorded(effect, again=False))
+        else:
+            self.runtime.emit(fx.Ordered(dict(self._orders.suspended), self._orders.drained, effect.caller))
+
+    def _changed(self, old: Orders, effect: fx.Record) -> Orders:
+        suspended, drained = dict(old.suspended), old.drained
+        match effect.order:
+            case fx.Order.SUSPEND:
+                suspended.setdefault(effect.host, effect.endpoint)
+            case fx.Order.RESUME:
+                suspended.pop(effect.host, None)
+            case fx.Order.DRAIN:
+                drained = True
+            case fx.Order.ACTIVATE:
+                drained = False
+        if (suspended, drained) == (old.suspended, old.drained):
+            return old
+        return Orders(self.name, old.version + 1, suspended, drained)
+
+    def _look(self, _: fx.Look) -> None:
+        if self.folder is None:
+            return
+        seen: tuple[int, ...] = ()
+        with suppress(OSError):
+            found = os.stat(self.folder / ORDERS)
+            seen = (found.st_ino, found.st_mtime_ns, found.st_size)
+        if seen != self._seen:
+            self._seen = seen
+            if seen and (orders := self._read_orders()) is not None and orders != self._orders:
+                self._orders = orders
+                self.runtime.emit(fx.Ordered(dict(orders.suspended), orders.drained))
+        partners = list(self._others())
+        if partners != self._partners:
+            self._partners = partners
+            self.runtime.emit(fx.Accompanied(tuple(partners)))
+
+    # ---- the other process ----
+
+    def _hold(self, effect: fx.Hold) -> None:
+        if self.folder is None:
+            return
+        held = Holding(self.name, effect.leaving, effect.descriptors, effect.slots)
+        try:
+            self._replace(self.folder / (PROCESS + self._token), msgspec.json.encode(held))
+        except OSError as error:
+            self._skip(self.folder / PROCESS, error)
+
+    def _others(self) -> Iterator[fx.Partner]:
+        """The processes of this scheduler that live beside this one; what dead ones left goes."""
+        assert self.folder is not None
+        try:
+            names = sorted(name for name in os.listdir(self.folder) if name.startswith(PROCESS))
+        except OSError:
+            return
+        for name in names:
+            token, path = name.removeprefix(PROCESS), self.folder / name
+            if token == self._token or "." in token:
+                continue
+            if self._lock(record(token)):
+                fcntl.lockf(self._locks, fcntl.LOCK_UN, 1, record(token))
+                with suppress(OSError):
+                    path.unlink()
+                continue
+            try:
+                held = msgspec.json.decode(path.read_bytes()[:MOST_FILE], type=Holding)
+            except FileNotFoundError:
+                continue
+            except (OSError, ValueError) as error:
+                self._skip(path, error)
+                continue
+            if held.name == self.name:
+                yield fx.Partner(held.leaving, held.descriptors, held.slots)
+
+    def close(self) -> None:
+        if self.folder is not None:
+            with suppress(OSError):
+                (self.folder / (PROCESS + self._token)).unlink()
+            os.close(self._locks)
+            self.folder, self._locks = None, -1
--- a/reedspoke/net/hosts.py
+++ b/reedspoke/net/hosts.py
@@ -33,9 +33,16 @@
         state.listed = state.listed or bool(state.hosts)
         if event.kind is not api.ListKind.STALE:
             self._ring(("silence", 0), self.now + SILENCE)
+            self._settle()
         self._heed_bans()  # before the list, or the module might use who is new on it
         self._told.append(api.Members(event.kind, [target.entry for target in event.targets]))
 
+    def _settle(self) -> None:
+        """From now on clients are taken in."""
+        if not self.state.settled:
+            self.state.settled = True
+            self._make_room()
+
     def _heed_bans(self) -> None:
         """Guards the operators' ban: it is for the machine as well as for its id, which may come back with a
         fresh one at the same address."""
--- a/reedspoke/net/legs.py
+++ b/reedspoke/net/legs.py
@@ -5,7 +5,7 @@
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.clients import Clients
-from reedspoke.net.core import MS, SECOND
+from reedspoke.net.core import MS, SECOND, SPARE_LEGS
 from reedspoke.net.state import Conn, Host, Leg, Phase
 
 IDLE_MOST = 300 * SECOND  # that a connection is kept where the settings do not say
@@ -52,9 +52,13 @@
     def _dial(self, host: Host) -> Conn | None:
         """A new connection, at an idle one's cost where the budget is full."""
         state = self.state
-        if len(state.conns) >= self.budget.legs and state.idle:
+        # More clients than the budget has stay in service where another process has come to share it.
+        most = self.budget.legs
+        if state.partners:
+            most = max(most, len(state.clients) + SPARE_LEGS)
+        if len(state.conns) >= most and state.idle:
             self._hang_up(state.conns[next(iter(state.idle))])
-        if len(state.conns) >= self.budget.legs:
+        if len(state.conns) >= most:
             self._fault("no descriptor is left for a leg")
             return None
         conn = Conn(state.next_id(), host.uid, host.endpoint)
--- a/reedspoke/net/lifecycle.py
+++ b/reedspoke/net/lifecycle.py
@@ -7,6 +7,7 @@
 from reedspoke.net.hosts import Hosts
 from reedspoke.net.state import Life, Standing
 
+PATIENCE = 3 * SECOND  # of a successor with the directory, before it makes do with the list it was given
 LEAVE = 500 * MS  # clients keep connecting for up to 400 ms after SIGTERM
 LAST_CALL = 200 * MS  # for the first bytes of those taken in last
 
@@ -14,6 +15,8 @@
 class Lifecycle(Hosts):
     def _on_listening(self, _: fx.Listening) -> None:
         self.state.life = Life.SERVING
+        if not self.state.settled:
+            self._ring(("settle", 0), self.now + PATIENCE)
 
     def _on_reload(self, _: fx.Reload) -> None:
         self._effects.append(fx.Reread())
@@ -41,6 +44,8 @@
             return
         self.state.life = Life.LEAVING
         self._effects.append(fx.Say(f"stopping: {len(self.state.names)} authorisations open"))
+        if self.state.inherited:  # from now on its successor takes clients in
+            self._effects.append(fx.Shut())
         self._drop_waiting(kept=True)
         self._ring(("leave", 0), self.now + LEAVE)
         longest = max(cls.deadline for cls in self.settings.classes)
@@ -53,7 +58,8 @@
                 self._effects.append(fx.Drop(client))
 
     def _ring_leave(self, _: int) -> None:
-        self._effects.append(fx.Shut())
+        if not self.state.inherited:
+            self._effects.append(fx.Shut())
         self._ring(("last call", 0), self.now + LAST_CALL)
 
     def _ring_last_call(self, _: int) -> None:
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from reedspoke import interface as api
@@ -16,6 +17,7 @@
 from reedspoke.net.config import Config, ConfigError, load, reload
 from reedspoke.net.core import DOOR, Budget
 from reedspoke.net.directory import Directory, listed
+from reedspoke.net.handover import Handover, inherited
 from reedspoke.net.issuer import Issuer
 from reedspoke.net.operators import Door
 from reedspoke.net.reducer import Reducer
@@ -30,14 +32,18 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         budget = Budget.of(config.sockets, config.memory_mb, DOOR if config.ops else 0)
-        reducer = Reducer(config.settings, config.seed, budget, config.conn_idle, config.discovery)
+        given = config.inherited
+        reducer = Reducer(
+            config.settings, config.seed, budget, config.conn_idle, config.discovery, given is not None
+        )
         self.runtime = Runtime(Clock(), reducer)
+        self.handover = Handover(self.runtime, config.name, Path(config.folder) if config.folder else None)
         classes = {cls.name: cls.deadline for cls in config.settings.classes}
-        self.acquirer = Acquirer(self.runtime, classes, config.listen)
+        self.acquirer = Acquirer(self.runtime, classes, config.listen, self.handover.claim)
         self.directory = Directory(self.runtime)
         issuer = Issuer(self.runtime, config.settings.report_fields)
         self.door = Door(self.runtime, config.ops) if config.ops else None
-        for part in (self.acquirer, self.directory, issuer, self):
+        for part in (self.acquirer, self.directory, issuer, self.handover, self):
             self.runtime.attach(part)
         if self.door is not None:
             self.runtime.attach(self.door)
@@ -68,10 +74,12 @@
         except ValueError as error:  # an old list is a help, not a need
             log.warning("directory: known list skipped: %s", error)
             known = fx.Listed(api.ListKind.STALE, 0, [])
+        self.runtime.emit(fx.Rung(("look", 0)))  # what operators have ordered comes before any list
         self.runtime.emit(known)
         if self.door is not None:
             self.door.open()
-        self.acquirer.open()
+        given = self.config.inherited
+        self.acquirer.open(inherited(given) if given is not None else None)
         log.info(
             "serving: %s on %s:%d, %d hosts known", self.config.name, *self.config.listen, len(known.targets)
         )
@@ -79,6 +87,7 @@
         self.acquirer.close()
         if self.door is not None:
             self.door.close()
+        self.handover.close()
         self.runtime.tell_figures()
         log.info("stopped")
 
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -27,8 +27,9 @@
         budget: Budget,
         conn_idle: int = 0,
         directory: tuple[str, int] = ("", 0),
+        inherited: bool = False,
     ) -> None:
-        super().__init__(settings, seed, budget, directory)
+        super().__init__(settings, seed, budget, directory, inherited)
         self.conn_idle = int(conn_idle * IDLE_SHARE) or IDLE_MOST
         self._reactions: dict[type, Callable[[Any], None]] = {
             fx.Joined: self._on_joined, fx.Reading: self._on_reading, fx.Arrived: self._on_arrived,
@@ -39,14 +40,16 @@
             fx.Beaten: self._on_beaten, fx.Unlisted: self._on_unlisted, fx.Rung: self._on_rung,
             fx.Listening: self._on_listening, fx.Stop: self._on_stop, fx.Reload: self._on_reload,
             fx.Reloaded: self._on_reloaded, fx.Unloaded: self._on_unloaded, fx.Rang: self._on_rang,
-            fx.Called: self._on_called, fx.Hungup: self._on_hungup,
+            fx.Called: self._on_called, fx.Hungup: self._on_hungup, fx.Ordered: self._on_ordered,
+            fx.Unrecorded: self._on_unrecorded, fx.Accompanied: self._on_accompanied,
         }  # fmt: skip
         self._rings: dict[str, Callable[[int], None]] = {
             "module": self._ring_module, "leg": self._ring_leg, "idle": self._ring_idle,
             "mute": self._ring_mute, "guard": self._ring_guard, "client": self._ring_client,
             "silence": self._ring_silence, "room": lambda _: self._make_room(), "leave": self._ring_leave,
             "last call": self._ring_last_call, "end": self._ring_end, "caller": self._ring_caller,
-            "away": self._ring_away,
+            "away": self._ring_away, "record": self._ring_record, "look": self._ring_look,
+            "settle": lambda _: self._settle(),
         }  # fmt: skip
 
     def handle(self, event: fx.Event, now: int) -> list[fx.Effect]:
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from reedspoke import interface as api
+from reedspoke.net import effects as fx
 
 
 class Phase(Enum):
@@ -46,6 +47,7 @@
     client: int
     message: object
     deadline: int
+    slots: int = 1
     legs: int = 0  # made so far
     out: dict[int, Leg] = field(default_factory=dict)
     open: bool = True  # owed its final answer
@@ -102,6 +104,8 @@
 class State:
     life: Life = Life.STARTING
     listed: bool = False  # a list that names an issuer host has been told to the module
+    inherited: bool = False  # the listener is the platform's, and another process may have it as well
+    settled: bool = True  # what is known of the hosts will do to take clients in
     accepting: bool = True
     told: dict[str, int] = field(default_factory=dict)  # when a line that may come often was logged last
     directory: tuple[str, int] = ("", 0)
@@ -126,6 +130,9 @@
     barred: set[str] = field(default_factory=set)  # those, and who stands at their endpoints by another id
     ever_listed: dict[str, None] = field(default_factory=dict)
     drained: bool = False  # by hand: clients are sent away
+    records: dict[int, fx.Record] = field(default_factory=dict)  # of callers, waiting for the other process
+    partners: tuple[fx.Partner, ...] = ()  # other processes of this scheduler
+    held: fx.Hold | None = None  # what they were told last
     last_id: int = 0
 
     def next_id(self) -> int:
@@ -134,7 +141,7 @@
 
     def able(self) -> bool:
         """This process can serve, whether or not clients are sent to it."""
-        return self.life is Life.SERVING and self.listed
+        return self.life is Life.SERVING and self.listed and self.settled
 
     def ready(self) -> bool:
         """Clients may be sent here."""
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from reedspoke import interface as api
 from reedspoke.net import effects as fx
-from reedspoke.net.core import CALLERS, MS, SECOND
+from reedspoke.net.core import CALLERS, MS, OWN_DESCRIPTORS, SECOND, SPARE_LEGS, Budget
 from reedspoke.net.lifecycle import Lifecycle
-from reedspoke.net.state import Standing
+from reedspoke.net.state import Life, Standing
 
 CALL = 2 * SECOND  # for the bytes of one call, and for the end of its connection
+RECORD_AGAIN = 20 * MS  # the other process holds its lock for far less
+LOOK = 100 * MS  # a suspension told to one process is in force in the other well within a drain's window
 AWAY = 600 * MS  # from the drain on: the front asks ten times a second and stops 0.2 s after a no
 AWAY_AGAIN = 200 * MS  # between looks at who is idle, or has connected and says nothing
 
@@ -50,26 +53,79 @@
                 word = fx.Word.YES if state.able() else fx.Word.NO
             case fx.Order.SUSPEND | fx.Order.RESUME:
                 if event.host in state.ever_listed or event.host in state.suspended:
-                    self._suspend(event.host, event.order is fx.Order.SUSPEND)
-                else:
-                    word = fx.Word.UNKNOWN
+                    host = state.hosts.get(event.host)
+                    endpoint = host.endpoint if host is not None else ("", 0)
+                    self._effects.append(fx.Record(event.caller, event.order, event.host, endpoint))
+                    return
+                word = fx.Word.UNKNOWN
             case fx.Order.DRAIN | fx.Order.ACTIVATE:
-                self._drain(event.order is fx.Order.DRAIN)
+                self._effects.append(fx.Record(event.caller, event.order))
+                return
         self._effects.append(fx.Reply(event.caller, word, event.order is fx.Order.FIGURES))
 
-    # ---- hosts left out by hand ----
+    # ---- orders, as kept for both processes ----
 
-    def _suspend(self, uid: str, on: bool) -> None:
-        """In force once this has returned: nothing that is queued, or still dials, goes there any more."""
-        state, host = self.state, self.state.hosts.get(uid)
-        if on == (uid in state.suspended):
+    def _on_ordered(self, event: fx.Ordered) -> None:
+        """In force once this has returned: nothing that is queued or still dials goes to a suspended host."""
+        state = self.state
+        for uid in sorted(event.suspended.keys() ^ state.suspended.keys()):
+            on = uid in event.suspended
+            self._effects.append(fx.Say(f"operators: issuer host {uid} {'suspended' if on else 'resumed'}"))
+        state.suspended = event.suspended
+        self._heed_bans()
+        self._drain(event.drained)
+        if event.caller:
+            self._effects.append(fx.Reply(event.caller, fx.Word.YES))
+
+    def _on_unrecorded(self, event: fx.Unrecorded) -> None:
+        """An order that the other process could not be told of is not in force here either."""
+        caller = event.record.caller
+        if caller not in self.state.callers:
             return
-        if on:
-            state.suspended[uid] = host.endpoint if host is not None else ("", 0)
+        if event.again:
+            self.state.records[caller] = event.record
+            self._ring(("record", caller), self.now + RECORD_AGAIN)
         else:
-            del state.suspended[uid]
-        self._effects.append(fx.Say(f"operators: issuer host {uid} {'suspended' if on else 'resumed'}"))
-        self._heed_bans()
+            self._effects.append(fx.Reply(caller, fx.Word.NO))
+
+    def _ring_record(self, caller: int) -> None:
+        if (record := self.state.records.pop(caller, None)) is not None:
+            self._effects.append(record)
+
+    # ---- the other process, while one replaces the other ----
+
+    def _ring_look(self, _: int) -> None:
+        """What is held is told whenever it has changed: the other process counts it as its own."""
+        state = self.state
+        self._effects.append(fx.Look())
+        slots: dict[str, int] = {}
+        if state.partners:
+            for auth in state.authorisations.values():
+                for leg in auth.out.values():
+                    slots[leg.host] = slots.get(leg.host, 0) + auth.slots
+        clients, door = len(state.clients), len(state.callers) + 2
+        descriptors = OWN_DESCRIPTORS + door + clients + max(clients + SPARE_LEGS, len(state.conns))
+        held = fx.Hold(state.life is not Life.SERVING, descriptors if state.partners else 0, slots)
+        if held != state.held:
+            state.held = held
+            self._effects.append(held)
+        self._ring(("look", 0), self.now + LOOK)
+
+    def _on_accompanied(self, event: fx.Accompanied) -> None:
+        """Guards the limits, which hold for all processes together: while another one takes clients in as
+        well, half is ours; once it leaves, what it still holds is not. The module hears of its legs."""
+        self.state.partners, whole = event.partners, self.whole
+        left = whole.sockets - sum(partner.descriptors for partner in event.partners)
+        if any(not partner.leaving for partner in event.partners):
+            left = min(left, whole.sockets // 2)
+        memory = whole.memory_mb / (1 + len(event.partners))
+        self.budget = Budget.of(left, memory, whole.door) if event.partners else whole
+        slots: dict[str, int] = {}
+        for partner in event.partners:
+            for uid, count in partner.slots.items():
+                slots[uid] = slots.get(uid, 0) + count
+        self._told.append(api.Partner(len(event.partners), slots))
+        self._make_room()
 
     # ---- clients sent away ----
 
