Test the hand-over with two real processes, torn and foreign files, and shared limits

22 cases: takeover without a refused or reset client, bytes unread as SIGTERM comes, nobody taken in before the process can serve, orders for both and across changes, ids open elsewhere, a killed predecessor, descriptors and slots shared.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -158,11 +158,17 @@
 class Node:
     """The program, started as the platform does."""
 
-    def __init__(self, folder: Path, hosts: int, sockets: int, ceilings: dict[str, Any]) -> None:
-        self.hosts = [Peer(f"s-{i}") for i in range(hosts)]
+    def __init__(
+        self, folder: Path, hosts: int, sockets: int, ceilings: dict[str, Any],
+        listener: socket.socket | None, beside: Node | None,
+    ) -> None:  # fmt: skip
+        self.hosts: list[Peer] = beside.hosts if beside else [Peer(f"s-{i}") for i in range(hosts)]
         self.discovery = Peer()
         self.clients: list[Wire] = []
+        self.listener: socket.socket | None = beside.listener if beside else listener
         self.port, self.door = free_port(), free_port()
+        if self.listener is not None:
+            self.port = self.listener.getsockname()[1]
         settings = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **ceilings}}
         known = {"rev": 41, "all": True, "targets": [host.entry() for host in self.hosts]}
         told = {
@@ -173,13 +179,16 @@
         }  # fmt: skip
         self.told, self.config = told, folder / "config.json"
         self.config.write_text(json.dumps(told))
-        self.errors = folder / "log"
+        self.errors = folder / f"log-{self.door}"
+        inherited = [self.listener.fileno()] if self.listener is not None else []
+        named = {"PROXY_FD": str(inherited[0])} if inherited else {}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "reedspoke"], cwd=ROOT, stderr=self.errors.open("wb"),
             env={
                 **os.environ, "PROXY_CONFIG": str(self.config), "PROXY_DISCOVERY": self.discovery.endpoint,
-                "PROXY_OPS": f"127.0.0.1:{self.door}",
-            },
+                "PROXY_OPS": f"127.0.0.1:{self.door}", "TMPDIR": str(folder),
+                **named,
+            }, pass_fds=inherited,
         )  # fmt: skip
         self.watch = self.discovery.accept()  # it asks soon after it has begun to listen
         self.followed = self.watch.message().first
@@ -254,8 +263,16 @@
     """Starts nodes; at the end each must be sound still: it runs or has ended well, and logged no fault."""
     started: list[Node] = []
 
-    def start(hosts: int = 2, sockets: int = 256, **ceilings: Any) -> Node:
-        started.append(Node(folder, hosts, sockets, ceilings))
+    def start(
+        hosts: int = 2,
+        sockets: int = 256,
+        inherits: bool = False,
+        beside: Node | None = None,
+        **ceilings: Any,
+    ) -> Node:
+        """`inherits`: the platform holds the listener; `beside`: the successor of such a node."""
+        listener = Peer().sock if inherits else None
+        started.append(Node(folder, hosts, sockets, ceilings, listener, beside))
         return started[-1]
 
     try:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,262 @@
+"""Two processes of one scheduler: the listener they share, orders that hold for both, and common limits."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from reedspoke import interface as api
+from reedspoke.net import effects as fx
+from reedspoke.net import handover
+from reedspoke.net.core import DOOR, Budget
+from reedspoke.net.handover import ORDERS, Handover
+from tests.peers import Node, Start, ask, took
+from tests.test_reducer import Play, arrived, listed
+
+
+def settled(node: Node) -> None:
+    """Its watch answers: it takes clients in."""
+    node.watch.begin()
+    node.list(*[host.entry() for host in node.hosts], full=True)
+    node.watch.chunk(b"\n")
+    while node.call("/v1/readyz").status != 200:
+        pass
+
+
+def test_a_successor_takes_over_and_no_client_is_refused_or_reset(start: Start) -> None:
+    """Guards the clients: what the old one accepted it serves, kept clients get an end and no reset, and who
+    comes meanwhile is served by the new one."""
+    old = start(hosts=1, inherits=True)
+    settled(old)
+    kept, busy = old.client(ask("1a")), old.client(ask("2b"))
+    wires = [old.leg(), old.leg()]
+    legs = {leg.fields["x-request-id"]: (wire, leg) for wire, leg in ((w, w.message()) for w in wires)}
+    legs["1a"][0].serve(legs["1a"][1])
+    assert kept.message().status == 200
+    legs["2b"][0].begin()
+    legs["2b"][0].state(legs["2b"][1], "started")
+    new = start(beside=old)
+    settled(new)
+    old.process.terminate()
+    assert kept.ended()
+    early = new.client(ask("3c"))
+    wire = new.leg(*wires)
+    wire.serve()
+    assert early.message().status == 200
+    legs["2b"][0].state(legs["2b"][1], "done", result="late")
+    legs["2b"][0].end()
+    answer = busy.message()
+    assert (answer.status, answer.body, answer.fields["connection"]) == (200, b"late", "close")
+    busy.close()
+    assert old.process.wait(8) == 0
+    again = new.client(ask("4d"))
+    new.leg(wire).serve()
+    assert again.message().status == 200, "the listener outlives the old one"
+
+
+def test_a_request_that_crosses_the_end_is_served_and_not_reset(start: Start) -> None:
+    """Guards what lies unread as SIGTERM is handled: the process is stopped while both come."""
+    node = start(hosts=1, inherits=True)
+    settled(node)
+    client = node.client(ask("1a"))
+    wire = node.leg()
+    wire.serve()
+    assert client.message().status == 200
+    node.process.send_signal(signal.SIGSTOP)
+    client.send(ask("2b"))
+    node.process.terminate()
+    node.process.send_signal(signal.SIGCONT)
+    node.leg(wire).serve()
+    answer = client.message()
+    assert (answer.status, answer.fields["connection"]) == (200, "close")
+
+
+def test_takes_nobody_in_before_it_can_serve(start: Start) -> None:
+    node = start(hosts=1, inherits=True)
+    client = node.client(ask(deadline=4.0))
+    assert node.call("/v1/readyz").status == 503
+    assert node.quiet()
+    since = time.monotonic()
+    node.leg().serve()
+    assert client.message().status == 200
+    assert took(since) < 3.5, "the directory is waited for, but not for long"
+
+
+def test_an_order_holds_for_both_and_across_the_change(start: Start) -> None:
+    old = start(hosts=2, inherits=True)
+    settled(old)
+    assert old.call("/v1/workers/s-0/suspend").status == 200
+    assert old.call("/v1/scheduler/drain").status == 200
+    new = start(beside=old)
+    settled(new)
+    assert new.figures()["scheduler_ejected"] == 1
+    assert new.ready() == 503
+    assert old.stop() == 0
+    assert new.call("/v1/scheduler/activate").status == 200
+    newest = start(beside=new)
+    settled(newest)
+    assert newest.ready() == 200
+    assert newest.call("/v1/workers/s-0/resume").status == 200
+    since = time.monotonic()
+    while new.figures()["scheduler_ejected"]:
+        assert took(since) < 0.25, "told within a drain's window"
+
+
+def test_an_id_open_in_one_process_is_not_taken_by_the_other(start: Start) -> None:
+    """Guards jobs that must not run twice."""
+    old = start(hosts=1, inherits=True)
+    settled(old)
+    first = old.client(ask("1a", cls="book"))
+    wire = old.leg()
+    leg = wire.message()
+    wire.begin()
+    new = start(beside=old)
+    settled(new)
+    old.process.terminate()
+    old.logged("stopping")
+    twin = new.client(ask("1a", cls="book"))
+    assert twin.message().status == 400
+    wire.state(leg, "done", result="once")
+    wire.end()
+    assert first.message().body == b"once"
+    again = new.client(ask("1a", cls="book"))
+    new.leg(wire).serve()
+    assert again.message().status == 200, "once it is not open any more the id is free"
+
+
+def test_a_killed_predecessor_holds_nothing_up(start: Start) -> None:
+    old = start(hosts=1, inherits=True)
+    settled(old)
+    busy = old.client(ask("1a"))
+    wire = old.leg()
+    old.process.kill()
+    old.process.wait(8)
+    busy.close()
+    wire.close()
+    new = start(beside=old)
+    settled(new)
+    client = new.client(ask("1a"))
+    new.leg().serve()
+    assert client.message().status == 200
+    old.process = new.process  # it was to die
+
+
+class Runtime:
+    def __init__(self) -> None:
+        self.told: list[fx.Event] = []
+
+    def emit(self, event: fx.Event) -> None:
+        self.told.append(event)
+
+
+def make(folder: Path | None, name: str = "n0") -> tuple[Handover, list[fx.Event]]:
+    runtime = Runtime()
+    return Handover(runtime, name, folder), runtime.told  # type: ignore[arg-type]
+
+
+def do(part: Handover, effect: fx.Effect) -> None:
+    part.effects()[type(effect)](effect)
+
+
+SUSPEND = fx.Record(7, fx.Order.SUSPEND, "s-1", ("10.0.0.1", 80))
+GOOD = {"name": "n0", "version": 5, "suspended": {"s-9": ["10.0.0.9", 80]}, "drained": False}
+
+
+@pytest.mark.parametrize(
+    "found",
+    [b"", b'{"name":"n0","versi', b"\xff\x00", b"[]", json.dumps({**GOOD, "name": "other"}).encode(),
+     json.dumps({**GOOD, "suspended": 3}).encode(), json.dumps({**GOOD, "version": -1}).encode(), None],
+    ids=["empty", "torn", "garbage", "list", "foreign", "wrong", "stale", "folder"],
+)  # fmt: skip
+def test_unusable_orders_are_skipped_and_replaced(tmp_path: Path, found: bytes | None) -> None:
+    part, told = make(tmp_path)
+    if found is None:
+        (tmp_path / ORDERS).mkdir()
+    else:
+        (tmp_path / ORDERS).write_bytes(found)
+    do(part, fx.Look())
+    assert not told
+    do(part, SUSPEND)
+    if found is None:
+        assert told == [fx.Unrecorded(SUSPEND, again=False)]
+    else:
+        assert told == [fx.Ordered({"s-1": ("10.0.0.1", 80)}, False, 7)]
+        other, heard = make(tmp_path)
+        do(other, fx.Look())
+        assert heard == [fx.Ordered({"s-1": ("10.0.0.1", 80)}, False)]
+
+
+def test_orders_wait_for_the_other_process_and_repeat(tmp_path: Path) -> None:
+    part, told = make(tmp_path)
+    with (tmp_path / f"{ORDERS}.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        do(part, SUSPEND)
+        assert told == [fx.Unrecorded(SUSPEND, again=True)]
+    for _ in range(2):
+        do(part, SUSPEND)
+    assert told[1:] == [fx.Ordered({"s-1": ("10.0.0.1", 80)}, False, 7)] * 2
+
+
+@pytest.mark.parametrize("folder", [None, "/proc/none"])
+def test_alone_without_a_folder(folder: str | None) -> None:
+    part, told = make(Path(folder) if folder else None)
+    do(part, fx.Look())
+    do(part, fx.Hold(False, 1, {}))
+    do(part, SUSPEND)
+    assert part.claim("a")
+    assert told == [fx.Ordered({"s-1": ("10.0.0.1", 80)}, False, 7)]
+
+
+def test_what_a_dead_process_left_goes(tmp_path: Path) -> None:
+    part, told = make(tmp_path)
+    left = tmp_path / f"{handover.PROCESS}dead"
+    left.write_bytes(b'{"name":"n0","leaving":false,"descriptors":9,"slots":{}}')
+    do(part, fx.Look())
+    assert not told
+    assert not left.exists()
+
+
+@pytest.mark.parametrize(
+    ("leaving", "left"), [(False, lambda whole, _: whole // 2), (True, lambda whole, held: whole - held)]
+)
+def test_descriptors_are_shared_with_the_other_process(
+    leaving: bool, left: Callable[[int, int], int]
+) -> None:
+    """Guards the limit, which is one for both: together they never hold more."""
+    play = Play(Budget.of(256, 80, DOOR))
+    partner = fx.Partner(leaving, 100, {"a": 2})
+    play.tell(listed("a"), fx.Accompanied((partner,)))
+    assert play.reducer.budget == Budget.of(left(256, 100), 40, DOOR)
+    play.tell(fx.Accompanied(()))
+    assert play.reducer.budget == Budget.of(256, 80, DOOR)
+
+
+def test_the_module_counts_what_the_other_process_has_at_a_host() -> None:
+    play = Play(Budget.of(256, 80, DOOR))
+    play.tell(listed("a"), *[fx.Joined(n) for n in range(1, 6)])
+    play.tell(fx.Accompanied((fx.Partner(True, 50, {"a": 1}),)))
+    dialled = [effect for n in range(1, 4) for effect in play.tell(arrived(n)) if isinstance(effect, fx.Dial)]
+    assert len(dialled) == 1, "its cap is 2, of which the other process has 1"
+    dialled = [effect for effect in play.tell(fx.Accompanied(())) if isinstance(effect, fx.Dial)]
+    assert len(dialled) == 1
+
+
+def test_a_worker_put_back_counts_as_cold_with_its_failures_forgotten() -> None:
+    play = Play(Budget.of(256, 80, DOOR))
+    play.tell(listed("a"))
+    module = play.reducer.module
+    worker = module.workers["a"]
+    assert module.warmth(worker) == 1
+    worker.sound, worker.failed, worker.rest_until = 0.1, 5, play.now + 10**9
+    module.handle(play.now, api.Suspended("a", True))
+    assert not module.up
+    module.handle(play.now, api.Suspended("a", False))
+    assert module.up == [worker]
+    assert module.warmth(worker) == module.rules.cold_from
+    assert (worker.sound, worker.failed, worker.rest_until) == (1.0, 0, 0)
