--- a/reedspoke/interface.py
+++ b/reedspoke/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -239,12 +239,22 @@
     on: bool
 
 
+@dataclass(slots=True)
+class Learned:
+    """What a dispatcher has learned and has sent, for one that takes over from it."""
+
+    fleet: tuple[float, float, float] = (0.0, 0.0, 0.0)  # pace, usual wait and response
+    workers: dict[str, tuple[float, float, int]] = field(default_factory=dict)  # pace, cap and peak
+    cold: dict[str, list[tuple[int, float]]] = field(default_factory=dict)  # (time, work) sent to cold ones
+
+
 @dataclass(slots=True)
 class Partner:
-    """Other processes act for this scheduler as well, while one replaces another: what they hold."""
+    """Other processes act for this scheduler as well, while one replaces another."""
 
-    count: int
-    slots: dict[str, int]  # at each worker
+    staying: int  # of them, those that take requests still
+    slots: dict[str, int]  # that they hold at each worker
+    learned: Learned
 
 
 Event = Suspended | Partner | Members | Request | Outcome | Note | First | Gone | Probed | Timer
--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -14,9 +14,9 @@
 from zlib import crc32
 
 from reedspoke.interface import (  # isort: skip
-    Action, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, ListKind, Log, Members, Note, NoteKind,
-    Outcome, Partner, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended, Timer,
-    Watch, WorkerState,
+    Action, Cancel, Effect, Entry, Event, Fail, First, Gone, Group, Learned, ListKind, Log, Members, Note,
+    NoteKind, Outcome, Partner, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended,
+    Timer, Watch, WorkerState,
 )  # fmt: skip
 from reedspoke.records import Attempt, Flow, Job, Worker, Zone
 
@@ -56,8 +56,8 @@
         self.actions: list[Action] = []
         self.classes = {cls.name: cls for cls in settings.classes}
         self.workers: dict[str, Worker] = {}
-        self.partner = Partner(0, {})
-        self.suspended: set[str] = set()  # ids left out by hand; apart from the list, which ends no ban
+        self.partner = Partner(0, {}, Learned())
+        self.suspended: dict[str, int] = {}  # left out by hand, since when: no list ends it
         self.up: list[Worker] = []  # those that may be sent to, the ones in reach first, then by distance
         self.zones: dict[str, Zone] = {}
         self.jobs: dict[int, Job] = {}
@@ -165,29 +165,30 @@
     def on_suspended(self, event: Suspended) -> None:
         worker = self.workers.get(event.worker)
         if event.on:
-            self.suspended.add(event.worker)
-        elif event.worker in self.suspended:
-            self.suspended.discard(event.worker)
-            if worker is not None:  # it was worked on: it may be cold, and what was held against it is void
-                worker.back, worker.failed, worker.heard = self.now, 0, self.now
-                self.renew(worker)
+            self.suspended.setdefault(event.worker, self.now)
+        elif (since := self.suspended.pop(event.worker, 0)) and worker is not None:
+            # it was worked on: it is cold since the start that the list tells, else since now
+            worker.renew(CAP_START, self.now if worker.born < since else 0)
         self.line_up()
 
     def on_partner(self, partner: Partner) -> None:
+        """What the other one has learned counts until we have heard of a worker ourselves."""
         self.partner = partner
-
-    def renew(self, worker: Worker) -> None:
-        worker.cap, worker.delay, worker.rest_until, worker.sound = CAP_START, 0.0, 0, 1.0
+        fresh = [worker for worker in self.workers.values() if not worker.heard]
+        if len(fresh) == len(self.workers) and partner.learned.fleet[0]:
+            self.pace, self.usual, self.response = partner.learned.fleet
+        for worker in fresh:
+            if worker.id in partner.learned.workers:
+                worker.pace, worker.cap, worker.peak = partner.learned.workers[worker.id]
+
+    def learned(self) -> Learned:
+        known = {w.id: (w.pace, w.cap, w.peak) for w in self.workers.values() if w.heard}
+        cold = {w.id: list(w.cold_sends) for w in self.workers.values() if w.cold_sends}
+        return Learned((self.pace, self.usual, self.response), known, cold)
 
     def avoided(self, now: int) -> set[str]:
-        """Listed workers that get nothing now: by hand, or by our own choice."""
-        return {
-            worker.id
-            for worker in self.workers.values()
-            if worker.id in self.suspended
-            or worker.state is WorkerState.UP
-            and (worker.rest_until > now or worker.zone.cut_at or worker.sound < TRIAL)
-        }
+        """Workers that get nothing now: by hand, or by our own choice."""
+        return self.suspended.keys() | {worker.id for worker in self.workers.values() if worker.rests(now)}
 
     def line_up(self) -> None:
         self.up = [worker for worker in self.workers.values() if self.listed(worker)]
@@ -220,7 +221,7 @@
             worker = Worker(entry.worker, crc32(entry.worker.encode()), self.pace, CAP_START)
             self.workers[worker.id] = worker
         elif entry.born != worker.born:  # it has restarted: what was learned of its load is void
-            self.renew(worker)
+            worker.renew(CAP_START)
         worker.zone = self.zones.setdefault(entry.zone, Zone(entry.zone))
         worker.kind, worker.cell, worker.state, worker.born = entry.kind, entry.cell, entry.state, entry.born
 
@@ -460,10 +461,12 @@
             sends.popleft()
         slots = max(other.peak for other in self.up if other.kind == worker.kind)
         budget = self.rules.fall_multiple * self.warmth(worker) * slots / worker.pace * self.rules.fall_time
-        if self.now - self.born < self.rules.fall_time:
+        if self.now - self.born < self.rules.fall_time and not self.partner.learned.fleet[0]:
             budget /= 2  # before a restart we may have used this window
-        budget /= 1 + self.partner.count  # it is one budget for the processes of a scheduler
-        return budget * COLD_PART / self.settings.schedulers - sum(work for _, work in sends)
+        budget /= 1 + self.partner.staying  # it is one budget for the processes of a scheduler
+        theirs = self.partner.learned.cold.get(worker.id, ())
+        sent = sum((work for at, work in [*sends, *theirs] if self.now - at <= self.rules.fall_time), 0.0)
+        return budget * COLD_PART / self.settings.schedulers - sent
 
     def send(self, job: Job, worker: Worker) -> None:
         assert job.open, "nothing is sent for a request that has its answer"
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -254,6 +254,7 @@
     leaving: bool
     descriptors: int
     slots: dict[str, int]  # at each issuer host
+    learned: api.Learned
 
 
 @dataclass(slots=True)
@@ -418,6 +419,7 @@
     leaving: bool
     descriptors: int
     slots: dict[str, int]
+    learned: api.Learned
 
 
 @dataclass(slots=True)
--- a/reedspoke/net/handover.py
+++ b/reedspoke/net/handover.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.runtime import Runtime
 
@@ -51,6 +52,7 @@
     leaving: bool
     descriptors: int
     slots: dict[str, int]  # at each issuer host
+    learned: api.Learned
 
 
 def inherited(number: int) -> socket.socket:
@@ -214,7 +216,7 @@
     def _hold(self, effect: fx.Hold) -> None:
         if self.folder is None:
             return
-        held = Holding(self.name, effect.leaving, effect.descriptors, effect.slots)
+        held = Holding(self.name, effect.leaving, effect.descriptors, effect.slots, effect.learned)
         try:
             self._replace(self.folder / (PROCESS + self._token), msgspec.json.encode(held))
         except OSError as error:
@@ -244,7 +246,7 @@
                 self._skip(path, error)
                 continue
             if held.name == self.name:
-                yield fx.Partner(held.leaving, held.descriptors, held.slots)
+                yield fx.Partner(held.leaving, held.descriptors, held.slots, held.learned)
 
     def close(self) -> None:
         if self.folder is not None:
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -105,7 +105,8 @@
                     slots[leg.host] = slots.get(leg.host, 0) + auth.slots
         clients, door = len(state.clients), len(state.callers) + 2
         descriptors = OWN_DESCRIPTORS + door + clients + max(clients + SPARE_LEGS, len(state.conns))
-        held = fx.Hold(state.life is not Life.SERVING, descriptors if state.partners else 0, slots)
+        learned = self.module.learned() if state.partners else api.Learned()
+        held = fx.Hold(state.life is not Life.SERVING, descriptors if state.partners else 0, slots, learned)
         if held != state.held:
             state.held = held
             self._effects.append(held)
@@ -124,7 +125,9 @@
         for partner in event.partners:
             for uid, count in partner.slots.items():
                 slots[uid] = slots.get(uid, 0) + count
-        self._told.append(api.Partner(len(event.partners), slots))
+        learned = event.partners[0].learned if event.partners else self.module.partner.learned
+        staying = sum(not partner.leaving for partner in event.partners)
+        self._told.append(api.Partner(staying, slots, learned))
         self._make_room()
 
     # ---- clients sent away ----
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -45,6 +45,15 @@
     failed: int = 0  # connections that failed or stayed mute since the last sign of life
     cold_sends: deque[tuple[int, float]] = field(default_factory=deque)  # (time, work) of the current window
 
+    def renew(self, cap: float, back: int = 0) -> None:
+        """It has started anew: what was learned of its load and held against it is void."""
+        self.cap, self.delay, self.rest_until, self.sound = cap, 0.0, 0, 1.0
+        self.failed, self.back = 0, back
+
+    def rests(self, now: int) -> bool:
+        """It is listed, and gets nothing by our own choice."""
+        return self.state is WorkerState.UP and (self.rest_until > now or self.zone.cut_at > 0)
+
 
 @dataclass(slots=True, eq=False)
 class Flow:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -207,7 +207,7 @@
 def test_alone_without_a_folder(folder: str | None) -> None:
     part, told = make(Path(folder) if folder else None)
     do(part, fx.Look())
-    do(part, fx.Hold(False, 1, {}))
+    do(part, fx.Hold(False, 1, {}, api.Learned()))
     do(part, SUSPEND)
     assert part.claim("a")
     assert told == [fx.Ordered({"s-1": ("10.0.0.1", 80)}, False, 7)]
@@ -230,7 +230,7 @@
 ) -> None:
     """Guards the limit, which is one for both: together they never hold more."""
     play = Play(Budget.of(256, 80, DOOR))
-    partner = fx.Partner(leaving, 100, {"a": 2})
+    partner = fx.Partner(leaving, 100, {"a": 2}, api.Learned())
     play.tell(listed("a"), fx.Accompanied((partner,)))
     assert play.reducer.budget == Budget.of(left(256, 100), 40, DOOR)
     play.tell(fx.Accompanied(()))
@@ -240,7 +240,7 @@
 def test_the_module_counts_what_the_other_process_has_at_a_host() -> None:
     play = Play(Budget.of(256, 80, DOOR))
     play.tell(listed("a"), *[fx.Joined(n) for n in range(1, 6)])
-    play.tell(fx.Accompanied((fx.Partner(True, 50, {"a": 1}),)))
+    play.tell(fx.Accompanied((fx.Partner(True, 50, {"a": 1}, api.Learned()),)))
     dialled = [effect for n in range(1, 4) for effect in play.tell(arrived(n)) if isinstance(effect, fx.Dial)]
     assert len(dialled) == 1, "its cap is 2, of which the other process has 1"
     dialled = [effect for effect in play.tell(fx.Accompanied(())) if isinstance(effect, fx.Dial)]
