--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -18,12 +18,11 @@
     NoteKind, Outcome, Partner, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended,
     Timer, Watch, WorkerState,
 )  # fmt: skip
-from reedspoke.records import Attempt, Flow, Job, Worker, Zone
+from reedspoke.records import LEARN, OUTLIER, Attempt, Flow, Job, Worker, Zone, average
 
 ALPHA = 0.99  # decay of L_max a completion, as in the paper
 REFRESH = 10_000  # us between bills of running jobs, as in the paper
 CLOCK_MEMORY = 2_000_000  # us over which the rate of finished work is averaged for v: some jobs' length
-LEARN = 0.2  # weight of a new sample in running averages: about the last ten count
 PROMPT = 0.2  # a start within this share of the tightest aim met a free slot
 CAP_START = 2.0  # slots: a worker nothing is known of gets a job while another is on its way
 CAP_GAIN = 0.2  # slots for a prompt start at a full cap: less than a cut, so at rest most starts are prompt
@@ -31,10 +30,12 @@
 CAP_LEAST = 1.0  # slots: each worker is a position, however busy others keep it
 OVERDUE = 3.0  # an attempt is overdue at this multiple of its expected time: hints and speeds err by less
 USUAL = 0.05  # weight of a new wait in the fleet's usual one: about the last forty count
-OUTLIER = 3.0  # a sample counts at most as this multiple of the average: one pause must not look like a speed
 FORGET = 2.0  # tightest aims until half of a wait is forgotten: a queue of some jobs has gone by then
 REACH = 50  # workers looked at beyond one for each job out: a jam must not cost the whole fleet's ranking
 COLD_PART = 0.6  # part of our share of a cold worker's budget that we use: sizes and speeds are estimates
+FEW = 8  # schedulers, each with a part of a cold worker's budget at any time; more of them take turns
+TURN = 2  # schedulers whose turn it is at a worker: each part holds a usual job
+TURN_PART = 0.45  # that they use together: the end of one turn and the start of the next may meet in a window
 JAM = 2.0  # tightest aims of usual wait: the tight jobs start late nearly everywhere
 CROWD = 16.0  # schedulers: where more share the workers, a queue is the others' and no job may rely on it
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
@@ -293,14 +294,10 @@
 
     # ---- learning ----
 
-    def wait(self, worker: Worker) -> float:
-        """The wait before a start to expect: the last ones, forgotten as time passes."""
-        since = self.now - worker.delay_at  # a queue drains as time passes, an unseen one is forgotten slower
-        return max(worker.delay - since, worker.delay / (1 + since / self.forget))
-
     def learn_wait(self, worker: Worker, wait: float, sent: int) -> None:
         """Move the cap by how long a job waited for its start."""
-        worker.delay, worker.delay_at = self.wait(worker) * (1 - LEARN) + wait * LEARN, self.now
+        worker.delay = worker.wait(self.now, self.forget) * (1 - LEARN) + wait * LEARN
+        worker.delay_at = self.now
         self.usual += USUAL * (min(wait, OUTLIER * self.tightest) - self.usual)
         if wait > PROMPT * self.tightest:
             self.cut(worker, sent)
@@ -412,7 +409,7 @@
             if end >= least or worker in kept:
                 continue
             unseen = self.now - worker.delay_at  # it may have filled up since, as far as is usual
-            wait = max(self.wait(worker), self.usual * unseen / (unseen + 2 * self.response))
+            wait = max(worker.wait(self.now, self.forget), self.usual * unseen / (unseen + 2 * self.response))
             # guards against jams: jobs are held, but for one that tries if the jam has gone
             if end + wait < least and (wait <= slack or not self.out) and self.may_send(job, worker):
                 best, least = worker, end + wait
@@ -466,7 +463,11 @@
         budget /= 1 + self.partner.staying  # it is one budget for the processes of a scheduler
         theirs = self.partner.learned.cold.get(worker.id, ())
         sent = sum((work for at, work in [*sends, *theirs] if self.now - at <= self.rules.fall_time), 0.0)
-        return budget * COLD_PART / self.settings.schedulers - sent
+        part = COLD_PART / self.settings.schedulers
+        if self.settings.schedulers > FEW:  # equal parts would hold no job: by the one clock, some at a time
+            turn = self.settings.me + worker.rank + self.now // self.rules.fall_time
+            part = TURN_PART / TURN * (turn % -(-self.settings.schedulers // TURN) == 0)
+        return budget * part - sent
 
     def send(self, job: Job, worker: Worker) -> None:
         assert job.open, "nothing is sent for a request that has its answer"
@@ -520,7 +521,7 @@
             return
         waited = self.now - (max(attempt.sent, worker.heard) if attempt.started else attempt.sent)
         if waited > limit:
-            worker.delay, worker.delay_at = max(self.wait(worker), waited), self.now
+            worker.delay, worker.delay_at = max(worker.wait(self.now, self.forget), waited), self.now
             self.cut(worker, attempt.sent)
             self.ask(worker.zone, attempt.sent)
 
@@ -556,7 +557,3 @@
         if self.limits.cancel and not (attempt.over or attempt.cancelled):
             attempt.cancelled = True
             self.actions.append(Cancel(attempt.job.id, attempt.number))
-
-
-def average(old: float, sample: float) -> float:
-    return old + LEARN * (min(sample, OUTLIER * old) - old)
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -7,6 +7,9 @@
 
 from reedspoke.interface import ClassSettings, WorkerState
 
+LEARN = 0.2  # weight of a new sample in running averages: about the last ten count
+OUTLIER = 3.0  # a sample counts at most as this multiple of the average: one pause must not look like a speed
+
 
 @dataclass(slots=True, eq=False)
 class Zone:
@@ -50,6 +53,11 @@
         self.cap, self.delay, self.rest_until, self.sound = cap, 0.0, 0, 1.0
         self.failed, self.back = 0, back
 
+    def wait(self, now: int, forget: float) -> float:
+        """The wait before a start to expect: the last ones, forgotten as time passes."""
+        since = now - self.delay_at  # a queue drains as time passes, an unseen one is forgotten slower
+        return max(self.delay - since, self.delay / (1 + since / forget))
+
     def rests(self, now: int) -> bool:
         """It is listed, and gets nothing by our own choice."""
         return self.state is WorkerState.UP and (self.rest_until > now or self.zone.cut_at > 0)
@@ -141,3 +149,7 @@
         """Bring what the tenant has paid for this attempt to `total`."""
         self.job.flow.start += (total - self.paid) / self.job.flow.phi
         self.paid = total
+
+
+def average(old: float, sample: float) -> float:
+    return old + LEARN * (min(sample, OUTLIER * old) - old)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from hypothesis import given, settings as hypothesis_settings, strategies as st  # isort: skip
 
 from reedspoke import interface as api
+from reedspoke.logic import COLD_PART, TURN, TURN_PART, Dispatcher
 from tests.world import CLASSES, MS, SECOND, World, entry, keyed, settings
 
 WORKERS = ("a", "b", "c", "d", "e")
@@ -21,6 +24,7 @@
     st.tuples(st.just("wait"), st.just(0), st.integers(1, 400)),
     st.tuples(st.just("wait"), st.just(0), st.integers(1, 40)),
     st.tuples(st.just("list"), st.integers(0, 4), st.integers(0, 4)),
+    st.tuples(st.just("suspend"), st.integers(0, 4), st.integers(0, 1)),
     st.tuples(st.just("restart"), st.just(0), st.just(0)),
 )
 REASONS = tuple(api.Reason)
@@ -52,6 +56,8 @@
         world.started(out[amount % len(out)])
     elif what == "gone" and world.open():
         world.gone(world.open()[amount % len(world.open())])
+    elif what == "suspend":
+        world.suspend(WORKERS[which], on=amount == 0)
     elif what == "wait":
         world.advance(amount * 5 * MS)
     elif what == "list" and amount < 3:
@@ -176,3 +182,58 @@
     world = World(settings(), [])
     world.request(1, left=1 * MS)
     assert world.answers[1] == "refused"
+
+
+@pytest.mark.parametrize("schedulers", [9, 14, 48])
+def test_many_schedulers_take_turns_at_a_cold_worker(schedulers: int) -> None:
+    """Guards cold workers and the use of them: equal parts of many would hold no job at all, and what all use
+    together stays within the budget, also where one turn ends and the next begins."""
+    born = 1_000 * SECOND
+    modules = [Dispatcher(replace(settings(schedulers=schedulers), me=me), me) for me in range(schedulers)]
+    for module in modules:
+        module.handle(born, api.Members(api.ListKind.FULL, [entry("cold", born=born)]))
+    alone = Dispatcher(settings(), 0)
+    alone.handle(born, api.Members(api.ListKind.FULL, [entry("cold", born=born)]))
+    alone.born -= alone.rules.fall_time  # it has not just started
+    most, had = alone.cold_budget(alone.workers["cold"]) / COLD_PART, set[int]()
+    for window in range(-(-schedulers // TURN)):
+        turn = {}
+        for module in modules:
+            module.now = module.born = born + window * alone.rules.fall_time
+            module.born -= alone.rules.fall_time
+            worker = module.workers["cold"]
+            worker.born = module.now  # as cold as can be
+            if budget := module.cold_budget(worker):
+                turn[module.settings.me] = budget
+        had |= turn.keys()
+        assert len(turn) <= TURN
+        assert sum(turn.values()) <= TURN_PART * most * (1 + 1e-9)
+        assert all(budget > COLD_PART * most / schedulers for budget in turn.values()), (
+            "more than equal parts"
+        )
+    assert had == set(range(schedulers)), "each has its turn"
+
+
+def test_what_the_other_process_sent_to_a_cold_worker_counts() -> None:
+    """Guards cold workers while one process replaces another: their budget is one."""
+    module = Dispatcher(settings(), 0)
+    module.handle(0, api.Members(api.ListKind.FULL, [entry("cold", born=1)]))
+    worker, now = module.workers["cold"], 10 * SECOND
+    module.now, worker.born = now, now
+    whole = module.cold_budget(worker)
+    learned = api.Learned((1.0, 0.0, 1.0), {}, {"cold": [(now - SECOND, 100.0), (now - 3 * SECOND, 900.0)]})
+    module.handle(now, api.Partner(0, {}, learned))
+    assert module.cold_budget(worker) == pytest.approx(whole - 100)
+    module.handle(now, api.Partner(1, {}, learned))
+    assert module.cold_budget(worker) == pytest.approx(whole / 2 - 100)
+
+
+@pytest.mark.parametrize(("born", "warmth"), [(1, "cold"), (12, "warmer")])
+def test_a_worker_put_back_is_cold_since_the_start_that_was_told(born: int, warmth: str) -> None:
+    module = Dispatcher(settings(), 0)
+    module.handle(0, api.Members(api.ListKind.FULL, [entry("a", born=1)]))
+    module.handle(11 * SECOND, api.Suspended("a", True))
+    module.handle(13 * SECOND, api.Members(api.ListKind.CHANGES, [entry("a", born=born * SECOND)]))
+    module.handle(15 * SECOND, api.Suspended("a", False))
+    least, worker = module.rules.cold_from, module.workers["a"]
+    assert module.warmth(worker) == (least if warmth == "cold" else least + (1 - least) * 0.3)
--- a/tests/world.py
+++ b/tests/world.py
@@ -91,6 +91,7 @@
         self.logs: list[str] = []
         self.actions: list[api.Action] = []
         self.watches = 0
+        self.suspended: set[str] = set()
         self.asked: list[str] = []
         entries = list(workers)
         if entries:
@@ -132,6 +133,10 @@
         took = self.now - sent.at
         self.tell(api.Outcome(sent.request, sent.number, sent.worker, reason, took, ended, report))
 
+    def suspend(self, worker: str, *, on: bool) -> None:
+        (self.suspended.add if on else self.suspended.discard)(worker)
+        self.tell(api.Suspended(worker, on))
+
     def started(self, sent: Sent) -> None:
         sent.started = True
         self.tell(api.Note(sent.request, sent.number, sent.worker, api.NoteKind.STARTED))
@@ -175,6 +180,7 @@
         match action:
             case api.Send():
                 self.check_send(action)
+                assert action.worker not in self.suspended, "operators have left it out"
                 attempts = self.sent[action.id]
                 attempts.append(Sent(action.id, len(attempts), action.worker, self.now))
             case api.Refuse() | api.Fail():
