Queues in load reports count as waits, and calls for the list back off with jitter

At fault: logic.py, on_outcome passed reports on only where no start notices come. Calls for the list: a lost watch was asked for again after 125 to 375 ms however often it failed (on_members); now doubled twice. Not taken: jitter on dials; a worker's rest already hangs on each scheduler's own response times.

--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -69,7 +69,7 @@
         self.tightest = min(cls.aim for cls in settings.classes)
         self.forget = self.tightest * max(FORGET, settings.schedulers / 4)  # us: half-life of a wait
         self.beat = max(settings.tick, self.tightest // 4)  # us between looks at what is late
-        self.beating, self.watching, self.watch_at = False, False, 0
+        self.beating, self.watching, self.watch_at, self.losses = False, False, 0, 0
         self.usual, self.pace = 0.0, 1.0  # over the fleet: wait before a start, time for each unit of work
         self.response = 2.0 * self.tightest  # time from a send to its answer, lately
         self.reactions: dict[type, Callable[[Any], None]] = {
@@ -122,7 +122,7 @@
         if (attempt := self.out.pop((outcome.id, outcome.attempt), None)) is None:
             return
         job, worker = attempt.job, attempt.worker
-        if outcome.report and not self.settings.tells_start:
+        if outcome.report:
             self.learn_report(worker, outcome.report, attempt.sent)
         self.clock()  # while the tenant still counts as active
         attempt.end(unrun=outcome.reason in UNRUN)
@@ -149,11 +149,13 @@
 
     def on_members(self, members: Members) -> None:
         if members.kind is ListKind.LOST:
-            self.watching = False
-            self.watch_at = self.now + int((0.5 + self.random.random()) * self.limits.connect_timeout)
+            if self.watching or not self.losses:
+                pause = self.limits.connect_timeout << min(self.losses, 2)  # many ask one service
+                self.watch_at = self.now + int((0.5 + self.random.random()) * pause)
+            self.watching, self.losses = False, self.losses + 1
             self.actions.append(Log("list lost: watching again"))
             return
-        listed = {entry.worker for entry in members.entries}
+        listed, self.losses = {entry.worker for entry in members.entries}, 0
         for worker in list(self.workers.values()):
             if members.kind is not ListKind.CHANGES and worker.id not in listed:
                 worker.state = WorkerState.GONE
@@ -168,8 +170,7 @@
         if event.on:
             self.suspended.setdefault(event.worker, self.now)
         elif (since := self.suspended.pop(event.worker, 0)) and worker is not None:
-            # it was worked on: it is cold since the start that the list tells, else since now
-            worker.renew(CAP_START, self.now if worker.born < since else 0)
+            worker.renew(CAP_START, self.now if worker.born < since else 0)  # cold since its start, if told
         self.line_up()
 
     def on_partner(self, partner: Partner) -> None:
@@ -292,8 +293,6 @@
             self.actions.append(Log("zone out of reach: left out and probed"))
             self.rank()
 
-    # ---- learning ----
-
     def learn_wait(self, worker: Worker, wait: float, sent: int) -> None:
         """Move the cap by how long a job waited for its start."""
         worker.delay = worker.wait(self.now, self.forget) * (1 - LEARN) + wait * LEARN
@@ -305,11 +304,14 @@
             worker.cap += CAP_GAIN
 
     def learn_report(self, worker: Worker, report: tuple[float, ...], sent: int) -> None:
-        """Where no start notices come, a report tells the wait: what queues beyond one job in hand a slot."""
+        """Of slots, and of others' queue; where no start notices come, of the wait beyond one job a slot."""
         told = dict(zip(self.settings.report_fields, report, strict=False))
         worker.peak = max(worker.peak, round(told.get("x0", 0.0)))
         queue = told.get("queue", max(0.0, told.get("inflight", 0.0) - worker.peak))
-        self.learn_wait(worker, max(0.0, queue - worker.peak) * self.response / worker.peak, sent)
+        if not self.settings.tells_start:
+            self.learn_wait(worker, max(0.0, queue - worker.peak) * self.response / worker.peak, sent)
+        elif (wait := queue * self.response / 2 / worker.peak) > worker.wait(self.now, self.forget):
+            worker.delay, worker.delay_at = wait, self.now
 
     def cut(self, worker: Worker, sent: int) -> None:
         """Lower a cap, once for all the jobs that were sent before the last cut."""
@@ -494,8 +496,6 @@
         queued = sum(self.length(other) for other in job.flow.queue) / slots
         return min(self.limits.max_retry_after, max(self.beat, int(self.usual + queued)))
 
-    # ---- holding, further attempts, the end ----
-
     def hold(self, job: Job) -> None:
         job.held = True
         insort(job.flow.queue, job, key=lambda other: other.last_start)
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -1,4 +1,4 @@
-"""Messages arrive cut at any byte: what is read from two pieces, or byte by byte, is what is read from one."""
+"""Messages arrive cut at any byte: what is read from pieces is what is read from one."""
 
 from __future__ import annotations
 
@@ -18,7 +18,8 @@
 )  # fmt: skip
 PLAIN = b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
 BAD = [
-    b"GET / HTTP/1.1\nHost: a\r\n\r\n", b"POST /quote HTTP/1.1\r\nHost : a\r\n\r\n", b"\x16\x03\x01\x02\r\n\r\n",
+    b"GET / HTTP/1.1\nHost: a\r\n\r\n", b"POST /quote HTTP/1.1\r\nHost : a\r\n\r\n",
+    b"\x16\x03\x01\x02\r\n\r\n",
     ask().partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
 ]  # fmt: skip
 
@@ -73,6 +74,7 @@
         for item in reader.feed():
             if isinstance(item, Head):
                 found.append(item.status)
+                lines = Lines()
             elif isinstance(item, End):
                 found.append(item.reusable)
             else:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -728,3 +728,35 @@
     world.outcome(world.out()[0], api.Reason.ERROR)
     world.request(2, "pay")
     assert world.out(), "it does not rest and is trusted"
+
+
+def test_calls_for_the_list_back_off_and_start_anew_after_one() -> None:
+    """Guards discovery, which is one for all schedulers: those whose calls fail must not call on at once."""
+    world, pauses = World(settings(ask=True), [entry("a")]), []
+    for turn in range(6):
+        if turn == 5:
+            world.members([entry("a")], api.ListKind.FULL)
+        lost, asked = world.now, world.watches
+        world.members([], api.ListKind.LOST)
+        while world.watches == asked:
+            world.advance(5 * MS)
+        pauses.append(world.now - lost)
+    timeout, beat = 200 * MS, 150 * MS
+    for pause, times in zip(pauses, (1, 2, 4, 4, 4, 1), strict=True):
+        assert 0.5 * times * timeout <= pause <= 1.5 * times * timeout + beat
+    assert len(set(pauses[2:5])) > 1, "not all after the same time"
+
+
+def test_a_queue_that_a_report_tells_of_counts_as_a_wait() -> None:
+    """Guards jobs against a worker that others keep busy: its last start of ours may have been prompt."""
+    world = World(settings(report_fields=("queue", "x0")), [entry("a"), entry("b")])
+    world.request(1)
+    (sent,) = world.out()
+    world.started(sent)
+    world.advance(20 * MS)
+    usual = world.dispatcher.response
+    world.outcome(sent, api.Reason.OK, (8.0, 0.0))
+    worker = world.dispatcher.workers[sent.worker]
+    assert worker.wait(world.now, world.dispatcher.forget) == 8 * usual / 2
+    world.request(2)
+    assert world.out()[0].worker != sent.worker
