--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -405,6 +405,7 @@
     order: Order
     host: str = ""
     endpoint: tuple[str, int] = ("", 0)
+    tries: int = 0  # that have failed, as the other process was at it
 
 
 @dataclass(slots=True)
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.core import CALLERS, MS, OWN_DESCRIPTORS, SECOND, SPARE_LEGS, Budget
@@ -10,6 +12,7 @@
 
 CALL = 2 * SECOND  # for the bytes of one call, and for the end of its connection
 RECORD_AGAIN = 20 * MS  # the other process holds its lock for far less
+MOST_TRIES = 30
 LOOK = 100 * MS  # a suspension told to one process is in force in the other well within a drain's window
 AWAY = 600 * MS  # from the drain on: the front asks ten times a second and stops 0.2 s after a no
 AWAY_AGAIN = 200 * MS  # between looks at who is idle, or has connected and says nothing
@@ -78,12 +81,13 @@
             self._effects.append(fx.Reply(event.caller, fx.Word.YES))
 
     def _on_unrecorded(self, event: fx.Unrecorded) -> None:
-        """An order that the other process could not be told of is not in force here either."""
+        """An order that the other process could not be told of is not in force here either. Guards the caller
+        against one that holds its lock and stands still: the answer is owed within 1 s."""
         caller = event.record.caller
         if caller not in self.state.callers:
             return
-        if event.again:
-            self.state.records[caller] = event.record
+        if event.again and event.record.tries < MOST_TRIES:
+            self.state.records[caller] = replace(event.record, tries=event.record.tries + 1)
             self._ring(("record", caller), self.now + RECORD_AGAIN)
         else:
             self._effects.append(fx.Reply(caller, fx.Word.NO))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -203,6 +203,19 @@
     assert told[1:] == [fx.Ordered({"s-1": ("10.0.0.1", 80)}, False, 7)] * 2
 
 
+def test_an_order_that_cannot_be_kept_is_answered_no_in_time(start: Start) -> None:
+    """Guards operators against a process that holds the lock and stands still."""
+    node = start(hosts=1, inherits=True)
+    settled(node)
+    with (node.config.parent / f"{ORDERS}.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        since = time.monotonic()
+        assert node.call("/v1/workers/s-0/suspend").status == 503
+        assert took(since) < 1
+    assert node.figures()["scheduler_ejected"] == 0
+    assert node.call("/v1/workers/s-0/suspend").status == 200
+
+
 @pytest.mark.parametrize("folder", [None, "/proc/none"])
 def test_alone_without_a_folder(folder: str | None) -> None:
     part, told = make(Path(folder) if folder else None)
