Compose the reducer of concerns that name their events, timers and rules

Need: a line in one of six inherited classes could not know its room, and a further front had no door to come in by.

Each file tells its states at its head. Behaviour is unchanged.

Measured: all tests pass as before.

--- a/reedspoke/net/core.py
+++ b/reedspoke/net/core.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from reedspoke import interface as api
 from reedspoke.logic import Dispatcher
@@ -21,6 +23,10 @@
 SELDOM = 10 * SECOND  # between lines on the same matter that clients or hosts can cause at will
 
 
+Reactions = dict[type, Callable[[Any], None]]  # by the type of the event
+Rings = dict[str, Callable[[int], None]]  # by the first part of the timer's key
+
+
 @dataclass(slots=True, frozen=True)
 class Budget:
     """Descriptors: a client that is served needs one of its own and one for its leg."""
@@ -43,6 +49,8 @@
 
 
 class Core:
+    """What every concern shares: the state, the time, what is asked for, and what the module will be told."""
+
     def __init__(
         self,
         settings: api.Settings,
@@ -57,31 +65,52 @@
         self.settings = settings
         self.budget = self.whole = budget
         self.now = 0
-        self._effects: list[fx.Effect] = []
-        self._told: deque[api.Event] = deque()  # for the module, in the order in which it happened
+        self.effects: list[fx.Effect] = []
+        self.told: deque[api.Event] = deque()  # for the module, in the order in which it happened
+
+    def ask(self, effect: fx.Effect) -> None:
+        self.effects.append(effect)
+
+    def tell(self, event: api.Event) -> None:
+        """The module hears of it once the event in hand is handled."""
+        self.told.append(event)
 
-    def _ring(self, key: fx.TimerKey, at: int) -> None:
-        self._effects.append(fx.Ring(key, at))
+    def ring(self, key: fx.TimerKey, at: int) -> None:
+        self.effects.append(fx.Ring(key, at))
 
-    def _quiet(self, key: fx.TimerKey) -> None:
-        self._effects.append(fx.Quiet(key))
+    def quiet(self, key: fx.TimerKey) -> None:
+        self.effects.append(fx.Quiet(key))
 
-    def _fault(self, text: str) -> None:
-        self._count("faults")
-        self._effects.append(fx.Say(text, fault=True))
+    def fault(self, text: str) -> None:
+        self.count("faults")
+        self.effects.append(fx.Say(text, fault=True))
 
-    def _say_seldom(self, about: str, text: str) -> None:
+    def say_seldom(self, about: str, text: str) -> None:
         """Guards the log against those who can cause a line as often as they like."""
         if self.now - self.state.told.get(about, 0) >= SELDOM:
             self.state.told[about] = self.now
-            self._effects.append(fx.Say(text))
+            self.effects.append(fx.Say(text))
 
-    def _count(self, what: str) -> None:
+    def count(self, what: str) -> None:
         self.state.figures[what] += 1
 
-    def _tally(self, what: str, cls: str = "") -> None:
+    def tally(self, what: str, cls: str = "") -> None:
         """For the operators' figures."""
         self.state.counted[what, cls] += 1
 
-    def _most(self, what: str, number: int) -> None:
+    def most(self, what: str, number: int) -> None:
         self.state.figures[f"most {what}"] = max(self.state.figures[f"most {what}"], number)
+
+
+class Concern:
+    """One subject of the reducer. It names the events and the timers that are its own, and knows the concerns
+    that it is given; nothing is inherited from them."""
+
+    def __init__(self, core: Core) -> None:
+        self.core, self.state = core, core.state
+
+    def reactions(self) -> Reactions:
+        return {}
+
+    def rings(self) -> Rings:
+        return {}
--- a/reedspoke/net/hosts.py
+++ b/reedspoke/net/hosts.py
@@ -1,10 +1,17 @@
-"""Issuer hosts as the directory lists them, and the watch on it."""
+"""Issuer hosts as the directory lists them, and the watch on it.
+
+The watch is off, asked for (`follow`), or alive: `Listed` and `Beaten` keep it alive, `Unlisted` or a
+silence ends it, and the module asks for the next one. A host stands in the table from the first list that
+names it until one says that it is gone, or leaves it out of a whole list. The module hears of operators'
+bans before it hears of the list that they bear on.
+"""
 
 from __future__ import annotations
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
-from reedspoke.net.core import MS
+from reedspoke.net.clients import Clients
+from reedspoke.net.core import MS, Concern, Core, Reactions, Rings
 from reedspoke.net.legs import Legs
 from reedspoke.net.state import Host
 
@@ -12,11 +19,21 @@
 SILENCE = 3500 * MS  # of the directory, which beats every 2 s; what changes counts as told after 6 s
 
 
-class Hosts(Legs):
-    def _follow(self) -> None:
+class Hosts(Concern):
+    def __init__(self, core: Core, clients: Clients, legs: Legs) -> None:
+        super().__init__(core)
+        self.clients, self.legs = clients, legs
+
+    def reactions(self) -> Reactions:
+        return {fx.Listed: self._on_listed, fx.Beaten: self._on_beaten, fx.Unlisted: self._on_unlisted}
+
+    def rings(self) -> Rings:
+        return {"silence": self._ring_silence, "settle": lambda _: self.settle()}
+
+    def follow(self) -> None:
         self.state.watching = True
-        self._effects.append(fx.Follow(self.state.directory, self.state.rev))
-        self._ring(("silence", 0), self.now + SILENCE)
+        self.core.ask(fx.Follow(self.state.directory, self.state.rev))
+        self.core.ring(("silence", 0), self.core.now + SILENCE)
 
     def _on_listed(self, event: fx.Listed) -> None:
         state = self.state
@@ -32,18 +49,18 @@
             del state.ever_listed[uid]
         state.listed = state.listed or bool(state.hosts)
         if event.kind is not api.ListKind.STALE:
-            self._ring(("silence", 0), self.now + SILENCE)
-            self._settle()
-        self._heed_bans()  # before the list, or the module might use who is new on it
-        self._told.append(api.Members(event.kind, [target.entry for target in event.targets]))
+            self.core.ring(("silence", 0), self.core.now + SILENCE)
+            self.settle()
+        self.heed_bans()  # before the list, or the module might use who is new on it
+        self.core.tell(api.Members(event.kind, [target.entry for target in event.targets]))
 
-    def _settle(self) -> None:
+    def settle(self) -> None:
         """From now on clients are taken in."""
         if not self.state.settled:
             self.state.settled = True
-            self._make_room()
+            self.clients.make_room()
 
-    def _heed_bans(self) -> None:
+    def heed_bans(self) -> None:
         """Guards the operators' ban: it is for the machine as well as for its id, which may come back with a
         fresh one at the same address."""
         state, none = self.state, ("", 0)
@@ -55,7 +72,7 @@
         for uid in sorted(barred ^ state.barred):
             if (host := state.hosts.get(uid)) is not None:
                 self._drop_idle(host)  # it is worked on: their other end will be another process
-            self._told.append(api.Suspended(uid, uid in barred))
+            self.core.tell(api.Suspended(uid, uid in barred))
         state.barred = barred
         for host in state.hosts.values():
             host.suspended = host.uid in barred
@@ -86,18 +103,18 @@
 
     def _drop_idle(self, host: Host) -> None:
         for conn in list(host.idle):
-            self._hang_up(self.state.conns[conn])
+            self.legs.hang_up(self.state.conns[conn])
 
     def _on_beaten(self, _: fx.Beaten) -> None:
-        self._ring(("silence", 0), self.now + SILENCE)
+        self.core.ring(("silence", 0), self.core.now + SILENCE)
 
     def _on_unlisted(self, event: fx.Unlisted) -> None:
         self.state.watching = False
-        self._quiet(("silence", 0))
-        self._count("watches lost")
-        self._effects.append(fx.Say(f"directory: watch lost: {event.why}"))
-        self._told.append(api.Members(api.ListKind.LOST, []))
+        self.core.quiet(("silence", 0))
+        self.core.count("watches lost")
+        self.core.ask(fx.Say(f"directory: watch lost: {event.why}"))
+        self.core.tell(api.Members(api.ListKind.LOST, []))
 
     def _ring_silence(self, _: int) -> None:
-        self._effects.append(fx.Unfollow())
+        self.core.ask(fx.Unfollow())
         self._on_unlisted(fx.Unlisted("silence"))
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -1,4 +1,9 @@
-"""What operators ask for: hosts left out by hand, clients sent away, and the door's callers themselves."""
+"""What operators ask for: hosts left out by hand, clients sent away, and the door's callers themselves.
+
+A caller has rung, has called, and is gone (Hungup) or dismissed. An order counts as given only once it is
+recorded for both processes (`Record` -> `Ordered` or `Unrecorded`): until then nothing changes here. What
+the other process holds (`Accompanied`) changes the budget and is told to the module.
+"""
 
 from __future__ import annotations
 
@@ -6,8 +11,20 @@
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
-from reedspoke.net.core import CALLERS, MS, OWN_DESCRIPTORS, SECOND, SPARE_LEGS, Budget
-from reedspoke.net.lifecycle import Lifecycle
+from reedspoke.net.clients import Clients
+from reedspoke.net.core import (
+    CALLERS,
+    MS,
+    OWN_DESCRIPTORS,
+    SECOND,
+    SPARE_LEGS,
+    Budget,
+    Concern,
+    Core,
+    Reactions,
+    Rings,
+)
+from reedspoke.net.hosts import Hosts
 from reedspoke.net.state import Life, Standing
 
 CALL = 2 * SECOND  # for the bytes of one call, and for the end of its connection
@@ -18,7 +35,24 @@
 AWAY_AGAIN = 200 * MS  # between looks at who is idle, or has connected and says nothing
 
 
-class Upkeep(Lifecycle):
+class Upkeep(Concern):
+    def __init__(self, core: Core, clients: Clients, hosts: Hosts) -> None:
+        super().__init__(core)
+        self.clients, self.hosts = clients, hosts
+
+    def reactions(self) -> Reactions:
+        return {
+            fx.Rang: self._on_rang, fx.Called: self._on_called, fx.Hungup: self._on_hungup,
+            fx.Ordered: self._on_ordered, fx.Unrecorded: self._on_unrecorded,
+            fx.Accompanied: self._on_accompanied,
+        }  # fmt: skip
+
+    def rings(self) -> Rings:
+        return {
+            "caller": self._ring_caller, "away": self._ring_away, "record": self._ring_record,
+            "look": self._ring_look,
+        }  # fmt: skip
+
     # ---- the door ----
 
     def _on_rang(self, event: fx.Rang) -> None:
@@ -29,17 +63,17 @@
             waiting = (caller for caller, called in callers.items() if not called)
             self._dismiss(next(waiting, next(iter(callers))))
         callers[event.caller] = False
-        self._ring(("caller", event.caller), self.now + CALL)
+        self.core.ring(("caller", event.caller), self.core.now + CALL)
 
     def _dismiss(self, caller: int) -> None:
         del self.state.callers[caller]
-        self._quiet(("caller", caller))
-        self._count("callers dismissed")
-        self._effects.append(fx.Dismiss(caller))
+        self.core.quiet(("caller", caller))
+        self.core.count("callers dismissed")
+        self.core.ask(fx.Dismiss(caller))
 
     def _on_hungup(self, event: fx.Hungup) -> None:
         if self.state.callers.pop(event.caller, None) is not None:
-            self._quiet(("caller", event.caller))
+            self.core.quiet(("caller", event.caller))
 
     def _ring_caller(self, caller: int) -> None:
         if caller in self.state.callers:
@@ -58,13 +92,13 @@
                 if event.host in state.ever_listed or event.host in state.suspended:
                     host = state.hosts.get(event.host)
                     endpoint = host.endpoint if host is not None else ("", 0)
-                    self._effects.append(fx.Record(event.caller, event.order, event.host, endpoint))
+                    self.core.ask(fx.Record(event.caller, event.order, event.host, endpoint))
                     return
                 word = fx.Word.UNKNOWN
             case fx.Order.DRAIN | fx.Order.ACTIVATE:
-                self._effects.append(fx.Record(event.caller, event.order))
+                self.core.ask(fx.Record(event.caller, event.order))
                 return
-        self._effects.append(fx.Reply(event.caller, word, event.order is fx.Order.FIGURES))
+        self.core.ask(fx.Reply(event.caller, word, event.order is fx.Order.FIGURES))
 
     # ---- orders, as kept for both processes ----
 
@@ -73,12 +107,12 @@
         state = self.state
         for uid in sorted(event.suspended.keys() ^ state.suspended.keys()):
             on = uid in event.suspended
-            self._effects.append(fx.Say(f"operators: issuer host {uid} {'suspended' if on else 'resumed'}"))
+            self.core.ask(fx.Say(f"operators: issuer host {uid} {'suspended' if on else 'resumed'}"))
         state.suspended = event.suspended
-        self._heed_bans()
+        self.hosts.heed_bans()
         self._drain(event.drained)
         if event.caller:
-            self._effects.append(fx.Reply(event.caller, fx.Word.YES))
+            self.core.ask(fx.Reply(event.caller, fx.Word.YES))
 
     def _on_unrecorded(self, event: fx.Unrecorded) -> None:
         """An order that the other process could not be told of is not in force here either. Guards the caller
@@ -88,20 +122,20 @@
             return
         if event.again and event.record.tries < MOST_TRIES:
             self.state.records[caller] = replace(event.record, tries=event.record.tries + 1)
-            self._ring(("record", caller), self.now + RECORD_AGAIN)
+            self.core.ring(("record", caller), self.core.now + RECORD_AGAIN)
         else:
-            self._effects.append(fx.Reply(caller, fx.Word.NO))
+            self.core.ask(fx.Reply(caller, fx.Word.NO))
 
     def _ring_record(self, caller: int) -> None:
         if (record := self.state.records.pop(caller, None)) is not None:
-            self._effects.append(record)
+            self.core.ask(record)
 
     # ---- the other process, while one replaces the other ----
 
     def _ring_look(self, _: int) -> None:
         """What is held is told whenever it has changed: the other process counts it as its own."""
         state = self.state
-        self._effects.append(fx.Look())
+        self.core.ask(fx.Look())
         slots: dict[str, int] = {}
         if state.partners:
             for auth in state.authorisations.values():
@@ -109,30 +143,30 @@
                     slots[leg.host] = slots.get(leg.host, 0) + auth.slots
         clients, door = len(state.clients), len(state.callers) + 2
         descriptors = OWN_DESCRIPTORS + door + clients + max(clients + SPARE_LEGS, len(state.conns))
-        learned = self.module.learned() if state.partners else api.Learned()
+        learned = self.core.module.learned() if state.partners else api.Learned()
         held = fx.Hold(state.life is not Life.SERVING, descriptors if state.partners else 0, slots, learned)
         if held != state.held:
             state.held = held
-            self._effects.append(held)
-        self._ring(("look", 0), self.now + LOOK)
+            self.core.ask(held)
+        self.core.ring(("look", 0), self.core.now + LOOK)
 
     def _on_accompanied(self, event: fx.Accompanied) -> None:
         """Guards the limits, which hold for all processes together: while another one takes clients in as
         well, half is ours; once it leaves, what it still holds is not. The module hears of its legs."""
-        self.state.partners, whole = event.partners, self.whole
+        self.state.partners, whole = event.partners, self.core.whole
         left = whole.sockets - sum(partner.descriptors for partner in event.partners)
         if any(not partner.leaving for partner in event.partners):
             left = min(left, whole.sockets // 2)
         memory = whole.memory_mb / (1 + len(event.partners))
-        self.budget = Budget.of(left, memory, whole.door) if event.partners else whole
+        self.core.budget = Budget.of(left, memory, whole.door) if event.partners else whole
         slots: dict[str, int] = {}
         for partner in event.partners:
             for uid, count in partner.slots.items():
                 slots[uid] = slots.get(uid, 0) + count
-        learned = event.partners[0].learned if event.partners else self.module.partner.learned
+        learned = event.partners[0].learned if event.partners else self.core.module.partner.learned
         staying = sum(not partner.leaving for partner in event.partners)
-        self._told.append(api.Partner(staying, slots, learned))
-        self._make_room()
+        self.core.tell(api.Partner(staying, slots, learned))
+        self.clients.make_room()
 
     # ---- clients sent away ----
 
@@ -140,11 +174,11 @@
         if on == self.state.drained:
             return
         self.state.drained = on
-        self._effects.append(fx.Say(f"operators: {'drained' if on else 'active'}"))
+        self.core.ask(fx.Say(f"operators: {'drained' if on else 'active'}"))
         if on:
-            self._ring(("away", 0), self.now + AWAY)
+            self.core.ring(("away", 0), self.core.now + AWAY)
         else:
-            self._quiet(("away", 0))
+            self.core.quiet(("away", 0))
 
     def _ring_away(self, _: int) -> None:
         """Sends away those who are owed nothing; who has only just connected may be about to ask."""
@@ -153,6 +187,6 @@
             return
         for standing, clients in state.resting.items():
             for number in clients:
-                if standing is not Standing.SILENT or self.now >= state.clients[number].joined + AWAY:
-                    self._effects.append(fx.Drop(number))
-        self._ring(("away", 0), self.now + AWAY_AGAIN)
+                if standing is not Standing.SILENT or self.core.now >= state.clients[number].joined + AWAY:
+                    self.core.ask(fx.Drop(number))
+        self.core.ring(("away", 0), self.core.now + AWAY_AGAIN)
