One listener class for all fronts, and a checked operator file with its schema

Need: a second front shares the acquirer's clients, budget and guards; what an operator switches on needs a checked form of its own.

Change: net/listener.py holds a listening socket back for any number of reasons; the acquirer serves the clients of all fronts by number.

--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -5,26 +5,26 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from itertools import count
-from typing import Any
+from typing import Any, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from reedspoke.net import effects as fx
 from reedspoke.net.core import SECOND
 from reedspoke.net.http import SCANT, Buffer, Head, MalformedError, Requests
+from reedspoke.net.listener import Listener
 from reedspoke.net.message import Message, authorisation, class_of, path
 from reedspoke.net.runtime import Runtime
-from reedspoke.net.streams import drain, listen, start_read, stream
+from reedspoke.net.streams import drain, end_sending, start_read, stream, waits_unread
 
 log = logging.getLogger("reedspoke")
 
 BACKLOG = 512
 LINGER = 1.0  # s that a connection stays half open, so that its last answer is not lost to a reset
 WRITING = 10.0  # s for a client to take its answer
-AT_ONCE = 16  # clients taken in between two looks at what has come
 MOST_LINGER = 256 * 1024  # bytes read and forgotten behind a last answer
 MOST_PIPELINED = 16 * 1024  # bytes read ahead of the answer in hand
 REASONS = {
@@ -217,8 +217,7 @@
         self.side.runtime.emit(fx.Ending(self.number))
         if self.stream.closed():  # its place was needed at once
             return False
-        with suppress(OSError):
-            self.stream.socket.shutdown(socket.SHUT_WR)
+        end_sending(self.stream)
         with suppress(TimeoutError):
             await asyncio.wait_for(self._drain(), LINGER)
         return False
@@ -238,18 +237,24 @@
         idle = not (self.begun or len(self.buffer))
         if how is fx.Farewell.NOW:
             self.stream.close()
-        elif not self._dropped.done() and (not self._sent() if idle else how is fx.Farewell.TOLD):
+        elif not self._dropped.done() and (
+            not waits_unread(self.stream) if idle else how is fx.Farewell.TOLD
+        ):
             self._dropped.set_result(fx.Farewell.IDLE if idle else how)
 
-    def _sent(self) -> bool:
-        """Guards a client against a reset: bytes that it has sent wait to be read, and get their answer."""
-        try:
-            return bool(self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
+
+class Party(Protocol):
+    """Whoever stands behind a client's number: a connection that is served, or one that is not so far yet."""
+
+    answer: asyncio.Future[fx.Answer] | None
+
+    def drop(self, how: fx.Farewell) -> None: ...
 
 
 class Acquirer:
+    """The clients of all fronts. Each front has a listener of its own and hands its connections on to
+    `serve`."""
+
     def __init__(
         self,
         runtime: Runtime,
@@ -260,74 +265,67 @@
         self.runtime = runtime
         self.claim = claim  # whether an authorisation of that id may be taken
         self.classes = classes  # with how long a client waits at the most
-        self._listen = listen
-        self._listener: socket.socket | None = None
-        self._clients: dict[int, Client] = {}
+        self._plain = Listener(listen, BACKLOG, self._take)
+        self._listeners = [self._plain]
+        self._parties: dict[int, Party] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._numbers = count(1)
-        self._accepting = True
-        self._inherited = False
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
         return {fx.Answer: self._answer, fx.Drop: self._drop, fx.Accept: self._accept, fx.Shut: self._shut}
 
+    def join(self, listener: Listener) -> None:
+        """A further front's listener: it takes nobody in while the budget is full, and ends with the
+        others."""
+        self._listeners.append(listener)
+
     def open(self, inherited: socket.socket | None = None) -> None:
         """With a listener of its own, or with one that is given; from that it takes nobody in before it is
         told to, as another process may serve them until then."""
-        self._listener = inherited or listen(self._listen, BACKLOG)
-        self._inherited = inherited is not None
-        self._accepting = not self._inherited
-        if self._accepting:
-            asyncio.get_running_loop().add_reader(self._listener.fileno(), self._take_in)
+        if inherited is not None:
+            self._accept(fx.Accept(False))
+        self._plain.open(inherited)
         self.runtime.emit(fx.Listening())
 
-    def _take_in(self) -> None:
-        """Take in some of those who wait: their first bytes are read before others may crowd them out."""
-        for _ in range(AT_ONCE):
-            if self._listener is None or not self._accepting:
-                return
-            try:
-                connection, _ = self._listener.accept()
-            except BlockingIOError:  # nobody waits, or another process that shares the listener was faster
-                return
-            except OSError as error:  # the peer is gone again, or descriptors ran out in spite of the budget
-                log.error("fault: accept: %s", error)
-                return
-            client = Client(self, next(self._numbers), stream(connection))
-            self._clients[client.number] = client
-            self.runtime.emit(fx.Joined(client.number))
-            task = asyncio.ensure_future(client.serve())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            task.add_done_callback(lambda _, number=client.number: self._clients.pop(number, None))  # type: ignore[misc]
+    def _take(self, connection: socket.socket) -> None:
+        number = self.number()
+        client = Client(self, number, stream(connection))
+        self.enter(number, client)
+        self.runtime.emit(fx.Joined(number))
+        self.start(number, client.serve())
+
+    def number(self) -> int:
+        """Of a client, whatever its front."""
+        return next(self._numbers)
+
+    def enter(self, number: int, party: Party) -> None:
+        """From now on this is who is meant by that number."""
+        self._parties[number] = party
+
+    def start(self, number: int, work: Coroutine[Any, Any, None]) -> None:
+        """Serve a client to its end; then its number means nobody."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self._parties.pop(number, None))
 
     def _answer(self, effect: fx.Answer) -> None:
-        client = self._clients.get(effect.client)
-        if client is not None and client.answer is not None and not client.answer.done():
-            client.answer.set_result(effect)
+        party = self._parties.get(effect.client)
+        if party is not None and party.answer is not None and not party.answer.done():
+            party.answer.set_result(effect)
 
     def _drop(self, effect: fx.Drop) -> None:
-        if (client := self._clients.get(effect.client)) is not None:
-            client.drop(effect.how)
+        if (party := self._parties.get(effect.client)) is not None:
+            party.drop(effect.how)
 
     def _accept(self, effect: fx.Accept) -> None:
-        self._accepting = effect.on
-        if self._listener is None:
-            return
-        loop = asyncio.get_running_loop()
-        if effect.on:
-            loop.add_reader(self._listener.fileno(), self._take_in)
-        else:  # the system holds who comes now: a place is free as soon as one answer is given
-            loop.remove_reader(self._listener.fileno())
+        for listener in self._listeners:  # a place is free as soon as one answer is given
+            listener.hold("clients", not effect.on)
 
     def _shut(self, _: fx.Shut) -> None:
-        if not self._inherited:  # else those who wait are its successor's
-            for _some in range(0, BACKLOG, AT_ONCE):
-                self._take_in()
-        self.close()
+        for listener in self._listeners:
+            listener.shut()
 
     def close(self) -> None:
-        if self._listener is not None:
-            asyncio.get_running_loop().remove_reader(self._listener.fileno())
-            self._listener.close()
-            self._listener = None
+        for listener in self._listeners:
+            listener.close()
--- a/reedspoke/net/clients.py
+++ b/reedspoke/net/clients.py
@@ -24,6 +24,7 @@
 )  # from connecting to the last byte of a first authorisation: an answer is due in 3 s
 CLIENT_SLOW = 2 * SECOND  # for the bytes of one authorisation
 CLIENT_FRESH = 50 * MS  # a client that means to ask has sent its first bytes by then
+NEW = (Standing.SHAKING, Standing.SILENT)  # what these were sent may be on its way
 ENDS = {  # the figure that a job's end counts under
     fx.Verdict.SERVED: "succeeded",
     fx.Verdict.DECLINED: "declined",
@@ -48,13 +49,17 @@
         }  # fmt: skip
 
     def _on_joined(self, event: fx.Joined) -> None:
-        client = self.state.clients[event.client] = Client(event.client, self.core.now)
-        self._rest(client, Standing.SILENT)
+        self.enter(event.client, Standing.SILENT)
+
+    def enter(self, number: int, standing: Standing) -> None:
+        """A new client; it holds a place from now on, whatever its front still has to do."""
+        client = self.state.clients[number] = Client(number, self.core.now)
+        self.rest(client, standing)
         self.core.most("clients", len(self.state.clients))
         self.core.ring(("client", client.id), self.core.now + CLIENT_FIRST)
         self.make_room()
 
-    def _rest(self, client: Client, standing: Standing | None) -> None:
+    def rest(self, client: Client, standing: Standing | None) -> None:
         if client.standing is not None:
             self.state.resting[client.standing].pop(client.id, None)
         client.standing = standing
@@ -69,7 +74,7 @@
             if (client := self._least_missed()) is None:
                 break
             self.core.count("crowded out")
-            self._rest(client, None)
+            self.rest(client, None)
             state.parting.add(client.id)
             self.core.ask(fx.Drop(client.id, fx.Farewell.NOW))
         free = len(state.clients) - len(state.parting) < self.core.budget.clients
@@ -85,13 +90,19 @@
         """Who was answered before sends again elsewhere what crosses the end. Who has only just connected
         would have failed: it stays until its first bytes had the time to come, and meanwhile others wait."""
         state = self.state
-        for standing in (Standing.ENDING, Standing.ANSWERED, Standing.SILENT, Standing.KEPT):
+        for standing in (
+            Standing.ENDING,
+            Standing.SHAKING,
+            Standing.ANSWERED,
+            Standing.SILENT,
+            Standing.KEPT,
+        ):
             if (number := next(iter(state.resting[standing]), None)) is None:
                 continue
             client = state.clients[number]
-            if standing is not Standing.SILENT or self.core.now >= client.joined + CLIENT_FRESH:
+            if standing not in NEW or self.core.now >= client.joined + CLIENT_FRESH:
                 return client
-        if state.resting[Standing.SILENT]:
+        if any(state.resting[standing] for standing in NEW):
             self.core.ring(("room", 0), self.core.now + CLIENT_FRESH)
         return None
 
@@ -100,7 +111,7 @@
             client.reading = True
             self.state.parting.discard(client.id)
             if client.answered:  # else its time runs since it has connected
-                self._rest(client, None)
+                self.rest(client, None)
                 self.core.ring(("client", client.id), self.core.now + CLIENT_SLOW)
 
     def _on_refused(self, event: fx.Refused) -> None:
@@ -117,7 +128,7 @@
             return
         client.reading = False
         state.parting.discard(client.id)
-        self._rest(client, None)
+        self.rest(client, None)
         self.core.quiet(("client", client.id))
         self.core.count("authorisations")
         if event.elsewhere or event.name in state.names:  # its twin is out and might run twice
@@ -174,7 +185,7 @@
         if (client := self.state.clients.get(event.client)) is not None:
             client.answered += 1
             client.reading = False
-            self._rest(client, Standing.KEPT if client.served else Standing.ANSWERED)
+            self.rest(client, Standing.KEPT if client.served else Standing.ANSWERED)
             self.core.ring(("client", client.id), self.core.now + CLIENT_IDLE)
             if self.state.life is Life.SHUT:
                 self.core.ask(fx.Drop(client.id))
@@ -183,13 +194,13 @@
 
     def _on_ending(self, event: fx.Ending) -> None:
         if (client := self.state.clients.get(event.client)) is not None:
-            self._rest(client, Standing.ENDING)
+            self.rest(client, Standing.ENDING)
             self.make_room()
 
     def _on_parted(self, event: fx.Parted) -> None:
         if (client := self.state.clients.pop(event.client, None)) is None:
             return
-        self._rest(client, None)
+        self.rest(client, None)
         self.state.parting.discard(client.id)
         self.core.quiet(("client", client.id))
         if (auth := client.authorisation) is not None:
--- a/reedspoke/net/core.py
+++ b/reedspoke/net/core.py
@@ -27,6 +27,15 @@
 Rings = dict[str, Callable[[int], None]]  # by the first part of the timer's key
 
 
+@dataclass(slots=True, frozen=True)
+class Further:
+    """What parts beyond the platform's program take of the limits."""
+
+    descriptors: int = 0
+    memory_mb: float = 0
+    client_kb: float = 0  # for each client
+
+
 @dataclass(slots=True, frozen=True)
 class Budget:
     """Descriptors: a client that is served needs one of its own and one for its leg."""
@@ -36,16 +45,22 @@
     sockets: int = 0  # what it was made of
     memory_mb: float = 0
     door: int = 0
+    further: Further = Further()
 
     @classmethod
-    def of(cls, sockets: int, memory_mb: float = 192, door: int = 0) -> Budget:
+    def of(
+        cls, sockets: int, memory_mb: float = 192, door: int = 0, further: Further | None = None
+    ) -> Budget:
         """Each client may hold the largest body. Usual ones take a third of the descriptors at most, and that
         many are always taken in."""
-        clients = (sockets - OWN_DESCRIPTORS - door - SPARE_LEGS) // 2
-        held = int((memory_mb - OWN_MEMORY) * 1024 / CLIENT_MEMORY)
-        clients = min(clients, max(held, sockets // 3))
+        further = further or Further()
+        sockets_left = sockets - further.descriptors
+        clients = (sockets_left - OWN_DESCRIPTORS - door - SPARE_LEGS) // 2
+        own, each = OWN_MEMORY + further.memory_mb, CLIENT_MEMORY + further.client_kb
+        held = int((memory_mb - own) * 1024 / each)
+        clients = min(clients, max(held, sockets_left // 3))
         clients = max(1, clients)
-        return cls(clients, clients + SPARE_LEGS, sockets, memory_mb, door)
+        return cls(clients, clients + SPARE_LEGS, sockets, memory_mb, door, further)
 
 
 class Core:
@@ -114,3 +129,6 @@
 
     def rings(self) -> Rings:
         return {}
+
+    def after(self) -> None:
+        """Called behind each event, whosever it was."""
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -57,6 +57,20 @@
     client: int
 
 
+@dataclass(slots=True)
+class Greeted:
+    """A client has connected at a front that has to agree with it on keys first."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class Secured:
+    """It has: from here on the client is as any other."""
+
+    client: int
+
+
 @dataclass(slots=True)
 class Reading:
     """The first bytes of an authorisation have come from a client."""
@@ -282,9 +296,9 @@
 
 
 Event = (
-    Joined | Reading | Arrived | Answered | Ending | Refused | Parted | Opened | Written | Heard | Noted
-    | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening | Stop | Reload | Reloaded
-    | Unloaded | Rang | Called | Hungup | Accompanied | Ordered | Unrecorded
+    Joined | Greeted | Secured | Reading | Arrived | Answered | Ending | Refused | Parted | Opened |
+    Written | Heard | Noted | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening |
+    Stop | Reload | Reloaded | Unloaded | Rang | Called | Hungup | Accompanied | Ordered | Unrecorded
 )  # fmt: skip
 
 # ---- effects ----
@@ -314,6 +328,13 @@
     on: bool
 
 
+@dataclass(slots=True)
+class Admit:
+    """Begin further handshakes from now on, or leave who comes for one waiting."""
+
+    on: bool
+
+
 @dataclass(slots=True)
 class Shut:
     """Close the listener; where nobody else has it, take in who is waiting first."""
@@ -439,6 +460,7 @@
     Answer
     | Drop
     | Accept
+    | Admit
     | Shut
     | Dial
     | Transmit
--- a/reedspoke/net/lifecycle.py
+++ b/reedspoke/net/lifecycle.py
@@ -88,7 +88,7 @@
     def _ring_end(self, _: int) -> None:
         self._over()
 
-    def see_end(self) -> None:
+    def after(self) -> None:
         if self.state.life is Life.SHUT and not self.state.clients:
             self._over()
 
--- /dev/null
+++ b/reedspoke/net/listener.py
@@ -0,0 +1,79 @@
+"""A listening socket whose connections are taken in some at a time, and held back for as long as anyone
+asks."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+
+from reedspoke.net.streams import listen
+
+log = logging.getLogger("reedspoke")
+
+AT_ONCE = 16  # connections taken in between two looks at what has come
+
+
+class Listener:
+    """`take` gets each connection; `where` names the listener in the line about one that could not be
+    taken."""
+
+    def __init__(
+        self, address: tuple[str, int], backlog: int, take: Callable[[socket.socket], None], where: str = ""
+    ) -> None:
+        self.address, self.backlog, self.where = address, backlog, where
+        self._take = take
+        self._socket: socket.socket | None = None
+        self._inherited = False
+        self._held: set[str] = set()  # why nobody is taken in now
+
+    def open(self, inherited: socket.socket | None = None) -> None:
+        """With a socket of its own, or with one that the platform holds. Raises OSError."""
+        self._socket = inherited or listen(self.address, self.backlog)
+        self._inherited = inherited is not None
+        self._heed()
+
+    def hold(self, why: str, on: bool) -> None:
+        """Nobody is taken in while any reason to hold stands: the system holds who comes."""
+        if on:
+            self._held.add(why)
+        else:
+            self._held.discard(why)
+        self._heed()
+
+    def _heed(self) -> None:
+        if self._socket is None:
+            return
+        loop = asyncio.get_running_loop()
+        if self._held:
+            loop.remove_reader(self._socket.fileno())
+        else:
+            loop.add_reader(self._socket.fileno(), self._take_in)
+
+    def _take_in(self) -> None:
+        """Take in some of those who wait: their first bytes are read before others may crowd them out."""
+        for _ in range(AT_ONCE):
+            if self._socket is None or self._held:
+                return
+            try:
+                connection, _ = self._socket.accept()
+            except BlockingIOError:  # nobody waits, or another process that shares the listener was faster
+                return
+            except OSError as error:  # the peer is gone again, or descriptors ran out in spite of the budget
+                log.error("fault: accept%s: %s", self.where, error)
+                return
+            self._take(connection)
+
+    def shut(self) -> None:
+        """Take in who waits, unless they are a successor's, and close."""
+        if not self._inherited:
+            for _ in range(0, self.backlog, AT_ONCE):
+                self._take_in()
+        self.close()
+
+    def close(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -7,15 +7,15 @@
 import logging
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.acquirer import Acquirer
 from reedspoke.net.config import Config, ConfigError, load, reload
-from reedspoke.net.core import DOOR, Budget
+from reedspoke.net.core import DOOR, Budget, Further
 from reedspoke.net.directory import Directory, listed
 from reedspoke.net.handover import Handover, inherited
 from reedspoke.net.issuer import Issuer
@@ -26,12 +26,25 @@
 log = logging.getLogger("reedspoke")
 
 
+class Extension(Protocol):
+    """A part beyond the platform's program, with sockets or threads of its own."""
+
+    def effects(self) -> dict[type, Callable[[Any], None]]: ...
+
+    def open(self) -> None: ...
+
+    def reload(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
 class Node:
-    """Make it inside a running loop."""
+    """Make it inside a running loop. `further`: what parts that will be attached take of the limits."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, further: Further | None = None) -> None:
         self.config = config
-        budget = Budget.of(config.sockets, config.memory_mb, DOOR if config.ops else 0)
+        budget = Budget.of(config.sockets, config.memory_mb, DOOR if config.ops else 0, further)
+        self._extensions: list[Extension] = []
         given = config.inherited
         reducer = Reducer(
             config.settings, config.seed, budget, config.conn_idle, config.discovery, given is not None
@@ -48,6 +61,11 @@
         if self.door is not None:
             self.runtime.attach(self.door)
 
+    def extend(self, extension: Extension) -> None:
+        """Before `run`."""
+        self.runtime.attach(extension)
+        self._extensions.append(extension)
+
     def stop(self) -> None:
         """Begin a planned end: answer what was taken, then let `run` return."""
         self.runtime.emit(fx.Stop())
@@ -55,6 +73,8 @@
     def reload(self) -> None:
         """Read the configuration again and take up what can change in service."""
         self.runtime.emit(fx.Reload())
+        for extension in self._extensions:
+            extension.reload()
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
         return {fx.Reread: self._reread}
@@ -78,6 +98,8 @@
         self.runtime.emit(known)
         if self.door is not None:
             self.door.open()
+        for extension in self._extensions:
+            extension.open()
         given = self.config.inherited
         self.acquirer.open(inherited(given) if given is not None else None)
         log.info(
@@ -85,6 +107,8 @@
         )
         await self.runtime.over.wait()
         self.acquirer.close()
+        for extension in self._extensions:
+            extension.close()
         if self.door is not None:
             self.door.close()
         self.handover.close()
@@ -92,8 +116,8 @@
         log.info("stopped")
 
 
-async def serve(config: Config) -> None:
-    node = Node(config)
+async def serve(config: Config, make: Callable[[Config], Node] = Node) -> None:
+    node = make(config)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
@@ -103,13 +127,18 @@
 
 
 def main() -> int:
+    """The platform's program: its log, its exit statuses."""
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
         datefmt="%H:%M:%S",
     )  # fmt: skip
-    signal.signal(
-        signal.SIGHUP, signal.SIG_IGN
-    )  # until it is handled; what it would tell is read at the start
+    return run(load, serve)
+
+
+def run(load: Callable[[], Config], serve: Callable[[Config], Coroutine[Any, Any, None]]) -> int:
+    """The exit status: 0 ended as planned, 1 cannot listen, 2 cannot start as told."""
+    # Until it is handled; what it would tell is read at the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         asyncio.run(serve(load()))
     except ConfigError as error:
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -39,6 +39,7 @@
         self.lifecycle = Lifecycle(core, self.legs, self.hosts)
         self.upkeep = Upkeep(core, self.clients, self.hosts)
         self._reactions: Reactions = {fx.Rung: self._on_rung}
+        self._watchful: list[Concern] = []
         self._rings: Rings = {"module": self._ring_module}
         for concern in (self.clients, self.legs, self.hosts, self.lifecycle, self.upkeep):
             self.add(concern)
@@ -52,6 +53,8 @@
             raise ValueError(f"two concerns for {twice}")
         self._reactions.update(reactions)
         self._rings.update(rings)
+        if type(concern).after is not Concern.after:
+            self._watchful.append(concern)
 
     @property
     def state(self) -> State:
@@ -75,7 +78,8 @@
         self._reactions[type(event)](event)
         while core.told:
             self._tell(core.told.popleft())
-        self.lifecycle.see_end()
+        for concern in self._watchful:
+            concern.after()
         return core.effects
 
     # ---- the module ----
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -22,6 +22,7 @@
 class Standing(Enum):
     """Of a client's connection on which no answer is owed."""
 
+    SHAKING = "shaking"  # it has not agreed on keys with a front that needs them
     ENDING = "ending"  # it has its last answer
     ANSWERED = "answered"  # it has had answers, and none of them was a result
     SILENT = "silent"  # it has not asked anything as yet, or not wholly
--- a/reedspoke/net/streams.py
+++ b/reedspoke/net/streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import ssl
 from contextlib import suppress
 from typing import Any, cast
 
@@ -59,3 +60,27 @@
             sink.start = sink.end = 0
             await read(source, sink)
             most -= sink.end
+
+
+def waits_unread(source: IOStream) -> bool:
+    """Guards a client against a reset: bytes that it has sent wait to be read, and get their answer. Over TLS
+    these may be a whole message or a part of one; the socket's own call is asked, as TLS has none for
+    this."""
+    raw = source.socket
+    if isinstance(raw, ssl.SSLSocket) and raw.pending():
+        return True
+    try:
+        return bool(socket.socket.recv(raw, 1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
+def end_sending(source: IOStream) -> None:
+    """Say that nothing more comes. Over TLS that is said first in its own words, or the other end would
+    have to take what it has read for cut off; from then on what it sends is read as it is, and forgotten."""
+    raw = source.socket
+    if isinstance(raw, ssl.SSLSocket):
+        with suppress(OSError, ValueError):  # it wants to read the other's word, which nobody waits for
+            raw.unwrap()
+    with suppress(OSError):
+        raw.shutdown(socket.SHUT_WR)
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -158,7 +158,7 @@
         if any(not partner.leaving for partner in event.partners):
             left = min(left, whole.sockets // 2)
         memory = whole.memory_mb / (1 + len(event.partners))
-        self.core.budget = Budget.of(left, memory, whole.door) if event.partners else whole
+        self.core.budget = Budget.of(left, memory, whole.door, whole.further) if event.partners else whole
         slots: dict[str, int] = {}
         for partner in event.partners:
             for uid, count in partner.slots.items():
--- /dev/null
+++ b/reedspoke/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator file: what an installation switches on beyond the platform's program."""
--- /dev/null
+++ b/reedspoke/operator/check.py
@@ -0,0 +1,184 @@
+"""Reads an operator file and says plainly what is wrong with it: the key, then why. No I/O but the one
+read."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+
+from reedspoke.operator.types import Operator
+from reedspoke.operator.units import ADDRESS, DURATION, seconds
+
+LONGEST_HANDSHAKE = 2.0  # s: an answer or a close is due 3 s after connecting
+PLACE = re.compile(r"^(?P<what>.*?)(?: - at `(?:key in )?\$(?P<where>[^`]*)`)?$", re.DOTALL)
+UNKNOWN = re.compile(r"Object contains unknown field `(.*)`$")
+MISSING = re.compile(r"Object missing required field `(.*)`$")
+
+
+class OperatorError(Exception):
+    """The operator file is unusable; the text names the key and says why in one line."""
+
+
+def load(path: str | Path) -> Operator:
+    """Raises OperatorError, with the file's name before the key."""
+    try:
+        return parse(Path(path).read_bytes())
+    except OSError as error:
+        raise OperatorError(f"{path}: cannot be read: {error.strerror}") from None
+    except OperatorError as error:
+        raise OperatorError(f"{path}: {error}") from None
+
+
+def parse(raw: bytes) -> Operator:
+    try:
+        told = msgspec.json.decode(raw, type=Operator)
+    except msgspec.ValidationError as error:
+        raise OperatorError(plain(str(error))) from None
+    except msgspec.DecodeError as error:
+        raise OperatorError(f"no JSON: {error}") from None
+    for key, why in contradictions(told):
+        raise OperatorError(f"{key}: {why}")
+    return told
+
+
+def plain(text: str) -> str:
+    """msgspec's words as `key: why`."""
+    found = PLACE.match(text)
+    assert found is not None
+    what, where = found["what"], (found["where"] or "").lstrip(".")
+    for pattern, why in ((UNKNOWN, "unknown key"), (MISSING, "is missing")):
+        if named := pattern.match(what):
+            return f"{where + '.' if where else ''}{named[1]}: {why}"
+    if DURATION in what:
+        what = "no duration with its unit, such as 250ms, 2s, 5m, 12h or 30d"
+    elif ADDRESS in what:
+        what = "no ip:port"
+    elif "regex" in what:
+        what = "has a form that is not allowed here"
+    return f"{where or 'the file'}: {what}"
+
+
+def contradictions(told: Operator) -> Iterator[tuple[str, str]]:
+    yield from _addresses(told)
+    yield from _certificates(told)
+    if told.tls is not None:
+        handshake = seconds(told.tls.handshake)
+        if not 0 < handshake <= LONGEST_HANDSHAKE:
+            yield "tls.handshake", f"must be above 0s and at most {LONGEST_HANDSHAKE:g}s"
+        if not told.certificates:
+            yield "certificates", "tls is on and nothing names a certificate for it"
+    elif told.certificates:
+        yield "tls", "is missing, and certificates are of no use without it"
+    elif told.acme is not None:
+        yield "tls", "is missing, and acme is of no use without it"
+    if told.acme is None:
+        return
+    names = [authority.name for authority in told.acme.authorities]
+    for at, authority in enumerate(told.acme.authorities):
+        key = f"acme.authorities[{at}]"
+        if names.index(authority.name) != at:
+            yield f"{key}.name", f"{authority.name!r} is there twice"
+        yield from _directory(f"{key}.directory", authority.directory)
+        if not seconds(authority.timeout):
+            yield f"{key}.timeout", "must be above 0s"
+    first, most = seconds(told.acme.backoff.first), seconds(told.acme.backoff.most)
+    if not 0 < first <= most:
+        yield "acme.backoff.first", "must be above 0s and at most acme.backoff.most"
+    if told.acme.dns is not None and not seconds(told.acme.dns.limit):
+        yield "acme.dns.limit", "must be above 0s"
+
+
+def _directory(key: str, address: str) -> Iterator[tuple[str, str]]:
+    try:
+        parts = urlsplit(address)
+        host, _ = parts.hostname or "", parts.port
+    except ValueError:
+        yield key, "is no address"
+        return
+    if not host:
+        yield key, "names no host"
+    elif parts.scheme != "https" and not loopback(host):
+        yield key, "must begin with https:// (http is for loopback addresses alone)"
+
+
+def loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == "localhost"
+
+
+def _addresses(told: Operator) -> Iterator[tuple[str, str]]:
+    listens = [("tls.listen", told.tls.listen if told.tls else "")]
+    listens.append(("acme.http.listen", told.acme.http.listen if told.acme and told.acme.http else ""))
+    seen: dict[str, str] = {}
+    for key, listen in listens:
+        if not listen:
+            continue
+        host, _, port = listen.rpartition(":")
+        try:
+            ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        except ValueError:
+            yield key, f"no ip:port: {listen!r}"
+        if not 0 < int(port) < 65536:
+            yield key, f"no port from 1 to 65535: {listen!r}"
+        if listen in seen:
+            yield key, f"is the same as {seen[listen]}"
+        seen[listen] = key
+
+
+def _certificates(told: Operator) -> Iterator[tuple[str, str]]:
+    names: dict[str, int] = {}
+    hosts: dict[str, str] = {}
+    known = {authority.name for authority in told.acme.authorities} if told.acme else set()
+    for at, certificate in enumerate(told.certificates):
+        key = f"certificates[{at}]"
+        if certificate.name in names:
+            yield f"{key}.name", f"{certificate.name!r} is there twice"
+        names[certificate.name] = at
+        for host in certificate.hosts:
+            if host in hosts:
+                yield f"{key}.hosts", f"{host} stands in {hosts[host]} already"
+            hosts[host] = certificate.name
+            if host.startswith("*.") and certificate.challenge == "http-01":
+                yield f"{key}.challenge", f"{host} can be proven by dns-01 alone"
+        if told.acme is None:
+            continue
+        way = told.acme.http if certificate.challenge == "http-01" else told.acme.dns
+        if way is None:
+            yield (
+                f"acme.{certificate.challenge[:-3]}",
+                f"is missing, and certificate {certificate.name} needs it",
+            )
+        for authority in certificate.authorities:
+            if authority not in known:
+                yield f"{key}.authorities", f"{authority!r} is not among acme.authorities"
+
+
+def fixed(told: Operator) -> dict[str, Any]:
+    """What cannot change in service, by key."""
+    return {
+        "log": told.log,
+        "tls": told.tls is not None,
+        "tls.listen": told.tls and told.tls.listen,
+        "tls.store": told.tls and told.tls.store,
+        "acme": told.acme is not None,
+        "acme.http.listen": told.acme and told.acme.http and told.acme.http.listen,
+    }
+
+
+def reloaded(old: Operator, path: str | Path) -> Operator:
+    """The file as it is now, for a process that runs with `old`. Raises OperatorError, and then `old`
+    holds."""
+    new = load(path)
+    before, after = fixed(old), fixed(new)
+    for key in before:
+        if before[key] != after[key]:
+            raise OperatorError(f"{path}: {key}: cannot change in service, it needs a restart")
+    return new
--- /dev/null
+++ b/reedspoke/operator/types.py
@@ -0,0 +1,120 @@
+"""The operator file's shape. Every key is known, every duration has its unit; `check.py` has what a shape
+cannot say."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from reedspoke.operator.units import Address, Duration
+
+VERSION = 1
+Name = Annotated[
+    str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$", description="Small letters, digits, - and _.")
+]
+HOST = r"^(\*\.)?([a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?\.)+[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+Host = Annotated[str, Meta(pattern=HOST, max_length=253, description="A DNS name, maybe with *. before it.")]
+
+
+class Log(Struct, forbid_unknown_fields=True, frozen=True):
+    """How lines are written to standard error."""
+
+    form: Annotated[
+        Literal["plain", "console", "json"],
+        Meta(description="plain: as on the platform; json: one object a line."),
+    ] = "plain"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Tls(Struct, forbid_unknown_fields=True, frozen=True):
+    """A further listener of the acquirer side, over TLS."""
+
+    listen: Address
+    store: Annotated[str, Meta(min_length=1, description="Folder of certificates and keys, mode 0700.")]
+    minimum: Annotated[Literal["1.2", "1.3"], Meta(description="Lowest version of TLS.")] = "1.2"
+    handshake: Annotated[Duration, Meta(description="Longest time for one handshake, 2s at the most.")] = (
+        "1500ms"
+    )
+    handshakes: Annotated[int, Meta(ge=1, le=4096, description="Most handshakes at once.")] = 64
+
+
+class Certificate(Struct, forbid_unknown_fields=True, frozen=True):
+    """One certificate and the names in it."""
+
+    name: Name
+    hosts: Annotated[list[Host], Meta(min_length=1, max_length=100)]
+    challenge: Literal["http-01", "dns-01"] = "http-01"
+    authorities: Annotated[
+        list[Name], Meta(description="In the order in which they are tried; empty: all, as listed.")
+    ] = []
+
+
+class Eab(Struct, forbid_unknown_fields=True, frozen=True):
+    """External account binding (RFC 8555, 7.3.4)."""
+
+    key_id: Annotated[str, Meta(min_length=1)]
+    key_file: Annotated[str, Meta(min_length=1, description="File with the HMAC key, base64url; mode 0600.")]
+
+
+class Authority(Struct, forbid_unknown_fields=True, frozen=True):
+    """A certificate authority that speaks ACME."""
+
+    name: Name
+    directory: Annotated[str, Meta(pattern=r"^https?://", description="Address of its directory; https.")]
+    ca_file: Annotated[
+        str, Meta(description="Roots that its own certificate is checked with; else the system's.")
+    ] = ""
+    contact: Annotated[list[Annotated[str, Meta(pattern=r"^mailto:")]], Meta(max_length=5)] = []
+    terms_agreed: Annotated[bool, Meta(description="Its terms of service are agreed to.")] = False
+    eab: Eab | None = None
+    tries_a_day: Annotated[int, Meta(ge=1, description="Most orders begun there in 24 h.")] = 50
+    timeout: Annotated[Duration, Meta(description="Longest time for one call to it.")] = "15s"
+
+
+class HttpChallenge(Struct, forbid_unknown_fields=True, frozen=True):
+    """http-01: a listener that serves nothing but challenges."""
+
+    listen: Address
+
+
+class DnsChallenge(Struct, forbid_unknown_fields=True, frozen=True):
+    """dns-01: a command that sets and removes a TXT record: COMMAND... add|remove NAME VALUE."""
+
+    command: Annotated[list[str], Meta(min_length=1)]
+    limit: Annotated[Duration, Meta(description="Longest time for one run of it.")] = "60s"
+    settle: Annotated[Duration, Meta(description="Wait between the command and the challenge.")] = "0s"
+
+
+class Backoff(Struct, forbid_unknown_fields=True, frozen=True):
+    """Wait after an error: doubled each time, with jitter, unless the authority names one."""
+
+    first: Duration = "1m"
+    most: Duration = "6h"
+
+
+class Acme(Struct, forbid_unknown_fields=True, frozen=True):
+    """Certificates obtained and renewed by the program itself."""
+
+    authorities: Annotated[list[Authority], Meta(min_length=1, max_length=8)]
+    http: HttpChallenge | None = None
+    dns: DnsChallenge | None = None
+    renew_at: Annotated[
+        float, Meta(ge=0.05, le=0.9, description="Share of the lifetime left at which renewal begins.")
+    ] = 1 / 3
+    spread: Annotated[float, Meta(ge=0, le=0.5, description="Jitter: share of the time before renewal.")] = (
+        0.1
+    )
+    backoff: Backoff = msgspec.field(default_factory=Backoff)
+    use_ari: Annotated[bool, Meta(description="Ask the authority for its window (RFC 9773).")] = True
+
+
+class Operator(Struct, forbid_unknown_fields=True, frozen=True):
+    """reedspoke's operator file."""
+
+    version: Literal[1]
+    log: Log = msgspec.field(default_factory=Log)
+    tls: Tls | None = None
+    certificates: Annotated[list[Certificate], Meta(max_length=1000)] = []
+    acme: Acme | None = None
--- /dev/null
+++ b/reedspoke/operator/units.py
@@ -0,0 +1,31 @@
+"""Durations and addresses as the operator file writes them."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+from msgspec import Meta
+
+DURATION = r"^[0-9]{1,9}(\.[0-9]{1,6})?(ms|s|m|h|d)$"
+ADDRESS = r"^(\[[0-9a-fA-F:.]+\]|[0-9.]+):[0-9]{1,5}$"
+SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86_400.0}
+
+Duration = Annotated[
+    str, Meta(pattern=DURATION, description="A number with its unit: 250ms, 2s, 5m, 12h or 30d.")
+]
+Address = Annotated[
+    str, Meta(pattern=ADDRESS, description="ip:port, IPv6 in brackets; names are not resolved.")
+]
+
+
+def seconds(text: str) -> float:
+    """A duration in seconds. Raises ValueError where the unit is missing or unknown."""
+    found = re.match(DURATION, text)
+    if found is None:
+        raise ValueError(f"no duration such as 250ms, 2s, 5m, 12h or 30d: {text!r}")
+    return float(text[: found.start(2)]) * SECONDS[found[2]]
+
+
+def microseconds(text: str) -> int:
+    return round(seconds(text) * 1_000_000)
