Renew certificates over ACME by a pure engine; TLS front, store, authority, lab

Need: partner-facing names need certificates that the program gets and renews by itself, and a place to see that it does.

Change: tls/ has the front (handshakes counted and bounded by the reducer, names chosen by SNI), the store (one file for key, certificate and chain, written by rename) and what a certificate must be. acme/ has the engine without I/O or clock, and around it the acme library in threads, the http-01 listener and the dns-01 command. lab/ has an authority of RFC 8555 and RFC 9773 that misbehaves, emulated hosts, clients, and the experiments acme, tls and demo. cli/ is the command line.

Ruled out on the way: a back-off that only doubles let a certificate run out while an authority hung (15 s of a 4 s margin); waits are now at most an eighth of the time left, and an authority that answers nobody is passed over when a quarter of the margin is gone.

--- a/Makefile
+++ b/Makefile
@@ -2,15 +2,18 @@
 PYTHON = .venv/bin/python
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: build test lint format run check
+.PHONY: build demo test lint format run check
 
 build: .venv/made
 
-.venv/made: requirements.txt requirements-dev.txt
+.venv/made: requirements.txt requirements-operator.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt
 	touch $@
 
+demo: build
+	$(PYTHON) -m reedspoke demo
+
 test: build
 	$(PYTHON) -m pytest
 
--- a/reedspoke/__main__.py
+++ b/reedspoke/__main__.py
@@ -1,8 +1,24 @@
-"""`python -m reedspoke` starts one real scheduler; PROXY_* tell it what it needs."""
+"""`python -m reedspoke` starts one real scheduler; PROXY_* tell it what it needs. With arguments, or with an
+operator file named in the environment, it is the command line."""
 
+import os
 import sys
 
-from reedspoke.net.node import main
+
+def main() -> int:
+    if len(sys.argv) < 2 and not os.environ.get("REEDSPOKE_OPERATOR"):
+        from reedspoke.net.node import main as platform
+
+        return platform()
+    try:
+        from reedspoke.cli.main import main as command
+    except ModuleNotFoundError as error:
+        print(
+            f"reedspoke: {error.name} is not installed: requirements-operator.txt names it", file=sys.stderr
+        )
+        return 2
+    return command()
+
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/reedspoke/acme/service.py
@@ -0,0 +1,190 @@
+"""Keeps certificates in force: what is in the store serves, the engine gets new ones, operators see how it
+stands."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from reedspoke.acme import words
+from reedspoke.acme.driver import Driver, wall
+from reedspoke.acme.engine import Engine
+from reedspoke.acme.limits import Limits
+from reedspoke.acme.plan import Policy
+from reedspoke.acme.record import Record, TornError, unpacked
+from reedspoke.acme.renewal import Place, Rules, Wanted
+from reedspoke.net.config import address
+from reedspoke.operator.check import OperatorError, reloaded
+from reedspoke.operator.types import Acme, Certificate, Operator
+from reedspoke.operator.units import microseconds
+from reedspoke.tls.certificate import Pair, UnfitError, fit
+from reedspoke.tls.front import Front
+from reedspoke.tls.handshakes import Handshakes
+from reedspoke.tls.meters import Meters
+from reedspoke.tls.store import Store
+
+log = logging.getLogger("reedspoke")
+
+TICK = 0.1  # s
+LOOK = 0.5  # s between looks at what operators and other processes have put into the store
+POLL_MOST = 1_000_000  # us
+
+
+def wanted(certificate: Certificate, acme: Acme) -> Wanted:
+    """The operator file's words as the engine's."""
+    places = {
+        one.name: Place(one.name, one.tries_a_day, microseconds(one.timeout)) for one in acme.authorities
+    }
+    names = certificate.authorities or list(places)
+    return Wanted(
+        certificate.name,
+        tuple(certificate.hosts),
+        certificate.challenge,
+        tuple(places[name] for name in names),
+    )
+
+
+def rules(acme: Acme) -> Rules:
+    first, most = microseconds(acme.backoff.first), microseconds(acme.backoff.most)
+    return Rules(
+        policy=Policy(acme.renew_at, acme.spread),
+        first=first,
+        most=most,
+        poll=min(first, POLL_MOST),
+        patience=microseconds(acme.order_limit),
+        command=microseconds(acme.dns.limit) + microseconds(acme.dns.settle) if acme.dns else POLL_MOST,
+        use_ari=acme.use_ari,
+    )
+
+
+class Service:
+    """An extension of the node. Raises nothing once it is made: what is wrong with a file is told and renewed
+    round."""
+
+    def __init__(
+        self, operator: Operator, path: Path, store: Store, front: Front, handshakes: Handshakes, meters:
+        Meters, now: Callable[[], int] = wall,
+    ) -> None:  # fmt: skip
+        self.operator, self.path, self.store = operator, path, store
+        self.front, self.handshakes, self.meters, self.now = front, handshakes, meters, now
+        self.engine = Engine()
+        self.driver = Driver(self.engine, store, meters, self._install, now)
+        self._stamps: dict[str, tuple[int, int]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def effects(self) -> dict[type, Callable[[Any], None]]:
+        return {}
+
+    def open(self) -> None:
+        acme = self.operator.acme
+        if acme is not None and acme.http is not None:
+            from reedspoke.acme.challenges import HttpAnswers
+
+            self.driver.http = HttpAnswers(address(acme.http.listen, "acme.http.listen"))
+            try:
+                self.driver.http.open()
+            except OSError as error:
+                log.error("acme: challenge listener %s: %s", acme.http.listen, error.strerror)
+        self._take_up()
+        self._task = asyncio.ensure_future(self._run())
+
+    def _take_up(self) -> None:
+        """The operator file, as it is now."""
+        told = self.operator
+        assert told.tls is not None
+        self.front.names.want((one.name, one.hosts) for one in told.certificates)
+        self.handshakes.bound(microseconds(told.tls.handshake), told.tls.handshakes)
+        before = set(self.engine.renewals)
+        steps: list[words.Step] = []
+        if told.acme is not None:
+            self.driver.authorities(told.acme.authorities)
+            self.driver.dns = told.acme.dns
+            meant = rules(told.acme)
+            steps = self.engine.want([wanted(one, told.acme) for one in told.certificates], meant, self.now())
+            for authority in told.acme.authorities:
+                if (found := self._kept(f"{authority.name}.rate", Limits)) is not None and not before:
+                    self.engine.resume_limits(authority.name, found)
+        for one in told.certificates:
+            if one.name not in before and (record := self._kept(f"{one.name}.order", Record)) is not None:
+                self.engine.resume(record)
+            self._look_at(one.name)
+        for name in before - {one.name for one in told.certificates}:
+            self.meters.gone(name)
+            self._stamps.pop(name, None)
+        self.driver.do(steps)
+
+    def _kept(self, file: str, kind: type[Any]) -> Any:
+        try:
+            raw = self.store.read(file)
+            return unpacked(raw, kind) if raw is not None else None
+        except (TornError, UnfitError, OSError) as error:
+            log.error("acme: %s is unusable and passed over: %s", file, error)
+            return None
+
+    def reload(self) -> None:
+        """SIGHUP has come."""
+        try:
+            self.operator = reloaded(self.operator, self.path)
+        except OperatorError as error:
+            log.error("reload: the operator file in force stays: %s", error)
+            return
+        log.info("reload: the operator file holds, %d certificates", len(self.operator.certificates))
+        self._take_up()
+
+    async def _run(self) -> None:
+        looked = 0.0
+        while True:
+            try:
+                now = asyncio.get_running_loop().time()
+                if now - looked >= LOOK:
+                    looked = now
+                    self._look()
+                self.driver.do(self.engine.tick(self.now()))
+            except Exception:
+                log.exception("fault: certificates")
+            await asyncio.sleep(TICK)
+
+    def _look(self) -> None:
+        """What others have put into the store, and the figures."""
+        for one in self.operator.certificates:
+            if self.store.stamp(f"{one.name}.pem") != self._stamps.get(one.name):
+                self._look_at(one.name)
+            if self.store.stamp(f"{one.name}.wanted") != (0, 0) and self.store.remove(f"{one.name}.wanted"):
+                self.driver.do(self.engine.force(one.name, self.now()))
+            left, alarm = self._standing(one.name)
+            self.meters.certificate(one.name, left, alarm)
+
+    def _standing(self, name: str) -> tuple[float, int]:
+        if name in self.engine.renewals:
+            return self.engine.alarm(name, self.now())
+        ends = next((held.ends for held in self.front.names.held() if held.name == name), 0)
+        left = (ends - self.now()) / 1_000_000 if ends else 0.0
+        return left, 0 if left > 0 else 3
+
+    def _look_at(self, name: str) -> None:
+        """A certificate in the store, whoever put it there. Read on the event loop: a few kilobytes."""
+        self._stamps[name] = self.store.stamp(f"{name}.pem")
+        try:
+            found = self.store.load(name)
+            if found is None:
+                return
+            fit(found, (), self.now(), 3600 * 1_000_000)
+            self._install(name, found)
+        except (UnfitError, OSError, ssl.SSLError) as error:
+            log.error("tls: %s.pem is unusable and passed over: %s", name, error)
+            return
+        self.engine.held(name, words.Installed(found.begins, found.ends, found.serial, found.hosts))
+
+    def _install(self, name: str, found: Pair) -> None:
+        """Into service: from the next handshake on."""
+        self.front.hold(name, found)
+        self._stamps[name] = self.store.stamp(f"{name}.pem")
+
+    def close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        self.driver.close()
--- /dev/null
+++ b/reedspoke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin, each command imports what it needs."""
--- /dev/null
+++ b/reedspoke/cli/lab.py
@@ -0,0 +1,38 @@
+"""`reedspoke demo` and `reedspoke lab`: experiments in one form."""
+
+from __future__ import annotations
+
+import importlib
+
+import click
+
+# name -> module with `play`, default seconds, what it shows
+EXPERIMENTS = {
+    "acme": ("reedspoke.lab.acme", 30.0, "Renewals by the dozen from an authority that misbehaves."),
+    "tls": ("reedspoke.lab.tls", 30.0, "What TLS costs: CPU and requests a second, plain against TLS."),
+}
+
+
+def experiment(name: str, module: str, seconds: float, text: str) -> click.Command:
+    @click.command(name, help=f"{text} Exit status 0 only if all held.")
+    @click.option("--seconds", type=click.FloatRange(0.5, 3600), default=seconds, show_default=True)
+    @click.option("--seed", type=int, default=1, show_default=True)
+    @click.option("--json", "json_file", metavar="FILE", help="Write the figures as JSON; - for stdout.")
+    def command(seconds: float, seed: int, json_file: str | None) -> int:
+        from reedspoke.lab.experiment import run
+
+        return run(importlib.import_module(module).play, seconds, seed, json_file)
+
+    return command
+
+
+demo = experiment("demo", "reedspoke.lab.demo", 8.0, "The main job on loopback, with nothing else at hand.")
+
+
+@click.group()
+def lab() -> None:
+    """Experiments on loopback: real sockets, emulated peers, and invariants that these count."""
+
+
+for _name, (_module, _seconds, _text) in EXPERIMENTS.items():
+    lab.add_command(experiment(_name, _module, _seconds, _text))
--- /dev/null
+++ b/reedspoke/lab/hosts.py
@@ -0,0 +1,206 @@
+"""Emulated issuer hosts and discovery on loopback. They count what reaches them: experiments judge by
+that."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+BEAT = 1.0  # s between discovery's signs of life
+
+
+@dataclass(slots=True)
+class Message:
+    first: str
+    fields: dict[str, str]
+    body: bytes
+
+
+async def message(reader: asyncio.StreamReader) -> Message | None:
+    """A request or an answer with a length; None where the connection has ended before one began."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as error:
+        if error.partial:
+            raise ConnectionResetError("half a message") from None
+        return None
+    first, *lines = head[:-4].decode("latin-1").split("\r\n")
+    fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    return Message(first, fields, body)
+
+
+class Peer:
+    """A listening address whose connections are served until it is closed."""
+
+    def __init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.endpoint = ""
+
+    async def open(self) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.endpoint = f"{host}:{port}"
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self.serve(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What ran where, by id, for all hosts together."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    unsafe_twice: int = 0
+    legs: int = 0
+
+    def run(self, name: str, unsafe: bool) -> None:
+        self.legs += 1
+        self.runs[name] += 1
+        if unsafe and self.runs[name] > 1:
+            self.unsafe_twice += 1
+
+
+class Host(Peer):
+    """Runs what fits its slots, queues some more in order, and hands back the rest as never run."""
+
+    def __init__(
+        self, uid: str, ledger: Ledger, work: Callable[[str], float], unsafe: frozenset[str],
+        slots: int = 4, queue: int = 24,
+    ) -> None:  # fmt: skip
+        """`work`: s that a job of a class takes."""
+        super().__init__()
+        self.uid, self.ledger, self.work, self.unsafe = uid, ledger, work, unsafe
+        self.slots, self.queue = slots, queue
+        self.busy = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._mean = 0.02
+
+    def entry(self) -> dict[str, object]:
+        return {
+            "uid": self.uid, "endpoint": self.endpoint, "state": "Ready", "az": "a", "model": "fast",
+            "pod_group": 0, "capacity_hint": 1.0, "boot_ms": 0,
+        }  # fmt: skip
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while (asked := await message(reader)) is not None:
+            if asked.first.startswith("GET"):
+                writer.write(b"HTTP/1.1 200 OK\r\nX-Load: %b\r\nContent-Length: 0\r\n\r\n" % self._load())
+                continue
+            if self.busy >= self.slots and len(self._waiting) >= self.queue:
+                writer.write(b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+                continue
+            await self._run(asked, writer)
+
+    async def _run(self, asked: Message, writer: asyncio.StreamWriter) -> None:
+        name, cls = asked.fields["x-request-id"], asked.fields.get("x-class", "")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if self.busy >= self.slots:
+            place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiting.append(place)
+            await place
+        else:
+            self.busy += 1
+        try:
+            self.ledger.run(name, cls in self.unsafe)
+            self._tell(writer, name, "started")
+            since = time.monotonic()
+            await asyncio.sleep(self.work(cls))
+            self._mean += 0.1 * (time.monotonic() - since - self._mean)
+        finally:
+            while self._waiting and (waiter := self._waiting.popleft()) is not None:
+                if not waiter.done():
+                    waiter.set_result(None)
+                    break
+            else:
+                self.busy -= 1
+        self._tell(writer, name, "done", result=f"{name} {cls}", load=self._figures())
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    def _tell(self, writer: asyncio.StreamWriter, name: str, state: str, **more: object) -> None:
+        data = json.dumps({"id": name, "from": self.uid, "state": state, **more}).encode() + b"\n"
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def _figures(self) -> dict[str, float]:
+        free = float(max(0, self.slots - self.busy))
+        return {"mean_ms": self._mean * 1000, "depth": float(len(self._waiting)), "x0": free, "x1": free}
+
+    def _load(self) -> bytes:
+        names = {"mean_ms": "latency_ms", "depth": "queue"}
+        told = ", ".join(f"{names.get(name, name)}={value:.3f}" for name, value in self._figures().items())
+        return f"TEXT {told}".encode()
+
+
+class Discovery(Peer):
+    """Tells the whole list once, then beats."""
+
+    def __init__(self, hosts: list[Host]) -> None:
+        super().__init__()
+        self.hosts = hosts
+
+    def listed(self) -> dict[str, object]:
+        return {"rev": 1, "all": True, "targets": [host.entry() for host in self.hosts]}
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if await message(reader) is None:
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        data = json.dumps(self.listed()).encode() + b"\n"
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        while True:
+            await writer.drain()
+            await asyncio.sleep(BEAT)
+            writer.write(b"1\r\n\n\r\n")
+
+
+class Fleet:
+    """Some hosts and the discovery that lists them."""
+
+    def __init__(
+        self, hosts: int, seed: int, classes: dict[str, float], unsafe: frozenset[str], slots: int = 4
+    ) -> None:
+        """`classes`: mean work of each, s."""
+        self.ledger = Ledger()
+        self._random = random.Random(seed)
+        self._classes = classes
+        self.hosts = [Host(f"s-{at}", self.ledger, self._work, unsafe, slots) for at in range(hosts)]
+        self.discovery = Discovery(self.hosts)
+
+    def _work(self, cls: str) -> float:
+        return min(1.0, self._random.lognormvariate(0, 0.5) * self._classes.get(cls, 0.02))
+
+    async def open(self) -> None:
+        for host in self.hosts:
+            await host.open()
+        await self.discovery.open()
+
+    async def close(self) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*(peer.close() for peer in (*self.hosts, self.discovery)))
--- /dev/null
+++ b/reedspoke/lab/program.py
@@ -0,0 +1,131 @@
+"""A scheduler as its own process, as operators start it, and what the system says of it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from reedspoke.lab.hosts import Fleet
+from reedspoke.lab.settings import settings
+
+TICKS = os.sysconf("SC_CLK_TCK")
+READY = b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n"
+START = 15.0  # s that a start may take
+
+
+class LabError(Exception):
+    """The experiment cannot go on; the text says why."""
+
+
+def free_port() -> int:
+    """From below those that the system hands out, or a connection made meanwhile could take it."""
+    while True:
+        with socket.socket() as free, suppress(OSError):
+            free.bind(("127.0.0.1", random.randrange(20_000, 32_000)))
+            return int(free.getsockname()[1])
+
+
+class Program:
+    """`operator`: the operator file's text as an object, None: the platform's program."""
+
+    def __init__(
+        self, folder: Path, fleet: Fleet, operator: dict[str, Any] | None = None, sockets: int = 1024
+    ) -> None:
+        self.folder, self.operator = folder, operator
+        self.port, self.door = free_port(), free_port()
+        config = {
+            "name": "lab", "seed": "1", "listen": f"127.0.0.1:{self.port}",
+            "ops": f"127.0.0.1:{self.door}", "discovery": fleet.discovery.endpoint,
+            "limits": {"memory_mb": 192, "sockets": sockets}, "known": fleet.discovery.listed(),
+            "settings": settings(),
+        }  # fmt: skip
+        self.config, self.file, self.log = (
+            folder / "config.json",
+            folder / "operator.json",
+            folder / "scheduler.log",
+        )
+        self.config.write_text(json.dumps(config))
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        words = [sys.executable, "-m", "reedspoke"]
+        if self.operator is not None:
+            self.file.write_text(json.dumps(self.operator))
+            words += ["run", "--config", str(self.config), "--operator", str(self.file)]
+        environ = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+        environ.pop("REEDSPOKE_OPERATOR", None)
+        environ |= {"PROXY_CONFIG": str(self.config), "TMPDIR": str(self.folder)}
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(words, env=environ, stderr=log, stdout=log)
+
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
+    async def ready(self) -> None:
+        """Raises LabError where it does not get so far."""
+        end = time.monotonic() + START
+        while time.monotonic() < end:
+            if self._process is None or self._process.poll() is not None:
+                break
+            with suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(READY)
+                answer = await reader.read(64)
+                writer.close()
+                if b" 200 " in answer:
+                    return
+            await asyncio.sleep(0.05)
+        raise LabError(f"the scheduler did not get ready: {self.tail()}")
+
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    def cpu(self) -> float:
+        """s of user and system time so far, of all its threads."""
+        words = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(words[11]) + int(words[12])) / TICKS
+
+    def rss_mb(self) -> float:
+        text = Path(f"/proc/{self.pid}/status").read_text()
+        line = next(line for line in text.splitlines() if line.startswith("VmRSS"))
+        return int(line.split()[1]) / 1024
+
+    def signal(self, number: int) -> None:
+        os.kill(self.pid, number)
+
+    def tail(self, lines: int = 3) -> str:
+        if not self.log.exists():
+            return ""
+        return " | ".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+    def faults(self) -> int:
+        """Lines of its log that tell a defect."""
+        return sum(" fault: " in line or "Traceback" in line for line in self.log.read_text().splitlines())
+
+    async def stop(self) -> int:
+        """As planned; its exit status."""
+        if self._process is None:
+            return 0
+        self._process.terminate()
+        try:
+            return await asyncio.to_thread(self._process.wait, 25)
+        except subprocess.TimeoutExpired:
+            return -1
+        finally:
+            self.kill()
+
+    def kill(self) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
--- a/reedspoke/logs.py
+++ b/reedspoke/logs.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from structlog.typing import EventDict, Processor
 
-QUIET = ("urllib3", "acme", "tornado.general", "asyncio", "requests")  # of them only warnings and worse
+QUIET = ("urllib3", "acme", "asyncio", "requests")  # of them only warnings and worse
+SILENT = ("tornado.general",)  # it has a line for each handshake that fails; the front counts and tells them
 
 
 def subject(_: Any, __: str, event: EventDict) -> EventDict:
@@ -61,3 +62,5 @@
     root.setLevel(level.upper())
     for name in QUIET:
         logging.getLogger(name).setLevel(logging.WARNING)
+    for name in SILENT:
+        logging.getLogger(name).setLevel(logging.ERROR)
--- a/reedspoke/net/operators.py
+++ b/reedspoke/net/operators.py
@@ -147,6 +147,7 @@
         self._callers: dict[int, Caller] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._numbers = count(1)
+        self.more: Callable[[], str] = lambda: ""  # figures of parts beyond the platform's program
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
         return {fx.Reply: self._reply, fx.Dismiss: self._dismiss}
@@ -180,6 +181,7 @@
                 reducer = self.runtime.reducer
                 classes = [cls.name for cls in reducer.settings.classes]
                 told = metrics.text(reducer.state, classes, reducer.module.avoided(self.runtime.clock.now()))
+                told += self.more()
             caller.reply.set_result((effect.word, told))
 
     def _dismiss(self, effect: fx.Dismiss) -> None:
--- a/reedspoke/operator/types.py
+++ b/reedspoke/operator/types.py
@@ -107,6 +107,7 @@
         0.1
     )
     backoff: Backoff = msgspec.field(default_factory=Backoff)
+    order_limit: Annotated[Duration, Meta(description="An order not done by then is given up.")] = "1h"
     use_ari: Annotated[bool, Meta(description="Ask the authority for its window (RFC 9773).")] = True
 
 
