--- a/reedspoke/acme/plan.py
+++ b/reedspoke/acme/plan.py
@@ -53,7 +53,7 @@
 
     def near(self, life: Life | None, now: int, down: int) -> bool:
         """Expiry is so near that another authority is better than patience; without a certificate it always
-        is. `down`: calls in a row that the authority in use has not answered."""
+        is. `down`: failures in a row of the authority in use."""
         share = NEAR_DOWN if down >= DOWN else NEAR
         return life is None or now >= life.ends - int(self.margin(life) * share)
 
--- a/reedspoke/acme/renewal.py
+++ b/reedspoke/acme/renewal.py
@@ -171,7 +171,8 @@
         ]
         order = self._place_named(self.record.authority) if self.record.order else None
         if len(open_) > 1:
-            down = self.limits(open_[0].name).down
+            first = open_[0].name
+            down = max(self.limits(first).down, self.record.strikes.get(first, 0))
             near = self.rules.policy.near(self.life if self.covers() else None, now, down)
             if near and (self.record.strikes or down >= DOWN):
                 return min(open_, key=self._record_of_failures)
--- a/reedspoke/tls/front.py
+++ b/reedspoke/tls/front.py
@@ -37,8 +37,8 @@
 ALERTS = {
     "no_name": ssl.AlertDescription.ALERT_DESCRIPTION_UNRECOGNIZED_NAME,
     "unknown_name": ssl.AlertDescription.ALERT_DESCRIPTION_UNRECOGNIZED_NAME,
-    "no_certificate": ssl.AlertDescription.ALERT_DESCRIPTION_CERTIFICATE_UNOBTAINABLE,
-    "expired": ssl.AlertDescription.ALERT_DESCRIPTION_CERTIFICATE_UNOBTAINABLE,
+    "no_certificate": ssl.AlertDescription.ALERT_DESCRIPTION_HANDSHAKE_FAILURE,
+    "expired": ssl.AlertDescription.ALERT_DESCRIPTION_HANDSHAKE_FAILURE,
 }
 
 
--- a/reedspoke/tls/names.py
+++ b/reedspoke/tls/names.py
@@ -7,7 +7,7 @@
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
-EDGE = 1_000_000  # us before its end from which a certificate is not used: the handshake would end behind it
+EDGE = 250_000  # us before its end from which a certificate is not used: the handshake would end behind it
 
 
 @dataclass(slots=True, frozen=True)
