One form for all files of the store; the command line's entry says where it ends

Need: the certificate's file and the order's had the same first line written twice, and cli/main.py a way into the platform's program that __main__ takes before it.

Change: tls/sealed.py seals and unseals; both use it.

--- a/reedspoke/acme/account.py
+++ b/reedspoke/acme/account.py
@@ -12,8 +12,9 @@
 from josepy.jwk import JWKEC
 from msgspec import Struct
 
-from reedspoke.acme.record import TornError, packed, unpacked
+from reedspoke.acme.record import packed, unpacked
 from reedspoke.tls.certificate import UnfitError
+from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
 
 
--- a/reedspoke/acme/network.py
+++ b/reedspoke/acme/network.py
@@ -30,10 +30,10 @@
 from reedspoke.acme import words
 from reedspoke.acme.account import Account
 from reedspoke.acme.problems import retry_after, trouble
-from reedspoke.acme.record import TornError
 from reedspoke.acme.words import Trouble
 from reedspoke.operator.types import Authority
 from reedspoke.operator.units import seconds
+from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
 
 log = logging.getLogger("reedspoke")
--- a/reedspoke/acme/record.py
+++ b/reedspoke/acme/record.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TypeVar
 
 import msgspec
 from msgspec import Struct
 
 from reedspoke.acme.limits import Pause
+from reedspoke.tls.sealed import TornError, seal, unseal
 
 FORM = 1
 MARK = b"reedspoke-acme"
@@ -44,28 +44,16 @@
         self.begun = 0
 
 
-class TornError(Exception):
-    """What was read is not what was written; the text says why."""
-
-
 T = TypeVar("T", bound=Struct)
 
 
 def packed(told: Struct) -> bytes:
-    body = msgspec.json.encode(told)
-    return b"%b %d %b\n" % (MARK, FORM, hashlib.sha256(body).hexdigest().encode()) + body
+    return seal(MARK, FORM, msgspec.json.encode(told))
 
 
 def unpacked(raw: bytes, kind: type[T]) -> T:
-    """Raises TornError for what is torn, foreign, or of a later form."""
-    first, _, body = raw.partition(b"\n")
-    words = first.split(b" ")
-    if len(words) != 3 or words[0] != MARK or not words[1].isdigit():
-        raise TornError("it is no file of this program")
-    if int(words[1]) != FORM:
-        raise TornError(f"its form is {int(words[1])}, this program knows {FORM}")
-    if hashlib.sha256(body).hexdigest().encode() != words[2]:
-        raise TornError("it is torn")
+    """Raises TornError for what is torn, foreign, or of another form."""
+    body = unseal(MARK, FORM, raw)
     try:
         return msgspec.json.decode(body, type=kind)
     except (msgspec.MsgspecError, ValueError) as error:
--- a/reedspoke/acme/service.py
+++ b/reedspoke/acme/service.py
@@ -15,7 +15,7 @@
 from reedspoke.acme.engine import Engine
 from reedspoke.acme.limits import Limits
 from reedspoke.acme.plan import Policy
-from reedspoke.acme.record import Record, TornError, unpacked
+from reedspoke.acme.record import Record, unpacked
 from reedspoke.acme.renewal import Place, Rules, Wanted
 from reedspoke.net.config import address
 from reedspoke.operator.check import OperatorError, reloaded
@@ -25,6 +25,7 @@
 from reedspoke.tls.front import Front
 from reedspoke.tls.handshakes import Handshakes
 from reedspoke.tls.meters import Meters
+from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
 
 log = logging.getLogger("reedspoke")
--- a/reedspoke/cli/certs.py
+++ b/reedspoke/cli/certs.py
@@ -67,8 +67,9 @@
 
 def standing(place: Place, name: str, hosts: list[str]) -> dict[str, Any]:
     """One certificate as it lies in the store, for people and for scripts."""
-    from reedspoke.acme.record import Record, TornError, unpacked
+    from reedspoke.acme.record import Record, unpacked
     from reedspoke.tls.certificate import UnfitError, fit
+    from reedspoke.tls.sealed import TornError
 
     now = time.time_ns() // 1000
     told: dict[str, Any] = {"name": name, "hosts": hosts, "state": "none", "ends": "", "left_s": 0.0}
--- a/reedspoke/cli/main.py
+++ b/reedspoke/cli/main.py
@@ -1,8 +1,9 @@
-"""`reedspoke`, also `python -m reedspoke ARGUMENTS`. Without arguments it is the platform's program."""
+"""`reedspoke`, also `python -m reedspoke ARGUMENTS`. Who calls without arguments gets the platform's
+program from `__main__`, and nothing of this; only an operator file named in the environment leads here
+then."""
 
 from __future__ import annotations
 
-import os
 import sys
 from collections.abc import Sequence
 from importlib import metadata
@@ -11,8 +12,6 @@
 
 from reedspoke.cli import certs, config, lab, run
 
-OPERATOR = "REEDSPOKE_OPERATOR"
-
 
 def version() -> str:
     try:
@@ -40,17 +39,10 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """The console script. Nothing of the command line is in use where there are no arguments."""
-    arguments = sys.argv[1:] if arguments is None else list(arguments)
-    if not arguments:
-        if os.environ.get(OPERATOR):
-            arguments = ["run"]
-        else:
-            from reedspoke.net.node import main as platform
-
-            return platform()
+    """The exit status."""
+    words = list(sys.argv[1:] if arguments is None else arguments) or ["run"]
     try:
-        status = root.main(list(arguments), prog_name="reedspoke", standalone_mode=False)
+        status = root.main(words, prog_name="reedspoke", standalone_mode=False)
         return status if isinstance(status, int) else 0
     except click.exceptions.Exit as error:
         return error.exit_code
--- a/reedspoke/tls/certificate.py
+++ b/reedspoke/tls/certificate.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -18,6 +17,8 @@
     load_pem_private_key,
 )
 
+from reedspoke.tls.sealed import TornError, seal, unseal
+
 SECOND = 1_000_000
 MOST_CHAIN = 8
 MOST_BYTES = 256 * 1024
@@ -113,20 +114,15 @@
 
 def packed(found: Pair) -> bytes:
     """One text with key, certificate and chain, and a first line that tells a torn one."""
-    body = found.pem
-    return b"%b %d %b\n" % (MARK, FORM, hashlib.sha256(body).hexdigest().encode()) + body
+    return seal(MARK, FORM, found.pem)
 
 
 def unpacked(raw: bytes) -> Pair:
-    """Raises UnfitError for what is torn, foreign, or of a later form."""
-    first, _, body = raw.partition(b"\n")
-    words = first.split(b" ")
-    if len(words) != 3 or words[0] != MARK or not words[1].isdigit():
-        raise UnfitError("it is no file of this program")
-    if int(words[1]) != FORM:
-        raise UnfitError(f"its form is {int(words[1])}, this program knows {FORM}")
-    if hashlib.sha256(body).hexdigest().encode() != words[2]:
-        raise UnfitError("it is torn")
+    """Raises UnfitError for what is torn, foreign, or of another form."""
+    try:
+        body = unseal(MARK, FORM, raw)
+    except TornError as error:
+        raise UnfitError(str(error)) from None
     at = body.find(b"-----BEGIN CERTIFICATE-----")
     if at < 0:
         raise UnfitError("it holds no certificate")
--- /dev/null
+++ b/reedspoke/tls/sealed.py
@@ -0,0 +1,26 @@
+"""The form of files in the store: a first line with the kind, the form's number and a digest of the rest."""
+
+from __future__ import annotations
+
+import hashlib
+
+
+class TornError(Exception):
+    """What was read is not what was written; the text says why and holds nothing of it."""
+
+
+def seal(mark: bytes, form: int, body: bytes) -> bytes:
+    return b"%b %d %b\n" % (mark, form, hashlib.sha256(body).hexdigest().encode()) + body
+
+
+def unseal(mark: bytes, form: int, raw: bytes) -> bytes:
+    """The body. Raises TornError for what is torn, foreign, or of another form."""
+    first, _, body = raw.partition(b"\n")
+    words = first.split(b" ")
+    if len(words) != 3 or words[0] != mark or not words[1].isdigit():
+        raise TornError("it is no file of this program")
+    if int(words[1][:9]) != form:
+        raise TornError(f"its form is {int(words[1][:9])}, this program knows {form}")
+    if hashlib.sha256(body).hexdigest().encode() != words[2]:
+        raise TornError("it is torn")
+    return body
--- a/tests/acme/test_parts.py
+++ b/tests/acme/test_parts.py
@@ -17,11 +17,12 @@
 from reedspoke.acme.limits import DAY, Limits, Pause, backoff
 from reedspoke.acme.plan import Life, Policy, chance
 from reedspoke.acme.problems import retry_after, trouble
-from reedspoke.acme.record import Record, TornError, packed, unpacked
+from reedspoke.acme.record import Record, packed, unpacked
 from reedspoke.acme.words import Trouble
 from reedspoke.lab.issuing import Issuer
 from reedspoke.tls.certificate import Pair
 from reedspoke.tls.meters import Meters
+from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
 from tests.acme.desk import NOW, RULES, wanted
 from tests.tls.test_certificate import made
