Refusals and errors of the acquirer side say what they are: problem+json, Allow on 405

Need: a 400, 404 or 405 came with an empty body, and a stranger's client was left to guess.

Change: net/problems.py has a stable type for each refusal and error (RFC 9457); bodies of final answers are made once. 405 carries Allow. Nothing that a client sent is repeated. /ready and results stay as they were; an answer to HEAD has no body.

--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -13,6 +13,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from reedspoke.net import effects as fx
+from reedspoke.net import problems
 from reedspoke.net.core import SECOND
 from reedspoke.net.http import SCANT, Buffer, Head, MalformedError, Requests
 from reedspoke.net.listener import Listener
@@ -72,7 +73,7 @@
                 pass
         except MalformedError as error:
             emit(fx.Refused(error.status, str(error)))
-            await self._last(error.status)
+            await self._last(error.status, str(error))
         except PartedError:
             await self._end(True)
         except (StreamClosedError, TimeoutError):
@@ -94,8 +95,12 @@
             self._begin()
         plain = self._plain(head)
         if plain is not None:
-            status, last = plain
-            await self._write(answer_head(status, 0, close=last, more=b"Cache-Control: no-store\r\n"))
+            status, last, allow = plain
+            ready = path(head) == b"/ready" and status != 405
+            told = b"" if ready else problems.of_status(status)
+            more = allow + b"Cache-Control: no-store\r\n" + (b"" if ready else problems.FIELD)
+            data = answer_head(status, len(told), close=last, more=more)
+            await self._write(data if head.method == b"HEAD" else data + told)
             self._answered()
             return await self._end(last)
         length = head.length()
@@ -115,13 +120,13 @@
         message.body = body
         answer = await self._ask(message)
         last = answer.last or not head.keeps_alive()
-        more = b""
+        result, more = answer.result, b""
+        if answer.verdict is not fx.Verdict.SERVED:
+            result, more = problems.OF_VERDICT[answer.verdict], problems.FIELD
         if answer.retry_after > 0:
-            more = b"Retry-After: %.3f\r\n" % (answer.retry_after / SECOND)
+            more += b"Retry-After: %.3f\r\n" % (answer.retry_after / SECOND)
         self.replied = True
-        await self._write(
-            answer_head(STATUS[answer.verdict], len(answer.result), close=last, more=more) + answer.result
-        )
+        await self._write(answer_head(STATUS[answer.verdict], len(result), close=last, more=more) + result)
         self._answered()
         return await self._end(last)
 
@@ -139,19 +144,20 @@
         self.begun = False
         self.side.runtime.emit(fx.Answered(self.number))
 
-    def _plain(self, head: Head) -> tuple[int, bool] | None:
-        """The answer to what is no authorisation: its status, and whether the connection ends with it."""
+    def _plain(self, head: Head) -> tuple[int, bool, bytes] | None:
+        """The answer to what is no authorisation: its status, whether the connection ends with it, and the
+        field that says which method is taken."""
         named = path(head)
         bare = head.length() in (None, 0)
         last = not head.keeps_alive() or not bare or self.side.runtime.leaving()
         if named == b"/ready":
             if head.method not in (b"GET", b"HEAD"):
-                return 405, True
-            return (200 if self.side.runtime.ready() else 503), last
+                return 405, True, b"Allow: GET, HEAD\r\n"
+            return (200 if self.side.runtime.ready() else 503), last, b""
         if class_of(named) not in self.side.classes:
-            return 404, last
+            return 404, last, b""
         if head.method != b"POST":
-            return 405, last
+            return 405, last, b"Allow: POST\r\n"
         return None
 
     async def _ask(self, message: Message) -> fx.Answer:
@@ -202,10 +208,11 @@
     async def _write(self, data: bytes) -> None:
         await asyncio.wait_for(asyncio.shield(self.stream.write(data)), WRITING)
 
-    async def _last(self, status: int) -> None:
+    async def _last(self, status: int, why: str = "") -> None:
         """Tell a client what is wrong with what it sent, as far as it still listens."""
+        told = problems.of_status(status, why)
         with suppress(StreamClosedError, TimeoutError):
-            await self._write(answer_head(status, 0, close=True))
+            await self._write(answer_head(status, len(told), close=True, more=problems.FIELD) + told)
             await self._end(True)
 
     async def _end(self, last: bool) -> bool:
--- a/tests/test_acquirer.py
+++ b/tests/test_acquirer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import select
 import time
 from contextlib import suppress
@@ -69,6 +70,10 @@
     answer = client.message()
     assert answer.status == status
     assert answer.fields["connection"] == "close" or status in (404, 405)
+    told = json.loads(answer.body)
+    assert answer.fields["content-type"] == "application/problem+json"
+    assert (told["status"], told["type"].startswith("urn:reedspoke:problem:")) == (status, True)
+    assert ("allow" in answer.fields) == (status == 405)
     assert node.quiet(0.02), "nothing of it goes out"
     other = node.client(ask())
     node.leg().serve()
@@ -168,6 +173,7 @@
     answer = node.client(ask(deadline=deadline)).message()
     assert answer.status == 503
     assert 0 < float(answer.fields["retry-after"]) <= 2
+    assert json.loads(answer.body)["type"] == "urn:reedspoke:problem:refused"
     assert took(since) < deadline + 0.07
 
 
@@ -262,3 +268,12 @@
     client.send(ask("2b"))
     assert node.leg(wire).serve().fields["x-request-id"] == "2b"
     assert client.message().status == 200
+
+
+def test_an_answer_to_head_has_no_body(start: Start) -> None:
+    """Guards the next answer on that connection: bytes of a body nobody expects would be taken for it."""
+    node = start(hosts=1)
+    client = node.client(b"HEAD /nothing HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert client.head().status == 404
+    client.send(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert client.message().status == 200
