--- a/tests/acme/test_parts.py
+++ b/tests/acme/test_parts.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from reedspoke.acme import words
+from reedspoke.acme.challenges import HttpAnswers
 from reedspoke.acme.driver import Driver
 from reedspoke.acme.engine import Engine
 from reedspoke.acme.limits import DAY, Limits, Pause, backoff
@@ -25,6 +26,7 @@
 from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
 from tests.acme.desk import NOW, RULES, wanted
+from tests.peers import free_port
 from tests.tls.test_certificate import made
 
 
@@ -164,3 +166,40 @@
     engine, called = asyncio.run(play())
     assert [type(step) for step in called] == [words.Enrol]
     assert "No space left" in engine.renewals["api"].record.problem
+
+
+async def asked(port: int, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 4)
+    writer.close()
+    return answer
+
+
+def test_challenge_listener_serves_challenges_and_nothing_else() -> None:
+    async def play() -> None:
+        port = free_port()
+        answers = HttpAnswers(("127.0.0.1", port))
+        answers.publish("token-1", "token-1.print")
+        place = "GET /.well-known/acme-challenge/{} HTTP/1.1\r\nHost: n\r\n\r\n"
+        found = await asked(port, place.format("token-1").encode())
+        assert found.startswith(b"HTTP/1.1 200 ")
+        assert found.endswith(b"\r\n\r\ntoken-1.print")
+        for data, status in (
+            (place.format("token-2").encode(), b"404"), (place.format("").encode(), b"404"),
+            (b"GET / HTTP/1.1\r\nHost: n\r\n\r\n", b"404"), (b"POST / HTTP/1.1\r\nHost: n\r\n\r\n", b"405"),
+            (b"GET /../store/api.pem HTTP/1.1\r\nHost: n\r\n\r\n", b"404"), (b"nonsense\r\n\r\n", b"400"),
+            (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, b"431"),
+        ):  # fmt: skip
+            assert (await asked(port, data)).split()[1] == status
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in range(20)]
+        since = asyncio.get_running_loop().time()
+        assert b" 200 " in await asked(port, place.format("token-1").encode()), "those that hang go after 2 s"
+        assert asyncio.get_running_loop().time() - since < 3
+        answers.withdraw("token-1")
+        assert b" 404 " in await asked(port, place.format("token-1").encode())
+        for _, writer in silent:
+            writer.close()
+        answers.close()
+
+    asyncio.run(play())
