Callers prove who they are at every front: tokens, client certificates, rights, bounds

Need: a partner was known by where it connects from, which breaks once portals share gateways.

The tenant that goes on is the proven one, and Authorization does not go to hosts. Keys come from files that are looked at twice a second. The front over TLS verifies client certificates against the partners' authorities and resumes no session then. The operator file has an identity section with its contradictions.

--- a/reedspoke/assembly.py
+++ b/reedspoke/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -30,7 +31,9 @@
     """Inside a running loop. Raises ConfigError, its text names the key."""
     extra = further(operator)
     if operator.tls is None:
-        return Node(config)
+        node = Node(config)
+        keep(node, operator, path)
+        return node
     if config.sockets < extra.descriptors + 64:
         raise ConfigError(
             f"limits.sockets is {config.sockets}, with tls at least {extra.descriptors + 64} are needed"
@@ -52,15 +55,41 @@
         store = Store(operator.tls.store)
     except StoreError as error:
         raise ConfigError(str(error)) from None
-    front = Front(node.acquirer, address(operator.tls.listen, "tls.listen"), operator.tls.minimum, meters)
+    partners = operator.identity.certificates if operator.identity is not None else None
+    try:
+        front = Front(
+            node.acquirer, address(operator.tls.listen, "tls.listen"), operator.tls.minimum, meters,
+            partners=partners.ca_file if partners is not None else "",
+        )  # fmt: skip
+    except (OSError, ssl.SSLError) as error:
+        raise ConfigError(f"identity.certificates.ca_file: {error}") from None
     service = Service(operator, path, store, front, handshakes, meters)
     node.extend(front)
     node.extend(service)
+    keep(node, operator, path)
     if node.door is not None:
-        node.door.more = meters.text
+        figures = node.door.more
+        node.door.more = lambda: meters.text() + figures()
     return node
 
 
+def keep(node: Node, operator: Operator, path: Path) -> None:
+    """The gate, where callers have to prove who they are. Raises ConfigError."""
+    if operator.identity is None:
+        return
+    from reedspoke.identity.keeper import Keeper
+    from reedspoke.identity.sources import SourceError
+
+    try:
+        keeper = Keeper(operator.identity, path)
+    except (SourceError, ValueError) as error:
+        raise ConfigError(str(error)) from None
+    node.acquirer.gate = keeper
+    node.extend(keeper)
+    if node.door is not None:
+        node.door.more = keeper.text
+
+
 def run(load: Callable[[], Config], operator: Operator, path: Path) -> int:
     """The exit status, as `reedspoke.net.node.run` has it."""
 
--- a/reedspoke/identity/__init__.py
+++ b/reedspoke/identity/__init__.py
@@ -1,1 +1,1 @@
-"""Who calls and what they may do. Decisions: keys, token. Nothing of it is wired to a front as yet."""
+"""Who calls and what they may do. Decisions: keys, token, believed, rights, gate. Files and fronts: sources, keeper."""
--- a/reedspoke/identity/believed.py
+++ b/reedspoke/identity/believed.py
@@ -55,6 +55,9 @@
         while len(self._kept) > self.most:
             self._kept.popitem(last=False)
 
+    def claims(self) -> list[Claims]:
+        return [claims for claims, _ in self._kept.values()]
+
     def forget(self, kids: frozenset[str]) -> int:
         """Keys have been withdrawn or have changed; how many tokens were forgotten."""
         gone = [key for key, (claims, _) in self._kept.items() if claims.kid in kids]
--- a/reedspoke/lab/issuing.py
+++ b/reedspoke/lab/issuing.py
@@ -12,6 +12,7 @@
 from cryptography.hazmat.primitives.serialization import Encoding
 from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
 
+SERVER, CLIENT = ExtendedKeyUsageOID.SERVER_AUTH, ExtendedKeyUsageOID.CLIENT_AUTH
 BACKDATED = timedelta(seconds=2)
 
 
@@ -53,9 +54,11 @@
         return self.root.public_bytes(Encoding.PEM)
 
     def issue(
-        self, key: CertificatePublicKeyTypes, hosts: list[str], lifetime: float, ago: float = 0.0
-    ) -> x509.Certificate:
-        """`lifetime`: s, counted from `ago` s before now; certificates know whole seconds only."""
+        self, key: CertificatePublicKeyTypes, hosts: list[str], lifetime: float, ago: float = 0.0, *,
+        client: bool = False,
+    ) -> x509.Certificate:  # fmt: skip
+        """For a server, or for a client. `lifetime`: s, counted from `ago` s before now; certificates know
+        whole seconds only."""
         begins = datetime.now(UTC) - timedelta(seconds=ago)
         names = x509.SubjectAlternativeName([x509.DNSName(host) for host in hosts])
         return (
@@ -67,7 +70,7 @@
             .not_valid_before(begins - (BACKDATED if not ago else timedelta()))
             .not_valid_after(begins + timedelta(seconds=lifetime))
             .add_extension(names, critical=True)
-            .add_extension(x509.ExtendedKeyUsage([ExtendedKeyUsageOID.SERVER_AUTH]), critical=False)
+            .add_extension(x509.ExtendedKeyUsage([CLIENT if client else SERVER]), critical=False)
             .add_extension(_usage(ca=False), critical=True)
             .add_extension(
                 x509.AuthorityKeyIdentifier.from_issuer_public_key(self._key.public_key()), critical=False
--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -29,10 +29,11 @@
 MOST_LINGER = 256 * 1024  # bytes read and forgotten behind a last answer
 MOST_PIPELINED = 16 * 1024  # bytes read ahead of the answer in hand
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    411: "Length Required", 413: "Content Too Large", 417: "Expectation Failed",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+    200: "OK", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
+    405: "Method Not Allowed", 408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
+    417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+    504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }  # fmt: skip
 STATUS = {
     fx.Verdict.SERVED: 200,
@@ -49,6 +50,22 @@
     return first + more + end + b"\r\n"
 
 
+class ForbiddenError(Exception):
+    """A gate does not let an authorisation in; `after`: us until it may be tried again, 0: not by waiting."""
+
+    def __init__(self, status: int, after: int = 0) -> None:
+        super().__init__(str(status))
+        self.status, self.after = status, after
+
+
+class Gate(Protocol):
+    """Whether an authorisation may come in, and as whose."""
+
+    def admit(self, head: Head, message: Message, source: IOStream) -> Callable[[], None]:
+        """Raises ForbiddenError. What comes back is called once the authorisation has its answer, or its
+        client is gone."""
+
+
 class PartedError(Exception):
     """A client that is owed nothing is sent away."""
 
@@ -108,6 +125,20 @@
             raise MalformedError(411, "no length")
         self.requests.expect(length)
         message = authorisation(head, self.side.classes)
+        done: Callable[[], None] | None = None
+        forbidden: ForbiddenError | None = None
+        if self.side.gate is not None:
+            try:
+                done = self.side.gate.admit(head, message, self.stream)
+            except ForbiddenError as error:
+                forbidden = error
+        try:
+            return await self._serve_message(head, message, forbidden)
+        finally:
+            if done is not None:
+                done()
+
+    async def _serve_message(self, head: Head, message: Message, forbidden: ForbiddenError | None) -> bool:
         expected = head.tokens(b"expect")
         if expected and expected != [b"100-continue"]:
             raise MalformedError(417, "unknown expectation")
@@ -117,6 +148,8 @@
         while body is None:
             await self._read(self.requests.wanted())
             body = self.requests.body()
+        if forbidden is not None:  # the next authorisation on the connection may be another caller's
+            return await self._forbid(forbidden, not head.keeps_alive() or self.side.runtime.leaving())
         message.body = body
         answer = await self._ask(message)
         last = answer.last or not head.keeps_alive()
@@ -130,6 +163,19 @@
         self._answered()
         return await self._end(last)
 
+    async def _forbid(self, forbidden: ForbiddenError, last: bool) -> bool:
+        """The decision module never hears of it. Who is not believed has to connect again."""
+        last = last or forbidden.status == 401
+        told, more = problems.of_status(forbidden.status), problems.FIELD
+        if forbidden.status == 401:
+            more += b"WWW-Authenticate: Bearer\r\n"
+        if forbidden.after:
+            more += b"Retry-After: %.3f\r\n" % (forbidden.after / SECOND)
+        self.replied = True
+        await self._write(answer_head(forbidden.status, len(told), close=last, more=more) + told)
+        self._answered()
+        return await self._end(last)
+
     def _head(self) -> Head | None:
         head = self.requests.head()
         if head is None and len(self.buffer) and not self.begun:
@@ -271,6 +317,7 @@
     ) -> None:
         self.runtime = runtime
         self.claim = claim  # whether an authorisation of that id may be taken
+        self.gate: Gate | None = None  # where callers have to prove who they are
         self.classes = classes  # with how long a client waits at the most
         self._plain = Listener(listen, BACKLOG, self._take)
         self._listeners = [self._plain]
--- a/reedspoke/net/message.py
+++ b/reedspoke/net/message.py
@@ -35,6 +35,7 @@
     tenant: str
     key: str
     body: memoryview = field(default_factory=lambda: memoryview(b""))
+    hidden: frozenset[bytes] = frozenset()  # further fields that do not go on to issuer hosts
 
     def arrived(self, client: int) -> fx.Arrived:
         return fx.Arrived(
@@ -44,7 +45,7 @@
 
     def leg_head(self, endpoint: tuple[str, int], wait: int) -> bytes:
         """The head of a leg: what came, but for the fields of the connection that it came on."""
-        own = OWN.union(self.head.tokens(b"connection"))
+        own = OWN.union(self.head.tokens(b"connection"), self.hidden)
         first_line = b" ".join((self.head.method, self.head.target, b"HTTP/1.1"))
         lines = [first_line, b"Host: " + authority(endpoint)]
         lines += [b": ".join((name, value)) for name, value in self.head.fields if name not in own]
--- a/reedspoke/net/problems.py
+++ b/reedspoke/net/problems.py
@@ -24,10 +24,14 @@
     "late": "No result in time; it may have run or may yet",
     "invalid": "The authorisation cannot be used",
     "defect": "A defect here",
+    "unauthenticated": "Who calls is not known, or is not believed",
+    "forbidden": "The caller may not do this",
+    "too-many": "The caller has more jobs than it may",
 }
 BY_STATUS = {
-    400: "malformed", 404: "unknown-class", 405: "method", 408: "too-slow", 411: "malformed", 413:
-    "too-large", 417: "unsupported", 431: "too-large", 500: "defect", 501: "unsupported", 505: "unsupported",
+    400: "malformed", 401: "unauthenticated", 403: "forbidden", 429: "too-many", 404: "unknown-class", 405:
+    "method", 408: "too-slow", 411: "malformed", 413: "too-large", 417: "unsupported", 431: "too-large",
+    500: "defect", 501: "unsupported", 505: "unsupported",
 }  # fmt: skip
 
 
--- a/reedspoke/operator/check.py
+++ b/reedspoke/operator/check.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from reedspoke.operator.types import Acme, Operator
+from reedspoke.operator.types import Acme, Identity, Operator
 from reedspoke.operator.units import ADDRESS, DURATION, seconds
 
 LONGEST_HANDSHAKE = 2.0  # s: an answer or a close is due 3 s after connecting
@@ -79,6 +79,36 @@
     if told.acme is not None:
         yield from _acme(told.acme)
     yield from _certificates(told)
+    if told.identity is not None:
+        yield from _identity(told.identity, told.tls is not None)
+
+
+def _identity(identity: Identity, tls: bool) -> Iterator[tuple[str, str]]:
+    if seconds(identity.skew) > 300:
+        yield "identity.skew", "must be at most 5m"
+    if not identity.issuers and identity.certificates is None:
+        yield "identity", "has neither issuers nor certificates: nobody could prove anything"
+    if identity.certificates is not None and not tls:
+        yield "identity.certificates", "are shown over TLS alone, and tls is missing"
+    issuers = [one.name for one in identity.issuers]
+    claimed: dict[object, str] = {}
+    for at, one in enumerate(identity.issuers):
+        if issuers.index(one.name) != at:
+            yield f"identity.issuers[{at}].name", f"{one.name!r} is there twice"
+    for at, caller in enumerate(identity.callers):
+        key = f"identity.callers[{at}]"
+        if not caller.subjects and not caller.names:
+            yield key, "has neither subjects nor names: it could not prove who it is"
+        if caller.names and identity.certificates is None:
+            yield f"{key}.names", "are of no use without identity.certificates"
+        for subject in caller.subjects:
+            if subject.issuer not in issuers:
+                yield f"{key}.subjects", f"{subject.issuer!r} is not among identity.issuers"
+        for claim in (caller.name, *caller.names, *((one.issuer, one.subject) for one in caller.subjects)):
+            if claimed.setdefault(claim, caller.name) != caller.name:
+                yield key, f"{claim} stands for {claimed[claim]} as well"
+    if len({caller.name for caller in identity.callers}) != len(identity.callers):
+        yield "identity.callers", "one name is there twice"
 
 
 def _acme(acme: Acme) -> Iterator[tuple[str, str]]:
@@ -172,6 +202,8 @@
         "tls.listen": told.tls and told.tls.listen,
         "tls.store": told.tls and told.tls.store,
         "acme": told.acme is not None,
+        "identity": told.identity is not None,
+        "identity.certificates": told.identity and told.identity.certificates,
         "acme.http.listen": told.acme and told.acme.http and told.acme.http.listen,
     }
 
--- a/reedspoke/operator/types.py
+++ b/reedspoke/operator/types.py
@@ -111,6 +111,53 @@
     use_ari: Annotated[bool, Meta(description="Ask the authority for its window (RFC 9773).")] = True
 
 
+class TokenIssuer(Struct, forbid_unknown_fields=True, frozen=True):
+    """Who signs callers' tokens."""
+
+    name: Name
+    issuer: Annotated[str, Meta(min_length=1, max_length=256, description="`iss` of its tokens.")]
+    algorithms: Annotated[
+        list[Literal["ES256", "ES384", "ES512", "RS256", "RS384", "PS256", "PS384", "Ed25519"]],
+        Meta(min_length=1, description="Each of its keys must fit exactly one of them."),
+    ]
+    keys_file: Annotated[str, Meta(min_length=1, description="JWKS; looked at twice a second.")]
+
+
+class Subject(Struct, forbid_unknown_fields=True, frozen=True):
+    issuer: Name
+    subject: Annotated[str, Meta(min_length=1, max_length=256)]
+
+
+class CallerEntry(Struct, forbid_unknown_fields=True, frozen=True):
+    """A caller, how it proves who it is, and what it may do."""
+
+    name: Name
+    tenants: Annotated[list[str], Meta(min_length=1)]
+    subjects: list[Subject] = []
+    names: Annotated[list[str], Meta(description="DNS names or URIs in its client certificate.")] = []
+    classes: Annotated[list[str] | None, Meta(description="Those it may ask for; missing: all.")] = None
+    rate: Annotated[float, Meta(ge=0, description="Jobs a second; 0: no bound.")] = 0.0
+    burst: Annotated[float, Meta(ge=1, description="Jobs at once beyond the rate.")] = 1.0
+    most_open: Annotated[int, Meta(ge=0, description="Open jobs; 0: no bound.")] = 0
+
+
+class ClientCertificates(Struct, forbid_unknown_fields=True, frozen=True):
+    """Certificates that clients may show at the front over TLS."""
+
+    ca_file: Annotated[str, Meta(min_length=1, description="The partners' authorities, PEM.")]
+
+
+class Identity(Struct, forbid_unknown_fields=True, frozen=True):
+    """Callers must prove who they are, at every front."""
+
+    audience: Annotated[str, Meta(min_length=1, description="`aud` of tokens for here.")]
+    callers: Annotated[list[CallerEntry], Meta(min_length=1)]
+    issuers: list[TokenIssuer] = []
+    certificates: ClientCertificates | None = None
+    skew: Annotated[Duration, Meta(description="That clocks may differ by.")] = "30s"
+    longest: Annotated[Duration, Meta(description="Longest life of a token.")] = "1d"
+
+
 class Operator(Struct, forbid_unknown_fields=True, frozen=True):
     """reedspoke's operator file."""
 
@@ -119,3 +166,4 @@
     tls: Tls | None = None
     certificates: Annotated[list[Certificate], Meta(max_length=1000)] = []
     acme: Acme | None = None
+    identity: Identity | None = None
--- a/reedspoke/tls/front.py
+++ b/reedspoke/tls/front.py
@@ -42,18 +42,27 @@
 }
 
 
-def context(minimum: str) -> ssl.SSLContext:
+def context(minimum: str, partners: str = "") -> ssl.SSLContext:
+    """`partners`: file of the authorities whose clients may show a certificate; one that does not hold
+    ends the handshake. Raises OSError, ssl.SSLError."""
     made = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     made.minimum_version = LEAST[minimum]
     made.set_ciphers(CIPHERS)
     made.options |= ssl.OP_NO_RENEGOTIATION | ssl.OP_NO_COMPRESSION
+    if partners:
+        made.verify_mode = ssl.CERT_OPTIONAL
+        made.load_verify_locations(partners)
+        made.options |= (
+            ssl.OP_NO_TICKET
+        )  # a resumed session would bring a certificate that is not checked anew
+        made.num_tickets = 0
     return made
 
 
-def serving(pair: Pair, minimum: str) -> ssl.SSLContext:
+def serving(pair: Pair, minimum: str, partners: str = "") -> ssl.SSLContext:
     """A context with this certificate. Guards against a file that changes meanwhile: what was checked is what
     is loaded, from memory. Raises ssl.SSLError where OpenSSL does not take it."""
-    made = context(minimum)
+    made = context(minimum, partners)
     fd = os.memfd_create("reedspoke-certificate", os.MFD_CLOEXEC)
     try:
         os.write(fd, pair.pem)
@@ -118,15 +127,15 @@
 
     def __init__(
         self, acquirer: Acquirer, listen: tuple[str, int], minimum: str, meters: Meters,
-        now: Callable[[], int] = lambda: time.time_ns() // 1000,
+        now: Callable[[], int] = lambda: time.time_ns() // 1000, partners: str = "",
     ) -> None:  # fmt: skip
         """`now`: us of the wall clock, by which certificates expire."""
         self.acquirer, self.meters, self.now = acquirer, meters, now
         self.names: Names[ssl.SSLContext] = Names()
         self.refused: WeakKeyDictionary[ssl.SSLSocket, str] = WeakKeyDictionary()
-        self.minimum = minimum
+        self.minimum, self.partners = minimum, partners
         self._listener = Listener(listen, BACKLOG, self._take, " over TLS")
-        self._base = context(minimum)
+        self._base = context(minimum, partners)
         self._base.sni_callback = self._choose
         self._told: dict[str, float] = {}
         acquirer.join(self._listener)
@@ -145,7 +154,7 @@
 
     def hold(self, name: str, pair: Pair) -> None:
         """From the next handshake on; kept connections keep what they have. Raises ssl.SSLError."""
-        self.names.hold(Held(name, pair.hosts, pair.ends, serving(pair, self.minimum)))
+        self.names.hold(Held(name, pair.hosts, pair.ends, serving(pair, self.minimum, self.partners)))
 
     def wrap(self, raw: socket.socket) -> ssl.SSLSocket:
         raw.setblocking(False)
