Withdrawn keys end jobs that wait; signing keys and tokens from the command line

Need: a key that has leaked must count no more at once, also for requests that wait in a queue; tests and small installations need a signer.

Change: fx.Withdrawn answers an authorisation that has no leg as yet with 401 and the module forgets it (net/clients.py); the keeper tells it whenever keys change. identity/signing.py and cli/keys.py make, list, rotate and retire keys and issue tokens. Test ports come one after another: picked at random from a range of 1000 two of one node's were the same now and then, and its start failed (tests/peers.py, free_port).

--- a/reedspoke/cli/main.py
+++ b/reedspoke/cli/main.py
@@ -10,7 +10,7 @@
 
 import click
 
-from reedspoke.cli import certs, config, lab, run
+from reedspoke.cli import certs, config, keys, lab, run
 
 
 def version() -> str:
@@ -34,6 +34,8 @@
 root.add_command(run.run)
 root.add_command(config.config)
 root.add_command(certs.certs)
+root.add_command(keys.keys)
+root.add_command(keys.token)
 root.add_command(lab.demo)
 root.add_command(lab.lab)
 
--- a/reedspoke/identity/__init__.py
+++ b/reedspoke/identity/__init__.py
@@ -1,1 +1,2 @@
-"""Who calls and what they may do. Decisions: keys, token, believed, rights, gate. Files and fronts: sources, keeper."""
+"""Who calls and what they may do. Decisions: keys, token, believed, rights, gate. Files, fronts: sources,
+keeper, signing."""
--- a/reedspoke/identity/gate.py
+++ b/reedspoke/identity/gate.py
@@ -42,6 +42,13 @@
         self._audited: dict[tuple[str, str], tuple[int, int]] = {}  # (when told last, passed over since)
         self.lines: list[str] = []  # for the log, since they were fetched last
 
+    def stands(self, admitted: Admitted, now: int) -> bool:
+        """Its key is no withdrawn one. A token that has expired meanwhile changes nothing: taken is taken."""
+        if not admitted.kid:
+            return True
+        key = self.ring.find(admitted.kid)
+        return key is not None and not key.span.leaked
+
     def change(self, policy: Policy, ring: Ring) -> None:
         """New keys: what was believed by one that is gone, or is another now, is verified again."""
         gone = frozenset(
--- a/reedspoke/identity/keeper.py
+++ b/reedspoke/identity/keeper.py
@@ -14,10 +14,11 @@
 
 from tornado.iostream import IOStream
 
-from reedspoke.identity.gate import Certificate, Gate
+from reedspoke.identity.gate import Admitted, Certificate, Gate
 from reedspoke.identity.rights import Caller, DeniedError, Rights
 from reedspoke.identity.sources import SourceError, ring, stamps
 from reedspoke.identity.token import Policy
+from reedspoke.net import effects as fx
 from reedspoke.net.acquirer import ForbiddenError
 from reedspoke.net.http import Head
 from reedspoke.net.message import Message
@@ -68,9 +69,11 @@
     be made as told."""
 
     def __init__(
-        self, identity: Identity, path: Path, now: Callable[[], int] = lambda: time.time_ns() // 1000
-    ) -> None:
-        self.identity, self.path, self.now = identity, path, now
+        self, identity: Identity, path: Path, emit: Callable[[fx.Event], None],
+        now: Callable[[], int] = lambda: time.time_ns() // 1000,
+    ) -> None:  # fmt: skip
+        self.identity, self.path, self.emit, self.now = identity, path, emit, now
+        self._held: dict[int, Admitted] = {}  # by client, while its authorisation has no answer
         self._stamps = stamps(identity)
         self.gate = Gate(policy(identity), Rights(callers(identity)), ring(identity))
         self._task: asyncio.Task[None] | None = None
@@ -78,7 +81,7 @@
     def effects(self) -> dict[type, Callable[[Any], None]]:
         return {}
 
-    def admit(self, head: Head, message: Message, source: IOStream) -> Callable[[], None]:
+    def admit(self, head: Head, message: Message, source: IOStream, number: int) -> Callable[[], None]:
         """Raises ForbiddenError. The tenant that goes on is the one that was proven; the call that comes back
         ends what is held."""
         values = [bytes(value) for name, value in head.fields if name == b"authorization"]
@@ -91,7 +94,13 @@
                 log.warning("%s", line)
             self.gate.lines.clear()
         message.tenant, message.hidden = admitted.tenant, HIDDEN
-        return lambda: self.gate.done(admitted)
+        self._held[number] = admitted
+
+        def done() -> None:
+            self._held.pop(number, None)
+            self.gate.done(admitted)
+
+        return done
 
     def open(self) -> None:
         self._task = asyncio.ensure_future(self._watch())
@@ -113,6 +122,9 @@
             return
         self.identity = identity
         self.gate.change(policy(identity), fresh)
+        for number, admitted in list(self._held.items()):
+            if not self.gate.stands(admitted, self.now()):
+                self.emit(fx.Withdrawn(number))
         log.info("identity: %d keys, %d callers", len(fresh), len(identity.callers))
 
     def reload(self) -> None:
--- a/reedspoke/lab/program.py
+++ b/reedspoke/lab/program.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from contextlib import suppress
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -26,11 +27,15 @@
     """The experiment cannot go on; the text says why."""
 
 
+PORTS = count(random.randrange(4700))
+
+
 def free_port() -> int:
-    """From below those that the system hands out, or a connection made meanwhile could take it."""
+    """From below those that the system hands out, or a connection made meanwhile could take it; none comes twice
+    within 4700."""
     while True:
         with socket.socket() as free, suppress(OSError):
-            free.bind(("127.0.0.1", random.randrange(28_000, 32_700)))
+            free.bind(("127.0.0.1", 28_000 + next(PORTS) % 4700))
             return int(free.getsockname()[1])
 
 
--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -41,6 +41,7 @@
     fx.Verdict.FAILED: 502,
     fx.Verdict.LATE: 504,
     fx.Verdict.INVALID: 400,
+    fx.Verdict.WITHDRAWN: 401,
 }
 
 
@@ -61,7 +62,7 @@
 class Gate(Protocol):
     """Whether an authorisation may come in, and as whose."""
 
-    def admit(self, head: Head, message: Message, source: IOStream) -> Callable[[], None]:
+    def admit(self, head: Head, message: Message, source: IOStream, number: int) -> Callable[[], None]:
         """Raises ForbiddenError. What comes back is called once the authorisation has its answer, or its
         client is gone."""
 
@@ -129,7 +130,7 @@
         forbidden: ForbiddenError | None = None
         if self.side.gate is not None:
             try:
-                done = self.side.gate.admit(head, message, self.stream)
+                done = self.side.gate.admit(head, message, self.stream, self.number)
             except ForbiddenError as error:
                 forbidden = error
         try:
--- a/reedspoke/net/clients.py
+++ b/reedspoke/net/clients.py
@@ -31,6 +31,7 @@
     fx.Verdict.FAILED: "aborted",
     fx.Verdict.LATE: "aborted",
     fx.Verdict.INVALID: "aborted",
+    fx.Verdict.WITHDRAWN: "declined",
 }
 GUARD = 0.5  # of the answer slack: where the last guard stands
 
@@ -40,7 +41,7 @@
         return {
             fx.Joined: self._on_joined, fx.Reading: self._on_reading, fx.Refused: self._on_refused,
             fx.Arrived: self._on_arrived, fx.Answered: self._on_answered, fx.Ending: self._on_ending,
-            fx.Parted: self._on_parted,
+            fx.Parted: self._on_parted, fx.Withdrawn: self._on_withdrawn,
         }  # fmt: skip
 
     def rings(self) -> Rings:
@@ -197,6 +198,13 @@
             self.rest(client, Standing.ENDING)
             self.make_room()
 
+    def _on_withdrawn(self, event: fx.Withdrawn) -> None:
+        """Taken is taken: only what has no leg as yet is answered, and the module forgets it."""
+        client = self.state.clients.get(event.client)
+        if client is not None and (auth := client.authorisation) is not None and auth.open and not auth.legs:
+            self.answer(auth, fx.Verdict.WITHDRAWN)
+            self.core.tell(api.Gone(auth.id))
+
     def _on_parted(self, event: fx.Parted) -> None:
         if (client := self.state.clients.pop(event.client, None)) is None:
             return
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -26,6 +26,7 @@
     FAILED = "failed"
     LATE = "late"  # the last guard's
     INVALID = "invalid"  # it should not have come
+    WITHDRAWN = "withdrawn"  # it never ran, and its caller is believed no longer
 
 
 class Order(Enum):
@@ -95,6 +96,13 @@
     elsewhere: bool = False  # one of that id is open in this scheduler's other process
 
 
+@dataclass(slots=True)
+class Withdrawn:
+    """What a client proved itself with counts no longer: nothing of it may go out that has not yet."""
+
+    client: int
+
+
 @dataclass(slots=True)
 class Answered:
     """An answer has been written, or an ill-formed authorisation has been told so."""
@@ -296,9 +304,10 @@
 
 
 Event = (
-    Joined | Greeted | Secured | Reading | Arrived | Answered | Ending | Refused | Parted | Opened |
-    Written | Heard | Noted | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung | Listening |
-    Stop | Reload | Reloaded | Unloaded | Rang | Called | Hungup | Accompanied | Ordered | Unrecorded
+    Joined | Greeted | Secured | Withdrawn | Reading | Arrived | Answered | Ending | Refused | Parted |
+    Opened | Written | Heard | Noted | Concluded | Freed | Broken | Listed | Beaten | Unlisted | Rung |
+    Listening | Stop | Reload | Reloaded | Unloaded | Rang | Called | Hungup | Accompanied | Ordered |
+    Unrecorded
 )  # fmt: skip
 
 # ---- effects ----
--- a/reedspoke/net/problems.py
+++ b/reedspoke/net/problems.py
@@ -53,4 +53,5 @@
     fx.Verdict.FAILED: body(502, "failed"),
     fx.Verdict.LATE: body(504, "late"),
     fx.Verdict.INVALID: body(400, "invalid"),
+    fx.Verdict.WITHDRAWN: body(401, "unauthenticated"),
 }
--- a/tests/identity/test_gate.py
+++ b/tests/identity/test_gate.py
@@ -257,3 +257,70 @@
     assert run.returncode == 2
     assert run.stderr.count("\n") == 1
     assert ("keys.json" if change == "keys_file" else "ca_file") in run.stderr
+
+
+def test_a_job_that_waits_as_its_key_is_withdrawn_is_never_sent(start: Start, tmp_path: Path) -> None:
+    """Taken is taken once a leg is out; what has none is refused at once."""
+    node = start(hosts=1, operator={"version": 1, "identity": identity(tmp_path)})
+    running = node.client(with_token(token()))
+    wire = node.leg()
+    leg = wire.message()
+    wire.begin()
+    wire.state(leg, "started")
+    node.list(node.hosts[0].entry("Terminating"), full=True)
+    node.watch.begin()
+    keys(tmp_path / "keys.json", {**public(EC, "k1"), "reedspoke": {"leaked": True}})
+    node.logged("identity: 1 keys")
+    wire.state(leg, "done", result="late")
+    wire.end()
+    assert running.message().body == b"late"
+
+
+def test_signing_tool_makes_keys_and_tokens_that_a_scheduler_believes(tmp_path: Path) -> None:
+    folder, set_ = tmp_path / "keys", tmp_path / "set.json"
+    secret = tmp_path / "passphrase"
+    secret.write_text("correct horse\n")
+
+    def tool(*words: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "reedspoke", *words], cwd=ROOT, capture_output=True, text=True,
+            timeout=30, check=False, env={**os.environ, "REEDSPOKE_KEYS": str(folder)},
+        )  # fmt: skip
+
+    def made(*words: str) -> str:
+        told = tool("keys", "--passphrase-file", str(secret), *words)
+        assert told.returncode == 0, told.stderr
+        return told.stdout.strip()
+
+    def believed(text: str) -> int:
+        made("jwks", "--out", str(set_))
+        places = ("--jwks", str(set_), "--issuer", "https://portal", "--audience", "reedspoke")
+        return tool("token", "verify", text, *places).returncode
+
+    issue = (
+        "token",
+        "issue",
+        "--passphrase-file",
+        str(secret),
+        "--issuer",
+        "https://portal",
+        "--subject",
+        "gw",
+    )
+    first = made("generate")
+    assert (folder / f"{first}.key").stat().st_mode & 0o777 == 0o600
+    assert b"ENCRYPTED" in (folder / f"{first}.key").read_bytes()
+    text = tool(*issue, "--audience", "reedspoke").stdout.strip()
+    assert believed(text) == 0
+    assert believed(text[:-4] + "AAAA") == 1
+    second = made("rotate", "--announce", "0s", "--overlap", "1h")
+    assert believed(text) == 0, "the overlap"
+    assert f"{first:<16} ES256    retiring" in made("list")
+    newer = tool(*issue, "--audience", "reedspoke").stdout.strip()
+    assert json.loads(tool("token", "verify", newer, "--jwks", str(set_), "--issuer", "https://portal",
+                           "--audience", "reedspoke").stdout)["kid"] == second  # fmt: skip
+    made("retire", first, "--leaked")
+    assert believed(text) == 1
+    wrong = tool("token", "issue", "--issuer", "i", "--subject", "s", "--audience", "a")
+    assert (wrong.returncode, wrong.stderr.count("\n")) == (1, 1)
+    assert "the passphrase is another" in wrong.stderr
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -150,13 +151,16 @@
     ).encode() + body
 
 
+PORTS = count(random.randrange(1500))
+
+
 def free_port() -> int:
-    """From below those that the system hands out, or a connection made meanwhile could take it; each of the
-    processes that share the tests has a range of its own."""
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % 8
+    """From below those that the system hands out, or a connection made meanwhile could take it. None comes twice
+    within 1500, and each of the processes that share the tests has a range of its own."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % 5
     while True:
         with socket.socket() as free, suppress(OSError):
-            free.bind(("127.0.0.1", random.randrange(20_000 + worker * 1000, 21_000 + worker * 1000)))
+            free.bind(("127.0.0.1", 20_000 + worker * 1500 + next(PORTS) % 1500))
             return int(free.getsockname()[1])
 
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -259,3 +259,15 @@
     play.advance(MUTE + 5 * MS)
     notes = [event.kind for event in events if isinstance(event, api.Note)]
     assert notes == ([api.NoteKind.MUTE] if told else [])
+
+
+def test_withdrawn_is_what_has_no_leg_and_nothing_else() -> None:
+    play = Play()
+    play.tell(fx.Joined(1), arrived(1))
+    play.tell(fx.Withdrawn(1))
+    assert play.answers() == [fx.Verdict.WITHDRAWN]
+    play.tell(fx.Answered(1), listed("a"))
+    dialled = conn_of(play.tell(arrived(1, name="again")) + play.advance(100 * MS))
+    play.tell(fx.Opened(dialled), fx.Written(dialled), fx.Withdrawn(1), fx.Withdrawn(9))
+    assert play.answers() == [fx.Verdict.WITHDRAWN], "taken is taken"
+    assert not play.faults()
