lab identity: gateways, partners, rotations and attackers in one run

Need: rotation under load and attacks beside valid callers are to be judged by the peers, not by the gate.

--- a/reedspoke/cli/lab.py
+++ b/reedspoke/cli/lab.py
@@ -9,6 +9,7 @@
 # name -> module with `play`, default seconds, what it shows
 EXPERIMENTS = {
     "acme": ("reedspoke.lab.acme", 30.0, "Renewals by the dozen from an authority that misbehaves."),
+    "identity": ("reedspoke.lab.identity", 30.0, "Callers, rotations under load, attackers beside them."),
     "tls": ("reedspoke.lab.tls", 30.0, "What TLS costs: CPU and requests a second, plain against TLS."),
 }
 
--- a/reedspoke/identity/keeper.py
+++ b/reedspoke/identity/keeper.py
@@ -148,6 +148,13 @@
             f'reedspoke_identity_total{{reason="{reason}"}} {count}'
             for reason, count in sorted(self.gate.counts.items())
         ]
+        believed = self.gate.believed
+        lines += [
+            "# HELP reedspoke_identity_believed_total Tokens looked up among those verified before.",
+            "# TYPE reedspoke_identity_believed_total counter",
+            f'reedspoke_identity_believed_total{{result="hit"}} {believed.hits}',
+            f'reedspoke_identity_believed_total{{result="miss"}} {believed.misses}',
+        ]
         return "\n".join(lines) + "\n"
 
     def close(self) -> None:
--- a/reedspoke/lab/program.py
+++ b/reedspoke/lab/program.py
@@ -31,8 +31,8 @@
 
 
 def free_port() -> int:
-    """From below those that the system hands out, or a connection made meanwhile could take it; none comes twice
-    within 4700."""
+    """From below those that the system hands out, or a connection made meanwhile could take it; none comes
+    twice within 4700."""
     while True:
         with socket.socket() as free, suppress(OSError):
             free.bind(("127.0.0.1", 28_000 + next(PORTS) % 4700))
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -44,6 +44,15 @@
     assert named <= figures.keys()
 
 
+def test_identity_experiment_refuses_attackers_and_no_caller() -> None:
+    told = lab("lab", "identity", "--seconds", "9", "--seed", "2", "--json", "-")
+    figures = json.loads(told.stdout)
+    assert told.returncode == 0, figures
+    assert figures["rotations"] >= 1
+    assert figures["attacks_tried"] >= 20
+    assert figures["valid_refused"] == figures["wrong_accepted"] == figures["lost"] == 0
+
+
 def test_what_does_not_hold_is_said(capsys: pytest.CaptureFixture[str]) -> None:
     result = Result({"lost": 1})
     result.hold("lost is 0", holds=False)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -155,8 +155,8 @@
 
 
 def free_port() -> int:
-    """From below those that the system hands out, or a connection made meanwhile could take it. None comes twice
-    within 1500, and each of the processes that share the tests has a range of its own."""
+    """From below those that the system hands out, or a connection made meanwhile could take it. None comes
+    twice within 1500, and each of the processes that share the tests has a range of its own."""
     worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % 5
     while True:
         with socket.socket() as free, suppress(OSError):
