An operator file that is refused changes no caller's rights either

Cause: on SIGHUP the certificates' part refused a file for a key that cannot change in service, and the gate read the same file by itself and took its callers up (identity/keeper.py, reload, which called load in place of reloaded).

Change: both ask reloaded with what is in force. Engine.lost, which nobody called, is gone.

Ruled out: a torn file, which both refused already.

Measured: the test sends a file with new rights and another log form; the caller is served as before.

--- a/reedspoke/acme/engine.py
+++ b/reedspoke/acme/engine.py
@@ -58,11 +58,6 @@
         renewal.held(found)
         return []
 
-    def lost(self, name: str) -> None:
-        """The one in the store cannot be used: a new one is got."""
-        if (renewal := self.renewals.get(name)) is not None:
-            renewal.life = None
-
     def force(self, name: str, now: int) -> list[words.Step]:
         """An operator asks for a renewal now; waits that were our own choice end, the authority's do not."""
         if (renewal := self.renewals.get(name)) is None:
--- a/reedspoke/assembly.py
+++ b/reedspoke/assembly.py
@@ -81,7 +81,7 @@
     from reedspoke.identity.sources import SourceError
 
     try:
-        keeper = Keeper(operator.identity, path, node.runtime.emit)
+        keeper = Keeper(operator, path, node.runtime.emit)
     except (SourceError, ValueError) as error:
         raise ConfigError(str(error)) from None
     node.acquirer.gate = keeper
--- a/reedspoke/identity/keeper.py
+++ b/reedspoke/identity/keeper.py
@@ -22,8 +22,8 @@
 from reedspoke.net.acquirer import ForbiddenError
 from reedspoke.net.http import Head
 from reedspoke.net.message import Message
-from reedspoke.operator.check import OperatorError, load
-from reedspoke.operator.types import Identity
+from reedspoke.operator.check import OperatorError, reloaded
+from reedspoke.operator.types import Identity, Operator
 from reedspoke.operator.units import microseconds
 
 log = logging.getLogger("reedspoke")
@@ -69,10 +69,12 @@
     be made as told."""
 
     def __init__(
-        self, identity: Identity, path: Path, emit: Callable[[fx.Event], None],
+        self, operator: Operator, path: Path, emit: Callable[[fx.Event], None],
         now: Callable[[], int] = lambda: time.time_ns() // 1000,
     ) -> None:  # fmt: skip
-        self.identity, self.path, self.emit, self.now = identity, path, emit, now
+        assert operator.identity is not None
+        identity = operator.identity
+        self.operator, self.identity, self.path, self.emit, self.now = operator, identity, path, emit, now
         self._held: dict[int, Admitted] = {}  # by client, while its authorisation has no answer
         self._stamps = stamps(identity)
         self.gate = Gate(policy(identity), Rights(callers(identity)), ring(identity))
@@ -128,12 +130,13 @@
         log.info("identity: %d keys, %d callers", len(fresh), len(identity.callers))
 
     def reload(self) -> None:
-        """SIGHUP has come. A file that is unusable has been told by whoever read it first."""
+        """SIGHUP has come. A file that is refused for any of its keys changes nothing here either."""
         try:
-            told = load(self.path)
+            told = reloaded(self.operator, self.path)
         except OperatorError as error:
             log.error("identity: what is in force stays: %s", error)
             return
+        self.operator = told
         if told.identity is not None:
             self._stamps = stamps(told.identity)
             self._take_up(told.identity)
--- a/tests/identity/test_gate.py
+++ b/tests/identity/test_gate.py
@@ -187,6 +187,11 @@
     other = node.client(with_token(token(by=fresh, kid="k2"), "y1"))
     served(node, other, wire)
     told["identity"]["callers"][0]["tenants"] = ["globex"]  # type: ignore[index]
+    node.operator.write_text(json.dumps({**told, "log": {"form": "json"}}))
+    node.process.send_signal(signal.SIGHUP)
+    node.logged("log: cannot change in service")
+    other.send(with_token(token(by=fresh, kid="k2"), "y2"))
+    served(node, other, wire)
     node.operator.write_text(json.dumps(told))
     keys(tmp_path / "keys.json", public(fresh, "k2"))
     node.process.send_signal(signal.SIGHUP)
