--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -33,14 +33,13 @@
 FORGET = 2.0  # tightest aims until half of a wait is forgotten: a queue of some jobs has gone by then
 REACH = 50  # workers looked at beyond one for each job out: a jam must not cost the whole fleet's ranking
 COLD_PART = 0.6  # part of our share of a cold worker's budget that we use: sizes and speeds are estimates
-FEW = 8  # schedulers, each with a part of a cold worker's budget at any time; more of them take turns
-TURN = 2  # schedulers whose turn it is at a worker: each part holds a usual job
-TURN_PART = 0.45  # that they use together: the end of one turn and the start of the next may meet in a window
-JAM = 2.0  # tightest aims of usual wait: the tight jobs start late nearly everywhere
-CROWD = 16.0  # schedulers: where more share the workers, a queue is the others' and no job may rely on it
+FEW = 8  # schedulers: where more share the workers, none of them sees much of any by its own jobs
+SPONSORS = 3  # schedulers that share a cold worker's budget where there are many: each part holds a usual job
+SPARE = 1.5  # slots free in a report that the job and others will have taken before it starts
+FRESH = 500_000  # us that a look at a worker serves: reports are renewed about once a second
+UNSEEN = 30_000  # us without an answer to a look: the worker is passed over until it comes
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
 TRUST = 0.75  # least soundness for a job that must not be repeated: one failure among results is usual
-TRIAL = 0.5  # soundness under which a worker is tried with one job at a time
 FAILED_FIRST = 0.125  # of a usual response, doubled for each failed connection: one is let be for a quarter
 FAILED_MOST = 4.0  # usual responses: a worker that is back is tried again within about 2 s
 ALIVE = (Reason.OK, Reason.ERROR, Reason.FULL)  # outcomes that a worker itself has sent
@@ -68,8 +67,10 @@
         self.v, self.v_at, self.finished, self.billed_at = 0.0, 0, 0.0, 0
         self.tightest = min(cls.aim for cls in settings.classes)
         self.forget = self.tightest * max(FORGET, settings.schedulers / 4)  # us: half-life of a wait
+        self.thin = settings.schedulers > FEW and settings.limits.probes
         self.beat = max(settings.tick, self.tightest // 4)  # us between looks at what is late
         self.beating, self.watching, self.watch_at, self.losses = False, False, 0, 0
+        self.norm = 1.0  # running time for each unit of work on a worker of weight 1
         self.usual, self.pace = 0.0, 1.0  # over the fleet: wait before a start, time for each unit of work
         self.response = 2.0 * self.tightest  # time from a send to its answer, lately
         self.reactions: dict[type, Callable[[Any], None]] = {
@@ -88,8 +89,6 @@
         return self.actions
 
     def on_request(self, request: Request) -> None:
-        if request.id in self.jobs:
-            return
         cls, flow = self.classes[request.cls], self.flows.setdefault(request.tenant, Flow(1.0))
         api, slots = request.key or cls.name, max(1, request.slots)
         if api not in flow.largest:
@@ -150,12 +149,15 @@
     def on_members(self, members: Members) -> None:
         if members.kind is ListKind.LOST:
             if self.watching or not self.losses:
-                pause = self.limits.connect_timeout << min(self.losses, 2)  # many ask one service
-                self.watch_at = self.now + int((0.5 + self.random.random()) * pause)
+                step = self.limits.connect_timeout * max(1.0, self.settings.schedulers / 4)  # many ask one
+                self.watch_at = self.now + int((0.5 + self.random.random()) * step * min(self.losses + 1, 4))
             self.watching, self.losses = False, self.losses + 1
-            self.actions.append(Log("list lost: watching again"))
             return
         listed, self.losses = {entry.worker for entry in members.entries}, 0
+        if (
+            not self.workers and listed
+        ):  # the usual worker is taken for a standard one until there are results
+            self.norm = sum(entry.weight for entry in members.entries) / len(members.entries)
         for worker in list(self.workers.values()):
             if members.kind is not ListKind.CHANGES and worker.id not in listed:
                 worker.state = WorkerState.GONE
@@ -193,23 +195,21 @@
         return self.suspended.keys() | {worker.id for worker in self.workers.values() if worker.rests(now)}
 
     def line_up(self) -> None:
-        self.up = [worker for worker in self.workers.values() if self.listed(worker)]
+        listed = [worker for worker in self.workers.values() if worker.state is WorkerState.UP]
+        self.up = [worker for worker in listed if worker.id not in self.suspended]
         self.up.sort(key=lambda worker: (worker.rank, worker.id))
         home = (self.settings.me + 0.5) / self.settings.schedulers
         for index, worker in enumerate(self.up):
             away = abs((index + 0.5) / len(self.up) - home)
             worker.away = 2 * min(away, 1 - away)
-        self.rank()
-
-    def listed(self, worker: Worker) -> bool:
-        return worker.state is WorkerState.UP and worker.id not in self.suspended
+        self.up.sort(key=lambda worker: worker.away)
 
     def on_timer(self, _: Timer) -> None:
         self.beating = False
         if self.settings.ask_for_list and not self.watching and self.watch_at <= self.now:
             self.watching = True
             self.actions.append(Watch())  # answered by a list or by 'lost'
-        for attempt in self.out.values():
+        for attempt in [attempt for attempt in self.out.values() if not attempt.lost_at]:
             self.look_after(attempt)
         for zone in [zone for zone in self.zones.values() if zone.cut_at]:
             self.ask(zone, zone.cut_at)
@@ -220,22 +220,18 @@
     def learn_entry(self, entry: Entry) -> None:
         worker = self.workers.get(entry.worker)
         if worker is None:
-            worker = Worker(entry.worker, crc32(entry.worker.encode()), self.pace, CAP_START)
+            pace = self.norm / entry.weight if entry.weight > 0 else self.pace
+            worker = Worker(entry.worker, crc32(entry.worker.encode()), pace, CAP_START, entry.weight)
             self.workers[worker.id] = worker
         elif entry.born != worker.born:  # it has restarted: what was learned of its load is void
             worker.renew(CAP_START)
         worker.zone = self.zones.setdefault(entry.zone, Zone(entry.zone))
         worker.kind, worker.cell, worker.state, worker.born = entry.kind, entry.cell, entry.state, entry.born
 
-    def rank(self) -> None:
-        self.up.sort(key=lambda worker: (worker.zone.cut_at > 0, worker.away))
-
     def hear(self, worker: Worker) -> None:
         worker.heard = worker.zone.heard = self.now  # a sign of life: the way to its zone is open
         worker.failed = 0
-        if worker.zone.cut_at:
-            worker.zone.cut_at = 0
-            self.rank()
+        worker.zone.cut_at = 0
 
     def ask(self, zone: Zone, since: int) -> None:
         """Probe a zone not heard from since then, though others were, ever more seldom. Guards against a
@@ -251,8 +247,6 @@
         sign of life between them, the longer it is left alone, and then it is tried again."""
         worker.failed += 1
         worker.rest_until = self.now + int(self.response * min(FAILED_MOST, FAILED_FIRST * 2**worker.failed))
-        if worker.failed > 1:
-            self.cut(worker, since)
         self.ask(worker.zone, since)
 
     def judge(self, worker: Worker, sound: bool) -> None:
@@ -267,7 +261,7 @@
         """Whether it may have the job: safe ones try it out, one at a time if it fails most of them."""
         if worker.sound >= TRUST or all(other.sound < TRUST for other in self.up):
             return True
-        return job.cls.effect is Effect.SAFE and (worker.sound >= TRIAL or not worker.used)
+        return job.cls.effect is Effect.SAFE and not worker.used
 
     def miss(self, attempt: Attempt) -> None:
         """Not acknowledged, as a live worker does at once: the connection is dead, or all of the worker.
@@ -276,22 +270,26 @@
         if attempt.lost_at or attempt.started:
             return
         attempt.lose(self.now)
-        worker.delay = min(worker.delay, self.usual)
         if worker.heard < attempt.sent:
             self.let_be(worker, attempt.sent)
         if job.open and job.cls.effect is Effect.SAFE and len(job.attempts) < self.limits.max_attempts:
             self.cancel(attempt)
 
     def on_probed(self, probed: Probed) -> None:
-        worker = self.workers.get(probed.worker)
-        if worker is not None and probed.reason in ALIVE:
+        if (worker := self.workers.get(probed.worker)) is None:
+            return
+        worker.asked, worker.looked = 0, self.now
+        if probed.report:
+            self.learn_report(worker, probed.report, self.now)
+        self.judge(worker, probed.reason is Reason.OK)
+        if probed.reason is Reason.OK:
             self.hear(worker)
-        elif probed.took < self.limits.connect_timeout:
-            pass  # refused or reset: something answered, so the way is open
-        elif worker is not None and worker.zone.heard < self.now - probed.took and not worker.zone.cut_at:
-            worker.zone.cut_at = self.now
+        else:
+            self.let_be(worker, self.now)  # one that cannot serve is found out before a job is lost there
+        zone, slow = worker.zone, probed.took >= self.limits.connect_timeout  # else the way is open
+        if slow and zone.heard < self.now - probed.took and not zone.cut_at:
+            zone.cut_at = self.now
             self.actions.append(Log("zone out of reach: left out and probed"))
-            self.rank()
 
     def learn_wait(self, worker: Worker, wait: float, sent: int) -> None:
         """Move the cap by how long a job waited for its start."""
@@ -304,13 +302,12 @@
             worker.cap += CAP_GAIN
 
     def learn_report(self, worker: Worker, report: tuple[float, ...], sent: int) -> None:
-        """Of slots, and of others' queue; where no start notices come, of the wait beyond one job a slot."""
+        """Of slots, and of others' queue."""
         told = dict(zip(self.settings.report_fields, report, strict=False))
         worker.peak = max(worker.peak, round(told.get("x0", 0.0)))
-        queue = told.get("queue", max(0.0, told.get("inflight", 0.0) - worker.peak))
-        if not self.settings.tells_start:
-            self.learn_wait(worker, max(0.0, queue - worker.peak) * self.response / worker.peak, sent)
-        elif (wait := queue * self.response / 2 / worker.peak) > worker.wait(self.now, self.forget):
+        lacking = max(0.0, SPARE + 1.5 * told.get("queue", 0.0) - told.get("x0", SPARE))
+        wait = lacking * told.get("latency_ms", self.response / 2000) * 1000 / worker.peak
+        if self.thin or wait > worker.wait(self.now, self.forget):  # our own few jobs teach too little
             worker.delay, worker.delay_at = wait, self.now
 
     def cut(self, worker: Worker, sent: int) -> None:
@@ -346,6 +343,7 @@
             pace = cost / attempt.job.slots / attempt.job.work
             self.pace = average(self.pace, pace)
             worker.pace = average(worker.pace, pace)
+            self.norm += USUAL * (pace * worker.weight - self.norm)
             self.response = average(self.response, self.now - attempt.sent)
 
     # ---- release: the ordinary path ----
@@ -357,12 +355,11 @@
             return
         kept: list[Worker] = []
         v = self.clock()
-        if len(waiting) > 1:
-            self.bill_running()
+        self.bill_running()
         while waiting:
             front = min(waiting, key=self.finish)
             worker = self.best(front.queue[0], kept)
-            if worker is None:
+            if worker is None or self.look(worker):
                 waiting.remove(front)
                 self.reserve(front.queue[0], kept)
                 continue
@@ -374,6 +371,14 @@
             if not flow.queue:
                 waiting.remove(flow)
 
+    def look(self, worker: Worker) -> bool:
+        """Whether its answer to a probe has to come first. Guards against what many schedulers of few jobs do
+        together: each learns of a queue, or of a worker that fails, by a lost job of its own."""
+        if self.thin and worker.looked + FRESH <= self.now and not worker.asked:
+            worker.asked = self.now
+            self.actions.append(Probe(worker.id))
+        return worker.asked > 0
+
     def reserve(self, job: Job, kept: list[Worker]) -> None:
         """Leave the emptiest worker to drain for a job of many slots: others' small jobs would starve it."""
         if job.slots > 1:
@@ -396,20 +401,16 @@
         """The worker with a free position where the job is expected to end first."""
         best, least = None, float("inf")
         cross = self.settings.cross_zone_price * (job.cls.aim + job.cls.stretch * job.work)
-        left = max(job.last_start - self.now, 0.0)
-        if self.usual > JAM * self.tightest:
-            left = min(left, self.tightest * max(1.0, CROWD / self.settings.schedulers))
-        slack = self.tightest + left
+        slack = self.tightest + max(job.last_start - self.now, 0.0)
         far = HOME * (self.response + self.length(job))
         anywhere = job.bound() or job.cls.kind >= 0  # its group or kind may stand far from home
-        for worker in self.up if anywhere else self.up[: REACH + len(self.out)]:
+        near = self.up if anywhere else self.up[: REACH + len(self.out)]
+        for worker in [other for other in near if other not in kept]:
             end = far * worker.away
             if end + job.work * self.pace / 2 > least:
                 break  # the rest is farther still
             end += (job.work + worker.load / max(worker.peak, int(worker.cap))) * worker.pace
             end += cross * (worker.zone.name != self.settings.zone)
-            if end >= least or worker in kept:
-                continue
             unseen = self.now - worker.delay_at  # it may have filled up since, as far as is usual
             wait = max(worker.wait(self.now, self.forget), self.usual * unseen / (unseen + 2 * self.response))
             # guards against jams: jobs are held, but for one that tries if the jam has gone
@@ -424,6 +425,7 @@
         return (
             self.suits(job, worker)
             and self.now >= worker.rest_until
+            and (not worker.asked or self.now < worker.asked + UNSEEN)
             and self.trusted(job, worker)
             and (not worker.used or there + job.slots <= worker.cap)  # one that is ours alone takes any
             and worker.memory + job.memory <= max(job.memory, worker.cap)  # one unit for each slot
@@ -432,8 +434,8 @@
 
     def suits(self, job: Job, worker: Worker) -> bool:
         kind = self.settings.kinds[job.cls.kind] if job.cls.kind >= 0 else worker.kind
-        up = self.listed(worker) and kind == worker.kind and not worker.zone.cut_at
-        return up and (not job.attempts or self.may_repeat(job, worker))
+        able = kind == worker.kind and not worker.zone.cut_at
+        return able and (not job.attempts or self.may_repeat(job, worker))
 
     def may_repeat(self, job: Job, worker: Worker) -> bool:
         if len(job.attempts) >= self.limits.max_attempts or job.out():
@@ -465,11 +467,10 @@
         budget /= 1 + self.partner.staying  # it is one budget for the processes of a scheduler
         theirs = self.partner.learned.cold.get(worker.id, ())
         sent = sum((work for at, work in [*sends, *theirs] if self.now - at <= self.rules.fall_time), 0.0)
-        part = COLD_PART / self.settings.schedulers
-        if self.settings.schedulers > FEW:  # equal parts would hold no job: by the one clock, some at a time
-            turn = self.settings.me + worker.rank + self.now // self.rules.fall_time
-            part = TURN_PART / TURN * (turn % -(-self.settings.schedulers // TURN) == 0)
-        return budget * part - sent
+        schedulers = self.settings.schedulers
+        sharing = SPONSORS if self.thin else schedulers  # equal parts of many would hold no job
+        near = (self.settings.me - worker.rank * schedulers // 2**32) % schedulers  # it is a few's for good
+        return budget * COLD_PART / sharing * (near < sharing) - sent
 
     def send(self, job: Job, worker: Worker) -> None:
         assert job.open, "nothing is sent for a request that has its answer"
@@ -514,8 +515,6 @@
         limit = self.tightest + OVERDUE * max(self.response, attempt.job.work * worker.pace)
         if self.settings.tells_start and not attempt.started:
             limit = PROMPT * self.tightest
-        if attempt.lost_at:
-            return
         if attempt.started and worker.heard > attempt.started + limit:
             attempt.lose(self.now)  # its worker lives and should have ended it: its stream has stopped short
             return
--- a/reedspoke/net/directory.py
+++ b/reedspoke/net/directory.py
@@ -27,6 +27,7 @@
     "Gone": api.WorkerState.GONE,
 }
 MOST_LINE = 4 * 1024 * 1024
+LEAST_SIZE, MOST_SIZE = 0.01, 10_000.0  # of a host, as listed; what lies outside says nothing
 
 
 class Entry(Struct):
@@ -61,7 +62,10 @@
         log.warning("directory: entry skipped: %s: %s", error, bytes(raw)[:200].decode(errors="replace"))
         return None
     born = int(told.boot_ms * 1000)
-    entry = api.Entry(told.uid, told.az, told.model, told.pod_group, state, told.capacity_hint, born)
+    size = (
+        told.capacity_hint if LEAST_SIZE <= told.capacity_hint <= MOST_SIZE else 1.0
+    )  # speeds follow from it
+    entry = api.Entry(told.uid, told.az, told.model, told.pod_group, state, size, born)
     return fx.Target(entry, endpoint)
 
 
--- a/reedspoke/net/issuer.py
+++ b/reedspoke/net/issuer.py
@@ -17,6 +17,8 @@
 from reedspoke.net.runtime import Runtime
 from reedspoke.net.streams import connect, read
 
+MOST_REPORT = 4096  # bytes of a load report as the body of a probe's answer
+
 log = logging.getLogger("reedspoke")
 
 
@@ -55,7 +57,7 @@
     async def _read(self) -> None:
         assert self.stream is not None
         buffer = Buffer()
-        answers, lines, status = Answers(buffer), Lines(), 0
+        answers, lines, status, told = Answers(buffer), Lines(), 0, bytearray()
         while True:
             buffer.recycle()
             await read(self.stream, buffer)
@@ -63,16 +65,22 @@
                 raise MalformedError(400, "bytes that nobody asked for")
             for item in answers.feed():
                 if isinstance(item, Head):
-                    lines, status = Lines(), item.status
+                    lines, status, told = Lines(), item.status, bytearray()
                     self.emit(fx.Heard(self.number))
-                    if status != 200 or not self.asked:
+                    if status != 200 or not self.asked and item.get(b"x-load") is not None:
                         self._conclude_by_status(item)
                 elif isinstance(item, End):
+                    if not self.asked and not self.told:
+                        self._conclude_probe(told)
                     if not self.told or not item.reusable or len(buffer):
                         return  # bytes behind an answer would be taken for the next leg's
                     self.busy = False
                     self.emit(fx.Freed(self.number))
-                elif status == 200 and self.asked and not self.told:
+                elif not self.asked:
+                    if len(told) + len(item) > MOST_REPORT:
+                        raise MalformedError(400, "a load report is too long")
+                    told += item
+                elif status == 200 and not self.told:
                     for raw in lines.feed(item):
                         if raw and raw != b"\r":
                             self._take_line(raw)
@@ -90,6 +98,12 @@
                 log.warning("issuer host %s:%d: status %d", *self.endpoint, head.status)
         self.emit(fx.Concluded(self.number, reason, report, invalid=invalid))
 
+    def _conclude_probe(self, told: bytearray) -> None:
+        """A load report is the body of its answer; one that cannot be read is none."""
+        self.told = True
+        report = words.report(words.load_field(bytes(told)), self.side.report_fields)
+        self.emit(fx.Concluded(self.number, api.Reason.OK, report))
+
     def _take_line(self, raw: memoryview | bytes) -> None:
         if self.told:
             return
--- a/reedspoke/net/legs.py
+++ b/reedspoke/net/legs.py
@@ -55,10 +55,7 @@
             self._carry(leg, host)
 
     def _carry(self, leg: Leg, host: Host) -> None:
-        if host.idle:
-            conn = self.state.conns[host.idle.pop()]  # the latest used: it is the farthest from its end
-            del self.state.idle[conn.id]
-            self.core.quiet(("idle", conn.id))
+        if (conn := self._kept(host)) is not None:
             conn.leg, leg.conn = leg, conn.id
             self._transmit(conn, leg)
         elif (dialled := self._dial(host)) is not None:
@@ -68,6 +65,15 @@
         else:
             self.outcome(leg, api.Reason.CONNECT_FAILED)
 
+    def _kept(self, host: Host) -> Conn | None:
+        """One that is idle, no more to be counted so: the latest used, farthest from its end."""
+        if not host.idle:
+            return None
+        conn = self.state.conns[host.idle.pop()]
+        del self.state.idle[conn.id]
+        self.core.quiet(("idle", conn.id))
+        return conn
+
     def _dial(self, host: Host) -> Conn | None:
         """A new connection, at an idle one's cost where the budget is full."""
         state = self.state
@@ -88,7 +94,7 @@
         return conn
 
     def _transmit(self, conn: Conn, leg: Leg) -> None:
-        conn.phase, conn.heard, conn.legs = Phase.BUSY, False, conn.legs + 1
+        conn.phase, conn.heard = Phase.BUSY, False
         self.core.ask(fx.Transmit(conn.id, leg.authorisation.message, leg.until - self.core.now))
         self.core.ring(("leg", conn.id), leg.until)
 
@@ -97,9 +103,7 @@
             return
         host = self.state.hosts.get(conn.host)
         if conn.probe_at:
-            conn.phase = Phase.BUSY
-            self.core.ask(fx.Ask(conn.id))
-            self.core.ring(("leg", conn.id), self.core.now + PROBE_WAIT)
+            self._ask(conn)
         elif conn.leg is not None:
             # The list, or the operators' mind, may have changed while the connection came up, and a drain
             # counts from the first byte.
@@ -135,7 +139,7 @@
         next leg is written, and then its job may have run. Where one did, more will: for a while each leg
         gets a connection of its own."""
         state = self.state
-        if conn.legs < 2 or conn.heard:
+        if not conn.kept or conn.heard:
             return  # not a kept one, or it lived
         if self.core.now >= state.distrust_until:
             self.core.ask(fx.Say(f"kept connections fail: none is used for {DISTRUST // SECOND} s"))
@@ -192,7 +196,7 @@
         if self.core.now < self.state.distrust_until:
             self.hang_up(conn)
             return
-        conn.phase = Phase.IDLE
+        conn.phase, conn.kept = Phase.IDLE, True
         host.idle.append(conn.id)
         self.state.idle[conn.id] = None
         self.core.quiet(("leg", conn.id))
@@ -210,17 +214,21 @@
 
     def _give_up(self, conn: Conn, reason: api.Reason) -> None:
         """What a connection carried ends with it; before its last byte was written it never ran."""
+        host = self.state.hosts.get(conn.host)
         if conn.leg is not None:
             leg = conn.leg
             self._distrust(conn)
-            host = self.state.hosts.get(conn.host)
             ours = host is not None and host.takes() and leg.authorisation.open
-            if conn.legs > 1 and not leg.written and ours and host is not None and self.core.now < leg.until:
+            if conn.kept and not leg.written and ours and host is not None and self.core.now < leg.until:
                 # A kept connection had ended before it could carry the leg: that says nothing of its host,
                 # and as nothing was sent wholly this is the same leg on another connection.
                 self._carry(leg, host)
                 return
             self.outcome(leg, reason if conn.leg.written else api.Reason.CONNECT_FAILED)
+        elif (
+            conn.probe_at and conn.kept and not conn.heard and host is not None and reason is api.Reason.RESET
+        ):
+            self._probe(host, conn.probe_at)  # the connection had ended, which says nothing of its host
         elif conn.probe_at and conn.phase in (Phase.DIALLING, Phase.BUSY):
             self._probed(conn, reason if conn.phase is Phase.BUSY else api.Reason.CONNECT_FAILED)
 
@@ -249,15 +257,29 @@
 
     def probe(self, action: api.Probe) -> None:
         host = self.state.hosts.get(action.worker)
-        conn = self._dial(host) if host is not None else None
         self.core.count("probes")
-        if conn is None:
+        if host is None:
             self.core.tell(api.Probed(action.worker, api.Reason.MOOT, 0))
+        else:
+            self._probe(host, self.core.now)
+
+    def _probe(self, host: Host, asked: int) -> None:
+        """On a kept connection where there is one: a handshake costs its host more than the probe."""
+        conn = self._kept(host) or self._dial(host)
+        if conn is None:
+            self.core.tell(api.Probed(host.uid, api.Reason.MOOT, 0))
             return
-        conn.probe_at = self.core.now
-        self.core.ring(
-            ("leg", conn.id), self.core.now + (self.core.settings.limits.connect_timeout or SECOND)
-        )
+        conn.probe_at = asked
+        if conn.phase is Phase.IDLE:
+            self._ask(conn)
+        else:
+            wait = self.core.settings.limits.connect_timeout or SECOND
+            self.core.ring(("leg", conn.id), self.core.now + wait)
+
+    def _ask(self, conn: Conn) -> None:
+        conn.phase, conn.heard = Phase.BUSY, False
+        self.core.ask(fx.Ask(conn.id))
+        self.core.ring(("leg", conn.id), self.core.now + PROBE_WAIT)
 
     def _probed(self, conn: Conn, reason: api.Reason, report: tuple[float, ...] = ()) -> None:
         self.core.tell(api.Probed(conn.host, reason, self.core.now - conn.probe_at, report))
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -72,7 +72,7 @@
     endpoint: tuple[str, int]
     phase: Phase = Phase.DIALLING
     leg: Leg | None = None
-    legs: int = 0  # that it has carried, the one in hand included
+    kept: bool = False  # it has been idle: it may have died unseen
     heard: bool = False  # its host has begun to answer the leg in hand
     probe_at: int = 0  # when its probe was asked for, 0: it carries none
 
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -27,6 +27,7 @@
     rank: int  # hash of the id
     pace: float  # running time for each unit of work
     cap: float  # slots that our attempts may hold
+    weight: float = 1.0  # its size as listed, to compare it with others
     zone: Zone = field(default_factory=Zone)
     kind: str = ""
     cell: int = 0
@@ -42,6 +43,8 @@
     delay_at: int = 0
     cut_at: int = 0  # when the cap was lowered last
     heard: int = 0  # last sign of life
+    asked: int = 0  # when the probe that is out was sent, 0: none is
+    looked: int = 0  # when a probe was answered last
     away: float = 0.0  # distance on the ring of ranks from our part of the fleet, from 0 to 1
     rest_until: int = 0  # nothing is sent before
     sound: float = 1.0  # share of its answers that were results, the latest count most
