--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -398,24 +398,25 @@
         return i / n
 
     def best(self, job: Job, kept: list[Worker]) -> Worker | None:
-        """The worker with a free position where the job is expected to end first."""
+        """The free worker where the job ends first; many see the same fast ones idle: most surely in time."""
         best, least = None, float("inf")
         cross = self.settings.cross_zone_price * (job.cls.aim + job.cls.stretch * job.work)
-        slack = self.tightest + max(job.last_start - self.now, 0.0)
+        slack = self.tightest + max(job.last_start - self.now, 0.0)  # with more it is held: jams
         far = HOME * (self.response + self.length(job))
         anywhere = job.bound() or job.cls.kind >= 0  # its group or kind may stand far from home
         near = self.up if anywhere else self.up[: REACH + len(self.out)]
         for worker in [other for other in near if other not in kept]:
             end = far * worker.away
-            if end + job.work * self.pace / 2 > least:
+            if not self.thin and end + job.work * self.pace / 2 > least:
                 break  # the rest is farther still
-            end += (job.work + worker.load / max(worker.peak, int(worker.cap))) * worker.pace
+            end += worker.load / max(worker.peak, int(worker.cap)) * worker.pace
             end += cross * (worker.zone.name != self.settings.zone)
-            unseen = self.now - worker.delay_at  # it may have filled up since, as far as is usual
+            unseen = 0 if self.thin else self.now - worker.delay_at  # it may have filled up since
             wait = max(worker.wait(self.now, self.forget), self.usual * unseen / (unseen + 2 * self.response))
-            # guards against jams: jobs are held, but for one that tries if the jam has gone
-            if end + wait < least and (wait <= slack or not self.out) and self.may_send(job, worker):
-                best, least = worker, end + wait
+            room = max(self.beat, job.last_start - self.now + (self.pace - worker.pace) * job.work)
+            end = (end + max(wait, self.beat)) / room if self.thin else end + wait + job.work * worker.pace
+            if end < least and (wait <= slack or not self.out) and self.may_send(job, worker):
+                best, least = worker, end
         return best
 
     # ---- the rules: each Send passes `send`, each final answer `answer` ----
