--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -40,6 +40,7 @@
 UNSEEN = 30_000  # us without an answer to a look: the worker is passed over until it comes
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
 TRUST = 0.75  # least soundness for a job that must not be repeated: one failure among results is usual
+TRIAL = 0.5  # soundness under which a worker is tried with one job at a time
 FAILED_FIRST = 0.125  # of a usual response, doubled for each failed connection: one is let be for a quarter
 FAILED_MOST = 4.0  # usual responses: a worker that is back is tried again within about 2 s
 ALIVE = (Reason.OK, Reason.ERROR, Reason.FULL)  # outcomes that a worker itself has sent
@@ -195,8 +196,8 @@
         return self.suspended.keys() | {worker.id for worker in self.workers.values() if worker.rests(now)}
 
     def line_up(self) -> None:
-        listed = [worker for worker in self.workers.values() if worker.state is WorkerState.UP]
-        self.up = [worker for worker in listed if worker.id not in self.suspended]
+        up = [worker for worker in self.workers.values() if worker.state is WorkerState.UP]
+        self.up = [worker for worker in up if worker.id not in self.suspended]
         self.up.sort(key=lambda worker: (worker.rank, worker.id))
         home = (self.settings.me + 0.5) / self.settings.schedulers
         for index, worker in enumerate(self.up):
@@ -261,7 +262,7 @@
         """Whether it may have the job: safe ones try it out, one at a time if it fails most of them."""
         if worker.sound >= TRUST or all(other.sound < TRUST for other in self.up):
             return True
-        return job.cls.effect is Effect.SAFE and not worker.used
+        return job.cls.effect is Effect.SAFE and (worker.sound >= TRIAL or not worker.used)
 
     def miss(self, attempt: Attempt) -> None:
         """Not acknowledged, as a live worker does at once: the connection is dead, or all of the worker.
@@ -286,9 +287,9 @@
             self.hear(worker)
         else:
             self.let_be(worker, self.now)  # one that cannot serve is found out before a job is lost there
-        zone, slow = worker.zone, probed.took >= self.limits.connect_timeout  # else the way is open
-        if slow and zone.heard < self.now - probed.took and not zone.cut_at:
-            zone.cut_at = self.now
+        zone = worker.zone
+        if self.now - zone.heard > probed.took >= self.limits.connect_timeout and not zone.cut_at:
+            zone.cut_at = self.now  # a refusal at once would show that the way is open
             self.actions.append(Log("zone out of reach: left out and probed"))
 
     def learn_wait(self, worker: Worker, wait: float, sent: int) -> None:
@@ -302,7 +303,6 @@
             worker.cap += CAP_GAIN
 
     def learn_report(self, worker: Worker, report: tuple[float, ...], sent: int) -> None:
-        """Of slots, and of others' queue."""
         told = dict(zip(self.settings.report_fields, report, strict=False))
         worker.peak = max(worker.peak, round(told.get("x0", 0.0)))
         lacking = max(0.0, SPARE + 1.5 * told.get("queue", 0.0) - told.get("x0", SPARE))
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -171,6 +171,7 @@
     report: tuple[float, ...] = ()
     result: bytes = b""
     invalid: bool = False  # the host says that the authorisation itself is at fault
+    free: bool = False  # its answer has ended, and the connection may carry the next leg
 
 
 @dataclass(slots=True)
--- a/reedspoke/net/issuer.py
+++ b/reedspoke/net/issuer.py
@@ -70,9 +70,12 @@
                     if status != 200 or not self.asked and item.get(b"x-load") is not None:
                         self._conclude_by_status(item)
                 elif isinstance(item, End):
+                    free = item.reusable and not len(buffer)
                     if not self.asked and not self.told:
-                        self._conclude_probe(told)
-                    if not self.told or not item.reusable or len(buffer):
+                        self._conclude_probe(told, free)
+                        if free:  # by now it may carry a leg
+                            continue
+                    if not self.told or not free:
                         return  # bytes behind an answer would be taken for the next leg's
                     self.busy = False
                     self.emit(fx.Freed(self.number))
@@ -98,11 +101,11 @@
                 log.warning("issuer host %s:%d: status %d", *self.endpoint, head.status)
         self.emit(fx.Concluded(self.number, reason, report, invalid=invalid))
 
-    def _conclude_probe(self, told: bytearray) -> None:
+    def _conclude_probe(self, told: bytearray, free: bool) -> None:
         """A load report is the body of its answer; one that cannot be read is none."""
-        self.told = True
+        self.told, self.busy = True, not free
         report = words.report(words.load_field(bytes(told)), self.side.report_fields)
-        self.emit(fx.Concluded(self.number, api.Reason.OK, report))
+        self.emit(fx.Concluded(self.number, api.Reason.OK, report, free=free))
 
     def _take_line(self, raw: memoryview | bytes) -> None:
         if self.told:
--- a/reedspoke/net/legs.py
+++ b/reedspoke/net/legs.py
@@ -172,6 +172,8 @@
                 self.clients.answer(auth, fx.Verdict.INVALID)
             self.outcome(leg, api.Reason.MOOT if event.invalid else event.reason, event.report)
         else:
+            if event.free:  # before the module hears: the leg that follows a look goes on its connection
+                self._rest(conn)
             self._probed(conn, event.reason, event.report)
 
     def outcome(self, leg: Leg, reason: api.Reason, report: tuple[float, ...] = ()) -> None:
@@ -187,8 +189,10 @@
 
     def _on_freed(self, event: fx.Freed) -> None:
         conn = self.state.conns.get(event.conn)
-        if conn is None or conn.phase is not Phase.ENDING:
-            return
+        if conn is not None and conn.phase is Phase.ENDING:
+            self._rest(conn)
+
+    def _rest(self, conn: Conn) -> None:
         host = self.state.hosts.get(conn.host)
         if host is None or not host.takes() or host.endpoint != conn.endpoint:
             self.hang_up(conn)
