Few schedulers learn waits and speeds as before; the large fleet's rules stay with it

Cause: two rules made for fleets of many schedulers also decide where there are few. - logic.py `learn_report`: `lacking = SPARE + 1.5 * queue - x0` takes a worker that reports fewer than 1.5 slots free as one with a wait. Among many, others take those slots first; of two, the busy slots are mostly our own jobs, already counted by `load`, so busy hosts were skipped or jobs held. - logic.py `learn_entry`: `pace = self.norm / entry.weight` ranks hosts by listed size before any result; of two schedulers, each learns the speeds from its own jobs within seconds.

Change: both hold where the fleet is thin (more than 8 schedulers that may probe); otherwise the wait is the queue told, times half the usual answer, per slot, as before.

--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -155,9 +155,7 @@
             self.watching, self.losses = False, self.losses + 1
             return
         listed, self.losses = {entry.worker for entry in members.entries}, 0
-        if (
-            not self.workers and listed
-        ):  # the usual worker is taken for a standard one until there are results
+        if not self.workers and listed:  # the usual worker stands for a standard one until results come
             self.norm = sum(entry.weight for entry in members.entries) / len(members.entries)
         for worker in list(self.workers.values()):
             if members.kind is not ListKind.CHANGES and worker.id not in listed:
@@ -221,7 +219,7 @@
     def learn_entry(self, entry: Entry) -> None:
         worker = self.workers.get(entry.worker)
         if worker is None:
-            pace = self.norm / entry.weight if entry.weight > 0 else self.pace
+            pace = self.norm / entry.weight if entry.weight > 0 and self.thin else self.pace
             worker = Worker(entry.worker, crc32(entry.worker.encode()), pace, CAP_START, entry.weight)
             self.workers[worker.id] = worker
         elif entry.born != worker.born:  # it has restarted: what was learned of its load is void
@@ -305,8 +303,10 @@
     def learn_report(self, worker: Worker, report: tuple[float, ...], sent: int) -> None:
         told = dict(zip(self.settings.report_fields, report, strict=False))
         worker.peak = max(worker.peak, round(told.get("x0", 0.0)))
-        lacking = max(0.0, SPARE + 1.5 * told.get("queue", 0.0) - told.get("x0", SPARE))
-        wait = lacking * told.get("latency_ms", self.response / 2000) * 1000 / worker.peak
+        queue = told.get("queue", 0.0)  # of few schedulers, each knows what its own jobs hold and how fast
+        lacking = max(0.0, SPARE + 1.5 * queue - told.get("x0", SPARE)) if self.thin else queue / 2
+        per = told.get("latency_ms", self.response / 2000) * 1000 if self.thin else self.response
+        wait = lacking * per / worker.peak
         if self.thin or wait > worker.wait(self.now, self.forget):  # our own few jobs teach too little
             worker.delay, worker.delay_at = wait, self.now
 
