Pushed lists are followed by the network code: K's broken drains mended

Cause: where discovery is pushed, settings.ask_for_list is false, so the module never asks for a watch (logic.py, handle and on_timer), and hosts.follow had no other caller. Ruled out: the agent (it answers the first watch at once) and drains in legs.py, which hold where a list comes. Change: hosts.py opens the watch when the listener is open, opens a lost one again after 50 ms doubled to 1 s, moves it with SIGHUP, and leaves the module out of it. Older versions than ours bring no host back for 10 s (an agent restarted), only departures in them count. Idempotency-Key twice, empty or missing in a keyed class is an error (message.py).

--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -5,13 +5,14 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
 from itertools import count
 from typing import Any, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net import problems
 from reedspoke.net.core import SECOND
@@ -312,14 +313,14 @@
     def __init__(
         self,
         runtime: Runtime,
-        classes: dict[str, int],
+        classes: Mapping[str, api.ClassSettings],
         listen: tuple[str, int],
         claim: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self.runtime = runtime
         self.claim = claim  # whether an authorisation of that id may be taken
         self.gate: Gate | None = None  # where callers have to prove who they are
-        self.classes = classes  # with how long a client waits at the most
+        self.classes = classes
         self._plain = Listener(listen, BACKLOG, self._take)
         self._listeners = [self._plain]
         self._parties: dict[int, Party] = {}
--- a/reedspoke/net/lifecycle.py
+++ b/reedspoke/net/lifecycle.py
@@ -34,6 +34,8 @@
 
     def _on_listening(self, _: fx.Listening) -> None:
         self.state.life = Life.SERVING
+        if self.hosts.pushed:  # else the module asks by itself
+            self.hosts.follow()
         if not self.state.settled:
             self.core.ring(("settle", 0), self.core.now + PATIENCE)
 
@@ -51,8 +53,8 @@
         )  # fmt: skip
         if moved:
             # Versions are the old one's: asked for changes since 0, the new one tells all that it has.
-            state.directory, state.rev = event.directory, 0
-            if state.watching:  # else the module asks for a new watch by itself
+            state.directory, state.rev, state.older_at = event.directory, 0, 0
+            if state.watching or self.hosts.pushed:  # else the module asks for a new watch by itself
                 self.hosts.follow()
 
     def _on_unloaded(self, _: fx.Unloaded) -> None:
--- a/reedspoke/net/message.py
+++ b/reedspoke/net/message.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -12,7 +13,8 @@
 from reedspoke.net import effects as fx
 from reedspoke.net.http import Head, MalformedError
 
-ONCE = (b"x-request-id", b"x-deadline", b"x-class", b"x-tenant", b"x-key", b"x-cost-hint", b"x-extras")
+KEY = b"idempotency-key"  # of a job whose repeats hosts drop by it
+ONCE = (b"x-request-id", b"x-deadline", b"x-class", b"x-tenant", b"x-key", b"x-cost-hint", b"x-extras", KEY)
 OWN = frozenset(  # fields of one connection, and those that a leg writes itself
     (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"expect", b"host")
     + (b"content-length", b"proxy-connection", b"x-deadline")
@@ -99,8 +101,12 @@
     return named.lstrip(b"/").partition(b"/")[0].decode("ascii")
 
 
-def authorisation(head: Head, classes: dict[str, int]) -> Message:
-    """Reads the head of an authorisation; one of a known class, by POST."""
+def authorisation(head: Head, classes: Mapping[str, api.ClassSettings]) -> Message:
+    """Reads the head of an authorisation; one of a known class, by POST.
+
+    Raises MalformedError. A field that decides what a host does stands there once: of two, one host might go
+    by the first and another by the last. A job of a keyed class without its key could not be told from its
+    own repeat, so it is none."""
     if head.version == 1 and head.get(b"host") is None:
         raise MalformedError(400, "no host")
     for once in ONCE:
@@ -112,8 +118,10 @@
     name = text(head, b"x-request-id")
     if not name:
         raise MalformedError(400, "no x-request-id")
+    if classes[cls].effect is api.Effect.KEYED and not head.get(KEY):
+        raise MalformedError(400, f"no {KEY.decode()} in a keyed class")
     span = decimal(head, b"x-deadline")
-    longest = classes[cls] / 1_000_000
+    longest = classes[cls].deadline / 1_000_000
     figures = extras(text(head, b"x-extras"))
     hint = decimal(head, b"x-cost-hint")
     return Message(
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -51,7 +51,7 @@
         )
         self.runtime = Runtime(Clock(), reducer)
         self.handover = Handover(self.runtime, config.name, Path(config.folder) if config.folder else None)
-        classes = {cls.name: cls.deadline for cls in config.settings.classes}
+        classes = {cls.name: cls for cls in config.settings.classes}
         self.acquirer = Acquirer(self.runtime, classes, config.listen, self.handover.claim)
         self.directory = Directory(self.runtime)
         issuer = Issuer(self.runtime, config.settings.report_fields)
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -112,7 +112,6 @@
             case api.Fail():
                 self._final(action.id, fx.Verdict.FAILED)
             case api.Watch():
-                core.count("watches")
                 self.hosts.follow()
             case api.Probe():
                 self.legs.probe(action)
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -112,6 +112,8 @@
     directory: tuple[str, int] = ("", 0)
     watching: bool = False  # a watch is asked for and has not been lost
     rev: int = 0
+    older_at: int = 0  # since when the directory has told of versions before `rev` alone, 0: it has not
+    watch_losses: int = 0  # watches on pushed lists lost since the last sign of life of the directory
     clients: dict[int, Client] = field(default_factory=dict)
     resting: dict[Standing, dict[int, None]] = field(  # clients that are owed nothing, the longest first
         default_factory=lambda: {standing: {} for standing in Standing}
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -25,16 +25,21 @@
 
 
 def category(name: str, repeat: str) -> dict[str, Any]:
-    return {"name": name, "repeat": repeat, "hard_limit": 5_000_000, "aim": 400_000, "importance": 1.0}
+    return {
+        "name": name, "repeat": repeat, "hard_limit": 5_000_000, "aim": 400_000, "importance": 1.0,
+        "group": "zone", "window": 2_000_000,
+    }  # fmt: skip
 
 
 SETTINGS: dict[str, Any] = {
-    "balancers": 1, "categories": [category("quote", "pure"), category("book", "side_effect")],
+    "balancers": 1, "categories": [
+        category("quote", "pure"), category("book", "side_effect"), category("store", "token"),
+    ],
     "ceilings": {
         "try_limit": 5, "cancelling": True, "probes": True, "retry_after": True, "max_retry_after": 2_000_000,
         "connect_timeout": 250_000, "conn_idle": 60_000_000,
     },
-    "discovery": "on_request", "family_info": {"class_stretch": [2.0, 2.0], "tells_start": True},
+    "discovery": "on_request", "family_info": {"class_stretch": [2.0, 2.0, 2.0], "tells_start": True},
     "flavors": ["fast"], "me": 0, "report": {"how": "answers", "names": ["mean_ms", "depth", "x0", "x1"]},
     "resolution": 5000,
     "safety": {
@@ -170,6 +175,7 @@
     def __init__(
         self, folder: Path, hosts: int, sockets: int, ceilings: dict[str, Any],
         listener: socket.socket | None, beside: Node | None, operator: dict[str, Any] | None = None,
+        pushed: bool = False,
     ) -> None:  # fmt: skip
         self.hosts: list[Peer] = beside.hosts if beside else [Peer(f"s-{i}") for i in range(hosts)]
         self.discovery = Peer()
@@ -179,6 +185,7 @@
         if self.listener is not None:
             self.port = self.listener.getsockname()[1]
         settings = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], **ceilings}}
+        settings["discovery"] = "pushed" if pushed else "on_request"
         known = {"rev": 41, "all": True, "targets": [host.entry() for host in self.hosts]}
         told = {
             "name": "n0", "seed": "8c1f30d27a5be964",
@@ -281,11 +288,12 @@
         inherits: bool = False,
         beside: Node | None = None,
         operator: dict[str, Any] | None = None,
+        pushed: bool = False,
         **ceilings: Any,
     ) -> Node:
         """`inherits`: the platform holds the listener; `beside`: the successor of such a node."""
         listener = Peer().sock if inherits else None
-        started.append(Node(folder, hosts, sockets, ceilings, listener, beside, operator))
+        started.append(Node(folder, hosts, sockets, ceilings, listener, beside, operator, pushed))
         return started[-1]
 
     try:
--- a/tests/test_acquirer.py
+++ b/tests/test_acquirer.py
@@ -55,6 +55,10 @@
         (post("Content-Length: 0\r\n").replace(b"X-Deadline: 1", b"X-Deadline: -1"), 400),
         (post("Content-Length: 0\r\n").replace(b"X-Deadline: 1", b"X-Deadline: nan"), 400),
         (post("Content-Length: 0\r\n").replace(b"X-Request-Id: 1a\r\n", b""), 400),
+        (post("Idempotency-Key: a\r\nIdempotency-Key: a\r\nContent-Length: 0\r\n"), 400),
+        (post("Idempotency-Key: a\x01b\r\nContent-Length: 0\r\n"), 400),
+        (post("Content-Length: 0\r\n").replace(b"quote", b"store"), 400),  # keyed, and no key
+        (post("Idempotency-Key: \r\nContent-Length: 0\r\n").replace(b"quote", b"store"), 400),
         (post("Content-Length: 0\r\n").replace(b"/quote", b"/nothing"), 404),
         (post("Content-Length: 0\r\n").replace(b"/quote", b"/"), 404),
         (post("Content-Length: 0\r\n").replace(b"POST", b"PUT"), 405),
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -33,9 +33,11 @@
     node.watch.chunk(b"\n")
 
 
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
 @pytest.mark.parametrize("how", ["Terminating", "Gone", "not in a full list"])
-def test_host_that_leaves_gets_nothing_new(start: Start, how: str) -> None:
-    node = start(hosts=2)
+def test_host_that_leaves_gets_nothing_new(start: Start, how: str, pushed: bool) -> None:
+    """Guards drains where lists are pushed: an agent has them, and nobody but the program can follow it."""
+    node = start(hosts=2, pushed=pushed)
     told_off(node, 0, how)
     wires: list[Wire] = []
     for number in range(5):
@@ -112,9 +114,10 @@
     assert "entry skipped" in node.log()
 
 
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
 @pytest.mark.parametrize("how", ["503", "reset", "end", "nonsense", "silence", "refused at first"])
-def test_watch_that_breaks_is_asked_for_again(start: Start, how: str) -> None:
-    node = start(hosts=1)
+def test_watch_that_breaks_is_asked_for_again(start: Start, how: str, pushed: bool) -> None:
+    node = start(hosts=1, pushed=pushed)
     if how != "503":
         node.watch.begin()
         node.list(node.hosts[0].entry(), rev=57)
@@ -139,9 +142,10 @@
     assert client.message().status == 200, "the last list stays in force"
 
 
-def test_sighup_moves_the_watch_and_disturbs_nobody(start: Start) -> None:
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
+def test_sighup_moves_the_watch_and_disturbs_nobody(start: Start, pushed: bool) -> None:
     """Guards against an end by SIGHUP, and against PROXY_DISCOVERY, which names the old address for ever."""
-    node = start(hosts=1)
+    node = start(hosts=1, pushed=pushed)
     node.watch.begin()
     idle, busy = node.client(ask("0a")), node.client()
     wire = node.leg()
@@ -169,8 +173,9 @@
     assert node.stop() == 0, "SIGTERM may follow"
 
 
-def test_watch_lost_after_sighup_is_asked_for_at_the_new_address(start: Start) -> None:
-    node = start(hosts=1)
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
+def test_watch_lost_after_sighup_is_asked_for_at_the_new_address(start: Start, pushed: bool) -> None:
+    node = start(hosts=1, pushed=pushed)
     moved = Peer()
     node.reload(json.dumps({**node.told, "discovery": moved.endpoint}))
     moved.accept().close()
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -151,6 +151,25 @@
     assert 2.9 < float(leg.fields["x-deadline"]) <= 3.0
 
 
+@pytest.mark.parametrize(
+    "key", ["5c0f6e1a2b3d4c59", '\u00e9 \t;,="%00', "k" * 2000], ids=["hex", "odd", "long"]
+)
+def test_key_goes_unchanged_to_each_leg(start: Start, key: str) -> None:
+    """Guards a keyed job against running twice: hosts of its zone know its repeat by this key alone."""
+    node = start(hosts=1)
+    client = node.client(ask(cls="store", more=f"Idempotency-Key: {key}\r\n"))
+    first = node.hosts[0].accept()
+    told = [first.message().fields["idempotency-key"]]
+    first.begin()
+    first.close()  # it may have run: the host's zone drops the repeat
+    again = node.hosts[0].accept()
+    leg = again.message()
+    told.append(leg.fields["idempotency-key"])
+    again.serve(leg)
+    assert client.message().status == 200
+    assert told == [key.encode().decode("latin-1")] * 2
+
+
 def test_answer_in_pieces_is_read_like_one_in_one(start: Start) -> None:
     node = start(hosts=1)
     client = node.client(ask())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -78,7 +78,7 @@
     node = start(hosts=1)
     assert node.figures() == {
         **{f'scheduler_{end}_total{{service="{cls}"}}': 0
-           for end in ("succeeded", "declined", "aborted") for cls in ("quote", "book")},
+           for end in ("succeeded", "declined", "aborted") for cls in ("quote", "book", "store")},
         "scheduler_forwards_total": 0, "scheduler_sighup_applied_total": 0,
         "scheduler_sighup_rejected_total": 0, "scheduler_outstanding": 0, "scheduler_discovered": 1,
         "scheduler_ejected": 0,
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -8,6 +8,7 @@
 from reedspoke.net import effects as fx
 from reedspoke.net.clients import CLIENT_FRESH
 from reedspoke.net.core import SECOND, Budget
+from reedspoke.net.hosts import OLDER
 from reedspoke.net.legs import MUTE
 from reedspoke.net.reducer import Reducer
 from reedspoke.net.wheel import Wheel
@@ -29,8 +30,9 @@
 class Play:
     """A reducer whose timers ring; keeps what it asked for."""
 
-    def __init__(self, budget: Budget | None = None) -> None:
-        self.reducer = Reducer(settings(ask=True), 1, budget or Budget(10, 12), 60 * SECOND)
+    def __init__(self, budget: Budget | None = None, config: api.Settings | None = None) -> None:
+        config = config or settings(ask=True)
+        self.reducer = Reducer(config, 1, budget or Budget(10, 12), 60 * SECOND, ("127.0.0.1", 8500))
         self.now, self.wheel, self.asked = NOW, Wheel(5 * MS, NOW), list[fx.Effect]()
 
     def tell(self, *events: fx.Event) -> list[fx.Effect]:
@@ -271,3 +273,85 @@
     play.tell(fx.Opened(dialled), fx.Written(dialled), fx.Withdrawn(1), fx.Withdrawn(9))
     assert play.answers() == [fx.Verdict.WITHDRAWN], "taken is taken"
     assert not play.faults()
+
+
+# ---- pushed lists: an agent has them and nobody is asked ----
+
+
+def pushed(*events: fx.Event) -> Play:
+    play = Play(config=settings(ask=False))
+    play.tell(fx.Listed(api.ListKind.STALE, 7, listed("a", "b").targets), fx.Listening(), *events)
+    return play
+
+
+def follows(effects: list[fx.Effect]) -> list[fx.Follow]:
+    return [effect for effect in effects if isinstance(effect, fx.Follow)]
+
+
+def test_pushed_lists_are_followed_from_the_start() -> None:
+    """Guards drains: the module asks for no list that is pushed, so nobody followed the agent, and the
+    scheduler lived on the list of its configuration."""
+    assert [follow.rev for follow in follows(pushed().asked)] == [7]
+
+
+@pytest.mark.parametrize("how", ["silent", "gone"])
+def test_agent_that_says_nothing_for_a_minute_is_followed_anew(how: str) -> None:
+    play = pushed()
+    begun = len(play.asked)
+    for _ in range(60):
+        for _ in follows(play.asked[begun:]) if how == "gone" else ():
+            play.tell(fx.Unlisted("connection refused"))
+        begun = len(play.asked)
+        play.advance(SECOND)
+    again = follows(play.asked)
+    assert 12 <= len(again) <= 70, "each second at the most, and not given up"
+    assert {follow.rev for follow in again} == {7}
+    assert not [text for text in play.faults() if text]
+    play.tell(listed("a", full=False))
+    assert play.reducer.state.watch_losses == 0
+    begun = len(play.asked)
+    play.tell(fx.Unlisted("it ended"))
+    assert follows(play.advance(60 * MS)), "the first time at once"
+
+
+def test_module_hears_of_pushed_lists_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    play, told = pushed(), list[api.Event]()
+    handle = play.reducer.module.handle
+
+    def hear(now: int, event: api.Event) -> list[api.Action]:
+        told.append(event)
+        return handle(now, event)
+
+    monkeypatch.setattr(play.reducer.module, "handle", hear)
+    play.tell(fx.Unlisted("it ended"), listed("a", "b"), fx.Unlisted("it ended"))
+    play.advance(SECOND)
+    kinds = [event.kind for event in told if isinstance(event, api.Members)]
+    assert kinds == [api.ListKind.FULL]
+
+
+def test_lost_watch_on_pushed_lists_moves_with_the_configuration() -> None:
+    play = pushed(fx.Unlisted("it ended"))
+    moved = follows(play.tell(fx.Reloaded(("127.0.0.1", 9))))
+    assert [(follow.endpoint[1], follow.rev) for follow in moved] == [(9, 0)]
+
+
+def test_nothing_is_followed_behind_the_end() -> None:
+    play = pushed(fx.Unlisted("it ended"), fx.Stop())
+    play.advance(10 * SECOND)
+    end = next(i for i, effect in enumerate(play.asked) if isinstance(effect, fx.Exit))
+    assert not follows(play.asked[end:])
+
+
+def test_older_list_brings_nobody_back() -> None:
+    """Guards drains against an agent that has fallen behind; who leaves by its list is heeded still."""
+    play = pushed(fx.Listed(api.ListKind.CHANGES, 50, listed("a", state=api.WorkerState.DRAINING).targets))
+    hosts = play.reducer.state.hosts
+    old = fx.Listed(api.ListKind.FULL, 45, listed("a", "b", "c").targets)
+    play.tell(old, fx.Listed(api.ListKind.CHANGES, 46, listed("b", state=api.WorkerState.GONE).targets))
+    assert {uid: host.state for uid, host in hosts.items()} == {"a": api.WorkerState.DRAINING}
+    assert play.reducer.module.workers["a"].state is api.WorkerState.DRAINING
+    assert play.reducer.module.workers["b"].state is api.WorkerState.GONE
+    play.advance(OLDER)
+    play.tell(old)
+    assert sorted(hosts) == ["a", "b", "c"], "it has begun its versions anew"
+    assert play.reducer.state.rev == 45
