--- a/reedspoke/logic.py
+++ b/reedspoke/logic.py
@@ -18,12 +18,11 @@
     NoteKind, Outcome, Partner, Probe, Probed, Reason, Refuse, Request, Send, SetTimer, Settings, Suspended,
     Timer, Watch, WorkerState,
 )  # fmt: skip
-from reedspoke.records import LEARN, OUTLIER, Attempt, Flow, Job, Worker, Zone, average
+from reedspoke.records import LEARN, OUTLIER, Attempt, Flow, Hints, Job, Worker, Zone, average
 
 ALPHA = 0.99  # decay of L_max a completion, as in the paper
 REFRESH = 10_000  # us between bills of running jobs, as in the paper
 CLOCK_MEMORY = 2_000_000  # us over which the rate of finished work is averaged for v: some jobs' length
-PROMPT = 0.2  # a start within this share of the tightest aim met a free slot
 CAP_START = 2.0  # slots: a worker nothing is known of gets a job while another is on its way
 CAP_GAIN = 0.2  # slots for a prompt start at a full cap: less than a cut, so at rest most starts are prompt
 CAP_CUT = 0.7  # what a late start or 'full' leaves of a cap; halving starves a worker after one burst
@@ -33,11 +32,12 @@
 FORGET = 2.0  # tightest aims until half of a wait is forgotten: a queue of some jobs has gone by then
 REACH = 50  # workers looked at beyond one for each job out: a jam must not cost the whole fleet's ranking
 COLD_PART = 0.6  # part of our share of a cold worker's budget that we use: sizes and speeds are estimates
-FEW = 8  # schedulers: where more share the workers, none of them sees much of any by its own jobs
+FEW = 12  # schedulers: where more share the workers, none of them sees much of any by its own jobs
 SPONSORS = 3  # schedulers that share a cold worker's budget where there are many: each part holds a usual job
 SPARE = 1.5  # slots free in a report that the job and others will have taken before it starts
 FRESH = 500_000  # us that a look at a worker serves: reports are renewed about once a second
 UNSEEN = 30_000  # us without an answer to a look: the worker is passed over until it comes
+CROSS = 8.0  # a crossing is to save this many times its price: the wait that it saves is a guess
 HOME = 0.5  # weight of a worker's distance from our part of the fleet: half of what it keeps a job waiting
 TRUST = 0.75  # least soundness for a job that must not be repeated: one failure among results is usual
 TRIAL = 0.5  # soundness under which a worker is tried with one job at a time
@@ -61,6 +61,7 @@
         self.suspended: dict[str, int] = {}  # left out by hand, since when: no list ends it
         self.up: list[Worker] = []  # those that may be sent to, the ones in reach first, then by distance
         self.zones: dict[str, Zone] = {}
+        self.hints = {cls.name: Hints() for cls in settings.classes}
         self.jobs: dict[int, Job] = {}
         self.out: dict[tuple[int, int], Attempt] = {}
         mean = sum(tenant.share for tenant in settings.tenants) / max(1, len(settings.tenants))
@@ -94,10 +95,11 @@
         api, slots = request.key or cls.name, max(1, request.slots)
         if api not in flow.largest:
             flow.largest[api] = float(slots * request.hint) or max(flow.largest.values(), default=0.0)
-        work = request.hint or flow.largest[api] / slots or float(cls.aim)
+        hint = request.hint or flow.largest[api] / slots or float(cls.aim)
+        work = self.hints[cls.name].work(hint)  # rough hints are drawn to their class's usual one
         arrived = min(self.now, request.deadline - cls.deadline)  # a client's later try has less time left
         last_start = min(arrived + cls.aim + cls.stretch * work, request.deadline) - self.pace * work
-        job = Job(request.id, cls, flow, api, work, slots, request.deadline, last_start, request.memory)
+        job = Job(request.id, cls, flow, api, hint, work, slots, request.deadline, last_start, request.memory)
         self.jobs[job.id] = job
         if not flow.queue and not flow.out:
             flow.start = max(flow.start, self.clock())
@@ -295,7 +297,7 @@
         worker.delay = worker.wait(self.now, self.forget) * (1 - LEARN) + wait * LEARN
         worker.delay_at = self.now
         self.usual += USUAL * (min(wait, OUTLIER * self.tightest) - self.usual)
-        if wait > PROMPT * self.tightest:
+        if wait > self.tightest:  # the way to another zone takes some of it
             self.cut(worker, sent)
         elif worker.used >= int(worker.cap):
             worker.cap += CAP_GAIN
@@ -306,9 +308,7 @@
         queue = told.get("queue", 0.0)  # of few schedulers, each knows what its own jobs hold and how fast
         lacking = max(0.0, SPARE + 1.5 * queue - told.get("x0", SPARE)) if self.thin else queue / 2
         per = told.get("latency_ms", self.response / 2000) * 1000 if self.thin else self.response
-        wait = lacking * per / worker.peak
-        if self.thin or wait > worker.wait(self.now, self.forget):  # our own few jobs teach too little
-            worker.delay, worker.delay_at = wait, self.now
+        worker.delay, worker.delay_at = lacking * per / worker.peak, self.now
 
     def cut(self, worker: Worker, sent: int) -> None:
         """Lower a cap, once for all the jobs that were sent before the last cut."""
@@ -340,6 +340,7 @@
             self.finished += cost
             largest, api = attempt.job.flow.largest, attempt.job.api
             largest[api] = max(ALPHA * largest[api], cost)
+            self.hints[attempt.job.cls.name].learn(attempt.job.hint, cost / attempt.job.slots / worker.pace)
             pace = cost / attempt.job.slots / attempt.job.work
             self.pace = average(self.pace, pace)
             worker.pace = average(worker.pace, pace)
@@ -401,15 +402,13 @@
         """The free worker where the job ends first; many see the same fast ones idle: most surely in time."""
         best, least = None, float("inf")
         cross = self.settings.cross_zone_price * (job.cls.aim + job.cls.stretch * job.work)
+        cross *= 1.0 if self.thin else CROSS  # there in shares of the time left
         slack = self.tightest + max(job.last_start - self.now, 0.0)  # with more it is held: jams
-        far = HOME * (self.response + self.length(job))
+        far = HOME * (self.response + self.length(job)) * self.thin
         anywhere = job.bound() or job.cls.kind >= 0  # its group or kind may stand far from home
         near = self.up if anywhere else self.up[: REACH + len(self.out)]
         for worker in [other for other in near if other not in kept]:
-            end = far * worker.away
-            if not self.thin and end + job.work * self.pace / 2 > least:
-                break  # the rest is farther still
-            end += worker.load / max(worker.peak, int(worker.cap)) * worker.pace
+            end = far * worker.away + worker.ahead(job.slots)
             end += cross * (worker.zone.name != self.settings.zone)
             unseen = 0 if self.thin else self.now - worker.delay_at  # it may have filled up since
             wait = max(worker.wait(self.now, self.forget), self.usual * unseen / (unseen + 2 * self.response))
@@ -515,7 +514,7 @@
         worker = attempt.worker
         limit = self.tightest + OVERDUE * max(self.response, attempt.job.work * worker.pace)
         if self.settings.tells_start and not attempt.started:
-            limit = PROMPT * self.tightest
+            limit = float(self.tightest)
         if attempt.started and worker.heard > attempt.started + limit:
             attempt.lose(self.now)  # its worker lives and should have ended it: its stream has stopped short
             return
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
 from reedspoke.interface import ClassSettings, WorkerState
 
 LEARN = 0.2  # weight of a new sample in running averages: about the last ten count
+SPREAD = 0.1  # weight of our jobs at a worker that leave it a free slot: of idle ones the idlest
+USUAL_HINT = 0.03  # least weight of a new hint in its class's usual one
+KEPT = 0.99  # of what hints and costs have told, with each further job
+DOUBT = 5.0  # jobs of one log unit of spread that hints are doubted for before results tell
 OUTLIER = 3.0  # a sample counts at most as this multiple of the average: one pause must not look like a speed
 
 
@@ -61,11 +66,44 @@
         since = now - self.delay_at  # a queue drains as time passes, an unseen one is forgotten slower
         return max(self.delay - since, self.delay / (1 + since / forget))
 
+    def ahead(self, slots: int) -> float:
+        """Time until our own jobs there leave that many slots free, to compare workers by. Where they do
+        already it is little: a job beside another does not wait for it, and is worth no way elsewhere."""
+        over = max(0, self.used + slots - self.peak) / max(1, self.used)
+        return (over / max(self.peak, int(self.cap)) + SPREAD) * self.load * self.pace
+
     def rests(self, now: int) -> bool:
         """It is listed, and gets nothing by our own choice."""
         return self.state is WorkerState.UP and (self.rest_until > now or self.zone.cut_at > 0)
 
 
+@dataclass(slots=True, eq=False)
+class Hints:
+    """What the hints of a class have been worth, in logarithms: by how much of a hint's distance from the
+    usual one its job's cost moves. Hints as wide as the costs themselves would order jobs by chance."""
+
+    count: int = 0
+    usual: float = 0.0
+    cost: float = 0.0  # the usual one, of a standard worker
+    spread: float = 0.0  # sum of squares of hints' distances
+    common: float = 0.0  # sum of products of both distances
+
+    def work(self, hint: float) -> float:
+        """The work to expect, in the hint's own measure; the hint counts by half until results tell."""
+        told = math.log(hint)
+        self.count += 1
+        self.usual += max(USUAL_HINT, 1 / self.count) * (told - self.usual)
+        trust = min(1.0, max(0.0, (self.common + DOUBT / 2) / (self.spread + DOUBT)))
+        return math.exp(self.usual + trust * (told - self.usual))
+
+    def learn(self, hint: float, cost: float) -> None:
+        """What a job with that hint has cost, by the clock of a standard worker."""
+        told, was = math.log(hint), math.log(max(1.0, cost))
+        self.cost += USUAL_HINT * (was - self.cost) if self.cost else was
+        self.spread = KEPT * self.spread + (told - self.usual) ** 2
+        self.common = KEPT * self.common + (told - self.usual) * (was - self.cost)
+
+
 @dataclass(slots=True, eq=False)
 class Flow:
     """A tenant."""
@@ -85,7 +123,8 @@
     cls: ClassSettings
     flow: Flow
     api: str
-    work: float
+    hint: float  # of its work, as told
+    work: float  # as expected
     slots: int
     deadline: int
     last_start: float  # latest start to be in time
