--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -859,8 +859,8 @@
 
 @pytest.mark.parametrize(("price", "chosen"), [(0.0, "far"), (0.12, "home")])
 def test_a_dear_crossing_needs_more_than_a_little_time(price: float, chosen: str) -> None:
-    """Seen at the second deployment: a third of all attempts stayed in their zone, little more than by chance,
-    and crossings cost 0.06 to 0.09 of G on each day, more than all else on quiet ones."""
+    """Seen at the second deployment: a third of all attempts stayed in their zone, not much over chance, and
+    crossings cost 0.06 to 0.09 of G on each day, more than all else on quiet ones."""
     world = zones(price)
     world.request(1)
     assert [sent.worker for sent in world.out()] == [chosen]
