--- a/reedspoke/cli/lab.py
+++ b/reedspoke/cli/lab.py
@@ -19,15 +19,21 @@
     @click.option("--seconds", type=click.FloatRange(0.5, 3600), default=seconds, show_default=True)
     @click.option("--seed", type=int, default=1, show_default=True)
     @click.option("--json", "json_file", metavar="FILE", help="Write the figures as JSON; - for stdout.")
-    def command(seconds: float, seed: int, json_file: str | None) -> int:
+    def command(seconds: float, seed: int, json_file: str | None, style: str = "asked") -> int:
         from reedspoke.lab.experiment import run
 
-        return run(importlib.import_module(module).play, seconds, seed, json_file)
+        return run(importlib.import_module(module).play, seconds, seed, json_file, style)
 
     return command
 
 
-demo = experiment("demo", "reedspoke.lab.demo", 8.0, "The main job on loopback, with nothing else at hand.")
+STYLE = click.option(
+    "--discovery", "style", type=click.Choice(["asked", "pushed"]), default="asked", show_default=True,
+    help="Settings of a deployment whose lists are asked for, or of one where an agent pushes them.",
+)  # fmt: skip
+demo = STYLE(
+    experiment("demo", "reedspoke.lab.demo", 8.0, "The main job on loopback, with nothing else at hand.")
+)
 
 
 @click.group()
--- a/reedspoke/lab/clients.py
+++ b/reedspoke/lab/clients.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from reedspoke.lab.hosts import message
-from reedspoke.lab.settings import CLASSES, TENANTS
+from reedspoke.lab.settings import ASKED, Deployment
 
 PATIENCE = 20.0  # s for an answer whatever the deadline says: later it is lost
 ENDED = (OSError, asyncio.IncompleteReadError, EOFError)
@@ -55,7 +55,10 @@
 class Client:
     """One connection at a time, kept for `keep` requests."""
 
-    def __init__(self, target: Target, tally: Tally, seed: int, keep: int) -> None:
+    def __init__(
+        self, target: Target, tally: Tally, seed: int, keep: int, deployment: Deployment = ASKED
+    ) -> None:
+        self.deployment = deployment
         self.target, self.tally, self.keep = target, tally, keep
         self._random = random.Random(seed)
         self._seed, self._made = seed, 0
@@ -123,12 +126,14 @@
     def _request(self) -> tuple[str, bytes]:
         self._made += 1
         name = f"{self._seed:x}-{self._made:x}"
-        cls = self._random.choices(CLASSES, [row[6] for row in CLASSES])[0]
-        tenant = self._random.choices(TENANTS, [share for _, share in TENANTS])[0][0]
+        classes, tenants = self.deployment.classes, self.deployment.tenants
+        cls = self._random.choices(classes, [row[6] for row in classes])[0]
+        tenant = self._random.choices(tenants, [share for _, share in tenants])[0][0]
+        key = f"Idempotency-Key: {self._random.getrandbits(64):016x}\r\n" if cls[1] == "token" else ""
         return name, (
             f"POST /{cls[0]} HTTP/1.1\r\nHost: lab\r\nX-Request-Id: {name}\r\nX-Class: {cls[0]}\r\n"
             f"X-Tenant: {tenant}\r\nX-Deadline: {cls[2] / 1e6:.3f}\r\nX-Cost-Hint: {cls[5]}\r\n"
-            f"X-Extras: slots=1,memory=0.5\r\nContent-Length: 4\r\n\r\nwork"
+            f"X-Extras: slots=1,memory=0.5\r\n{key}Content-Length: 4\r\n\r\nwork"
         ).encode()
 
     async def _connect(self) -> bool:
--- a/reedspoke/lab/experiment.py
+++ b/reedspoke/lab/experiment.py
@@ -32,6 +32,7 @@
     seed: int
     folder: Path
     progress: Callable[[str], None]
+    style: str = "asked"  # of the settings, where the experiment has several
 
 
 Experiment = Callable[[Options], Coroutine[Any, Any, Result]]
@@ -43,11 +44,13 @@
         click.echo(f"\r{text:<78}", nl=False, err=True)
 
 
-def run(experiment: Experiment, seconds: float, seed: int, json_file: str | None) -> int:
+def run(
+    experiment: Experiment, seconds: float, seed: int, json_file: str | None, style: str = "asked"
+) -> int:
     """The exit status: 0 all held, 1 something did not, 3 it could not be played."""
     try:
         with tempfile.TemporaryDirectory(prefix="reedspoke-lab-") as folder:
-            options = Options(seconds, seed, Path(folder), progress)
+            options = Options(seconds, seed, Path(folder), progress, style)
             result = asyncio.run(experiment(options))
     except LabError as error:
         click.echo(f"reedspoke lab: {error}", err=True)
--- a/reedspoke/lab/hosts.py
+++ b/reedspoke/lab/hosts.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from reedspoke.lab.settings import Deployment
+
 BEAT = 1.0  # s between discovery's signs of life
 
 
@@ -74,11 +76,14 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """What ran where, by id, for all hosts together."""
+    """What ran where, by id or key, for all hosts together."""
 
     runs: Counter[str] = field(default_factory=Counter)
-    unsafe_twice: int = 0
+    unsafe_twice: int = 0  # also a keyed job that ran again
+    dropped: int = 0  # repeats of keyed jobs that their zone has seen
+    after_drain: int = 0  # legs to a host later than a drain's grace
     legs: int = 0
+    seen: dict[tuple[str, str], float] = field(default_factory=dict)  # (zone, key): when it ran first
 
     def run(self, name: str, unsafe: bool) -> None:
         self.legs += 1
@@ -86,16 +91,27 @@
         if unsafe and self.runs[name] > 1:
             self.unsafe_twice += 1
 
+    def repeat(self, zone: str, key: str, window: float) -> bool:
+        """Whether the hosts of that zone drop it; else it is theirs from now on."""
+        now = time.monotonic()
+        if now - self.seen.get((zone, key), -window) < window:
+            self.dropped += 1
+            return True
+        self.seen[zone, key] = now
+        return False
+
 
 class Host(Peer):
     """Runs what fits its slots, queues some more in order, and hands back the rest as never run."""
 
     def __init__(
         self, uid: str, ledger: Ledger, work: Callable[[str], float], unsafe: frozenset[str],
-        slots: int = 4, queue: int = 24,
+        slots: int = 4, queue: int = 24, zone: str = "a", deployment: Deployment | None = None,
     ) -> None:  # fmt: skip
-        """`work`: s that a job of a class takes."""
+        """`work`: s that a job of a class takes. `deployment`: where its reports, keys, idle connections and
+        drains are not those of the first one."""
         super().__init__()
+        self.zone, self.deployment, self.drained_at = zone, deployment, 0.0
         self.uid, self.ledger, self.work, self.unsafe = uid, ledger, work, unsafe
         self.slots, self.queue = slots, queue
         self.busy = 0
@@ -104,12 +120,18 @@
 
     def entry(self) -> dict[str, object]:
         return {
-            "uid": self.uid, "endpoint": self.endpoint, "state": "Ready", "az": "a", "model": "fast",
+            "uid": self.uid, "endpoint": self.endpoint, "az": self.zone, "model": "fast",
+            "state": "Terminating" if self.drained_at else "Ready",
             "pod_group": 0, "capacity_hint": 1.0, "boot_ms": 0,
         }  # fmt: skip
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while (asked := await message(reader)) is not None:
+        idle = self.deployment.conn_idle / 1e6 if self.deployment else None
+        while (asked := await asyncio.wait_for(message(reader), idle)) is not None:
+            if asked.first.startswith("GET") and self.deployment is not None:
+                load = self._load()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(load), load))
+                continue
             if asked.first.startswith("GET"):
                 writer.write(b"HTTP/1.1 200 OK\r\nX-Load: %b\r\nContent-Length: 0\r\n\r\n" % self._load())
                 continue
@@ -120,6 +142,10 @@
 
     async def _run(self, asked: Message, writer: asyncio.StreamWriter) -> None:
         name, cls = asked.fields["x-request-id"], asked.fields.get("x-class", "")
+        key, told = asked.fields.get("idempotency-key", ""), self.deployment
+        if told and self.drained_at and time.monotonic() > self.drained_at + told.drain_grace / 1e6:
+            self.ledger.after_drain += 1
+        repeated = bool(told and key) and self.ledger.repeat(self.zone, key, told.window / 1e6 if told else 0)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         if self.busy >= self.slots:
             place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -128,10 +154,11 @@
         else:
             self.busy += 1
         try:
-            self.ledger.run(name, cls in self.unsafe)
+            if not repeated:
+                self.ledger.run(key or name, bool(key) or cls in self.unsafe)
             self._tell(writer, name, "started")
             since = time.monotonic()
-            await asyncio.sleep(self.work(cls))
+            await asyncio.sleep(0 if repeated else self.work(cls))
             self._mean += 0.1 * (time.monotonic() - since - self._mean)
         finally:
             while self._waiting and (waiter := self._waiting.popleft()) is not None:
@@ -140,7 +167,8 @@
                     break
             else:
                 self.busy -= 1
-        self._tell(writer, name, "done", result=f"{name} {cls}", load=self._figures())
+        load = {} if told and told.report == "probe" else {"load": self._figures()}
+        self._tell(writer, name, "done", result=f"{name} {cls}", **load)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
@@ -150,47 +178,66 @@
 
     def _figures(self) -> dict[str, float]:
         free = float(max(0, self.slots - self.busy))
-        return {"mean_ms": self._mean * 1000, "depth": float(len(self._waiting)), "x0": free, "x1": free}
+        told = {"mean_ms": self._mean * 1000, "depth": float(len(self._waiting)), "x0": free, "x1": free}
+        return {**told, "concurrent": float(self.busy + len(self._waiting))}
 
     def _load(self) -> bytes:
-        names = {"mean_ms": "latency_ms", "depth": "queue"}
+        names = {"mean_ms": "latency_ms", "depth": "queue", "concurrent": "inflight"}
         told = ", ".join(f"{names.get(name, name)}={value:.3f}" for name, value in self._figures().items())
         return f"TEXT {told}".encode()
 
 
 class Discovery(Peer):
-    """Tells the whole list once, then beats."""
+    """Tells the whole list once, then each change, and beats."""
 
     def __init__(self, hosts: list[Host]) -> None:
         super().__init__()
-        self.hosts = hosts
+        self.hosts, self.rev, self.watches = hosts, 1, 0
+        self._changed = asyncio.Event()
 
     def listed(self) -> dict[str, object]:
-        return {"rev": 1, "all": True, "targets": [host.entry() for host in self.hosts]}
+        return {"rev": self.rev, "all": True, "targets": [host.entry() for host in self.hosts]}
+
+    def drain(self, host: Host) -> None:
+        """From now on its list says that the host drains."""
+        host.drained_at, self.rev = time.monotonic(), self.rev + 1
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if await message(reader) is None:
             return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        data = json.dumps(self.listed()).encode() + b"\n"
-        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        self.watches += 1
+        told = 0
         while True:
+            data = json.dumps(self.listed()).encode() + b"\n" if told != self.rev else b"\n"
+            told = self.rev
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await writer.drain()
-            await asyncio.sleep(BEAT)
-            writer.write(b"1\r\n\n\r\n")
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), BEAT)
 
 
 class Fleet:
     """Some hosts and the discovery that lists them."""
 
     def __init__(
-        self, hosts: int, seed: int, classes: dict[str, float], unsafe: frozenset[str], slots: int = 4
-    ) -> None:
-        """`classes`: mean work of each, s."""
+        self, hosts: int, seed: int, classes: dict[str, float], unsafe: frozenset[str], slots: int = 4,
+        deployment: Deployment | None = None,
+    ) -> None:  # fmt: skip
+        """`classes`: mean work of each, s. `deployment`: see Host; its zones have the hosts in turn."""
         self.ledger = Ledger()
         self._random = random.Random(seed)
         self._classes = classes
-        self.hosts = [Host(f"s-{at}", self.ledger, self._work, unsafe, slots) for at in range(hosts)]
+        zones = deployment.zones if deployment else ("a",)
+        self.hosts = [
+            Host(
+                f"s-{at}", self.ledger, self._work, unsafe, slots, zone=zones[at % len(zones)],
+                deployment=deployment,
+            )
+            for at in range(hosts)
+        ]  # fmt: skip
         self.discovery = Discovery(self.hosts)
 
     def _work(self, cls: str) -> float:
--- a/reedspoke/lab/program.py
+++ b/reedspoke/lab/program.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from reedspoke.lab.hosts import Fleet
-from reedspoke.lab.settings import settings
+from reedspoke.lab.settings import ASKED, Deployment
 
 TICKS = os.sysconf("SC_CLK_TCK")
 READY = b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n"
@@ -44,7 +44,7 @@
 
     def __init__(
         self, folder: Path, fleet: Fleet, operator: dict[str, Any] | None = None, sockets: int = 1024,
-        checkout: Path | None = None,
+        checkout: Path | None = None, deployment: Deployment = ASKED,
     ) -> None:  # fmt: skip
         """`checkout`: whose program is started; else this one's."""
         self.folder, self.operator, self.checkout = folder, operator, checkout
@@ -53,7 +53,7 @@
             "name": "lab", "seed": "1", "listen": f"127.0.0.1:{self.port}",
             "ops": f"127.0.0.1:{self.door}", "discovery": fleet.discovery.endpoint,
             "limits": {"memory_mb": 192, "sockets": sockets}, "known": fleet.discovery.listed(),
-            "settings": settings(),
+            "settings": deployment.settings(),
         }  # fmt: skip
         self.config, self.file, self.log = (
             folder / "config.json",
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -20,12 +20,14 @@
     )  # fmt: skip
 
 
-def test_demo_does_the_main_job() -> None:
-    told = lab("demo", "--seconds", "2", "--json", "-")
+@pytest.mark.parametrize("style", ["asked", "pushed"])
+def test_demo_does_the_main_job(style: str) -> None:
+    told = lab("demo", "--seconds", "2", "--discovery", style, "--json", "-")
     assert told.returncode == 0, told.stdout + told.stderr
     figures = json.loads(told.stdout)
     assert figures["served"] > 0
-    assert figures["lost"] == figures["twice"] == 0
+    assert figures["lost"] == figures["twice"] == figures["after_drain"] == 0
+    assert figures["watches"] == 1
     assert {"served", "refused", "failed", "lost"} <= figures.keys()
     assert figures["served"] + figures["refused"] + figures["failed"] == figures["requests"]
 
