One scheduler orders certificates for a fleet; the others serve what it gets

Seen: with several schedulers each ordered its own certificates; two with one store were kept apart by file locks for one order alone, and nothing kept a process that had been stopped from writing behind its successor.

Change: the duty `certificates` (fleet.certificates of the operator file). Its holder alone orders and asks for windows (acme/engine.py: may, stand_down, take_up); a new one goes on with the order that lies in the shared store. Writes carry the duty's token: the store refuses a former holder's (tls/store.py, LateError). Answers to http-01 challenges lie in the store too, so whichever scheduler the authority asks can give them.

Ruled out: sending what was obtained over the schedulers' messages (256 bytes, and keys do not belong there); gating the steps of an order one by one in the driver: an order left in the middle is taken up from its record anyway.

--- a/reedspoke/acme/challenges.py
+++ b/reedspoke/acme/challenges.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+from collections.abc import Callable
 from contextlib import suppress
 
 from tornado.iostream import StreamClosedError
@@ -33,8 +34,11 @@
 class HttpAnswers:
     """The tokens of open challenges, told to whoever asks for one by name."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.address = address
+    def __init__(
+        self, address: tuple[str, int], shared: Callable[[bytes], bytes | None] | None = None
+    ) -> None:
+        """`shared`: the answer to a token that another process has published."""
+        self.address, self.shared = address, shared
         self._answers: dict[bytes, bytes] = {}
         self._listener: Listener | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -104,13 +108,21 @@
             return b"400 Bad Request", b""
         if head.method not in (b"GET", b"HEAD"):
             return b"405 Method Not Allowed", b""
-        answer = self._answers.get(named.removeprefix(PLACE)) if named.startswith(PLACE) else None
+        token = named.removeprefix(PLACE) if named.startswith(PLACE) else b""
+        answer = self._answers.get(token)
+        if answer is None and token and self.shared is not None:
+            answer = self.shared(token)
         if answer is None:
             return b"404 Not Found", b""
         self.asked += 1
         return b"200 OK", answer if head.method == b"GET" else b""
 
 
+def shared_file(token: bytes) -> str:
+    """Where the store has the answer: tokens have capitals, its names have none."""
+    return f"challenge-{hashlib.sha256(token).hexdigest()}"
+
+
 class CommandError(Exception):
     """The challenge command did not do it; the text says what it said."""
 
--- a/reedspoke/acme/driver.py
+++ b/reedspoke/acme/driver.py
@@ -46,6 +46,7 @@
     ) -> None:  # fmt: skip
         self.engine, self.store, self.meters, self.install, self.now = engine, store, meters, install, now
         self.http: challenges.HttpAnswers | None = None
+        self.shared = False  # the store is a fleet's: its other schedulers answer challenges as well
         self.dns: DnsChallenge | None = None
         self._callers: dict[str, Caller] = {}
         self._pools: dict[str, ThreadPoolExecutor] = {}
@@ -218,6 +219,10 @@
             except OSError as error:
                 where = "{}:{}".format(*self.http.address)
                 return words.Failed(Trouble.LOCAL, f"challenge listener {where}: {error.strerror}")
+            if self.shared:
+                file = challenges.shared_file(step.token.encode())
+                if failed := await self._in(self._files, partial(self._keep, file, told.encode())):
+                    return words.Failed(Trouble.LOCAL, failed)
             return words.Done()
         if self.dns is None:
             return words.Failed(Trouble.LOCAL, "dns-01 is not configured any more")
@@ -237,6 +242,9 @@
         if step.challenge == "http-01":
             if self.http is not None:
                 self.http.withdraw(step.token)
+            if self.shared:
+                file = challenges.shared_file(step.token.encode())
+                await self._in(self._files, partial(self.store.remove, file))
             return
         caller, dns = self._callers.get(step.authority), self.dns
         if caller is None or dns is None:
--- a/reedspoke/acme/engine.py
+++ b/reedspoke/acme/engine.py
@@ -21,6 +21,21 @@
         self.renewals: dict[str, Renewal] = {}
         self._limits: dict[str, Limits] = {}
         self._last = 0
+        self.may = True  # order and ask; False: that is another process's duty
+
+    def stand_down(self) -> list[words.Step]:
+        """The duty is another one's from now on. What is under way is left as it was kept last: the next
+        holder goes on with the same order."""
+        self.may = False
+        return [step for renewal in self.renewals.values() for step in renewal.hand_on()]
+
+    def take_up(self, records: Iterable[Record]) -> None:
+        """The duty is ours; `records`: as the former holder has left them."""
+        self.may = True
+        for record in records:
+            renewal = self.renewals.get(record.name)
+            if renewal is not None and renewal.at is At.RESTING:
+                renewal.resume(record)
 
     def limits(self, authority: str) -> Limits:
         return self._limits.setdefault(authority, Limits())
@@ -90,6 +105,8 @@
 
     def _turns(self, now: int) -> list[words.Step]:
         """Who has least time left goes first, few at a time at one authority."""
+        if not self.may:
+            return []
         told: list[words.Step] = []
         busy: dict[str, int] = {}
         resting = []
--- a/reedspoke/acme/renewal.py
+++ b/reedspoke/acme/renewal.py
@@ -418,6 +418,13 @@
             return [*steps, *self._rest()]
         return self._rest()
 
+    def hand_on(self) -> list[words.Step]:
+        """Another process goes on with it. Nothing is written: what is on disk is that one's by now."""
+        if self.at is At.RESTING:
+            return []
+        self.at, self.out, self._waits_for, self._stale = At.RESTING, None, None, False
+        return [*self._clean(), words.Release(self.name)]
+
     # ---- the window ----
 
     def _windowed(self, told: words.Window, now: int) -> list[words.Step]:
--- a/reedspoke/acme/service.py
+++ b/reedspoke/acme/service.py
@@ -11,12 +11,14 @@
 from typing import Any
 
 from reedspoke.acme import words
+from reedspoke.acme.challenges import HttpAnswers, shared_file
 from reedspoke.acme.driver import Driver, wall
 from reedspoke.acme.engine import Engine
 from reedspoke.acme.limits import Limits
 from reedspoke.acme.plan import Policy
 from reedspoke.acme.record import Record, unpacked
 from reedspoke.acme.renewal import Place, Rules, Wanted
+from reedspoke.net import effects as fx
 from reedspoke.net.config import address
 from reedspoke.operator.check import OperatorError, reloaded
 from reedspoke.operator.types import Acme, Certificate, Operator
@@ -68,24 +70,54 @@
 
     def __init__(
         self, operator: Operator, path: Path, store: Store, front: Front, handshakes: Handshakes, meters:
-        Meters, now: Callable[[], int] = wall,
+        Meters, now: Callable[[], int] = wall, clock: Callable[[], int] = wall,
     ) -> None:  # fmt: skip
+        """`clock`: that leases go by, where one scheduler of a fleet orders for all."""
         self.operator, self.path, self.store = operator, path, store
         self.front, self.handshakes, self.meters, self.now = front, handshakes, meters, now
         self.engine = Engine()
         self.driver = Driver(self.engine, store, meters, self._install, now)
+        self.clock, self._until = clock, 0
+        self.driver.shared = fleet = operator.fleet is not None and operator.fleet.certificates
+        self.engine.may = not fleet
         self._stamps: dict[str, tuple[int, int]] = {}
         self._task: asyncio.Task[None] | None = None
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
-        return {}
+        return {fx.Enter: self._enter, fx.Leave: self._leave}
+
+    # ---- in a fleet: one orders, all serve what lies in the store that they share ----
+
+    def _enter(self, effect: fx.Enter) -> None:
+        fresh = self.store.token != effect.token or not self.engine.may
+        self.store.token, self._until = effect.token, effect.until
+        if fresh:
+            assert self.operator.acme is not None
+            for authority in self.operator.acme.authorities:
+                if (found := self._kept(f"{authority.name}.rate", Limits)) is not None:
+                    self.engine.resume_limits(authority.name, found)
+            records = [self._kept(f"{one.name}.order", Record) for one in self.operator.certificates]
+            self.engine.take_up(record for record in records if record is not None)
+            log.info("acme: this scheduler orders for the fleet, token %d", effect.token)
+
+    def _leave(self, _: fx.Leave) -> None:
+        """The token stays: a write that is under way still must not pass for a newer one's."""
+        if self.engine.may:
+            log.info("acme: another scheduler orders for the fleet from now on")
+            self._until = 0
+            self.driver.do(self.engine.stand_down())
+
+    def _shared_answer(self, token: bytes) -> bytes | None:
+        try:
+            return self.store.read(shared_file(token))
+        except (UnfitError, OSError):
+            return None
 
     def open(self) -> None:
         acme = self.operator.acme
         if acme is not None and acme.http is not None:
-            from reedspoke.acme.challenges import HttpAnswers
-
-            self.driver.http = HttpAnswers(address(acme.http.listen, "acme.http.listen"))
+            shared = self._shared_answer if self.driver.shared else None
+            self.driver.http = HttpAnswers(address(acme.http.listen, "acme.http.listen"), shared)
             try:
                 self.driver.http.open()
             except OSError as error:
@@ -144,6 +176,8 @@
                 if now - looked >= LOOK:
                     looked = now
                     self._look()
+                if self._until and self.clock() >= self._until:  # it may be renewed still: then we begin anew
+                    self._leave(fx.Leave(""))
                 self.driver.do(self.engine.tick(self.now()))
             except Exception:
                 log.exception("fault: certificates")
@@ -154,7 +188,11 @@
         for one in self.operator.certificates:
             if self.store.stamp(f"{one.name}.pem") != self._stamps.get(one.name):
                 self._look_at(one.name)
-            if self.store.stamp(f"{one.name}.wanted") != (0, 0) and self.store.remove(f"{one.name}.wanted"):
+            if (
+                self.engine.may
+                and self.store.stamp(f"{one.name}.wanted") != (0, 0)
+                and self.store.remove(f"{one.name}.wanted")
+            ):
                 self.driver.do(self.engine.force(one.name, self.now()))
             left, alarm = self._standing(one.name)
             self.meters.certificate(one.name, left, alarm)
--- a/reedspoke/assembly.py
+++ b/reedspoke/assembly.py
@@ -22,6 +22,8 @@
 DESCRIPTORS = 48
 MEMORY_MB = 48  # measured: the libraries of TLS, ACME and figures
 HANDSHAKE_KB = 60  # of OpenSSL, for each connection
+CERTIFICATES = "certificates"  # the duty of ordering them for all of a fleet
+CERTIFICATES_TERM = 5_000_000  # us
 FLEET_DESCRIPTORS = 12  # its socket, and calls of duties
 FLEET_MB = 8  # measured: the HTTP client's libraries
 
@@ -78,8 +80,12 @@
         for one in fleet.duties
         if one.call is not None
     }
+    handed: frozenset[str] = frozenset()
+    if fleet.certificates:
+        handed = frozenset({CERTIFICATES})
+        duties.append(Duty(CERTIFICATES, CERTIFICATES_TERM))
     return Terms(
-        Electorate(members, granters, fleet.drift), microseconds(fleet.period), tuple(duties), calls
+        Electorate(members, granters, fleet.drift), microseconds(fleet.period), tuple(duties), calls, handed
     )  # fmt: skip
 
 
@@ -119,7 +125,9 @@
         )  # fmt: skip
     except (OSError, ssl.SSLError) as error:
         raise ConfigError(f"identity.certificates.ca_file: {error}") from None
-    service = Service(operator, path, store, front, handshakes, meters)
+    service = Service(
+        operator, path, store, front, handshakes, meters, clock=node.runtime.clock.now
+    )  # fmt: skip
     node.extend(front)
     node.extend(service)
     keep(node, operator, path)
--- a/reedspoke/fleet/shell.py
+++ b/reedspoke/fleet/shell.py
@@ -17,8 +17,9 @@
 
 from reedspoke.fleet.calls import Calls
 from reedspoke.fleet.concern import Fellowship
-from reedspoke.fleet.duties import Duties, Duty, Electorate
+from reedspoke.fleet.duties import Duties, Duty, Electorate, Work
 from reedspoke.fleet.frames import MOST, TWELVE
+from reedspoke.fleet.handed import Handed
 from reedspoke.fleet.mail import Mail
 from reedspoke.fleet.membership import Membership
 from reedspoke.fleet.sharing import Sharing
@@ -49,6 +50,7 @@
     period: int
     duties: tuple[Duty, ...] = ()
     calls: Mapping[str, tuple[Call, int]] | None = None  # by duty: where to, and us between two
+    handed: frozenset[str] = frozenset()  # duties that a part with I/O of its own does
 
 
 class Socket:
@@ -186,7 +188,8 @@
         duties = Duties(me, terms.electorate, now // 1000 & 0xFFFF, now, now, random)
         calls = terms.calls or {}
         for duty in terms.duties:
-            duties.add(duty, Calls(duty.name, calls[duty.name][1]) if duty.name in calls else None)
+            work: Work | None = Handed(duty.name) if duty.name in terms.handed else None
+            duties.add(duty, Calls(duty.name, calls[duty.name][1]) if duty.name in calls else work)
         parts.append(Caller(runtime, name, {duty: call for duty, (call, _) in calls.items()}))
     fellowship = Fellowship(runtime.reducer.core, mail, sharing, membership, duties)
     runtime.reducer.add(fellowship)
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -505,6 +505,22 @@
     until: int
 
 
+@dataclass(slots=True)
+class Enter:
+    """A duty is this scheduler's until then, by its clock; told again whenever that is later."""
+
+    duty: str
+    token: int
+    until: int
+
+
+@dataclass(slots=True)
+class Leave:
+    """It is not any more."""
+
+    duty: str
+
+
 @dataclass(slots=True)
 class Exit:
     pass
@@ -534,5 +550,7 @@
     | Unclaim
     | Spread
     | Act
+    | Enter
+    | Leave
     | Exit
 )
--- a/reedspoke/operator/check.py
+++ b/reedspoke/operator/check.py
@@ -83,6 +83,10 @@
         yield from _identity(told.identity, told.tls is not None)
     if told.fleet is not None:
         yield from _fleet(told.fleet)
+        if told.fleet.certificates and told.acme is None:
+            yield "fleet.certificates", "is of no use without acme"
+        if told.fleet.certificates and "certificates" in [one.name for one in told.fleet.duties]:
+            yield "fleet.duties", "the name 'certificates' is taken by fleet.certificates"
 
 
 def _fleet(fleet: Fleet) -> Iterator[tuple[str, str]]:
--- a/reedspoke/operator/types.py
+++ b/reedspoke/operator/types.py
@@ -191,6 +191,9 @@
     drift: Annotated[float, Meta(ge=0, le=0.2, description="By which clocks' rates may differ.")] = 0.01
     period: Annotated[Duration, Meta(description="Between two looks after members.")] = "1s"
     duties: Annotated[list[FleetDuty], Meta(max_length=64)] = []
+    certificates: Annotated[
+        bool, Meta(description="One orders for all; `tls.store` is a folder that all of them share.")
+    ] = False
 
 
 class Operator(Struct, forbid_unknown_fields=True, frozen=True):
--- a/reedspoke/tls/store.py
+++ b/reedspoke/tls/store.py
@@ -6,6 +6,8 @@
     NAME.lock       held by the process that orders NAME; the system frees it where its owner dies
     account-A.json  the account at authority A, 0600
     A.rate          what authority A has told to wait for
+    fence           the highest token of a holder that has written here, where one scheduler of a fleet orders
+    challenge-HASH  the answer to an open challenge, for the fleet's other schedulers to give
 
 A file is written beside its place, with fsync, and renamed: a kill between two writes leaves the old one.
 """
@@ -16,7 +18,8 @@
 import os
 import re
 import stat
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 from reedspoke.tls.certificate import MOST_BYTES, Pair, UnfitError, packed, unpacked
@@ -28,6 +31,10 @@
     """The store cannot be used as told; the text says why."""
 
 
+class LateError(OSError):
+    """A later holder of the duty has written here: nothing of ours may come behind it."""
+
+
 class Store:
     """Raises StoreError where the folder cannot be made, or where others could read it."""
 
@@ -44,6 +51,30 @@
             raise StoreError(f"tls.store: {self.folder} can be entered by others: its mode must be 0700")
         if found.st_uid != os.geteuid():
             raise StoreError(f"tls.store: {self.folder} belongs to another user")
+        self.token = 0  # of the duty that this process writes by, 0: it writes as the only one
+
+    @contextmanager
+    def _fenced(self) -> Iterator[None]:
+        """Guards what a fleet shares against a former holder's late writes. Raises LateError."""
+        if not self.token:
+            yield
+            return
+        fd = os.open(self.path("fence"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX)
+            raw = os.read(fd, 64)
+            highest = (
+                int(raw) if raw.strip().isdigit() else 0
+            )  # a torn one is as none: the next write mends it
+            if highest > self.token:
+                raise LateError(0, f"a later holder has written here, token {highest} above {self.token}")
+            if highest < self.token:
+                os.ftruncate(fd, 0)
+                os.pwrite(fd, b"%d\n" % self.token, 0)
+                os.fsync(fd)
+            yield
+        finally:
+            os.close(fd)
 
     def path(self, name: str) -> Path:
         if not PLAIN.fullmatch(name):
@@ -52,6 +83,10 @@
 
     def write(self, name: str, data: bytes) -> None:
         """Whole or not at all. Raises OSError; what was there before stays then."""
+        with self._fenced():
+            self._write(name, data)
+
+    def _write(self, name: str, data: bytes) -> None:
         path = self.path(name)
         beside = path.with_name(f".{name}.{os.getpid()}.new")
         try:
--- a/tests/acme/test_engine.py
+++ b/tests/acme/test_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -11,7 +12,7 @@
 from reedspoke.acme import words
 from reedspoke.acme.engine import AT_ONCE
 from reedspoke.acme.plan import SECOND, Policy
-from reedspoke.acme.record import Record
+from reedspoke.acme.record import Record, unpacked
 from reedspoke.acme.renewal import At, Wanted
 from reedspoke.acme.words import Trouble
 from tests.acme.desk import CALLS, DAY, HOUR, LIFETIME, MINUTE, NOW, RULES, Desk, Fault, failing, wanted
@@ -367,3 +368,22 @@
     desk.run(MINUTE)
     assert not any("a key" in repr(step) for step in desk.steps)
     assert isinstance(desk.wants[0], Wanted)
+
+
+@pytest.mark.parametrize("at", range(1, 16, 2))
+def test_the_duty_leaves_at_any_step_and_comes_back(at: int) -> None:
+    """Guards a fleet's account against orders of those that have not the duty, and against orders begun
+    twice."""
+    desk = Desk()
+    for _ in range(at):
+        desk.tick(SECOND)
+    desk.do(desk.engine.stand_down())
+    assert not desk.locked
+    before = Counter(desk.counts)
+    desk.run(HOUR, MINUTE)
+    assert desk.counts == before, "no call while it is another one's"
+    desk.engine.take_up([unpacked(raw, Record) for file, raw in desk.disk.items() if file == "api"])
+    desk.run(MINUTE)
+    assert desk.counts["issued"] == 1
+    assert desk.counts["Begin"] <= 2
+    settled(desk)
