A late withdrawal, a full disk and a stopped writer leave the fleet's store whole

Seen in reading the whole change again. A former holder that stands down withdrew the challenge that its successor had published again (acme/driver.py; removals went past the fence). The fence was cut to nothing before it was written (tls/store.py): a full disk or a kill between the two left none, and a former holder could write. Its lock was waited for without an end, so one process that was stopped in a write hung the files' thread of all others. In membership.py an answered look fell through to further pings and asks, and asks of others were taken without a bound.

Change: withdrawals pass the fence; it is written in place at one length; the lock is waited for 2 s, then told and tried again; an answer ends a look; 32 asks are open at once.

Tests: test_a_former_holder_writes_nothing_more, test_a_holder_stopped_in_a_write_hangs_nobody, test_an_answer_ends_a_look_and_a_flood_of_asks_is_bounded.

--- a/reedspoke/acme/driver.py
+++ b/reedspoke/acme/driver.py
@@ -244,7 +244,10 @@
                 self.http.withdraw(step.token)
             if self.shared:
                 file = challenges.shared_file(step.token.encode())
-                await self._in(self._files, partial(self.store.remove, file))
+                try:  # a new holder may have published it again
+                    await self._in(self._files, partial(self.store.withdraw, file))
+                except OSError as error:
+                    log.warning("acme: %s: %s is left: %s", step.name, file, error.strerror)
             return
         caller, dns = self._callers.get(step.authority), self.dns
         if caller is None or dns is None:
--- a/reedspoke/fleet/membership.py
+++ b/reedspoke/fleet/membership.py
@@ -28,6 +28,7 @@
 DIRECT = 0.3  # of a period, until others are asked to ping
 AGAIN = 2  # further pings within that time: one loss on a link is no ground for a suspicion
 HELPERS = 3
+MOST_HELPED = 32  # asks that are open here at once: each is a datagram to a third one
 MOST_HEALTH = 4  # times as long as usual is waited, at the most, by one whose pings fail
 STALL = 0.5  # of a period without a look: this process itself stood still
 TELL_TIMES = 3  # times log2 of the members that a piece of news is sent
@@ -156,7 +157,8 @@
             return
         if self._heard_within(probe.member, now, self.period):
             self._probe, self.health = None, max(0, self.health - 1)
-        elif now >= probe.until:
+            return
+        if now >= probe.until:
             self._probe, self.health = None, min(MOST_HEALTH, self.health + 1)
             if self.members[probe.member].standing is Standing.ALIVE:
                 self._set(probe.member, Standing.SUSPECT, now)
@@ -226,7 +228,9 @@
             match matter:
                 case Ping(number):
                     out.append((sender, Ack(number)))
-                case Ask(number, target) if target in self.members and target != sender:
+                case Ask(number, target) if (
+                    target in self.members and target != sender and len(self._helping) < MOST_HELPED
+                ):
                     self._number = self._number + 1 & 0xFFFF
                     self._helping[self._number] = sender, number, target, now + 2 * self.period
                     self._ping(target, self._number, out)
--- a/reedspoke/tls/store.py
+++ b/reedspoke/tls/store.py
@@ -18,12 +18,14 @@
 import os
 import re
 import stat
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
 
 from reedspoke.tls.certificate import MOST_BYTES, Pair, UnfitError, packed, unpacked
 
+PATIENCE = 2.0  # s with another process that writes into a store shared by a fleet
 PLAIN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,80}")
 
 
@@ -61,21 +63,31 @@
             return
         fd = os.open(self.path("fence"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
         try:
-            fcntl.flock(fd, fcntl.LOCK_EX)
+            self._hold_fence(fd)
             raw = os.read(fd, 64)
-            highest = (
-                int(raw) if raw.strip().isdigit() else 0
-            )  # a torn one is as none: the next write mends it
+            highest = int(raw) if raw.strip().isdigit() else 0  # one that is spoilt is mended here
             if highest > self.token:
                 raise LateError(0, f"a later holder has written here, token {highest} above {self.token}")
             if highest < self.token:
-                os.ftruncate(fd, 0)
-                os.pwrite(fd, b"%d\n" % self.token, 0)
+                # In place and of one length: no kill and no full disk leaves it without a token.
+                os.pwrite(fd, b"%020d\n" % self.token, 0)
                 os.fsync(fd)
             yield
         finally:
             os.close(fd)
 
+    def _hold_fence(self, fd: int) -> None:
+        """Guards our threads against a holder that was stopped in the middle of a write."""
+        end = time.monotonic() + PATIENCE
+        while True:
+            try:
+                fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                return
+            except BlockingIOError:
+                if time.monotonic() >= end:
+                    raise TimeoutError(0, "another process is in the middle of a write") from None
+                time.sleep(0.02)
+
     def path(self, name: str) -> Path:
         if not PLAIN.fullmatch(name):
             raise StoreError(f"no name of a file: {name!r}")
@@ -143,6 +155,11 @@
         self._sync()
         return True
 
+    def withdraw(self, name: str) -> None:
+        """What a fleet shares: also a removal must not come behind a later holder's write. Raises OSError."""
+        with self._fenced():
+            self.remove(name)
+
     def stamp(self, name: str) -> tuple[int, int]:
         """Changes whenever the file is replaced; (0, 0): there is none."""
         try:
--- a/tests/acme/test_fleet.py
+++ b/tests/acme/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
 import time
 from pathlib import Path
@@ -14,6 +15,7 @@
 from reedspoke.lab.hosts import Fleet
 from reedspoke.lab.program import Program, free_port
 from reedspoke.lab.settings import CLASSES, UNSAFE
+from reedspoke.tls import store as stores
 from reedspoke.tls.store import LateError, Store
 
 HOST = "api.example.org"
@@ -113,3 +115,21 @@
     assert new.read("a.order") == b"new"
     (tmp_path / "store" / "fence").write_bytes(torn)
     old.write("a.order", b"again")
+    old.token = 4
+    with pytest.raises(LateError):
+        old.withdraw("a.order")
+    with pytest.raises(LateError):
+        old.write("a.order", b"later")
+    assert new.read("a.order") == b"again", "what a new holder has published is not withdrawn"
+
+
+def test_a_holder_stopped_in_a_write_hangs_nobody(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stores, "PATIENCE", 0.05)
+    store = Store(tmp_path / "store")
+    store.token = 5
+    store.write("a.order", b"old")
+    with (tmp_path / "store" / "fence").open() as held:
+        fcntl.flock(held, fcntl.LOCK_EX)
+        with pytest.raises(TimeoutError, match="in the middle"):
+            store.write("a.order", b"new")
+    assert store.read("a.order") == b"old"
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from reedspoke.fleet.frames import Ack, Matter, News, Ping
+from reedspoke.fleet.frames import Ack, Ask, Matter, News, Ping
 from reedspoke.fleet.membership import Membership, Standing
 from reedspoke.lab.virtual import SECOND, Play, Weather
 
@@ -132,3 +132,18 @@
         one.tick(now)
     assert one.standing(3) is Standing.GONE
     assert 1 in one.alive()
+
+
+def test_an_answer_ends_a_look_and_a_flood_of_asks_is_bounded() -> None:
+    one, sent = lone(), 0
+    one.hear(1, 20, [], 0)
+    pings: list[Ping] = []
+    for now in range(2 * PERIOD, 6 * PERIOD, PERIOD // 8):
+        pings = [told for to, told in one.tick(now) if to == 1 and isinstance(told, Ping)]
+        if pings:
+            break
+    one.hear(1, 20, [Ack(pings[0].number)], now + 1)
+    assert not [told for _, told in one.tick(now + PERIOD // 2) if isinstance(told, Ask)]
+    for number in range(1000):
+        sent += sum(isinstance(told, Ping) for _, told in one.hear(2, 5, [Ask(number, 3)], now))
+    assert 0 < sent <= 32
