Silent watches are opened anew by lot within their 6 s; lists may be indented

A list written over several lines ended each watch as malformed, for ever.

Lines at fault: net/hosts.py (_ring_silence told the module of a lost watch like any other) with logic.py on_members, whose pause of connect_timeout * schedulers / 4 is made for a service that many ask in vain; net/directory.py fed lines to the decoder; net/lifecycle.py followed a new address at the same moment at all schedulers, and by the module's pause if that failed; net/hosts.py told the module of the configuration's list before a pushed one had come, and let pauses grow to 1 s.

Ruled out: a shorter pause in the module (random lots, and lines that the module lacks); all at once (one queue).

Change: silence is noticed after 3 s, and the watch opened again here by a lot from the scheduler's number, within what is left but for the answer's 2 s; the same after SIGHUP. JSON objects are found by their ends, whatever white space is in them (net/values.py). A new process where lists are pushed gives its module no list before the agent's first word, for 2 s at most; a lost agent is asked again three times in a drain's window. At a planned end idle clients are closed without reading what crosses that, and what comes 0.7 s behind SIGTERM is owed its answer before SIGKILL. docs/watching.md has the arithmetic for 5, 40, 200 and 600 schedulers.

--- a/reedspoke/net/acquirer.py
+++ b/reedspoke/net/acquirer.py
@@ -94,7 +94,10 @@
             emit(fx.Refused(error.status, str(error)))
             await self._last(error.status, str(error))
         except PartedError:
-            await self._end(True)
+            # Guards what crosses the end of a client that is owed nothing: it is never read, so that its
+            # other side hears of a reset and sends again elsewhere. To read and forget would be to take it.
+            if not self.stream.closed():
+                end_sending(self.stream)
         except (StreamClosedError, TimeoutError):
             pass
         except Exception:
--- a/reedspoke/net/clients.py
+++ b/reedspoke/net/clients.py
@@ -136,10 +136,14 @@
             self.core.count("invalid")
             self.core.ask(fx.Answer(client.id, fx.Verdict.INVALID, last=self.state.leaving()))
             return
+        deadline = self.core.now + event.span
+        if state.life is Life.SHUT:
+            # Guards those who were slow to ask: what comes 0.7 s behind SIGTERM is owed its answer before
+            # SIGKILL.
+            deadline = min(deadline, state.kill_at)
         auth = Authorisation(
-            state.next_id(), event.name, event.cls, client.id, event.message, self.core.now + event.span,
-            event.slots,
-        )  # fmt: skip
+            state.next_id(), event.name, event.cls, client.id, event.message, deadline, event.slots
+        )
         state.authorisations[auth.id] = client.authorisation = auth
         state.names.add(event.name)
         self.core.most("open", len(state.names))
--- a/reedspoke/net/directory.py
+++ b/reedspoke/net/directory.py
@@ -14,10 +14,11 @@
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.config import ConfigError, address
-from reedspoke.net.http import Answers, Buffer, End, Head, Lines, MalformedError
+from reedspoke.net.http import Answers, Buffer, End, Head, MalformedError
 from reedspoke.net.message import authority
 from reedspoke.net.runtime import Runtime
 from reedspoke.net.streams import connect, read
+from reedspoke.net.values import Values
 
 log = logging.getLogger("reedspoke")
 
@@ -26,7 +27,7 @@
     "Terminating": api.WorkerState.DRAINING,
     "Gone": api.WorkerState.GONE,
 }
-MOST_LINE = 4 * 1024 * 1024
+MOST_LIST = 4 * 1024 * 1024  # bytes of one object of a watch
 LEAST_SIZE, MOST_SIZE = 0.01, 10_000.0  # of a host, as listed; what lies outside says nothing
 
 
@@ -116,7 +117,7 @@
 
     async def _read(self, stream: IOStream, task: asyncio.Task[None] | None) -> str:
         buffer = Buffer()
-        answers, lines = Answers(buffer), Lines(MOST_LINE)
+        answers, values = Answers(buffer), Values(MOST_LIST)
         while True:
             buffer.recycle()
             await read(stream, buffer)
@@ -129,8 +130,6 @@
                 elif isinstance(item, End):
                     return "the answer ended"
                 else:
-                    for raw in lines.feed(item):
-                        if bytes(raw).strip():
-                            self.runtime.emit(listed(raw))
-                        else:
-                            self.runtime.emit(fx.Beaten())
+                    # Guards against a list over several lines, which a reader of lines never gets whole.
+                    for raw in values.feed(item):
+                        self.runtime.emit(fx.Beaten() if raw is None else listed(raw))
--- a/reedspoke/net/hosts.py
+++ b/reedspoke/net/hosts.py
@@ -7,6 +7,11 @@
 wire is handed its lists without asking, hears of lists alone. A host stands in the table from the first list
 that names it until one says that it is gone, or leaves it out of a whole list. The module hears of
 operators' bans before it hears of the list that they bear on.
+
+`due` is when what was missed counts as told, arrived or not: 6 s after a watch fell silent, 4 s after a new
+address, 0 while nothing is missed. Until a list has come the watch is then opened again here, whoever is
+asked (`docs/watching.md` has the arithmetic): the module's own pauses are made for one service that many ask
+in vain.
 """
 
 from __future__ import annotations
@@ -19,8 +24,16 @@
 from reedspoke.net.state import Host, Life
 
 MOST_PAST = 1000  # ids of hosts that have gone and are known still, for the operators' calls
-SILENCE = 3500 * MS  # of the directory, which beats every 2 s; what changes counts as told after 6 s
-AGAIN, AGAIN_MOST = 50 * MS, SECOND  # until a lost watch on pushed lists is opened again, doubled each time
+SILENCE = 3 * SECOND  # of the directory, which beats every 2 s and may keep a call waiting for as long
+MISSED = 6 * SECOND  # from a watch's last word: what it misses counts as told by then
+MOVED = 4 * SECOND  # from a new address of the directory's
+ANSWER = 2 * SECOND  # that a call may wait at a directory that many ask
+EACH = 6 * MS  # of one directory's time, for each scheduler that may call at the same moment
+FIRST = SECOND  # for the first word of an agent on this machine, which answers at once
+UNHEARD = 2 * SECOND  # of an agent at the start, before its scheduler goes by the list it was given
+AGAIN, AGAIN_MOST = 50 * MS, SECOND  # until a watch opened here is opened again, doubled each time
+TRIES = 3  # while a drain's window lasts; doublings of a lot
+TURN = 0.618  # of all lots, from one to the next: who came first comes later the next time
 OLDER = 10 * SECOND  # of lists older than ours and nothing else: the directory has begun its versions anew
 
 
@@ -35,7 +48,7 @@
     def rings(self) -> Rings:
         return {
             "silence": self._ring_silence, "settle": lambda _: self.settle(),
-            "watch": lambda _: self.follow(),
+            "watch": lambda _: self.follow(), "unheard": lambda _: self._tell(api.ListKind.CHANGES, []),
         }  # fmt: skip
 
     @property
@@ -43,18 +56,54 @@
         """Lists are an agent's to push: nobody is asked for them, and a watch costs nothing."""
         return not self.core.settings.ask_for_list
 
+    def watch(self) -> None:
+        """The module asks for the list; a watch that was opened here is not opened twice."""
+        if not self.state.watching:
+            self.follow()
+
     def follow(self) -> None:
         if self.state.life is Life.OVER:
             return
         self.core.count("watches")
-        self.state.watching = True
+        self.state.watching, self.state.word_at = True, self.core.now
         self.core.quiet(("watch", 0))
         self.core.ask(fx.Follow(self.state.directory, self.state.rev))
+        self.core.ring(("silence", 0), self.core.now + (FIRST if self.pushed else SILENCE))
+
+    def move(self, directory: tuple[str, int]) -> None:
+        """Versions are the old one's: asked for changes since 0, the new one tells all that it has. All
+        schedulers move at the same moment, so each calls by its own lot."""
+        state = self.state
+        state.directory, state.rev, state.older_at = directory, 0, 0
+        state.due = self.core.now + MOVED
+        if self.pushed:
+            self.follow()
+        else:
+            self.core.ask(fx.Unfollow())
+            self.core.quiet(("silence", 0))
+            state.watching, state.watch_losses = False, 0
+            self.core.ring(("watch", 0), self.core.now + self._lot())
+
+    def _lot(self) -> int:
+        """This scheduler's part of the time in which all of them may call a directory that answers one after
+        another: as long as they need, but for what the answer itself may take of the time that is left."""
+        schedulers, losses = self.core.settings.schedulers, self.state.watch_losses
+        span = schedulers * EACH * 2 ** min(losses, TRIES)
+        if not losses:
+            span = min(span, max(AGAIN, self.state.due - self.core.now - ANSWER))
+        part = (self.core.settings.me + 0.5) / schedulers + losses * TURN
+        return int(span * (part % 1 + (0.5 if losses else 0)))
+
+    def _heard(self) -> None:
+        """A sign of life of the directory: the watch is alive, and nothing is missed any more."""
+        self.state.watch_losses, self.state.due, self.state.word_at = 0, 0, self.core.now
         self.core.ring(("silence", 0), self.core.now + SILENCE)
+        self.settle()
 
     def _on_listed(self, event: fx.Listed) -> None:
         state = self.state
-        state.watch_losses = 0
+        if event.kind is not api.ListKind.STALE:
+            self._heard()
         if self._older(event):
             return
         state.rev = event.rev
@@ -68,11 +117,26 @@
         for uid in [uid for uid in state.ever_listed if uid not in state.hosts][: -MOST_PAST or None]:
             del state.ever_listed[uid]
         state.listed = state.listed or bool(state.hosts)
-        if event.kind is not api.ListKind.STALE:
-            self.core.ring(("silence", 0), self.core.now + SILENCE)
-            self.settle()
         self.heed_bans()  # before the list, or the module might use who is new on it
-        self.core.tell(api.Members(event.kind, [target.entry for target in event.targets]))
+        if event.kind is api.ListKind.STALE and self.pushed:
+            # Guards drains at a start: what the agent holds is told from the first moment, and this list may
+            # be old. Until the agent has spoken, or has not for a while, the module holds what comes.
+            state.unheard = event
+            self.core.ring(("unheard", 0), self.core.now + UNHEARD)
+        else:
+            self._tell(event.kind, event.targets)
+
+    def _tell(self, kind: api.ListKind, targets: list[fx.Target]) -> None:
+        """To the module; changes of a list that it has not heard as one list, or it might use the old one
+        before them."""
+        entries = {target.entry.worker: target.entry for target in targets}
+        if (known := self.state.unheard) is not None:
+            self.state.unheard = None
+            self.core.quiet(("unheard", 0))
+            if kind is api.ListKind.CHANGES:
+                kind = api.ListKind.FULL
+                entries = {target.entry.worker: target.entry for target in known.targets} | entries
+        self.core.tell(api.Members(kind, list(entries.values())))
 
     def _older(self, event: fx.Listed) -> bool:
         """Guards drains against a directory that has fallen behind us, an agent just restarted, say: hosts
@@ -87,13 +151,11 @@
         if self.core.now >= state.older_at + OLDER:
             state.older_at = 0
             return False
-        self.core.ring(("silence", 0), self.core.now + SILENCE)
-        self.settle()
         left = [target for target in event.targets if target.entry.state is not api.WorkerState.UP]
         for target in left:
             self._learn(target)
-        if left:
-            self.core.tell(api.Members(api.ListKind.CHANGES, [target.entry for target in left]))
+        if left or state.unheard:
+            self._tell(api.ListKind.CHANGES, left)
         return True
 
     def settle(self) -> None:
@@ -148,23 +210,35 @@
             self.legs.hang_up(self.state.conns[conn])
 
     def _on_beaten(self, _: fx.Beaten) -> None:
-        self.state.watch_losses = 0
-        self.core.ring(("silence", 0), self.core.now + SILENCE)
+        self._heard()
+        if self.state.unheard:
+            self._tell(api.ListKind.CHANGES, [])
 
     def _on_unlisted(self, event: fx.Unlisted) -> None:
-        self.state.watching = False
+        state = self.state
+        state.watching = False
         self.core.quiet(("silence", 0))
         self.core.count("watches lost")
         text = f"directory: watch lost: {event.why}"
-        if self.pushed:
+        if self.pushed or state.due:
             self.core.say_seldom("watch lost", text)
-            after = min(AGAIN_MOST, AGAIN * 2 ** min(self.state.watch_losses, 8))
-            self.state.watch_losses += 1
-            self.core.ring(("watch", 0), self.core.now + after)
+            self.core.ring(("watch", 0), self.core.now + self._pause())
+            state.watch_losses += 1
         else:
             self.core.ask(fx.Say(text))
             self.core.tell(api.Members(api.ListKind.LOST, []))
 
+    def _pause(self) -> int:
+        """Until a watch that was lost is opened again: of an agent's, some times in a drain's window, as what
+        it holds is told meanwhile; else by lot, not all at once, and each time later."""
+        again: int = min(AGAIN_MOST, AGAIN * 2 ** min(self.state.watch_losses, 8))
+        if self.pushed:
+            return min(again, max(AGAIN, self.core.settings.rules.drain_grace // TRIES))
+        return max(self._lot(), again if self.state.watch_losses else 0)
+
     def _ring_silence(self, _: int) -> None:
         self.core.ask(fx.Unfollow())
+        if not self.state.due:
+            self.state.due = self.state.word_at + MISSED
+            self.state.watch_losses = 0
         self._on_unlisted(fx.Unlisted("silence"))
--- a/reedspoke/net/lifecycle.py
+++ b/reedspoke/net/lifecycle.py
@@ -16,6 +16,10 @@
 PATIENCE = 3 * SECOND  # of a successor with the directory, before it makes do with the list it was given
 LEAVE = 500 * MS  # clients keep connecting for up to 400 ms after SIGTERM
 LAST_CALL = 200 * MS  # for the first bytes of those taken in last
+KILL = (
+    3 * SECOND + LEAVE + LAST_CALL
+)  # from SIGTERM to SIGKILL, or the longest deadline where that is shorter
+KILL_SPARE = 100 * MS  # for the answers that have to be out by then
 
 
 class Lifecycle(Concern):
@@ -52,10 +56,7 @@
             fx.Say(f"reload: directory {'moves to' if moved else 'stays at'} {host}:{port}")
         )  # fmt: skip
         if moved:
-            # Versions are the old one's: asked for changes since 0, the new one tells all that it has.
-            state.directory, state.rev, state.older_at = event.directory, 0, 0
-            if state.watching or self.hosts.pushed:  # else the module asks for a new watch by itself
-                self.hosts.follow()
+            self.hosts.move(event.directory)
 
     def _on_unloaded(self, _: fx.Unloaded) -> None:
         self.core.tally("sighup_rejected")
@@ -70,6 +71,7 @@
         self._drop_waiting(kept=True)
         self.core.ring(("leave", 0), self.core.now + LEAVE)
         longest = max(cls.deadline for cls in self.core.settings.classes)
+        self.state.kill_at = self.core.now + min(KILL, longest + LEAVE + LAST_CALL) - KILL_SPARE
         self.core.ring(("end", 0), self.core.now + LEAVE + longest + SECOND)
 
     def _drop_waiting(self, *, kept: bool) -> None:
--- a/reedspoke/net/reducer.py
+++ b/reedspoke/net/reducer.py
@@ -112,7 +112,7 @@
             case api.Fail():
                 self._final(action.id, fx.Verdict.FAILED)
             case api.Watch():
-                self.hosts.follow()
+                self.hosts.watch()
             case api.Probe():
                 self.legs.probe(action)
             case api.Log():
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -113,7 +113,10 @@
     watching: bool = False  # a watch is asked for and has not been lost
     rev: int = 0
     older_at: int = 0  # since when the directory has told of versions before `rev` alone, 0: it has not
-    watch_losses: int = 0  # watches on pushed lists lost since the last sign of life of the directory
+    word_at: int = 0  # the directory's last word on the watch, or when that was asked for
+    due: int = 0  # when what a silent watch has missed counts as told, 0: nothing is missed
+    unheard: fx.Listed | None = None  # the list as given at the start, which the module has not heard as yet
+    watch_losses: int = 0  # watches opened by ourselves and lost since the directory's last sign of life
     clients: dict[int, Client] = field(default_factory=dict)
     resting: dict[Standing, dict[int, None]] = field(  # clients that are owed nothing, the longest first
         default_factory=lambda: {standing: {} for standing in Standing}
@@ -132,6 +135,7 @@
     suspended: dict[str, tuple[str, int]] = field(default_factory=dict)  # by hand; with its endpoint then
     barred: set[str] = field(default_factory=set)  # those, and who stands at their endpoints by another id
     ever_listed: dict[str, None] = field(default_factory=dict)
+    kill_at: int = 0  # SIGKILL may come soon after that, once SIGTERM has
     drained: bool = False  # by hand: clients are sent away
     records: dict[int, fx.Record] = field(default_factory=dict)  # of callers, waiting for the other process
     partners: tuple[fx.Partner, ...] = ()  # other processes of this scheduler
@@ -144,7 +148,7 @@
 
     def able(self) -> bool:
         """This process can serve, whether or not clients are sent to it."""
-        return self.life is Life.SERVING and self.listed and self.settled
+        return self.life is Life.SERVING and self.listed and self.settled and self.unheard is None
 
     def ready(self) -> bool:
         """Clients may be sent here."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -182,6 +182,7 @@
         shared = beside or hosts_of
         self.hosts: list[Peer] = shared.hosts if shared else [Peer(f"s-{i}") for i in range(hosts)]
         self.discovery = Peer()
+        self.indent: int | None = None  # of the lists that discovery writes
         self.clients: list[Wire] = []
         self.listener: socket.socket | None = beside.listener if beside else listener
         self.port, self.door = free_port(), free_port()
@@ -256,7 +257,10 @@
         return not select.select([host.sock for host in self.hosts], [], [], wait)[0]
 
     def list(self, *entries: object, rev: int = 42, full: bool = False) -> None:
-        self.watch.chunk({"rev": rev, "all": full, "targets": entries})
+        told = json.dumps({"rev": rev, "all": full, "targets": entries}, indent=self.indent).encode()
+        for at in range(0, len(told), 100):
+            self.watch.chunk(told[at : at + 100])
+        self.watch.chunk(b"\n")
 
     def ready(self) -> int:
         return self.client(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n").message().status
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -33,11 +33,14 @@
     node.watch.chunk(b"\n")
 
 
+@pytest.mark.parametrize("indent", [None, 2], ids=["a line", "indented"])
 @pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
 @pytest.mark.parametrize("how", ["Terminating", "Gone", "not in a full list"])
-def test_host_that_leaves_gets_nothing_new(start: Start, how: str, pushed: bool) -> None:
-    """Guards drains where lists are pushed: an agent has them, and nobody but the program can follow it."""
+def test_host_that_leaves_gets_nothing_new(start: Start, how: str, pushed: bool, indent: int | None) -> None:
+    """Guards drains where lists are pushed: an agent has them, and nobody but the program can follow it. An
+    indented list was malformed, whoever sent it, and each watch failed on it for ever."""
     node = start(hosts=2, pushed=pushed)
+    node.indent = indent
     told_off(node, 0, how)
     wires: list[Wire] = []
     for number in range(5):
@@ -136,6 +139,13 @@
     assert again.message().first.endswith(f"since={41 if how == '503' else 57} HTTP/1.1")
     if how == "silence":
         assert node.watch.ended(), "the old watch is closed before the new one is asked for"
+    if pushed and how == "503":  # nothing has come from the agent as yet
+        assert node.ready() == 503
+        again.begin()
+        again.chunk(b"\n")
+        node.logged("directory: watch lost")
+        while node.ready() != 200:
+            pass
     assert node.ready() == 200
     client = node.client(ask())
     node.leg().serve()
@@ -147,6 +157,7 @@
     """Guards against an end by SIGHUP, and against PROXY_DISCOVERY, which names the old address for ever."""
     node = start(hosts=1, pushed=pushed)
     node.watch.begin()
+    node.watch.chunk(b"\n")  # else a new process would wait for its agent's first word
     idle, busy = node.client(ask("0a")), node.client()
     wire = node.leg()
     wire.serve()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -4,11 +4,14 @@
 
 import json
 import os
+import select
 import shutil
 import subprocess
 import sys
 import time
 import tomllib
+from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -45,6 +48,99 @@
     assert "stopped" in node.log()
 
 
+@dataclass
+class Standing:
+    """Of a client at SIGTERM: what it has sent by then, what it sends how long after, and what it gets."""
+
+    before: bytes
+    after: bytes
+    wait: float
+    status: int  # of its answer, which is its last; 0: an end, and not a byte
+
+
+WHOLE = ask("5e", body=b"x" * 3000, deadline=4.0)
+HEAD_CUT, BODY_CUT = 40, len(WHOLE) - 1000
+
+
+@pytest.mark.parametrize(
+    "standing",
+    [
+        Standing(b"", WHOLE, 0.3, 200),
+        Standing(b"", b"", 0.0, 0),
+        Standing(b"", WHOLE, 1.0, 0),
+        Standing(WHOLE[:HEAD_CUT], WHOLE[HEAD_CUT:], 0.3, 200),
+        Standing(WHOLE[:HEAD_CUT], WHOLE[HEAD_CUT:], 1.0, 503),
+        Standing(WHOLE[:BODY_CUT], WHOLE[BODY_CUT:], 0.3, 200),
+        Standing(WHOLE[:BODY_CUT], WHOLE[BODY_CUT:], 1.0, 503),
+        Standing(WHOLE[:BODY_CUT], b"", 0.0, 408),
+        Standing(WHOLE, b"", 0.0, 200),
+        Standing(READY, WHOLE, 0.2, 0),
+        Standing(b"\r\n", b"", 0.0, 0),
+    ],
+    ids=[
+        "never spoke, asks", "never spoke", "never spoke, asks late", "half a head", "half a head, late",
+        "half a body", "half a body, late", "half a body for good", "waits", "answered and kept",
+        "a blank line",
+    ],
+)  # fmt: skip
+def test_each_standing_of_a_client_at_a_planned_end(start: Start, standing: Standing) -> None:
+    """Guards those whose connection stays open behind SIGTERM: each is answered with `Connection: close`, or
+    closed before its bytes are read; nothing is taken and then dropped, up to SIGKILL."""
+    node = start(hosts=2)
+    busy = node.client(ask("0a", cls="book", deadline=4.0))
+    held = node.leg()  # a job that is out holds the process up
+    first = held.message()
+    held.begin()
+    held.state(first, "started")
+    client = node.client(standing.before)
+    if standing.before == READY:
+        assert client.message().status == 200
+    elif standing.before == WHOLE:
+        other = node.leg()
+        leg = other.message()
+    assert node.ready() == 200, "what came before this is read by now"
+    node.process.terminate()
+    node.logged("stopping")
+    since = time.monotonic()
+    if standing.after:
+        time.sleep(standing.wait)  # the time is the matter here
+        with suppress(OSError):
+            client.send(standing.after)
+    if standing.status == 0:
+        assert client.ended()
+    else:
+        if standing.status == 200:
+            if standing.before != WHOLE:
+                other = node.leg()
+                leg = other.message()
+            other.serve(leg)
+        answer = client.message()
+        assert (answer.status, answer.fields["connection"]) == (standing.status, "close")
+        assert client.ended()
+        client.close()
+    held.state(first, "done", result="fine")
+    held.end()
+    assert busy.message().status == 200
+    assert took(since) < 3.7, "SIGKILL may follow"
+
+
+def test_request_that_crosses_the_end_is_never_read(start: Start) -> None:
+    """Guards a request on its way as its connection is closed: its client hears of it, and sends it again."""
+    node = start(hosts=1)
+    client, busy = node.client(READY), node.client(ask())
+    leg = node.leg()
+    assert client.message().status == 200
+    node.process.terminate()
+    assert client.ended()
+    with pytest.raises(OSError, match=r"reset|Broken pipe"):  # noqa: PT012
+        for _ in range(50):
+            client.send(ask("2b"))
+            select.select([], [], [], 0.01)
+    leg.serve()
+    assert busy.message().status == 200
+    assert node.quiet(), "and it has no leg"
+
+
 def test_planned_end_does_not_wait_for_a_client_that_says_nothing(start: Start) -> None:
     node = start(hosts=1)
     node.client()
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.clients import CLIENT_FRESH
 from reedspoke.net.core import SECOND, Budget
-from reedspoke.net.hosts import OLDER
+from reedspoke.net.hosts import ANSWER, MISSED, MOVED, OLDER, SILENCE, UNHEARD
 from reedspoke.net.legs import MUTE
 from reedspoke.net.reducer import Reducer
 from reedspoke.net.wheel import Wheel
@@ -278,9 +280,13 @@
 # ---- pushed lists: an agent has them and nobody is asked ----
 
 
+KNOWN = fx.Listed(api.ListKind.STALE, 7, listed("a", "b").targets)
+
+
 def pushed(*events: fx.Event) -> Play:
+    """At an agent that has said something already."""
     play = Play(config=settings(ask=False))
-    play.tell(fx.Listed(api.ListKind.STALE, 7, listed("a", "b").targets), fx.Listening(), *events)
+    play.tell(KNOWN, fx.Listening(), fx.Beaten(), *events)
     return play
 
 
@@ -355,3 +361,147 @@
     play.tell(old)
     assert sorted(hosts) == ["a", "b", "c"], "it has begun its versions anew"
     assert play.reducer.state.rev == 45
+
+
+def heard(play: Play, monkeypatch: pytest.MonkeyPatch) -> list[api.Members]:
+    """What its module is told of lists from now on."""
+    told, handle = list[api.Members](), play.reducer.module.handle
+
+    def hear(now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Members):
+            told.append(event)
+        return handle(now, event)
+
+    monkeypatch.setattr(play.reducer.module, "handle", hear)
+    return told
+
+
+@pytest.mark.parametrize(
+    ("word", "sent"),
+    [
+        (listed("a", state=api.WorkerState.DRAINING, full=False), "b"),
+        (listed("b", full=True), "b"),
+        (fx.Listed(api.ListKind.CHANGES, 5, listed("a", state=api.WorkerState.GONE).targets), "b"),
+        (fx.Beaten(), "ab"),
+        (None, "ab"),
+    ],
+    ids=["changes", "whole list", "older list", "beat", "nothing"],
+)
+def test_a_new_process_hears_its_agent_before_a_job_goes_out(
+    word: fx.Event | None, sent: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards drains at a restart: what the agent holds is told from the first moment, and the list in the
+    configuration may name a host that drains. A silent agent holds the start up for 2 s."""
+    play = Play(config=settings(ask=False))
+    told = heard(play, monkeypatch)
+    play.tell(KNOWN, fx.Listening(), fx.Joined(1), arrived(1))
+    assert not [effect for effect in play.asked if isinstance(effect, fx.Dial)]
+    assert not play.reducer.state.ready()
+    if word is None:
+        play.advance(UNHEARD - 10 * MS)
+        assert not told
+        play.advance(20 * MS)
+        play.tell(fx.Joined(2), arrived(2))
+    else:
+        play.tell(word)
+    assert play.reducer.state.ready()
+    assert [event.kind for event in told] == [api.ListKind.FULL], "one list, never the old one before the new"
+    dials = [effect for effect in play.asked if isinstance(effect, fx.Dial)]
+    assert len(dials) == 1
+    assert play.reducer.state.conns[dials[0].conn].host in sent
+
+
+FLEETS = pytest.mark.parametrize("schedulers", [1, 5, 40, 200])
+
+
+def called(play: Play, span: int) -> list[int]:
+    """When it asks for a watch within that time, from now on."""
+    begun, at = play.now, list[int]()
+    while play.now < begun + span:
+        at += [play.now - begun for _ in follows(play.advance(5 * MS))]
+    return at
+
+
+def fleet(schedulers: int) -> list[Play]:
+    """Each with a watch that has just said something."""
+    plays = []
+    for me in range(schedulers):
+        config = replace(settings(ask=True, schedulers=schedulers), me=me)
+        plays.append(Play(config=config))
+        plays[-1].tell(fx.Listed(api.ListKind.STALE, 7, listed("a", "b").targets), fx.Listening())
+        plays[-1].tell(listed("a", "b"))
+        plays[-1].reducer.state.watching = plays[-1].reducer.module.watching = True
+    return plays
+
+
+def crowd(times: list[int], span: int) -> int:
+    """Most of them within any such span."""
+    return max(sum(at <= other < at + span for other in times) for at in times)
+
+
+@FLEETS
+def test_a_silent_watch_is_opened_anew_before_what_it_missed_counts_as_told(schedulers: int) -> None:
+    """Guards drains: silence was noticed in time, and the call that followed came 11.5 to 21.8 s later where
+    200 schedulers ask, so a host that drained meanwhile still got jobs. Nor do all call at one moment."""
+    calls = [called(play, MISSED) for play in fleet(schedulers)]
+    first = [at[0] for at in calls]
+    assert max(first) <= MISSED - ANSWER, "an answer may take 2 s"
+    assert min(first) >= SILENCE
+    assert crowd(first, 10 * MS) <= 3, "they share one directory"
+
+
+@FLEETS
+def test_schedulers_call_a_new_address_by_lot_and_in_time(schedulers: int) -> None:
+    """Guards drains after SIGHUP, when all of 200 called at once: most calls failed and came again too
+    late."""
+    calls = []
+    for play in fleet(schedulers):
+        play.tell(fx.Reloaded(("127.0.0.1", 9)))
+        calls.append(called(play, MOVED)[0])
+    assert max(calls) <= MOVED - ANSWER
+    assert crowd(calls, 10 * MS) <= 3
+
+
+@FLEETS
+def test_calls_that_fail_after_a_silence_come_again_ever_more_seldom(schedulers: int) -> None:
+    """Guards one directory that is down or overbooked, and the scheduler that would give up on it."""
+    plays = fleet(schedulers)[:: max(1, schedulers // 10)]
+    times = []
+    for play in plays:
+        play.advance(SILENCE + 10 * MS)
+        for _ in range(30):
+            at = called(play, SECOND)
+            times += at
+            if at:
+                play.tell(fx.Unlisted("status 503"))
+    most = 30 * schedulers / (8 * 6 / 1000 * schedulers) / schedulers  # one in 8 lots of all, each
+    assert 2 * len(plays) <= len(times) <= len(plays) * max(3 * most, 31)
+    play = plays[0]
+    play.tell(listed("a"))
+    assert play.reducer.state.due == 0
+    begun = len(play.asked)
+    play.tell(fx.Unlisted("it ended"))
+    assert not follows(play.asked[begun:]), "from now on the module says when"
+
+
+@pytest.mark.parametrize(("grace", "most"), [(250 * MS, 100 * MS), (3 * SECOND, SECOND)])
+def test_an_agent_that_is_back_is_heard_within_the_window_of_a_drain(grace: int, most: int) -> None:
+    """Guards drains after an outage: what the agent holds is told at once, and the pauses had grown to 1
+    s."""
+    config = settings(ask=False)
+    play = Play(config=replace(config, rules=replace(config.rules, drain_grace=grace)))
+    play.tell(KNOWN, fx.Listening(), fx.Beaten())
+    times = []
+    for _ in range(200):
+        play.tell(fx.Unlisted("connection refused"))
+        times.append(called(play, 2 * SECOND)[0])
+    assert max(times) <= most
+    assert min(times[3:]) >= 40 * MS, "no busy loop"
+
+
+def test_a_beat_that_never_completes_a_list_is_a_silence() -> None:
+    play = pushed()
+    play.advance(SILENCE + 200 * MS)
+    assert play.reducer.state.due, "what is missed counts as told"
+    play.tell(fx.Beaten())
+    assert not play.reducer.state.due
