Timelines: schedulers told as columns, played in virtual time and on real processes

Need: what several processes do together was told by hand in Python, once for the cores and once for the rig, and a failure printed a frozen object. A refutation that a deaf member had missed was never found by those tests.

--- a/reedspoke/cli/lab.py
+++ b/reedspoke/cli/lab.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import importlib
+from functools import partial
+from pathlib import Path
 
 import click
 
@@ -49,3 +51,27 @@
 
 for _name, (_module, _seconds, _text) in EXPERIMENTS.items():
     lab.add_command(experiment(_name, _module, _seconds, _text))
+
+
+@lab.command(
+    "timeline", help="Timelines from files or by lot; docs/timelines.md. Exit status 0 only if all held."
+)
+@click.option("--file", "files", multiple=True, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--draw", "drawn", type=click.IntRange(0, 100_000), default=0, help="So many drawn by lot.")
+@click.option("--stage", type=click.Choice(["real", "virtual"]), default="real", show_default=True)
+@click.option("--side", type=click.IntRange(1, 16), default=4, show_default=True, help="Real ones at once.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "json_file", metavar="FILE", help="Write the figures as JSON; - for stdout.")
+def timeline(
+    files: tuple[Path, ...], drawn: int, stage: str, side: int, seed: int, json_file: str | None
+) -> int:
+    from reedspoke.lab.experiment import run
+    from reedspoke.lab.timeline import TimelineError
+    from reedspoke.lab.timelines import Plan, play
+
+    plan = Plan(list(files), drawn, stage == "real", side)
+    try:
+        plan.timelines(seed)
+    except TimelineError as error:
+        raise click.ClickException(str(error)) from None
+    return run(partial(play, plan=plan), 0, seed, json_file)
--- a/reedspoke/fleet/membership.py
+++ b/reedspoke/fleet/membership.py
@@ -262,8 +262,10 @@
 
     def _learn(self, told: News, now: int, out: list[tuple[int, Matter]]) -> None:
         if told.member == self.me:
-            if told.life == self.life and told.state != Standing.ALIVE and told.rank >= self.rank:
-                self.rank = told.rank + 1 & 0xFFFF
+            if told.life == self.life and told.state != Standing.ALIVE:
+                # Told again also where a later rank is known already: who was deaf meanwhile has missed that.
+                if told.rank >= self.rank:
+                    self.rank = told.rank + 1 & 0xFFFF
                 self._tell(News(self.me, self.life, self.rank, Standing.ALIVE))
             return
         one = self.members.get(told.member)
--- a/reedspoke/lab/relay.py
+++ b/reedspoke/lab/relay.py
@@ -43,6 +43,7 @@
     def __init__(self, listens: list[int], seed: int, seen: Seen | None = None) -> None:
         self.listens, self.seen = listens, seen
         self.weather = Weather()
+        self.weathers: dict[int, Weather] = {}  # of what these send, in place of the common one
         self.cuts: set[tuple[int, int]] = set()  # one way
         self.bytes = self.datagrams = self.largest = self.lost = 0
         self.kept: dict[int, list[bytes]] = {}  # old frames by sender, for replays
@@ -69,11 +70,12 @@
         kept = self.kept.setdefault(sender, [])
         if len(kept) < 64:
             kept.append(body)
-        for _ in range(1 + (self._random.random() < self.weather.twice)):
-            if self._random.random() < self.weather.loss:
+        weather = self.weathers.get(sender, self.weather)
+        for _ in range(1 + (self._random.random() < weather.twice)):
+            if self._random.random() < weather.loss:
                 self.lost += 1
-            elif self.weather.delay:
-                wait = self._random.random() * self.weather.delay
+            elif weather.delay:
+                wait = self._random.random() * weather.delay
                 asyncio.get_running_loop().call_later(wait, self.pass_on, sender, to, body)
             else:
                 self.pass_on(sender, to, body)
--- a/reedspoke/lab/rig.py
+++ b/reedspoke/lab/rig.py
@@ -150,6 +150,7 @@
     def __init__(
         self, folder: Path, seed: int, size: int = 5, term: float = 1.0, drift: float = 0.05,
         period: float = 0.4, every: float = 0.1, held: bool = False,
+        granters: tuple[int, ...] = (),
     ) -> None:  # fmt: skip
         """`held`: listeners outlive processes, so that one can be upgraded while it serves."""
         self.held, self.keys = held, folder / "keys"
@@ -157,7 +158,7 @@
         self.keys.chmod(0o600)
         self.folder, self.seed, self.size, self.term, self.every = folder, seed, size, term, every
         self.drift, self.period = drift, period
-        self.granters = tuple(range(min(5, size)))
+        self.granters = granters or tuple(range(min(5, size)))
         self.fleet = Fleet(HOSTS, seed, PUSHED.work(), PUSHED.of("side_effect"), deployment=PUSHED)
         self.registry = Registry()
         self.watcher = Watcher(self.granters, term * (1 - drift) / (1 + drift), load(self.keys))
@@ -168,14 +169,15 @@
         self._over = False
         self._traffic: list[asyncio.Task[None]] = []
 
-    async def open(self) -> None:
-        """All are started, and ready. Raises LabError."""
+    async def open(self, started: bool = True) -> None:
+        """All are started, and ready, unless each is to be by `start`. Raises LabError."""
         await self.fleet.open()
         await self.registry.open()
         await self.relay.open()
         for number in range(self.size):
             self.schedulers.append(await self._scheduler(number))
-        await asyncio.gather(*(self.start(one) for one in self.schedulers))
+        if started:
+            await asyncio.gather(*(self.start(one) for one in self.schedulers))
         for one in self.schedulers:
             self._traffic += [
                 asyncio.ensure_future(self._ask(one, self.seed * 1000 + one.number * 10 + at))
@@ -210,6 +212,7 @@
                 "key_file": str(self.keys),
                 "drift": self.drift,
                 "period": f"{self.period * 1000:.0f}ms",
+                "granters": list(self.granters),
                 "duties": [duty],
             },
         }
@@ -253,14 +256,19 @@
         one.disturb(begin, time.monotonic() + 0.5)
 
     async def replace(self, one: Scheduler) -> int:
-        """A planned restart; its exit status. Clients come for a moment still, then no more."""
+        """A planned restart; its exit status."""
+        status = await self.leave(one)
+        await self.start(one)
+        return status
+
+    async def leave(self, one: Scheduler) -> int:
+        """A planned end; its exit status. Clients come for a moment still, then no more."""
         one.leaving = True
         one.program.signal(signal.SIGTERM)
         await asyncio.sleep(NOTICED)
         one.ready = False
         status = await one.program.stop()
         self.watcher.dead(one.number, time.monotonic())
-        await self.start(one)
         return status
 
     # ---- traffic ----
--- a/reedspoke/lab/virtual.py
+++ b/reedspoke/lab/virtual.py
@@ -98,10 +98,12 @@
     def __init__(
         self, size: int, seed: int, period: int = SECOND, term: int = 3 * SECOND, drift: float = 0.01,
         rates: tuple[float, ...] = (1.0, 0.995, 1.005), duties: int = 1,
-        granters: tuple[int, ...] = (),
+        granters: tuple[int, ...] = (), started: bool = True,
     ) -> None:  # fmt: skip
+        """`started`: all of them at once, else each by `start`."""
         self.size, self.period, self.term, self.rates = size, period, term, rates
         self.random, self.now, self.weather = Random(seed), 0, Weather()
+        self.weathers: dict[int, Weather] = {}  # of what these send, in place of the common one
         self.electorate = Electorate(size, granters or tuple(range(min(5, size))), drift)
         self.electorates: dict[int, Electorate] = {}  # of members that go by another one
         self.duties = [Duty(f"{DUTY}-{at}" if at else DUTY, term) for at in range(duties)]
@@ -114,7 +116,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._order = count()
         self.processes: dict[int, Process] = {}
-        for number in range(size):
+        for number in range(size) if started else ():
             self.start(number)
 
     # ---- faults ----
@@ -127,6 +129,12 @@
     def kill(self, number: int) -> None:
         del self.processes[number]
 
+    def leave(self, number: int, heir: int) -> None:
+        """A planned end: its duties go to the heir first."""
+        process = self.processes[number]
+        process.send_all(process.duties.want(False, heir, process.clock()))
+        self.kill(number)
+
     def holder(self, name: str = DUTY) -> int | None:
         found = [at for at, one in self.processes.items() if one.duties.holds(name, one.clock())]
         return found[0] if found else None
@@ -154,9 +162,9 @@
         self.bytes += len(body)
         self.datagrams += 1
         self.largest = max(self.largest, len(body))
-        weather, random = self.weather, self.random
+        weather, random = self.weathers.get(sender, self.weather), self.random
         for _ in range(1 + (random.random() < weather.twice)):
-            if random.random() >= weather.loss and (sender, to) not in weather.cuts:
+            if random.random() >= weather.loss and (sender, to) not in self.weather.cuts:
                 self._at(self.now + random.randint(*weather.delay), lambda: self._arrive(sender, to, body))
 
     def _arrive(self, sender: int, to: int, body: bytes) -> None:
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -147,3 +147,17 @@
     for number in range(1000):
         sent += sum(isinstance(told, Ping) for _, told in one.hear(2, 5, [Ask(number, 3)], now))
     assert 0 < sent <= 32
+
+
+def test_who_is_told_of_an_old_suspicion_says_its_later_rank_again() -> None:
+    """Guards one that was deaf while a member refuted: it held that member for gone until chance brought the
+    word."""
+    me = Membership(1, 3, 7, SECOND, 0, Random(1))
+    me.hear(2, 5, [News(1, 7, 0, Standing.SUSPECT)], 0)
+    assert me.rank == 1
+    for _ in range(50):
+        me.news()
+    assert not me.news()
+    me.hear(0, 5, [News(1, 7, 0, Standing.GONE)], SECOND)
+    assert me.rank == 1
+    assert News(1, 7, 1, Standing.ALIVE) in me.news()
