--- a/reedspoke/interface.py
+++ b/reedspoke/interface.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 
 class Effect(Enum):
     """What running a job twice would do."""
@@ -65,8 +66,7 @@
         raise ValueError(f"setting `{key}` must {must}")
 
 
-@dataclass(slots=True, frozen=True)
-class ClassSettings:
+class ClassSettings(Struct, frozen=True):
     name: str
     effect: Effect
     group: Group
@@ -86,8 +86,7 @@
         require(self.stretch >= 0, "stretch", "not be negative")
 
 
-@dataclass(slots=True, frozen=True)
-class TenantSettings:
+class TenantSettings(Struct, frozen=True):
     name: str
     share: float
 
@@ -95,8 +94,7 @@
         require(self.share > 0, "share", "be above 0")
 
 
-@dataclass(slots=True, frozen=True)
-class Limits:
+class Limits(Struct, frozen=True):
     max_attempts: int
     cancel: bool
     probes: bool
@@ -109,8 +107,7 @@
         require(self.connect_timeout >= 0, "connect_timeout", "not be negative")
 
 
-@dataclass(slots=True, frozen=True)
-class Rules:
+class Rules(Struct, frozen=True):
     drain_grace: int
     answer_slack: int
     ask_within: int  # 0: the list is pushed
@@ -126,8 +123,7 @@
         require(self.fall_time >= 0, "fall_time", "not be negative")
 
 
-@dataclass(slots=True, frozen=True)
-class Settings:
+class Settings(Struct, frozen=True):
     me: int
     schedulers: int
     zone: str
@@ -155,8 +151,7 @@
 # ---- events ----
 
 
-@dataclass(slots=True)
-class Entry:
+class Entry(Struct):
     worker: str
     zone: str
     kind: str
@@ -166,14 +161,12 @@
     born: int  # time of its latest start, 0: long ago
 
 
-@dataclass(slots=True)
-class Members:
+class Members(Struct):
     kind: ListKind
     entries: list[Entry]
 
 
-@dataclass(slots=True)
-class Request:
+class Request(Struct):
     id: int
     cls: str
     deadline: int
@@ -184,8 +177,7 @@
     key: str = ""
 
 
-@dataclass(slots=True)
-class Outcome:
+class Outcome(Struct):
     id: int
     attempt: int
     worker: str
@@ -195,8 +187,7 @@
     report: tuple[float, ...] = ()
 
 
-@dataclass(slots=True)
-class Note:
+class Note(Struct):
     id: int
     attempt: int
     worker: str
@@ -204,51 +195,44 @@
     share: float = 0.0
 
 
-@dataclass(slots=True)
-class First:
+class First(Struct):
     """The answer of a streamed class has begun."""
 
     id: int
     attempt: int
 
 
-@dataclass(slots=True)
-class Gone:
+class Gone(Struct):
     """The client has left."""
 
     id: int
 
 
-@dataclass(slots=True)
-class Probed:
+class Probed(Struct):
     worker: str
     reason: Reason
     took: int
     report: tuple[float, ...] = ()
 
 
-@dataclass(slots=True)
-class Timer:
+class Timer(Struct):
     token: str
 
 
-@dataclass(slots=True)
-class Suspended:
+class Suspended(Struct):
     """Operators leave a worker out, or put it back: whatever the list says of it meanwhile."""
 
     worker: str
     on: bool
 
 
-@dataclass(slots=True)
-class Others:
+class Others(Struct):
     """What the other schedulers hold at workers by their own word: slots and work. All of it, each time."""
 
     held: dict[str, tuple[int, float]]
 
 
-@dataclass(slots=True)
-class Learned:
+class Learned(Struct):
     """What a dispatcher has learned and has sent, for one that takes over from it."""
 
     fleet: tuple[float, float, float] = (0.0, 0.0, 0.0)  # pace, usual wait and response
@@ -256,8 +240,7 @@
     cold: dict[str, list[tuple[int, float]]] = field(default_factory=dict)  # (time, work) sent to cold ones
 
 
-@dataclass(slots=True)
-class Partner:
+class Partner(Struct):
     """Other processes act for this scheduler as well, while one replaces another."""
 
     staying: int  # of them, those that take requests still
@@ -270,52 +253,44 @@
 # ---- actions ----
 
 
-@dataclass(slots=True)
-class Send:
+class Send(Struct):
     id: int
     worker: str
     timeout: int = 0  # 0: until the client gives up
 
 
-@dataclass(slots=True)
-class Cancel:
+class Cancel(Struct):
     id: int
     attempt: int
 
 
-@dataclass(slots=True)
-class Refuse:
+class Refuse(Struct):
     """Final answer: not done, trying again is harmless."""
 
     id: int
     retry_after: int = 0
 
 
-@dataclass(slots=True)
-class Fail:
+class Fail(Struct):
     """Final answer: promises nothing."""
 
     id: int
 
 
-@dataclass(slots=True)
-class Watch:
+class Watch(Struct):
     """Ask for the changes of the list from now on."""
 
 
-@dataclass(slots=True)
-class Probe:
+class Probe(Struct):
     worker: str
 
 
-@dataclass(slots=True)
-class SetTimer:
+class SetTimer(Struct):
     after: int
     token: str
 
 
-@dataclass(slots=True)
-class Log:
+class Log(Struct):
     text: str
 
 
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from reedspoke import interface as api
 
 TimerKey = tuple[str, int]
@@ -54,36 +55,31 @@
 # ---- events ----
 
 
-@dataclass(slots=True)
-class Joined:
+class Joined(Struct):
     """A client has connected."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Greeted:
+class Greeted(Struct):
     """A client has connected at a front that has to agree with it on keys first."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Secured:
+class Secured(Struct):
     """It has: from here on the client is as any other."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Reading:
+class Reading(Struct):
     """The first bytes of an authorisation have come from a client."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Arrived:
+class Arrived(Struct):
     """The last byte of an authorisation has come. `message` is what its legs will carry."""
 
     client: int
@@ -99,65 +95,56 @@
     elsewhere: bool = False  # one of that id is open in this scheduler's other process
 
 
-@dataclass(slots=True)
-class Withdrawn:
+class Withdrawn(Struct):
     """What a client proved itself with counts no longer: nothing of it may go out that has not yet."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Answered:
+class Answered(Struct):
     """An answer has been written, or an ill-formed authorisation has been told so."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Ending:
+class Ending(Struct):
     """The last answer on a client's connection is given; what still comes is read and forgotten."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Refused:
+class Refused(Struct):
     """What a client sent is no authorisation; `status` tells it so."""
 
     status: int
     why: str
 
 
-@dataclass(slots=True)
-class Parted:
+class Parted(Struct):
     """A client's connection has ended."""
 
     client: int
 
 
-@dataclass(slots=True)
-class Opened:
+class Opened(Struct):
     """A connection to an issuer host has come up."""
 
     conn: int
 
 
-@dataclass(slots=True)
-class Written:
+class Written(Struct):
     """The last byte of a leg is written."""
 
     conn: int
 
 
-@dataclass(slots=True)
-class Heard:
+class Heard(Struct):
     """A host has begun to answer a leg: it has taken it."""
 
     conn: int
 
 
-@dataclass(slots=True)
-class Noted:
+class Noted(Struct):
     """A leg tells that its job has started, or how far it is."""
 
     conn: int
@@ -165,8 +152,7 @@
     share: float
 
 
-@dataclass(slots=True)
-class Concluded:
+class Concluded(Struct):
     """A leg or a probe has its outcome; the rest of the answer may still be on its way."""
 
     conn: int
@@ -177,83 +163,70 @@
     free: bool = False  # its answer has ended, and the connection may carry the next leg
 
 
-@dataclass(slots=True)
-class Freed:
+class Freed(Struct):
     """The whole answer has come: the connection can carry the next leg."""
 
     conn: int
 
 
-@dataclass(slots=True)
-class Broken:
+class Broken(Struct):
     """A connection to an issuer host never came up or has ended."""
 
     conn: int
 
 
-@dataclass(slots=True)
-class Target:
+class Target(Struct):
     """An issuer host as the directory lists it."""
 
     entry: api.Entry
     endpoint: tuple[str, int]
 
 
-@dataclass(slots=True)
-class Listed:
+class Listed(Struct):
     kind: api.ListKind
     rev: int
     targets: list[Target]
 
 
-@dataclass(slots=True)
-class Beaten:
+class Beaten(Struct):
     """The directory gives a sign of life."""
 
 
-@dataclass(slots=True)
-class Unlisted:
+class Unlisted(Struct):
     """The watch has failed or has ended."""
 
     why: str
 
 
-@dataclass(slots=True)
-class Rung:
+class Rung(Struct):
     key: TimerKey
 
 
-@dataclass(slots=True)
-class Listening:
+class Listening(Struct):
     """The listener is open."""
 
 
-@dataclass(slots=True)
-class Stop:
+class Stop(Struct):
     """The platform asks for a planned end."""
 
 
-@dataclass(slots=True)
-class Reload:
+class Reload(Struct):
     """The platform has a new configuration."""
 
 
-@dataclass(slots=True)
-class Reloaded:
+class Reloaded(Struct):
     """It is read and holds; so far only the directory's address can change in service."""
 
     directory: tuple[str, int]
 
 
-@dataclass(slots=True)
-class Rang:
+class Rang(Struct):
     """An operator has connected at the door."""
 
     caller: int
 
 
-@dataclass(slots=True)
-class Called:
+class Called(Struct):
     """A whole call has come; `host` is the issuer host that it names, if any."""
 
     caller: int
@@ -261,20 +234,17 @@
     host: str = ""
 
 
-@dataclass(slots=True)
-class Hungup:
+class Hungup(Struct):
     """An operator's connection has ended."""
 
     caller: int
 
 
-@dataclass(slots=True)
-class Unloaded:
+class Unloaded(Struct):
     """The new configuration is unusable: the old one stays in force."""
 
 
-@dataclass(slots=True)
-class Partner:
+class Partner(Struct):
     """What another process of this scheduler holds, while one replaces the other."""
 
     leaving: bool
@@ -283,15 +253,13 @@
     learned: api.Learned
 
 
-@dataclass(slots=True)
-class Accompanied:
+class Accompanied(Struct):
     """Which other processes of this scheduler live, and what they hold."""
 
     partners: tuple[Partner, ...]
 
 
-@dataclass(slots=True)
-class Ordered:
+class Ordered(Struct):
     """All that operators have ordered, as kept for both processes."""
 
     suspended: dict[str, tuple[str, int]]
@@ -299,29 +267,25 @@
     caller: int = 0  # whose call changed it, 0: none here
 
 
-@dataclass(slots=True)
-class Unrecorded:
+class Unrecorded(Struct):
     """An order could not be kept; `again`: for the moment."""
 
     record: Record
     again: bool
 
 
-@dataclass(slots=True)
-class Joining:
+class Joining(Struct):
     """Messages between schedulers can come from now on."""
 
 
-@dataclass(slots=True)
-class Came:
+class Came(Struct):
     """A message from another scheduler; it may be anything."""
 
     body: bytes
     sender: int = -1  # by its address
 
 
-@dataclass(slots=True)
-class Acted:
+class Acted(Struct):
     """An act of a duty is over. `status`: of its answer, 0: none; `token`: the later one that it named, 0."""
 
     duty: str
@@ -340,8 +304,7 @@
 # ---- effects ----
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(Struct):
     client: int
     verdict: Verdict
     result: bytes = b""
@@ -349,97 +312,82 @@
     last: bool = False  # the connection ends with it
 
 
-@dataclass(slots=True)
-class Drop:
+class Drop(Struct):
     """End a client's connection."""
 
     client: int
     how: Farewell = Farewell.IDLE
 
 
-@dataclass(slots=True)
-class Accept:
+class Accept(Struct):
     """Take clients from now on, or leave them waiting while no descriptor is free."""
 
     on: bool
 
 
-@dataclass(slots=True)
-class Admit:
+class Admit(Struct):
     """Begin further handshakes from now on, or leave who comes for one waiting."""
 
     on: bool
 
 
-@dataclass(slots=True)
-class Shut:
+class Shut(Struct):
     """Close the listener; where nobody else has it, take in who is waiting first."""
 
 
-@dataclass(slots=True)
-class Dial:
+class Dial(Struct):
     conn: int
     endpoint: tuple[str, int]
 
 
-@dataclass(slots=True)
-class Transmit:
+class Transmit(Struct):
     conn: int
     message: object
     wait: int  # us that the answer is waited for
 
 
-@dataclass(slots=True)
-class Ask:
+class Ask(Struct):
     """Send a probe."""
 
     conn: int
 
 
-@dataclass(slots=True)
-class Hangup:
+class Hangup(Struct):
     conn: int
 
 
-@dataclass(slots=True)
-class Follow:
+class Follow(Struct):
     """Watch the directory for what has changed since `rev`; another watch ends with that."""
 
     endpoint: tuple[str, int]
     rev: int
 
 
-@dataclass(slots=True)
-class Unfollow:
+class Unfollow(Struct):
     pass
 
 
-@dataclass(slots=True)
-class Reread:
+class Reread(Struct):
     """Read the configuration again."""
 
 
-@dataclass(slots=True)
-class Ring:
+class Ring(Struct):
     key: TimerKey
     at: int
 
 
-@dataclass(slots=True)
-class Quiet:
+class Quiet(Struct):
     key: TimerKey
 
 
-@dataclass(slots=True)
-class Say:
+class Say(Struct):
     """A line for the log."""
 
     text: str
     fault: bool = False
 
 
-@dataclass(slots=True)
-class Reply:
+class Reply(Struct):
     """Answer an operator's call."""
 
     caller: int
@@ -448,15 +396,13 @@
     text: str = ""  # in place of the word's own
 
 
-@dataclass(slots=True)
-class Dismiss:
+class Dismiss(Struct):
     """End an operator's connection that has not called."""
 
     caller: int
 
 
-@dataclass(slots=True)
-class Record:
+class Record(Struct):
     """Keep an operator's order where both processes see it."""
 
     caller: int
@@ -466,13 +412,11 @@
     tries: int = 0  # that have failed, as the other process was at it
 
 
-@dataclass(slots=True)
-class Look:
+class Look(Struct):
     """See what the other process, if there is one, has left for this one."""
 
 
-@dataclass(slots=True)
-class Hold:
+class Hold(Struct):
     """Tell the other process what this one holds."""
 
     leaving: bool
@@ -481,23 +425,20 @@
     learned: api.Learned
 
 
-@dataclass(slots=True)
-class Unclaim:
+class Unclaim(Struct):
     """An authorisation is not open any more."""
 
     name: str
 
 
-@dataclass(slots=True)
-class Spread:
+class Spread(Struct):
     """Send messages to one scheduler, or to every other one; they may be lost."""
 
     bodies: tuple[bytes, ...]
     to: int = -1
 
 
-@dataclass(slots=True)
-class Act:
+class Act(Struct):
     """Carry out an act of a duty, if that is before `until` still; its token goes with it."""
 
     duty: str
@@ -505,8 +446,7 @@
     until: int
 
 
-@dataclass(slots=True)
-class Enter:
+class Enter(Struct):
     """A duty is this scheduler's until then, by its clock; told again whenever that is later."""
 
     duty: str
@@ -514,15 +454,13 @@
     until: int
 
 
-@dataclass(slots=True)
-class Leave:
+class Leave(Struct):
     """It is not any more."""
 
     duty: str
 
 
-@dataclass(slots=True)
-class Exit:
+class Exit(Struct):
     pass
 
 
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -129,6 +129,7 @@
         loop.add_signal_handler(number, node.stop)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     gc.freeze()  # what stands now stays: the collector need not look at it
+    gc.enable()
     await node.run()
 
 
--- a/reedspoke/net/state.py
+++ b/reedspoke/net/state.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 
@@ -29,8 +30,7 @@
     KEPT = "kept"  # it was served
 
 
-@dataclass(slots=True, eq=False)
-class Client:
+class Client(Struct, eq=False):
     id: int
     joined: int
     authorisation: Authorisation | None = None
@@ -40,8 +40,7 @@
     standing: Standing | None = None
 
 
-@dataclass(slots=True, eq=False)
-class Authorisation:
+class Authorisation(Struct, eq=False):
     id: int
     name: str
     cls: str
@@ -54,8 +53,7 @@
     open: bool = True  # owed its final answer
 
 
-@dataclass(slots=True, eq=False)
-class Leg:
+class Leg(Struct, eq=False):
     authorisation: Authorisation
     number: int
     host: str
@@ -65,8 +63,7 @@
     written: bool = False  # its last byte: from here on its job may have run
 
 
-@dataclass(slots=True, eq=False)
-class Conn:
+class Conn(Struct, eq=False):
     id: int
     host: str
     endpoint: tuple[str, int]
@@ -77,8 +74,7 @@
     probe_at: int = 0  # when its probe was asked for, 0: it carries none
 
 
-@dataclass(slots=True, eq=False)
-class Host:
+class Host(Struct, eq=False):
     """An issuer host as listed last."""
 
     uid: str
@@ -101,8 +97,7 @@
     OVER = "over"
 
 
-@dataclass(slots=True)
-class State:
+class State(Struct):
     life: Life = Life.STARTING
     listed: bool = False  # a list that names an issuer host has been told to the module
     inherited: bool = False  # the listener is the platform's, and another process may have it as well
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
--- a/reedspoke/records.py
+++ b/reedspoke/records.py
@@ -4,7 +4,8 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from reedspoke.interface import ClassSettings, WorkerState
 
@@ -16,8 +17,7 @@
 OUTLIER = 3.0  # a sample counts at most as this multiple of the average: one pause must not look like a speed
 
 
-@dataclass(slots=True, eq=False)
-class Zone:
+class Zone(Struct, eq=False):
     """The way from here to the workers of a zone."""
 
     name: str = ""
@@ -26,8 +26,7 @@
     probe_at: int = 0  # it is not probed again before
 
 
-@dataclass(slots=True, eq=False)
-class Worker:
+class Worker(Struct, eq=False):
     id: str
     rank: int  # hash of the id
     pace: float  # running time for each unit of work
@@ -83,8 +82,7 @@
         return self.state is WorkerState.UP and (self.rest_until > now or self.zone.cut_at > 0)
 
 
-@dataclass(slots=True, eq=False)
-class Hints:
+class Hints(Struct, eq=False):
     """What the hints of a class have been worth, in logarithms: by how much of a hint's distance from the
     usual one its job's cost moves. Hints as wide as the costs themselves would order jobs by chance."""
 
@@ -110,8 +108,7 @@
         self.common = KEPT * self.common + (told - self.usual) * (was - self.cost)
 
 
-@dataclass(slots=True, eq=False)
-class Flow:
+class Flow(Struct, eq=False):
     """A tenant."""
 
     phi: float  # its share; the mean of all is 1
@@ -121,8 +118,7 @@
     largest: dict[str, float] = field(default_factory=dict)  # L_max for each API
 
 
-@dataclass(slots=True, eq=False)
-class Job:
+class Job(Struct, eq=False):
     """A request, from its arrival until the last of its attempts has ended."""
 
     id: int
@@ -147,8 +143,7 @@
         return next((attempt for attempt in self.attempts if not attempt.unrun), None)
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
+class Attempt(Struct, eq=False):
     job: Job
     number: int
     worker: Worker
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,10 +4,10 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import replace
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from reedspoke import interface as api
 from reedspoke.logic import ALPHA, SPARE
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from hypothesis import given, settings as hypothesis_settings, strategies as st  # isort: skip
 
@@ -234,3 +235,58 @@
     module.handle(15 * SECOND, api.Suspended("a", False))
     least, worker = module.rules.cold_from, module.workers["a"]
     assert module.warmth(worker) == (least if warmth == "cold" else least + (1 - least) * 0.3)
+
+
+COLD = api.Rules(250 * MS, 20 * MS, 10 * SECOND, 0.34, 8_900 * MS, 2.5, 2 * SECOND)
+
+
+def greedy(schedulers: int, work: int, restarted: float, at: int) -> tuple[float, float]:
+    """All schedulers together send a host that has just started all that each believes it may, jobs of that
+    work; at `at` some of them start anew and remember nothing. The most jobs in any window, and the bound."""
+    config = replace(settings(schedulers=schedulers), rules=COLD)
+    born, sent = 1_000 * SECOND, list[int]()
+    modules = {me: Dispatcher(replace(config, me=me), me) for me in range(schedulers)}
+
+    def told(module: Dispatcher, now: int) -> None:
+        module.handle(now, api.Members(api.ListKind.FULL, [entry("cold", born=born), entry("warm")]))
+        module.workers["warm"].peak = 4  # as seen in service
+
+    for module in modules.values():
+        module.handle(born - 60 * SECOND, api.Members(api.ListKind.FULL, [entry("warm")]))
+        told(module, born)
+    lot = Random(schedulers)
+    for now in range(born, born + 9 * SECOND, 50 * MS):
+        if now == born + at:
+            for me in lot.sample(sorted(modules), int(restarted * schedulers)):
+                modules[me] = Dispatcher(replace(config, me=me), me)
+                told(modules[me], now)
+        for module in modules.values():
+            module.now, worker = now, module.workers["cold"]
+            while module.warmth(worker) < 1 and module.cold_budget(worker) >= work:
+                worker.cold_sends.append((now, float(work)))
+                sent.append(now)
+    window = COLD.fall_time
+    worst, bound = 0.0, 0.0
+    for begin in range(born, born + 9 * SECOND - window, 50 * MS):
+        least = COLD.cold_from
+        warmth = least + (1 - least) * (begin - born) / COLD.cold_time
+        allowed = COLD.fall_multiple * warmth * 4 * window / work
+        most = allowed + 3 * allowed**0.5 + 3
+        count = sum(begin <= when < begin + window for when in sent)
+        if not bound or count / most > worst / bound:
+            worst, bound = count, most
+    return worst, bound
+
+
+@pytest.mark.parametrize("schedulers", [4, 13, 200])
+@pytest.mark.parametrize("work", [200 * MS, 800 * MS, 3 * SECOND], ids=["short", "usual", "long"])
+@pytest.mark.parametrize("restarted", [0.0, 0.7])
+def test_all_schedulers_together_never_push_a_cold_worker_over(
+    schedulers: int, work: int, restarted: float
+) -> None:
+    """Guards cold workers: the rule counts what comes from all, told or not, within any window; a process
+    that starts anew does not know what its former life has sent, and takes half of its part for the first
+    window."""
+    worst, bound = greedy(schedulers, work, restarted, 1_900 * MS)
+    assert worst <= bound
+    assert worst > 0 or work > SECOND
