A view of the fleet that settles and says so; subsystems plug in at one place

Need: each scheduler knew who lives, and nobody could say whether all believe the same, or who is behind. And a subsystem could not be added without touching net/: the fleet's events and effects, its orders, its figures and an import upwards stood there, and fleet/concern.py, status.py and shell.py imported each other in a circle.

Change: net/subsystem.py names what a part brings (concerns, parts with sockets, calls at the door with a bounded body, figures); the fleet's events, effects and part of the operator file are its own (fleet/events.py, fleet/file.py); the platform's program starts in start.py, so net/ knows nothing of fleet/. What is pure of a scheduler's part in the fleet is fleet/party.py, which the laboratory plays as it is. fleet/view.py: an entry by each scheduler, a join; digests compared by halves in frames of at most 204 bytes, at a bounded rate; settled, since when, who is behind, at the door (GET /v1/fleet) and as figures. docs/view.md has the ways weighed. Timelines claim `settled`.

Found by timelines on the way: members of a small part that talk about leases were never pinged and never heard each other's digest (minority-cut); found by a test: parts of a digest used up the budget that entries needed, so 150 lost ones were never sent (test_view).

--- a/reedspoke/__main__.py
+++ b/reedspoke/__main__.py
@@ -11,7 +11,7 @@
     # collector begin once it stands.
     gc.disable()
     if len(sys.argv) < 2 and not os.environ.get("REEDSPOKE_OPERATOR"):
-        from reedspoke.net.node import main as platform
+        from reedspoke.start import main as platform
 
         return platform()
     gc.enable()
--- a/reedspoke/acme/driver.py
+++ b/reedspoke/acme/driver.py
@@ -21,10 +21,10 @@
 from reedspoke.acme.record import packed
 from reedspoke.acme.words import Trouble
 from reedspoke.operator.types import Authority, DnsChallenge
-from reedspoke.operator.units import seconds
 from reedspoke.tls.certificate import Pair, UnfitError, fit, pair
 from reedspoke.tls.meters import Meters
 from reedspoke.tls.store import Store, StoreError
+from reedspoke.units import seconds
 
 log = logging.getLogger("reedspoke")
 
--- a/reedspoke/acme/network.py
+++ b/reedspoke/acme/network.py
@@ -32,9 +32,9 @@
 from reedspoke.acme.problems import retry_after, trouble
 from reedspoke.acme.words import Trouble
 from reedspoke.operator.types import Authority
-from reedspoke.operator.units import seconds
 from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
+from reedspoke.units import seconds
 
 log = logging.getLogger("reedspoke")
 
--- a/reedspoke/acme/service.py
+++ b/reedspoke/acme/service.py
@@ -18,17 +18,17 @@
 from reedspoke.acme.plan import Policy
 from reedspoke.acme.record import Record, unpacked
 from reedspoke.acme.renewal import Place, Rules, Wanted
-from reedspoke.net import effects as fx
+from reedspoke.fleet.events import Enter, Leave
 from reedspoke.net.config import address
 from reedspoke.operator.check import OperatorError, reloaded
 from reedspoke.operator.types import Acme, Certificate, Operator
-from reedspoke.operator.units import microseconds
 from reedspoke.tls.certificate import Pair, UnfitError, fit
 from reedspoke.tls.front import Front
 from reedspoke.tls.handshakes import Handshakes
 from reedspoke.tls.meters import Meters
 from reedspoke.tls.sealed import TornError
 from reedspoke.tls.store import Store
+from reedspoke.units import microseconds
 
 log = logging.getLogger("reedspoke")
 
@@ -84,11 +84,11 @@
         self._task: asyncio.Task[None] | None = None
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
-        return {fx.Enter: self._enter, fx.Leave: self._leave}
+        return {Enter: self._enter, Leave: self._leave}
 
     # ---- in a fleet: one orders, all serve what lies in the store that they share ----
 
-    def _enter(self, effect: fx.Enter) -> None:
+    def _enter(self, effect: Enter) -> None:
         fresh = self.store.token != effect.token or not self.engine.may
         self.store.token, self._until = effect.token, effect.until
         if fresh:
@@ -100,7 +100,7 @@
             self.engine.take_up(record for record in records if record is not None)
             log.info("acme: this scheduler orders for the fleet, token %d", effect.token)
 
-    def _leave(self, _: fx.Leave) -> None:
+    def _leave(self, _: Leave) -> None:
         """The token stays: a write that is under way still must not pass for a newer one's."""
         if self.engine.may:
             log.info("acme: another scheduler orders for the fleet from now on")
@@ -177,7 +177,7 @@
                     looked = now
                     self._look()
                 if self._until and self.clock() >= self._until:  # it may be renewed still: then we begin anew
-                    self._leave(fx.Leave(""))
+                    self._leave(Leave(""))
                 self.driver.do(self.engine.tick(self.now()))
             except Exception:
                 log.exception("fault: certificates")
--- a/reedspoke/assembly.py
+++ b/reedspoke/assembly.py
@@ -8,12 +8,14 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from reedspoke.fleet.file import Fleet
 from reedspoke.net import node as nodes
 from reedspoke.net.config import Config, ConfigError, Peers, address
 from reedspoke.net.core import Further
 from reedspoke.net.node import Node
-from reedspoke.operator.types import Fleet, Operator
-from reedspoke.operator.units import microseconds
+from reedspoke.operator.types import Operator
+from reedspoke.start import join_peers
+from reedspoke.units import microseconds
 
 if TYPE_CHECKING:
     from reedspoke.fleet.shell import Terms
@@ -44,13 +46,13 @@
         from reedspoke.fleet.shell import join
 
         me = operator.fleet.me if operator.fleet.members else config.settings.me
-        terms = terms_of(operator.fleet, len(peers.each), config.settings.zone)
+        zone = config.settings.zone
+        terms = terms_of(operator.fleet, len(peers.each), zone)
         try:
-            parts = join(node.runtime, peers, node.door, me, terms, config.name or str(me))
+            part = join(node.runtime, peers, me, terms, config.name or str(me), zone)
         except ValueError as error:  # keys, or duties too like each other
             raise ConfigError(f"fleet: {error}") from None
-        for part in parts:
-            node.extend(part)
+        node.add(part)
     return node
 
 
@@ -71,7 +73,7 @@
 def terms_of(fleet: Fleet, members: int, zone: str) -> Terms:
     """Raises ConfigError for a granter that is no member, or two duties too like each other."""
     from reedspoke.fleet.duties import GRANTERS, Duty, Electorate
-    from reedspoke.fleet.shell import Call, Terms
+    from reedspoke.fleet.shell import Address, Terms
 
     granters = tuple(fleet.granters) or tuple(range(min(GRANTERS, members)))
     if max(granters) >= members:
@@ -80,7 +82,7 @@
         Duty(one.name, microseconds(one.term), not one.zone or one.zone == zone) for one in fleet.duties
     ]
     calls = {
-        one.name: (Call(one.call.url, microseconds(one.call.limit)), microseconds(one.call.every))
+        one.name: (Address(one.call.url, microseconds(one.call.limit)), microseconds(one.call.every))
         for one in fleet.duties
         if one.call is not None
     }
@@ -99,6 +101,7 @@
     extra = further(operator)
     if operator.tls is None:
         node = Node(config, extra)
+        join_peers(node)
         keep(node, operator, path)
         return node
     if config.sockets < extra.descriptors + 64:
@@ -112,6 +115,7 @@
     from reedspoke.tls.store import Store, StoreError
 
     node = Node(config, extra)
+    join_peers(node)
     reducer = node.runtime.reducer
     meters = Meters()
     handshakes = Handshakes(
@@ -137,8 +141,7 @@
     node.extend(service)
     keep(node, operator, path)
     if node.door is not None:
-        figures = node.door.more
-        node.door.more = lambda: meters.text() + figures()
+        node.door.figures.append(meters.text)
     return node
 
 
@@ -156,7 +159,7 @@
     node.acquirer.gate = keeper
     node.extend(keeper)
     if node.door is not None:
-        node.door.more = keeper.text
+        node.door.figures.append(keeper.text)
 
 
 def run(load: Callable[[], Config], operator: Operator, path: Path) -> int:
--- a/reedspoke/cli/keys.py
+++ b/reedspoke/cli/keys.py
@@ -31,7 +31,7 @@
     name = "duration"
 
     def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> int:
-        from reedspoke.operator.units import microseconds
+        from reedspoke.units import microseconds
 
         if isinstance(value, int):
             return value
--- a/reedspoke/cli/run.py
+++ b/reedspoke/cli/run.py
@@ -19,13 +19,13 @@
 )  # fmt: skip
 def run(config_file: str, operator_file: str | None) -> int:
     """Run one scheduler until SIGTERM. SIGHUP reads both files again."""
-    from reedspoke.net import node
+    from reedspoke import start
     from reedspoke.net.config import load
 
     environ = {**os.environ, "PROXY_CONFIG": config_file}
     os.environ["PROXY_CONFIG"] = config_file  # read again after SIGHUP
     if operator_file is None:
-        return node.main()
+        return start.main()
     from reedspoke import assembly, logs
     from reedspoke.operator.check import OperatorError
     from reedspoke.operator.check import load as load_operator
--- a/reedspoke/fleet/calls.py
+++ b/reedspoke/fleet/calls.py
@@ -1,12 +1,12 @@
 """A duty that calls an operator's address every so often: what must be done by one, for all of the fleet.
 
-Pure: `fx.Act` asks for one call, `acted` hears of its end. One call at a time, the next `every` after the
+Pure: `Act` asks for one call, `acted` hears of its end. One call at a time, the next `every` after the
 last one was due; where calls take longer, or the duty was elsewhere, no burst makes up for it.
 """
 
 from __future__ import annotations
 
-from reedspoke.net import effects as fx
+from reedspoke.fleet.events import Act
 
 
 class Calls:
@@ -33,7 +33,7 @@
         if not self.token or self._busy or now < self._due or now >= self.until:
             return []
         self._busy, self._due = True, max(self._due, now - self.every // 2) + self.every
-        return [fx.Act(self.name, self.token, self.until)]
+        return [Act(self.name, self.token, self.until)]
 
     def acted(self, status: int) -> None:
         self._busy = False
--- a/reedspoke/fleet/frames.py
+++ b/reedspoke/fleet/frames.py
@@ -23,7 +23,7 @@
 
 MOST = 256  # bytes of a datagram; a longer one is the platform's fault line
 ROOM = MOST * 4 // 5  # bytes of a frame
-VERSION = 2
+VERSION = 3
 STEP = 20_000  # us of work in one unit
 PART = struct.Struct("!HBB")  # a worker's mark, slots, work
 
@@ -120,7 +120,46 @@
     digest: Whole
 
 
-Matter = Holdings | Ping | Ack | Ask | News | Leased | Holder | Creed
+MOST_HELD = 6  # duties that an entry names, and things that it lacks
+
+
+class Entry(Struct, frozen=True, array_like=True, tag=8):
+    """A member's word on itself, which all carry. `born`: s of Unix time at the start of its life; `version`
+    rises with each change of the rest; `zone`, `holds` and `lacks` are marks of names (`mark`)."""
+
+    number: Number
+    born: Whole
+    version: Number
+    zone: Number
+    phase: Annotated[int, Meta(ge=0, le=7)] = 0
+    holds: Annotated[tuple[Number, ...], Meta(max_length=MOST_HELD)] = ()
+    lacks: Annotated[tuple[Number, ...], Meta(max_length=MOST_HELD)] = ()
+
+
+class Root(Struct, frozen=True, array_like=True, tag=9):
+    """The digest of all that the sender believes, and who is known to have told the same one: a bit for each
+    member, the first one lowest; empty where the sender is settled."""
+
+    digest: Annotated[int, Meta(ge=0)]
+    agree: Annotated[bytes, Meta(max_length=128)] = b""
+
+
+class Branch(Struct, frozen=True, array_like=True, tag=10):
+    """Digests of equal parts of the members from `low` to before `high`, 8 bytes each."""
+
+    low: Number
+    high: Number
+    digests: Annotated[bytes, Meta(max_length=128)]
+
+
+class Want(Struct, frozen=True, array_like=True, tag=11):
+    """Asks for the entries of these members."""
+
+    low: Number
+    high: Number
+
+
+Matter = Holdings | Ping | Ack | Ask | News | Leased | Holder | Creed | Entry | Root | Branch | Want
 
 
 @dataclass(slots=True, frozen=True)
--- a/reedspoke/fleet/handed.py
+++ b/reedspoke/fleet/handed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from reedspoke.net import effects as fx
+from reedspoke.fleet.events import Enter, Leave
 
 
 class Handed:
@@ -13,13 +13,13 @@
 
     def begin(self, token: int, until: int, now: int) -> list[object]:
         self._token = token
-        return [fx.Enter(self.name, token, until)]
+        return [Enter(self.name, token, until)]
 
     def extend(self, until: int, now: int) -> list[object]:
-        return [fx.Enter(self.name, self._token, until)]
+        return [Enter(self.name, self._token, until)]
 
     def end(self, why: str, now: int) -> list[object]:
-        return [fx.Leave(self.name)]
+        return [Leave(self.name)]
 
     def tick(self, now: int) -> list[object]:
         return []
--- a/reedspoke/fleet/shell.py
+++ b/reedspoke/fleet/shell.py
@@ -18,25 +18,28 @@
 from reedspoke.fleet.calls import Calls
 from reedspoke.fleet.concern import Fellowship
 from reedspoke.fleet.duties import Duties, Duty, Electorate, Work
-from reedspoke.fleet.frames import MOST, TWELVE
+from reedspoke.fleet.events import Act, Acted, Came, Joining, Spread
+from reedspoke.fleet.frames import MOST, TWELVE, mark
 from reedspoke.fleet.handed import Handed
 from reedspoke.fleet.mail import Mail
 from reedspoke.fleet.membership import Membership
+from reedspoke.fleet.party import Party
 from reedspoke.fleet.seal import KeysError, load
 from reedspoke.fleet.sharing import Sharing
-from reedspoke.fleet.status import figures
-from reedspoke.net import effects as fx
+from reedspoke.fleet.status import Sent, figures
+from reedspoke.fleet.view import View
 from reedspoke.net.config import Peers
-from reedspoke.net.operators import Door
 from reedspoke.net.runtime import Runtime
+from reedspoke.net.subsystem import NAME, Call, Subsystem
 
+SECOND = 1_000_000
 BATCH = 64  # datagrams read at once, so that a flood of them leaves time for the rest
 
 log = logging.getLogger("reedspoke")
 
 
 @dataclass(slots=True, frozen=True)
-class Call:
+class Address:
     """Where a duty's acts go. `limit`: us that one may take."""
 
     url: str
@@ -50,7 +53,7 @@
     electorate: Electorate
     period: int
     duties: tuple[Duty, ...] = ()
-    calls: Mapping[str, tuple[Call, int]] | None = None  # by duty: where to, and us between two
+    calls: Mapping[str, tuple[Address, int]] | None = None  # by duty: where to, and us between two
     handed: frozenset[str] = frozenset()  # duties that a part with I/O of its own does
     key_file: str = ""  # of the keys that frames are sealed with, "": they are not
 
@@ -65,10 +68,10 @@
         each = tuple(address for at, address in enumerate(peers.each) if at != me)
         self._to = (peers.all,) if peers.all is not None else each
         self._socket: socket.socket | None = None
-        self.strangers = self.sent = self.bytes = self.failed = 0
+        self.counted = Sent()
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
-        return {fx.Spread: self._spread}
+        return {Spread: self._spread}
 
     def open(self) -> None:
         try:
@@ -82,7 +85,7 @@
             self.close()
             return
         asyncio.get_running_loop().add_reader(found.fileno(), self._read)
-        self.runtime.emit(fx.Joining())
+        self.runtime.emit(Joining())
 
     def reload(self) -> None:
         """Peers are the ones of the start; keys may change in service."""
@@ -109,32 +112,32 @@
             except OSError:  # nothing more, or word that an earlier datagram met nobody
                 return
             if (sender := self._known.get(source)) is not None:
-                self.runtime.emit(fx.Came(body, sender))
+                self.runtime.emit(Came(body, sender))
             else:
-                self.strangers += 1
+                self.counted.strangers += 1
 
-    def _spread(self, effect: fx.Spread) -> None:
+    def _spread(self, effect: Spread) -> None:
         if self._socket is None:
             return
         to = self._to if effect.to < 0 else (self.peers.each[effect.to],)
         for body in effect.bodies:
             for address in to:
                 try:
-                    self.bytes += self._socket.sendto(body, address)
-                    self.sent += 1
+                    self.counted.bytes += self._socket.sendto(body, address)
+                    self.counted.datagrams += 1
                 except OSError:  # full, or nobody there: it is told again
-                    self.failed += 1
+                    self.counted.failed += 1
 
 
 class Caller:
     """Carries out the acts of duties: a POST with the token, by which the receiver refuses an older one."""
 
-    def __init__(self, runtime: Runtime, name: str, calls: Mapping[str, Call]) -> None:
+    def __init__(self, runtime: Runtime, name: str, calls: Mapping[str, Address]) -> None:
         self.runtime, self.name, self.calls = runtime, name, calls
         self._tasks: set[asyncio.Task[None]] = set()
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
-        return {fx.Act: self._act}
+        return {Act: self._act}
 
     def open(self) -> None:
         """Nothing: each call has its own connection."""
@@ -146,12 +149,12 @@
         for task in self._tasks:
             task.cancel()
 
-    def _act(self, effect: fx.Act) -> None:
+    def _act(self, effect: Act) -> None:
         task = asyncio.ensure_future(self._call(effect))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _call(self, effect: fx.Act) -> None:
+    async def _call(self, effect: Act) -> None:
         from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
         call, status, later = self.calls[effect.duty], 0, 0
@@ -173,16 +176,14 @@
                 later = int(told) if told.isascii() and told.isdigit() else 0
             except (HTTPClientError, OSError) as error:
                 log.warning("duty %s: call: %s", effect.duty, error)
-        self.runtime.emit(fx.Acted(effect.duty, status, min(later, (1 << 63) - 1)))
+        self.runtime.emit(Acted(effect.duty, status, min(later, (1 << 63) - 1)))
 
 
 def join(
-    runtime: Runtime, peers: Peers, door: Door | None, me: int, terms: Terms | None = None,
-    name: str = "",
-) -> list[Socket | Caller]:  # fmt: skip
-    """Before `run`: the parts to extend a node by. Their figures stand behind the door's others.
-
-    `me`: our place among the peers. Words on jobs go out where the settings allow it. Raises KeysError."""
+    runtime: Runtime, peers: Peers, me: int, terms: Terms | None = None, name: str = "", zone: str = ""
+) -> Subsystem:
+    """The fleet's part of a node. `me`: our place among the peers. Words on jobs go out where the settings
+    allow it. Raises KeysError."""
     settings, now = runtime.reducer.settings, runtime.clock.now()
     incarnation = now // 1000 & TWELVE
     count = max(len(peers.each), settings.schedulers if settings.limits.peers else 0)
@@ -191,22 +192,30 @@
     sharing = Sharing(count) if settings.limits.peers else None
     shell = Socket(runtime, peers, me, mail, key_file)
     parts: list[Socket | Caller] = [shell]
-    membership = duties = None
+    party = Party(mail)
     if terms is not None:
         random = Random(now ^ me)
-        membership = Membership(me, len(peers.each), incarnation, terms.period, now, random)
-        duties = Duties(me, terms.electorate, now // 1000 & 0xFFFF, now, now, random)
+        party.membership = Membership(me, len(peers.each), incarnation, terms.period, now, random)
+        born = now // SECOND
+        party.view = View(me, len(peers.each), born, mark(zone), terms.period, now)
+        party.duties = Duties(me, terms.electorate, now // 1000 & 0xFFFF, now, now, random)
         calls = terms.calls or {}
         for duty in terms.duties:
             work: Work | None = Handed(duty.name) if duty.name in terms.handed else None
-            duties.add(duty, Calls(duty.name, calls[duty.name][1]) if duty.name in calls else work)
+            party.duties.add(duty, Calls(duty.name, calls[duty.name][1]) if duty.name in calls else work)
         parts.append(Caller(runtime, name, {duty: call for duty, (call, _) in calls.items()}))
-    fellowship = Fellowship(runtime.reducer.core, mail, sharing, membership, duties)
-    runtime.reducer.add(fellowship)
-    if terms is not None:
-        further = runtime.reducer.upkeep.further
-        further[fx.Order.FLEET], further[fx.Order.RELEASE] = fellowship.on_fleet, fellowship.on_release
-    if door is not None:
-        before = door.more
-        door.more = lambda: before() + figures(fellowship, shell, runtime.clock.now())
-    return parts
+    fellowship = Fellowship(runtime.reducer.core, party, sharing)
+    release = (b"fleet", NAME, b"release")
+    return Subsystem(
+        "fleet",
+        (fellowship,),
+        tuple(parts),
+        (
+            Call(b"GET", (b"fleet",), fellowship.on_fleet),
+            Call(b"POST", release, fellowship.on_release),
+            Call(b"POST", (*release, NAME), fellowship.on_release),
+        )
+        if terms is not None
+        else (),
+        lambda: figures(party, sharing, shell.counted, runtime.clock.now()),
+    )
--- a/reedspoke/identity/keeper.py
+++ b/reedspoke/identity/keeper.py
@@ -24,7 +24,7 @@
 from reedspoke.net.message import Message
 from reedspoke.operator.check import OperatorError, reloaded
 from reedspoke.operator.types import Identity, Operator
-from reedspoke.operator.units import microseconds
+from reedspoke.units import microseconds
 
 log = logging.getLogger("reedspoke")
 
--- a/reedspoke/lab/fleet.py
+++ b/reedspoke/lab/fleet.py
@@ -18,6 +18,43 @@
 DEPTHS = {2: 40, 3: 40}  # more than the time will do
 CHECKED = 0.4  # of the seconds, for the orders of steps
 EASY_DEATHS, HARD_DEATHS = 6, 3
+PATIENT = 90 * SECOND  # for a view to settle
+
+
+def settle(play: Play) -> float | None:
+    """s until all that run believe the same, say so, and are right about who runs; None: not in time."""
+    began = play.now
+    while play.now < began + PATIENT:
+        play.run(SECOND // 8)
+        lively = {at for at, one in play.processes.items() if not one.stopped}
+        told = [play.processes[at].view.settled() for at in lively]
+        right = all(set(play.processes[at].membership.alive()) == lively for at in lively)
+        if right and all(one.settled for one in told) and len({one.digest for one in told}) == 1:
+            return round((play.now - began) / SECOND, 1)
+    return None
+
+
+def settling(size: int, seed: int) -> dict[str, float | None]:
+    """After each of these: a start of all, a crash, a join, a stop, the end of a cut of a tenth for 20 s."""
+    play = Play(size, seed)
+    found = {"start": settle(play)}
+    last = size - 1
+    play.kill(last)
+    found["crash"] = settle(play)
+    play.start(last)
+    found["join"] = settle(play)
+    play.processes[last].stopped = True
+    found["stop"] = settle(play)
+    play.processes[last].stopped = False
+    found["go on"] = settle(play)
+    part = set(range(size - max(1, size // 10), size))
+    play.weather.cuts = {
+        way for one in part for other in set(range(size)) - part for way in ((one, other), (other, one))
+    }
+    play.run(20 * SECOND)
+    play.weather.cuts = set()
+    found["cut"] = settle(play)
+    return found
 
 
 def scale(size: int, seed: int) -> dict[str, Any]:
--- a/reedspoke/lab/stages.py
+++ b/reedspoke/lab/stages.py
@@ -33,6 +33,8 @@
 
     standing: dict[int, str]
     token: int = 0
+    digest: str = ""  # where it says that the view has settled
+    behind: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
@@ -216,7 +218,7 @@
         names = self.told.nodes
         holders = [number for number, one in seen.items() if one.token]
         match claim.word:
-            case "agreed":
+            case "agreed" | "settled":
                 for number in self.truth.lively():
                     if number not in seen:
                         return f"{names[number]} does not answer"
@@ -224,6 +226,8 @@
                         said = seen[number].standing.get(at, "unseen")
                         if expected and (said in ("alive", "suspect")) != (expected == "alive"):
                             return f"{names[number]} says {names[at]} {said}"
+                if claim.word == "settled":
+                    return self._unsettled(seen)
             case "says":
                 one, other, wanted = claim.args
                 said = seen[self.numbers[one]].standing.get(self.numbers[other], "unseen")
@@ -245,6 +249,17 @@
                 self._rose = self._highest
         return ""
 
+    def _unsettled(self, seen: dict[int, Seen]) -> str:
+        """All that reach each other have to say that it has settled, and on the same."""
+        names = self.told.nodes
+        for number, one in seen.items():
+            if not one.digest:
+                return f"{names[number]} misses {' '.join(names[at] for at in one.behind) or 'something'}"
+            for at, expected in self.truth.expected(number).items():
+                if expected == "alive" and seen[at].digest != one.digest:
+                    return f"{names[number]} and {names[at]} differ"
+        return ""
+
 
 def granters(told: Timeline) -> tuple[int, ...]:
     """By the setting; else the first five."""
@@ -277,10 +292,8 @@
             case "stop" | "go":
                 play.processes[number].stopped = action.word == "stop"
             case "release":
-                process = play.processes[number]
-                heir = -1
-                process.send_all(process.duties.want(False, heir, process.clock()))
-                process.send_all(process.duties.want(True, -1, process.clock()))
+                play.processes[number].want(False)
+                play.processes[number].want(True)
 
     def shape(self, cuts: Ways, weather: dict[int, tuple[float, float, float]]) -> None:
         self.inner.weather.cuts = cuts
@@ -301,7 +314,11 @@
             process = self.inner.processes[number]
             standing = {at: one.standing.name.lower() for at, one in process.membership.members.items()}
             lease = process.duties.leases[DUTY]
-            told[number] = Seen(standing, lease.token if lease.holds(process.clock()) else 0)
+            view = process.view.settled()
+            told[number] = Seen(
+                standing, lease.token if lease.holds(process.clock()) else 0,
+                f"{view.digest:x}" if view.settled else "", view.behind,
+            )  # fmt: skip
         return told
 
     def broken(self) -> list[str]:
@@ -393,7 +410,11 @@
                     ),
                     0,
                 )
-                told[number] = Seen({one["member"]: one["is"] for one in found["members"]}, token)
+                view = found["view"]
+                told[number] = Seen(
+                    {one["member"]: one["is"] for one in found["members"]}, token,
+                    view["digest"] if view["settled"] else "", tuple(view["behind"]),
+                )  # fmt: skip
         return told
 
     def broken(self) -> list[str]:
--- a/reedspoke/lab/timeline.py
+++ b/reedspoke/lab/timeline.py
@@ -35,7 +35,7 @@
 }  # fmt: skip
 # word -> how many arguments; what each means stands with the claims of `stages.py`
 CLAIMS = {
-    "agreed": (0, 0), "held": (0, 8), "free": (0, 0), "rose": (0, 0),
+    "agreed": (0, 0), "settled": (0, 0), "held": (0, 8), "free": (0, 0), "rose": (0, 0),
 }  # fmt: skip
 
 
@@ -260,7 +260,7 @@
         Row(
             0,
             dict.fromkeys(names, (Action("start"),)),
-            (Claim("agreed", within=SETTLE), Claim("held", within=HOLD)),
+            (Claim("settled", within=SETTLE), Claim("held", within=HOLD)),
         )
     ]
     now = rows[0].at + SETTLE
@@ -270,7 +270,7 @@
         lasts = random.randrange(50, 400) * STEP
         rows.append(Row(now, fault))
         now += lasts
-        claims = (Claim("agreed", within=SETTLE), Claim("held", within=HOLD))
+        claims = (Claim("settled", within=SETTLE), Claim("held", within=HOLD))
         rows.append(Row(now, undo, claims))
         now += max(SETTLE, HOLD)
     return Timeline(names, tuple(rows), f"drawn by lot {seed}")
--- a/reedspoke/lab/timelines.py
+++ b/reedspoke/lab/timelines.py
@@ -55,10 +55,12 @@
         self.faults += sum(len(row.cells) for row in result.told.rows[1:])
         for (at, order), took in result.settled.items():
             word = result.told.rows[at].claims[order].word
-            (self.took if word == "agreed" else self.held if word == "held" else []).append(took / SECOND)
+            (self.took if word in ("agreed", "settled") else self.held if word == "held" else []).append(
+                took / SECOND
+            )
         for at, order in result.late:
             claim = result.told.rows[at].claims[order]
-            self.unsettled += claim.word == "agreed"
+            self.unsettled += claim.word in ("agreed", "settled")
             self.broken[str(claim)] = self.broken.get(str(claim), 0) + 1
         for what in result.broken:
             self.broken[what] = self.broken.get(what, 0) + 1
--- a/reedspoke/lab/virtual.py
+++ b/reedspoke/lab/virtual.py
@@ -4,16 +4,16 @@
 from __future__ import annotations
 
 import heapq
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
 
 from reedspoke.fleet.duties import Duties, Duty, Electorate
-from reedspoke.fleet.frames import Creed, Holder, Leased, Matter, Ping
 from reedspoke.fleet.mail import Mail
 from reedspoke.fleet.membership import Membership, Standing
+from reedspoke.fleet.party import ALL, Party
+from reedspoke.fleet.view import View
 
 SECOND = 1_000_000
 DUTY = "a-duty"
@@ -30,57 +30,42 @@
 
 
 class Process:
-    """One scheduler's part, as `fleet/concern.py` has it, without the rest of the program."""
+    """One scheduler's part, without the rest of the program."""
 
     def __init__(self, play: Play, number: int, life: int) -> None:
         self.play, self.number, self.life, self.stopped = play, number, life, False
         now = self.clock()
         random = Random(play.random.getrandbits(32))
-        self.mail = Mail(number, play.size, life)
-        self.membership = Membership(number, play.size, life, play.period, now, random)
         wall = 1_700_000_000 * SECOND + play.now
         told = play.electorates.get(number, play.electorate)
+        self.mail = Mail(number, play.size, life)
+        self.membership = Membership(number, play.size, life, play.period, now, random)
         self.duties = Duties(number, told, life, now, wall, random)
         for duty in play.duties:
             self.duties.add(duty)
+        self.view = View(number, play.size, wall // SECOND, number % 2, play.period, now)
+        self.party = Party(self.mail, self.membership, self.duties, self.view)
         self.tokens: dict[str, int] = {}
-        self.send_all(self.duties.want(True, -1, now))
+        self.want(True)
 
     def clock(self) -> int:
         rates = self.play.rates
         return int(self.play.now * rates[self.number % len(rates)])
 
     def look(self) -> None:
-        now = self.clock()
-        self.gather(self.membership.tick(now))
-        self.send_all(self.duties.tick(now))
+        self.party.look(self.clock())
+        self.flush()
 
     def take(self, body: bytes) -> None:
-        frame = self.mail.take(body)
-        if frame is None:
-            return
-        now = self.clock()
-        for matter in frame.matters:
-            if isinstance(matter, Leased | Holder):
-                self.gather(self.duties.hear(frame.sender, matter, now))
-            elif isinstance(matter, Creed):
-                self.gather(self.duties.hear_creed(frame.sender, matter, now))
-        self.gather(self.membership.hear(frame.sender, frame.incarnation, frame.matters, now))
-        self.flush()
+        if self.party.take(body, self.clock()) is not None:
+            self.flush()
 
-    def send_all(self, told: list[tuple[int, Leased | Holder]]) -> None:
-        self.gather(told)
+    def want(self, on: bool, heir: int = ALL) -> None:
+        self.party.want(on, heir, self.clock())
         self.flush()
 
-    def gather(self, told: list[tuple[int, Matter]] | list[tuple[int, Leased | Holder]]) -> None:
-        for to, matter in told:
-            self.play.pending[to].append(matter)
-
     def flush(self) -> None:
-        pending, self.play.pending = self.play.pending, defaultdict(list)
-        for to, matters in pending.items():
-            creed = [self.duties.creed] if any(isinstance(one, Ping) for one in matters) else []
-            bodies = self.mail.pack([*matters, *creed, *self.membership.news()])
+        for to, bodies in self.party.flush(self.clock()):
             others = [at for at in range(self.play.size) if at != self.number] if to < 0 else [to]
             for other in others:
                 for body in bodies:
@@ -107,7 +92,6 @@
         self.electorate = Electorate(size, granters or tuple(range(min(5, size))), drift)
         self.electorates: dict[int, Electorate] = {}  # of members that go by another one
         self.duties = [Duty(f"{DUTY}-{at}" if at else DUTY, term) for at in range(duties)]
-        self.pending: defaultdict[int, list[Matter]] = defaultdict(list)
         self.bytes = self.datagrams = self.largest = self.two_holders = self.token_fell = 0
         self.said_gone: list[tuple[int, int, int]] = []  # when, by whom, of whom
         self.begun: list[tuple[int, int, str]] = []  # when, who, what
@@ -131,8 +115,7 @@
 
     def leave(self, number: int, heir: int) -> None:
         """A planned end: its duties go to the heir first."""
-        process = self.processes[number]
-        process.send_all(process.duties.want(False, heir, process.clock()))
+        self.processes[number].want(False, heir)
         self.kill(number)
 
     def holder(self, name: str = DUTY) -> int | None:
--- a/reedspoke/net/effects.py
+++ b/reedspoke/net/effects.py
@@ -39,8 +39,7 @@
     RESUME = "resume"
     DRAIN = "drain"
     ACTIVATE = "activate"
-    FLEET = "fleet"
-    RELEASE = "release"
+    FURTHER = "further"  # of a part beyond the platform's program
 
 
 class Word(Enum):
@@ -52,6 +51,17 @@
     ABSENT = "not here"  # the part that would know is not in use, or knows nothing of that name
 
 
+# ---- what parts beyond the platform's program bring (`subsystem.py`) ----
+
+
+class FurtherEvent(Struct):
+    """The base of their events."""
+
+
+class FurtherEffect(Struct):
+    """The base of their effects."""
+
+
 # ---- events ----
 
 
@@ -227,11 +237,15 @@
 
 
 class Called(Struct):
-    """A whole call has come; `host` is the issuer host that it names, if any."""
+    """A whole call has come; `host` is the issuer host that it names, if any. Of a further one: which, what
+    it names and its body."""
 
     caller: int
     order: Order
     host: str = ""
+    which: str = ""
+    names: tuple[str, ...] = ()
+    body: bytes = b""
 
 
 class Hungup(Struct):
@@ -274,27 +288,8 @@
     again: bool
 
 
-class Joining(Struct):
-    """Messages between schedulers can come from now on."""
-
-
-class Came(Struct):
-    """A message from another scheduler; it may be anything."""
-
-    body: bytes
-    sender: int = -1  # by its address
-
-
-class Acted(Struct):
-    """An act of a duty is over. `status`: of its answer, 0: none; `token`: the later one that it named, 0."""
-
-    duty: str
-    status: int
-    token: int = 0
-
-
 Event = (
-    Joining | Came | Acted | Joined | Greeted | Secured | Withdrawn | Reading | Arrived | Answered | Ending |
+    FurtherEvent | Joined | Greeted | Secured | Withdrawn | Reading | Arrived | Answered | Ending |
     Refused | Parted | Opened | Written | Heard | Noted | Concluded | Freed | Broken | Listed | Beaten |
     Unlisted | Rung |
     Listening | Stop | Reload | Reloaded | Unloaded | Rang | Called | Hungup | Accompanied | Ordered |
@@ -394,6 +389,8 @@
     word: Word
     figures: bool = False  # with all figures as its text
     text: str = ""  # in place of the word's own
+    status: int = 0  # in place of the word's own
+    form: str = ""  # content type, where it is not plain text
 
 
 class Dismiss(Struct):
@@ -431,35 +428,6 @@
     name: str
 
 
-class Spread(Struct):
-    """Send messages to one scheduler, or to every other one; they may be lost."""
-
-    bodies: tuple[bytes, ...]
-    to: int = -1
-
-
-class Act(Struct):
-    """Carry out an act of a duty, if that is before `until` still; its token goes with it."""
-
-    duty: str
-    token: int
-    until: int
-
-
-class Enter(Struct):
-    """A duty is this scheduler's until then, by its clock; told again whenever that is later."""
-
-    duty: str
-    token: int
-    until: int
-
-
-class Leave(Struct):
-    """It is not any more."""
-
-    duty: str
-
-
 class Exit(Struct):
     pass
 
@@ -486,9 +454,6 @@
     | Look
     | Hold
     | Unclaim
-    | Spread
-    | Act
-    | Enter
-    | Leave
     | Exit
+    | FurtherEffect
 )
--- a/reedspoke/net/node.py
+++ b/reedspoke/net/node.py
@@ -9,12 +9,12 @@
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 from reedspoke import interface as api
 from reedspoke.net import effects as fx
 from reedspoke.net.acquirer import Acquirer
-from reedspoke.net.config import Config, ConfigError, load, reload
+from reedspoke.net.config import Config, ConfigError, reload
 from reedspoke.net.core import DOOR, Budget, Further
 from reedspoke.net.directory import Directory, listed
 from reedspoke.net.handover import Handover, inherited
@@ -22,22 +22,11 @@
 from reedspoke.net.operators import Door
 from reedspoke.net.reducer import Reducer
 from reedspoke.net.runtime import Clock, Runtime
+from reedspoke.net.subsystem import Extension, Subsystem
 
 log = logging.getLogger("reedspoke")
 
 
-class Extension(Protocol):
-    """A part beyond the platform's program, with sockets or threads of its own."""
-
-    def effects(self) -> dict[type, Callable[[Any], None]]: ...
-
-    def open(self) -> None: ...
-
-    def reload(self) -> None: ...
-
-    def close(self) -> None: ...
-
-
 class Node:
     """Make it inside a running loop. `further`: what parts that will be attached take of the limits."""
 
@@ -61,17 +50,27 @@
         if self.door is not None:
             self.runtime.attach(self.door)
 
-        if config.peers is not None:
-            from reedspoke.fleet.shell import join
-
-            for extension in join(self.runtime, config.peers, self.door, config.settings.me):
-                self.extend(extension)
-
     def extend(self, extension: Extension) -> None:
         """Before `run`."""
         self.runtime.attach(extension)
         self._extensions.append(extension)
 
+    def add(self, part: Subsystem) -> None:
+        """Before `run`: all that it brings. Raises ValueError where another part has one of its events,
+        timers or calls."""
+        reducer = self.runtime.reducer
+        for concern in part.concerns:
+            reducer.add(concern)
+        for extension in part.parts:
+            self.extend(extension)
+        for call in part.calls:
+            if call.which in reducer.upkeep.further:
+                raise ValueError(f"two parts for {call.which}")
+            reducer.upkeep.further[call.which] = call.answer
+        if self.door is not None:
+            self.door.calls += part.calls
+            self.door.figures += [part.figures] if part.figures is not None else []
+
     def stop(self) -> None:
         """Begin a planned end: answer what was taken, then let `run` return."""
         self.runtime.emit(fx.Stop())
@@ -133,15 +132,6 @@
     await node.run()
 
 
-def main() -> int:
-    """The platform's program: its log, its exit statuses."""
-    logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
-        datefmt="%H:%M:%S",
-    )  # fmt: skip
-    return run(load, serve)
-
-
 def run(load: Callable[[], Config], serve: Callable[[Config], Coroutine[Any, Any, None]]) -> int:
     """The exit status: 0 ended as planned, 1 cannot listen, 2 cannot start as told."""
     # Until it is handled; what it would tell is read at the start.
--- a/reedspoke/net/operators.py
+++ b/reedspoke/net/operators.py
@@ -9,8 +9,9 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
+from dataclasses import dataclass
 from itertools import count
 from typing import Any
 from urllib.parse import unquote_to_bytes
@@ -23,6 +24,7 @@
 from reedspoke.net.message import path
 from reedspoke.net.runtime import Runtime
 from reedspoke.net.streams import drain, listen, read, stream
+from reedspoke.net.subsystem import Call
 
 log = logging.getLogger("reedspoke")
 
@@ -33,21 +35,22 @@
 MOST_LINGER = 64 * 1024
 LINGER = 0.5  # s that a connection stays half open, so that its answer is not lost to a reset
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    200: "OK", 201: "Created", 202: "Accepted", 400: "Bad Request", 404: "Not Found",
+    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+    413: "Content Too Large", 422: "Unprocessable Content", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
     501: "Not Implemented", 503: "Service Unavailable", 505: "HTTP Version Not Supported",
 }  # fmt: skip
+PLAIN = "text/plain; version=0.0.4; charset=utf-8"
 STATUS = {fx.Word.YES: 200, fx.Word.UNKNOWN: 404, fx.Word.ABSENT: 404, fx.Word.NO: 503}
 ORDERS = {
     (b"v1", b"readyz"): (b"GET", fx.Order.READY),
     (b"v1", b"metrics"): (b"GET", fx.Order.FIGURES),
-    (b"v1", b"fleet"): (b"GET", fx.Order.FLEET),
     (b"v1", b"scheduler", b"drain"): (b"POST", fx.Order.DRAIN),
     (b"v1", b"scheduler", b"activate"): (b"POST", fx.Order.ACTIVATE),
 }
 NAMED_ORDERS = {
     (b"workers", b"suspend"): fx.Order.SUSPEND, (b"workers", b"resume"): fx.Order.RESUME,
-    (b"fleet", b"release"): fx.Order.RELEASE,
 }  # fmt: skip
 
 
@@ -64,31 +67,47 @@
         raise MalformedError(400, "the name is no text") from None
 
 
-def order_of(head: Head) -> tuple[fx.Order, str]:
-    """What a call asks for, and of which host or duty."""
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """What a call asks for: of which host, or which call of a further part and what it names."""
+
+    order: fx.Order
+    host: str = ""
+    which: str = ""
+    names: tuple[str, ...] = ()
+    most_body: int = MOST_BODY
+
+
+def order_of(head: Head, further: Iterable[Call] = ()) -> Asked:
     parts = tuple(path(head).split(b"/")[1:])
-    host = heir = ""  # heir: who shall have a duty next
     if parts in ORDERS:
         method, order = ORDERS[parts]
+        asked = Asked(order)
     elif len(parts) == 4 and parts[0] == b"v1" and parts[1::2] in NAMED_ORDERS and parts[2]:
-        method, order = b"POST", NAMED_ORDERS[parts[1::2]]
-        host = name_of(parts[2])
-    elif len(parts) == 5 and parts[:2] == (b"v1", b"fleet") and parts[3] == b"release" and parts[2]:
-        method, order = b"POST", fx.Order.RELEASE
-        heir = parts[4].decode("ascii", "replace")
-        host = name_of(parts[2])
+        method, asked = b"POST", Asked(NAMED_ORDERS[parts[1::2]], name_of(parts[2]))
     else:
-        raise NoSuchCallError(404, "no such call")
+        found = [(call, names) for call in further if (names := call.names(parts[1:])) is not None]
+        if parts[0] != b"v1" or not found:
+            raise NoSuchCallError(404, "no such call")
+        call, names = next((one for one in found if one[0].method == head.method), found[0])
+        method = call.method
+        asked = Asked(
+            fx.Order.FURTHER,
+            "",
+            call.which,
+            tuple(name_of(name) for name in names),
+            max(MOST_BODY, call.most_body),
+        )
     if head.method != method:
         raise NoSuchCallError(405, f"call it by {method.decode()}", method)
-    return order, f"{host}/{heir}" if heir else host
+    return asked
 
 
-def reply(status: int, text: str, allow: bytes = b"") -> bytes:
+def reply(status: int, text: str, allow: bytes = b"", form: str = PLAIN) -> bytes:
     body = text.encode()
     lines = [
         b"HTTP/1.1 %d %b" % (status, REASONS[status].encode()),
-        b"Content-Type: text/plain; version=0.0.4; charset=utf-8",
+        b"Content-Type: " + form.encode(),
         b"Cache-Control: no-store",
         b"Content-Length: %d" % len(body),
         b"Connection: close",
@@ -103,7 +122,7 @@
 
     def __init__(self, door: Door, number: int, source: IOStream) -> None:
         self.door, self.number, self.stream = door, number, source
-        self.reply: asyncio.Future[tuple[fx.Word, str]] = asyncio.get_running_loop().create_future()
+        self.reply: asyncio.Future[tuple[int, str, str]] = asyncio.get_running_loop().create_future()
 
     async def serve(self) -> None:
         try:
@@ -128,18 +147,20 @@
             if len(buffer) >= MOST_HEAD:
                 raise MalformedError(431, "the head is too large")
             await read(self.stream, buffer)
-        order, host = order_of(head)
+        asked = order_of(head, self.door.calls)
         length = head.length() or 0
-        if length > MOST_BODY:
+        if length > asked.most_body:
             raise MalformedError(413, "the body is too large")
         requests.expect(length)
         while (body := requests.body()) is None:
-            await read(self.stream, buffer)
-        if len(body) > MOST_BODY:
+            await read(self.stream, buffer, requests.wanted())
+        if len(body) > asked.most_body:
             raise MalformedError(413, "the body is too large")
-        self.door.runtime.emit(fx.Called(self.number, order, host))
-        word, text = await self.reply
-        await self._end(reply(STATUS[word], text or f"{word.value}\n"))
+        self.door.runtime.emit(
+            fx.Called(self.number, asked.order, asked.host, asked.which, asked.names, bytes(body))
+        )
+        status, text, form = await self.reply
+        await self._end(reply(status, text, form=form))
 
     async def _end(self, data: bytes) -> None:
         """Guards the answer: closing with bytes unread would reset the connection and take it along."""
@@ -159,7 +180,8 @@
         self._callers: dict[int, Caller] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._numbers = count(1)
-        self.more: Callable[[], str] = lambda: ""  # figures of parts beyond the platform's program
+        self.calls: list[Call] = []  # of parts beyond the platform's program, and their figures
+        self.figures: list[Callable[[], str]] = []
 
     def effects(self) -> dict[type, Callable[[Any], None]]:
         return {fx.Reply: self._reply, fx.Dismiss: self._dismiss}
@@ -193,8 +215,9 @@
                 reducer = self.runtime.reducer
                 classes = [cls.name for cls in reducer.settings.classes]
                 told = metrics.text(reducer.state, classes, reducer.module.avoided(self.runtime.clock.now()))
-                told += self.more()
-            caller.reply.set_result((effect.word, told))
+                told += "".join(more() for more in self.figures)
+            status = effect.status or STATUS[effect.word]
+            caller.reply.set_result((status, told or f"{effect.word.value}\n", effect.form or PLAIN))
 
     def _dismiss(self, effect: fx.Dismiss) -> None:
         if (caller := self._callers.get(effect.caller)) is not None:
--- a/reedspoke/net/streams.py
+++ b/reedspoke/net/streams.py
@@ -47,8 +47,8 @@
     return cast("asyncio.Future[int]", source.read_into(place, partial=True))
 
 
-async def read(source: IOStream, buffer: Buffer) -> None:
-    buffer.filled(await start_read(source, buffer))
+async def read(source: IOStream, buffer: Buffer, room: int = SCANT) -> None:
+    buffer.filled(await start_read(source, buffer, room))
 
 
 async def drain(source: IOStream, most: int) -> None:
--- a/reedspoke/net/upkeep.py
+++ b/reedspoke/net/upkeep.py
@@ -41,7 +41,7 @@
     def __init__(self, core: Core, clients: Clients, hosts: Hosts) -> None:
         super().__init__(core)
         self.clients, self.hosts = clients, hosts
-        self.further: dict[fx.Order, Callable[[fx.Called], fx.Reply]] = {}  # orders of other parts
+        self.further: dict[str, Callable[[fx.Called], fx.Reply | None]] = {}  # calls of other parts
 
     def reactions(self) -> Reactions:
         return {
@@ -101,11 +101,10 @@
             case fx.Order.DRAIN | fx.Order.ACTIVATE:
                 self.core.ask(fx.Record(event.caller, event.order))
                 return
-            case fx.Order.FLEET | fx.Order.RELEASE:
-                if (answer := self.further.get(event.order)) is not None:
-                    self.core.ask(answer(event))
-                    return
-                word = fx.Word.ABSENT
+            case fx.Order.FURTHER:
+                if (reply := self.further[event.which](event)) is not None:
+                    self.core.ask(reply)
+                return
         self.core.ask(fx.Reply(event.caller, word, event.order is fx.Order.FIGURES))
 
     # ---- orders, as kept for both processes ----
--- a/reedspoke/operator/check.py
+++ b/reedspoke/operator/check.py
@@ -12,8 +12,9 @@
 
 import msgspec
 
-from reedspoke.operator.types import Acme, Fleet, Identity, Operator
-from reedspoke.operator.units import ADDRESS, DURATION, seconds
+from reedspoke.fleet.file import Fleet
+from reedspoke.operator.types import Acme, Identity, Operator
+from reedspoke.units import ADDRESS, DURATION, seconds
 
 LONGEST_HANDSHAKE = 2.0  # s: an answer or a close is due 3 s after connecting
 PLACE = re.compile(r"^(?P<what>.*?)(?: - at `(?:key in )?\$(?P<where>[^`]*)`)?$", re.DOTALL)
--- /dev/null
+++ b/reedspoke/start.py
@@ -0,0 +1,33 @@
+"""The platform's program: its log, its exit statuses, and the fleet's part where the settings allow
+messages."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+from reedspoke.net.config import Config, load
+from reedspoke.net.node import Node, run, serve
+
+
+def join_peers(node: Node) -> None:
+    """Words on jobs, where the configuration names peers and the settings allow them."""
+    config = node.config
+    if config.peers is not None:
+        from reedspoke.fleet.shell import join
+
+        node.add(join(node.runtime, config.peers, config.settings.me))
+
+
+def platform(config: Config) -> Node:
+    node = Node(config)
+    join_peers(node)
+    return node
+
+
+def main() -> int:
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+        datefmt="%H:%M:%S",
+    )  # fmt: skip
+    return run(load, lambda config: serve(config, platform))
--- a/reedspoke/operator/units.py
+++ b/reedspoke/units.py
@@ -1,4 +1,4 @@
-"""Durations and addresses as the operator file writes them."""
+"""Names, durations and addresses as the operator file writes them."""
 
 from __future__ import annotations
 
@@ -17,6 +17,9 @@
 Address = Annotated[
     str, Meta(pattern=ADDRESS, description="ip:port, IPv6 in brackets; names are not resolved.")
 ]
+Name = Annotated[
+    str, Meta(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$", description="Small letters, digits, - and _.")
+]
 
 
 def seconds(text: str) -> float:
--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -8,11 +8,11 @@
 
 from reedspoke.fleet.calls import Calls
 from reedspoke.fleet.duties import Duties, Duty, Electorate
+from reedspoke.fleet.events import Act, Enter, Leave
 from reedspoke.fleet.frames import Holder, Leased, Prepare, mark
 from reedspoke.fleet.handed import Handed
 from reedspoke.fleet.lease import IDENTITY, LIVES
 from reedspoke.lab.virtual import DUTY, SECOND, Play, Weather
-from reedspoke.net import effects as fx
 
 TERM = 3 * SECOND
 
@@ -119,10 +119,10 @@
         duties.tick(now)
     duties.want(False, 1, now)
     first, *more, last = duties.effects
-    assert first == fx.Enter("x", token, until)
+    assert first == Enter("x", token, until)
     assert more
-    assert all(isinstance(one, fx.Enter) and one.until > until for one in more)
-    assert last == fx.Leave("x")
+    assert all(isinstance(one, Enter) and one.until > until for one in more)
+    assert last == Leave("x")
     assert duties.counted == {("x", "released"): 1}
 
 
@@ -137,7 +137,7 @@
         duties.refused("x", later, now)
     assert not duties.holds("x", now)
     assert duties.last["x"] == "overtaken"
-    assert duties.effects[-1] == fx.Leave("x")
+    assert duties.effects[-1] == Leave("x")
     while not duties.holds("x", now):
         now += TERM // 40
         duties.tick(now)
@@ -161,7 +161,7 @@
 
 def test_calls_go_out_one_at_a_time_and_only_while_the_duty_is_held() -> None:
     calls = Calls(DUTY, SECOND)
-    assert calls.begin(5, 10 * SECOND, 0) == [fx.Act(DUTY, 5, 10 * SECOND)]
+    assert calls.begin(5, 10 * SECOND, 0) == [Act(DUTY, 5, 10 * SECOND)]
     assert calls.tick(2 * SECOND) == [], "the last one is out still"
     calls.acted(200)
     assert len(calls.tick(2 * SECOND)) == 1
--- a/tests/operator/test_check.py
+++ b/tests/operator/test_check.py
@@ -13,7 +13,7 @@
 
 from reedspoke.operator.check import OperatorError, load, parse, reloaded
 from reedspoke.operator.schema import schema, text
-from reedspoke.operator.units import seconds
+from reedspoke.units import seconds
 from tests.peers import ROOT
 
 EXAMPLE = ROOT / "deploy" / "operator.example.json"
