Bookings that come again by a rule, on the clock of a place

Need: month ends and nightly postings are booked for a year, and an hour that a change of clocks skips or repeats must not shorten one. Change: booking/rules.py (rules of RFC 5545 by python-dateutil, places by zoneinfo), `POST /v1/bookings/NAME/series`, each time a booking of its own name, all answered together. A time that does not exist is the moment of the jump; of an hour that comes twice a begin takes the first, an end the second. Not taken: the rule in the record's entry, expanded at each granter, since their time zone data may differ. Tested at Vienna's two changes to the second, at half an hour's change (Lord Howe), at the door of two real schedulers.

--- a/reedspoke/booking/part.py
+++ b/reedspoke/booking/part.py
@@ -1,10 +1,12 @@
 """Bookings at the operators' door: the subsystem, its concern of the reducer, its calls and figures.
 
-POST   /v1/bookings/NAME    {"tenant": ..., "zone": ..., "slots": 3, "from": "2026-12-31T02:00:00+01:00",
-                             "to": ..., "version": 0}      201 booked, 409 refused or stale, 202 not known yet
-DELETE /v1/bookings/NAME    {"version": 1}                 200 cancelled, 409 stale, 202 not known yet
-GET    /v1/bookings/NAME    as it is known here            200, 404; at a scheduler that is no granter 503
-GET    /v1/bookings         all of them, as they are known here
+POST   /v1/bookings/NAME            201 booked, 409 refused or stale, 202 not known yet
+POST   /v1/bookings/NAME/series     the same by a rule: each time by its own name, NAME.1 and so on
+DELETE /v1/bookings/NAME            200 cancelled, 409 stale, 202 not known yet
+GET    /v1/bookings/NAME            as it is known here: 200, 404; at a scheduler that is no granter 503
+GET    /v1/bookings                 all of them, as they are known here
+
+`docs/calendar.md` has the bodies.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 import json
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from typing import Annotated, Any
 
@@ -21,6 +24,7 @@
 from reedspoke.booking.agreed import Agreed
 from reedspoke.booking.desk import SECOND, Terms
 from reedspoke.booking.file import Bookings
+from reedspoke.booking.rules import RuleError, times
 from reedspoke.booking.words import Book, Cancel, Count, Order, Told, Version, Word, order_bytes
 from reedspoke.errors import FORM as PROBLEM
 from reedspoke.errors import ReedspokeError
@@ -65,6 +69,19 @@
     version: Version = 0
 
 
+class Again(Struct, forbid_unknown_fields=True, frozen=True):
+    """The body of bookings that come again: times of the wall clock at `clock`, a place."""
+
+    tenant: Word
+    zone: Word
+    slots: Count
+    clock: str
+    repeat: str
+    begin: Annotated[datetime, Meta(tz=False)] = msgspec.field(name="from")
+    end: Annotated[datetime, Meta(tz=False)] = msgspec.field(name="to")
+    version: Version = 0
+
+
 class Ended(Struct, forbid_unknown_fields=True, frozen=True):
     """The body of a cancellation."""
 
@@ -79,6 +96,20 @@
     )  # fmt: skip
 
 
+def checked(order: Order) -> None:
+    """Raises ValueError for names that an order cannot have, or where it is too long for the record."""
+    msgspec.msgpack.decode(order_bytes(order), type=type(order))
+
+
+@dataclass(slots=True)
+class Series:
+    """Bookings of one call."""
+
+    caller: int
+    count: int
+    told: list[Told] = field(default_factory=list)
+
+
 def when(at: int) -> str:
     return datetime.fromtimestamp(at, UTC).isoformat().replace("+00:00", "Z")
 
@@ -104,6 +135,39 @@
         super().__init__(core)
         self.agreed, self.desk = agreed, agreed.desk
         self._callers: dict[int, int] = {}  # by ticket
+        self._series: dict[int, Series] = {}
+
+    def on_series(self, event: fx.Called) -> fx.Reply | None:
+        """Each time is a booking of its own: NAME.1, NAME.2 and so on. All are answered together."""
+        try:
+            told = msgspec.json.decode(event.body, type=Again)
+            found = times(told.begin, told.end, told.repeat, told.clock)
+            orders = [
+                Book(
+                    f"{event.names[0]}.{at}",
+                    told.version,
+                    told.tenant,
+                    told.zone,
+                    told.slots,
+                    begin,
+                    end,
+                    1,
+                    1,
+                )
+                for at, (begin, end) in enumerate(found, 1)
+            ]
+            for order in orders:
+                checked(order)
+        except RuleError as error:
+            return self._problem(event.caller, 400, error)
+        except (msgspec.DecodeError, msgspec.ValidationError, ValueError, OverflowError) as error:
+            return self._malformed(event.caller, str(error))
+        series = Series(event.caller, len(orders))
+        for order in orders:
+            ticket, out = self.desk.take(order, self.core.now)
+            self._series[ticket] = series
+            self.agreed.party.gather(out)
+        return None
 
     def on_book(self, event: fx.Called) -> fx.Reply | None:
         try:
@@ -128,8 +192,7 @@
         return fx.Reply(caller, fx.Word.NO, text=error.problem(status), status=status, form=PROBLEM)
 
     def _order(self, caller: int, order: Order) -> fx.Reply | None:
-        order_bytes(order)  # or it is told at once that it is too long
-        msgspec.msgpack.decode(order_bytes(order), type=type(order))  # names as the orders have them
+        checked(order)
         ticket, out = self.desk.take(order, self.core.now)
         self._callers[ticket] = caller
         self.agreed.party.gather(out)
@@ -158,6 +221,14 @@
         granters = self.agreed.duties.electorate.granters
         return self._problem(caller, 503, ElsewhereError(f"known to the granters alone: {list(granters)}"))
 
+    def _answer_series(self, series: Series) -> None:
+        """Whole, or with the worst that became of any: those that are booked stay so, each by its own
+        name."""
+        found = sorted(series.told, key=lambda told: (told.begin, told.name))
+        status = max(STATUS.get(told.what, 200) for told in found)
+        text = json.dumps({"bookings": [shown(told) for told in found]}) + "\n"
+        self.core.ask(fx.Reply(series.caller, fx.Word.YES, text=text, status=status, form=FORM))
+
     def reactions(self) -> Reactions:
         return {Unkept: self._on_unkept}
 
@@ -173,6 +244,10 @@
         if self.agreed.party.keeping:
             return  # a yes may follow from what is on its way to disk
         for ticket, told in self.desk.done:
+            if (series := self._series.pop(ticket, None)) is not None:
+                series.told.append(told)
+                if len(series.told) == series.count:
+                    self._answer_series(series)
             if (caller := self._callers.pop(ticket, None)) is not None:
                 status = STATUS.get(told.what, 200)
                 text = json.dumps(shown(told)) + "\n"
@@ -244,6 +319,7 @@
     return Subsystem(
         "bookings", (concern,), tuple(parts),
         (
+            Call(b"POST", (*one, b"series"), concern.on_series),
             Call(b"POST", one, concern.on_book), Call(b"DELETE", one, concern.on_cancel),
             Call(b"GET", one, concern.on_show), Call(b"GET", (b"bookings",), concern.on_list),
         ),
--- a/tests/booking/test_part.py
+++ b/tests/booking/test_part.py
@@ -110,3 +110,24 @@
     began = time.monotonic()
     assert told(call(node, "POST", "bookings/first", wanted(4, 2))) == (202, "unknown")
     assert 1.5 < time.monotonic() - began < 2.3
+
+
+def test_a_series_is_booked_by_its_rule_each_time_by_its_own_name(pair: tuple[Node, Node]) -> None:
+    day = time.strftime("%Y-%m-%d", time.gmtime(time.time() + 2 * 86_400))
+    body = {
+        "tenant": "acme", "zone": "north", "slots": 4, "from": f"{day}T02:00:00", "to": f"{day}T04:00:00",
+        "clock": "Europe/Vienna", "repeat": "FREQ=WEEKLY;COUNT=3",
+    }  # fmt: skip
+    until_booked(pair[1], "first", wanted(1, 20))
+    answer = call(pair[1], "POST", "bookings/weekly/series", body)
+    assert answer.status == 201
+    found = json.loads(answer.body)["bookings"]
+    assert [one["name"] for one in found] == ["weekly.1", "weekly.2", "weekly.3"]
+    assert {one["state"] for one in found} == {"booked"}
+    assert told(call(pair[0], "GET", "bookings/weekly.2")) == (200, "booked")
+    clash = call(pair[0], "POST", "bookings/other/series", {**body, "repeat": "FREQ=DAILY;COUNT=2"})
+    assert clash.status == 409
+    states = {one["name"]: one["state"] for one in json.loads(clash.body)["bookings"]}
+    assert states == {"other.1": "refused", "other.2": "booked"}
+    bad = call(pair[0], "POST", "bookings/other/series", {**body, "repeat": "FREQ=DAILY"})
+    assert (bad.status, json.loads(bad.body)["type"]) == (400, "urn:reedspoke:rule-unusable")
--- /dev/null
+++ b/tests/booking/test_rules.py
@@ -0,0 +1,83 @@
+"""Repeated bookings on the clock of a place, through its changes."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from zoneinfo import ZoneInfo
+
+import pytest
+
+from reedspoke.booking.rules import MOST, RuleError, moment, times
+
+VIENNA = "Europe/Vienna"
+
+
+def local(at: int, place: str = VIENNA) -> str:
+    return datetime.fromtimestamp(at, ZoneInfo(place)).strftime("%d %H:%M%z")
+
+
+def told(begin: str, end: str, rule: str, place: str = VIENNA) -> list[tuple[str, str]]:
+    found = times(datetime.fromisoformat(begin), datetime.fromisoformat(end), rule, place)
+    return [(local(a, place), local(b, place)) for a, b in found]
+
+
+def test_hours_stay_those_of_the_clock_through_a_change() -> None:
+    found = told("2026-03-28T05:00", "2026-03-28T07:00", "FREQ=DAILY;COUNT=3")
+    assert [begin for begin, _ in found] == ["28 05:00+0100", "29 05:00+0200", "30 05:00+0200"]
+    assert [end for _, end in found] == ["28 07:00+0100", "29 07:00+0200", "30 07:00+0200"]
+
+
+def test_a_time_that_does_not_exist_is_the_moment_of_the_jump() -> None:
+    assert told("2026-03-29T02:30", "2026-03-29T04:00", "FREQ=DAILY;COUNT=1") == [
+        ("29 03:00+0200", "29 04:00+0200")
+    ]
+    assert told("2026-03-29T01:00", "2026-03-29T02:30", "FREQ=DAILY;COUNT=1") == [
+        ("29 01:00+0100", "29 03:00+0200")
+    ]
+
+
+def test_an_hour_that_comes_twice_is_booked_whole() -> None:
+    (only,) = times(datetime(2026, 10, 25, 2, 0), datetime(2026, 10, 25, 2, 30), "FREQ=DAILY;COUNT=1", VIENNA)
+    assert (local(only[0]), local(only[1])) == ("25 02:00+0200", "25 02:30+0100")
+    assert only[1] - only[0] == 5400
+
+
+@pytest.mark.parametrize("place", ["Asia/Tokyo", "Australia/Lord_Howe", "America/St_Johns", "UTC"])
+def test_other_places(place: str) -> None:
+    """A half hour's change, an offset of half an hour, no change at all."""
+    found = times(
+        datetime(2026, 1, 31, 2, 0), datetime(2026, 1, 31, 4, 0), "FREQ=MONTHLY;BYMONTHDAY=-1;COUNT=12", place
+    )
+    assert len(found) == 12
+    assert all(b - a in (7200, 7200 - 3600, 7200 + 3600, 7200 + 1800, 7200 - 1800) for a, b in found)
+    assert [local(a, place)[3:8] for a, _ in found] == ["02:00"] * 12 or place == "Australia/Lord_Howe"
+
+
+def test_a_jump_is_found_to_the_second() -> None:
+    at = moment(datetime(2026, 3, 29, 2, 59, 59), ZoneInfo(VIENNA), late=False)
+    assert local(at) == "29 03:00+0200"
+    assert local(at - 1) == "29 01:59+0100"
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        ({"rule": "FREQ=SOMETIMES"}, "no rule"), ({"rule": "nonsense"}, "no rule"), ({"rule": ""}, "no rule"),
+        ({"rule": "FREQ=DAILY"}, f"more than {MOST}"), ({"place": "Mars/Olympus"}, "no such clock"),
+        ({"place": "../etc/passwd"}, "no such clock"), ({"end": "2026-01-01T01:00"}, "ends before"),
+        ({"begin": "2026-01-01T02:00+01:00"}, "no offset"),
+        ({"rule": "FREQ=DAILY;UNTIL=20200101T000000"}, "never comes"),
+        ({"rule": "RRULE:FREQ=DAILY;COUNT=2\nRDATE:20260105T020000"}, "one rule alone"),
+    ],
+    ids=str,
+)  # fmt: skip
+def test_what_is_no_rule_is_told(change: dict[str, str], why: str) -> None:
+    given = {
+        "begin": "2026-01-01T02:00",
+        "end": "2026-01-01T04:00",
+        "rule": "FREQ=DAILY;COUNT=2",
+        "place": VIENNA,
+    }
+    given |= change
+    with pytest.raises(RuleError, match=why):
+        told(**given)
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -18,7 +18,7 @@
 NEW = ("cli", "operator", "tls", "acme", "lab", "identity", "logs", "assembly", "fleet", "booking")
 LIBRARIES = (
     "click", "structlog", "acme", "josepy", "joserfc", "requests", "cryptography", "prometheus_client",
-    "numpy", "sortedcontainers", "zstandard",
+    "numpy", "sortedcontainers", "dateutil", "zstandard",
 )  # fmt: skip
 
 
