--- a/reedspoke/lab/timelines.py
+++ b/reedspoke/lab/timelines.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -38,6 +39,14 @@
         return found + [(draw(seed + at, faults=faults), seed + at) for at in range(self.drawn)]
 
 
+NO_FAULT = ("start", "go", "heal", "book", "cancel", "release")
+KEYS = {  # of the figures: what of the broken they count
+    "overbooked": ("overbooked",), "lost_bookings": ("is lost",), "two_holders": ("two holders",),
+    "false_answers": ("was refused and is", "was cancelled and is"), "lost": ("a request is lost", "a wrong"),
+    "stale_accepted": ("stale act", "token fell"), "twice": ("ran twice",),
+}  # fmt: skip
+
+
 @dataclass(slots=True)
 class Count:
     plays: int = 0
@@ -47,12 +56,14 @@
     took: list[float] = field(default_factory=list)  # s of each `agreed`
     held: list[float] = field(default_factory=list)  # s of each `held`
     broken: dict[str, int] = field(default_factory=dict)
+    answers: Counter[str] = field(default_factory=Counter)  # of bookings
     drawn: list[str] = field(default_factory=list)
 
     def add(self, result: Played) -> None:
         self.plays += 1
         self.processes += len(result.told.nodes)
-        self.faults += sum(len(row.cells) for row in result.told.rows[1:])
+        done = [action.word for row in result.told.rows[1:] for cell in row.cells.values() for action in cell]
+        self.faults += sum(word not in NO_FAULT for word in done)
         for (at, order), took in result.settled.items():
             word = result.told.rows[at].claims[order].word
             (self.took if word in ("agreed", "settled") else self.held if word == "held" else []).append(
@@ -62,6 +73,8 @@
             claim = result.told.rows[at].claims[order]
             self.unsettled += claim.word in ("agreed", "settled")
             self.broken[str(claim)] = self.broken.get(str(claim), 0) + 1
+        for told in result.answers.values():
+            self.answers.update(told)
         for what in result.broken:
             self.broken[what] = self.broken.get(what, 0) + 1
 
@@ -87,11 +100,17 @@
     return result_
 
 
+def sum_of(count: Count, *words: str) -> int:
+    return sum(times for what, times in count.broken.items() if any(word in what for word in words))
+
+
 def figures(count: Count, seconds: float, plan: Plan) -> dict[str, Any]:
     return {
         "plays": count.plays, "processes": count.processes, "faults": count.faults,
         "stage": "real" if plan.real else "virtual", "settle_s": round(max(count.took, default=0), 2),
         "settle_bound_s": SETTLE / SECOND, "unsettled": count.unsettled,
+        "booked": count.answers["booked"], "refused": count.answers["refused"],
+        "unknown": count.answers["unknown"], **{key: sum_of(count, *words) for key, words in KEYS.items()},
         "held_s": round(max(count.held, default=0), 2), "broken_claims": sum(count.broken.values()),
         "seconds": round(seconds, 1), "plays_a_second": round(count.plays / max(seconds, 0.001), 2),
     }  # fmt: skip
