--- a/reedspoke/lab/stages.py
+++ b/reedspoke/lab/stages.py
@@ -102,8 +102,8 @@
     def order(self, number: int, action: Action) -> None:
         """A booking or a cancellation, at that node's door."""
 
-    def told(self) -> list[tuple[str, str]]:
-        """Names and what became of them, since the last call."""
+    def told(self) -> list[tuple[str, int, str]]:
+        """Names, versions and what became of them, since the last call."""
 
     async def until(self, at: int) -> None: ...
 
@@ -161,7 +161,8 @@
         self._highest = 0  # token seen
         self._rose = 0  # the highest one at the last `rose`
         self.answers: dict[str, list[str]] = {}  # what was told of each booking, by name
-        self.cancelled: set[str] = set()
+        self.versions: dict[tuple[str, int], set[str]] = {}  # the same, by name and version
+        self.ended: dict[str, int] = {}  # the highest version by which anybody cancelled it
 
     async def play(self) -> Played:
         late: dict[tuple[int, int], str] = {}
@@ -225,7 +226,8 @@
                         self.weather[number] = told["lose"], told["delay"], told["twice"]
                     case "book" | "cancel":
                         if action.word == "cancel":
-                            self.cancelled.add(action.args[0])
+                            version = order_of(action, 0).version
+                            self.ended[action.args[0]] = max(version, self.ended.get(action.args[0], 0))
                         self.stage.order(number, action)
                     case word:
                         doing.append((number, action))
@@ -243,8 +245,9 @@
         await asyncio.gather(*(self.stage.do(number, action) for number, action in doing))
 
     async def _seen(self) -> dict[int, Seen]:
-        for name, what in self.stage.told():
+        for name, version, what in self.stage.told():
             self.answers.setdefault(name, []).append(what)
+            self.versions.setdefault((name, version), set()).add(what)
         seen = await self.stage.seen(self.truth.lively())
         self._highest = max([self._highest, *(one.token for one in seen.values())])
         return seen
@@ -316,12 +319,13 @@
         broken = ["overbooked"] if any(most_booked(one) > CAP for one in known) else []
         leads = [one.kept for one in seen.values() if one.serving and one.kept is not None]
         for kept in leads:
-            for name, told in self.answers.items():
-                if told[-1] == "booked" and name not in kept and name not in self.cancelled:
+            for (name, version), told in self.versions.items():
+                stands = kept[name][3] if name in kept else -1
+                if "booked" in told and stands < version and self.ended.get(name, -1) < version:
                     broken.append(f"{name} was booked and is lost")
-                if told[-1] == "refused" and not {"booked", "unknown"} & set(told) and name in kept:
+                if told == {"refused"} and stands == version:
                     broken.append(f"{name} was refused and is booked")
-                if told[-1] == "cancelled" and name in kept:
+                if "cancelled" in told and 0 <= stands <= version and "booked" not in told:
                     broken.append(f"{name} was cancelled and is booked")
         return broken
 
@@ -378,27 +382,27 @@
             granters=granters(told), started=False, terms=TERMS if books(told) else None,
             folder=told.setting("folder", "0") > 0,
         )  # fmt: skip
-        self._names: dict[tuple[int, int], str] = {}  # by node and ticket
-        self._told: list[tuple[str, str]] = []
+        self._names: dict[tuple[int, int], tuple[str, int]] = {}  # by node and ticket: name and version
 
     def order(self, number: int, action: Action) -> None:
         play = self.inner
         process = play.processes.get(number)
         if process is None or process.stopped or process.agreed is None:
             return
-        ticket, out = process.agreed.desk.take(order_of(action, play.born // SECOND), process.clock())
-        self._names[number, ticket] = action.args[0]
+        order = order_of(action, play.born // SECOND)
+        ticket, out = process.agreed.desk.take(order, process.clock())
+        self._names[number, ticket] = order.name, order.version
         process.party.gather(out)
         process.flush()
 
-    def told(self) -> list[tuple[str, str]]:
-        found, self._told = self._told, []
+    def told(self) -> list[tuple[str, int, str]]:
+        found = list[tuple[str, int, str]]()
         for number, process in self.inner.processes.items():
             if process.agreed is None:
                 continue
             for ticket, told in process.agreed.desk.done:
-                if (name := self._names.pop((number, ticket), None)) is not None:
-                    found.append((name, told.what))
+                if (asked := self._names.pop((number, ticket), None)) is not None:
+                    found.append((*asked, told.what))
             process.agreed.desk.done.clear()
         return found
 
@@ -478,7 +482,7 @@
             kept=told.setting("folder", "0") > 0,
         )  # fmt: skip
         self._began, self._wall = 0.0, int(time.time())
-        self._told: list[tuple[str, str]] = []
+        self._told: list[tuple[str, int, str]] = []
         self._orders: set[asyncio.Task[None]] = set()
         self._books = books(told)
         self._killed: set[int] = set()
@@ -500,11 +504,10 @@
             status, text = await program.call("POST", path, json.dumps(body))
         else:
             status, text = await program.call("DELETE", path, json.dumps({"version": order.version}))
-        self._told.append(
-            (order.name, json.loads(text)["state"] if status in (200, 201, 202, 409) else "unknown")
-        )
+        known = status in (200, 201, 202, 409)
+        self._told.append((order.name, order.version, json.loads(text)["state"] if known else "unknown"))
 
-    def told(self) -> list[tuple[str, str]]:
+    def told(self) -> list[tuple[str, int, str]]:
         found, self._told = self._told, []
         return found
 
--- a/tests/lab/test_timelines.py
+++ b/tests/lab/test_timelines.py
@@ -7,6 +7,11 @@
 
 import pytest
 
+from reedspoke.booking.book import Calendar
+from reedspoke.booking.desk import Desk, encoded
+from reedspoke.booking.words import Order
+from reedspoke.fleet.frames import Answered, Asked
+from reedspoke.lab.recordplay import Amnesiac, Deaf, Hasty
 from reedspoke.lab.stages import Truth, played, played_really
 from reedspoke.lab.timeline import Action, Claim, Row, Timeline, TimelineError, cut_down, draw, drawn, parse
 from tests.peers import ROOT
@@ -134,3 +139,27 @@
     assert [(row.at, row.claims, row.cells) for row in small.rows] == [
         (0, (), {"a": (Action("kill"),)}), (3, (Claim("free"),), {}),
     ]  # fmt: skip
+
+
+class Hurried(Desk):
+    """It answers by its own copy of the calendar, and brings the order to the record afterwards."""
+
+    def _enter(self, key: tuple[int, int], order: Order, now: int) -> list[tuple[int, Asked | Answered]]:
+        if self.calendar is not None and key not in self._known:
+            copy = Calendar()
+            copy.unfold(self.calendar.folded())
+            self._known[key] = encoded(copy.carry_out(self.terms.bound(order)))
+            self._waiting[key] = order
+            return [*self._answer(key, self._known[key]), *self._next(now)]
+        return super()._enter(key, order, now)
+
+
+@pytest.mark.parametrize("mutation", [Hasty, Deaf, Amnesiac, Hurried], ids=lambda mutation: mutation.__name__)
+def test_mutations_of_bookings_break_a_story(mutation: type, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the checks themselves: what would lose or overbook has to be seen by them."""
+    name = "Desk" if issubclass(mutation, Desk) else "Record"
+    monkeypatch.setattr(f"reedspoke.booking.agreed.{name}", mutation)
+    stories = [parse(path.read_text()) for path in FILES if path.stem.startswith("book-")]
+    assert any(
+        played(told, seed).broken or played(told, seed).late for seed in range(1, 8) for told in stories
+    )
--- /dev/null
+++ b/tests/test_subsystem.py
@@ -0,0 +1,84 @@
+"""What a part beyond the platform's program brings, and how its calls are told apart."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.net import effects as fx
+from reedspoke.net.core import Concern, Core, Reactions
+from reedspoke.net.http import Head
+from reedspoke.net.node import Node
+from reedspoke.net.operators import Asked, NoSuchCallError, order_of
+from reedspoke.net.subsystem import NAME, Call, Subsystem
+
+
+class Heard(fx.FurtherEvent):
+    word: str
+
+
+class Told(fx.FurtherEffect):
+    word: str
+
+
+class Echo(Concern):
+    def reactions(self) -> Reactions:
+        return {Heard: lambda event: self.core.ask(Told(event.word))}
+
+
+def yes(event: fx.Called) -> fx.Reply:
+    return fx.Reply(event.caller, fx.Word.YES)
+
+
+SHOW, MAKE = Call(b"GET", (b"notes", NAME), yes), Call(b"POST", (b"notes", NAME), yes, 9000)
+NESTED = Call(b"POST", (b"notes", NAME, b"again"), yes)
+
+
+def asked(method: bytes, target: bytes) -> Asked:
+    return order_of(Head(1, method, memoryview(target)), (SHOW, MAKE, NESTED))
+
+
+def test_calls_are_told_apart_by_method_and_path_and_carry_what_they_name() -> None:
+    assert asked(b"GET", b"/v1/notes/a%20b") == Asked(fx.Order.FURTHER, "", SHOW.which, ("a b",))
+    assert asked(b"POST", b"/v1/notes/a").most_body == 9000
+    assert asked(b"POST", b"/v1/notes/a/again").which == NESTED.which
+    assert asked(b"GET", b"/v1/readyz") == Asked(fx.Order.READY), "the platform's own go first"
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [
+        (b"DELETE", b"/v1/notes/a", 405), (b"GET", b"/v1/notes/", 404), (b"GET", b"/v1/notes", 404),
+        (b"GET", b"/v2/notes/a", 404), (b"GET", b"/v1/notes/a/b", 404),
+    ],
+)  # fmt: skip
+def test_what_is_no_call_is_told(method: bytes, target: bytes, status: int) -> None:
+    with pytest.raises(NoSuchCallError) as found:
+        asked(method, target)
+    assert found.value.status == status
+
+
+def test_events_and_effects_of_a_part_go_through_the_reducer() -> None:
+    from tests.test_reducer import Play
+
+    play = Play()
+    play.reducer.add(Echo(play.reducer.core))
+    assert play.tell(Heard("word")) == [Told("word")]
+
+
+def test_two_parts_for_one_call_or_event_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    from tests.test_reducer import Play
+
+    play = Play()
+
+    class Bare(Node):
+        def __init__(self) -> None:
+            self.runtime = type("Any", (), {"reducer": play.reducer})()
+            self.door = None
+
+    node = Bare()
+    node.add(Subsystem("first", (Echo(play.reducer.core),), (), (SHOW,)))
+    with pytest.raises(ValueError, match="two parts for GET /notes"):
+        node.add(Subsystem("second", (), (), (SHOW,)))
+    with pytest.raises(ValueError, match="two concerns"):
+        node.add(Subsystem("third", (Echo(play.reducer.core),)))
+    assert isinstance(play.reducer.core, Core)
