--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -124,6 +124,27 @@
     assert took(since) < 3.7, "SIGKILL may follow"
 
 
+def test_what_comes_late_is_answered_before_the_kill(start: Start) -> None:
+    """Guards those whose last byte came 0.7 s behind SIGTERM: SIGKILL found them unanswered at their own
+    deadline."""
+    node = start(hosts=2)
+    whole = ask("5e", cls="book", body=b"x" * 3000, deadline=5.0)
+    client = node.client(whole[:-10])
+    assert node.ready() == 200
+    node.process.terminate()
+    node.logged("stopping")
+    since = time.monotonic()
+    time.sleep(1.0)  # the time is the matter here
+    client.send(whole[-10:])
+    wire = node.leg()
+    leg = wire.message()
+    wire.begin()
+    wire.state(leg, "started")  # and it never ends
+    answer = client.message()
+    assert (answer.status, answer.fields["connection"]) == (502, "close")
+    assert took(since) < 3.7
+
+
 def test_request_that_crosses_the_end_is_never_read(start: Start) -> None:
     """Guards a request on its way as its connection is closed: its client hears of it, and sends it again."""
     node = start(hosts=1)
