--- a/reedspoke/lab/rig.py
+++ b/reedspoke/lab/rig.py
@@ -250,8 +250,9 @@
     async def restart(self, one: Scheduler, after: float) -> None:
         """Behind a kill."""
         await asyncio.sleep(after)
-        killed = one.disturbed.pop()
+        killed = one.disturbed[-1]  # it stands until the process is back: clients hear of its end only now
         await self.start(one)
+        one.disturbed.remove(killed)
         one.disturb(killed[0], time.monotonic())
 
     def stop(self, one: Scheduler) -> None:
