A leader whose disk is full hands the record on, in place of resting with it

Seen: read again, booking/part.py (_on_unkept) silenced the record of a granter that could not write, and that member went on to renew the duty which leads it. Cause: fleet/duties.py knew no way to give a duty back for good; every order at the fleet would have been unknown until that process was restarted. Change: Duties.disable gives it back and asks for it no more, Agreed.silence uses it. Measured: a test in virtual time, three granters: another one leads within 6 s, with terms of 1 s. With real processes and a full disk: not played.

--- a/reedspoke/booking/agreed.py
+++ b/reedspoke/booking/agreed.py
@@ -58,6 +58,13 @@
         self.record.changes.clear()
         return changes if self.folder else []
 
+    def silence(self, now: int) -> None:
+        """What would be confirmed cannot be kept. Guards the others against a leader whose disk is full: it
+        would go on to hold the duty, and the record would rest with it."""
+        assert self.record is not None
+        self.record.silence()
+        self.party.gather(self.duties.disable(DUTY, now))
+
     # ---- the duty ----
 
     def begin(self, token: int, until: int, now: int) -> list[object]:
--- a/reedspoke/booking/part.py
+++ b/reedspoke/booking/part.py
@@ -235,8 +235,7 @@
     def _on_unkept(self, _: Unkept) -> None:
         """Nothing that follows from it was told, and nothing will be."""
         self.agreed.party.keeping -= 1
-        assert self.agreed.record is not None
-        self.agreed.record.silence()
+        self.agreed.silence(self.core.now)
         why = ("what it would confirm cannot be kept",)
         self.desk.done = [(ticket, Told("unknown", told.name, why)) for ticket, told in self.desk.done]
 
--- a/reedspoke/fleet/duties.py
+++ b/reedspoke/fleet/duties.py
@@ -129,6 +129,12 @@
         if not duty.able:
             self._unable.add(duty.name)
 
+    def disable(self, name: str, now: int) -> Out:
+        """This member can do it no longer: it gives the duty back, and asks for it no more."""
+        out = self.want(False, -1, now, [name])
+        self._unable.add(name)
+        return out
+
     # ---- events; each returns what to tell whom ----
 
     def want(self, on: bool, heir: int, now: int, names: Iterable[str] | None = None) -> Out:
--- a/tests/booking/test_book.py
+++ b/tests/booking/test_book.py
@@ -169,3 +169,30 @@
         "refused", longest, (longest,) * 5, (Free(2**31, 2**31),) * 3, longest, longest, 9, 2**31, 2**31, 9
     )
     assert len(encoded(told)) <= MOST_TOLD
+
+
+def test_a_leader_whose_disk_is_full_hands_the_record_on() -> None:
+    """Guards the others: it held the duty on, confirmed nothing, and every order was unknown until its
+    restart."""
+    from reedspoke.booking.file import DUTY
+    from reedspoke.lab.virtual import SECOND, Play
+
+    play = Play(3, 1, SECOND // 2, SECOND, terms=Terms({"north": 6}, {}, step=1))
+    play.run(5 * SECOND)
+
+    def leads() -> list[int]:
+        return [
+            at
+            for at, one in play.processes.items()
+            if one.agreed and one.agreed.record and one.agreed.record.serving
+        ]
+
+    (first,) = leads()
+    process = play.processes[first]
+    assert process.agreed is not None
+    process.agreed.silence(process.clock())
+    process.flush()
+    play.run(6 * SECOND)
+    (second,) = leads()
+    assert second != first
+    assert not process.duties.holds(DUTY, process.clock())
