--- /dev/null
+++ b/reedspoke/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What the data plane and the control plane share: settings, messages, the configuration and transport."""
--- /dev/null
+++ b/reedspoke/cluster/errors.py
@@ -0,0 +1,55 @@
+"""Numbered result codes of the router fleet, with a row for each in `docs/errors.md`; none is ever reused."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ErrorCode(IntEnum):
+    """1xx settings, 2xx configuration, 3xx control state, 4xx storage, 5xx requests."""
+
+    SETTINGS_UNREADABLE = 101
+    SETTINGS_INVALID = 102
+
+    CONFIGURATION_UNREADABLE = 201
+    CONFIGURATION_FIELD = 202
+    CONFIGURATION_UNKNOWN_UPSTREAM = 203
+    CONFIGURATION_DUPLICATE_ROUTE = 204
+    CONFIGURATION_ZERO_WEIGHT = 205
+    CONFIGURATION_ZERO_TIMEOUT = 206
+    CONFIGURATION_OLD_GENERATION = 207
+    CONFIGURATION_STALE_MATCH = 208
+    CONFIGURATION_MATCH_MISSING = 209
+    CONFIGURATION_TOO_LARGE = 210
+
+    NO_QUORUM = 301
+    NOT_MEMBER = 302
+    WRITE_UNCLEAR = 303
+    NO_CONFIGURATION = 304
+    SHUTTING_DOWN = 305
+
+    STORAGE_CORRUPT = 401
+    STORAGE_FULL = 402
+    STORAGE_FAILED = 403
+
+    NO_ROUTE = 501
+    NO_WORKER = 502
+    DEADLINE = 503
+    WORKER_FAILED = 504
+    OVERLOADED = 505
+    MALFORMED_REQUEST = 506
+    REQUEST_TOO_LARGE = 507
+    NOT_READY = 508
+    RETRY_BUDGET = 509
+
+
+class FleetError(Exception):
+    """An error with its result code and one plain sentence."""
+
+    def __init__(self, code: ErrorCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+
+    def __str__(self) -> str:
+        return f"E{int(self.code)} {self.code.name.lower()}: {self.message}"
--- /dev/null
+++ b/reedspoke/cluster/node_settings.py
@@ -0,0 +1,129 @@
+"""The settings file of a process (JSON), named by an environment variable; unknown fields are ignored."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct, field
+
+from reedspoke.cluster.errors import ErrorCode, FleetError
+
+SETTINGS_VARIABLE = "REEDSPOKE_NODE_FILE"
+SETTINGS_DEFAULT_PATH = "/etc/reedspoke/settings.json"
+
+
+class Limits(Struct, frozen=True):
+    """What the process may use."""
+
+    cpu_share: float = 1.0
+    cpu_cores: float = 1
+    memory_mb: float = 256
+    max_fds: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: float = 0
+
+
+class Bounds(Struct, frozen=True):
+    """Time limits and budgets that the deployment's rules set; the unit stands in each name."""
+
+    seed_lag_s: float = 3
+    reuse_s: float = 2
+    contact_ms: float = 3000
+    ack_ms: float = 4000
+    catch_up_s: float = 4
+    drain_ms: float = 3000
+    grace_s: float = 8
+    loss_slack_ms: float = 200
+    apply_ms: float = 2000
+    downgrade_ms: float = 250
+    stretch_ms: float = 5000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 10
+    recovery_s: float = 12
+    pass_ms: float = 120
+
+
+class FaultTolerance(Struct, frozen=True):
+    """What may be lost at once with no acknowledged change lost."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
+class CloudApi(Struct, frozen=True):
+    """The platform's service that holds the list of workers."""
+
+    address: str = ""
+    rate_per_s: float = 1.0
+    lag_ms: float = 1000
+
+
+class Bind(Struct, frozen=True):
+    """Addresses to listen at, each `ip:port`."""
+
+    frontend: str = ""
+    readiness: str = ""
+    control_plane: str = ""
+
+
+class NodeSettings(Struct, frozen=True):
+    """All that a process is told when it starts."""
+
+    node_name: str
+    ip_address: str
+    zone: str
+    region: str = ""
+    zones: dict[str, str] = field(default_factory=dict)
+    bind: Bind = field(default_factory=Bind)
+    internal_ports: tuple[int, int] = (7660, 7675)
+    seed_nodes: tuple[str, ...] = ()
+    bootstrap: bool = False
+    quorum_member: bool = False
+    limits: Limits = field(default_factory=Limits)
+    data_dir: str | None = None
+    heartbeat_ms: float = 1000
+    fault_tolerance: FaultTolerance = field(default_factory=FaultTolerance)
+    bounds: Bounds = field(default_factory=Bounds)
+    cloud_api: CloudApi = field(default_factory=CloudApi)
+
+    def seed_addresses(self) -> tuple[str, ...]:
+        """The internal addresses of the control schedulers at the seeds."""
+        return tuple(internal_address(seed, self) for seed in self.seed_nodes)
+
+
+def internal_address(control_address: str, settings: NodeSettings) -> str:
+    """The address for other schedulers of the machine that serves the operator at `control_address`."""
+    host, _, _ = control_address.rpartition(":")
+    return f"{host}:{settings.internal_ports[0]}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of `ip:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def settings_path() -> Path:
+    return Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_DEFAULT_PATH))
+
+
+def parse_settings(raw: bytes) -> NodeSettings:
+    """Raises FleetError that names the key which is missing or wrong."""
+    try:
+        return msgspec.json.decode(raw, type=NodeSettings)
+    except msgspec.DecodeError as error:
+        raise FleetError(ErrorCode.SETTINGS_INVALID, str(error)) from error
+
+
+def load_settings(path: Path | None = None) -> NodeSettings:
+    """Raises FleetError where the file cannot be read or used."""
+    chosen = path or settings_path()
+    try:
+        raw = chosen.read_bytes()
+    except OSError as error:
+        raise FleetError(ErrorCode.SETTINGS_UNREADABLE, f"{chosen}: {error.strerror}") from error
+    return parse_settings(raw)
--- /dev/null
+++ b/reedspoke/control_plane/chain.py
@@ -0,0 +1,265 @@
+"""Chain replication in the present view: entries go from head to tail, each member syncs, then passes on."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.events import ChainLink, Committed, Member, View
+from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Entry, Snapshot
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_settings import (
+    PING_INTERVAL_S,
+    RESEND_BYTES_PER_S,
+    RESEND_S,
+    ReplicaSettings,
+)
+from reedspoke.control_plane.view_acceptor import FIRST_VIEW
+
+
+class Chain:
+    """This replica's place in the chain, and what it tells its neighbours.
+
+    `on_committed` is called with each newer committed entry, `on_settled` whenever nothing is in flight any
+    more or a store has failed.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        outbox: Outbox,
+        register: Register,
+        on_committed: Callable[[Committed], None],
+        on_settled: Callable[[], None],
+    ) -> None:
+        self._own = settings.member
+        self._minimum = settings.chain_minimum
+        self._outbox = outbox
+        self._register = register
+        self._on_committed = on_committed
+        self._on_settled = on_settled
+        self._view: View | None = None
+        self._position: int | None = None
+        self._passed_on: tuple[int, float] | None = None
+        self._successor: ChainState | None = None
+        self._state_told_at = float("-inf")
+
+    # ---- place in the view ----
+
+    @property
+    def in_chain(self) -> bool:
+        """Whether this replica is a member of the present chain."""
+        return self._position is not None
+
+    @property
+    def is_head(self) -> bool:
+        """Whether changes enter here."""
+        return self._position == 0
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether entries are committed here."""
+        return self._view is not None and self._position == len(self._view.chain) - 1
+
+    @property
+    def long_enough(self) -> bool:
+        """Whether the chain has enough copies to acknowledge."""
+        return self._view is not None and len(self._view.chain) >= self._minimum
+
+    @property
+    def complete(self) -> bool:
+        """Whether this replica holds everything since it was appended."""
+        link = self._own_link()
+        if link is None or self._register.adopting:
+            return False
+        return link.joined == FIRST_VIEW or self._register.synced_since == link.joined
+
+    def enter(self, view: View) -> None:
+        """Act in a newer view from now on."""
+        self._view = view
+        folders = [link.member.folder_id for link in view.chain]
+        own = self._own.folder_id
+        self._position = folders.index(own) if own in folders else None
+        self._passed_on = None
+        self._successor = None
+        self._tell_state()
+        self._pass_on_or_commit()
+
+    # ---- events ----
+
+    def tick(self) -> None:
+        """Tell the predecessor again; it sends what is missing."""
+        if self._outbox.now - self._state_told_at >= PING_INTERVAL_S:
+            self._tell_state()
+            self._pass_on()
+
+    def append(self, generation: int, document: bytes, on_stored: Callable[[bool], None]) -> None:
+        """At the head: take a change into the chain. `on_stored` tells whether it is on the head's disk."""
+        assert self._view is not None
+        entry = Entry(self._register.sequence + 1, self._view.number, generation, document)
+
+        def on_synced(synced: bool) -> None:
+            on_stored(synced)
+            self._entry_synced(synced)
+
+        self._register.append(entry, on_synced)
+
+    def receive(self, message: Struct) -> bool:
+        """Handle a message; false where it is none of the chain. Those of another view are refused."""
+        match message:
+            case Append():
+                if self._of_this_view(message.view):
+                    self._receive_entry(message.entry)
+            case Snapshot():
+                if self._of_this_view(message.view):
+                    self._receive_snapshot(message)
+            case ChainState():
+                if self._of_this_view(message.view):
+                    self._receive_state(message)
+            case Commit():
+                self.committed_up_to(message.view, message.sequence)
+            case _:
+                return False
+        return True
+
+    def committed_up_to(self, view: int, sequence: int) -> None:
+        """The tail of this view has committed up to `sequence`."""
+        if not self._of_this_view(view) or not self.complete:
+            return
+        if self._register.entry is not None and self._register.sequence <= sequence:
+            self._commit()
+
+    # ---- as successor ----
+
+    def _receive_entry(self, entry: Entry) -> None:
+        register = self._register
+        if self._position == 0 or not self.complete or self._outbox.disk_failed:
+            return
+        if register.storing is not None:
+            return
+        if entry.sequence == register.sequence + 1:
+            self._commit()  # the head takes a change only once all before it is committed
+            register.append(entry, self._entry_synced)
+        elif entry == register.entry:
+            self._tell_state()
+        else:
+            self._outbox.log(
+                logging.ERROR, "entry does not follow", held=register.sequence, got=entry.sequence
+            )
+
+    def _receive_snapshot(self, message: Snapshot) -> None:
+        link = self._own_link()
+        if link is None or link.joined != message.joined or self._position == 0:
+            return
+        if self.complete or self._register.adopting or self._outbox.disk_failed:
+            self._tell_state()
+            return
+        self._register.adopt(message.entry, message.history, message.joined, self._entry_synced)
+
+    def _entry_synced(self, synced: bool) -> None:
+        if synced:
+            self._tell_state()
+            self._pass_on_or_commit()
+        else:
+            self._on_settled()
+
+    # ---- as predecessor ----
+
+    def _receive_state(self, state: ChainState) -> None:
+        successor = self._link_after()
+        if successor is None or successor.member.folder_id != state.folder_id:
+            return
+        if successor.joined != state.joined:
+            return
+        if self._successor is None or self._successor.complete != state.complete:
+            self._passed_on = None
+        self._successor = state
+        self._pass_on()
+
+    def _pass_on_or_commit(self) -> None:
+        if self._may_commit():
+            self._commit()
+            self._tell_commit()
+        else:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Send the successor what it lacks, again only after a while."""
+        successor = self._link_after()
+        if successor is None or not self.complete:
+            return
+        message = self._missing(successor, self._successor)
+        if message is not None and self._due(message):
+            self._passed_on = (self._register.sequence, self._outbox.now)
+            self._outbox.send(successor.member.address, message)
+
+    def _missing(self, successor: ChainLink, state: ChainState | None) -> Append | Snapshot | None:
+        assert self._view is not None
+        entry = self._register.entry
+        if state is None:
+            return None
+        lag = self._register.sequence - state.sequence
+        if not state.complete or lag > 1:
+            return Snapshot(self._view.number, successor.joined, entry, self._register.history)
+        if lag == 1 and entry is not None:
+            return Append(self._view.number, entry)
+        return None
+
+    def _due(self, message: Append | Snapshot) -> bool:
+        if self._passed_on is None or self._passed_on[0] != self._register.sequence:
+            return True
+        size = len(message.entry.document) if message.entry else 0
+        return self._outbox.now - self._passed_on[1] >= RESEND_S + size / RESEND_BYTES_PER_S
+
+    # ---- commits ----
+
+    def _may_commit(self) -> bool:
+        return self.is_tail and self.complete and self.long_enough
+
+    def _commit(self) -> None:
+        committed = self._register.commit()
+        if committed is not None:
+            self._on_committed(committed)
+        self._on_settled()
+
+    def _tell_commit(self) -> None:
+        if self._view is None or self._register.committed_sequence == 0:
+            return
+        for link in self._view.chain[:-1]:
+            self._outbox.send(
+                link.member.address, Commit(self._view.number, self._register.committed_sequence)
+            )
+
+    # ---- helpers ----
+
+    def _of_this_view(self, number: int) -> bool:
+        return self._view is not None and self._view.number == number and self.in_chain
+
+    def _own_link(self) -> ChainLink | None:
+        if self._view is None or self._position is None:
+            return None
+        return self._view.chain[self._position]
+
+    def _link_after(self) -> ChainLink | None:
+        if self._view is None or self._position is None or self.is_tail:
+            return None
+        return self._view.chain[self._position + 1]
+
+    def _predecessor(self) -> Member | None:
+        if self._view is None or not self._position:
+            return None
+        return self._view.chain[self._position - 1].member
+
+    def _tell_state(self) -> None:
+        self._state_told_at = self._outbox.now
+        link = self._own_link()
+        predecessor = self._predecessor()
+        if link is None or predecessor is None or self._view is None:
+            return
+        state = ChainState(
+            self._view.number, self._own.folder_id, link.joined, self.complete, self._register.sequence
+        )
+        self._outbox.send(predecessor.address, state)
--- /dev/null
+++ b/reedspoke/control_plane/chain_register.py
@@ -0,0 +1,111 @@
+"""The register that the chain replicates: the newest entry, and the history of accepted changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Committed
+from reedspoke.control_plane.replica_messages import Acknowledged, Entry
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_records import (
+    EntryRecord,
+    HistoryRecord,
+    RestoredState,
+    SyncedRecord,
+    acknowledged,
+)
+
+OnSynced = Callable[[bool], None]
+
+
+class Register:
+    """Holds the newest synced entry, the one that is being stored, and how far entries are committed."""
+
+    def __init__(self, outbox: Outbox, restored: RestoredState) -> None:
+        self._outbox = outbox
+        self.entry = restored.entry
+        self.storing: Entry | None = None
+        self.committed: Committed | None = None
+        self.adopting = False
+        self.synced_since = restored.synced_since
+        self._history = restored.history
+
+    @property
+    def sequence(self) -> int:
+        """Sequence of the newest synced entry, 0 before the first."""
+        return self.entry.sequence if self.entry else 0
+
+    @property
+    def generation(self) -> int:
+        """Generation of the newest synced entry, 0 before the first."""
+        return self.entry.generation if self.entry else 0
+
+    @property
+    def committed_sequence(self) -> int:
+        """Sequence of the newest entry known to be committed."""
+        return self.committed.sequence if self.committed else 0
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing is in flight."""
+        return self.storing is None and not self.adopting and self.committed_sequence == self.sequence
+
+    @property
+    def history(self) -> tuple[Acknowledged, ...]:
+        """The accepted changes, oldest first."""
+        return tuple(self._history)
+
+    def knows(self, change: Acknowledged) -> bool:
+        """Whether this change has been accepted; it is committed if the register is settled."""
+        return change in self._history
+
+    def append(self, entry: Entry, on_synced: OnSynced) -> None:
+        """Store the next entry; `on_synced` tells whether it is on disk."""
+        self.storing = entry
+
+        def on_end(error: ErrorCode | None) -> None:
+            if self.storing is not entry:
+                return  # a snapshot has replaced it meanwhile
+            self.storing = None
+            if error is None:
+                self.entry = entry
+                self._history.append(acknowledged(entry))
+            on_synced(error is None)
+
+        self._outbox.store([EntryRecord(entry)], on_end)
+
+    def adopt(
+        self, entry: Entry | None, history: tuple[Acknowledged, ...], joined: int, on_synced: OnSynced
+    ) -> None:
+        """Take over a predecessor's state in place of the own."""
+        self.entry = entry
+        self.storing = None
+        self._history.clear()
+        self._history.extend(history)
+        self.synced_since = joined
+        self.adopting = True
+
+        def on_end(error: ErrorCode | None) -> None:
+            self.adopting = False
+            if error is not None:
+                self.synced_since = 0
+            on_synced(error is None)
+
+        self._outbox.rewrite(on_end)
+
+    def commit(self) -> Committed | None:
+        """The newest synced entry is committed; it is returned where this is news."""
+        if self.entry is None or self.entry.sequence <= self.committed_sequence:
+            return None
+        self.committed = Committed(self.entry.sequence, self.entry.generation, self.entry.document)
+        return self.committed
+
+    def records(self) -> list[Struct]:
+        """What the log has to hold."""
+        records: list[Struct] = [HistoryRecord(self.history)]
+        records += [EntryRecord(entry) for entry in (self.entry, self.storing) if entry is not None]
+        records.append(SyncedRecord(self.synced_since))
+        return records
--- /dev/null
+++ b/reedspoke/control_plane/driver.py
@@ -0,0 +1,240 @@
+"""Drives the replica: events in, effects carried out, the disk on a thread of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+from typing import Protocol, TypeVar
+
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.cluster.json_log import ERROR, INFO, log
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.control_plane.events import (
+    Committed,
+    Deliver,
+    Effect,
+    Event,
+    Get,
+    GetAnswer,
+    Leave,
+    LogLine,
+    Put,
+    PutAnswer,
+    Received,
+    SeedsChanged,
+    SendTo,
+    Store,
+    Stored,
+    Tick,
+    View,
+    ViewChanged,
+)
+from reedspoke.control_plane.log_file import OpenedLog, open_log, set_aside
+from reedspoke.control_plane.replica import Replica
+from reedspoke.control_plane.replica_messages import ReplicaMessage
+from reedspoke.control_plane.replica_settings import TICK_S, ReplicaSettings
+from reedspoke.control_plane.storage_thread import StorageThread
+
+OPEN_RETRY_S = 0.5
+
+Value = TypeVar("Value")
+
+
+class Surroundings(Protocol):
+    """What the driver needs of the process."""
+
+    def send(self, effect: SendTo) -> None:
+        """Send to another replica."""
+
+    def deliver(self, committed: Committed) -> None:
+        """The data plane may have this configuration."""
+
+    def view_changed(self, view: View) -> None:
+        """A newer view is known."""
+
+    def ticked(self) -> None:
+        """TICK_S has passed."""
+
+
+class ReplicaDriver:
+    """Owns the replica; everything but the disk runs on the event loop."""
+
+    def __init__(self, settings: NodeSettings, own_address: str, surroundings: Surroundings) -> None:
+        self._settings = settings
+        self._own_address = own_address
+        self._surroundings = surroundings
+        self._directory = Path(settings.data_dir or "")
+        self._loop = asyncio.get_running_loop()
+        self._storage = StorageThread()
+        self._log: OpenedLog | None = None
+        self._bootstrap = settings.bootstrap
+        self._replica: Replica | None = None
+        self._events: deque[Event] = deque()
+        self._handling = False
+        self._request_id = 0
+        self._puts: dict[int, asyncio.Future[PutAnswer]] = {}
+        self._gets: dict[int, asyncio.Future[GetAnswer]] = {}
+
+    # ---- life ----
+
+    def start(self) -> None:
+        """Open the data folder, and go on by ticks from then on."""
+        self._storage.add(self._open)
+        self._tick()
+
+    def handle(self, event: Event) -> None:
+        """Give the replica an event, and carry out what follows from it."""
+        self._events.append(event)
+        if self._handling or self._replica is None:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                for effect in self._replica.handle(self._loop.time(), self._events.popleft()):
+                    self._carry_out(effect)
+        finally:
+            self._handling = False
+
+    def received(self, sender: str, message: ReplicaMessage) -> None:
+        """A message of another replica; there is none to take it before the data folder is open."""
+        if self._replica is not None:
+            self.handle(Received(sender, message))
+
+    def leave(self) -> None:
+        """The process is about to end."""
+        if self._replica is not None:
+            self.handle(Leave())
+
+    def seeds_changed(self, seeds: tuple[str, ...]) -> None:
+        """The settings file names other seeds."""
+        self.handle(SeedsChanged(seeds))
+
+    # ---- calls of the operator ----
+
+    def put(self, match: int, generation: int, document: bytes) -> asyncio.Future[PutAnswer]:
+        """Have a configuration replicated. Raises FleetError before the data folder is open."""
+        self._check_open()
+        future: asyncio.Future[PutAnswer] = self._loop.create_future()
+        request_id = self._next_request_id()
+        self._puts[request_id] = future
+        future.add_done_callback(lambda _: self._puts.pop(request_id, None))
+        self.handle(Put(request_id, match, generation, document))
+        return future
+
+    def get(self) -> asyncio.Future[GetAnswer]:
+        """Read the newest configuration. Raises FleetError before the data folder is open."""
+        self._check_open()
+        future: asyncio.Future[GetAnswer] = self._loop.create_future()
+        request_id = self._next_request_id()
+        self._gets[request_id] = future
+        future.add_done_callback(lambda _: self._gets.pop(request_id, None))
+        self.handle(Get(request_id))
+        return future
+
+    @property
+    def waiting_calls(self) -> int:
+        """Calls without an answer."""
+        return len(self._puts) + len(self._gets)
+
+    def _check_open(self) -> None:
+        if self._replica is None:
+            raise FleetError(ErrorCode.NOT_MEMBER, "the data folder is not open yet")
+
+    def _next_request_id(self) -> int:
+        self._request_id += 1
+        return self._request_id
+
+    # ---- effects ----
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case SendTo():
+                self._surroundings.send(effect)
+            case Store():
+                self._storage.add(lambda: self._store(effect))
+            case PutAnswer(request_id):
+                _settle(self._puts.get(request_id), effect)
+            case GetAnswer(request_id):
+                _settle(self._gets.get(request_id), effect)
+            case Deliver(committed):
+                self._surroundings.deliver(committed)
+            case ViewChanged(view):
+                self._surroundings.view_changed(view)
+            case LogLine(level, text, fields):
+                log(level, text, **fields)
+
+    def _tick(self) -> None:
+        if self._replica is not None:
+            self.handle(Tick())
+        self._surroundings.ticked()
+        self._loop.call_later(TICK_S, self._tick)
+
+    # ---- on the storage thread ----
+
+    def _open(self) -> None:
+        try:
+            opened = open_log(self._directory)
+        except FleetError as error:
+            self._call(self._open_failed, error)
+            return
+        self._call(self._opened, opened)
+
+    def _set_aside(self) -> None:
+        try:
+            set_aside(self._directory)
+        except OSError as error:
+            self._call(self._open_failed, FleetError(ErrorCode.STORAGE_FAILED, str(error)))
+            return
+        self._open()
+
+    def _store(self, effect: Store) -> None:
+        assert self._log is not None
+        try:
+            if effect.replace:
+                self._log.writer.rewrite(effect.records)
+            else:
+                self._log.writer.append(effect.records)
+        except FleetError as error:
+            self._call(self.handle, Stored(effect.token, error.code))
+            return
+        self._call(self.handle, Stored(effect.token))
+
+    def _call(self, function: Callable[[Value], None], value: Value) -> None:
+        self._loop.call_soon_threadsafe(function, value)
+
+    # ---- back on the event loop ----
+
+    def _open_failed(self, error: FleetError) -> None:
+        log(ERROR, "data folder cannot be opened", code=int(error.code), message=error.message)
+        if error.code is ErrorCode.STORAGE_CORRUPT:
+            self._bootstrap = False  # this folder has lost its part of what the fleet agreed
+            self._storage.add(self._set_aside)
+        else:
+            self._loop.call_later(OPEN_RETRY_S, self._storage.add, self._open)
+
+    def _opened(self, opened: OpenedLog) -> None:
+        settings = ReplicaSettings(
+            folder_id=opened.folder_id,
+            address=self._own_address,
+            zone=self._settings.zone,
+            seeds=self._settings.seed_addresses(),
+            bootstrap=self._bootstrap,
+            machines_tolerated=self._settings.fault_tolerance.machines,
+        )
+        try:
+            self._replica = Replica(settings, opened.records, self._loop.time())
+        except FleetError as error:
+            opened.writer.close()
+            self._open_failed(error)
+            return
+        self._log = opened
+        opened.records = []
+        log(INFO, "data folder open", folder_id=opened.folder_id, created=opened.created)
+        self.handle(Tick())
+
+
+def _settle(future: asyncio.Future[Value] | None, answer: Value) -> None:
+    if future is not None and not future.done():
+        future.set_result(answer)
--- /dev/null
+++ b/reedspoke/control_plane/peer_messages.py
@@ -0,0 +1,61 @@
+"""Messages between control schedulers, beside those of the replica, and the first message of a connection."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from reedspoke.cluster.messages import Version
+
+
+class Hello(Struct, tag="hello", array_like=True):
+    """First message of a connection that a control scheduler opens: its address for other schedulers."""
+
+    address: str
+    zone: str
+
+
+class SessionEntry(Struct, array_like=True, frozen=True):
+    """A data plane scheduler that has a session with the sender."""
+
+    node_name: str
+    incarnation: str
+    zone: str
+    silent_s: float  # since its last word, when the table was sent
+    running: dict[str, tuple[int, int]]
+
+
+class SessionTable(Struct, tag="sessions", array_like=True):
+    """All sessions of the sender with data plane schedulers; also its sign of life.
+
+    `workers` is the version of the list of workers that the sender holds, `workers_seen` the highest one that
+    it or one of its data plane schedulers knows of.
+    """
+
+    entries: tuple[SessionEntry, ...]
+    workers: Version
+    workers_seen: Version
+
+
+class LeaseRequest(Struct, tag="lease_request", array_like=True):
+    """Grant me the list duty under this term."""
+
+    term: int
+
+
+class LeaseAnswer(Struct, tag="lease_answer", array_like=True):
+    """Answer of a granter. `highest_term` is the highest it knows, `retry_after_s` how long its grant to
+    another holder still runs."""
+
+    term: int
+    granted: bool
+    highest_term: int
+    retry_after_s: float = 0.0
+
+
+class LeaseRelease(Struct, tag="lease_release", array_like=True):
+    """The sender no longer needs the grant of this term."""
+
+    term: int
+
+
+LeaseMessage = LeaseRequest | LeaseAnswer | LeaseRelease
--- /dev/null
+++ b/reedspoke/control_plane/platform_client.py
@@ -0,0 +1,104 @@
+"""Calls of the platform's list of workers, over one connection that is kept."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.control_plane.worker_list import PlatformPage, parse_page
+from reedspoke.net.http import Answers, Buffer, End, Head, MalformedError
+
+LIST_PATH = "/workers"
+PAGE_PARAMETER = "page_token"
+CALL_TIMEOUT_S = 0.8
+MOST_ANSWER = 8 * 1024 * 1024
+READ_SIZE = 64 * 1024
+
+
+class PlatformError(Exception):
+    """The platform gave no page of its list."""
+
+
+class PlatformRateError(PlatformError):
+    """The platform has been called too often by all schedulers together."""
+
+
+class PlatformClient:
+    """Asks for one page at a time."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def page(self, token: str | None) -> PlatformPage:
+        """The page behind `token`, or the first one. Raises PlatformError."""
+        try:
+            return await asyncio.wait_for(self._call(token), CALL_TIMEOUT_S)
+        except (OSError, TimeoutError, MalformedError, msgspec.DecodeError) as error:
+            self.close()
+            raise PlatformError(str(error) or type(error).__name__) from error
+        except PlatformError:
+            raise
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+    async def _call(self, token: str | None) -> PlatformPage:
+        if self._writer is None or self._writer.is_closing():
+            host, port = split_address(self._address)
+            self._reader, self._writer = await asyncio.open_connection(host, port)
+        query = "" if token is None else f"?{PAGE_PARAMETER}={_quoted(token)}"
+        head = f"GET {LIST_PATH}{query} HTTP/1.1\r\nHost: {self._address}\r\n"
+        self._writer.write(f"{head}Accept: application/json\r\n\r\n".encode("ascii"))
+        status, body = await self._answer()
+        if status == 429:
+            raise PlatformRateError("too many calls")
+        if status != 200:
+            raise PlatformError(f"status {status}")
+        return parse_page(body)
+
+    async def _answer(self) -> tuple[int, bytes]:
+        assert self._reader is not None
+        buffer = Buffer()
+        answers = Answers(buffer)
+        status = 0
+        body = bytearray()
+        while True:
+            for part in answers.feed():
+                match part:
+                    case Head():
+                        status = part.status
+                    case End(reusable):
+                        if not reusable:
+                            self.close()
+                        return status, bytes(body)
+                    case memoryview():
+                        body += part
+            if len(body) > MOST_ANSWER:
+                raise PlatformError("the answer is too large")
+            await self._read_into(buffer)
+
+    async def _read_into(self, buffer: Buffer) -> None:
+        assert self._reader is not None
+        data = await self._reader.read(READ_SIZE)
+        if not data:
+            raise ConnectionResetError("the platform closed the connection")
+        buffer.room(len(data))[: len(data)] = data
+        buffer.filled(len(data))
+
+
+SAFE = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
+
+
+def _quoted(token: str) -> str:
+    """A page's token as it stands in a query."""
+    return "".join(chr(byte) if chr(byte) in SAFE else f"%{byte:02X}" for byte in token.encode())
--- /dev/null
+++ b/reedspoke/control_plane/process.py
@@ -0,0 +1,290 @@
+"""The process of a control scheduler: puts its parts together, and ends them in order."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.cluster.json_log import ERROR, INFO, WARNING, log
+from reedspoke.cluster.messages import ControlMember, WorkerList, encode
+from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
+from reedspoke.control_plane.configuration_cache import ConfigurationCache
+from reedspoke.control_plane.driver import ReplicaDriver
+from reedspoke.control_plane.duty_lease import DutyLease, Outgoing
+from reedspoke.control_plane.edge_sessions import EdgeSessions
+from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer, SendTo, View
+from reedspoke.control_plane.http_server import HttpServer
+from reedspoke.control_plane.list_duty import ListDuty
+from reedspoke.control_plane.membership import Membership
+from reedspoke.control_plane.operator_api import Calls, OperatorApi, StatusAnswer, http_error_body
+from reedspoke.control_plane.peer_messages import LeaseAnswer, LeaseRelease, LeaseRequest, SessionTable
+from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
+from reedspoke.control_plane.published_state import PublishedState
+from reedspoke.control_plane.worker_list import WorkerBook
+
+TABLE_INTERVAL_S = 0.4  # between two tables of sessions for the other control schedulers
+SETTINGS_INTERVAL_S = 2.0
+MAINTENANCE_INTERVAL_S = 5.0
+HEARTBEAT_SHARE = 1 / 3  # of the settings' heartbeat: a session's answer comes after that at the latest
+EDGE_LIFE_HEARTBEATS = 3.0
+LEAVE_S = 1.0  # calls of the operator are answered that long after SIGTERM
+LEAVE_LOOK_S = 0.05
+LEAST_LEAVE_S = 0.3  # for the others to go on without this replica
+
+
+class FileStamp(Struct, frozen=True):
+    """What tells that a file has changed."""
+
+    modified_ns: int
+    size: int
+    inode: int
+
+
+class ControlProcess(Calls):
+    """One control scheduler."""
+
+    def __init__(self, settings: NodeSettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self._stamp = _stamp(path)
+        self._loop = asyncio.get_running_loop()
+        self._address = f"{settings.ip_address}:{settings.internal_ports[0]}"
+        self._view: View | None = None
+        self._peers: tuple[str, ...] = ()
+        self._ended = asyncio.Event()
+        self._leaving = False
+        self._table_at = 0.0
+        self._settings_at = 0.0
+        self._maintenance_at = 0.0
+        self._build(settings)
+
+    def _build(self, settings: NodeSettings) -> None:
+        heartbeat_s = settings.heartbeat_ms / 1000
+        now = self._loop.time()
+        identity = int.from_bytes(os.urandom(4), "big") >> 1
+        own = ControlMember(self._address, settings.zone)
+        self._membership = Membership(own, heartbeat_s * EDGE_LIFE_HEARTBEATS, identity)
+        self._configuration = ConfigurationCache()
+        self._book = WorkerBook()
+        self._state = PublishedState(self._configuration, self._book, self._membership)
+        self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap)
+        self._sessions = EdgeSessions(
+            settings.node_name, self._state, heartbeat_s * HEARTBEAT_SHARE, self._sessions_changed
+        )
+        self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
+        self._duty = ListDuty(
+            settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
+        )
+        self._driver = ReplicaDriver(settings, self._address, self)
+        self._api = HttpServer(OperatorApi(self, self._configuration).handle, http_error_body)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._ended.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._ended.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        await self._transport.listen()
+        if self._settings.bind.control_plane:
+            await self._api.listen(self._settings.bind.control_plane)
+        self._driver.start()
+        duty = self._loop.create_task(self._duty.run())
+        duty.add_done_callback(self._duty_ended)
+        log(INFO, "control plane up", node=self._settings.node_name, address=self._address)
+        await self._ended.wait()
+        await self._leave()
+        duty.cancel()
+        log(INFO, "control plane ends")
+
+    # ---- what the driver asks ----
+
+    def send(self, effect: SendTo) -> None:
+        """Send to another replica."""
+        self._transport.send(effect.address, effect.message)
+
+    def deliver(self, committed: Committed) -> None:
+        """The data plane may have this configuration."""
+        try:
+            newer = self._configuration.committed_is(committed)
+        except FleetError as error:
+            log(ERROR, "committed configuration cannot be read", code=int(error.code), message=error.message)
+            return
+        if newer:
+            log(INFO, "configuration in force", generation=committed.generation, sequence=committed.sequence)
+            self._sessions.changed()
+
+    def view_changed(self, view: View) -> None:
+        """A newer view is known."""
+        self._view = view
+        links = {link.member.address: link.member for link in view.chain}
+        members = links | {voter.address: voter for voter in view.voters}
+        self._peers = tuple(address for address in members if address != self._address)
+        self._membership.set_view(tuple(members.values()))
+        self._lease.set_voters(tuple(voter.address for voter in view.voters))
+
+    def ticked(self) -> None:
+        """A little time has passed."""
+        now = self._loop.time()
+        self._send_lease(self._lease.tick(now))
+        self._duty.look()
+        if now >= self._table_at:
+            self._tell_sessions(now)
+        if now >= self._settings_at:
+            self._settings_at = now + SETTINGS_INTERVAL_S
+            if self._stamp != _stamp(self._path):
+                self._reload_settings()
+        if now >= self._maintenance_at:
+            self._maintenance_at = now + MAINTENANCE_INTERVAL_S
+            self._transport.close_idle()
+
+    # ---- what the operator's API asks ----
+
+    def put(self, match: int, generation: int, document: bytes) -> asyncio.Future[PutAnswer]:
+        """Have the configuration replicated."""
+        self._check_not_leaving()
+        return self._driver.put(match, generation, document)
+
+    def get(self) -> asyncio.Future[GetAnswer]:
+        """The newest configuration."""
+        self._check_not_leaving()
+        return self._driver.get()
+
+    def status(self) -> StatusAnswer:
+        """The state of this scheduler."""
+        view = self._view
+        committed = self._configuration.committed
+        now = self._loop.time()
+        return StatusAnswer(
+            node_name=self._settings.node_name,
+            address=self._address,
+            view=0 if view is None else view.number,
+            voters=() if view is None else tuple(voter.address for voter in view.voters),
+            chain=() if view is None else tuple(link.member.address for link in view.chain),
+            generation=None if committed is None else committed.generation,
+            sequence=0 if committed is None else committed.sequence,
+            edges=tuple(edge.node_name for edge in self._membership.members.edges),
+            peers=self._membership.peers_heard(now),
+            workers=0 if self._book.current is None else len(self._book.current.workers),
+            workers_version=self._book.version,
+            holds_list_duty=self._lease.holds(now),
+        )
+
+    def _check_not_leaving(self) -> None:
+        if self._leaving:
+            raise FleetError(ErrorCode.SHUTTING_DOWN, "this scheduler is about to end")
+
+    # ---- messages ----
+
+    def _peer_message(self, sender: str, message: PeerMessage) -> None:
+        now = self._loop.time()
+        self._membership.heard_peer(sender, now)
+        match message:
+            case SessionTable():
+                self._heard_table(sender, message, now)
+            case LeaseRequest() | LeaseAnswer() | LeaseRelease():
+                self._send_lease(self._lease.received(sender, message, now))
+                self._duty.look()
+            case WorkerList():
+                self._lease.term_seen(message.version[0])
+                if self._book.adopt(message, now):
+                    self._sessions.changed()
+            case _:
+                self._driver.received(sender, message)
+
+    def _heard_table(self, sender: str, table: SessionTable, now: float) -> None:
+        self._membership.heard_table(sender, table, now)
+        self._book.note_seen(table.workers_seen)
+        self._lease.term_seen(self._book.seen[0])
+        if table.workers < self._book.version and self._lease.holds(now):
+            payload = self._state.workers_frame(now)
+            if payload is not None:
+                self._transport.send_encoded(sender, payload)
+        self._refresh_members(now)
+
+    def _send_lease(self, messages: list[Outgoing]) -> None:
+        for outgoing in messages:
+            self._transport.send(outgoing.address, outgoing.message)
+
+    def _publish_workers(self, workers: WorkerList) -> None:
+        payload = self._state.workers_frame(self._loop.time())
+        log(INFO, "workers", version=workers.version, count=len(workers.workers))
+        if payload is not None:
+            self._tell_peers(payload)
+        self._sessions.changed()
+
+    def _sessions_changed(self) -> None:
+        """A data plane scheduler has come or gone: all are told at once."""
+        self._lease.term_seen(self._book.seen[0])
+        self._tell_sessions(self._loop.time())
+
+    def _tell_sessions(self, now: float) -> None:
+        self._table_at = now + TABLE_INTERVAL_S
+        self._refresh_members(now)
+        table = self._membership.table(now, self._book.version, self._book.seen)
+        self._tell_peers(encode(table))
+
+    def _tell_peers(self, payload: bytes) -> None:
+        """Send to the members of the view, and to whoever else is there."""
+        for address in {*self._peers, *self._membership.peers_heard(self._loop.time())}:
+            self._transport.send_encoded(address, payload)
+
+    def _refresh_members(self, now: float) -> None:
+        if self._membership.refresh(now):
+            self._sessions.changed()
+
+    # ---- settings and end ----
+
+    def _reload_settings(self) -> None:
+        self._stamp = _stamp(self._path)
+        try:
+            settings = load_settings(self._path)
+        except FleetError as error:
+            log(WARNING, "settings kept", code=int(error.code), message=error.message)
+            return
+        if settings.seed_addresses() != self._settings.seed_addresses():
+            log(INFO, "seeds changed", seeds=settings.seed_nodes)
+            self._driver.seeds_changed(settings.seed_addresses())
+        self._duty.settings_changed(settings.cloud_api)
+        self._settings = settings
+
+    def _duty_ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log(ERROR, "list duty failed", error=repr(task.exception()))
+            os._exit(1)
+
+    async def _leave(self) -> None:
+        self._leaving = True
+        self._api.closing = True
+        began = self._loop.time()
+        log(INFO, "leaving")
+        self._send_lease(self._lease.stop())
+        self._duty.look()
+        self._driver.leave()
+        while self._loop.time() - began < LEAVE_S and not self._has_left(began):
+            await asyncio.sleep(LEAVE_LOOK_S)
+        self._sessions.close()
+        self._api.close()
+        self._transport.close()
+
+    def _has_left(self, began: float) -> bool:
+        if self._loop.time() - began < LEAST_LEAVE_S or self._driver.waiting_calls:
+            return False
+        chain = () if self._view is None else self._view.chain
+        return self._address not in [link.member.address for link in chain]
+
+
+def _stamp(path: Path) -> FileStamp | None:
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return FileStamp(found.st_mtime_ns, found.st_size, found.st_ino)
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Run a control scheduler until it is told to end."""
+    await ControlProcess(settings, settings_path()).run()
--- /dev/null
+++ b/reedspoke/control_plane/replica.py
@@ -0,0 +1,321 @@
+"""The replicated control state: a pure state machine, fed with events and answering with effects.
+
+It does no I/O and reads no clock. The shell sends `Tick` about every TICK_S, keeps the order of `Store`
+effects, answers each with `Stored`, and feeds what comes over the network as `Received`.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+from msgspec import Struct, structs
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.chain import Chain
+from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.events import (
+    Committed,
+    Deliver,
+    Effect,
+    Event,
+    Get,
+    Leave,
+    Member,
+    Put,
+    Received,
+    SeedsChanged,
+    Stored,
+    Tick,
+    View,
+    ViewChanged,
+)
+from reedspoke.control_plane.replica_gets import GetForwarder, TailReader
+from reedspoke.control_plane.replica_head import HeadQueue
+from reedspoke.control_plane.replica_messages import (
+    GetReply,
+    GetRequest,
+    LeaseGrant,
+    Ping,
+    PutReply,
+    PutRequest,
+    Resigned,
+    ResignRequest,
+)
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_peers import Peers
+from reedspoke.control_plane.replica_puts import PutForwarder
+from reedspoke.control_plane.replica_records import BootstrapRecord, encode_record, restore
+from reedspoke.control_plane.replica_repair import Repair
+from reedspoke.control_plane.replica_settings import (
+    PING_INTERVAL_S,
+    TICK_S,
+    WAKE_GAP_S,
+    ReplicaSettings,
+)
+from reedspoke.control_plane.view_agreement import ViewAgreement
+from reedspoke.control_plane.view_lease import TailLease, tail_of
+
+__all__ = ["TICK_S", "Replica", "ReplicaSettings"]
+
+
+class Replica:
+    """One member of the replicated control state.
+
+    `records` is what the log holds. `incarnation` must differ in each life of the process.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        records: Sequence[bytes],
+        now: float,
+        incarnation: str = "",
+    ) -> None:
+        restored = restore(records)
+        self._settings = settings
+        self._seeds = settings.seeds
+        self._first_seeds = restored.seeds
+        self._leaving = False
+        self._seeds_stored = False
+        self._last_tick = now
+        self._last_ping = float("-inf")
+        self._last_disk_ok = True
+        name = f"{settings.folder_id}:{incarnation or now!r}"
+        limit = settings.answer_limit_s
+        self._outbox = Outbox(settings.address, now, sum(map(len, records)))
+        self._outbox.snapshot_records = self.snapshot_records
+        self._peers = Peers(settings.member, now)
+        self._register = Register(self._outbox, restored)
+        self._chain = Chain(settings, self._outbox, self._register, self._deliver, self._advance)
+        self._head = HeadQueue(self._outbox, self._chain, self._register, limit)
+        self._puts = PutForwarder(name, self._outbox, limit)
+        self._gets = GetForwarder(name, self._outbox, self._register, limit)
+        self._tail_lease = TailLease()
+        self._reader = TailReader(self._outbox, self._chain, self._register, self._holds_lease)
+        self._agreement = ViewAgreement(settings, name, self._outbox, restored, self._enter)
+        self._repair = Repair(settings, self._outbox, self._peers, self._agreement, self._own_ping)
+        self._start(restored.view)
+
+    # ---- what the shell may ask ----
+
+    @property
+    def view(self) -> View | None:
+        """The view that this replica acts in."""
+        return self._agreement.view
+
+    @property
+    def in_chain(self) -> bool:
+        """Whether this replica is a complete member of the chain."""
+        return self._chain.in_chain and self._chain.complete
+
+    @property
+    def majority_reached(self) -> bool:
+        """Whether this replica and a majority of the voters hear each other."""
+        return self._repair.majority_reached()
+
+    @property
+    def committed(self) -> Committed | None:
+        """The newest configuration that this replica knows to be committed."""
+        return self._register.committed
+
+    def snapshot_records(self) -> tuple[bytes, ...]:
+        """Records that yield the present state: what a rewritten log holds."""
+        records: list[Struct] = []
+        if self._first_seeds:
+            records.append(BootstrapRecord(self._first_seeds))
+        records += self._agreement.records()
+        records += self._register.records()
+        return tuple(map(encode_record, records))
+
+    # ---- events ----
+
+    def handle(self, now: float, event: Event) -> list[Effect]:
+        """Handle one event at the time `now` of the steady clock; the effects are to be done in order."""
+        self._outbox.now = now
+        self._notice_gap(now)
+        self._dispatch(event)
+        self._receive_own_messages()
+        return self._outbox.take()
+
+    def _dispatch(self, event: Event) -> None:
+        match event:
+            case Received(sender=sender, message=message):
+                self._receive(sender, message)
+            case Stored():
+                self._outbox.stored(event)
+            case Tick():
+                self._tick()
+            case Put():
+                self._puts.put(event, self.view, self.majority_reached)
+            case Get():
+                self._gets.get(event, self.view, self.majority_reached)
+            case Leave():
+                self._leave()
+            case SeedsChanged(seeds=seeds):
+                self._seeds = seeds
+
+    def _receive_own_messages(self) -> None:
+        while messages := self._outbox.take_to_self():
+            for message in messages:
+                self._receive(self._settings.address, message)
+
+    def _receive(self, sender: str, message: Struct) -> None:
+        if self._agreement.receive(sender, message) or self._chain.receive(message):
+            return
+        match message:
+            case Ping():
+                self._receive_ping(sender, message)
+            case LeaseGrant(folder_id=folder_id, view=number, sent=sent):
+                if self.view is not None and self.view.number == number:
+                    self._tail_lease.granted(folder_id, sent)
+            case ResignRequest(view=number):
+                self._resign(sender, number)
+            case PutRequest():
+                self._head.receive(sender, message, self.majority_reached)
+            case PutReply():
+                self._puts.reply(message)
+            case GetRequest():
+                self._reader.receive(sender, message, self.view)
+            case GetReply():
+                self._gets.reply(message)
+
+    def _tick(self) -> None:
+        now = self._outbox.now
+        self._outbox.tick()
+        self._agreement.tick()
+        self._chain.tick()
+        self._head.tick()
+        self._puts.tick(self.view)
+        self._gets.tick(self.view)
+        disk_changed = self._outbox.disk_ok != self._last_disk_ok
+        if disk_changed or now - self._last_ping >= PING_INTERVAL_S:
+            self._ping_all()
+        if self.view is not None:
+            self._repair.propose_next(self.view)
+        elif self._first_seeds:
+            self._repair.propose_first(self._first_seeds)
+        elif self._seeds_stored and not self._outbox.disk_failed:
+            self._start(None)  # the disk refused at first
+
+    def _leave(self) -> None:
+        self._leaving = True
+        self._tail_lease.resign(self._outbox.now)
+        self._ping_all()
+
+    # ---- start and views ----
+
+    def _start(self, view: View | None) -> None:
+        if view is not None:
+            self._enter(view)
+        elif self._settings.bootstrap and not self._first_seeds and self._settings.address in self._seeds:
+            self._store_first_seeds(self._seeds)
+
+    def _store_first_seeds(self, seeds: tuple[str, ...]) -> None:
+        """At the first start: vote on the first view once it is on disk that this folder does."""
+        self._seeds_stored = False
+
+        def on_end(error: ErrorCode | None) -> None:
+            self._seeds_stored = True
+            if error is None:
+                self._first_seeds = seeds
+                self._agreement.may_vote_first(seeds)
+                self._ping_all()
+
+        self._outbox.store([BootstrapRecord(seeds)], on_end)
+
+    def _enter(self, view: View) -> None:
+        self._outbox.log(logging.INFO, "view", number=view.number, chain=_addresses_of_chain(view))
+        self._outbox.emit(ViewChanged(view))
+        self._tail_lease.enter()
+        self._head.enter(view.number)
+        self._chain.enter(view)
+        self._repair.entered()
+        self._ping_all()
+        self._puts.tick(view)
+        self._gets.tick(view)
+
+    def _notice_gap(self, now: float) -> None:
+        """After a stop of this process nobody is judged by silence until it has listened for a while."""
+        if now - self._last_tick > WAKE_GAP_S:
+            self._peers.woken(now)
+            self._repair.woken()
+        self._last_tick = now
+
+    # ---- pings and leases ----
+
+    def _own_ping(self) -> Ping:
+        view = self.view
+        return Ping(
+            member=self._settings.member,
+            view=view.number if view else 0,
+            heard=self._peers.heard(_members(view), self._outbox.now),
+            disk_ok=self._outbox.disk_ok,
+            synced_since=0 if self._register.adopting else self._register.synced_since,
+            committed=self._register.committed_sequence,
+            leaving=self._leaving,
+            bootstrap=bool(self._first_seeds),
+        )
+
+    def _ping_all(self) -> None:
+        now = self._outbox.now
+        self._last_ping = now
+        self._last_disk_ok = self._outbox.disk_ok
+        ping = self._own_ping()
+        if self._asks_for_lease():
+            ping = structs.replace(ping, lease_sent=now)
+            self._grant(ping)
+        addresses = {member.address for member in _members(self.view)}
+        addresses.update(member.address for member in self._peers.members(now))
+        addresses.update(self._seeds)
+        for address in sorted(addresses - {self._settings.address}):
+            self._outbox.send(address, ping)
+
+    def _receive_ping(self, sender: str, ping: Ping) -> None:
+        self._peers.heard_ping(ping, self._outbox.now)
+        self._grant(ping)
+        if ping.view < self._agreement.learned_number:
+            self._agreement.tell(sender)
+        elif ping.view > self._agreement.learned_number:
+            self._outbox.send(sender, self._own_ping())
+        self._chain.committed_up_to(ping.view, ping.committed)
+
+    def _asks_for_lease(self) -> bool:
+        allowed = self._chain.is_tail and self._chain.complete and not self._leaving
+        return allowed and self._tail_lease.may_ask(self._outbox.now)
+
+    def _grant(self, ping: Ping) -> None:
+        """As voter: grant the read lease that the tail of my view asks for."""
+        if ping.lease_sent is None or self.view is None or tail_of(self.view) != ping.member:
+            return
+        if self._agreement.may_grant(ping.view):
+            self._agreement.voter_lease.grant(ping.lease_sent, self._outbox.now)
+            grant = LeaseGrant(self._settings.folder_id, ping.view, ping.lease_sent)
+            self._outbox.send(ping.member.address, grant)
+
+    def _holds_lease(self) -> bool:
+        return self.view is not None and self._tail_lease.holds(self.view.voters, self._outbox.now)
+
+    def _resign(self, sender: str, number: int) -> None:
+        if self.view is None or self.view.number != number or not self._chain.is_tail:
+            return
+        self._tail_lease.resign(self._outbox.now)
+        self._outbox.send(sender, Resigned(number, self._outbox.now))
+
+    # ---- entries ----
+
+    def _deliver(self, committed: Committed) -> None:
+        self._outbox.emit(Deliver(committed))
+
+    def _advance(self) -> None:
+        self._head.advance()
+
+
+def _members(view: View | None) -> list[Member]:
+    if view is None:
+        return []
+    return [*view.voters, *(link.member for link in view.chain)]
+
+
+def _addresses_of_chain(view: View) -> list[str]:
+    return [link.member.address for link in view.chain]
--- /dev/null
+++ b/reedspoke/control_plane/replica_messages.py
@@ -0,0 +1,211 @@
+"""Messages between replicas, each a typed, tagged structure; `ReplicaMessage` is the union of them."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from reedspoke.control_plane.events import Member, View
+
+
+class Ballot(Struct, array_like=True, frozen=True, order=True):
+    """Number of a proposal: the larger wins, and no two proposers share one."""
+
+    round: int = 0
+    proposer: str = ""
+
+
+class Entry(Struct, array_like=True, frozen=True):
+    """One accepted change of the configuration; `view` is the view in which the head took it."""
+
+    sequence: int
+    view: int
+    generation: int
+    document: bytes
+
+
+class Acknowledged(Struct, array_like=True, frozen=True):
+    """An accepted change by its number and the SHA-256 of its document."""
+
+    generation: int
+    digest: bytes
+
+
+class Ping(Struct, tag="ping", array_like=True, frozen=True):
+    """Sign of life, sent to every known replica; `lease_sent` is set by a tail that asks for a read lease.
+
+    `synced_since` is the view since whose appending the sender holds what its predecessor held.
+    """
+
+    member: Member
+    view: int
+    heard: tuple[str, ...]
+    disk_ok: bool
+    synced_since: int
+    committed: int
+    leaving: bool = False
+    bootstrap: bool = False
+    lease_sent: float | None = None
+
+
+class LeaseGrant(Struct, tag="lease_grant", array_like=True, frozen=True):
+    """A voter accepts no view with another tail for the lease's length; `sent` is the ping's `lease_sent`."""
+
+    folder_id: str
+    view: int
+    sent: float
+
+
+class ViewTold(Struct, tag="view", array_like=True, frozen=True):
+    """A decided view."""
+
+    view: View
+
+
+class Prepare(Struct, tag="prepare", array_like=True, frozen=True):
+    """Paxos phase 1 for the view `number`."""
+
+    number: int
+    ballot: Ballot
+
+
+class Promise(Struct, tag="promise", array_like=True, frozen=True):
+    """Answer to `Prepare`, with what this acceptor has accepted before."""
+
+    acceptor: Member
+    number: int
+    ballot: Ballot
+    accepted_ballot: Ballot
+    accepted: View | None
+
+
+class Accept(Struct, tag="accept", array_like=True, frozen=True):
+    """Paxos phase 2; `resigned_at`: the present tail gave up its read lease at this time of its clock."""
+
+    number: int
+    ballot: Ballot
+    view: View
+    resigned_at: float | None = None
+
+
+class Accepted(Struct, tag="accepted", array_like=True, frozen=True):
+    """Answer to `Accept`."""
+
+    acceptor: Member
+    number: int
+    ballot: Ballot
+
+
+class Rejected(Struct, tag="rejected", array_like=True, frozen=True):
+    """A larger ballot has been promised."""
+
+    number: int
+    ballot: Ballot
+    promised: Ballot
+
+
+class ResignRequest(Struct, tag="resign_request", array_like=True, frozen=True):
+    """Asks the tail of `view` to give up its read lease."""
+
+    view: int
+
+
+class Resigned(Struct, tag="resigned", array_like=True, frozen=True):
+    """The tail of `view` has given up every read lease that it asked for until `at`, a time of its clock."""
+
+    view: int
+    at: float
+
+
+class ChainState(Struct, tag="chain_state", array_like=True, frozen=True):
+    """Successor to predecessor: what I have on disk; also the acknowledgement of an `Append`."""
+
+    view: int
+    folder_id: str
+    joined: int
+    complete: bool
+    sequence: int
+
+
+class Append(Struct, tag="append", array_like=True, frozen=True):
+    """Predecessor to successor: the next entry."""
+
+    view: int
+    entry: Entry
+
+
+class Snapshot(Struct, tag="snapshot", array_like=True, frozen=True):
+    """Predecessor to a successor that was appended in the view `joined`: all, in place of what it has."""
+
+    view: int
+    joined: int
+    entry: Entry | None
+    history: tuple[Acknowledged, ...]
+
+
+class Commit(Struct, tag="commit", array_like=True, frozen=True):
+    """Tail to the others of the chain: everything up to `sequence` is committed."""
+
+    view: int
+    sequence: int
+
+
+class PutRequest(Struct, tag="put_request", array_like=True, frozen=True):
+    """A change, forwarded to the head of `view`."""
+
+    view: int
+    request: str
+    match: int
+    generation: int
+    document: bytes
+
+
+class PutReply(Struct, tag="put_reply", array_like=True, frozen=True):
+    """Final answer of the head of `view` to a `PutRequest`; `error` 0 means acknowledged."""
+
+    view: int
+    request: str
+    error: int
+    message: str = ""
+
+
+class GetRequest(Struct, tag="get_request", array_like=True, frozen=True):
+    """A read, forwarded to the tail of `view`; the asker holds the committed sequence `have`."""
+
+    view: int
+    request: str
+    have: int
+
+
+class GetReply(Struct, tag="get_reply", array_like=True, frozen=True):
+    """The tail's answer: newest committed `sequence` (0: none), with the entry unless the asker holds it.
+
+    `ready` is false where the tail may not answer yet.
+    """
+
+    view: int
+    request: str
+    ready: bool
+    sequence: int = 0
+    entry: Entry | None = None
+
+
+ReplicaMessage = (
+    Ping
+    | LeaseGrant
+    | ViewTold
+    | Prepare
+    | Promise
+    | Accept
+    | Accepted
+    | Rejected
+    | ResignRequest
+    | Resigned
+    | ChainState
+    | Append
+    | Snapshot
+    | Commit
+    | PutRequest
+    | PutReply
+    | GetRequest
+    | GetReply
+)
--- /dev/null
+++ b/reedspoke/control_plane/replica_outbox.py
@@ -0,0 +1,148 @@
+"""Effects that a replica collects while it handles one event, and the stores whose end is awaited."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Sequence
+
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Effect, LogLine, SendTo, Store, Stored
+from reedspoke.control_plane.replica_records import ProbeRecord, encode_record
+from reedspoke.control_plane.replica_settings import (
+    DISK_PROBE_S,
+    DISK_STALL_S,
+    REWRITE_BYTES,
+    REWRITE_RATIO,
+)
+
+StoreEnd = Callable[[ErrorCode | None], None]
+SnapshotRecords = Callable[[], tuple[bytes, ...]]
+
+
+class PendingStore(Struct):
+    """A store that has not ended."""
+
+    started: float
+    size: int
+    replace: bool
+    on_end: StoreEnd
+
+
+class Outbox:
+    """Collects effects, numbers stores, and knows the state of the disk.
+
+    After a failed store the disk counts as bad until a small probe and then a rewriting of the whole log,
+    which also removes whatever the failed store left, have succeeded.
+    """
+
+    def __init__(self, address: str, now: float, restored_size: int) -> None:
+        self.now = now
+        self.disk_failed = False
+        self.snapshot_records: SnapshotRecords = tuple
+        self._address = address
+        self._effects: list[Effect] = []
+        self._to_self: list[Struct] = []
+        self._pending: dict[int, PendingStore] = {}
+        self._next_token = 1
+        self._log_size = restored_size
+        self._live_size = restored_size
+        self._probe_after = 0.0
+
+    @property
+    def disk_ok(self) -> bool:
+        """Whether the disk answers in time."""
+        if self.disk_failed:
+            return False
+        return all(self.now - store.started <= DISK_STALL_S for store in self._pending.values())
+
+    def take(self) -> list[Effect]:
+        """The effects collected so far."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def take_to_self(self) -> list[Struct]:
+        """Messages of this replica to itself, which never leave it."""
+        messages, self._to_self = self._to_self, []
+        return messages
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect."""
+        self._effects.append(effect)
+
+    def send(self, address: str, message: Struct) -> None:
+        """Send to a replica, which may be this one."""
+        if address == self._address:
+            self._to_self.append(message)
+        else:
+            self._effects.append(SendTo(address, message))
+
+    def log(self, level: int, text: str, **fields: object) -> None:
+        """Tell the operator."""
+        self._effects.append(LogLine(level, text, fields))
+
+    def store(self, records: Sequence[Struct], on_end: StoreEnd) -> None:
+        """Append records; `on_end` is called with the result."""
+        self._store(tuple(map(encode_record, records)), on_end, replace=False)
+
+    def rewrite(self, on_end: StoreEnd) -> None:
+        """Replace the log by the snapshot of the present state."""
+        self._store(self.snapshot_records(), on_end, replace=True)
+
+    def stored(self, event: Stored) -> None:
+        """A store has ended."""
+        pending = self._pending.pop(event.token, None)
+        if pending is None:
+            return
+        if event.error is None:
+            self._count(pending)
+        else:
+            self._fail(event.error)
+        pending.on_end(event.error)
+        self._rewrite_when_long()
+
+    def tick(self) -> None:
+        """Try a failed disk again."""
+        if not self.disk_failed or self._pending or self.now < self._probe_after:
+            return
+        self._probe_after = self.now + DISK_PROBE_S
+        self.store([ProbeRecord()], self._probed)
+
+    def _store(self, records: tuple[bytes, ...], on_end: StoreEnd, replace: bool) -> None:
+        token = self._next_token
+        self._next_token += 1
+        size = sum(map(len, records))
+        self._pending[token] = PendingStore(self.now, size, replace, on_end)
+        self._effects.append(Store(token, records, replace))
+
+    def _count(self, pending: PendingStore) -> None:
+        if pending.replace:
+            self._log_size = self._live_size = pending.size
+        else:
+            self._log_size += pending.size
+
+    def _fail(self, error: ErrorCode) -> None:
+        if not self.disk_failed:
+            self.log(logging.ERROR, "disk refuses a write", code=int(error))
+        self.disk_failed = True
+        self._probe_after = self.now + DISK_PROBE_S
+
+    def _probed(self, error: ErrorCode | None) -> None:
+        if error is None:
+            self.rewrite(self._rewritten)
+
+    def _rewritten(self, error: ErrorCode | None) -> None:
+        if error is None:
+            self.disk_failed = False
+            self.log(logging.INFO, "disk works again")
+
+    def _rewrite_when_long(self) -> None:
+        if self.disk_failed or any(store.replace for store in self._pending.values()):
+            return
+        if self._log_size > max(REWRITE_BYTES, REWRITE_RATIO * self._live_size):
+            self.rewrite(_ignore)
+
+
+def _ignore(error: ErrorCode | None) -> None:
+    """The rewriting of a log that has grown long changes nothing, whether it succeeds or not."""
--- /dev/null
+++ b/reedspoke/control_plane/replica_peers.py
@@ -0,0 +1,108 @@
+"""What a replica knows of the others from their pings: who is in reach, both ways, and in what condition."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from reedspoke.control_plane.events import Member
+from reedspoke.control_plane.replica_messages import Ping
+from reedspoke.control_plane.replica_settings import GONE_S, HEARD_S, JOIN_AFTER_S
+
+
+class Peer(Struct):
+    """The newest ping of a replica, and since when it has been heard without a gap."""
+
+    ping: Ping
+    heard_at: float
+    heard_since: float
+
+
+class Peers:
+    """Failure detector: a replica is in reach while each hears the other's pings."""
+
+    def __init__(self, own: Member, now: float) -> None:
+        self._own = own
+        self._peers: dict[str, Peer] = {}
+        self._grace_from = now  # nobody is judged by silence from before this
+
+    def heard_ping(self, ping: Ping, now: float) -> None:
+        """A ping has come. A folder at the address of an older folder replaces it."""
+        folder_id = ping.member.folder_id
+        self._forget_other_folders(ping.member)
+        known = self._peers.get(folder_id)
+        since = known.heard_since if known and now - known.heard_at <= HEARD_S else now
+        self._peers[folder_id] = Peer(ping, now, since)
+
+    def woken(self, now: float) -> None:
+        """This process was stopped: silence until now says nothing of the others."""
+        self._grace_from = now
+
+    def members(self, now: float) -> list[Member]:
+        """All replicas heard lately, with or without a place in the view."""
+        return [peer.ping.member for peer in self._peers.values() if now - peer.heard_at <= GONE_S]
+
+    def latest(self, folder_id: str) -> Ping | None:
+        """The newest ping of this replica."""
+        peer = self._peers.get(folder_id)
+        return peer.ping if peer else None
+
+    def silent(self, folder_id: str, now: float, limit: float) -> bool:
+        """Whether this replica has not been heard for `limit`, as far as that can be judged."""
+        peer = self._peers.get(folder_id)
+        heard_at = max(peer.heard_at if peer else self._grace_from, self._grace_from)
+        return now - heard_at > limit
+
+    def heard(self, members: Iterable[Member], now: float) -> tuple[str, ...]:
+        """The replicas that this one hears; of `members` those are included that can't be judged yet."""
+        judged = {member.folder_id for member in members if self._presumed_alive(member, now)}
+        judged.update(folder for folder in self._peers if not self.silent(folder, now, HEARD_S))
+        judged.discard(self._own.folder_id)
+        return tuple(sorted(judged))
+
+    def mutual(self, folder_id: str, now: float) -> bool:
+        """Whether this replica and I hear each other."""
+        if folder_id == self._own.folder_id:
+            return True
+        peer = self._peers.get(folder_id)
+        if peer is None or now - peer.heard_at > HEARD_S:
+            return False
+        return self._own.folder_id in peer.ping.heard
+
+    def connected(self, one: str, other: str) -> bool:
+        """Whether two replicas hear each other, by their newest pings; `mutual` judges my own links."""
+        return other in self._heard_by(one) and one in self._heard_by(other)
+
+    def steady(self, folder_id: str, now: float) -> bool:
+        """Whether this replica has been in reach for long enough to be appended."""
+        peer = self._peers.get(folder_id)
+        return peer is not None and self.mutual(folder_id, now) and now - peer.heard_since >= JOIN_AFTER_S
+
+    def gone(self, folder_id: str, now: float) -> bool:
+        """Whether no replica that I hear has heard this one, and I have not for GONE_S."""
+        if folder_id == self._own.folder_id or not self.silent(folder_id, now, GONE_S):
+            return False
+        return not any(
+            folder_id in peer.ping.heard for peer in self._peers.values() if now - peer.heard_at <= HEARD_S
+        )
+
+    def _heard_by(self, folder_id: str) -> tuple[str, ...]:
+        peer = self._peers.get(folder_id)
+        return peer.ping.heard if peer else ()
+
+    def _presumed_alive(self, member: Member, now: float) -> bool:
+        address_taken = any(
+            peer.ping.member.address == member.address and folder_id != member.folder_id
+            for folder_id, peer in self._peers.items()
+        )
+        return not address_taken and not self.silent(member.folder_id, now, HEARD_S)
+
+    def _forget_other_folders(self, member: Member) -> None:
+        replaced = [
+            folder_id
+            for folder_id, peer in self._peers.items()
+            if peer.ping.member.address == member.address and folder_id != member.folder_id
+        ]
+        for folder_id in replaced:
+            del self._peers[folder_id]
--- /dev/null
+++ b/reedspoke/control_plane/replica_records.py
@@ -0,0 +1,132 @@
+"""Records in a replica's log; replaying them in order yields its state, the last of a kind wins."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from hashlib import sha256
+
+import ormsgpack
+from msgspec import Struct, ValidationError, convert, field, to_builtins
+
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.control_plane.events import View
+from reedspoke.control_plane.replica_messages import Acknowledged, Ballot, Entry
+from reedspoke.control_plane.replica_settings import HISTORY_LIMIT
+
+NO_BALLOT = Ballot()
+
+
+class BootstrapRecord(Struct, tag="bootstrap", array_like=True, frozen=True):
+    """This folder was made at the first start of the whole system, with these seeds."""
+
+    seeds: tuple[str, ...]
+
+
+class ViewRecord(Struct, tag="view", array_like=True, frozen=True):
+    """A decided view."""
+
+    view: View
+
+
+class AcceptorRecord(Struct, tag="acceptor", array_like=True, frozen=True):
+    """What this voter has promised and accepted for the view `number`."""
+
+    number: int
+    promised: Ballot
+    accepted_ballot: Ballot = NO_BALLOT
+    accepted: View | None = None
+
+
+class EntryRecord(Struct, tag="entry", array_like=True, frozen=True):
+    """An entry of the chain, which also goes into the history."""
+
+    entry: Entry
+
+
+class HistoryRecord(Struct, tag="history", array_like=True, frozen=True):
+    """The whole history of accepted changes, in place of what was before."""
+
+    history: tuple[Acknowledged, ...]
+
+
+class SyncedRecord(Struct, tag="synced", array_like=True, frozen=True):
+    """This replica holds what its predecessor held since it was appended in the view `joined`."""
+
+    joined: int
+
+
+class ProbeRecord(Struct, tag="probe", array_like=True, frozen=True):
+    """Written to learn whether the disk works again."""
+
+
+Record = (
+    BootstrapRecord | ViewRecord | AcceptorRecord | EntryRecord | HistoryRecord | SyncedRecord | ProbeRecord
+)
+
+
+class RestoredState(Struct):
+    """The state that a log yields."""
+
+    seeds: tuple[str, ...] = ()
+    view: View | None = None
+    acceptors: dict[int, AcceptorRecord] = field(default_factory=dict)
+    entry: Entry | None = None
+    history: deque[Acknowledged] = field(default_factory=lambda: deque(maxlen=HISTORY_LIMIT))
+    synced_since: int = 0
+
+
+def encode_record(record: Struct) -> bytes:
+    """Bytes of one record."""
+    return ormsgpack.packb(to_builtins(record, builtin_types=(bytes,)))
+
+
+def decode_record(payload: bytes) -> Record:
+    """A record from its bytes. Raises msgspec.ValidationError for anything else."""
+    record: Record = convert(ormsgpack.unpackb(payload), type=Record)
+    return record
+
+
+def restore(records: Sequence[bytes]) -> RestoredState:
+    """The state after all these records. Raises FleetError STORAGE_CORRUPT for a record of no known kind."""
+    state = RestoredState()
+    try:
+        for payload in records:
+            _apply(state, decode_record(payload))
+    except (ValidationError, ormsgpack.MsgpackDecodeError) as error:
+        raise FleetError(ErrorCode.STORAGE_CORRUPT, f"The log holds an unknown record: {error}.") from error
+    return state
+
+
+def acknowledged(entry: Entry) -> Acknowledged:
+    """An entry as the history keeps it."""
+    return Acknowledged(entry.generation, sha256(entry.document).digest())
+
+
+def _apply(state: RestoredState, record: Record) -> None:
+    match record:
+        case BootstrapRecord(seeds=seeds):
+            state.seeds = seeds
+        case ViewRecord(view=view):
+            if state.view is None or view.number > state.view.number:
+                state.view = view
+        case AcceptorRecord(number=number):
+            state.acceptors[number] = record
+        case EntryRecord(entry=entry):
+            _apply_entry(state, entry)
+        case HistoryRecord(history=history):
+            state.history = deque(history, maxlen=HISTORY_LIMIT)
+            state.entry = None
+        case SyncedRecord(joined=joined):
+            state.synced_since = joined
+        case ProbeRecord():
+            pass
+
+
+def _apply_entry(state: RestoredState, entry: Entry) -> None:
+    replaced = state.entry is not None and state.entry.sequence == entry.sequence
+    if replaced:
+        state.history.pop()
+    state.entry = entry
+    if not state.history or state.history[-1] != acknowledged(entry):
+        state.history.append(acknowledged(entry))
--- /dev/null
+++ b/reedspoke/control_plane/replica_repair.py
@@ -0,0 +1,164 @@
+"""Repair of the chain: who proposes which next view, and when."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from reedspoke.control_plane.events import View
+from reedspoke.control_plane.replica_messages import Ping
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_peers import Peers
+from reedspoke.control_plane.replica_settings import (
+    HEARD_S,
+    PROPOSE_AFTER_S,
+    RANK_DELAY_S,
+    ReplicaSettings,
+)
+from reedspoke.control_plane.view_acceptor import FIRST_VIEW
+from reedspoke.control_plane.view_agreement import ViewAgreement
+from reedspoke.control_plane.view_choice import Condition, Surroundings, choose_view
+from reedspoke.control_plane.view_first import first_view
+from reedspoke.control_plane.view_lease import majority
+
+OwnPing = Callable[[], Ping]
+
+
+class Repair:
+    """Proposes a better view once one has been in sight for a while; members further back wait longer."""
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        outbox: Outbox,
+        peers: Peers,
+        agreement: ViewAgreement,
+        own_ping: OwnPing,
+    ) -> None:
+        self._settings = settings
+        self._own = settings.member
+        self._outbox = outbox
+        self._peers = peers
+        self._agreement = agreement
+        self._own_ping = own_ping
+        self._judge_from = outbox.now + HEARD_S
+        self._in_sight_since: float | None = None
+
+    def woken(self) -> None:
+        """This process was stopped: nobody is judged for a while."""
+        self._judge_from = self._outbox.now + HEARD_S
+        self._in_sight_since = None
+
+    def entered(self) -> None:
+        """A newer view is in force: what is better than it has to be in sight anew."""
+        self._in_sight_since = None
+
+    def majority_reached(self) -> bool:
+        """Whether this replica and a majority of the voters hear each other."""
+        view = self._agreement.view
+        if view is None:
+            return False
+        reached = sum(self.reachable(voter.folder_id) for voter in view.voters)
+        return reached >= majority(len(view.voters))
+
+    def reachable(self, folder_id: str) -> bool:
+        """Whether this replica and that one hear each other."""
+        return self._peers.mutual(folder_id, self._outbox.now)
+
+    def propose_first(self, seeds: tuple[str, ...]) -> None:
+        """At the first start: propose the first view, once all seeds are known."""
+        members = [self._own, *self._peers.members(self._outbox.now)]
+        pings = [self._ping_of(member.folder_id) for member in members]
+        view = first_view(seeds, [ping for ping in pings if ping is not None])
+        if view is not None:
+            rank = sorted(seeds).index(self._own.address)
+            self._propose_in_time(view, rank)
+
+    def propose_next(self, view: View) -> None:
+        """Propose the next view, if there is a better one."""
+        now = self._outbox.now
+        if now < self._judge_from or not self.majority_reached():
+            self._in_sight_since = None
+            return
+        rank = self._rank(view)
+        if rank is None:
+            return
+        desired = choose_view(view, self._surroundings(view))
+        if desired == view:
+            self._in_sight_since = None
+            return
+        self._propose_in_time(desired, rank)
+
+    def _propose_in_time(self, desired: View, rank: int) -> None:
+        now = self._outbox.now
+        if self._in_sight_since is None:
+            self._in_sight_since = now
+        if now - self._in_sight_since < PROPOSE_AFTER_S + rank * RANK_DELAY_S:
+            return
+        if self._agreement.may_propose(self.reachable):
+            self._agreement.propose(desired)
+
+    def _rank(self, view: View) -> int | None:
+        """This replica's place among the usable members of the chain."""
+        conditions = self._conditions()
+        usable = [
+            link.member.folder_id
+            for link in view.chain
+            if link.member.folder_id in conditions and conditions[link.member.folder_id].healthy
+        ]
+        own = self._own.folder_id
+        return usable.index(own) if own in usable else None
+
+    def _surroundings(self, view: View) -> Surroundings:
+        now = self._outbox.now
+        return Surroundings(
+            conditions=self._conditions(),
+            connected=self._connected,
+            gone=lambda folder_id: self._peers.gone(folder_id, now),
+            leaving=self._leaving,
+            chain_minimum=self._settings.chain_minimum,
+            voters_target=self._settings.voters_target,
+        )
+
+    def _conditions(self) -> dict[str, Condition]:
+        now = self._outbox.now
+        own = self._condition(self._own_ping(), steady=True)
+        conditions = {self._own.folder_id: own}
+        for member in self._peers.members(now):
+            ping = self._peers.latest(member.folder_id)
+            if ping is not None and self.reachable(member.folder_id):
+                steady = self._peers.steady(member.folder_id, now) and self._knows_view(ping)
+                conditions[member.folder_id] = self._condition(ping, steady)
+        return conditions
+
+    def _condition(self, ping: Ping, steady: bool) -> Condition:
+        return Condition(
+            member=ping.member,
+            healthy=ping.disk_ok and not ping.leaving,
+            complete=self._complete(ping),
+            steady=steady,
+        )
+
+    def _complete(self, ping: Ping) -> bool:
+        view = self._agreement.view
+        if view is None:
+            return False
+        joined = [link.joined for link in view.chain if link.member == ping.member]
+        return bool(joined) and joined[0] in (FIRST_VIEW, ping.synced_since)
+
+    def _knows_view(self, ping: Ping) -> bool:
+        return self._agreement.view is not None and ping.view == self._agreement.view.number
+
+    def _connected(self, one: str, other: str) -> bool:
+        own = self._own.folder_id
+        if own in (one, other):
+            return self.reachable(other if one == own else one)
+        return self._peers.connected(one, other)
+
+    def _leaving(self, folder_id: str) -> bool:
+        ping = self._ping_of(folder_id)
+        return ping is not None and ping.leaving
+
+    def _ping_of(self, folder_id: str) -> Ping | None:
+        if folder_id == self._own.folder_id:
+            return self._own_ping()
+        return self._peers.latest(folder_id)
--- /dev/null
+++ b/reedspoke/control_plane/replica_settings.py
@@ -0,0 +1,58 @@
+"""Settings of a replica and the times that its rules are built on."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from reedspoke.control_plane.events import Member
+
+TICK_S = 0.05  # the shell sends `Tick` this often
+PING_INTERVAL_S = 0.15
+HEARD_S = 0.6  # a replica not heard for this long is unreachable
+GONE_S = 1.2  # a voter not heard by anyone for this long may be replaced
+WAKE_GAP_S = 0.35  # a longer gap between two ticks means that this process was stopped
+LEASE_S = 0.7  # a voter accepts no other tail for this long after a grant
+LEASE_MARGIN_S = 0.1  # the tail counts its lease as shorter by this
+GRANT_PAUSE_S = 1.2  # no lease is asked for, or granted, for this long after a resignation or a deferred view
+PROPOSE_AFTER_S = 0.08  # how long a better view must be in sight before it is proposed
+RANK_DELAY_S = 0.25  # the further back in the chain, the later a member proposes
+JOIN_AFTER_S = 0.3  # how long a joiner must be connected before it is appended
+PROPOSAL_RESEND_S = 0.1
+PROPOSAL_LIMIT_S = 1.6
+PROPOSER_BUSY_S = 0.9  # another proposer is left alone for this long after its last message
+REJECTED_PAUSE_S = 0.2
+GET_RETRY_S = 0.1
+RESEND_S = 0.4  # a chain message is sent again after this and the time that its size takes
+RESEND_BYTES_PER_S = 4_000_000
+DISK_STALL_S = 0.5  # a store outstanding for longer means that the disk is in trouble
+DISK_PROBE_S = 0.3
+REWRITE_BYTES = 8 * 1024 * 1024  # the log is rewritten when longer than this
+REWRITE_RATIO = 4  # and than this many times the live records
+HISTORY_LIMIT = 4096
+
+
+class ReplicaSettings(Struct, frozen=True):
+    """Who this replica is and what the fleet must bear."""
+
+    folder_id: str
+    address: str
+    zone: str
+    seeds: tuple[str, ...]
+    bootstrap: bool
+    machines_tolerated: int
+    answer_limit_s: float = 0.9  # bound on the wait for a final answer to an operator
+
+    @property
+    def member(self) -> Member:
+        """This replica as others know it."""
+        return Member(folder_id=self.folder_id, address=self.address, zone=self.zone)
+
+    @property
+    def chain_minimum(self) -> int:
+        """A shorter chain acknowledges nothing."""
+        return self.machines_tolerated + 1
+
+    @property
+    def voters_target(self) -> int:
+        """Voters are not reduced below this."""
+        return 2 * self.machines_tolerated + 1
--- /dev/null
+++ b/reedspoke/data_plane/client_connection.py
@@ -0,0 +1,268 @@
+"""One connection of a client: reads requests one after another and writes their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Protocol
+
+from msgspec import Struct
+
+from reedspoke.cluster.configuration import RequestLimits
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.data_plane.answers import WholeAnswer, own_answer
+from reedspoke.net.http import Buffer, Head, MalformedError, Requests
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+DEFAULT_HEADER_BYTES = 16 * 1024
+DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+DEFAULT_HEADER_TIMEOUT_MS = 10_000.0
+DEFAULT_IDLE_TIMEOUT_MS = 60_000.0
+BODY_TIMEOUT_S = 30.0
+MOST_UNREAD_BEHIND = 64 * 1024  # bytes that may come behind a request before its answer has ended
+
+
+class ClientRequest(Struct, frozen=True):
+    """A whole request, as it was read."""
+
+    head: Head
+    body: bytes
+
+
+class Exchange(Protocol):
+    """What handles a request, from the moment it was read."""
+
+    def client_gone(self) -> None: ...
+
+    def writable(self, on: bool) -> None: ...
+
+
+class Frontend(Protocol):
+    """What the connections of clients belong to."""
+
+    def limits(self) -> RequestLimits: ...
+
+    def closing(self) -> bool: ...
+
+    def begin(self, request: ClientRequest, connection: ClientConnection) -> Exchange: ...
+
+    def opened(self, connection: ClientConnection) -> None: ...
+
+    def closed(self, connection: ClientConnection) -> None: ...
+
+
+class ClientConnection(asyncio.BufferedProtocol):
+    """States: waiting for a request, reading one, answering one. What comes behind it waits in the buffer."""
+
+    def __init__(self, frontend: Frontend, loop: asyncio.AbstractEventLoop) -> None:
+        self._frontend = frontend
+        self._loop = loop
+        self._buffer = Buffer()
+        self._requests = Requests(self._buffer, DEFAULT_BODY_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._head: Head | None = None
+        self._exchange: Exchange | None = None
+        self._keep_alive = True
+        self._chunked = False
+        self._answering = False
+        self._head_begun = False  # the time limit for a head runs from its first bytes
+        self._timer: asyncio.TimerHandle | None = None
+
+    # ---- asyncio ----
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._frontend.opened(self)
+        self._wait(self._idle_timeout())
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        if self._head is not None and not self._answering:
+            return self._buffer.room(self._requests.wanted())
+        return self._buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._buffer.filled(nbytes)
+        if self._answering:
+            if len(self._buffer) > MOST_UNREAD_BEHIND:
+                self.abort()
+            return
+        self._read()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_timer()
+        exchange = self._exchange
+        self._exchange = None
+        self._transport = None
+        if exchange is not None:
+            exchange.client_gone()
+        self._frontend.closed(self)
+
+    def pause_writing(self) -> None:
+        if self._exchange is not None:
+            self._exchange.writable(False)
+
+    def resume_writing(self) -> None:
+        if self._exchange is not None:
+            self._exchange.writable(True)
+
+    # ---- requests ----
+
+    def is_idle(self) -> bool:
+        """Whether nothing of a request has been read."""
+        return self._head is None and not self._answering and not len(self._buffer)
+
+    def _read(self) -> None:
+        try:
+            self._read_request()
+        except MalformedError as error:
+            self._refuse_malformed(error)
+
+    def _read_request(self) -> None:
+        if self._head is None:
+            self._read_head()
+        if self._head is None:
+            return
+        body = self._requests.body()
+        if body is None:
+            return
+        request = ClientRequest(self._head, bytes(body))
+        self._stop_timer()
+        self._head = None
+        self._answering = True
+        self._keep_alive = request.head.keeps_alive()
+        exchange = self._frontend.begin(request, self)
+        if self._answering:
+            self._exchange = exchange
+
+    def _read_head(self) -> None:
+        limit = self._frontend.limits().get("max_header_bytes", DEFAULT_HEADER_BYTES)
+        first_bytes = len(self._buffer)
+        head = self._requests.head()
+        if head is None:
+            if first_bytes > limit:
+                raise MalformedError(431, "the head is too large")
+            if first_bytes and not self._head_begun:
+                self._head_begun = True
+                self._wait(self._header_timeout())
+            return
+        self._head_begun = False
+        if first_bytes - len(self._buffer) > limit:
+            raise MalformedError(431, "the head is too large")
+        if head.get(b"host") is None:
+            raise MalformedError(400, "there is no host field")
+        length = head.length()
+        self._requests.most_body = self._frontend.limits().get("max_body_bytes", DEFAULT_BODY_BYTES)
+        self._requests.expect(0 if length is None else length)
+        self._head = head
+        self._wait(BODY_TIMEOUT_S)
+        if head.tokens(b"expect") == [b"100-continue"] and self._transport is not None:
+            self._transport.write(CONTINUE)
+
+    def _refuse_malformed(self, error: MalformedError) -> None:
+        self._answering = True
+        self._keep_alive = False
+        too_large = error.status in (413, 431)
+        code = ErrorCode.REQUEST_TOO_LARGE if too_large else ErrorCode.MALFORMED_REQUEST
+        self.answer_whole(own_answer(error.status, code, str(error)))
+
+    # ---- answers ----
+
+    def answer_whole(self, answer: WholeAnswer) -> None:
+        """Write an answer with its whole body."""
+        fields = answer.fields + b"Content-Length: %d\r\n" % len(answer.body)
+        self._write(answer.status_line + fields + self._connection_field() + b"\r\n" + answer.body)
+        self._end_answer()
+
+    def begin_stream(self, status_line: bytes, fields: bytes, first: bytes) -> None:
+        """Write the head of an answer whose body comes in pieces, with its first piece."""
+        self._chunked = True
+        head = status_line + fields + b"Transfer-Encoding: chunked\r\n" + self._connection_field() + b"\r\n"
+        self._write(head + chunk(first) if first else head)
+
+    def write_piece(self, piece: bytes) -> None:
+        """Write a piece of the body."""
+        if piece:
+            self._write(chunk(piece))
+
+    def end_stream(self) -> None:
+        """The body is whole."""
+        self._write(LAST_CHUNK)
+        self._end_answer()
+
+    def abort(self) -> None:
+        """Break the connection off: an answer that has begun is seen to be not whole."""
+        self._exchange = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """For the end of the process: close where no request has been read."""
+        if self.is_idle() and self._transport is not None:
+            self._transport.close()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _connection_field(self) -> bytes:
+        if self._keep_alive and not self._frontend.closing():
+            return b""
+        self._keep_alive = False
+        return b"Connection: close\r\n"
+
+    def _end_answer(self) -> None:
+        self._exchange = None
+        self._answering = False
+        self._chunked = False
+        if self._transport is None:
+            return
+        if not self._keep_alive or self._frontend.closing():
+            self._transport.close()
+            return
+        self._buffer.recycle()
+        self._wait(self._idle_timeout())
+        if len(self._buffer):
+            self._loop.call_soon(self._read_next)
+
+    def _read_next(self) -> None:
+        if self._transport is not None and not self._answering and self._head is None:
+            self._read()
+
+    # ---- time limits ----
+
+    def _idle_timeout(self) -> float:
+        return self._frontend.limits().get("idle_timeout_ms", DEFAULT_IDLE_TIMEOUT_MS) / 1000
+
+    def _header_timeout(self) -> float:
+        return self._frontend.limits().get("header_timeout_ms", DEFAULT_HEADER_TIMEOUT_MS) / 1000
+
+    def _wait(self, seconds: float) -> None:
+        self._stop_timer()
+        self._timer = self._loop.call_later(seconds, self._timed_out)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _timed_out(self) -> None:
+        self._timer = None
+        if self._answering or self._transport is None:
+            return
+        if self.is_idle():
+            self._transport.close()
+            return
+        self._answering = True
+        self._keep_alive = False
+        self.answer_whole(own_answer(408, ErrorCode.MALFORMED_REQUEST, "the request came too slowly"))
+
+
+def chunk(piece: bytes) -> bytes:
+    """A piece of a body in the chunked transfer coding."""
+    return b"%x\r\n%b\r\n" % (len(piece), piece)
--- /dev/null
+++ b/reedspoke/data_plane/forwarder.py
@@ -0,0 +1,202 @@
+"""Asks the dispatcher, has exchanges carry out what it decides, and tells it what they saw."""
+
+from __future__ import annotations
+
+import asyncio
+
+from reedspoke.cluster.configuration import Configuration
+from reedspoke.cluster.configuration import Upstream as ConfiguredUpstream
+from reedspoke.cluster.messages import WorkerEntry as ListedWorker
+from reedspoke.cluster.messages import WorkerList
+from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest
+from reedspoke.data_plane.exchange import Exchange
+from reedspoke.data_plane.job_builder import build_job
+from reedspoke.data_plane.route_table import CompiledRoute
+from reedspoke.data_plane.upstream_pool import UpstreamPool
+from reedspoke.decision.attempt_fate import Evidence, cause_of, outcome_of
+from reedspoke.decision.dispatcher import Dispatcher
+from reedspoke.decision.messages import (
+    AttemptEnd,
+    Decision,
+    Engine,
+    Expire,
+    Fail,
+    Load,
+    Outcome,
+    Refuse,
+    Send,
+    Upstream,
+    WorkerEntry,
+)
+from reedspoke.decision.silence import attempts_to_give_up
+
+WATCH_INTERVAL_S = 0.1  # between two looks for silent workers and deadlines
+DEFAULT_CAPACITY = 1
+
+
+class Forwarder:
+    """All exchanges of this process."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, pool: UpstreamPool, dispatcher: Dispatcher) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._dispatcher = dispatcher
+        self._exchanges: dict[int, Exchange] = {}
+        self._workers: dict[str, WorkerEntry] = {}
+        self._heard_from: dict[str, float] = {}
+        self._next_job_id = 0
+        self._wake: asyncio.TimerHandle | None = None
+        self._watch: asyncio.TimerHandle | None = None
+
+    # ---- what the control plane tells ----
+
+    def configure(self, configuration: Configuration) -> None:
+        """The configuration in force has changed."""
+        upstreams = [_upstream(item) for item in configuration.upstreams.values()]
+        self._apply(self._dispatcher.configure(upstreams, self._loop.time()))
+
+    def set_workers(self, workers: WorkerList) -> None:
+        """The list of workers has changed."""
+        now = self._loop.time()
+        entries = [_entry(worker, now) for worker in workers.workers]
+        self._workers = {entry.instance_id: entry for entry in entries}
+        self._pool.retain(frozenset(self._workers))
+        known = self._heard_from
+        self._heard_from = {name: known[name] for name in self._workers if name in known}
+        self._apply(self._dispatcher.workers_changed(entries, now))
+
+    def set_others_load(self, running: dict[str, tuple[int, int]]) -> None:
+        """What all other schedulers hold at workers."""
+        loads = {name: Load(requests, tokens) for name, (requests, tokens) in running.items()}
+        self._apply(self._dispatcher.others_load(loads, self._loop.time()))
+
+    def set_fleet_size(self, schedulers: int) -> None:
+        """How many schedulers there are, this one included."""
+        self._dispatcher.fleet_size(schedulers, self._loop.time())
+
+    def own_load(self) -> dict[str, tuple[int, int]]:
+        """What this scheduler holds at workers, for the others."""
+        loads = self._dispatcher.own_load()
+        return {name: (load.requests, load.tokens) for name, load in loads.items()}
+
+    # ---- requests ----
+
+    def open_exchanges(self) -> int:
+        """Requests without a whole answer."""
+        return len(self._exchanges)
+
+    def begin(
+        self, request: ClientRequest, client: ClientConnection, route: CompiledRoute, upstream: str
+    ) -> Exchange:
+        """Take a request that has a route."""
+        self._next_job_id += 1
+        job = build_job(self._next_job_id, request.head, route, upstream, self._loop.time())
+        exchange = Exchange(self, self._loop, self._pool, request, client, route, job)
+        self._exchanges[job.job_id] = exchange
+        self._watch_later()
+        self._apply(self._dispatcher.job_arrived(job, self._loop.time()))
+        return exchange
+
+    def break_off_all(self) -> None:
+        """End what is left, for the end of the process: streams are seen to be incomplete."""
+        for exchange in list(self._exchanges.values()):
+            exchange.shut_down()
+
+    # ---- what exchanges tell ----
+
+    def progress(self, exchange: Exchange) -> None:
+        """Something of an answer has come from the worker."""
+        worker = exchange.worker()
+        if worker is not None:
+            self._heard_from[worker.instance_id] = self._loop.time()
+
+    def first_event(self, exchange: Exchange) -> None:
+        """The first event of an attempt has come."""
+        self._apply(self._dispatcher.attempt_started(exchange.job.job_id, self._loop.time()))
+
+    def attempt_ended(self, exchange: Exchange, evidence: Evidence, output_tokens: int) -> None:
+        """An attempt has ended, other than by the client's leaving."""
+        end = AttemptEnd(outcome_of(evidence), cause_of(evidence), output_tokens)
+        self._apply(self._dispatcher.attempt_ended(exchange.job.job_id, end, self._loop.time()))
+
+    def client_left(self, exchange: Exchange) -> None:
+        """The client has gone before its answer was whole; an attempt that was out has been called off."""
+        job_id = exchange.job.job_id
+        if self._exchanges.pop(job_id, None) is None:
+            return
+        now = self._loop.time()
+        self._apply(self._dispatcher.job_gone(job_id, now))
+        self._apply(self._dispatcher.attempt_ended(job_id, AttemptEnd(Outcome.CANCELLED), now))
+
+    def finished(self, exchange: Exchange) -> None:
+        """The answer has ended."""
+        self._exchanges.pop(exchange.job.job_id, None)
+
+    # ---- decisions ----
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            exchange = self._exchanges.get(decision.job_id)
+            if exchange is not None:
+                self._carry_out(exchange, decision)
+        self._wake_later()
+
+    def _carry_out(self, exchange: Exchange, decision: Decision) -> None:
+        match decision:
+            case Send(instance_id=instance_id):
+                exchange.send(self._workers[instance_id])
+            case Refuse():
+                exchange.refuse(decision)
+            case Fail():
+                exchange.fail(decision)
+            case Expire():
+                exchange.expire(decision)
+
+    def _wake_later(self) -> None:
+        if self._wake is not None:
+            self._wake.cancel()
+            self._wake = None
+        at = self._dispatcher.wake_at(self._loop.time())
+        if at is not None:
+            self._wake = self._loop.call_at(at, self._timer)
+
+    def _timer(self) -> None:
+        self._wake = None
+        self._apply(self._dispatcher.timer(self._loop.time()))
+
+    # ---- silence ----
+
+    def _watch_later(self) -> None:
+        if self._watch is None and self._exchanges:
+            self._watch = self._loop.call_later(WATCH_INTERVAL_S, self._look_after)
+
+    def _look_after(self) -> None:
+        self._watch = None
+        now = self._loop.time()
+        attempts = [attempt for item in self._exchanges.values() if (attempt := item.open_attempt())]
+        for job_id in attempts_to_give_up(attempts, self._heard_from, now):
+            exchange = self._exchanges.get(job_id)
+            if exchange is not None:
+                exchange.give_up_attempt()
+        self._watch_later()
+
+
+def _upstream(configured: ConfiguredUpstream) -> Upstream:
+    engine = configured.get("engine")
+    if engine is None:
+        return Upstream(configured["name"])
+    facts = Engine(engine.get("capacity", DEFAULT_CAPACITY), engine.get("kv_tokens", 0))
+    return Upstream(configured["name"], facts)
+
+
+def _entry(worker: ListedWorker, now: float) -> WorkerEntry:
+    return WorkerEntry(
+        instance_id=worker.instance_id,
+        upstream=worker.upstream,
+        address=worker.address,
+        zone=worker.zone,
+        capacity=worker.capacity,
+        draining=worker.draining,
+        models=worker.models,
+        cold_until=now + worker.cold_left_ms / 1000,
+    )
--- /dev/null
+++ b/reedspoke/data_plane/headers.py
@@ -0,0 +1,65 @@
+"""Names of header fields, and the heads of messages that are passed on."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from reedspoke.net.http import Head
+
+ATTEMPT_ID = b"reedspoke-attempt-id"
+DEADLINE_MS = b"reedspoke-deadline-ms"
+PROMPT_PREFIX = b"reedspoke-prompt-prefix"
+TOKEN_COUNT = b"reedspoke-token-count"
+MODEL_NAME = b"reedspoke-model-name"
+TARGET_INSTANCE = b"reedspoke-target-instance"
+INSTANCE_ID = b"reedspoke-instance-id"
+NOT_EXECUTED = b"reedspoke-not-executed"
+LAST_EVENT_ID = b"last-event-id"
+PRIORITY = b"priority"
+
+# Fields that concern one connection only (RFC 9110, 7.6.1), and those that are written anew.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
+        b"te", b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect",
+    )
+)  # fmt: skip
+REPLACED = frozenset((DEADLINE_MS, TARGET_INSTANCE, LAST_EVENT_ID, PRIORITY))
+
+
+def forwarded_request_fields(head: Head) -> bytes:
+    """The fields of a client's request that go to the worker unchanged, each with its line end."""
+    dropped = HOP_BY_HOP | REPLACED | frozenset(head.tokens(b"connection"))
+    lines = [b"%b: %b\r\n" % (name, bytes(value)) for name, value in head.fields if name not in dropped]
+    return b"".join(lines)
+
+
+def forwarded_answer_fields(head: Head) -> bytes:
+    """The fields of a worker's answer that go to the client unchanged, each with its line end."""
+    dropped = HOP_BY_HOP | frozenset(head.tokens(b"connection"))
+    lines = [b"%b: %b\r\n" % (name, bytes(value)) for name, value in head.fields if name not in dropped]
+    return b"".join(lines)
+
+
+def status_line(status: int) -> bytes:
+    """The first line of an answer."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"HTTP/1.1 {status} {phrase}\r\n".encode()
+
+
+def text_of(head: Head, name: bytes) -> str:
+    """The value of a field as text, empty where it is missing."""
+    value = head.get(name)
+    return "" if value is None else value.decode("latin-1")
+
+
+def number_of(head: Head, name: bytes) -> float | None:
+    """The value of a field as a number; None where it is missing or no number."""
+    text = text_of(head, name)
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/reedspoke/data_plane/job_builder.py
@@ -0,0 +1,76 @@
+"""Reads out of a client's request what decisions need to know of it."""
+
+from __future__ import annotations
+
+from reedspoke.data_plane.headers import (
+    DEADLINE_MS,
+    MODEL_NAME,
+    PROMPT_PREFIX,
+    TOKEN_COUNT,
+    number_of,
+    text_of,
+)
+from reedspoke.data_plane.route_table import CompiledRoute
+from reedspoke.decision.messages import Job, Part, Repeat
+from reedspoke.net.http import Head
+
+MOST_PARTS = 64
+
+
+def parse_parts(text: str) -> tuple[Part, ...]:
+    """The parts of a prompt, written as `ID:TOKENS` with commas between; what is malformed ends the list."""
+    parts = []
+    for item in text.split(",")[:MOST_PARTS]:
+        part_id, _, tokens = item.strip().partition(":")
+        if not part_id or not tokens.isdigit():
+            break
+        parts.append(Part(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def parse_token_count(text: str) -> tuple[int, int]:
+    """Tokens in, and at most out; 0 where they are not told."""
+    first, _, second = text.partition(",")
+    return _whole(first), _whole(second)
+
+
+def _whole(text: str) -> int:
+    stripped = text.strip()
+    return int(stripped) if stripped.isdigit() else 0
+
+
+def repeat_of(route: CompiledRoute) -> Repeat:
+    """What may be done with a request of the route that may have run."""
+    if route.resumable:
+        return Repeat.RESUMABLE
+    return Repeat.IDEMPOTENT if route.repeatable else Repeat.NEVER
+
+
+def time_limit(head: Head, route: CompiledRoute) -> float:
+    """Seconds that the request may take: what the client waits, and what the operator wants it held."""
+    told = number_of(head, DEADLINE_MS)
+    if told is None:
+        return route.timeout
+    return min(route.timeout, max(0.0, told / 1000))
+
+
+def build_job(job_id: int, head: Head, route: CompiledRoute, upstream: str, now: float) -> Job:
+    """The request as decisions see it."""
+    parts = parse_parts(text_of(head, PROMPT_PREFIX))
+    tokens_in, tokens_out = parse_token_count(text_of(head, TOKEN_COUNT))
+    return Job(
+        job_id=job_id,
+        route=route.name,
+        upstream=upstream,
+        priority=route.priority,
+        repeat=repeat_of(route),
+        streaming=route.streaming,
+        model=text_of(head, MODEL_NAME),
+        parts=parts,
+        prompt_tokens=tokens_in or sum(part.tokens for part in parts),
+        output_tokens=tokens_out,
+        aim_s=route.target,
+        deadline=now + time_limit(head, route),
+        max_attempts=route.max_attempts,
+        arrived=now,
+    )
--- /dev/null
+++ b/reedspoke/data_plane/process.py
@@ -0,0 +1,199 @@
+"""The data plane scheduler: listens for clients, follows the control plane, and ends in good order."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable
+from random import Random
+
+from reedspoke.cluster.configuration import Configuration, RequestLimits
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.cluster.json_log import INFO, WARNING, log
+from reedspoke.cluster.messages import MemberList, Version, WorkerList
+from reedspoke.cluster.node_settings import NodeSettings, load_settings, split_address
+from reedspoke.data_plane.answers import own_answer
+from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, Exchange
+from reedspoke.data_plane.control_session import ControlSessions, Listener, OwnState, Subscription
+from reedspoke.data_plane.forwarder import Forwarder
+from reedspoke.data_plane.headers import ATTEMPT_ID, text_of
+from reedspoke.data_plane.readiness import ReadinessConnection
+from reedspoke.data_plane.route_table import RouteTable
+from reedspoke.data_plane.upstream_pool import UpstreamPool
+from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
+
+BACKLOG = 1024
+LINGER_S = 2.3  # after SIGTERM new connections come until the platform has asked for readiness twice
+END_MARGIN_S = 0.5  # before the platform ends the process by force
+LOOK_S = 0.05
+SETTINGS_INTERVAL_S = 2.0
+NOT_READY_RETRY_S = 0.3
+EMPTY_LIMITS = RequestLimits()
+
+
+class NoExchange:
+    """Stands for a request that was answered at once."""
+
+    def client_gone(self) -> None:
+        """Nothing is left to do."""
+
+    def writable(self, on: bool) -> None:
+        """Nothing is being written."""
+
+
+class DataPlane:
+    """One data plane scheduler."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._routes = RouteTable()
+        self._connections: set[ClientConnection] = set()
+        self._closing = False
+        self._ended = asyncio.Event()
+        self._incarnation = os.urandom(6).hex()
+        self._random = Random()
+        self._dispatcher = self._make_dispatcher()
+        self._pool = UpstreamPool(self._loop)
+        self._forwarder = Forwarder(self._loop, self._pool, self._dispatcher)
+        listener = Listener(
+            on_configuration=self._on_configuration,
+            on_workers=self._on_workers,
+            on_members=self._on_members,
+            on_running=self._forwarder.set_others_load,
+        )
+        self._subscription = Subscription(listener)
+        self._sessions = ControlSessions(self._subscription, self._own_state, self._seeds, self._random)
+
+    def _make_dispatcher(self) -> Dispatcher:
+        bounds = self._settings.bounds
+        rule = BudgetRule(window_s=bounds.retry_window_s, ratio=bounds.retry_ratio, slack=bounds.retry_slack)
+        return Dispatcher(zone=self._settings.zone, budget=rule, started=self._loop.time())
+
+    # ---- life ----
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what was taken."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._ended.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._ended.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        frontend = await self._listen(
+            self._settings.bind.frontend, lambda: ClientConnection(self, self._loop)
+        )
+        readiness = await self._listen(
+            self._settings.bind.readiness, lambda: ReadinessConnection(self.is_ready)
+        )
+        following = self._loop.create_task(self._sessions.run())
+        reloading = self._loop.create_task(self._poll_settings())
+        log(INFO, "data plane up", node=self._settings.node_name)
+        await self._ended.wait()
+        await self._finish(frontend)
+        following.cancel()
+        reloading.cancel()
+        readiness.close()
+
+    async def _listen(self, address: str, factory: Callable[[], asyncio.BaseProtocol]) -> asyncio.Server:
+        host, port = split_address(address)
+        return await self._loop.create_server(factory, host, port, backlog=BACKLOG)
+
+    async def _finish(self, frontend: asyncio.Server) -> None:
+        """Take nothing new that can go elsewhere, finish what was read, break off what is late."""
+        self._closing = True
+        log(INFO, "leaving", open_requests=self._forwarder.open_exchanges())
+        began = self._loop.time()
+        last = began + self._settings.bounds.grace_s - END_MARGIN_S
+        self._close_idle()
+        while self._loop.time() < last:
+            lingered = self._loop.time() - began >= LINGER_S
+            if lingered:
+                frontend.close()
+                self._close_idle()
+            if lingered and not self._connections:
+                break
+            await asyncio.sleep(LOOK_S)
+        self._forwarder.break_off_all()
+        log(INFO, "data plane ends", after_s=round(self._loop.time() - began, 2))
+
+    def _close_idle(self) -> None:
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    # ---- settings ----
+
+    async def _poll_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_INTERVAL_S)
+            if not self._sessions.sessions():
+                self._reload_settings()
+
+    def _reload_settings(self) -> None:
+        try:
+            self._settings = load_settings()
+        except FleetError as error:
+            log(WARNING, "settings kept", code=int(error.code), message=error.message)
+
+    def _seeds(self) -> tuple[str, ...]:
+        return self._settings.seed_addresses()
+
+    def _own_state(self) -> OwnState:
+        return OwnState(
+            self._settings.node_name,
+            self._incarnation,
+            self._settings.zone,
+            self._closing,
+            self._forwarder.own_load(),
+        )
+
+    # ---- what the control plane tells ----
+
+    def _on_configuration(self, configuration: Configuration, version: Version) -> None:
+        self._routes = RouteTable(configuration, version)
+        self._forwarder.configure(configuration)
+        log(INFO, "configuration in force", generation=configuration.generation)
+
+    def _on_workers(self, workers: WorkerList) -> None:
+        self._forwarder.set_workers(workers)
+
+    def _on_members(self, members: MemberList) -> None:
+        self._forwarder.set_fleet_size(len(members.edges))
+
+    # ---- readiness ----
+
+    def is_ready(self) -> bool:
+        """Whether requests can be served: a configuration and workers are known, and no end is near."""
+        state = self._subscription.state
+        return not self._closing and state.configuration is not None and state.workers is not None
+
+    # ---- what client connections ask ----
+
+    def limits(self) -> RequestLimits:
+        configuration = self._routes.configuration
+        return EMPTY_LIMITS if configuration is None else configuration.limits
+
+    def closing(self) -> bool:
+        return self._closing
+
+    def opened(self, connection: ClientConnection) -> None:
+        self._connections.add(connection)
+
+    def closed(self, connection: ClientConnection) -> None:
+        self._connections.discard(connection)
+
+    def begin(self, request: ClientRequest, connection: ClientConnection) -> Exchange:
+        if self._routes.configuration is None:
+            message = "no configuration has come yet"
+            connection.answer_whole(own_answer(503, ErrorCode.NOT_READY, message, NOT_READY_RETRY_S))
+            return NoExchange()
+        host = text_of(request.head, b"host")
+        route = self._routes.find(host, bytes(request.head.target).decode("latin-1"))
+        if route is None:
+            connection.answer_whole(own_answer(404, ErrorCode.NO_ROUTE, "no route for this host and path"))
+            return NoExchange()
+        upstream = route.upstream_for(request.head.get(ATTEMPT_ID) or b"")
+        return self._forwarder.begin(request, connection, route, upstream)
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Run a data plane scheduler until it is told to end."""
+    await DataPlane(settings).run()
--- /dev/null
+++ b/reedspoke/data_plane/route_table.py
@@ -0,0 +1,116 @@
+"""Which route a request takes: by host, then by the longest path prefix; and which service of a split."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from msgspec import Struct
+
+from reedspoke.cluster.configuration import Configuration, Route, targets
+from reedspoke.cluster.messages import NO_VERSION, Version
+
+DEFAULT_TIMEOUT_MS = 30_000.0
+DEFAULT_TARGET_MS = 1_000.0
+DEFAULT_ATTEMPTS = 2
+DEFAULT_PRIORITY = 1
+WEIGHT_STEPS = 1 << 32
+
+
+class Target(Struct, frozen=True):
+    """One service of a route and the share of requests, up to 1, at which it is passed over for the next."""
+
+    upstream: str
+    until: float
+
+
+class CompiledRoute(Struct, frozen=True):
+    """A route as requests need it; times in seconds."""
+
+    name: str
+    prefix: str
+    streaming: bool
+    repeatable: bool  # may run more than once: idempotent, or a stream that may be resumed
+    resumable: bool
+    timeout: float
+    target: float
+    priority: int
+    max_attempts: int
+    session_affinity: bool
+    targets: tuple[Target, ...]
+
+    def upstream_for(self, key: bytes) -> str:
+        """The service for a request with this key: the same key takes the same part of the split."""
+        if len(self.targets) == 1:
+            return self.targets[0].upstream
+        point = crc32(key) / WEIGHT_STEPS
+        for target in self.targets:
+            if point < target.until:
+                return target.upstream
+        return self.targets[-1].upstream
+
+
+class RouteTable:
+    """All routes of one version of the configuration."""
+
+    def __init__(self, configuration: Configuration | None = None, version: Version = NO_VERSION) -> None:
+        self.version = version
+        self.configuration = configuration
+        self._hosts: dict[str, dict[str, CompiledRoute]] = {}
+        if configuration is not None:
+            for route in configuration.routes.values():
+                compiled = compile_route(route)
+                self._hosts.setdefault(route["hostname"].lower(), {})[compiled.prefix] = compiled
+
+    def find(self, host: str, path: str) -> CompiledRoute | None:
+        """The route with the longest prefix of `path` at `host`."""
+        prefixes = self._hosts.get(_without_port(host).lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/", 0, _path_end(path))
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def _path_end(path: str) -> int:
+    query = path.find("?")
+    return len(path) if query < 0 else query
+
+
+def _without_port(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    return name if colon and port.isdigit() else host
+
+
+def compile_route(route: Route) -> CompiledRoute:
+    """A route of the configuration in the form that requests need."""
+    streaming = route["route_type"] == "streaming"
+    resumable = streaming and route.get("stream_resume", False)
+    return CompiledRoute(
+        name=route["name"],
+        prefix=route["path_prefix"],
+        streaming=streaming,
+        repeatable=resumable or route["route_type"] == "idempotent",
+        resumable=resumable,
+        timeout=route.get("timeout_ms", DEFAULT_TIMEOUT_MS) / 1000,
+        target=route.get("target_ms", DEFAULT_TARGET_MS) / 1000,
+        priority=route.get("priority", DEFAULT_PRIORITY),
+        max_attempts=max(1, route.get("max_attempts", DEFAULT_ATTEMPTS)),
+        session_affinity=route.get("session_affinity", False),
+        targets=_compile_targets(route),
+    )
+
+
+def _compile_targets(route: Route) -> tuple[Target, ...]:
+    splits = targets(route)
+    total = sum(split["weight"] for split in splits)
+    compiled = []
+    reached = 0.0
+    for split in splits:
+        reached += split["weight"] / total
+        if split["weight"] > 0:
+            compiled.append(Target(split["upstream"], reached))
+    return tuple(compiled)
--- /dev/null
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -0,0 +1,88 @@
+"""Connections to workers: kept alive, and no more to one worker than this scheduler's share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.data_plane.upstream_connection import UpstreamConnection
+
+CONNECT_TIMEOUT_S = 0.8
+MOST_IDLE = 16  # kept for one worker
+
+
+class ConnectFailure(Struct, frozen=True):
+    """No connection came up; nothing of a request was sent."""
+
+    refused: bool  # a refusal shows a closed port, else it was silence
+
+
+ConnectResult = UpstreamConnection | ConnectFailure
+
+
+class UpstreamPool:
+    """Idle connections by instance id, so a new worker at an old address is never mixed up with the old."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def take_idle(self, instance_id: str) -> UpstreamConnection | None:
+        """An idle connection that has shown no sign of its end."""
+        idle = self._idle.get(instance_id, [])
+        while idle:
+            connection = idle.pop()
+            if self._loop.time() < connection.usable_until and connection.is_quiet():
+                return connection
+            connection.close()
+        return None
+
+    def connect(self, address: str, done: Callable[[ConnectResult], None]) -> None:
+        """Open a connection and tell `done` of it."""
+        task = self._loop.create_task(self._connect(address, done))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, address: str, done: Callable[[ConnectResult], None]) -> None:
+        done(await self._open(address))
+
+    async def _open(self, address: str) -> ConnectResult:
+        host, port = split_address(address)
+        opening = self._loop.create_connection(lambda: UpstreamConnection(self._loop), host, port)
+        try:
+            _, connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
+        except TimeoutError:
+            return ConnectFailure(refused=False)
+        except OSError:
+            return ConnectFailure(refused=True)
+        return connection
+
+    def give_back(self, instance_id: str, connection: UpstreamConnection) -> None:
+        """Keep a connection whose answer was read whole."""
+        if not connection.open:
+            return
+        idle = self._idle.setdefault(instance_id, [])
+        if len(idle) >= MOST_IDLE:
+            connection.close()
+            return
+        idle.append(connection)
+
+    def forget(self, instance_id: str) -> None:
+        """Close what is idle to a worker that has gone."""
+        for connection in self._idle.pop(instance_id, []):
+            connection.close()
+
+    def retain(self, instance_ids: frozenset[str]) -> None:
+        """Forget all workers but these, and connections whose time is over."""
+        for instance_id in list(self._idle):
+            if instance_id not in instance_ids:
+                self.forget(instance_id)
+        now = self._loop.time()
+        for idle in self._idle.values():
+            for connection in [item for item in idle if now >= item.usable_until or not item.open]:
+                idle.remove(connection)
+                connection.close()
--- /dev/null
+++ b/reedspoke/decision/job_class.py
@@ -0,0 +1,72 @@
+"""What a client of the fair queue is here, and its share.
+
+No request names a client and the configuration holds no shares. A client is a class of jobs: a route's
+requests of one size band. Weighed: a client for each (route, subject) has so few requests at one scheduler
+that nearly all are fresh, their start tag the clock, and the smallest job goes first for ever; a client for
+each route lets small jobs pass for large ones in L_max. Classes last, so their tags bind, and what must not
+starve (kinds of requests, their largest tenth, the fifth below it) has an account of its own. Subjects take
+turns inside a class.
+
+A class's share is the work that it offers, a little more for urgent routes. So in a shortage all classes
+have about the same part of their requests served, the more urgent ones a little more.
+"""
+
+from __future__ import annotations
+
+import math
+
+from msgspec import Struct, field
+
+from reedspoke.decision.messages import Job
+from reedspoke.decision.size_bands import Band
+from reedspoke.decision.subject_queue import SubjectQueue
+
+OFFERED_MEMORY_S = 10.0  # over which offered work is averaged
+URGENCY = 1.25  # share of a route against one that is a rank less urgent
+URGENCY_RANKS = 3  # ranks beyond which urgency counts no more: the least urgent must not starve
+
+
+class JobState(Struct, eq=False):
+    """A job from its arrival until its final answer."""
+
+    job: Job
+    job_class: JobClass
+    cost: float  # expected, in engine seconds
+    hold_until: float  # it is refused if it still waits then
+    waiting: bool = True
+    closed: bool = False  # its client has left
+    ran: bool = False  # an attempt may have run
+    tried: list[str] = field(default_factory=list)  # workers, in order
+    passed: bool = False  # its client has a part of the answer
+
+
+class JobClass(Struct, eq=False):
+    """A client of the fair queue: the jobs of a route and size band."""
+
+    route: str
+    band: Band
+    phi: float = 1.0
+    start: float = 0.0
+    out: int = 0
+    largest: dict[str, float] = field(default_factory=dict)
+    queue: SubjectQueue[JobState] = field(default_factory=SubjectQueue)
+    offered: float = 0.0  # work of recent arrivals, decayed
+    offered_at: float = 0.0
+
+    def offer(self, cost: float, priority: int, now: float) -> None:
+        """A job of that cost arrives: the share follows."""
+        decay = math.exp(min(0.0, self.offered_at - now) / OFFERED_MEMORY_S)
+        self.offered = self.offered * decay + cost
+        self.offered_at = now
+        urgency = URGENCY ** -min(max(priority, 0), URGENCY_RANKS)
+        self.phi = self.offered / OFFERED_MEMORY_S * urgency
+
+
+def key_of(job: Job) -> str:
+    """The job key of L_max: models differ in speed."""
+    return job.model
+
+
+def head_key(job_class: JobClass) -> str:
+    """The job key of the class's head job."""
+    return key_of(job_class.queue.head().job)
--- /dev/null
+++ b/reedspoke/decision/service.py
@@ -0,0 +1,354 @@
+"""The ordinary path for one service: its queue, its workers, and who goes next to which of them."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Mapping
+
+from msgspec import Struct
+
+from reedspoke.decision.attempt_fate import Another, Fate, FinalStatus, another_attempt, final_status
+from reedspoke.decision.fair_queue import Charge, FairQueue, finish_tag
+from reedspoke.decision.job_class import JobClass, JobState, head_key, key_of
+from reedspoke.decision.messages import (
+    AttemptEnd,
+    Decision,
+    Expire,
+    Fail,
+    FailReason,
+    Job,
+    Load,
+    Outcome,
+    Refuse,
+    RefuseReason,
+    Send,
+    Upstream,
+    WorkerEntry,
+)
+from reedspoke.decision.placement import Placed
+from reedspoke.decision.retry_after import RetryAfter
+from reedspoke.decision.retry_budget import RetryBudget
+from reedspoke.decision.size_bands import SizeBands
+from reedspoke.decision.worker_pool import WorkerPool
+from reedspoke.decision.worker_state import Running, WorkerState
+
+CLOCK_MEMORY_S = 2.0  # over which the rate of finished work is averaged for the virtual clock
+REFRESH_S = 0.010  # between charges of running jobs, as in the paper
+HOLD_PART = 0.22  # of the aim that a job waits for a worker: refused within a quarter, with a timer's delay
+HALF_TAKEN = 0.5  # share of positions taken under which a job is sent to any worker rather than refused
+QUEUE_MOST = 1000  # jobs that wait; what comes beyond them is refused at once
+FORGET_EVERY = 256  # arrivals between looks for classes without work
+
+
+class OutAttempt(Struct, eq=False):
+    """An attempt that is out: who pays for it and how much so far."""
+
+    state: JobState
+    worker: WorkerState
+    running: Running
+    charge: Charge
+    turn_cost: float  # what its subject was charged
+
+
+class Service:
+    """Queue and workers of one upstream. Methods that may decide something add to `decisions`."""
+
+    def __init__(self, upstream: Upstream, zone: str, budget: RetryBudget) -> None:
+        self.upstream = upstream
+        self.budget = budget
+        self.pool = WorkerPool(upstream, zone)
+        self.decisions: list[Decision] = []
+        self._queue = FairQueue(CLOCK_MEMORY_S, REFRESH_S)
+        self._classes: dict[tuple[str, int], JobClass] = {}
+        self._bands: dict[str, SizeBands] = {}
+        self._jobs: dict[int, JobState] = {}
+        self._out: dict[int, OutAttempt] = {}
+        self._holds: list[tuple[float, int]] = []  # heap of (time, job id)
+        self._retry_after = RetryAfter()
+        self._arrivals = 0
+
+    # ---- events ----
+
+    def arrive(self, job: Job, now: float) -> None:
+        """A client's request; it is sent at once where a worker can take it."""
+        self.budget.request(now)
+        if now >= job.deadline:
+            self.decisions.append(Expire(job.job_id, ran=False))
+            return
+        if self._waiting_count() >= QUEUE_MOST:
+            after = self._retry_after.refuse(job.job_id, job.deadline - now, now)
+            self.decisions.append(Refuse(job.job_id, after, RefuseReason.OVERLOAD))
+            return
+        job_class, cost = self._class_of(job), self.pool.expected_cost(job)
+        job_class.offer(cost, job.priority, now)
+        self._queue.seed(job_class, key_of(job), self._largest_seen(job, cost))
+        state = JobState(job, job_class, cost, min(job.arrived + HOLD_PART * job.aim_s, job.deadline))
+        self._jobs[job.job_id] = state
+        self._enqueue(state, now)
+        self._forget_idle()
+        self.release(now)
+        self._hold(state)
+
+    def leave(self, job_id: int, now: float) -> None:
+        """The client has left. An attempt that is out ends with its own event."""
+        state = self._jobs.get(job_id)
+        if state is None:
+            return
+        state.closed = True
+        if state.waiting:
+            self._queue.clock(now, self._classes.values())
+            self._close(state)
+
+    def attempt_started(self, job_id: int, now: float) -> None:
+        """The first event or byte of the answer has come."""
+        if (out := self._out.get(job_id)) is not None:
+            self.pool.first_event(job_id, out.worker, now)
+
+    def attempt_ended(self, job_id: int, end: AttemptEnd, now: float) -> None:
+        """An attempt has ended: settle its account, and decide on the job's next one."""
+        out = self._out.pop(job_id, None)
+        if out is None:
+            return
+        self._queue.clock(now, self._classes.values())  # while its class still counts as active
+        cost = self.pool.cost(out.worker, out.running, now)
+        self.pool.end(job_id, out.worker, end, now)
+        if end.outcome is Outcome.NOT_EXECUTED:
+            self._queue.reverse(out.state.job_class, out.charge)
+            out.state.job_class.queue.refund(out.state.job.subject, out.turn_cost)
+        else:
+            out.state.ran = True
+            out.state.passed = out.state.passed or out.running.first_event > 0
+            self._queue.finish(out.state.job_class, out.charge, cost, learn=end.outcome is Outcome.OK)
+        self._after(out.state, end, now)
+        self.release(now)
+
+    def set_upstream(self, upstream: Upstream, now: float) -> None:
+        """The configuration has changed the service."""
+        self.upstream = upstream
+        self.pool.set_upstream(upstream)
+        self.release(now)
+
+    def set_workers(self, entries: Iterable[WorkerEntry], now: float) -> None:
+        """The whole list of this service's workers."""
+        self.pool.set_entries(entries)
+        self.release(now)
+
+    def set_others(self, loads: Mapping[str, Load], now: float) -> None:
+        """What other schedulers hold at the workers."""
+        self.pool.set_others(loads)
+        self.release(now)
+
+    def tick(self, now: float) -> None:
+        """Time has passed: serve what can be served, answer what has waited too long."""
+        self.release(now)
+        while self._holds and self._holds[0][0] <= now:
+            _, job_id = heapq.heappop(self._holds)
+            state = self._jobs.get(job_id)
+            if state is None or not state.waiting:
+                continue
+            if state.hold_until <= now:
+                self._give_up(state, now)
+            else:
+                self._hold(state)
+
+    def wake_at(self, now: float) -> float | None:
+        """When `tick` is to be called next; None: only after another event."""
+        while self._holds and not self._is_held(self._holds[0][1]):
+            heapq.heappop(self._holds)
+        if not self._holds:
+            return None
+        return min(self._holds[0][0], self.pool.rested_at(now))
+
+    # ---- the ordinary path ----
+
+    def release(self, now: float) -> None:
+        """Give free positions to waiting classes by 2DFQ^E."""
+        waiting = [job_class for job_class in self._classes.values() if job_class.queue]
+        if not waiting or not self.pool.has_room(now):
+            return
+        self._queue.clock(now, self._classes.values())
+        if len(waiting) > 1:
+            self._charge_running(now)
+        reserved: set[str] = set()
+        while waiting:
+            front = min(waiting, key=lambda job_class: finish_tag(job_class, head_key(job_class)))
+            placed = self._place(front, now, reserved)
+            if placed is None:
+                waiting.remove(front)
+                self._reserve(front, reserved, now)
+                continue
+            chosen = self._choose(front, placed, waiting, now, reserved)
+            if chosen is not front:
+                placed = self._place(chosen, now, reserved) or placed
+            self._send(chosen.queue.head(), placed, now)
+            waiting = [job_class for job_class in waiting if job_class.queue]
+
+    def _choose(
+        self, front: JobClass, placed: Placed, waiting: list[JobClass], now: float, reserved: set[str]
+    ) -> JobClass:
+        """The class that gets the next position of the worker that is best for the front one's head."""
+        if len(waiting) == 1:
+            return front
+        able = [front]
+        for other in waiting:
+            if other is not front:
+                there = self._place(other, now, reserved)
+                able += [other] if there is not None and there.worker is placed.worker else []
+        return self._queue.choose(able, head_key, self.pool.stagger(placed.worker))
+
+    def _place(self, job_class: JobClass, now: float, reserved: set[str]) -> Placed | None:
+        state = job_class.queue.head()
+        if state.tried and not self.budget.covered(now):
+            return None
+        return self.pool.placement.best(state.job, reserved.union(state.tried), now)
+
+    def _reserve(self, job_class: JobClass, reserved: set[str], now: float) -> None:
+        """Leave a worker to drain for a job whose memory no worker has: smaller ones would keep it from ever
+        being served."""
+        state = job_class.queue.head()
+        worker_id = self.pool.placement.roomiest(state.job, reserved.union(state.tried), now)
+        if worker_id is not None and self.upstream.engine is not None:
+            reserved.add(worker_id)
+
+    def _send(self, state: JobState, placed: Placed, now: float) -> None:
+        job_class = state.job_class
+        turn_cost = job_class.largest[key_of(state.job)]
+        job_class.queue.take(state.job.subject, state, turn_cost)
+        state.waiting = False
+        if state.tried:
+            self.budget.use(now)
+        state.tried.append(placed.worker.entry.instance_id)
+        charge = self._queue.begin(job_class, key_of(state.job))
+        self.pool.start(state.job, placed)
+        self._out[state.job.job_id] = OutAttempt(state, placed.worker, placed.attempt, charge, turn_cost)
+        self._retry_after.sent(now)
+        self.decisions.append(Send(state.job.job_id, placed.worker.entry.instance_id))
+
+    def _charge_running(self, now: float) -> None:
+        if self._queue.refresh_due(now):
+            for out in self._out.values():
+                cost = self.pool.cost(out.worker, out.running, now)
+                self._queue.refresh(out.state.job_class, out.charge, cost)
+
+    # ---- what follows an attempt, and final answers ----
+
+    def _after(self, state: JobState, end: AttemptEnd, now: float) -> None:
+        if state.closed or end.outcome in (Outcome.OK, Outcome.CANCELLED):
+            self._close(state)
+        elif now >= state.job.deadline:
+            self._answer(state, Expire(state.job.job_id, state.ran))
+        elif another_attempt(fate(state), state.job.repeat, state.passed) is Another.NO:
+            self._answer(state, Fail(state.job.job_id, FailReason.MAY_HAVE_RUN))
+        elif len(state.tried) >= state.job.max_attempts:
+            self._end_without(state, RefuseReason.ATTEMPTS, FailReason.ATTEMPTS, now)
+        elif not self.budget.reserve(now):
+            self._end_without(state, RefuseReason.BUDGET, FailReason.BUDGET, now)
+        else:
+            self._requeue(state, now)
+
+    def _requeue(self, state: JobState, now: float) -> None:
+        """Back to the head of its queue."""
+        state.hold_until = min(now + HOLD_PART * state.job.aim_s, state.job.deadline)
+        self._enqueue(state, now, head=True)
+        self._hold(state)
+
+    def _give_up(self, state: JobState, now: float) -> None:
+        """A job has waited as long as it may: its client gets its final answer at once."""
+        if now >= state.job.deadline:
+            self._answer(state, Expire(state.job.job_id, state.ran))
+        elif (placed := self._last_resort(state, now)) is not None:
+            self._queue.clock(now, self._classes.values())
+            self._send(state, placed, now)
+        elif self.pool.usable:
+            self._end_without(state, RefuseReason.OVERLOAD, FailReason.NO_WORKER, now)
+        else:
+            self._end_without(state, RefuseReason.NO_WORKER, FailReason.NO_WORKER, now)
+
+    def _last_resort(self, state: JobState, now: float) -> Placed | None:
+        """While under half of the positions are taken, a worker that is in doubt is better than a refusal."""
+        if self.pool.taken_share() >= HALF_TAKEN or state.tried and not self.budget.covered(now):
+            return None
+        return self.pool.placement.best(state.job, state.tried, now, last_resort=True)
+
+    def _end_without(self, state: JobState, reason: RefuseReason, failed: FailReason, now: float) -> None:
+        """No further attempt: refused where that is true, or harmless since the client may repeat it."""
+        job_id = state.job.job_id
+        promise = final_status(fate(state), state.job.repeat) is FinalStatus.PROMISE
+        if state.passed or not promise:
+            self._answer(state, Fail(job_id, failed))
+        else:
+            after = self._retry_after.refuse(job_id, state.job.deadline - now, now)
+            self._answer(state, Refuse(job_id, after, reason))
+
+    def _answer(self, state: JobState, decision: Decision) -> None:
+        self.decisions.append(decision)
+        self._close(state)
+
+    def _close(self, state: JobState) -> None:
+        if state.waiting:
+            state.job_class.queue.remove(state.job.subject, state)
+            state.waiting = False
+            if state.tried:
+                self.budget.give_back()
+        self._jobs.pop(state.job.job_id, None)
+
+    # ---- queue ----
+
+    @property
+    def idle(self) -> bool:
+        """Whether no job is known."""
+        return not (self._jobs or self._out)
+
+    def knows(self, job_id: int) -> bool:
+        """Whether the job waits or has an attempt out."""
+        return job_id in self._jobs or job_id in self._out
+
+    def _waiting_count(self) -> int:
+        return len(self._jobs) - len(self._out)
+
+    def _enqueue(self, state: JobState, now: float, head: bool = False) -> None:
+        job_class = state.job_class
+        self._queue.clock(now, self._classes.values())
+        if not job_class.queue and not job_class.out:
+            self._queue.activate(job_class, key_of(state.job), keep_credit=True)
+        state.waiting = True
+        if head:
+            job_class.queue.push_head(state.job.subject, state)
+        else:
+            job_class.queue.push(state.job.subject, state)
+
+    def _hold(self, state: JobState) -> None:
+        if state.waiting:
+            heapq.heappush(self._holds, (state.hold_until, state.job.job_id))
+
+    def _is_held(self, job_id: int) -> bool:
+        state = self._jobs.get(job_id)
+        return state is not None and state.waiting
+
+    def _class_of(self, job: Job) -> JobClass:
+        band = self._bands.setdefault(job.route, SizeBands()).add(job.size)
+        key = (job.route, int(band))
+        if key not in self._classes:
+            self._classes[key] = JobClass(job.route, band)
+        return self._classes[key]
+
+    def _largest_seen(self, job: Job, expected: float) -> float:
+        """L_max starts at the largest cost seen of the route and key."""
+        key = key_of(job)
+        route = [self._classes.get((job.route, band)) for band in range(3)]
+        return max([known.largest.get(key, 0.0) for known in route if known is not None] + [expected])
+
+    def _forget_idle(self) -> None:
+        """Drop the accounts of classes that have no work and no debt."""
+        self._arrivals += 1
+        if self._arrivals % FORGET_EVERY:
+            return
+        kept = {key: c for key, c in self._classes.items() if not self._queue.forgettable(c)}
+        self._classes = kept
+        routes = {route for route, _ in kept}
+        self._bands = {route: bands for route, bands in self._bands.items() if route in routes}
+
+
+def fate(state: JobState) -> Fate:
+    """The fate of all of the job's attempts that have ended without an answer."""
+    return Fate.MAY_HAVE_RUN if state.ran else Fate.NEVER_RAN
--- /dev/null
+++ b/reedspoke/decision/silence.py
@@ -0,0 +1,59 @@
+"""Which attempts to give up because their worker is silent. No I/O, no clock.
+
+A worker whose machine is dark answers nothing, on any connection. A single request that takes long proves
+nothing; a worker from which nothing at all comes while requests are out there does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from reedspoke.decision.messages import Repeat
+
+SILENT_S = 1.0  # a worker with requests out says something more often than that
+FIRST_WAIT_OF_AIM = 1.5  # a first event may take this multiple of its aim before silence counts
+LEAST_WAIT_OF_AIM = 2.0  # of a plain request
+
+
+class OpenAttempt(Struct, frozen=True):
+    """An attempt that is out."""
+
+    job_id: int
+    instance_id: str
+    repeat: Repeat
+    streaming: bool
+    aim_s: float
+    sent_at: float
+    heard_at: float  # of this attempt; `sent_at` where nothing has come
+    deadline: float
+
+
+def attempts_to_give_up(
+    attempts: Iterable[OpenAttempt], heard_from: dict[str, float], now: float
+) -> list[int]:
+    """Jobs whose attempt is to be called off, as its worker is silent and the job may go to another one.
+
+    `heard_from` has for each worker when anything came from it last.
+    """
+    return [attempt.job_id for attempt in attempts if _is_lost(attempt, heard_from, now)]
+
+
+def _is_lost(attempt: OpenAttempt, heard_from: dict[str, float], now: float) -> bool:
+    if attempt.repeat is Repeat.NEVER:
+        return False
+    limit = patience(attempt)
+    if now - attempt.heard_at < limit:
+        return False
+    since = max(heard_from.get(attempt.instance_id, 0.0), attempt.sent_at)
+    return now - since >= min(limit, SILENT_S)
+
+
+def patience(attempt: OpenAttempt) -> float:
+    """Seconds without a byte that an attempt is given."""
+    if not attempt.streaming:
+        return LEAST_WAIT_OF_AIM * attempt.aim_s
+    if attempt.heard_at == attempt.sent_at:
+        return max(SILENT_S, FIRST_WAIT_OF_AIM * attempt.aim_s)
+    return SILENT_S
--- a/reedspoke/net/http.py
+++ b/reedspoke/net/http.py
@@ -204,8 +204,9 @@
 class Requests:
     """Requests one after another: `head` until there is one, then `body` until it is whole."""
 
-    def __init__(self, buffer: Buffer) -> None:
+    def __init__(self, buffer: Buffer, most_body: int = MOST_BODY) -> None:
         self.buffer = buffer
+        self.most_body = most_body
         self._length = 0
         self._chunks: Chunks | None = None
         self._joined = bytearray()
@@ -215,7 +216,7 @@
 
     def expect(self, length: int) -> None:
         """A body comes, of this length or, with -1, in chunks."""
-        if length > MOST_BODY:
+        if length > self.most_body:
             raise MalformedError(413, "the body is too large")
         self._length = length
         self._chunks, self._joined = (Chunks() if length < 0 else None), bytearray()
@@ -228,7 +229,7 @@
         if self._chunks is None:
             return self.buffer.take(self._length) if len(self.buffer) >= self._length else None
         for part in self._chunks.feed(self.buffer):  # joined in a copy: pieces don't lie side by side
-            if len(self._joined) + len(part) > MOST_BODY:
+            if len(self._joined) + len(part) > self.most_body:
                 raise MalformedError(413, "the body is too large")
             self._joined += part
         return memoryview(self._joined) if self._chunks.done else None
--- /dev/null
+++ b/reedspoke/operator_cli/errors.py
@@ -0,0 +1,52 @@
+"""Numbered errors of the command line, and their exit codes; `docs/errors.md` has a row for each."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class OperatorErrorCode(IntEnum):
+    """6xx: errors of the operator's command line. No number is ever reused."""
+
+    NO_ANSWER = 601
+    REFUSED = 602
+    FILE_UNREADABLE = 603
+    TOO_MANY_REDIRECTS = 604
+    MALFORMED_ANSWER = 605
+    ADDRESS_INVALID = 606
+
+
+class ExitCode(IntEnum):
+    """Exit status of the command line; argparse itself uses 2 for a wrong command line."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    NO_ANSWER = 3
+    LOCAL_FILE = 4
+
+
+EXIT_CODES = {
+    OperatorErrorCode.NO_ANSWER: ExitCode.NO_ANSWER,
+    OperatorErrorCode.REFUSED: ExitCode.REFUSED,
+    OperatorErrorCode.FILE_UNREADABLE: ExitCode.LOCAL_FILE,
+    OperatorErrorCode.TOO_MANY_REDIRECTS: ExitCode.NO_ANSWER,
+    OperatorErrorCode.MALFORMED_ANSWER: ExitCode.NO_ANSWER,
+    OperatorErrorCode.ADDRESS_INVALID: ExitCode.USAGE,
+}
+
+
+class OperatorError(Exception):
+    """A command could not be carried out."""
+
+    def __init__(self, code: OperatorErrorCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+
+    def __str__(self) -> str:
+        return f"E{int(self.code)} {self.code.name.lower()}: {self.message}"
+
+    @property
+    def exit_code(self) -> ExitCode:
+        return EXIT_CODES[self.code]
