--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -31,11 +31,11 @@
     View,
     ViewChanged,
 )
+from reedspoke.control_plane.job_thread import JobThread
 from reedspoke.control_plane.log_file import OpenedLog, open_log, set_aside
 from reedspoke.control_plane.replica import Replica
 from reedspoke.control_plane.replica_messages import ReplicaMessage
 from reedspoke.control_plane.replica_settings import TICK_S, ReplicaSettings
-from reedspoke.control_plane.storage_thread import StorageThread
 
 OPEN_RETRY_S = 0.5
 
@@ -67,7 +67,7 @@
         self._surroundings = surroundings
         self._directory = Path(settings.data_dir or "")
         self._loop = asyncio.get_running_loop()
-        self._storage = StorageThread()
+        self._storage = JobThread("storage")
         self._log: OpenedLog | None = None
         self._bootstrap = settings.bootstrap
         self._replica: Replica | None = None
--- a/reedspoke/control_plane/membership.py
+++ b/reedspoke/control_plane/membership.py
@@ -131,10 +131,9 @@
         self._view = members
 
     def refresh(self, now: float) -> bool:
-        """Forget what is too old, and add up anew. True where the list of members has changed."""
+        """Forget what is too old. True where the list of members has changed."""
         self._forget(now)
         newest = self._newest_entries(now)
-        self._add_up(newest)
         control = self._control(now)
         edges = tuple(
             EdgeMember(entry.node_name, entry.incarnation, entry.zone) for _, entry in sorted(newest.items())
@@ -145,6 +144,17 @@
         self._members = MemberList((self._identity, self._count), control, edges)
         return True
 
+    def add_up(self, now: float) -> None:
+        """Add up anew what runs at each worker."""
+        total: Running = {}
+        newest = self._newest_entries(now)
+        for entry in newest.values():
+            for instance, (requests, tokens) in entry.running.items():
+                all_requests, all_tokens = total.get(instance, (0, 0))
+                total[instance] = (all_requests + requests, all_tokens + tokens)
+        self._running = total
+        self._running_of = {name: entry.running for name, entry in newest.items()}
+
     # ---- inside ----
 
     def _forget(self, now: float) -> None:
@@ -178,15 +188,6 @@
                     silent[entry.node_name] = silent_s
         return newest
 
-    def _add_up(self, newest: dict[str, SessionEntry]) -> None:
-        total: Running = {}
-        for entry in newest.values():
-            for instance, (requests, tokens) in entry.running.items():
-                all_requests, all_tokens = total.get(instance, (0, 0))
-                total[instance] = (all_requests + requests, all_tokens + tokens)
-        self._running = total
-        self._running_of = {name: entry.running for name, entry in newest.items()}
-
     def _control(self, now: float) -> tuple[ControlMember, ...]:
         heard = set(self.peers_heard(now))
         others = {
--- a/reedspoke/control_plane/operator_api.py
+++ b/reedspoke/control_plane/operator_api.py
@@ -8,8 +8,8 @@
 import msgspec
 from msgspec import Struct
 
+from reedspoke.cluster.configuration import Configuration
 from reedspoke.cluster.errors import ErrorCode, FleetError
-from reedspoke.control_plane.configuration_cache import ConfigurationCache
 from reedspoke.control_plane.events import GetAnswer, PutAnswer
 from reedspoke.control_plane.http_server import Request, Response
 
@@ -83,6 +83,10 @@
         """Have the configuration replicated. Raises FleetError where that cannot be tried."""
         raise NotImplementedError
 
+    def check(self, document: bytes) -> Awaitable[Configuration]:
+        """Parse a configuration. Raises FleetError, when awaited, where it is invalid."""
+        raise NotImplementedError
+
     def get(self) -> Awaitable[GetAnswer]:
         """The newest configuration. Raises FleetError where that cannot be tried."""
         raise NotImplementedError
@@ -102,9 +106,8 @@
 class OperatorApi:
     """Turns requests into calls, and their results into answers."""
 
-    def __init__(self, calls: Calls, cache: ConfigurationCache) -> None:
+    def __init__(self, calls: Calls) -> None:
         self._calls = calls
-        self._cache = cache
         self._waiting = 0
 
     async def handle(self, request: Request) -> Response:
@@ -128,12 +131,12 @@
     async def put_configuration(self, request: Request) -> Response:
         """Take a whole configuration."""
         match = _match_number(request.headers.get("if-match"))
-        configuration = self._cache.parse(request.body)
-        generation = configuration.generation
-        if not 0 < generation <= LARGEST_NUMBER:
-            raise FleetError(ErrorCode.CONFIGURATION_FIELD, f"generation {generation} is out of range")
         try:
-            answer = await asyncio.wait_for(self._calls.put(match, generation, request.body), ANSWER_S)
+            async with asyncio.timeout(ANSWER_S):
+                configuration = await self._calls.check(request.body)
+                generation = configuration.generation
+                _check_range(generation)
+                answer = await self._calls.put(match, generation, request.body)
         except TimeoutError:
             raise FleetError(ErrorCode.WRITE_UNCLEAR, "no final answer yet; send it again") from None
         if answer.error is not None:
@@ -229,6 +232,11 @@
     return response
 
 
+def _check_range(generation: int) -> None:
+    if not 0 < generation <= LARGEST_NUMBER:
+        raise FleetError(ErrorCode.CONFIGURATION_FIELD, f"generation {generation} is out of range")
+
+
 def _match_number(value: str | None) -> int:
     text = (value or "").strip().strip('"')
     if not (text.isascii() and text.isdigit() and len(text) <= LARGEST_DIGITS):
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -9,16 +9,18 @@
 
 from msgspec import Struct
 
+from reedspoke.cluster.configuration import Configuration
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.json_log import ERROR, INFO, WARNING, log
 from reedspoke.cluster.messages import ControlMember, WorkerList, encode
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
-from reedspoke.control_plane.configuration_cache import ConfigurationCache
+from reedspoke.control_plane.configuration_cache import ConfigurationCache, Prepared
 from reedspoke.control_plane.driver import ReplicaDriver
 from reedspoke.control_plane.duty_lease import DutyLease, Outgoing
 from reedspoke.control_plane.edge_sessions import EdgeSessions
 from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer, SendTo, View
 from reedspoke.control_plane.http_server import HttpServer
+from reedspoke.control_plane.job_thread import JobThread
 from reedspoke.control_plane.list_duty import ListDuty
 from reedspoke.control_plane.membership import Membership
 from reedspoke.control_plane.operator_api import Calls, OperatorApi, StatusAnswer, http_error_body
@@ -69,6 +71,7 @@
         identity = int.from_bytes(os.urandom(4), "big") >> 1
         own = ControlMember(self._address, settings.zone)
         self._membership = Membership(own, heartbeat_s * EDGE_LIFE_HEARTBEATS, identity)
+        self._documents = JobThread("documents")
         self._configuration = ConfigurationCache()
         self._book = WorkerBook()
         self._state = PublishedState(self._configuration, self._book, self._membership)
@@ -81,7 +84,7 @@
             settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
         )
         self._driver = ReplicaDriver(settings, self._address, self)
-        self._api = HttpServer(OperatorApi(self, self._configuration).handle, http_error_body)
+        self._api = HttpServer(OperatorApi(self).handle, http_error_body)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -108,12 +111,17 @@
 
     def deliver(self, committed: Committed) -> None:
         """The data plane may have this configuration."""
-        try:
-            newer = self._configuration.committed_is(committed)
-        except FleetError as error:
-            log(ERROR, "committed configuration cannot be read", code=int(error.code), message=error.message)
+        prepared = self._documents.call(lambda: self._configuration.prepare(committed))
+        prepared.add_done_callback(self._prepared)
+
+    def _prepared(self, future: asyncio.Future[Prepared]) -> None:
+        error = future.exception()
+        if error is not None:
+            log(ERROR, "committed configuration cannot be read", message=str(error))
             return
-        if newer:
+        prepared = future.result()
+        if self._configuration.install(prepared):
+            committed = prepared.committed
             log(INFO, "configuration in force", generation=committed.generation, sequence=committed.sequence)
             self._sessions.changed()
 
@@ -148,6 +156,10 @@
         self._check_not_leaving()
         return self._driver.put(match, generation, document)
 
+    def check(self, document: bytes) -> asyncio.Future[Configuration]:
+        """Parse a configuration."""
+        return self._documents.call(lambda: self._configuration.check(document))
+
     def get(self) -> asyncio.Future[GetAnswer]:
         """The newest configuration."""
         self._check_not_leaving()
@@ -223,6 +235,7 @@
 
     def _tell_sessions(self, now: float) -> None:
         self._table_at = now + TABLE_INTERVAL_S
+        self._membership.add_up(now)
         self._refresh_members(now)
         table = self._membership.table(now, self._book.version, self._book.seen)
         self._tell_peers(encode(table))
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -78,6 +78,7 @@
         self._first_seeds = restored.seeds
         self._leaving = False
         self._seeds_stored = False
+        self._view_members: frozenset[Member] = frozenset()
         self._last_tick = now
         self._last_ping = float("-inf")
         self._last_disk_ok = True
@@ -178,7 +179,8 @@
             case GetRequest():
                 self._reader.receive(sender, message, self.view)
             case GetReply():
-                self._gets.reply(message)
+                if not self._head.refusals.reply(message):
+                    self._gets.reply(message)
 
     def _tick(self) -> None:
         now = self._outbox.now
@@ -227,8 +229,9 @@
     def _enter(self, view: View) -> None:
         self._outbox.log(logging.INFO, "view", number=view.number, chain=_addresses_of_chain(view))
         self._outbox.emit(ViewChanged(view))
+        self._view_members = frozenset(_members(view))
         self._tail_lease.enter()
-        self._head.enter(view.number)
+        self._head.enter(view)
         self._chain.enter(view)
         self._repair.entered()
         self._ping_all()
@@ -249,12 +252,13 @@
         return Ping(
             member=self._settings.member,
             view=view.number if view else 0,
-            heard=self._peers.heard(_members(view), self._outbox.now),
+            heard=self._peers.heard(self._view_members, self._outbox.now),
             disk_ok=self._outbox.disk_ok,
             synced_since=0 if self._register.adopting else self._register.synced_since,
             committed=self._register.committed_sequence,
             leaving=self._leaving,
             bootstrap=bool(self._first_seeds),
+            undecided=self._agreement.undecided,
         )
 
     def _ping_all(self) -> None:
@@ -265,7 +269,7 @@
         if self._asks_for_lease():
             ping = structs.replace(ping, lease_sent=now)
             self._grant(ping)
-        addresses = {member.address for member in _members(self.view)}
+        addresses = {member.address for member in self._view_members}
         addresses.update(member.address for member in self._peers.members(now))
         addresses.update(self._seeds)
         for address in sorted(addresses - {self._settings.address}):
@@ -288,7 +292,8 @@
         """As voter: grant the read lease that the tail of my view asks for."""
         if ping.lease_sent is None or self.view is None or tail_of(self.view) != ping.member:
             return
-        if self._agreement.may_grant(ping.view):
+        reached = self._repair.reachable(ping.member.folder_id)
+        if reached and self._agreement.may_grant(ping.view):
             self._agreement.voter_lease.grant(ping.lease_sent, self._outbox.now)
             grant = LeaseGrant(self._settings.folder_id, ping.view, ping.lease_sent)
             self._outbox.send(ping.member.address, grant)
@@ -311,9 +316,7 @@
         self._head.advance()
 
 
-def _members(view: View | None) -> list[Member]:
-    if view is None:
-        return []
+def _members(view: View) -> list[Member]:
     return [*view.voters, *(link.member for link in view.chain)]
 
 
--- a/reedspoke/control_plane/replica_head.py
+++ b/reedspoke/control_plane/replica_head.py
@@ -9,9 +9,12 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.chain import Chain
 from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.events import View
 from reedspoke.control_plane.replica_messages import Acknowledged, Entry, PutReply, PutRequest
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import acknowledged
+from reedspoke.control_plane.replica_refusals import Refusals
+from reedspoke.control_plane.view_lease import tail_of
 
 REPLIES_KEPT = 512
 WAIT_SHARE = 0.9  # of the asker's own limit
@@ -37,10 +40,12 @@
         self._waiting: deque[WaitingPut] = deque()
         self._replies: dict[str, PutReply] = {}
         self._view = 0
+        self.refusals = Refusals(outbox)
 
-    def enter(self, number: int) -> None:
+    def enter(self, view: View) -> None:
         """A newer view: the askers send again what is still undecided."""
-        self._view = number
+        self._view = view.number
+        self.refusals.enter(view.number, tail_of(view))
         self._waiting.clear()
         self._replies.clear()
 
@@ -51,7 +56,7 @@
         if request.request in self._replies:
             self._outbox.send(sender, self._replies[request.request])
             return
-        if any(waiting.request.request == request.request for waiting in self._waiting):
+        if self._is_waiting(request.request):
             return
         waiting = self._waiting_put(sender, request)
         if not majority_reached:
@@ -64,6 +69,7 @@
         """Give up on what has waited too long."""
         while self._waiting and self._waiting[0].deadline <= self._outbox.now:
             self._expire(self._waiting.popleft())
+        self.refusals.tick()
         self.advance()
 
     def advance(self) -> None:
@@ -79,22 +85,16 @@
         return chain.is_head and chain.complete and chain.long_enough and self._register.settled
 
     def _decide(self, waiting: WaitingPut) -> bool:
-        """Whether the change has its final answer; otherwise it has been taken or waits for the disk."""
+        """Whether the change is decided; otherwise it has been taken or waits for the disk."""
         request = waiting.request
         if self._register.knows(waiting.change):
             self._reply(waiting, None)
         elif request.match != self._register.generation:
-            self._reply(
-                waiting,
-                ErrorCode.CONFIGURATION_STALE_MATCH,
-                f"The newest generation is {self._register.generation}, not {request.match}.",
-            )
+            message = f"The newest generation is {self._register.generation}, not {request.match}."
+            self._refuse(waiting, ErrorCode.CONFIGURATION_STALE_MATCH, message)
         elif request.generation <= self._register.generation:
-            self._reply(
-                waiting,
-                ErrorCode.CONFIGURATION_OLD_GENERATION,
-                f"The generation must be above {self._register.generation}.",
-            )
+            message = f"The generation must be above {self._register.generation}."
+            self._refuse(waiting, ErrorCode.CONFIGURATION_OLD_GENERATION, message)
         else:
             self._take(waiting)
             return False
@@ -111,6 +111,19 @@
 
         self._chain.append(waiting.request.generation, waiting.request.document, on_stored)
 
+    def _refuse(self, waiting: WaitingPut, error: ErrorCode, message: str) -> None:
+        def on_end(confirmed: bool) -> None:
+            if confirmed:
+                self._reply(waiting, error, message)
+            else:
+                self._expire(waiting)
+
+        self.refusals.add(waiting.request.request, waiting.deadline, on_end)
+
+    def _is_waiting(self, request: str) -> bool:
+        queued = any(waiting.request.request == request for waiting in self._waiting)
+        return queued or self.refusals.has(request)
+
     def _expire(self, waiting: WaitingPut) -> None:
         if self._held(waiting.change):
             self._reply(waiting, ErrorCode.WRITE_UNCLEAR, "The write is under way, its end is not known yet.")
--- a/reedspoke/control_plane/replica_messages.py
+++ b/reedspoke/control_plane/replica_messages.py
@@ -33,7 +33,8 @@
 class Ping(Struct, tag="ping", array_like=True, frozen=True):
     """Sign of life, sent to every known replica; `lease_sent` is set by a tail that asks for a read lease.
 
-    `synced_since` is the view since whose appending the sender holds what its predecessor held.
+    `synced_since` is the view since whose appending the sender holds what its predecessor held; `undecided`
+    is set where it has accepted a next view that it does not know to be decided.
     """
 
     member: Member
@@ -44,6 +45,7 @@
     committed: int
     leaving: bool = False
     bootstrap: bool = False
+    undecided: bool = False
     lease_sent: float | None = None
 
 
--- a/reedspoke/control_plane/replica_peers.py
+++ b/reedspoke/control_plane/replica_peers.py
@@ -56,8 +56,9 @@
 
     def heard(self, members: Iterable[Member], now: float) -> tuple[str, ...]:
         """The replicas that this one hears; of `members` those are included that can't be judged yet."""
-        judged = {member.folder_id for member in members if self._presumed_alive(member, now)}
-        judged.update(folder for folder in self._peers if not self.silent(folder, now, HEARD_S))
+        judged = {folder for folder, peer in self._peers.items() if self._lately(peer, now)}
+        if now - self._grace_from <= HEARD_S:
+            judged.update(member.folder_id for member in members if self._unjudged(member))
         judged.discard(self._own.folder_id)
         return tuple(sorted(judged))
 
@@ -91,12 +92,12 @@
         peer = self._peers.get(folder_id)
         return peer.ping.heard if peer else ()
 
-    def _presumed_alive(self, member: Member, now: float) -> bool:
-        address_taken = any(
-            peer.ping.member.address == member.address and folder_id != member.folder_id
-            for folder_id, peer in self._peers.items()
-        )
-        return not address_taken and not self.silent(member.folder_id, now, HEARD_S)
+    def _lately(self, peer: Peer, now: float) -> bool:
+        return now - max(peer.heard_at, self._grace_from) <= HEARD_S
+
+    def _unjudged(self, member: Member) -> bool:
+        """Whether nothing has been heard from this member's address so far."""
+        return all(peer.ping.member.address != member.address for peer in self._peers.values())
 
     def _forget_other_folders(self, member: Member) -> None:
         replaced = [
--- /dev/null
+++ b/reedspoke/control_plane/replica_refusals.py
@@ -0,0 +1,78 @@
+"""Refusals of the head that wait until the tail has confirmed that the head's view is still in force.
+
+A head that was cut off may lack changes that the others have acknowledged since, and must not refuse them.
+A tail that holds its read lease in the same view rules that out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from reedspoke.control_plane.events import Member
+from reedspoke.control_plane.replica_messages import GetReply, GetRequest
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_settings import GET_RETRY_S
+
+KEY_PREFIX = "refusal "
+
+NOTHING_WANTED = 2**62  # no sequence is larger, so that the tail sends no entry
+
+Confirmed = Callable[[bool], None]
+
+
+class Refusal(Struct):
+    """A refusal that is not confirmed yet; `on_end` is told whether it was confirmed in time."""
+
+    on_end: Confirmed
+    deadline: float
+    asked_at: float
+
+
+class Refusals:
+    """Asks the tail for each refusal, until it confirms or the deadline is reached."""
+
+    def __init__(self, outbox: Outbox) -> None:
+        self._outbox = outbox
+        self._waiting: dict[str, Refusal] = {}
+        self._view = 0
+        self._tail: Member | None = None
+
+    def enter(self, number: int, tail: Member) -> None:
+        """A newer view: what waited is decided anew by its head."""
+        self._view = number
+        self._tail = tail
+        self._waiting.clear()
+
+    def add(self, request: str, deadline: float, on_end: Confirmed) -> None:
+        """Have a refusal confirmed."""
+        key = KEY_PREFIX + request
+        self._waiting[key] = Refusal(on_end, deadline, self._outbox.now)
+        self._ask(key)
+
+    def has(self, request: str) -> bool:
+        """Whether a refusal of this request waits."""
+        return KEY_PREFIX + request in self._waiting
+
+    def reply(self, reply: GetReply) -> bool:
+        """The tail's answer; false where it belongs to a read."""
+        if not reply.request.startswith(KEY_PREFIX):
+            return False
+        if reply.ready and reply.view == self._view and reply.request in self._waiting:
+            self._waiting.pop(reply.request).on_end(True)
+        return True
+
+    def tick(self) -> None:
+        """Ask again, or give up."""
+        for key, refusal in list(self._waiting.items()):
+            if self._outbox.now >= refusal.deadline:
+                del self._waiting[key]
+                refusal.on_end(False)
+            elif self._outbox.now - refusal.asked_at >= GET_RETRY_S:
+                refusal.asked_at = self._outbox.now
+                self._ask(key)
+
+    def _ask(self, key: str) -> None:
+        if self._tail is not None:
+            self._outbox.send(self._tail.address, GetRequest(self._view, key, have=NOTHING_WANTED))
--- a/reedspoke/control_plane/replica_repair.py
+++ b/reedspoke/control_plane/replica_repair.py
@@ -79,15 +79,25 @@
         if now < self._judge_from or not self.majority_reached():
             self._in_sight_since = None
             return
-        rank = self._rank(view)
+        conditions = self._conditions(view)
+        rank = self._rank(view, conditions)
         if rank is None:
             return
-        desired = choose_view(view, self._surroundings(view))
+        desired = choose_view(view, self._surroundings(conditions))
+        if desired == view and self._unfinished(view, conditions):
+            desired = View(view.number + 1, view.voters, view.chain)
         if desired == view:
             self._in_sight_since = None
             return
         self._propose_in_time(desired, rank)
 
+    def _unfinished(self, view: View, conditions: dict[str, Condition]) -> bool:
+        """Whether someone in reach has accepted a next view; until it is decided that one grants no lease."""
+        if self._agreement.undecided:
+            return True
+        pings = (self._peers.latest(folder_id) for folder_id in conditions)
+        return any(ping.undecided and ping.view == view.number for ping in pings if ping is not None)
+
     def _propose_in_time(self, desired: View, rank: int) -> None:
         now = self._outbox.now
         if self._in_sight_since is None:
@@ -97,21 +107,17 @@
         if self._agreement.may_propose(self.reachable):
             self._agreement.propose(desired)
 
-    def _rank(self, view: View) -> int | None:
+    def _rank(self, view: View, conditions: dict[str, Condition]) -> int | None:
         """This replica's place among the usable members of the chain."""
-        conditions = self._conditions()
-        usable = [
-            link.member.folder_id
-            for link in view.chain
-            if link.member.folder_id in conditions and conditions[link.member.folder_id].healthy
-        ]
+        folders = [link.member.folder_id for link in view.chain]
+        usable = [folder for folder in folders if folder in conditions and conditions[folder].healthy]
         own = self._own.folder_id
         return usable.index(own) if own in usable else None
 
-    def _surroundings(self, view: View) -> Surroundings:
+    def _surroundings(self, conditions: dict[str, Condition]) -> Surroundings:
         now = self._outbox.now
         return Surroundings(
-            conditions=self._conditions(),
+            conditions=conditions,
             connected=self._connected,
             gone=lambda folder_id: self._peers.gone(folder_id, now),
             leaving=self._leaving,
@@ -119,35 +125,17 @@
             voters_target=self._settings.voters_target,
         )
 
-    def _conditions(self) -> dict[str, Condition]:
+    def _conditions(self, view: View) -> dict[str, Condition]:
         now = self._outbox.now
-        own = self._condition(self._own_ping(), steady=True)
-        conditions = {self._own.folder_id: own}
+        joined = {link.member.folder_id: link.joined for link in view.chain}
+        conditions = {self._own.folder_id: _condition(self._own_ping(), joined, steady=True)}
         for member in self._peers.members(now):
             ping = self._peers.latest(member.folder_id)
             if ping is not None and self.reachable(member.folder_id):
-                steady = self._peers.steady(member.folder_id, now) and self._knows_view(ping)
-                conditions[member.folder_id] = self._condition(ping, steady)
+                steady = ping.view == view.number and self._peers.steady(member.folder_id, now)
+                conditions[member.folder_id] = _condition(ping, joined, steady)
         return conditions
 
-    def _condition(self, ping: Ping, steady: bool) -> Condition:
-        return Condition(
-            member=ping.member,
-            healthy=ping.disk_ok and not ping.leaving,
-            complete=self._complete(ping),
-            steady=steady,
-        )
-
-    def _complete(self, ping: Ping) -> bool:
-        view = self._agreement.view
-        if view is None:
-            return False
-        joined = [link.joined for link in view.chain if link.member == ping.member]
-        return bool(joined) and joined[0] in (FIRST_VIEW, ping.synced_since)
-
-    def _knows_view(self, ping: Ping) -> bool:
-        return self._agreement.view is not None and ping.view == self._agreement.view.number
-
     def _connected(self, one: str, other: str) -> bool:
         own = self._own.folder_id
         if own in (one, other):
@@ -162,3 +150,13 @@
         if folder_id == self._own.folder_id:
             return self._own_ping()
         return self._peers.latest(folder_id)
+
+
+def _condition(ping: Ping, joined: dict[str, int], steady: bool) -> Condition:
+    """How a replica stands; `joined` has, for each member of the chain, the view that appended it."""
+    return Condition(
+        member=ping.member,
+        healthy=ping.disk_ok and not ping.leaving,
+        complete=joined.get(ping.member.folder_id) in (FIRST_VIEW, ping.synced_since),
+        steady=steady,
+    )
--- a/reedspoke/control_plane/view_agreement.py
+++ b/reedspoke/control_plane/view_agreement.py
@@ -63,6 +63,11 @@
         """Number of the newest view heard of."""
         return self._learned.number if self._learned else 0
 
+    @property
+    def undecided(self) -> bool:
+        """Whether this replica has accepted a next view that may never have been decided."""
+        return self._acceptor.accepted(self._number() + 1) is not None
+
     def records(self) -> list[Struct]:
         """What the log has to hold."""
         views: list[Struct] = [ViewRecord(self._learned)] if self._learned else []
--- a/reedspoke/control_plane/view_lease.py
+++ b/reedspoke/control_plane/view_lease.py
@@ -38,7 +38,8 @@
         self._last_sent = max(self._last_sent, sent)
 
     def enter(self, before: View | None, view: View) -> None:
-        """A new view: times of another tail's clock mean nothing any more."""
+        """A new view: its tail may be granted leases; times of another tail's clock mean nothing any more."""
+        self._paused_until = float("-inf")
         if before is None or tail_of(before) != tail_of(view):
             self._last_sent = float("-inf")
 
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -5,7 +5,8 @@
 import asyncio
 import os
 import signal
-from collections.abc import Callable
+import socket
+from contextlib import suppress
 from random import Random
 
 from reedspoke.cluster.configuration import Configuration, RequestLimits
@@ -27,6 +28,7 @@
 LINGER_S = 2.3  # after SIGTERM new connections come until the platform has asked for readiness twice
 END_MARGIN_S = 0.5  # before the platform ends the process by force
 LOOK_S = 0.05
+MOST_START_S = 2.0  # connections are accepted after that, even if there is no configuration yet
 SETTINGS_INTERVAL_S = 2.0
 NOT_READY_RETRY_S = 0.3
 EMPTY_LIMITS = RequestLimits()
@@ -52,6 +54,7 @@
         self._connections: set[ClientConnection] = set()
         self._closing = False
         self._ended = asyncio.Event()
+        self._may_accept = asyncio.Event()
         self._incarnation = os.urandom(6).hex()
         self._random = Random()
         self._dispatcher = self._make_dispatcher()
@@ -75,27 +78,32 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what was taken."""
-        self._loop.add_signal_handler(signal.SIGTERM, self._ended.set)
-        self._loop.add_signal_handler(signal.SIGINT, self._ended.set)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._end)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
-        frontend = await self._listen(
-            self._settings.bind.frontend, lambda: ClientConnection(self, self._loop)
-        )
-        readiness = await self._listen(
-            self._settings.bind.readiness, lambda: ReadinessConnection(self.is_ready)
+        front = listen(self._settings.bind.frontend)
+        readiness = await self._loop.create_server(
+            lambda: ReadinessConnection(self.is_ready), sock=listen(self._settings.bind.readiness)
         )
         following = self._loop.create_task(self._sessions.run())
         reloading = self._loop.create_task(self._poll_settings())
         log(INFO, "data plane up", node=self._settings.node_name)
+        await self._first_state()
+        frontend = await self._loop.create_server(lambda: ClientConnection(self, self._loop), sock=front)
         await self._ended.wait()
         await self._finish(frontend)
         following.cancel()
         reloading.cancel()
         readiness.close()
 
-    async def _listen(self, address: str, factory: Callable[[], asyncio.BaseProtocol]) -> asyncio.Server:
-        host, port = split_address(address)
-        return await self._loop.create_server(factory, host, port, backlog=BACKLOG)
+    async def _first_state(self) -> None:
+        """Requests that come before there is anything to serve them by wait unread, for a short time."""
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._may_accept.wait(), MOST_START_S)
+
+    def _end(self) -> None:
+        self._ended.set()
+        self._may_accept.set()
 
     async def _finish(self, frontend: asyncio.Server) -> None:
         """Take nothing new that can go elsewhere, finish what was read, break off what is late."""
@@ -150,20 +158,27 @@
     def _on_configuration(self, configuration: Configuration, version: Version) -> None:
         self._routes = RouteTable(configuration, version)
         self._forwarder.configure(configuration)
+        self._look_whether_ready()
         log(INFO, "configuration in force", generation=configuration.generation)
 
     def _on_workers(self, workers: WorkerList) -> None:
         self._forwarder.set_workers(workers)
+        self._look_whether_ready()
 
     def _on_members(self, members: MemberList) -> None:
         self._forwarder.set_fleet_size(len(members.edges))
 
     # ---- readiness ----
 
+    def _look_whether_ready(self) -> None:
+        if self.is_ready():
+            self._may_accept.set()
+
     def is_ready(self) -> bool:
         """Whether requests can be served: a configuration and workers are known, and no end is near."""
         state = self._subscription.state
-        return not self._closing and state.configuration is not None and state.workers is not None
+        workers = state.workers
+        return not self._closing and state.configuration is not None and bool(workers and workers.workers)
 
     # ---- what client connections ask ----
 
@@ -194,6 +209,16 @@
         return self._forwarder.begin(request, connection, route, upstream)
 
 
+def listen(address: str) -> socket.socket:
+    """A listening socket at `ip:port`; connections come up before anybody accepts them."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind(split_address(address))
+    listener.listen(BACKLOG)
+    return listener
+
+
 async def serve(settings: NodeSettings) -> None:
     """Run a data plane scheduler until it is told to end."""
     await DataPlane(settings).run()
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from reedspoke.decision.job_class import JobClass
 from reedspoke.decision.messages import (
     AttemptEnd,
     Decision,
@@ -122,6 +123,16 @@
         times = [at for service in self._services.values() if (at := service.wake_at(now)) is not None]
         return min(times, default=None)
 
+    @property
+    def jobs(self) -> int:
+        """Jobs that wait or have an attempt out."""
+        return len(self._service_of)
+
+    def accounts(self, upstream: str) -> list[JobClass]:
+        """The clients of a service's fair queue, as operators and tests want to see them."""
+        service = self._services.get(upstream)
+        return service.accounts() if service is not None else []
+
     def own_load(self) -> dict[str, Load]:
         """What this scheduler's requests hold at workers, to be told to the others."""
         loads: dict[str, Load] = {}
--- a/reedspoke/decision/job_class.py
+++ b/reedspoke/decision/job_class.py
@@ -22,7 +22,10 @@
 from reedspoke.decision.subject_queue import SubjectQueue
 
 OFFERED_MEMORY_S = 10.0  # over which offered work is averaged
-URGENCY = 1.25  # share of a route against one that is a rank less urgent
+URGENCY = 1.1  # share of a route against one that is a rank less urgent
+LEAST_SHARE = 1e-6  # keeps tags finite
+COST_LEARN = 0.05  # weight of a new cost in a class's ratio
+COST_RATIO_MOST = 10.0  # one job that hung must not look like a habit
 URGENCY_RANKS = 3  # ranks beyond which urgency counts no more: the least urgent must not starve
 
 
@@ -31,7 +34,7 @@
 
     job: Job
     job_class: JobClass
-    cost: float  # expected, in engine seconds
+    cost: float  # expected before a worker is chosen, in engine seconds
     hold_until: float  # it is refused if it still waits then
     waiting: bool = True
     closed: bool = False  # its client has left
@@ -46,20 +49,39 @@
     route: str
     band: Band
     phi: float = 1.0
-    start: float = 0.0
+    start: float = -math.inf  # set when its first job arrives
     out: int = 0
     largest: dict[str, float] = field(default_factory=dict)
     queue: SubjectQueue[JobState] = field(default_factory=SubjectQueue)
-    offered: float = 0.0  # work of recent arrivals, decayed
+    cost_ratio: float = 1.0  # what its jobs have cost against what was expected
+    offered: float = 0.0  # work of recent arrivals, decayed, by the urgency of their route
     offered_at: float = 0.0
 
-    def offer(self, cost: float, priority: int, now: float) -> None:
-        """A job of that cost arrives: the share follows."""
-        decay = math.exp(min(0.0, self.offered_at - now) / OFFERED_MEMORY_S)
-        self.offered = self.offered * decay + cost
-        self.offered_at = now
-        urgency = URGENCY ** -min(max(priority, 0), URGENCY_RANKS)
-        self.phi = self.offered / OFFERED_MEMORY_S * urgency
+    def learn_cost(self, expected: float, cost: float) -> None:
+        """A job has ended that was expected to cost so much."""
+        ratio = min(COST_RATIO_MOST, cost / expected)
+        self.cost_ratio += COST_LEARN * (ratio - self.cost_ratio)
+
+
+class Shares:
+    """Gives each class its share: its part of the work that all classes have offered lately."""
+
+    def __init__(self) -> None:
+        self._total = 0.0
+        self._at = 0.0
+
+    def offer(self, job_class: JobClass, cost: float, priority: int, now: float) -> None:
+        """A job of that cost arrives: the share of its class follows."""
+        work = cost * job_class.cost_ratio * URGENCY ** -min(max(priority, 0), URGENCY_RANKS)
+        self._total = self._total * decay(self._at, now) + work
+        job_class.offered = job_class.offered * decay(job_class.offered_at, now) + work
+        self._at = job_class.offered_at = now
+        job_class.phi = max(LEAST_SHARE, job_class.offered / self._total)
+
+
+def decay(since: float, now: float) -> float:
+    """What is left of offered work after that time."""
+    return math.exp(min(0.0, since - now) / OFFERED_MEMORY_S)
 
 
 def key_of(job: Job) -> str:
--- a/reedspoke/decision/placement.py
+++ b/reedspoke/decision/placement.py
@@ -21,13 +21,16 @@
 
 NEAR = 3  # workers of a key's order that may be taken to keep what other schedulers sent there
 TOLD_BY_ORDER = (0.9, 0.5, 0.25)  # chance that others had a shared prefix read there, by place in the order
-REREAD = 1.0  # price of reading a shared token again, in times of reading it
+REREAD = 2.0  # price of reading a shared token again, in times of reading it
 CROSS_ZONE = 0.01  # of the aim: what another zone costs
 BUSY_FROM = 0.7  # share of positions or memory above which load costs more
 BUSY_S = 1.0  # cost of a load, for each unit of share above that
 LOAD_S = 0.05  # cost of a load, for each unit of share
 COLD = 2.0  # times as slow, while cold
 ORDERS = 1024  # keys whose order is remembered
+PATIENT_NEAR = 3  # workers of a key's order that a request waits for, of those that don't rest
+PATIENT_PART = 0.2  # of the aim: how long it does
+PATIENT_S = 0.02  # of reading: with less to read again it goes anywhere at once
 REACH = 24  # workers of a key's order looked at; more only if all of these cannot take it
 
 
@@ -47,6 +50,7 @@
     excluded: Collection[str]
     now: float
     last_resort: bool  # a worker that rests or is not trusted is good enough
+    late_s: float  # a first event after this time is late
 
 
 class Placement:
@@ -56,6 +60,8 @@
         self.engine = engine  # whether the service has model engines
         self.ranked: list[WorkerState] = []  # by a hash of the worker's id
         self._zone = zone
+        self._aims: dict[str, float] = {}  # by route
+        self._tightest = 0.0
         self._speed = speed
         self._orders: OrderedDict[str, list[WorkerState]] = OrderedDict()
 
@@ -84,7 +90,7 @@
         rests or is not trusted is good enough."""
         chain = chain_of(job.model, job.parts) if self.engine else ()
         shared_tokens = sum(part.tokens for part in job.parts[:-1])
-        ask = Ask(job, chain, shared_tokens, excluded, now, last_resort)
+        ask = Ask(job, chain, shared_tokens, excluded, now, last_resort, self._late_s(job))
         order = self.order(affinity_key(job))
         for start in range(0, len(order), REACH):
             found = self._best_of(ask, order[start : start + REACH], start)
@@ -93,29 +99,48 @@
         return None
 
     def roomiest(self, job: Job, excluded: Collection[str], now: float) -> str | None:
-        """The worker with the most memory left of those that have a position for the job."""
+        """The worker with the most memory left of those that have a position for the job, if memory is all
+        that it lacks."""
         free = [worker for worker in self.ranked if may_take(job, worker, excluded, now)]
-        if not free:
+        if not free or any(worker.memory_fits(job.prompt_tokens + job.output_tokens) for worker in free):
             return None
         return min(free, key=lambda worker: worker.memory_share()).entry.instance_id
 
     def _best_of(self, ask: Ask, workers: list[WorkerState], start: int) -> Placed | None:
         """The cheapest of these, whose places in the order begin at `start`."""
         found, least = None, float("inf")
+        patient = self.engine and ask.now - ask.job.arrived < PATIENT_PART * ask.job.aim_s
+        near = start  # workers before and with this one that don't rest
         unread, expected_s = 0, 0.0
         for place, worker in enumerate(workers, start):
+            near += worker.rested(ask.now)
             if not self._may_take(ask, worker):
                 continue
             cached = worker.cache.cached_tokens(ask.chain, ask.job.parts) if self.engine else 0
+            if patient and near > PATIENT_NEAR and self._rereads(ask, cached):
+                continue  # rather wait for a moment than read a long prefix at many workers
             missing = max(0, ask.job.prompt_tokens - cached)
             if self.engine and not worker.memory_fits(missing + ask.job.output_tokens):
                 continue
             first_s = self._first_event_s(worker, missing, ask.now)
+            if worker.pending_tokens and first_s + worker.excess(ask.now) > ask.late_s:
+                continue  # it would wait there; one of ours at a time finds out when that is over
             cost = first_s + self._side_costs(ask, worker, cached, place)
             if cost < least:
                 found, least, unread, expected_s = worker, cost, missing, first_s
         return Placed(found, self._attempt(ask, unread, expected_s)) if found is not None else None
 
+    def _late_s(self, job: Job) -> float:
+        """Late is what is late for the tightest aim of the service: all its kinds wait in the same line."""
+        if self._aims.get(job.route) != job.aim_s:
+            self._aims[job.route] = job.aim_s
+            self._tightest = min(self._aims.values())
+        return LATE_PART * self._tightest
+
+    def _rereads(self, ask: Ask, cached: int) -> bool:
+        """Whether much would be read that one of the key's first workers is likely to keep."""
+        return (ask.shared_tokens - cached) * self._speed.token_read_s > PATIENT_S
+
     def _may_take(self, ask: Ask, worker: WorkerState) -> bool:
         if ask.last_resort:
             return has_place(ask.job, worker, ask.excluded)
@@ -127,7 +152,7 @@
             unread_tokens=unread if self.engine else 0,
             kept_tokens=unread + ask.job.output_tokens if self.engine else 0,
             expected_s=expected_s,
-            late_s=LATE_PART * ask.job.aim_s,
+            late_s=ask.late_s,
         )
 
     def _first_event_s(self, worker: WorkerState, unread: int, now: float) -> float:
@@ -183,5 +208,5 @@
     return (
         has_place(job, worker, excluded)
         and worker.rested(now)
-        and worker.trusted(job.repeat is not Repeat.NEVER, now)
+        and worker.trusted(job.repeat is not Repeat.NEVER)
     )
--- a/reedspoke/decision/prefix_cache.py
+++ b/reedspoke/decision/prefix_cache.py
@@ -25,9 +25,7 @@
     def __init__(self, kv_tokens: int, entries: int = ENTRIES) -> None:
         self._limit = kv_tokens
         self._entries = entries
-        self._kept: OrderedDict[int, int] = (
-            OrderedDict()
-        )  # hash of the chain of ids -> tokens of its last part
+        self._kept: OrderedDict[int, int] = OrderedDict()  # tokens of a part, by its link of the chain
         self._tokens = 0
 
     @property
@@ -44,8 +42,9 @@
             tokens += part.tokens
         return tokens
 
-    def record(self, chain: Sequence[int], parts: Sequence[Part]) -> None:
-        """A prompt was sent: its parts are kept from now on, and are the latest used."""
+    def record(self, chain: Sequence[int], parts: Sequence[Part]) -> tuple[int, ...]:
+        """A prompt was sent: its parts are kept from now on, as the latest used. Returns the new ones."""
+        added = tuple(link for link in chain if link not in self._kept)
         for link, part in zip(chain, parts, strict=True):
             if link not in self._kept:
                 self._kept[link] = part.tokens
@@ -54,6 +53,12 @@
             if link in self._kept:
                 self._kept.move_to_end(link)
         self._make_room()
+        return added
+
+    def drop(self, links: Iterable[int]) -> None:
+        """These parts were not read after all."""
+        for link in links:
+            self._tokens -= self._kept.pop(link, 0)
 
     def _make_room(self) -> None:
         while self._kept and (self._tokens > self._limit or len(self._kept) > self._entries):
@@ -64,11 +69,6 @@
         self._limit = kv_tokens
         self._make_room()
 
-    def clear(self) -> None:
-        """Forget everything: the worker has started anew."""
-        self._kept.clear()
-        self._tokens = 0
-
 
 def chain_of(model: str, parts: Iterable[Part]) -> tuple[int, ...]:
     """For each part the hash that names it together with the model and every part before it."""
--- a/reedspoke/decision/service.py
+++ b/reedspoke/decision/service.py
@@ -9,7 +9,7 @@
 
 from reedspoke.decision.attempt_fate import Another, Fate, FinalStatus, another_attempt, final_status
 from reedspoke.decision.fair_queue import Charge, FairQueue, finish_tag
-from reedspoke.decision.job_class import JobClass, JobState, head_key, key_of
+from reedspoke.decision.job_class import JobClass, JobState, Shares, head_key, key_of
 from reedspoke.decision.messages import (
     AttemptEnd,
     Decision,
@@ -36,6 +36,7 @@
 REFRESH_S = 0.010  # between charges of running jobs, as in the paper
 HOLD_PART = 0.22  # of the aim that a job waits for a worker: refused within a quarter, with a timer's delay
 HALF_TAKEN = 0.5  # share of positions taken under which a job is sent to any worker rather than refused
+LOOK_EVERY_S = 0.02  # while jobs wait: rests and delays end as time passes
 QUEUE_MOST = 1000  # jobs that wait; what comes beyond them is refused at once
 FORGET_EVERY = 256  # arrivals between looks for classes without work
 
@@ -60,6 +61,7 @@
         self.decisions: list[Decision] = []
         self._queue = FairQueue(CLOCK_MEMORY_S, REFRESH_S)
         self._classes: dict[tuple[str, int], JobClass] = {}
+        self._shares = Shares()
         self._bands: dict[str, SizeBands] = {}
         self._jobs: dict[int, JobState] = {}
         self._out: dict[int, OutAttempt] = {}
@@ -80,7 +82,7 @@
             self.decisions.append(Refuse(job.job_id, after, RefuseReason.OVERLOAD))
             return
         job_class, cost = self._class_of(job), self.pool.expected_cost(job)
-        job_class.offer(cost, job.priority, now)
+        self._shares.offer(job_class, cost, job.priority, now)
         self._queue.seed(job_class, key_of(job), self._largest_seen(job, cost))
         state = JobState(job, job_class, cost, min(job.arrived + HOLD_PART * job.aim_s, job.deadline))
         self._jobs[job.job_id] = state
@@ -103,6 +105,7 @@
         """The first event or byte of the answer has come."""
         if (out := self._out.get(job_id)) is not None:
             self.pool.first_event(job_id, out.worker, now)
+            self.release(now)
 
     def attempt_ended(self, job_id: int, end: AttemptEnd, now: float) -> None:
         """An attempt has ended: settle its account, and decide on the job's next one."""
@@ -117,8 +120,11 @@
             out.state.job_class.queue.refund(out.state.job.subject, out.turn_cost)
         else:
             out.state.ran = True
-            out.state.passed = out.state.passed or out.running.first_event > 0
-            self._queue.finish(out.state.job_class, out.charge, cost, learn=end.outcome is Outcome.OK)
+            out.state.passed |= out.state.job.streaming and out.running.first_event > 0
+            whole = end.outcome is Outcome.OK
+            self._queue.finish(out.state.job_class, out.charge, cost, learn=whole)
+            if whole:
+                out.state.job_class.learn_cost(out.state.cost, cost)
         self._after(out.state, end, now)
         self.release(now)
 
@@ -157,7 +163,7 @@
             heapq.heappop(self._holds)
         if not self._holds:
             return None
-        return min(self._holds[0][0], self.pool.rested_at(now))
+        return min(self._holds[0][0], now + LOOK_EVERY_S)
 
     # ---- the ordinary path ----
 
@@ -299,6 +305,10 @@
         """Whether no job is known."""
         return not (self._jobs or self._out)
 
+    def accounts(self) -> list[JobClass]:
+        """The clients of the fair queue."""
+        return list(self._classes.values())
+
     def knows(self, job_id: int) -> bool:
         """Whether the job waits or has an attempt out."""
         return job_id in self._jobs or job_id in self._out
--- a/reedspoke/decision/subject_queue.py
+++ b/reedspoke/decision/subject_queue.py
@@ -31,6 +31,11 @@
     def __len__(self) -> int:
         return self._length
 
+    @property
+    def remembered(self) -> int:
+        """Subjects that have an account."""
+        return len(self._tags)
+
     def push(self, subject: str, job: T) -> None:
         """A job arrives."""
         self._arrivals += 1
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -66,16 +66,11 @@
         return any(worker.room() > 0 and worker.rested(now) for worker in self._usable)
 
     def taken_share(self) -> float:
-        """The part of all usable workers' positions that is known to be taken."""
+        """The part of all usable workers' positions, or of their memory, that is known to be taken."""
         places = sum(worker.entry.capacity for worker in self._usable)
-        taken = sum(min(worker.taken, worker.entry.capacity) for worker in self._usable)
+        taken = sum(worker.taken_share() * worker.entry.capacity for worker in self._usable)
         return taken / places if places else 1.0
 
-    def rested_at(self, now: float) -> float:
-        """The time when the next worker that rests may be used again; infinite where none rests."""
-        rests = [worker.rest_until for worker in self._usable if worker.rest_until > now]
-        return min(rests, default=float("inf"))
-
     def stagger(self, worker: WorkerState) -> float:
         """i/n of the worker's next position. Positions are ranked by a hash of the worker's id, and each
         worker has as many as its cap."""
@@ -109,15 +104,18 @@
         """The job is sent."""
         placed.worker.start(job.job_id, placed.attempt)
         if self._engine is not None:
-            placed.worker.cache.record(chain_of(job.model, job.parts), job.parts)
+            chain = chain_of(job.model, job.parts)
+            placed.attempt.added = placed.worker.cache.record(chain, job.parts)
 
     def first_event(self, job_id: int, worker: WorkerState, now: float) -> None:
         """The first event of a job's attempt has come."""
         ahead = worker.pending_tokens
-        attempt = worker.first_event(job_id, now)
-        if attempt is None or self._engine is None:
+        attempt = worker.first_event(job_id, now, self._speed.settled)
+        if attempt is None:
             return
-        if ahead == attempt.unread_tokens:  # else what it waited for is not known
+        if self._engine is None:
+            self._speed.learn_request(now - attempt.sent)
+        elif ahead == attempt.unread_tokens:  # else what it waited for is not known
             self._speed.learn_first_event(attempt.unread_tokens, now - attempt.sent)
 
     def end(self, job_id: int, worker: WorkerState, end: AttemptEnd, now: float) -> None:
@@ -128,11 +126,9 @@
         worker.judge(end.outcome, end.cause, attempt.sent, now)
         if end.cause is Cause.WRONG_INSTANCE:
             self._line_up()
-        if end.outcome is not Outcome.OK:
-            return
-        if self._engine is None:
-            self._speed.learn_request(now - attempt.sent)
-        elif attempt.first_event:
+        if end.outcome is Outcome.NOT_EXECUTED:
+            worker.cache.drop(attempt.added)
+        if end.outcome is Outcome.OK and attempt.first_event:
             self._speed.learn_output(end.output_tokens, now - attempt.first_event)
 
     def _capacity(self) -> int:
--- a/reedspoke/decision/worker_state.py
+++ b/reedspoke/decision/worker_state.py
@@ -34,6 +34,7 @@
     expected_s: float  # to the first event
     late_s: float  # a first event after this time is late
     first_event: float = 0.0  # 0: none yet
+    added: tuple[int, ...] = ()  # parts that the worker was not taken to keep before
 
 
 class WorkerState(Struct, eq=False):
@@ -96,11 +97,17 @@
             return True
         return self.kept_tokens + self.others.tokens + tokens <= self.kv_tokens
 
+    def taken_share(self) -> float:
+        """The part of its positions, or of its memory where that is more, that is known to be taken."""
+        positions = self.taken / max(1, self.entry.capacity)
+        memory = self.memory_share() if self.kv_tokens else 0.0
+        return min(1.0, max(positions, memory))
+
     def memory_share(self) -> float:
         """The part of its memory that running requests are known to keep."""
         return (self.kept_tokens + self.others.tokens) / max(1, self.kv_tokens)
 
-    def trusted(self, repeatable: bool, now: float) -> bool:
+    def trusted(self, repeatable: bool) -> bool:
         """Whether its last answers let a request go there; repeatable ones try it out one at a time."""
         if self.sound >= TRUST:
             return True
@@ -116,15 +123,16 @@
         self.pending_tokens += attempt.unread_tokens
         self.kept_tokens += attempt.kept_tokens
 
-    def first_event(self, job_id: int, now: float) -> Running | None:
-        """Its first event came; None where it is not the first or not ours."""
+    def first_event(self, job_id: int, now: float, learn_pace: bool = True) -> Running | None:
+        """Its first event came; None where it is not the first or not ours. While little is known of the
+        service, an expectation says nothing of this worker's pace."""
         attempt = self.running.get(job_id)
         if attempt is None or attempt.first_event:
             return None
         attempt.first_event = now
         self.pending_tokens -= attempt.unread_tokens
         self.heard()
-        self._learn_delay(attempt, now)
+        self._learn_delay(attempt, now, learn_pace)
         return attempt
 
     def end(self, job_id: int) -> Running | None:
@@ -181,7 +189,7 @@
         self.silent += 1
         self.rest_until = max(self.rest_until, now + rest)
 
-    def _learn_delay(self, attempt: Running, now: float) -> None:
+    def _learn_delay(self, attempt: Running, now: float, learn_pace: bool) -> None:
         delay, expected = now - attempt.sent, attempt.expected_s
         excess = max(0.0, delay - expected)
         self.excess_s = self.excess(now) * (1 - LEARN) + excess * LEARN
@@ -190,6 +198,6 @@
             self._cut(attempt.sent, now)
         elif self.used >= int(self.cap):
             self.cap = min(self.cap + CAP_GAIN, float(max(1, self.entry.capacity)))
-        if expected >= PACE_SAMPLE_S:
+        if learn_pace and expected >= PACE_SAMPLE_S:
             sample = min(delay / expected, OUTLIER) * self.pace
             self.pace += LEARN / 2 * (min(PACE_MOST, max(PACE_LEAST, sample)) - self.pace)
--- a/reedspoke/lab/fleet_emulator/__main__.py
+++ b/reedspoke/lab/fleet_emulator/__main__.py
@@ -14,16 +14,22 @@
 from reedspoke.lab.fleet_emulator.faults import FaultShares
 from reedspoke.lab.fleet_emulator.fleet import FleetStartError
 from reedspoke.lab.fleet_emulator.report_text import report_text
+from reedspoke.lab.fleet_emulator.scale import build_parser as build_scale_parser
+from reedspoke.lab.fleet_emulator.scale import run_scale, slope_text
 
 MOST_SECONDS = 120.0
 MOST_PROCESSES = 60
 MOST_WORKERS = 60
 SOUND, NOT_SOUND, USAGE, NOT_PLAYED = 0, 1, 2, 3
+PROGRAM = "python -m reedspoke.lab.fleet_emulator"
+SCALE = "scale"
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Arguments of the load run."""
-    parser = argparse.ArgumentParser(prog="python -m reedspoke.lab.fleet_emulator", description=__doc__)
+    parser = argparse.ArgumentParser(
+        prog=PROGRAM, description=__doc__, epilog=f"{PROGRAM} {SCALE} --help: scale runs"
+    )
     parser.add_argument("--control", type=int, default=3, help="control plane processes (%(default)s)")
     parser.add_argument("--edges", type=int, default=2, help="data plane processes (%(default)s)")
     parser.add_argument("--workers", type=int, default=4, help="emulated workers (%(default)s)")
@@ -57,20 +63,37 @@
 
 def main(words: Sequence[str] | None = None) -> int:
     """The exit status."""
-    arguments = build_parser().parse_args(words)
+    given = list(sys.argv[1:] if words is None else words)
+    play = play_scale if given[:1] == [SCALE] else play_load
     try:
-        options = options_of(arguments)
-        if arguments.keep is None:
-            report = asyncio.run(run(options))
-        else:
-            arguments.keep.mkdir(parents=True)
-            report = asyncio.run(run_in(arguments.keep, options))
+        return play(given)
     except ValueError as error:
         print(error, file=sys.stderr)
         return USAGE
     except FleetStartError as error:
         print(error, file=sys.stderr)
         return NOT_PLAYED
+
+
+def play_scale(words: Sequence[str]) -> int:
+    """`scale`: the exit status."""
+    arguments = build_scale_parser(f"{PROGRAM} {SCALE}").parse_args(words[1:])
+    report = run_scale(arguments, progress=lambda text: print(text, flush=True))
+    print(slope_text(report))
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.encode(report))
+    return SOUND
+
+
+def play_load(words: Sequence[str]) -> int:
+    """A fleet under load: the exit status."""
+    arguments = build_parser().parse_args(words)
+    options = options_of(arguments)
+    if arguments.keep is None:
+        report = asyncio.run(run(options))
+    else:
+        arguments.keep.mkdir(parents=True)
+        report = asyncio.run(run_in(arguments.keep, options))
     print(report_text(report))
     if arguments.json:
         arguments.json.write_bytes(msgspec.json.encode(report))
--- a/reedspoke/lab/fleet_emulator/experiment.py
+++ b/reedspoke/lab/fleet_emulator/experiment.py
@@ -17,6 +17,7 @@
 from reedspoke.lab.fleet_emulator.ingress import Ingress
 from reedspoke.lab.fleet_emulator.layout import (
     HEALTH_PATH,
+    LIST_LAG_MS,
     MODEL_UPSTREAM,
     PLAIN_UPSTREAM,
     Layout,
@@ -41,8 +42,6 @@
 )
 from reedspoke.lab.fleet_emulator.workload import Workload
 
-LIST_LAG_S = 0.2
-LIST_RATE_PER_S = 20.0
 MODEL_CAPACITY = 16
 PLAIN_CAPACITY = 6
 PLAIN_SHARE = 3  # one worker in so many has no model
@@ -93,8 +92,8 @@
 
     def __init__(self, layout: Layout, options: Options, ledger: Ledger) -> None:
         self.workers = [make_worker(layout, number, options, ledger) for number in range(options.workers)]
-        self.registry = WorkerRegistry(LIST_LAG_S, time.monotonic)
-        limit = RateLimit(LIST_RATE_PER_S, time.monotonic)
+        self.registry = WorkerRegistry(LIST_LAG_MS / 1000, time.monotonic)
+        limit = RateLimit(layout.list_rate_per_s, time.monotonic)
         self.server = WorkerListServer(layout.platform(), self.registry, limit)
 
     async def __aenter__(self) -> EmulatedWorkers:
--- a/reedspoke/lab/fleet_emulator/layout.py
+++ b/reedspoke/lab/fleet_emulator/layout.py
@@ -27,6 +27,8 @@
 LEAST_PORT, MOST_PORT = 20_000, 32_000  # below those that the system gives to outgoing connections
 INTERNAL_PORTS = 16
 HOSTS_IN_SUBNET = 250
+LIST_RATE_PER_S = 20.0
+LIST_LAG_MS = 200.0
 
 
 class Ports(Struct, frozen=True):
@@ -45,6 +47,7 @@
 
     network: int
     ports: Ports
+    list_rate_per_s: float = LIST_RATE_PER_S
 
     def address(self, subnet: int, number: int) -> str:
         """IP address of a machine."""
@@ -67,13 +70,13 @@
         return f"{self.address(EDGE_SUBNET, number)}:{self.ports.readiness}"
 
 
-def draw_layout() -> Layout:
+def draw_layout(list_rate_per_s: float = LIST_RATE_PER_S) -> Layout:
     """Addresses that hardly any other run on this machine uses at the same time."""
     source = random.SystemRandom()
     first = source.randrange(LEAST_PORT, MOST_PORT - INTERNAL_PORTS - 5)
     internal = first + 5, first + 4 + INTERNAL_PORTS
     ports = Ports(first, first + 1, first + 2, first + 3, first + 4, internal)
-    return Layout(source.randrange(1, 255), ports)
+    return Layout(source.randrange(1, 255), ports, list_rate_per_s)
 
 
 def zone_of(number: int) -> str:
@@ -100,10 +103,15 @@
         quorum_member=core,
         limits=Limits(disk_mb=128 if core else 0, max_fds=4096, memory_mb=300),
         data_dir=data_dir,
-        cloud_api=CloudApi(layout.platform(), rate_per_s=20.0, lag_ms=200),
+        cloud_api=CloudApi(layout.platform(), rate_per_s=layout.list_rate_per_s, lag_ms=LIST_LAG_MS),
     )
 
 
+def internal_address_of(layout: Layout, number: int) -> str:
+    """Where data plane schedulers reach a control plane process."""
+    return f"{layout.address(CONTROL_SUBNET, number)}:{layout.ports.internal[0]}"
+
+
 def control_settings(layout: Layout, number: int, seeds: int, data_dir: str) -> NodeSettings:
     """Settings of a control plane process."""
     bind = Bind(control_plane=layout.control(number))
--- a/reedspoke/lab/fleet_emulator/process.py
+++ b/reedspoke/lab/fleet_emulator/process.py
@@ -1,4 +1,4 @@
-"""A real process of the fleet: its settings file, its log, and what the system says of it."""
+"""Child processes of an experiment: their files, and what the system says of them."""
 
 from __future__ import annotations
 
@@ -21,20 +21,18 @@
 STOP_TIMEOUT_S = 10.0
 
 
-class FleetProcess:
-    """One `python -m MODULE` with a settings file of its own."""
+class ChildProcess:
+    """One `python -m MODULE ARGUMENTS`, with its output in a log file."""
 
-    def __init__(self, module: str, settings: NodeSettings, folder: Path) -> None:
-        self.module = module
-        self.settings = settings
-        self.settings_path = folder / f"{settings.node_name}.json"
-        self.log_path = folder / f"{settings.node_name}.log"
-        self.settings_path.write_bytes(msgspec.json.encode(settings))
+    def __init__(self, name: str, module: str, arguments: tuple[str, ...], folder: Path) -> None:
+        self.name = name
+        self.log_path = folder / f"{name}.log"
+        self._words = [sys.executable, "-m", module, *arguments]
         self._process: subprocess.Popen[bytes] | None = None
 
-    @property
-    def name(self) -> str:
-        return self.settings.node_name
+    def environment(self) -> dict[str, str]:
+        """The variables that the process gets."""
+        return {name: os.environ[name] for name in PASSED_VARIABLES if name in os.environ}
 
     @property
     def pid(self) -> int:
@@ -42,25 +40,27 @@
         return self._process.pid
 
     def start(self) -> None:
-        environment = {name: os.environ[name] for name in PASSED_VARIABLES if name in os.environ}
-        environment[SETTINGS_VARIABLE] = str(self.settings_path)
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", self.module], env=environment, cwd=ROOT, stdout=log, stderr=log
+                self._words, env=self.environment(), cwd=ROOT, stdout=log, stderr=log
             )
 
     def running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Nothing where the process has ended."""
+        if self.running():
+            os.kill(self.pid, number)
+
     def terminate(self) -> None:
         """SIGTERM, without waiting."""
-        if self.running():
-            self._signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
 
     def kill(self) -> None:
         """SIGKILL, and wait for the end."""
         if self._process is not None and self.running():
-            self._signal(signal.SIGKILL)
+            self.send_signal(signal.SIGKILL)
             self._process.wait()
 
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
@@ -73,9 +73,6 @@
             self.kill()
             return None
 
-    def _signal(self, number: signal.Signals) -> None:
-        os.kill(self.pid, number)
-
     def log_tail(self, lines: int = 5) -> str:
         """The end of the log."""
         if not self.log_path.exists():
@@ -92,6 +89,18 @@
         return status_kib(self.pid, "VmRSS") / KIB
 
 
+class FleetProcess(ChildProcess):
+    """A program of the fleet with a settings file of its own."""
+
+    def __init__(self, module: str, settings: NodeSettings, folder: Path) -> None:
+        super().__init__(settings.node_name, module, (), folder)
+        self.settings_path = folder / f"{settings.node_name}.json"
+        self.settings_path.write_bytes(msgspec.json.encode(settings))
+
+    def environment(self) -> dict[str, str]:
+        return {**super().environment(), SETTINGS_VARIABLE: str(self.settings_path)}
+
+
 def status_kib(pid: int, name: str) -> int:
     """A figure of `/proc/PID/status` in KiB."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
