--- a/reedspoke/cluster/transport.py
+++ b/reedspoke/cluster/transport.py
@@ -72,5 +72,6 @@
 async def open_channel(address: str, timeout: float = CONNECT_TIMEOUT_S) -> Channel:
     """Connect to `ip:port`. Raises OSError or TimeoutError."""
     host, port = split_address(address)
-    reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port), timeout)
+    async with asyncio.timeout(timeout):
+        reader, writer = await asyncio.open_connection(host, port)
     return Channel(reader, writer)
--- a/reedspoke/control_plane/__init__.py
+++ b/reedspoke/control_plane/__init__.py
@@ -1,1 +1,1 @@
-"""The control plane: holds the configuration on a chain of core machines and delivers it with the worker list."""
+"""The control plane: keeps the configuration on a chain of core machines, delivers it and the workers."""
--- a/reedspoke/control_plane/events.py
+++ b/reedspoke/control_plane/events.py
@@ -11,7 +11,7 @@
 
 
 class Member(Struct, array_like=True, frozen=True):
-    """A core machine: the id of its data folder, made with the folder, and its address for other schedulers."""
+    """A core machine: the id of its data folder, made with the folder, and its internal address."""
 
     folder_id: str
     address: str
--- a/reedspoke/control_plane/list_duty.py
+++ b/reedspoke/control_plane/list_duty.py
@@ -1,4 +1,9 @@
-"""The holder of the lease calls the platform's list of workers, and publishes what is new."""
+"""The holder of the lease calls the platform's list of workers, and publishes what is new.
+
+A process that has just started and knows no list calls once without the lease: after a loss of all control
+schedulers the lease cannot be granted before its longest term has passed, and a read harms nobody. What it
+reads has a version below that of any holder.
+"""
 
 from __future__ import annotations
 
@@ -6,17 +11,18 @@
 from collections.abc import Callable
 
 from reedspoke.cluster.json_log import INFO, WARNING, log
-from reedspoke.cluster.messages import WorkerEntry, WorkerList
+from reedspoke.cluster.messages import Version, WorkerEntry, WorkerList
 from reedspoke.cluster.node_settings import CloudApi
 from reedspoke.control_plane.duty_lease import DutyLease, Outgoing
 from reedspoke.control_plane.platform_client import PlatformClient, PlatformError, PlatformRateError
-from reedspoke.control_plane.worker_list import PlatformPage, WorkerBook, merge_pages
+from reedspoke.control_plane.worker_list import UNLEASED_TERM, PlatformPage, WorkerBook, merge_pages
 
 LIST_INTERVAL_S = 0.8  # between calls of the whole list; each call has a price
 RETRY_S = 0.25  # after a call that failed
 FAILING_S = 1.0  # calls that fail for longer give the lease to another
 RATE_SHARE = 0.8  # of the platform's rate, as the holder before may have called just now
 MOST_PAGES = 200
+UNLEASED_VERSION: Version = (UNLEASED_TERM, 1)
 
 Publish = Callable[[WorkerList], None]
 Send = Callable[[list[Outgoing]], None]
@@ -68,10 +74,24 @@
             pause = await self._call()
             await asyncio.sleep(max(0.0, began + pause - self._loop.time()))
 
+    async def first_list(self) -> None:
+        """Read the list once without the lease, unless a list comes from elsewhere before."""
+        client = PlatformClient(self._cloud_api.address)
+        while self._book.current is None:
+            try:
+                pages = await self._pages(client)
+            except (PlatformRateError, PlatformError):
+                await asyncio.sleep(RETRY_S)
+                continue
+            workers = WorkerList(UNLEASED_VERSION, merge_pages(pages))
+            if self._book.adopt(workers, self._loop.time()):
+                self._publish(workers)
+        client.close()
+
     async def _call(self) -> float:
         """One call of the whole list; the time from its start to the next one."""
         try:
-            pages = await self._pages()
+            pages = await self._pages(self._client)
         except PlatformRateError:
             return LIST_INTERVAL_S
         except PlatformError as error:
@@ -82,14 +102,14 @@
         self._answered(merge_pages(pages))
         return max(LIST_INTERVAL_S, len(pages) * self._call_gap())
 
-    async def _pages(self) -> list[PlatformPage]:
-        pages = [await self._client.page(None)]
+    async def _pages(self, client: PlatformClient) -> list[PlatformPage]:
+        pages = [await client.page(None)]
         while pages[-1].next_token is not None:
             if len(pages) >= MOST_PAGES:
                 raise PlatformError("the list has too many pages")
             if (gap := self._call_gap()) > RETRY_S / 4:
                 await asyncio.sleep(gap)
-            pages.append(await self._client.page(pages[-1].next_token))
+            pages.append(await client.page(pages[-1].next_token))
         return pages
 
     def _call_gap(self) -> float:
--- a/reedspoke/control_plane/operator_api.py
+++ b/reedspoke/control_plane/operator_api.py
@@ -146,7 +146,8 @@
     async def get_configuration(self, request: Request) -> Response:
         """The newest configuration, byte for byte as it was sent."""
         try:
-            answer = await asyncio.wait_for(self._calls.get(), ANSWER_S)
+            async with asyncio.timeout(ANSWER_S):
+                answer = await self._calls.get()
         except TimeoutError:
             raise FleetError(ErrorCode.NO_QUORUM, "the newest configuration is not known yet") from None
         if answer.error is not None:
--- a/reedspoke/control_plane/peer_transport.py
+++ b/reedspoke/control_plane/peer_transport.py
@@ -196,7 +196,8 @@
 
     async def _converse(self, arrived: Arrived) -> None:
         channel = arrived.channel
-        first = await asyncio.wait_for(channel.receive(FirstMessage), FIRST_MESSAGE_S)
+        async with asyncio.timeout(FIRST_MESSAGE_S):
+            first = await channel.receive(FirstMessage)
         if isinstance(first, Hello):
             while True:
                 self._on_peer(first.address, await channel.receive(PeerMessage))
--- a/reedspoke/control_plane/platform_client.py
+++ b/reedspoke/control_plane/platform_client.py
@@ -36,7 +36,8 @@
     async def page(self, token: str | None) -> PlatformPage:
         """The page behind `token`, or the first one. Raises PlatformError."""
         try:
-            return await asyncio.wait_for(self._call(token), CALL_TIMEOUT_S)
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await self._call(token)
         except (OSError, TimeoutError, MalformedError, msgspec.DecodeError) as error:
             self.close()
             raise PlatformError(str(error) or type(error).__name__) from error
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -97,10 +97,12 @@
         self._driver.start()
         duty = self._loop.create_task(self._duty.run())
         duty.add_done_callback(self._duty_ended)
+        first_list = self._loop.create_task(self._duty.first_list())
         log(INFO, "control plane up", node=self._settings.node_name, address=self._address)
         await self._ended.wait()
         await self._leave()
         duty.cancel()
+        first_list.cancel()
         log(INFO, "control plane ends")
 
     # ---- what the driver asks ----
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -49,6 +49,7 @@
 from reedspoke.control_plane.replica_repair import Repair
 from reedspoke.control_plane.replica_settings import (
     PING_INTERVAL_S,
+    REPAIR_INTERVAL_S,
     TICK_S,
     WAKE_GAP_S,
     ReplicaSettings,
@@ -81,6 +82,7 @@
         self._view_members: frozenset[Member] = frozenset()
         self._last_tick = now
         self._last_ping = float("-inf")
+        self._last_look = now
         self._last_disk_ok = True
         name = f"{settings.folder_id}:{incarnation or now!r}"
         limit = settings.answer_limit_s
@@ -193,6 +195,11 @@
         disk_changed = self._outbox.disk_ok != self._last_disk_ok
         if disk_changed or now - self._last_ping >= PING_INTERVAL_S:
             self._ping_all()
+        if now - self._last_look >= REPAIR_INTERVAL_S - TICK_S / 2:
+            self._last_look = now
+            self._look_for_better_view()
+
+    def _look_for_better_view(self) -> None:
         if self.view is not None:
             self._repair.propose_next(self.view)
         elif self._first_seeds:
--- a/reedspoke/control_plane/replica_peers.py
+++ b/reedspoke/control_plane/replica_peers.py
@@ -81,12 +81,15 @@
         return peer is not None and self.mutual(folder_id, now) and now - peer.heard_since >= JOIN_AFTER_S
 
     def gone(self, folder_id: str, now: float) -> bool:
-        """Whether no replica that I hear has heard this one, and I have not for GONE_S."""
+        """Whether I have not heard this replica for GONE_S, nor has any other that has run for as long."""
         if folder_id == self._own.folder_id or not self.silent(folder_id, now, GONE_S):
             return False
-        return not any(
-            folder_id in peer.ping.heard for peer in self._peers.values() if now - peer.heard_at <= HEARD_S
-        )
+        witnesses = [
+            peer.ping
+            for peer in self._peers.values()
+            if now - peer.heard_at <= HEARD_S and now - peer.heard_since > GONE_S
+        ]
+        return not any(folder_id in ping.heard for ping in witnesses)
 
     def _heard_by(self, folder_id: str) -> tuple[str, ...]:
         peer = self._peers.get(folder_id)
--- a/reedspoke/control_plane/replica_settings.py
+++ b/reedspoke/control_plane/replica_settings.py
@@ -14,6 +14,7 @@
 LEASE_S = 0.7  # a voter accepts no other tail for this long after a grant
 LEASE_MARGIN_S = 0.1  # the tail counts its lease as shorter by this
 GRANT_PAUSE_S = 1.2  # no lease is asked for, or granted, for this long after a resignation or a deferred view
+REPAIR_INTERVAL_S = 0.1  # how often a member looks for a better view
 PROPOSE_AFTER_S = 0.08  # how long a better view must be in sight before it is proposed
 RANK_DELAY_S = 0.25  # the further back in the chain, the later a member proposes
 JOIN_AFTER_S = 0.3  # how long a joiner must be connected before it is appended
--- a/reedspoke/control_plane/view_acceptor.py
+++ b/reedspoke/control_plane/view_acceptor.py
@@ -34,7 +34,8 @@
         return list(self._states.values())
 
     def enter(self, view: View) -> None:
-        """Views up to this one are decided: their states are not needed."""
+        """Views up to this one are decided: their states are not needed, nobody is at work on them."""
+        self._heard_from = None
         for number in [number for number in self._states if number <= view.number]:
             del self._states[number]
             self._synced.pop(number, None)
--- a/reedspoke/control_plane/worker_list.py
+++ b/reedspoke/control_plane/worker_list.py
@@ -12,6 +12,7 @@
 
 STATE_DRAINING = "draining"
 MOST_WORKERS = 20000
+UNLEASED_TERM = 0  # of a list read without the lease, of which each process may have another
 
 
 class PlatformModel(Struct, frozen=True):
@@ -123,13 +124,17 @@
         """What the holder of the lease publishes for this answer; None where nothing has changed."""
         if self.needs_term_above(term) is not None:
             return None
-        if self.current is not None and not self.behind() and _lasting(entries) == self._lasting:
+        if self._goes_on() and _lasting(entries) == self._lasting:
             return None
         count = self.version[1] + 1 if self.version[0] == term else 1
         published = WorkerList((term, count), entries)
         self._take(published, now)
         return published
 
+    def _goes_on(self) -> bool:
+        """Whether the list here is the one that all others have or will have."""
+        return self.version[0] > UNLEASED_TERM and not self.behind()
+
     def _overtaken(self, term: int) -> bool:
         """Somebody has a list of our own term that we know nothing of."""
         return self.seen[0] == term and self.behind()
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -34,7 +34,6 @@
 
 MOST_WHOLE_ANSWER = 8 * 1024 * 1024  # bytes of an answer that is read whole before it is passed on
 SUCCESS = 200
-PRIORITY_LEAST = 9  # the least urgent that a worker knows
 
 
 class Owner(Protocol):
@@ -56,6 +55,7 @@
 
     worker: WorkerEntry
     number: int
+    urgency: int | None
     sent_at: float
     heard_at: float
     started: bool = False  # its first event or its body has begun
@@ -98,11 +98,11 @@
 
     # ---- what the dispatcher decides ----
 
-    def send(self, worker: WorkerEntry) -> None:
+    def send(self, worker: WorkerEntry, urgency: int | None = None) -> None:
         """Begin an attempt at a worker."""
         self._attempts += 1
         now = self._loop.time()
-        self._attempt = Attempt(worker, self._attempts, now, now)
+        self._attempt = Attempt(worker, self._attempts, urgency, now, now)
         connection = self._pool.take_idle(worker.instance_id)
         if connection is not None:
             self._transmit(connection)
@@ -200,21 +200,21 @@
         attempt.connection = connection
         attempt.bytes_sent = True
         attempt.sent_at = attempt.heard_at = self._loop.time()
-        connection.send(self._render(attempt.worker), self._attempt_id, self)
+        connection.send(self._render(attempt), self._attempt_id, self)
 
-    def _render(self, worker: WorkerEntry) -> bytes:
+    def _render(self, attempt: Attempt) -> bytes:
         head = self._request.head
         left_ms = max(1, int((self.job.deadline - self._loop.time()) * 1000))
         lines = [
             b"%b %b HTTP/1.1\r\n" % (head.method, bytes(head.target)),
             self._fields,
             b"Reedspoke-Deadline-Ms: %d\r\n" % left_ms,
-            b"Reedspoke-Target-Instance: %b\r\n" % worker.instance_id.encode(),
+            b"Reedspoke-Target-Instance: %b\r\n" % attempt.worker.instance_id.encode(),
         ]
         if self._last_event_id:
             lines.append(b"Last-Event-Id: %b\r\n" % self._last_event_id.encode("latin-1"))
-        if self.route.streaming:
-            lines.append(b"Priority: %d\r\n" % min(self.route.priority, PRIORITY_LEAST))
+        if attempt.urgency is not None:
+            lines.append(b"Priority: %d\r\n" % attempt.urgency)
         if self._request.body or head.method not in (b"GET", b"HEAD"):
             lines.append(b"Content-Length: %d\r\n" % len(self._request.body))
         lines.append(b"\r\n")
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -143,8 +143,8 @@
 
     def _carry_out(self, exchange: Exchange, decision: Decision) -> None:
         match decision:
-            case Send(instance_id=instance_id):
-                exchange.send(self._workers[instance_id])
+            case Send(instance_id=instance_id, urgency=urgency):
+                exchange.send(self._workers[instance_id], urgency)
             case Refuse():
                 exchange.refuse(decision)
             case Fail():
--- a/reedspoke/decision/fair_queue.py
+++ b/reedspoke/decision/fair_queue.py
@@ -94,10 +94,10 @@
         if key not in client.largest:
             client.largest[key] = cost
 
-    def activate(self, client: FairClient, key: str, keep_credit: bool = False) -> None:
-        """A client without work gets a job. It does not catch up on the time it was idle; with `keep_credit`
-        it may for one job's share, which lets the only job of a rare client go at once."""
-        credit = client.largest[key] / client.phi if keep_credit else 0.0
+    def activate(self, client: FairClient, key: str, credit_jobs: float = 0.0) -> None:
+        """A client without work gets a job. It catches up on the time it was idle for `credit_jobs` jobs at
+        most: without any, a client whose few jobs come at random would lose its share between them."""
+        credit = credit_jobs * client.largest[key] / client.phi
         client.start = max(client.start, self._clock.value - credit)
 
     def choose(self, clients: Sequence[C], key_of: Callable[[C], str], stagger: float) -> C:
@@ -146,9 +146,9 @@
         client.start -= charge.tags
         charge.paid = charge.tags = 0.0
 
-    def forgettable(self, client: FairClient) -> bool:
-        """Whether a client has no work and no debt, so that a new account would stand as well as its own."""
+    def forgettable(self, client: FairClient, credit_jobs: float = 0.0) -> bool:
+        """Whether a client has no work and all the credit that a new one gets."""
         if client.out or client.queue:
             return False
-        credit = max(client.largest.values(), default=0.0) / client.phi
+        credit = credit_jobs * max(client.largest.values(), default=0.0) / client.phi
         return client.start <= self._clock.value - credit
--- a/reedspoke/decision/job_class.py
+++ b/reedspoke/decision/job_class.py
@@ -22,7 +22,7 @@
 from reedspoke.decision.subject_queue import SubjectQueue
 
 OFFERED_MEMORY_S = 10.0  # over which offered work is averaged
-URGENCY = 1.1  # share of a route against one that is a rank less urgent
+URGENCY = 1.4  # share of a route against one that is a rank less urgent
 LEAST_SHARE = 1e-6  # keeps tags finite
 COST_LEARN = 0.05  # weight of a new cost in a class's ratio
 COST_RATIO_MOST = 10.0  # one job that hung must not look like a habit
--- a/reedspoke/decision/messages.py
+++ b/reedspoke/decision/messages.py
@@ -144,6 +144,7 @@
 
     job_id: int
     instance_id: str
+    urgency: int | None = None  # to tell the worker, 0 the most urgent; None: nothing is told
 
 
 class Refuse(Struct, frozen=True):
--- a/reedspoke/decision/placement.py
+++ b/reedspoke/decision/placement.py
@@ -21,7 +21,9 @@
 
 NEAR = 3  # workers of a key's order that may be taken to keep what other schedulers sent there
 TOLD_BY_ORDER = (0.9, 0.5, 0.25)  # chance that others had a shared prefix read there, by place in the order
-REREAD = 2.0  # price of reading a shared token again, in times of reading it
+REREAD = 16.0  # price of reading a shared token again, in times of reading it: all kinds wait for it
+LATE_FROM = 1.0  # of the aim: an expected first event beyond it costs more
+LATE_WEIGHT = 10.0  # price of an expected first event beyond what is late, in times of that delay
 CROSS_ZONE = 0.01  # of the aim: what another zone costs
 BUSY_FROM = 0.7  # share of positions or memory above which load costs more
 BUSY_S = 1.0  # cost of a load, for each unit of share above that
@@ -123,9 +125,9 @@
             if self.engine and not worker.memory_fits(missing + ask.job.output_tokens):
                 continue
             first_s = self._first_event_s(worker, missing, ask.now)
-            if worker.pending_tokens and first_s + worker.excess(ask.now) > ask.late_s:
-                continue  # it would wait there; one of ours at a time finds out when that is over
-            cost = first_s + self._side_costs(ask, worker, cached, place)
+            cost = (
+                first_s + self._late_cost(ask, worker, first_s) + self._side_costs(ask, worker, cached, place)
+            )
             if cost < least:
                 found, least, unread, expected_s = worker, cost, missing, first_s
         return Placed(found, self._attempt(ask, unread, expected_s)) if found is not None else None
@@ -172,9 +174,15 @@
         if self.engine and ask.shared_tokens > cached:
             told = TOLD_BY_ORDER[place] if place < len(TOLD_BY_ORDER) else 0.0
             again = (ask.shared_tokens - cached) * self._speed.token_read_s
-            cost += again * (REREAD * (1 - told) - told)  # what others had read there is not read again
+            cost += again * REREAD * (1 - told)  # what others had read there is not read again
         return cost
 
+    def _late_cost(self, ask: Ask, worker: WorkerState, first_s: float) -> float:
+        """What an expected lateness costs; a plain service's workers are told apart by their load alone."""
+        if not self.engine:
+            return 0.0
+        return LATE_WEIGHT * max(0.0, first_s + worker.excess(ask.now) - LATE_FROM * ask.job.aim_s)
+
     def _load_cost(self, job: Job, worker: WorkerState) -> float:
         share = (worker.taken + 1) / max(1, worker.entry.capacity)
         if not self.engine:
--- a/reedspoke/decision/service.py
+++ b/reedspoke/decision/service.py
@@ -38,6 +38,8 @@
 HALF_TAKEN = 0.5  # share of positions taken under which a job is sent to any worker rather than refused
 LOOK_EVERY_S = 0.02  # while jobs wait: rests and delays end as time passes
 QUEUE_MOST = 1000  # jobs that wait; what comes beyond them is refused at once
+CREDIT_JOBS = 4.0  # jobs of its share that a class without work keeps: those of rare ones come at random
+LOOK_AHEAD = 2  # subjects of a class whose next job may go while those before wait for a worker
 FORGET_EVERY = 256  # arrivals between looks for classes without work
 
 
@@ -51,6 +53,13 @@
     turn_cost: float  # what its subject was charged
 
 
+class Fit(Struct, eq=False):
+    """A waiting job and the worker that it may go to now."""
+
+    state: JobState
+    placed: Placed
+
+
 class Service:
     """Queue and workers of one upstream. Methods that may decide something add to `decisions`."""
 
@@ -61,6 +70,7 @@
         self.decisions: list[Decision] = []
         self._queue = FairQueue(CLOCK_MEMORY_S, REFRESH_S)
         self._classes: dict[tuple[str, int], JobClass] = {}
+        self._reserved: set[str] = set()  # workers left to drain for a large job, as of the last release
         self._shares = Shares()
         self._bands: dict[str, SizeBands] = {}
         self._jobs: dict[int, JobState] = {}
@@ -170,51 +180,57 @@
     def release(self, now: float) -> None:
         """Give free positions to waiting classes by 2DFQ^E."""
         waiting = [job_class for job_class in self._classes.values() if job_class.queue]
+        self._reserved.clear()
         if not waiting or not self.pool.has_room(now):
             return
         self._queue.clock(now, self._classes.values())
         if len(waiting) > 1:
             self._charge_running(now)
-        reserved: set[str] = set()
         while waiting:
             front = min(waiting, key=lambda job_class: finish_tag(job_class, head_key(job_class)))
-            placed = self._place(front, now, reserved)
-            if placed is None:
+            fit = self._fit(front, now)
+            if fit is None:
                 waiting.remove(front)
-                self._reserve(front, reserved, now)
                 continue
-            chosen = self._choose(front, placed, waiting, now, reserved)
-            if chosen is not front:
-                placed = self._place(chosen, now, reserved) or placed
-            self._send(chosen.queue.head(), placed, now)
+            fit = self._choose(front, fit, waiting, now)
+            self._send(fit.state, fit.placed, now)
             waiting = [job_class for job_class in waiting if job_class.queue]
 
-    def _choose(
-        self, front: JobClass, placed: Placed, waiting: list[JobClass], now: float, reserved: set[str]
-    ) -> JobClass:
-        """The class that gets the next position of the worker that is best for the front one's head."""
-        if len(waiting) == 1:
-            return front
-        able = [front]
-        for other in waiting:
-            if other is not front:
-                there = self._place(other, now, reserved)
-                able += [other] if there is not None and there.worker is placed.worker else []
-        return self._queue.choose(able, head_key, self.pool.stagger(placed.worker))
-
-    def _place(self, job_class: JobClass, now: float, reserved: set[str]) -> Placed | None:
-        state = job_class.queue.head()
-        if state.tried and not self.budget.covered(now):
-            return None
-        return self.pool.placement.best(state.job, reserved.union(state.tried), now)
-
-    def _reserve(self, job_class: JobClass, reserved: set[str], now: float) -> None:
+    def _choose(self, front: JobClass, fit: Fit, waiting: list[JobClass], now: float) -> Fit:
+        """Who gets the next position of the worker that is best for the front class's head."""
+        able = {id(front): fit}
+        for other in waiting if len(waiting) > 1 else ():
+            there = self._fit(other, now) if other is not front else None
+            if there is not None and there.placed.worker is fit.placed.worker:
+                able[id(other)] = there
+        if len(able) == 1:
+            return fit
+        classes = [job_class for job_class in waiting if id(job_class) in able]
+        return able[id(self._queue.choose(classes, head_key, self.pool.stagger(fit.placed.worker)))]
+
+    def _fit(self, job_class: JobClass, now: float) -> Fit | None:
+        """The class's head job and its worker. Where the head has to wait for the worker of its prefix, the
+        next subject's job may go before it."""
+        for state in job_class.queue.heads(LOOK_AHEAD):
+            if state.tried and not self.budget.covered(now):
+                continue
+            excluded = self._reserved.union(state.tried)
+            placed = self.pool.placement.best(state.job, excluded, now)
+            if placed is not None:
+                return Fit(state, placed)
+            if self._reserve(state, now):
+                return None
+        return None
+
+    def _reserve(self, state: JobState, now: float) -> bool:
         """Leave a worker to drain for a job whose memory no worker has: smaller ones would keep it from ever
-        being served."""
-        state = job_class.queue.head()
-        worker_id = self.pool.placement.roomiest(state.job, reserved.union(state.tried), now)
-        if worker_id is not None and self.upstream.engine is not None:
-            reserved.add(worker_id)
+        being served. False where it isn't memory that it lacks."""
+        if self.upstream.engine is None:
+            return False
+        worker_id = self.pool.placement.roomiest(state.job, self._reserved.union(state.tried), now)
+        if worker_id is not None:
+            self._reserved.add(worker_id)
+        return worker_id is not None
 
     def _send(self, state: JobState, placed: Placed, now: float) -> None:
         job_class = state.job_class
@@ -228,7 +244,8 @@
         self.pool.start(state.job, placed)
         self._out[state.job.job_id] = OutAttempt(state, placed.worker, placed.attempt, charge, turn_cost)
         self._retry_after.sent(now)
-        self.decisions.append(Send(state.job.job_id, placed.worker.entry.instance_id))
+        urgency = self.pool.urgency(state.job, placed.attempt)
+        self.decisions.append(Send(state.job.job_id, placed.worker.entry.instance_id, urgency))
 
     def _charge_running(self, now: float) -> None:
         if self._queue.refresh_due(now):
@@ -274,7 +291,8 @@
         """While under half of the positions are taken, a worker that is in doubt is better than a refusal."""
         if self.pool.taken_share() >= HALF_TAKEN or state.tried and not self.budget.covered(now):
             return None
-        return self.pool.placement.best(state.job, state.tried, now, last_resort=True)
+        excluded = self._reserved.union(state.tried)
+        return self.pool.placement.best(state.job, excluded, now, last_resort=True)
 
     def _end_without(self, state: JobState, reason: RefuseReason, failed: FailReason, now: float) -> None:
         """No further attempt: refused where that is true, or harmless since the client may repeat it."""
@@ -320,7 +338,7 @@
         job_class = state.job_class
         self._queue.clock(now, self._classes.values())
         if not job_class.queue and not job_class.out:
-            self._queue.activate(job_class, key_of(state.job), keep_credit=True)
+            self._queue.activate(job_class, key_of(state.job), CREDIT_JOBS)
         state.waiting = True
         if head:
             job_class.queue.push_head(state.job.subject, state)
@@ -353,7 +371,7 @@
         self._arrivals += 1
         if self._arrivals % FORGET_EVERY:
             return
-        kept = {key: c for key, c in self._classes.items() if not self._queue.forgettable(c)}
+        kept = {key: c for key, c in self._classes.items() if not self._queue.forgettable(c, CREDIT_JOBS)}
         self._classes = kept
         routes = {route for route, _ in kept}
         self._bands = {route: bands for route, bands in self._bands.items() if route in routes}
--- a/reedspoke/decision/subject_queue.py
+++ b/reedspoke/decision/subject_queue.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from heapq import nsmallest
+from itertools import islice
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -54,6 +56,17 @@
             return self._returned[0][1]
         return self._waiting[self._first_subject()][0][1]
 
+    def heads(self, limit: int) -> list[T]:
+        """The next jobs of different subjects, in turn: the head, and who may go before it if it cannot."""
+        found = [job for _, job in islice(self._returned, limit)]
+        left = limit - len(found)
+        if left == 1 and self._waiting:
+            found.append(self._waiting[self._first_subject()][0][1])
+        elif left > 1:
+            subjects = nsmallest(left, self._waiting, key=self._place)
+            found += [self._waiting[subject][0][1] for subject in subjects]
+        return found
+
     def take(self, subject: str, job: T, cost: float) -> None:
         """Take a job out to be served; its subject pays the cost. Raises ValueError if it does not wait."""
         turn = not self._returned and self.head() is job
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -8,6 +8,7 @@
 from reedspoke.decision.messages import AttemptEnd, Cause, Job, Load, Outcome, Upstream, WorkerEntry
 from reedspoke.decision.placement import Placed, Placement
 from reedspoke.decision.prefix_cache import chain_of
+from reedspoke.decision.urgency import urgency_of
 from reedspoke.decision.worker_state import Running, WorkerState
 
 
@@ -100,6 +101,12 @@
             return reading + (now - (attempt.first_event or attempt.sent)) / capacity
         return reading + max(0.0, now - attempt.sent - attempt.expected_s) / capacity
 
+    def urgency(self, job: Job, attempt: Running) -> int | None:
+        """The urgency to tell the worker; None where it has no engine."""
+        if self._engine is None:
+            return None
+        return urgency_of(attempt.unread_tokens * self._speed.token_read_s, job.aim_s)
+
     def start(self, job: Job, placed: Placed) -> None:
         """The job is sent."""
         placed.worker.start(job.job_id, placed.attempt)
--- a/reedspoke/decision/worker_state.py
+++ b/reedspoke/decision/worker_state.py
@@ -10,8 +10,9 @@
 from reedspoke.decision.prefix_cache import PrefixCache
 
 CAP_CUT = 0.7  # what a late first event or a 'full' answer leaves of a cap
-CAP_GAIN = 0.2  # positions that a prompt first event at a full cap adds
+CAP_GAIN = 0.5  # positions that a prompt first event at a full cap adds
 LATE_PART = 0.5  # of the aim: a first event that comes after it is late
+LATE_FLOOR = 0.125  # share of the positions that late first events leave: long prompts are late, too
 CAP_LEAST = 1.0  # positions: each worker keeps one, however full others keep it
 FULL_REST_S = 0.05  # after 'full': some requests end in that time
 REST_FIRST_S = 0.1  # after a failed connection or silence, doubled with each further one
@@ -173,10 +174,10 @@
             rest = min(REST_MOST_S, REST_FIRST_S / self.sound)
             self.rest_until = max(self.rest_until, now + rest)
 
-    def _cut(self, sent: float, now: float) -> None:
+    def _cut(self, sent: float, now: float, least: float = CAP_LEAST) -> None:
         """Lower the cap, once for all the requests sent before the last cut."""
         if sent >= self.cut_at:
-            self.cap = max(CAP_LEAST, min(self.cap, self.used + 1) * CAP_CUT)
+            self.cap = min(self.cap, max(least, min(self.cap, self.used + 1) * CAP_CUT))
             self.cut_at = now
 
     def _full(self, sent: float, now: float) -> None:
@@ -195,7 +196,7 @@
         self.excess_s = self.excess(now) * (1 - LEARN) + excess * LEARN
         self.excess_at = now
         if delay > attempt.late_s:
-            self._cut(attempt.sent, now)
+            self._cut(attempt.sent, now, max(CAP_LEAST, LATE_FLOOR * self.entry.capacity))
         elif self.used >= int(self.cap):
             self.cap = min(self.cap + CAP_GAIN, float(max(1, self.entry.capacity)))
         if learn_pace and expected >= PACE_SAMPLE_S:
--- a/reedspoke/lab/fleet_emulator/__main__.py
+++ b/reedspoke/lab/fleet_emulator/__main__.py
@@ -13,9 +13,14 @@
 from reedspoke.lab.fleet_emulator.experiment import Options, run, run_in
 from reedspoke.lab.fleet_emulator.faults import FaultShares
 from reedspoke.lab.fleet_emulator.fleet import FleetStartError
-from reedspoke.lab.fleet_emulator.report_text import report_text
+from reedspoke.lab.fleet_emulator.message_costs import build_parser as build_messages_parser
+from reedspoke.lab.fleet_emulator.message_costs import costs_text, measure_all
+from reedspoke.lab.fleet_emulator.rates import build_parser as build_rates_parser
+from reedspoke.lab.fleet_emulator.rates import rates_text, run_rates
+from reedspoke.lab.fleet_emulator.report_text import report_text, struct_table
 from reedspoke.lab.fleet_emulator.scale import build_parser as build_scale_parser
 from reedspoke.lab.fleet_emulator.scale import run_scale, slope_text
+from reedspoke.lab.fleet_emulator.state_costs import measure_states
 
 MOST_SECONDS = 120.0
 MOST_PROCESSES = 60
@@ -23,13 +28,14 @@
 SOUND, NOT_SOUND, USAGE, NOT_PLAYED = 0, 1, 2, 3
 PROGRAM = "python -m reedspoke.lab.fleet_emulator"
 SCALE = "scale"
+RATES = "rates"
+MESSAGES = "messages"
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Arguments of the load run."""
-    parser = argparse.ArgumentParser(
-        prog=PROGRAM, description=__doc__, epilog=f"{PROGRAM} {SCALE} --help: scale runs"
-    )
+    others = f"other runs, each with --help: {SCALE}, {RATES}, {MESSAGES}"
+    parser = argparse.ArgumentParser(prog=PROGRAM, description=__doc__, epilog=others)
     parser.add_argument("--control", type=int, default=3, help="control plane processes (%(default)s)")
     parser.add_argument("--edges", type=int, default=2, help="data plane processes (%(default)s)")
     parser.add_argument("--workers", type=int, default=4, help="emulated workers (%(default)s)")
@@ -64,7 +70,8 @@
 def main(words: Sequence[str] | None = None) -> int:
     """The exit status."""
     given = list(sys.argv[1:] if words is None else words)
-    play = play_scale if given[:1] == [SCALE] else play_load
+    plays = {SCALE: play_scale, RATES: play_rates, MESSAGES: play_messages}
+    play = plays.get(given[0] if given else "", play_load)
     try:
         return play(given)
     except ValueError as error:
@@ -82,6 +89,26 @@
     print(slope_text(report))
     if arguments.json:
         arguments.json.write_bytes(msgspec.json.encode(report))
+    return NOT_SOUND if report.failed else SOUND
+
+
+def play_rates(words: Sequence[str]) -> int:
+    """`rates`: the exit status."""
+    arguments = build_rates_parser(f"{PROGRAM} {RATES}").parse_args(words[1:])
+    report = run_rates(arguments)
+    print(rates_text(report))
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.encode(report))
+    return SOUND if report.sound else NOT_SOUND
+
+
+def play_messages(words: Sequence[str]) -> int:
+    """`messages`: the exit status."""
+    arguments = build_messages_parser(f"{PROGRAM} {MESSAGES}").parse_args(words[1:])
+    costs, states = measure_all(), measure_states()
+    print(costs_text(costs), struct_table(states), sep="\n\n")
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.encode((costs, states)))
     return SOUND
 
 
--- a/reedspoke/lab/fleet_emulator/experiment.py
+++ b/reedspoke/lab/fleet_emulator/experiment.py
@@ -60,10 +60,11 @@
 
 
 class ProcessFigures(Struct, frozen=True):
-    """What one process used until the end of the load."""
+    """What one process used: since its start in s, and under load in percent of a core."""
 
     name: str
     cpu_s: float
+    load_cpu: float
     resident_mb: float
     running: bool
 
@@ -153,8 +154,12 @@
         await fleet.send_configuration(encode_configuration(configuration(kinds)), match=0)
         await fleet.wait_ready()
         start_s = time.monotonic() - begun
+        before = [cpu_seconds(process) for process in fleet.processes]
+        load_begun = time.monotonic()
         await load(fleet, Workload(kinds, options.seed), ledger, tally, options)
-        processes = [process_figures(process) for process in fleet.processes]
+        load_s = time.monotonic() - load_begun
+        pairs = zip(fleet.processes, before, strict=True)
+        processes = [process_figures(process, used, load_s) for process, used in pairs]
     return Report(
         kinds=tally.figures(),
         findings=ledger.findings(),
@@ -182,8 +187,15 @@
         pool.close()
 
 
-def process_figures(process: FleetProcess) -> ProcessFigures:
-    """What a process has used so far."""
+def cpu_seconds(process: FleetProcess) -> float:
+    """Processor time so far, 0 for a process that has ended."""
+    return process.cpu_seconds() if process.running() else 0.0
+
+
+def process_figures(process: FleetProcess, used_before: float, load_s: float) -> ProcessFigures:
+    """What a process has used so far, and since `used_before` was read, `load_s` ago."""
     if not process.running():
-        return ProcessFigures(process.name, 0.0, 0.0, running=False)
-    return ProcessFigures(process.name, process.cpu_seconds(), round(process.resident_mb(), 1), running=True)
+        return ProcessFigures(process.name, 0.0, 0.0, 0.0, running=False)
+    used = process.cpu_seconds()
+    load_cpu = round(100 * (used - used_before) / load_s, 1)
+    return ProcessFigures(process.name, used, load_cpu, round(process.resident_mb(), 1), running=True)
--- a/reedspoke/lab/fleet_emulator/hollow_edge.py
+++ b/reedspoke/lab/fleet_emulator/hollow_edge.py
@@ -8,14 +8,15 @@
 import asyncio
 import random
 import time
+from collections import OrderedDict
 from typing import Any
 
 from msgspec import Struct, field
 
 from reedspoke.cluster.configuration import Configuration
-from reedspoke.cluster.messages import MemberList, Version, WorkerList
+from reedspoke.cluster.messages import MemberList, Version, WorkerList, decode
 from reedspoke.cluster.node_settings import split_address
-from reedspoke.cluster.transport import CONNECT_TIMEOUT_S, CONNECTION_ENDED, Channel
+from reedspoke.cluster.transport import CONNECT_TIMEOUT_S, CONNECTION_ENDED, LENGTH, Channel
 from reedspoke.data_plane.control_session import (
     ControlSessions,
     Conversation,
@@ -28,6 +29,8 @@
 
 MOST_REQUESTS = 4  # of one scheduler at one worker
 MOST_PROMPT_TOKENS = 20_000
+LEAST_SHARED = 100_000  # bytes of a message that is decoded once
+MOST_SHARED = 4
 CHANGED_SHARE = 0.1  # of the workers in use, between two signs of life
 
 
@@ -59,13 +62,41 @@
         super().feed_data(data)
 
 
+class SharedDecoder:
+    """Decodes a large message once for all hollow schedulers of a process.
+
+    On real machines each would decode it beside the others; here they share a processor, and what is to be
+    measured is the control plane. What it costs a scheduler is measured at the real ones of the run.
+    """
+
+    def __init__(self) -> None:
+        self._kept: OrderedDict[bytes, Any] = OrderedDict()
+
+    def decode(self, payload: bytes, expected: Any) -> Any:
+        """As `messages.decode`; those who get a shared message must not change it."""
+        if len(payload) < LEAST_SHARED:
+            return decode(payload, expected)
+        if payload not in self._kept:
+            self._kept[payload] = decode(payload, expected)
+            while len(self._kept) > MOST_SHARED:
+                self._kept.popitem(last=False)
+        return self._kept[payload]
+
+
+DECODER = SharedDecoder()
+
+
 class CountingChannel(Channel):
-    """Counts the bytes that are sent."""
+    """Counts the bytes that are sent, and shares the decoding of large messages."""
 
     def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter, meter: Meter) -> None:
         super().__init__(reader, writer)
         self._meter = meter
 
+    async def receive(self, expected: Any) -> Any:
+        (length,) = LENGTH.unpack(await self._reader.readexactly(LENGTH.size))
+        return DECODER.decode(await self._reader.readexactly(length), expected)
+
     def send_encoded(self, payload: bytes) -> None:
         self._meter.bytes_out += len(payload)
         super().send_encoded(payload)
--- a/reedspoke/lab/fleet_emulator/hollow_host.py
+++ b/reedspoke/lab/fleet_emulator/hollow_host.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
@@ -20,6 +21,7 @@
 SAMPLE_S = 0.1
 START_GAP_S = 0.005  # between two hollow schedulers
 LONGEST_LIFE_S = 600.0
+CANCEL_LOOK_S = 0.2
 
 
 class HollowPlan(Struct, frozen=True):
@@ -72,10 +74,9 @@
                 await self._ended.wait()
         except TimeoutError:
             pass
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        return HollowResult(self._meter, self._traffic)
+        result = HollowResult(self._meter, self._traffic)
+        await cancel_all(tasks)
+        return result
 
     def _report_loads(self) -> None:
         for edge in self._edges:
@@ -88,6 +89,15 @@
             await asyncio.sleep(SAMPLE_S)
 
 
+async def cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
+    """Cancel until all have ended: `asyncio.wait_for` of Python 3.11 can lose a cancellation."""
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_LOOK_S)
+
+
 async def play(plan: HollowPlan) -> HollowResult:
     """Run one process of hollow schedulers."""
     return await HollowHost(plan).run()
--- a/reedspoke/lab/fleet_emulator/measurement.py
+++ b/reedspoke/lab/fleet_emulator/measurement.py
@@ -88,6 +88,15 @@
     return [at for result in results for at in result.meter.in_force.get(generation, [])]
 
 
+def list_arrivals(results: Sequence[HollowResult]) -> dict[str, list[float]]:
+    """When each list of workers arrived, by its version."""
+    found: dict[str, list[float]] = {}
+    for result in results:
+        for version, arrivals in result.meter.lists.items():
+            found.setdefault(version, []).extend(arrivals)
+    return found
+
+
 def settled_after(results: Sequence[HollowResult], moment: float) -> float:
     """Time from `moment` to the start of the last session begun after it; 0 where none was."""
     starts = [at for result in results for at in result.meter.session_starts if at > moment]
--- a/reedspoke/lab/fleet_emulator/scale.py
+++ b/reedspoke/lab/fleet_emulator/scale.py
@@ -10,9 +10,12 @@
 
 import msgspec
 
+from reedspoke.lab.fleet_emulator.fleet import FleetStartError
 from reedspoke.lab.fleet_emulator.measurement import least_squares
 from reedspoke.lab.fleet_emulator.report_text import struct_table
 from reedspoke.lab.fleet_emulator.scale_figures import (
+    LIST_RATE_PER_S,
+    FailedRun,
     RunFigures,
     ScalePoint,
     ScaleReport,
@@ -49,6 +52,9 @@
     parser.add_argument("--real-edges", type=int, default=1, help="data plane processes (%(default)s)")
     parser.add_argument("--hosts", type=int, default=3, help="processes of hollow schedulers (%(default)s)")
     parser.add_argument("--seconds", type=float, default=8.0, help="of each steady phase (%(default)s)")
+    parser.add_argument(
+        "--list-rate", type=float, default=LIST_RATE_PER_S, help="calls a second (%(default)s)"
+    )
     parser.add_argument("--json", type=Path, help="write the results to this file")
     return parser
 
@@ -70,6 +76,7 @@
             real_edges=arguments.real_edges,
             hosts=arguments.hosts,
             seconds=arguments.seconds,
+            list_rate_per_s=arguments.list_rate,
         )
         for routes in arguments.routes
         for workers in arguments.workers
@@ -84,14 +91,23 @@
 
 
 def run_scale(arguments: argparse.Namespace, progress: Callable[[str], None]) -> ScaleReport:
-    """Play all sizes one after the other. Raises FleetStartError or ValueError."""
-    runs = []
+    """Play all sizes one after the other; one that fails is told and passed over. Raises ValueError."""
+    runs: list[RunFigures] = []
+    failed: list[FailedRun] = []
     for point in points(arguments):
-        with tempfile.TemporaryDirectory(prefix="reedspoke-scale-") as folder:
-            figures = asyncio.run(ScaleRun(point, Path(folder)).play())
-        runs.append(figures)
-        progress(run_text(figures))
-    return ScaleReport(runs, list(slopes(runs)))
+        try:
+            runs.append(run_point(point))
+            progress(run_text(runs[-1]))
+        except FleetStartError as error:
+            failed.append(FailedRun(point, str(error)))
+            progress(f"{point} FAILED: {error}\n")
+    return ScaleReport(runs, list(slopes(runs)), failed)
+
+
+def run_point(point: ScalePoint) -> RunFigures:
+    """One size. Raises FleetStartError."""
+    with tempfile.TemporaryDirectory(prefix="reedspoke-scale-") as folder:
+        return asyncio.run(ScaleRun(point, Path(folder)).play())
 
 
 def slopes(runs: list[RunFigures]) -> Iterable[SlopeFigures]:
--- a/reedspoke/lab/fleet_emulator/scale_figures.py
+++ b/reedspoke/lab/fleet_emulator/scale_figures.py
@@ -6,6 +6,8 @@
 
 from reedspoke.lab.fleet_emulator.measurement import Delays, Slope
 
+LIST_RATE_PER_S = 200.0  # calls of the platform's list, enough for any size
+
 
 class ScalePoint(Struct, frozen=True):
     """Size of one run."""
@@ -18,6 +20,7 @@
     real_edges: int
     hosts: int  # processes that share the hollow schedulers
     seconds: float  # of each steady phase
+    list_rate_per_s: float = LIST_RATE_PER_S
 
 
 class PhaseFigures(Struct, frozen=True):
@@ -66,8 +69,16 @@
     slope: Slope
 
 
+class FailedRun(Struct, frozen=True):
+    """A size at which the control plane did not go on answering, and what was said then."""
+
+    point: ScalePoint
+    reason: str
+
+
 class ScaleReport(Struct):
     """All runs and the slopes through them."""
 
     runs: list[RunFigures]
     slopes: list[SlopeFigures]
+    failed: list[FailedRun] = field(default_factory=list)
--- a/reedspoke/lab/fleet_emulator/scale_run.py
+++ b/reedspoke/lab/fleet_emulator/scale_run.py
@@ -32,6 +32,7 @@
     arrivals_of,
     bytes_between,
     delays,
+    list_arrivals,
     settled_after,
     worst_of,
 )
@@ -52,8 +53,8 @@
 )
 
 HOLLOW_MODULE = "reedspoke.lab.fleet_emulator.hollow_host"
-LIST_RATE_PER_S = 200.0
 SEEDS = 3
+LIST_PHASE = "list"
 SETTLE_S = 4.0
 CHANGE_GAP_S = 1.0
 BURST = 10
@@ -63,7 +64,9 @@
 AFTER_LOSS_S = 6.0
 START_LIMIT_S = 30.0
 START_QUIET_S = 3.0
+START_QUIET_PER_EDGE_S = 0.035  # until the lists of members have settled
 ROUTE_TIMEOUT_MS = 5000
+HOST_STOP_TIMEOUT_S = 60.0  # a host works off what has come first
 
 
 class Moment(Struct, frozen=True):
@@ -100,10 +103,10 @@
     def __init__(self, point: ScalePoint, folder: Path) -> None:
         self.point = point
         self.folder = folder
-        self.layout = draw_layout(LIST_RATE_PER_S)
+        self.layout = draw_layout(point.list_rate_per_s)
         self.fleet = Fleet(self.layout, point.control, point.real_edges, folder)
         self.registry = WorkerRegistry(LIST_LAG_MS / 1000, time.monotonic)
-        limit = RateLimit(LIST_RATE_PER_S, time.monotonic)
+        limit = RateLimit(point.list_rate_per_s, time.monotonic)
         self.list_server = WorkerListServer(self.layout.platform(), self.registry, limit)
         self.hosts = [self._make_host(number) for number in range(point.hosts)]
         self.document = long_configuration(point.routes)
@@ -141,13 +144,13 @@
         for host in self.hosts:
             host.start()
         await self.fleet.wait_ready()
-        await asyncio.sleep(START_QUIET_S + 0.01 * self.point.edges)
+        await asyncio.sleep(START_QUIET_S + START_QUIET_PER_EDGE_S * self.point.edges)
 
     async def _calm_phases(self) -> None:
         await self._phase("idle", asyncio.sleep(self.point.seconds))
         await self._phase("changes", self._steady_changes())
         await self._phase("burst", self._burst())
-        await self._phase("list", self._list_changes())
+        await self._phase(LIST_PHASE, self._list_changes())
         if self.point.load_size:
             for host in self.hosts:
                 host.send_signal(signal.SIGUSR1)
@@ -239,7 +242,7 @@
         for host in self.hosts:
             host.terminate()
         for host in self.hosts:
-            await asyncio.to_thread(host.wait)
+            await asyncio.to_thread(host.wait, HOST_STOP_TIMEOUT_S)
 
     async def _results(self) -> list[HollowResult]:
         await self._stop_hosts()
@@ -264,9 +267,7 @@
             sessions_lost=len(ends),
             end_causes=dict(sum((Counter(result.meter.end_causes) for result in results), Counter())),
             phases=[self._phase_figures(phase, results) for phase in self.phases],
-            changes=[
-                self._change_figures(name, results) for name in dict.fromkeys(c.phase for c in self.changes)
-            ],
+            changes=[*self._all_changes(results), self._list_figures(results)],
         )
 
     def _phase_figures(self, phase: Phase, results: list[HollowResult]) -> PhaseFigures:
@@ -291,6 +292,19 @@
             real_mb=round(end.real_mb, 1),
         )
 
+    def _all_changes(self, results: list[HollowResult]) -> list[ChangeFigures]:
+        names = dict.fromkeys(change.phase for change in self.changes)
+        return [self._change_figures(name, results) for name in names]
+
+    def _list_figures(self, results: list[HollowResult]) -> ChangeFigures:
+        """From the first scheduler that has a new list of workers to the others."""
+        phase = next(phase for phase in self.phases if phase.name == LIST_PHASE)
+        spreads = []
+        for arrivals in list_arrivals(results).values():
+            if min(arrivals) > phase.begin.at:
+                spreads.append(delays(arrivals, min(arrivals), self.point.edges))
+        return ChangeFigures(LIST_PHASE, len(spreads), delays((), 0.0, 0), worst_of(spreads))
+
     def _change_figures(self, name: str, results: list[HollowResult]) -> ChangeFigures:
         changes = [change for change in self.changes if change.phase == name]
         waits = [change.acknowledged_at - change.sent_at for change in changes]
--- /dev/null
+++ b/tests/control_plane/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated control state."""
--- /dev/null
+++ b/tests/control_plane/judge.py
@@ -0,0 +1,129 @@
+"""What an outside observer of the simulation holds against it: the rules of the configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer
+
+REFUSALS = {
+    ErrorCode.CONFIGURATION_STALE_MATCH,
+    ErrorCode.CONFIGURATION_OLD_GENERATION,
+    ErrorCode.NO_QUORUM,
+}
+
+
+@dataclass
+class Change:
+    """A document that was sent, with every call that sent it."""
+
+    match: int
+    generation: int
+    open_calls: set[int] = field(default_factory=set)
+    acknowledged: bool = False
+    unclear: bool = False
+
+    @property
+    def may_be_in_force(self) -> bool:
+        """False once every call with it was refused."""
+        return bool(self.open_calls) or self.acknowledged or self.unclear
+
+
+@dataclass
+class Judge:
+    """Checks each answer and delivery when it comes. Tests send each document under one match only."""
+
+    changes: dict[bytes, Change] = field(default_factory=dict)
+    put_answers: dict[int, PutAnswer] = field(default_factory=dict)
+    get_answers: dict[int, GetAnswer] = field(default_factory=dict)
+    newest_acknowledged: int = 0
+    newest_read: int = 0
+    _calls: dict[str, set[int]] = field(default_factory=dict)
+    _documents: dict[int, bytes] = field(default_factory=dict)
+    _least_for_get: dict[int, int] = field(default_factory=dict)
+    _committed: dict[int, Committed] = field(default_factory=dict)
+    _delivered: dict[str, int] = field(default_factory=dict)
+    _acknowledged_on: dict[int, bytes] = field(default_factory=dict)
+
+    def asked_put(self, address: str, request_id: int, match: int, generation: int, document: bytes) -> None:
+        """A change is handed to a machine."""
+        self._calls.setdefault(address, set()).add(request_id)
+        change = self.changes.setdefault(document, Change(match, generation))
+        assert (change.match, change.generation) == (match, generation), "a test reuses a document"
+        change.open_calls.add(request_id)
+        self._documents[request_id] = document
+
+    def answered_put(self, answer: PutAnswer) -> None:
+        """A change has its answer."""
+        assert answer.request_id not in self.put_answers, "two answers to one call"
+        self.put_answers[answer.request_id] = answer
+        document = self._documents[answer.request_id]
+        change = self.changes[document]
+        change.open_calls.discard(answer.request_id)
+        if answer.error is None:
+            self._acknowledge(change, document)
+        elif answer.error not in REFUSALS:
+            assert answer.error is ErrorCode.WRITE_UNCLEAR
+            change.unclear = True
+        else:
+            # a machine without a majority cannot know that a change has been acknowledged before
+            known = answer.error is not ErrorCode.NO_QUORUM
+            assert not (known and change.acknowledged), "refused after it was acknowledged"
+            self._check_not_committed(change, document)
+
+    def stopped(self, address: str) -> None:
+        """A process has ended; its callers learn nothing."""
+        for request_id in self._calls.pop(address, set()):
+            if request_id not in self.put_answers:
+                change = self.changes[self._documents[request_id]]
+                change.open_calls.discard(request_id)
+                change.unclear = True
+
+    def asked_get(self, request_id: int) -> None:
+        """A read is handed to a machine; it must not be older than what is known by now."""
+        self._least_for_get[request_id] = max(self.newest_acknowledged, self.newest_read)
+
+    def answered_get(self, answer: GetAnswer) -> None:
+        """A read has its answer."""
+        assert answer.request_id not in self.get_answers, "two answers to one call"
+        self.get_answers[answer.request_id] = answer
+        if answer.error is ErrorCode.NO_QUORUM:
+            return
+        generation = answer.committed.generation if answer.committed else 0
+        least = self._least_for_get[answer.request_id]
+        assert generation >= least, f"read {generation} after {least} was known"
+        self.newest_read = max(self.newest_read, generation)
+        if answer.committed is not None:
+            self._check_committed(answer.committed)
+
+    def delivered(self, address: str, committed: Committed) -> None:
+        """A machine gives a configuration to its data plane."""
+        assert committed.sequence > self._delivered.get(address, 0), "delivered an older configuration"
+        self._delivered[address] = committed.sequence
+        self._check_committed(committed)
+
+    def started(self, address: str) -> None:
+        """A new process delivers from the beginning."""
+        self._delivered.pop(address, None)
+
+    def delivered_sequence(self, address: str) -> int:
+        """What this process has delivered last."""
+        return self._delivered.get(address, 0)
+
+    def _acknowledge(self, change: Change, document: bytes) -> None:
+        change.acknowledged = True
+        other = self._acknowledged_on.setdefault(change.match, document)
+        assert other == document, f"two changes on top of {change.match} are acknowledged"
+        self.newest_acknowledged = max(self.newest_acknowledged, change.generation)
+
+    def _check_committed(self, committed: Committed) -> None:
+        known = self._committed.setdefault(committed.sequence, committed)
+        assert known == committed, f"two configurations are committed as {committed.sequence}"
+        change = self.changes[committed.document]
+        assert change.generation == committed.generation
+        assert change.may_be_in_force, f"{committed.generation} was refused and is in force"
+
+    def _check_not_committed(self, change: Change, document: bytes) -> None:
+        if not change.may_be_in_force:
+            assert all(known.document != document for known in self._committed.values())
--- /dev/null
+++ b/tests/control_plane/simulated_parts.py
@@ -0,0 +1,93 @@
+"""Parts of the simulation: time, disks, machines and the network between them."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Event, Store
+from reedspoke.control_plane.replica import Replica
+
+
+class DiskMode(Enum):
+    """What the disk does with a store."""
+
+    WORKS = "works"
+    STALLS = "stalls"
+    FULL = "full"
+    FAILS = "fails"  # refuses, and may have written all the same
+
+
+@dataclass
+class Disk:
+    """What survives; a wiped disk comes with a new folder id."""
+
+    folder_id: str
+    records: list[bytes] = field(default_factory=list)
+    mode: DiskMode = DiskMode.WORKS
+    waiting: list[Store] = field(default_factory=list)
+
+
+@dataclass
+class Machine:
+    """One core machine; `life` tells its processes apart."""
+
+    address: str
+    zone: str
+    disk: Disk
+    bootstrap: bool
+    replica: Replica | None = None
+    frozen: bool = False
+    life: int = 0
+    missed: list[Event] = field(default_factory=list)
+    clock_skew: float = 0.0
+
+
+@dataclass
+class Network:
+    """Which directed links carry nothing, and how often a message is lost, doubled or late."""
+
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    loss: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+    holds: bool = False  # what meets a cut comes once the link carries again, instead of being lost
+    check_encoding: bool = False
+
+
+STORE_ERRORS = {DiskMode.FULL: ErrorCode.STORAGE_FULL, DiskMode.FAILS: ErrorCode.STORAGE_FAILED}
+
+
+class VirtualTime:
+    """Time that passes only when a test lets it, and what is to be done in it."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._queue, (when, next(self._order), action))
+
+    def run(self, duration: float) -> None:
+        """Let time pass."""
+        end = self.now + duration
+        while self._queue and self._queue[0][0] <= end:
+            when, _, action = heapq.heappop(self._queue)
+            self.now = max(self.now, when)
+            action()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], limit: float, step: float = 0.02) -> bool:
+        """Let time pass until the condition holds; false where the limit came first."""
+        end = self.now + limit
+        while self.now < end:
+            if condition():
+                return True
+            self.run(step)
+        return condition()
--- /dev/null
+++ b/tests/control_plane/test_log_file.py
@@ -0,0 +1,249 @@
+"""The log file: torn ends, bad records, full disks and rewriting, on a real directory."""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.control_plane import log_file
+from reedspoke.control_plane.log_file import HEADER, LOG_NAME, TEMPORARY_NAME, open_log, set_aside
+
+BATCHES = [[b"one"], [b"two", b"three"], [b"x" * 60]]
+
+
+def _written(directory: Path) -> bytes:
+    opened = open_log(directory)
+    for batch in BATCHES:
+        opened.writer.append(batch)
+    opened.writer.close()
+    return (directory / LOG_NAME).read_bytes()
+
+
+def _reopened(directory: Path) -> list[bytes]:
+    opened = open_log(directory)
+    opened.writer.close()
+    return opened.records
+
+
+def test_what_was_appended_is_read_back_under_the_same_folder_id(tmp_path: Path) -> None:
+    first = open_log(tmp_path / "new" / "folder")
+    assert first.created
+    assert first.records == []
+    assert len(bytes.fromhex(first.folder_id)) == 8
+    first.writer.append([b"one", b""])
+    first.writer.close()
+    second = open_log(tmp_path / "new" / "folder")
+    assert not second.created
+    assert second.records == [b"one", b""]
+    assert second.folder_id == first.folder_id
+    second.writer.close()
+
+
+def test_two_folders_have_two_ids(tmp_path: Path) -> None:
+    assert open_log(tmp_path / "a").folder_id != open_log(tmp_path / "b").folder_id
+
+
+def test_a_file_torn_at_any_byte_keeps_the_whole_batches(tmp_path: Path) -> None:
+    content = _written(tmp_path)
+    path = tmp_path / LOG_NAME
+    whole = [b"one", b"two", b"three", b"x" * 60]
+    for length in range(len(HEADER), len(content)):
+        path.write_bytes(content[:length])
+        records = _reopened(tmp_path)
+        assert records == whole[: len(records)]
+        assert len(records) != 2, "a batch is whole or absent"
+        assert _reopened(tmp_path) == records
+
+
+@pytest.mark.parametrize("filler", [b"\0", b"\xff", b"garbage"])
+def test_an_end_that_holds_anything_else_is_cut_back(tmp_path: Path, filler: bytes) -> None:
+    content = _written(tmp_path)
+    (tmp_path / LOG_NAME).write_bytes(content + filler * 100)
+    assert _reopened(tmp_path) == [b"one", b"two", b"three", b"x" * 60]
+    assert (tmp_path / LOG_NAME).read_bytes() == content
+
+
+def test_a_last_batch_with_a_hole_is_cut_back(tmp_path: Path) -> None:
+    content = bytearray(_written(tmp_path))
+    content[-50:-40] = bytes(10)
+    (tmp_path / LOG_NAME).write_bytes(content)
+    assert _reopened(tmp_path) == [b"one", b"two", b"three"]
+
+
+def test_appending_goes_on_after_a_cut(tmp_path: Path) -> None:
+    content = _written(tmp_path)
+    (tmp_path / LOG_NAME).write_bytes(content[:-1])
+    opened = open_log(tmp_path)
+    opened.writer.append([b"after"])
+    opened.writer.close()
+    assert _reopened(tmp_path) == [b"one", b"two", b"three", b"after"]
+
+
+def test_a_bad_record_before_good_ones_is_an_error(tmp_path: Path) -> None:
+    content = bytearray(_written(tmp_path))
+    content[content.index(b"two")] ^= 1
+    (tmp_path / LOG_NAME).write_bytes(content)
+    with pytest.raises(FleetError) as raised:
+        open_log(tmp_path)
+    assert raised.value.code is ErrorCode.STORAGE_CORRUPT
+
+
+def test_a_bad_header_before_good_records_is_an_error(tmp_path: Path) -> None:
+    content = bytearray(_written(tmp_path))
+    content[0] ^= 1
+    (tmp_path / LOG_NAME).write_bytes(content)
+    with pytest.raises(FleetError) as raised:
+        open_log(tmp_path)
+    assert raised.value.code is ErrorCode.STORAGE_CORRUPT
+
+
+def test_a_corrupt_folder_is_set_aside_and_starts_anew(tmp_path: Path) -> None:
+    _written(tmp_path)
+    old = open_log(tmp_path)
+    old.writer.close()
+    aside = set_aside(tmp_path)
+    new = open_log(tmp_path)
+    assert aside.exists()
+    assert new.created
+    assert new.folder_id != old.folder_id
+
+
+def test_a_file_that_was_torn_while_it_was_made_is_made_again(tmp_path: Path) -> None:
+    open_log(tmp_path).writer.close()
+    content = (tmp_path / LOG_NAME).read_bytes()
+    for length in range(len(content)):
+        (tmp_path / LOG_NAME).write_bytes(content[:length])
+        opened = open_log(tmp_path)
+        opened.writer.close()
+        assert opened.created
+        assert opened.records == []
+
+
+def test_rewriting_keeps_the_folder_id_and_goes_on(tmp_path: Path) -> None:
+    opened = open_log(tmp_path)
+    opened.writer.append([b"old"])
+    opened.writer.rewrite([b"new", b"newer"])
+    opened.writer.append([b"newest"])
+    assert opened.writer.length == (tmp_path / LOG_NAME).stat().st_size
+    opened.writer.close()
+    again = open_log(tmp_path)
+    assert again.folder_id == opened.folder_id
+    assert again.records == [b"new", b"newer", b"newest"]
+
+
+def test_a_leftover_of_a_rewriting_is_removed(tmp_path: Path) -> None:
+    _written(tmp_path)
+    (tmp_path / TEMPORARY_NAME).write_bytes(b"half")
+    assert len(_reopened(tmp_path)) == 4
+    assert not (tmp_path / TEMPORARY_NAME).exists()
+
+
+class FailingDisk:
+    """Refuses some calls; a refused write may write half."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.refused: set[str] = set()
+        self.code = errno.ENOSPC
+        for name in ("write", "fsync", "ftruncate", "replace"):
+            monkeypatch.setattr(os, name, self._wrapped(name, getattr(os, name)))
+
+    def _wrapped(self, name: str, original: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*arguments: Any) -> Any:
+            if name in self.refused:
+                if name == "write":
+                    descriptor, data = arguments
+                    original(descriptor, bytes(data)[: len(data) // 2])
+                raise OSError(self.code, os.strerror(self.code))
+            return original(*arguments)
+
+        return call
+
+
+def test_a_full_disk_leaves_the_log_as_it_was(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    opened = open_log(tmp_path)
+    opened.writer.append([b"kept"])
+    disk = FailingDisk(monkeypatch)
+    disk.refused = {"write"}
+    for change in (opened.writer.append, opened.writer.rewrite):
+        with pytest.raises(FleetError) as raised:
+            change([b"refused" * 100])
+        assert raised.value.code is ErrorCode.STORAGE_FULL
+    disk.refused = set()
+    opened.writer.append([b"after"])
+    opened.writer.close()
+    assert _reopened(tmp_path) == [b"kept", b"after"]
+
+
+def test_a_write_whose_sync_failed_is_gone(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    opened = open_log(tmp_path)
+    disk = FailingDisk(monkeypatch)
+    disk.code = errno.EIO
+    disk.refused = {"fsync"}
+    with pytest.raises(FleetError) as raised:
+        opened.writer.append([b"refused"])
+    assert raised.value.code is ErrorCode.STORAGE_FAILED
+    disk.refused = set()
+    opened.writer.append([b"after"])
+    opened.writer.close()
+    assert _reopened(tmp_path) == [b"after"]
+
+
+def test_nothing_is_written_while_the_end_cannot_be_cut(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    opened = open_log(tmp_path)
+    disk = FailingDisk(monkeypatch)
+    disk.refused = {"write", "ftruncate"}
+    with pytest.raises(FleetError):
+        opened.writer.append([b"refused"])
+    disk.refused = {"ftruncate"}
+    with pytest.raises(FleetError):
+        opened.writer.append([b"refused too"])
+    disk.refused = set()
+    opened.writer.append([b"after"])
+    opened.writer.close()
+    assert _reopened(tmp_path) == [b"after"]
+
+
+def test_a_rewriting_that_cannot_be_renamed_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    opened = open_log(tmp_path)
+    opened.writer.append([b"kept"])
+    disk = FailingDisk(monkeypatch)
+    disk.refused = {"replace"}
+    with pytest.raises(FleetError):
+        opened.writer.rewrite([b"refused"])
+    disk.refused = set()
+    opened.writer.append([b"after"])
+    opened.writer.close()
+    assert _reopened(tmp_path) == [b"kept", b"after"]
+
+
+def test_a_name_that_was_not_synced_is_synced_before_the_next_append(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    opened = open_log(tmp_path)
+    refuse = [True]
+    original = log_file._sync_directory
+
+    def sync_directory(directory: Path) -> None:
+        if refuse[0]:
+            raise OSError(errno.EIO, "no")
+        original(directory)
+
+    monkeypatch.setattr(log_file, "_sync_directory", sync_directory)
+    with pytest.raises(FleetError):
+        opened.writer.rewrite([b"new"])
+    with pytest.raises(FleetError):
+        opened.writer.append([b"too early"])
+    refuse[0] = False
+    opened.writer.append([b"after"])
+    opened.writer.close()
+    assert _reopened(tmp_path) == [b"new", b"after"]
--- /dev/null
+++ b/tests/control_plane/test_replica_stale.py
@@ -0,0 +1,185 @@
+"""A replica that lags behind a newer view neither reads, refuses nor takes by what it still believes."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import (
+    ChainLink,
+    Effect,
+    Event,
+    Member,
+    Put,
+    PutAnswer,
+    Received,
+    SendTo,
+    View,
+)
+from reedspoke.control_plane.replica_messages import (
+    Accept,
+    Append,
+    Ballot,
+    Commit,
+    Entry,
+    Ping,
+    Prepare,
+    PutReply,
+    PutRequest,
+    Snapshot,
+)
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_puts import PutForwarder
+from tests.control_plane.simulation import Simulation
+
+OLD_VIEW = 1
+FAR_LATER = 1e9
+
+
+@pytest.fixture
+def core() -> Simulation:
+    simulation = Simulation(seed=41)
+    simulation.settle()
+    simulation.run(1.0)
+    assert simulation.put_and_wait("m2", 0, 1, b"first") is None
+    return simulation
+
+
+def _go_on_without(core: Simulation, address: str) -> None:
+    """One member is stopped; the others acknowledge two changes."""
+    core.freeze(address)
+    core.run(2.0)
+    other = core.chain()[0]
+    assert core.put_and_wait(other, 1, 2, b"second") is None
+    assert core.put_and_wait(other, 2, 3, b"third") is None
+
+
+def _thaw_with_old_pings_alone(core: Simulation, address: str) -> None:
+    """What it finds first makes it believe that all are in reach and nothing has changed."""
+
+    machine = core.machines[address]
+    own = machine.disk.folder_id
+
+    def is_old_ping(event: Event) -> bool:
+        ping = event.message if isinstance(event, Received) else None
+        return isinstance(ping, Ping) and ping.view == OLD_VIEW and own in ping.heard
+
+    machine.missed = [event for event in machine.missed if is_old_ping(event)]
+    core.thaw(address)
+    assert core.replica(address).majority_reached
+
+
+def test_an_old_tail_does_not_read_without_its_lease(core: Simulation) -> None:
+    tail = core.chain()[-1]
+    _go_on_without(core, tail)
+    _thaw_with_old_pings_alone(core, tail)
+    call = core.get(tail)
+    core.run(1.5)
+    answer = core.judge.get_answers[call]
+    assert answer.committed is None or answer.committed.generation == 3
+
+
+def test_an_old_head_does_not_refuse_what_was_acknowledged(core: Simulation) -> None:
+    head = core.chain()[0]
+    _go_on_without(core, head)
+    _thaw_with_old_pings_alone(core, head)
+    call = core.put(head, 2, 3, b"third")
+    core.run(1.5)
+    assert core.judge.put_answers[call].error in (None, ErrorCode.NO_QUORUM)
+
+
+def test_chain_messages_of_an_old_view_are_refused(core: Simulation) -> None:
+    _go_on_without(core, "m1")
+    core.run(0.5)
+    replica = core.replica("m3")
+    stray = Entry(4, OLD_VIEW, 9, b"stray")
+    before = replica.snapshot_records()
+    messages = (
+        Append(OLD_VIEW, stray),
+        Snapshot(OLD_VIEW, 1, stray, ()),
+        Commit(OLD_VIEW, 4),
+        PutRequest(OLD_VIEW, "x:1", 3, 9, b"stray"),
+    )
+    for message in messages:
+        for effect in replica.handle(core.now, Received("m2", message)):
+            assert not isinstance(effect, SendTo) or isinstance(effect.message, Ping)
+    assert replica.snapshot_records() == before
+
+
+def test_an_acceptance_that_nobody_finishes_is_finished_by_others(core: Simulation) -> None:
+    view = core.newest_view()
+    assert view is not None
+    proposed = View(view.number + 1, view.voters, view.chain[:-1])
+    message = Accept(proposed.number, Ballot(50, "gone:1"), proposed, resigned_at=FAR_LATER)
+    for address in ("m1", "m2"):
+        core.inject(address, Received("gone", message))
+    core.run(2.5)
+    core.settle()
+    newest = core.newest_view()
+    assert newest is not None
+    assert newest.number > view.number
+    answer = core.get_and_wait("m1")
+    assert answer is not None
+    assert answer.committed is not None
+
+
+def test_no_two_lives_of_a_process_share_a_ballot(core: Simulation) -> None:
+    proposers: set[str] = set()
+
+    def note(effect: SendTo) -> None:
+        if isinstance(effect.message, Prepare):
+            proposers.add(effect.message.ballot.proposer)
+
+    core.spy = note
+    for _ in range(2):
+        core.run(1.0)
+        tail = core.chain()[-1]
+        core.kill(tail, restart_after=1.5)
+        core.run(3.0)
+        core.settle()
+        core.kill(core.chain()[0], restart_after=0.1)
+        core.run(1.0)
+        core.settle()
+    lives = [proposer for proposer in proposers if proposer.startswith("0001:")]
+    assert len(lives) >= 2
+
+
+def test_a_chain_below_the_minimum_takes_nothing() -> None:
+    simulation = Simulation(seed=42, machines=1, tolerated=1, seeds=1)
+    simulation.settle()
+    simulation.run(1.0)
+    assert simulation.put_and_wait("m1", 0, 1, b"first") is ErrorCode.NO_QUORUM
+
+
+def _view(number: int, head: str) -> View:
+    member = Member(folder_id=head, address=f"at-{head}")
+    return View(number, (member,), (ChainLink(member, 1),))
+
+
+def _answers(effects: list[Effect]) -> list[ErrorCode | None]:
+    return [effect.error for effect in effects if isinstance(effect, PutAnswer)]
+
+
+def test_a_refusal_counts_only_from_the_head_that_was_asked_last() -> None:
+    outbox = Outbox("at-own", 10.0, 0)
+    puts = PutForwarder("own:1", outbox, 0.9)
+    puts.put(Put(1, 0, 1, b"first"), _view(1, "a"), majority_reached=True)
+    puts.tick(_view(2, "b"))
+    sent = [effect for effect in outbox.take() if isinstance(effect, SendTo)]
+    assert [effect.address for effect in sent] == ["at-a", "at-b"]
+    stale = int(ErrorCode.CONFIGURATION_STALE_MATCH)
+    puts.reply(PutReply(1, "own:1:1", stale))
+    assert _answers(outbox.take()) == []
+    puts.reply(PutReply(2, "own:1:1", stale))
+    puts.reply(PutReply(2, "own:1:1", 0))
+    assert _answers(outbox.take()) == [ErrorCode.CONFIGURATION_STALE_MATCH]
+
+
+def test_an_acknowledgement_counts_from_any_head() -> None:
+    outbox = Outbox("at-own", 10.0, 0)
+    puts = PutForwarder("own:1", outbox, 0.9)
+    puts.put(Put(1, 0, 1, b"first"), _view(1, "a"), majority_reached=True)
+    puts.tick(_view(2, "b"))
+    outbox.take()
+    puts.reply(PutReply(1, "own:1:1", 0))
+    assert _answers(outbox.take()) == [None]
--- /dev/null
+++ b/tests/control_plane/test_view_agreement.py
@@ -0,0 +1,200 @@
+"""Paxos on the next view: any mix of two proposers and three acceptors decides one value."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import ChainLink, Member, SendTo, Store, Stored, View
+from reedspoke.control_plane.replica_messages import (
+    Accept,
+    Accepted,
+    Ballot,
+    Prepare,
+    Promise,
+    Rejected,
+    ViewTold,
+)
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_records import ViewRecord, encode_record, restore
+from reedspoke.control_plane.replica_settings import LEASE_S, ReplicaSettings
+from reedspoke.control_plane.view_agreement import ViewAgreement
+
+MEMBERS = tuple(Member(folder_id=name, address=f"at-{name}") for name in "abc")
+PRESENT = View(1, MEMBERS, tuple(ChainLink(member, 1) for member in MEMBERS))
+START = 50.0
+
+
+class Voter:
+    """One replica's part in the agreement, with a disk that works at once unless told otherwise."""
+
+    def __init__(self, member: Member, records: list[bytes] | None = None) -> None:
+        self.member = member
+        self.records = records if records is not None else [encode_record(ViewRecord(PRESENT))]
+        self.disk_works = True
+        self.entered: list[View] = []
+        self.lives = 0
+        self.start()
+
+    def start(self) -> None:
+        """A new process on the same disk, long after the leases of the old one."""
+        self.lives += 1
+        settings_ = ReplicaSettings(
+            folder_id=self.member.folder_id,
+            address=self.member.address,
+            zone="",
+            seeds=(),
+            bootstrap=False,
+            machines_tolerated=1,
+        )
+        self.outbox = Outbox(self.member.address, START, 0)
+        self.agreement = ViewAgreement(
+            settings_,
+            f"{self.member.folder_id}:{self.lives}",
+            self.outbox,
+            restore(self.records),
+            self.entered.append,
+        )
+        self.outbox.now = START + LEASE_S + 1
+
+    def step(self) -> list[SendTo]:
+        """Carry out stores; return what is to be sent, messages to itself among them."""
+        sent = [SendTo(self.member.address, message) for message in self.outbox.take_to_self()]
+        for effect in self.outbox.take():
+            if isinstance(effect, SendTo):
+                sent.append(effect)
+            elif isinstance(effect, Store):
+                sent += self._store(effect)
+        return sent
+
+    def _store(self, store: Store) -> list[SendTo]:
+        if self.disk_works:
+            self.records.extend(store.records)
+        error = None if self.disk_works else ErrorCode.STORAGE_FAILED
+        self.outbox.stored(Stored(store.token, error))
+        return self.step()
+
+
+def _value(name: str) -> View:
+    return View(2, MEMBERS, tuple(ChainLink(member, 1) for member in MEMBERS if member.folder_id != name))
+
+
+@given(data=st.data())
+@settings(max_examples=60, deadline=None, derandomize=True)
+def test_one_value_is_decided_whatever_is_lost_doubled_or_restarted(data: st.DataObject) -> None:
+    voters = {member.address: Voter(member) for member in MEMBERS}
+    network: list[tuple[str, SendTo]] = []
+    told: set[View] = set()
+
+    def collect(address: str) -> None:
+        for effect in voters[address].step():
+            if isinstance(effect.message, ViewTold):
+                told.add(effect.message.view)
+            elif effect.address in voters:
+                network.append((address, effect))
+        told.update(voters[address].entered)
+
+    for _ in range(data.draw(st.integers(10, 60))):
+        action = data.draw(st.sampled_from(["deliver"] * 8 + ["propose", "double", "lose", "restart"]))
+        address = data.draw(st.sampled_from(sorted(voters)))
+        voter = voters[address]
+        if action == "propose" and voter.agreement.learned_number == 1:
+            voter.agreement.propose(_value(data.draw(st.sampled_from("abc"))))
+            collect(address)
+        elif action == "restart":
+            voter.start()
+        elif network:
+            index = data.draw(st.integers(0, len(network) - 1))
+            sender, effect = network[index] if action == "double" else network.pop(index)
+            if action != "lose":
+                voters[effect.address].agreement.receive(sender, effect.message)
+                collect(effect.address)
+    assert len(told) <= 1
+
+
+def test_a_promise_is_answered_only_when_it_is_on_disk() -> None:
+    voter = Voter(MEMBERS[0])
+    voter.disk_works = False
+    voter.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    assert voter.step() == []
+    voter.disk_works = True
+    voter.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    answers = [effect.message for effect in voter.step()]
+    assert isinstance(answers[0], Promise)
+
+
+def test_a_promise_and_an_acceptance_survive_a_restart() -> None:
+    voter = Voter(MEMBERS[0])
+    ballot = Ballot(3, "b")
+    voter.agreement.receive("at-b", Prepare(2, ballot))
+    voter.agreement.receive("at-b", Accept(2, ballot, _value("c")))
+    answers = [effect.message for effect in voter.step()]
+    assert [type(answer) for answer in answers] == [Promise, Accepted]
+    voter.start()
+    voter.agreement.receive("at-c", Prepare(2, Ballot(2, "c")))
+    assert [type(effect.message) for effect in voter.step()] == [Rejected]
+    voter.agreement.receive("at-c", Prepare(2, Ballot(4, "c")))
+    promise = voter.step()[0].message
+    assert isinstance(promise, Promise)
+    assert (promise.accepted_ballot, promise.accepted) == (ballot, _value("c"))
+
+
+def test_a_request_for_a_decided_view_is_answered_with_it() -> None:
+    voter = Voter(MEMBERS[0])
+    voter.agreement.learn(_value("c"))
+    voter.step()
+    voter.agreement.receive("at-b", Accept(2, Ballot(9, "b"), _value("a")))
+    assert [effect.message for effect in voter.step()] == [ViewTold(_value("c"))]
+
+
+def test_who_does_not_vote_in_the_present_view_does_not_answer() -> None:
+    stranger = Voter(Member(folder_id="z", address="at-a"))
+    stranger.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    stranger.agreement.receive("at-b", Prepare(3, Ballot(1, "b")))
+    assert stranger.step() == []
+
+
+def test_a_decided_view_takes_effect_once_it_is_on_disk() -> None:
+    voter = Voter(MEMBERS[0])
+    voter.disk_works = False
+    voter.agreement.learn(_value("c"))
+    voter.step()
+    assert voter.agreement.view == PRESENT
+    voter.disk_works = True
+    voter.outbox.disk_failed = False
+    voter.agreement.tick()
+    voter.step()
+    assert voter.agreement.view == _value("c")
+    assert voter.entered == [_value("c")]
+
+
+def test_a_value_that_may_have_been_decided_is_carried_on() -> None:
+    voters = {member.address: Voter(member) for member in MEMBERS}
+    first, second = _value("c"), _value("a")
+    for address in ("at-a", "at-b"):
+        voters[address].agreement.receive("at-a", Accept(2, Ballot(1, "a"), first))
+        voters[address].step()
+    proposer = voters["at-c"]
+    proposer.agreement.propose(second)
+    values = set()
+    waiting = [("at-c", effect) for effect in proposer.step()]
+    for _ in range(3):
+        answers = []
+        for sender, effect in waiting:
+            if isinstance(effect.message, Accept):
+                values.add(effect.message.view)
+            voters[effect.address].agreement.receive(sender, effect.message)
+            answers += [(effect.address, answer) for answer in voters[effect.address].step()]
+        waiting = answers
+    assert values == {first}
+
+
+def test_the_records_hold_what_was_promised_and_accepted() -> None:
+    voter = Voter(MEMBERS[0])
+    voter.agreement.receive("at-b", Accept(2, Ballot(3, "b"), _value("c")))
+    voter.step()
+    state = restore([encode_record(record) for record in voter.agreement.records()])
+    assert state.view == PRESENT
+    assert state.acceptors[2].accepted == _value("c")
+    assert state.acceptors[2].promised == Ballot(3, "b")
--- /dev/null
+++ b/tests/control_plane_process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control scheduler's process, apart from its replica."""
--- /dev/null
+++ b/tests/control_plane_process/fleet.py
@@ -0,0 +1,150 @@
+"""Real control schedulers on loopback addresses, each with a folder and a settings file of its own."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from tests.control_plane_process.stand_ins import Platform, Reply, call, configuration, until
+
+ROOT = Path(__file__).resolve().parents[2]
+HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+UP_S = 6.0
+HEARTBEAT_MS = 1200
+
+
+def free_port(hosts: tuple[str, ...]) -> int:
+    """A port that is free at all of these addresses."""
+    while True:
+        with socket.socket() as first:
+            first.bind((hosts[0], 0))
+            port = int(first.getsockname()[1])
+        try:
+            for host in hosts:
+                with socket.socket() as probe:
+                    probe.bind((host, port))
+        except OSError:
+            continue
+        return port
+
+
+class Node:
+    """One control scheduler."""
+
+    def __init__(self, fleet: Fleet, number: int, host: str) -> None:
+        self.fleet = fleet
+        self.name = f"core-{number}"
+        self.host = host
+        self.control = f"{host}:{fleet.control_port}"
+        self.internal = f"{host}:{fleet.internal_port}"
+        self.folder = fleet.folder / self.name
+        self.settings_file = fleet.folder / f"{self.name}.json"
+        self.log_file = fleet.folder / f"{self.name}.log"
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def settings(self, *, bootstrap: bool) -> dict[str, Any]:
+        return {
+            "node_name": self.name,
+            "ip_address": self.host,
+            "zone": f"zone-{self.name}",
+            "bind": {"control_plane": self.control},
+            "internal_ports": [self.fleet.internal_port, self.fleet.internal_port],
+            "seed_nodes": [f"{host}:{self.fleet.control_port}" for host in HOSTS],
+            "bootstrap": bootstrap,
+            "quorum_member": True,
+            "data_dir": str(self.folder),
+            "heartbeat_ms": HEARTBEAT_MS,
+            "cloud_api": {"address": self.fleet.platform.address, "rate_per_s": 40, "lag_ms": 100},
+            "a_field_of_later_times": 1,
+        }
+
+    def start(self, *, bootstrap: bool = False) -> None:
+        self.folder.mkdir(exist_ok=True)
+        self.start_with(json.dumps(self.settings(bootstrap=bootstrap)))
+
+    def start_with(self, settings: str) -> None:
+        self.settings_file.write_text(settings)
+        environment = os.environ | {
+            "REEDSPOKE_NODE_FILE": str(self.settings_file),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        with self.log_file.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "reedspoke.control_plane"], cwd=ROOT, env=environment, stderr=log
+            )
+
+    def kill(self) -> None:
+        """As with kill -9."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait(5)
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def status(self) -> dict[str, Any]:
+        reply = call(self.control, "GET", "/reedspoke/status")
+        if reply is None or reply.status != 200:
+            return {}
+        found: dict[str, Any] = json.loads(reply.body)
+        return found
+
+    def put(self, document: bytes, match: str | None, *, in_chunks: bool = False) -> Reply | None:
+        return call(self.control, "PUT", "/reedspoke/configuration", document, match, in_chunks=in_chunks)
+
+    def get(self) -> Reply | None:
+        return call(self.control, "GET", "/reedspoke/configuration")
+
+
+class Fleet:
+    """Three control schedulers and a platform."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.internal_port = free_port(HOSTS)
+        self.control_port = free_port(HOSTS)
+        self.platform = Platform("127.0.0.1")
+        self.nodes = [Node(self, number, host) for number, host in enumerate(HOSTS)]
+
+    def start(self) -> None:
+        for node in self.nodes:
+            node.start(bootstrap=True)
+
+    def close(self) -> None:
+        for node in self.nodes:
+            if node.process is not None and node.process.poll() is None:
+                node.kill()
+        self.platform.close()
+
+    def put_until_taken(self, document: bytes, match: int, within: float) -> float:
+        """As an operator does: the same call again, at the next scheduler, until it is taken."""
+        began = time.monotonic()
+        tried = 0
+
+        def taken() -> bool:
+            nonlocal tried
+            node = self.nodes[tried % len(self.nodes)]
+            tried += 1
+            reply = node.put(document, str(match))
+            assert reply is None or reply.status in (200, 503), reply
+            return reply is not None and reply.status == 200
+
+        until(taken, within, "the configuration is taken")
+        return time.monotonic() - began
+
+    def first_configuration(self) -> bytes:
+        document = configuration(3)
+        self.put_until_taken(document, 0, UP_S)
+        return document
+
+    def duty_holder(self) -> Node | None:
+        holders = [node for node in self.nodes if node.status().get("holds_list_duty")]
+        return holders[0] if len(holders) == 1 else None
--- /dev/null
+++ b/tests/control_plane_process/test_configuration_cache.py
@@ -0,0 +1,111 @@
+"""What a data plane scheduler is sent of the configuration, for whatever it holds."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from reedspoke.cluster.configuration import (
+    Configuration,
+    apply_difference,
+    parse_configuration,
+)
+from reedspoke.cluster.errors import FleetError
+from reedspoke.cluster.messages import ConfigurationDelta, ConfigurationSnapshot, Version, decode
+from reedspoke.control_plane import configuration_cache
+from reedspoke.control_plane.configuration_cache import MOST_KEPT, ConfigurationCache
+from reedspoke.control_plane.events import Committed
+from tests.control_plane_process.stand_ins import configuration
+
+
+def commit(cache: ConfigurationCache, sequence: int, document: bytes) -> bool:
+    return cache.install(cache.prepare(Committed(sequence, sequence * 2, document)))
+
+
+def received(cache: ConfigurationCache, have: Version) -> ConfigurationSnapshot | ConfigurationDelta:
+    frame = cache.frame(have)
+    assert frame is not None
+    answer: ConfigurationSnapshot | ConfigurationDelta
+    answer = decode(frame, ConfigurationSnapshot | ConfigurationDelta)
+    return answer
+
+
+def brought_up_to_date(cache: ConfigurationCache, held: Configuration | None, have: Version) -> Configuration:
+    answer = received(cache, have)
+    if isinstance(answer, ConfigurationSnapshot):
+        return parse_configuration(answer.document)
+    assert held is not None
+    assert answer.base == have
+    return apply_difference(held, answer)
+
+
+def test_nothing_is_offered_before_the_first() -> None:
+    cache = ConfigurationCache()
+    assert cache.version == (0, 0)
+    assert cache.frame((0, 0)) is None
+    with pytest.raises(FleetError):
+        cache.check(b"{")
+
+
+def test_nothing_is_sent_to_who_holds_the_newest() -> None:
+    cache = ConfigurationCache()
+    assert commit(cache, 4, configuration(8))
+    assert cache.frame((4, 0)) is None
+    assert cache.frame((9, 0)) is None
+
+
+def test_an_older_one_is_not_installed() -> None:
+    cache = ConfigurationCache()
+    commit(cache, 4, configuration(8))
+    assert not commit(cache, 4, configuration(8))
+    assert not commit(cache, 3, configuration(6))
+    assert cache.version == (4, 0)
+
+
+def test_a_small_change_is_sent_as_a_difference_and_encoded_once() -> None:
+    cache = ConfigurationCache()
+    commit(cache, 1, configuration(2, routes=100))
+    changed = json.loads(configuration(4, routes=100))
+    changed["routes"] = json.loads(configuration(2, routes=99))["routes"]
+    commit(cache, 2, json.dumps(changed).encode())
+    answer = received(cache, (1, 0))
+    assert isinstance(answer, ConfigurationDelta)
+    assert (json.loads(answer.routes), answer.removed_routes) == ([], ("r99",))
+    assert cache.frame((1, 0)) is cache.frame((1, 0))
+
+
+@given(st.lists(st.integers(1, 40), min_size=2, max_size=MOST_KEPT + 4))
+def test_whoever_holds_any_of_them_ends_with_the_newest(sizes: list[int]) -> None:
+    cache = ConfigurationCache()
+    held = []
+    for number, size in enumerate(sizes, 1):
+        document = configuration(number * 2, routes=size)
+        commit(cache, number, document)
+        held.append(parse_configuration(document))
+    for number, old in enumerate(held[:-1], 1):
+        assert brought_up_to_date(cache, old, (number, 0)) == held[-1]
+    assert brought_up_to_date(cache, None, (0, 0)) == held[-1]
+
+
+def test_two_that_are_prepared_before_either_is_installed() -> None:
+    cache = ConfigurationCache()
+    commit(cache, 1, configuration(2))
+    second = cache.prepare(Committed(2, 4, configuration(4)))
+    third = cache.prepare(Committed(3, 6, configuration(6)))
+    assert cache.install(second)
+    assert cache.install(third)
+    for have in (1, 2):
+        old = parse_configuration(configuration(have * 2))
+        assert brought_up_to_date(cache, old, (have, 0)) == parse_configuration(configuration(6))
+
+
+def test_large_documents_are_not_all_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(configuration_cache, "MOST_KEPT_BYTES", 1)
+    cache = ConfigurationCache()
+    commit(cache, 1, configuration(2))
+    commit(cache, 2, configuration(4))
+    commit(cache, 3, configuration(6))
+    assert isinstance(received(cache, (1, 0)), ConfigurationSnapshot)
--- /dev/null
+++ b/tests/control_plane_process/test_duty_lease.py
@@ -0,0 +1,260 @@
+"""The lease of the list duty under a virtual clock: never two holders, and a new one soon."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.control_plane.duty_lease import (
+    GIVE_UP_PAUSE_S,
+    LEASE_S,
+    RENEW_S,
+    ROUND_S,
+    DutyLease,
+    Outgoing,
+)
+from reedspoke.control_plane.peer_messages import LeaseAnswer, LeaseRelease, LeaseRequest
+
+STEP_S = 0.05
+TRANSIT_S = 0.02
+NAMES = ("a", "b", "c")
+
+
+class Network:
+    """Voters whose messages take TRANSIT_S, with cuts and stopped processes."""
+
+    def __init__(self, names: tuple[str, ...] = NAMES, *, fresh_fleet: bool = True) -> None:
+        self.now = 100.0
+        self.names = names
+        self.fresh_fleet = fresh_fleet
+        self.leases = {name: self.start(name) for name in names}
+        self.in_transit: list[tuple[float, str, Outgoing]] = []
+        self.cut: set[str] = set()
+        self.stopped: set[str] = set()
+        self.terms: dict[int, str] = {}
+        self.sent = 0
+        self.drop: set[int] = set()
+
+    def start(self, name: str) -> DutyLease:
+        lease = DutyLease(name, self.now, fresh_fleet=self.fresh_fleet)
+        lease.set_voters(self.names)
+        return lease
+
+    def restart(self, name: str) -> None:
+        self.fresh_fleet = False
+        self.leases[name] = self.start(name)
+
+    def send(self, sender: str, messages: list[Outgoing]) -> None:
+        for outgoing in messages:
+            self.sent += 1
+            if self.sent not in self.drop:
+                self.in_transit.append((self.now + TRANSIT_S, sender, outgoing))
+
+    def deliver(self) -> None:
+        due = [item for item in self.in_transit if item[0] <= self.now]
+        self.in_transit = [item for item in self.in_transit if item[0] > self.now]
+        for item in due:
+            _, sender, outgoing = item
+            if outgoing.address in self.stopped:
+                self.in_transit.append(item)
+            elif sender not in self.cut and outgoing.address not in self.cut:
+                target = self.leases[outgoing.address]
+                self.send(outgoing.address, target.received(sender, outgoing.message, self.now))
+
+    def step(self) -> None:
+        for _ in range(5):
+            self.now += STEP_S / 5
+            self.deliver()
+            self.check()
+        for name, lease in self.leases.items():
+            if name not in self.stopped:
+                self.send(name, lease.tick(self.now))
+        self.check()
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.step()
+
+    def holders(self) -> list[str]:
+        return [name for name, lease in self.leases.items() if lease.holds(self.now)]
+
+    def check(self) -> None:
+        holders = self.holders()
+        assert len(holders) <= 1
+        for name in holders:
+            assert self.terms.setdefault(self.leases[name].term, name) == name
+
+    def until_held(self, by: str | None = None, within: float = 5.0) -> float:
+        began = self.now
+        while not self.holders() or by not in (None, *self.holders()):
+            assert self.now - began < within
+            self.step()
+        return self.now - began
+
+
+def test_the_first_voter_holds_it_at_once_in_a_fresh_fleet_and_keeps_it() -> None:
+    network = Network()
+    assert network.until_held() <= 0.2
+    assert network.holders() == ["a"]
+    term = network.leases["a"].term
+    for _ in range(200):
+        network.step()
+        assert network.holders() == ["a"]
+    assert network.leases["a"].term == term
+
+
+def test_granters_that_start_anew_grant_nothing_for_the_length_of_a_lease() -> None:
+    network = Network(fresh_fleet=False)
+    assert LEASE_S <= network.until_held() <= LEASE_S + 3 * STEP_S
+
+
+def test_a_single_voter_holds_it() -> None:
+    network = Network(("a",))
+    assert network.until_held() <= 0.1
+
+
+@pytest.mark.parametrize("steps", range(30))
+def test_another_takes_over_from_a_holder_that_is_killed_at_any_moment(steps: int) -> None:
+    network = Network()
+    network.until_held()
+    for _ in range(steps):
+        network.step()
+    network.stopped.add("a")
+    network.restart("a")
+    assert network.until_held(within=LEASE_S + 0.5) <= LEASE_S + 0.5
+    assert network.holders() == ["b"]
+
+
+@pytest.mark.parametrize("steps", range(0, 30, 3))
+def test_a_holder_that_is_frozen_and_wakes_does_not_hold_it(steps: int) -> None:
+    network = Network()
+    network.until_held()
+    for _ in range(steps):
+        network.step()
+    network.stopped.add("a")
+    network.run(2.0)
+    assert network.holders() == ["b"]
+    network.stopped.clear()
+    network.run(2.0)
+    assert network.holders() == ["b"]
+
+
+@pytest.mark.parametrize("steps", range(0, 30, 3))
+def test_a_holder_that_is_cut_off_ends_before_another_begins(steps: int) -> None:
+    network = Network()
+    network.until_held()
+    for _ in range(steps):
+        network.step()
+    network.cut.add("a")
+    network.run(2.0)
+    assert network.holders() == ["b"]
+    network.cut.clear()
+    network.run(2.0)
+    assert network.holders() == ["b"]
+
+
+@pytest.mark.parametrize("lost", range(1, 60))
+def test_a_lost_message_leaves_one_holder(lost: int) -> None:
+    network = Network()
+    network.drop.add(lost)
+    network.run(2.0)
+    assert len(network.holders()) == 1
+
+
+@pytest.mark.parametrize("lost", range(1, 40))
+def test_two_lost_messages_in_a_row_leave_one_holder(lost: int) -> None:
+    network = Network()
+    network.drop |= {lost, lost + 1}
+    network.run(3.0)
+    assert len(network.holders()) == 1
+
+
+def test_nobody_holds_it_without_a_majority() -> None:
+    network = Network()
+    network.until_held()
+    network.cut |= {"b", "c"}
+    network.run(LEASE_S + 1)
+    assert network.holders() == []
+
+
+def test_who_gives_it_up_leaves_it_to_another_and_may_have_it_again_later() -> None:
+    network = Network()
+    network.until_held()
+    network.send("a", network.leases["a"].give_up(network.now))
+    assert network.until_held() <= 0.4
+    assert network.holders() == ["b"]
+    network.run(GIVE_UP_PAUSE_S)
+    assert network.holders() == ["b"]
+    network.stopped.add("b")
+    network.run(LEASE_S)
+    assert network.until_held() <= 0.4
+    assert network.holders() == ["a"]
+
+
+def test_who_stops_never_asks_again() -> None:
+    network = Network()
+    network.until_held()
+    network.send("a", network.leases["a"].stop())
+    assert network.until_held() <= 0.4
+    network.stopped |= {"b"}
+    network.run(4.0)
+    assert network.holders() == ["c"]
+
+
+def test_a_term_that_others_know_of_is_exceeded() -> None:
+    network = Network()
+    for lease in network.leases.values():
+        lease.term_seen(7)
+    network.until_held()
+    assert network.leases["a"].term >= 7
+    network.leases["a"].need_higher_term(40, network.now)
+    network.run(0.2)
+    assert network.holders() == ["a"]
+    assert network.leases["a"].term > 40
+
+
+def test_a_new_holder_has_a_higher_term() -> None:
+    network = Network()
+    network.until_held()
+    first = network.leases["a"].term
+    network.stopped.add("a")
+    network.run(2.0)
+    assert network.leases["b"].term > first
+
+
+def test_the_lease_is_renewed_no_more_often_than_needed() -> None:
+    network = Network()
+    network.until_held()
+    before = network.sent
+    network.run(10.0)
+    requests_and_answers = 4
+    assert network.sent - before <= requests_and_answers * (10.0 / RENEW_S + 1)
+
+
+def test_a_change_of_voters_leaves_one_holder() -> None:
+    network = Network(("a", "b", "c", "d"))
+    for lease in network.leases.values():
+        lease.set_voters(("a", "b", "c"))
+    network.until_held()
+    for lease in network.leases.values():
+        lease.set_voters(("d", "b", "c"))
+    network.run(3.0)
+    assert network.holders() == ["d"]
+
+
+def test_who_is_no_voter_never_asks() -> None:
+    lease = DutyLease("x", 0.0, fresh_fleet=True)
+    lease.set_voters(NAMES)
+    assert lease.tick(1.0) == []
+
+
+def test_answers_after_the_end_of_a_request_count_for_nothing() -> None:
+    lease = DutyLease("a", 0.0, fresh_fleet=True)
+    lease.set_voters(NAMES)
+    asked = lease.tick(0.0)
+    assert [outgoing.address for outgoing in asked] == ["b", "c"]
+    request = asked[0].message
+    assert isinstance(request, LeaseRequest)
+    released = lease.tick(ROUND_S + 0.01)
+    assert all(isinstance(outgoing.message, LeaseRelease) for outgoing in released)
+    lease.received("b", LeaseAnswer(request.term, True, request.term), ROUND_S + 0.02)
+    assert not lease.holds(ROUND_S + 0.02)
--- /dev/null
+++ b/tests/control_plane_process/test_edge_sessions.py
@@ -0,0 +1,262 @@
+"""Sessions with data plane schedulers over a real connection to a transport in this process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from reedspoke.cluster.messages import (
+    ConfigurationSnapshot,
+    ControlMember,
+    Fetch,
+    MemberList,
+    Version,
+    Versions,
+    Watch,
+    WorkerEntry,
+    WorkerList,
+)
+from reedspoke.cluster.transport import CONNECTION_ENDED, Channel, open_channel
+from reedspoke.control_plane import edge_sessions
+from reedspoke.control_plane.configuration_cache import ConfigurationCache
+from reedspoke.control_plane.edge_sessions import EdgeSessions
+from reedspoke.control_plane.events import Committed
+from reedspoke.control_plane.membership import Membership
+from reedspoke.control_plane.peer_messages import Hello, SessionTable
+from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
+from reedspoke.control_plane.published_state import PublishedState
+from reedspoke.control_plane.worker_list import WorkerBook
+from tests.control_plane_process.fleet import free_port
+from tests.control_plane_process.stand_ins import Answer, configuration
+
+HOST = "127.0.0.1"
+HEARTBEAT_S = 0.3
+WORKER = WorkerEntry("i-1", "u1", "a:1", "z", "v1", 4, False, 1000.0)
+
+
+class Side:
+    """The control scheduler's side of sessions, without its replica."""
+
+    def __init__(self) -> None:
+        self.address = f"{HOST}:{free_port((HOST,))}"
+        self.membership = Membership(ControlMember(self.address, "za"), 5.0, 77)
+        self.cache = ConfigurationCache()
+        self.book = WorkerBook()
+        self.state = PublishedState(self.cache, self.book, self.membership)
+        self.sessions = EdgeSessions("core", self.state, HEARTBEAT_S, self.arrival)
+        self.peer_messages: list[tuple[str, PeerMessage]] = []
+        self.transport = PeerTransport(self.address, "za", self.peer_message, self.sessions)
+
+    def arrival(self) -> None:
+        self.membership.refresh(asyncio.get_running_loop().time())
+        self.sessions.changed()
+
+    def peer_message(self, sender: str, message: PeerMessage) -> None:
+        self.peer_messages.append((sender, message))
+
+    def commit(self, sequence: int, document: bytes) -> None:
+        self.cache.install(self.cache.prepare(Committed(sequence, sequence * 2, document)))
+        self.sessions.changed()
+
+    def publish(self, workers: WorkerList) -> None:
+        self.book.adopt(workers, asyncio.get_running_loop().time())
+        self.sessions.changed()
+
+
+class Edge:
+    """The data plane scheduler's side."""
+
+    def __init__(self, channel: Channel, name: str) -> None:
+        self.channel = channel
+        self.name = name
+        self.held: dict[str, Version] = {}
+        self.asked = 0
+
+    def watch(self, *, draining: bool = False) -> None:
+        self.asked += 1
+        self.channel.send(Watch(self.asked, self.name, "1", "za", self.held, {}, draining))
+
+    async def versions(self) -> Versions:
+        answer = await self.channel.receive(Answer)
+        assert isinstance(answer, Versions)
+        return answer
+
+    async def watched(self) -> Versions:
+        self.watch()
+        return await self.versions()
+
+    async def everything(self) -> None:
+        while True:
+            await self.channel.receive(Answer)
+
+    async def fetch(self, source: str, have: Version = (0, 0)) -> Answer:
+        self.channel.send(Fetch(source, have))
+        answer: Answer = await self.channel.receive(Answer)
+        return answer
+
+
+def play(scene: Callable[[Side, Edge], Awaitable[None]]) -> None:
+    async def run() -> None:
+        side = Side()
+        await side.transport.listen()
+        edge = Edge(await open_channel(side.address), "edge-1")
+        async with asyncio.timeout(5):
+            await scene(side, edge)
+        side.transport.close()
+        await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+async def elapsed(awaited: Awaitable[Versions]) -> tuple[float, Versions]:
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    answer = await awaited
+    return loop.time() - began, answer
+
+
+def test_a_watch_with_nothing_new_is_answered_after_the_heartbeat() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        edge.held = (await edge.watched()).versions
+        took, answer = await elapsed(edge.watched())
+        assert HEARTBEAT_S * 0.9 <= took < HEARTBEAT_S * 3
+        assert answer.request_id == 2
+
+    play(scene)
+
+
+def test_a_watch_that_waits_is_answered_as_soon_as_something_is_new() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        edge.held = (await edge.watched()).versions
+        edge.watch()
+        await asyncio.sleep(0.02)
+        side.commit(3, configuration(6))
+        took, answer = await elapsed(edge.versions())
+        assert took < HEARTBEAT_S / 2
+        assert answer.versions["configuration"] == (3, 0)
+        snapshot = await edge.fetch("configuration")
+        assert isinstance(snapshot, ConfigurationSnapshot)
+        assert snapshot.document == configuration(6)
+
+    play(scene)
+
+
+def test_who_is_behind_is_told_at_once_but_of_the_same_versions_only_once() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.commit(3, configuration(6))
+        took, first = await elapsed(edge.watched())
+        assert took < HEARTBEAT_S / 2
+        took, again = await elapsed(edge.watched())
+        assert took >= HEARTBEAT_S * 0.9, "two sides that tell each other the same would never rest"
+        assert again.versions == first.versions
+        edge.watch()
+        side.commit(4, configuration(8))
+        took, _ = await elapsed(edge.versions())
+        assert took < HEARTBEAT_S / 2
+
+    play(scene)
+
+
+def test_who_is_ahead_is_not_sent_anything_older() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.commit(3, configuration(6))
+        side.publish(WorkerList((2, 2), (WORKER,)))
+        edge.held = {"configuration": (9, 0), "workers": (8, 1)}
+        await edge.watched()
+        assert side.book.seen == (8, 1)
+        edge.channel.send(Fetch("configuration", (9, 0)))
+        edge.channel.send(Fetch("workers", (8, 1)))
+        edge.channel.send(Fetch("no such source", (0, 0)))
+        assert isinstance(await edge.fetch("members"), MemberList)
+
+    play(scene)
+
+
+def test_the_time_until_a_worker_is_warm_is_counted_on() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.publish(WorkerList((2, 2), (WORKER,)))
+        side.book.received_at -= 0.4
+        answer = await edge.fetch("workers")
+        assert isinstance(answer, WorkerList)
+        assert 100.0 < answer.workers[0].cold_left_ms <= 600.0
+
+    play(scene)
+
+
+def test_who_says_that_it_leaves_is_no_member_once_its_session_is_over() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        await edge.watched()
+        assert [member.node_name for member in side.membership.members.edges] == ["edge-1"]
+        edge.watch(draining=True)
+        await asyncio.sleep(0.05)
+        edge.channel.close()
+        await asyncio.sleep(0.05)
+        assert side.membership.members.edges == ()
+
+    play(scene)
+
+
+def test_who_loses_its_session_is_a_member_for_a_while() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        await edge.watched()
+        edge.channel.close()
+        await asyncio.sleep(0.05)
+        assert len(side.membership.members.edges) == 1
+
+    play(scene)
+
+
+def test_sessions_beyond_the_most_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(edge_sessions, "MOST_SESSIONS", 1)
+
+    async def scene(side: Side, edge: Edge) -> None:
+        await edge.watched()
+        other = Edge(await open_channel(side.address), "edge-2")
+        with pytest.raises(CONNECTION_ENDED):
+            await other.watched()
+        await edge.watched()
+
+    play(scene)
+
+
+def test_a_data_plane_scheduler_that_does_not_read_loses_its_session(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(edge_sessions, "MOST_WAITING", 1_000_000)
+
+    async def scene(side: Side, edge: Edge) -> None:
+        side.commit(3, configuration(6, routes=20_000))
+        for _ in range(200):
+            edge.channel.send(Fetch("configuration", (0, 0)))
+            await asyncio.sleep(0.001)
+        with pytest.raises(CONNECTION_ENDED):
+            await edge.everything()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("payload", [b"", b"x", b"\xc1", b"\x91\xa5watch", b"\x92\xa5other\x01"])
+def test_a_message_that_is_none_ends_its_connection_alone(payload: bytes) -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        bad = await open_channel(side.address)
+        bad.send_encoded(payload)
+        with pytest.raises(CONNECTION_ENDED):
+            await bad.receive(Answer)
+        await edge.watched()
+
+    play(scene)
+
+
+def test_messages_of_another_control_scheduler_come_with_its_address() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        table = SessionTable((), (1, 1), (1, 2))
+        peer = await open_channel(side.address)
+        peer.send(Hello("10.0.0.9:1", "zb"))
+        peer.send(table)
+        while not side.peer_messages:
+            await asyncio.sleep(0.01)
+        assert side.peer_messages == [("10.0.0.9:1", table)]
+
+    play(scene)
--- /dev/null
+++ b/tests/control_plane_process/test_http_server.py
@@ -0,0 +1,182 @@
+"""The HTTP server on a loopback address, byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.control_plane import http_server
+from reedspoke.control_plane.http_server import HttpServer, Request, Response
+from reedspoke.control_plane.operator_api import http_error_body
+from tests.control_plane_process.fleet import free_port
+
+HOST = "127.0.0.1"
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def echo(request: Request) -> Response:
+    if request.path == "/fails":
+        raise ValueError("a fault")
+    await asyncio.sleep(0)
+    return Response(200, f"{request.method} {request.path} ".encode() + request.body)
+
+
+def talk(conversation: Talk) -> HttpServer:
+    """Run the conversation with a server on a connection."""
+    address = f"{HOST}:{free_port((HOST,))}"
+    servers: list[HttpServer] = []
+
+    async def run() -> None:
+        server = HttpServer(echo, http_error_body)
+        servers.append(server)
+        await server.listen(address)
+        reader, writer = await asyncio.open_connection(*split_address(address))
+        async with asyncio.timeout(5):
+            await conversation(reader, writer)
+        server.close()
+
+    asyncio.run(run())
+    return servers[0]
+
+
+async def answer(reader: asyncio.StreamReader) -> tuple[int, bytes, bytes]:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return int(head.split()[1]), head, await reader.readexactly(length)
+
+
+def test_requests_one_after_another_on_one_connection() -> None:
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for number in range(3):
+            writer.write(f"GET /{number} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            assert (await answer(reader))[::2] == (200, f"GET /{number} ".encode())
+
+    talk(conversation)
+
+
+def test_requests_that_are_sent_without_waiting_are_answered_in_order() -> None:
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            b"PUT /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyzGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n"
+        )
+        assert (await answer(reader))[2] == b"PUT /a xyz"
+        assert (await answer(reader))[2] == b"GET /b "
+        assert (await answer(reader))[2] == b"GET /c "
+
+    talk(conversation)
+
+
+BODIES = {
+    "length": b"PUT /a HTTP/1.1\r\nContent-Length: 10\r\n\r\n0123456789",
+    "chunks": (
+        b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\n0123\r\n6;x=y\r\n456789\r\n0\r\nT: v\r\n\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", BODIES)
+def test_a_request_may_be_cut_anywhere(kind: str) -> None:
+    data = BODIES[kind]
+
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for cut in range(1, len(data)):
+            writer.write(data[:cut])
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            writer.write(data[cut:])
+            assert (await answer(reader))[2] == b"PUT /a 0123456789"
+
+    talk(conversation)
+
+
+def test_a_large_body_comes_whole() -> None:
+    body = bytes(range(256)) * 20_000
+
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"PUT /a HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        assert (await answer(reader))[2] == b"PUT /a " + body
+
+    talk(conversation)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"PUT /a HTTP/1.1\r\nContent-Length: 8388609\r\n\r\n", 413),
+        (b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n8FFFFF\r\n" + b"x" * 9_000_000, 413),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /a HTTP/2.0\r\n\r\n", 505),
+        (b"GET /a HTTP/1.1\r\n" + b"X: y\r\n" * 5000, 431),
+        (b"PUT /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n", 400),
+    ],
+)
+def test_what_is_refused_gets_an_answer_and_the_end(data: bytes, status: int) -> None:
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        got, head, body = await answer(reader)
+        assert got == status
+        assert b"\r\nConnection: close\r\n" in head
+        assert b'"error"' in body
+        assert await reader.read() == b""
+
+    talk(conversation)
+
+
+def test_a_fault_in_a_handler_is_an_answer() -> None:
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"GET /fails HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        assert (await answer(reader))[0] == 500
+        assert (await answer(reader))[0] == 200
+
+    talk(conversation)
+
+
+def test_the_end_of_the_connection_is_as_the_client_wants_it() -> None:
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+        assert (await answer(reader))[0] == 200
+        assert await reader.read() == b""
+
+    talk(conversation)
+
+
+def test_who_waits_for_it_is_told_to_go_on() -> None:
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"PUT /a HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"xy")
+        assert (await answer(reader))[2] == b"PUT /a xy"
+
+    talk(conversation)
+
+
+def test_a_request_that_does_not_end_ends_the_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_server, "SWEEP_S", 0.02)
+    monkeypatch.setattr(http_server, "REQUEST_S", 0.1)
+
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"PUT /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nxy")
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+
+    talk(conversation)
+
+
+def test_connections_beyond_the_most_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_server, "MOST_CONNECTIONS", 1)
+
+    async def conversation(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        assert (await answer(reader))[0] == 200
+        other, _ = await asyncio.open_connection(*writer.get_extra_info("peername"))
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await other.readexactly(1)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        assert (await answer(reader))[0] == 200
+
+    talk(conversation)
--- /dev/null
+++ b/tests/control_plane_process/test_list_duty.py
@@ -0,0 +1,267 @@
+"""The calls of the platform's list against a stand-in platform, with a lease that is held or not."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+
+import pytest
+
+from reedspoke.cluster.messages import WorkerList
+from reedspoke.cluster.node_settings import CloudApi
+from reedspoke.control_plane import list_duty, platform_client
+from reedspoke.control_plane.duty_lease import DutyLease, Outgoing
+from reedspoke.control_plane.list_duty import ListDuty
+from reedspoke.control_plane.platform_client import PlatformClient, PlatformError, PlatformRateError
+from reedspoke.control_plane.worker_list import WorkerBook
+from tests.control_plane_process.stand_ins import Platform, instance
+
+OWN = "own"
+
+
+@pytest.fixture
+def platform() -> Iterator[Platform]:
+    made = Platform("127.0.0.1")
+    yield made
+    made.close()
+
+
+@pytest.fixture(autouse=True)
+def _short_times(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(list_duty, "LIST_INTERVAL_S", 0.05)
+    monkeypatch.setattr(list_duty, "RETRY_S", 0.02)
+    monkeypatch.setattr(list_duty, "FAILING_S", 0.2)
+    monkeypatch.setattr(platform_client, "CALL_TIMEOUT_S", 0.3)
+
+
+class Duty:
+    """A duty whose lease has one voter, this one."""
+
+    def __init__(self, platform: Platform, rate_per_s: float = 10_000.0) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.lease = DutyLease(OWN, self.loop.time(), fresh_fleet=True)
+        self.book = WorkerBook()
+        self.published: list[WorkerList] = []
+        self.sent: list[Outgoing] = []
+        self.cloud_api = CloudApi(platform.address, rate_per_s)
+        self.duty = ListDuty(self.cloud_api, self.lease, self.book, self.published.append, self.sent.extend)
+
+    def take(self) -> None:
+        self.lease.set_voters((OWN,))
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        async with asyncio.timeout(5):
+            while not condition():
+                self.lease.tick(self.loop.time())
+                self.duty.look()
+                await asyncio.sleep(0.005)
+
+    async def play(self, seconds: float) -> None:
+        end = self.loop.time() + seconds
+        await self.until(lambda: self.loop.time() >= end)
+
+
+def play(platform: Platform, scene: Callable[[Duty], Awaitable[None]], rate_per_s: float = 10_000.0) -> None:
+    async def run() -> None:
+        duty = Duty(platform, rate_per_s)
+        task = asyncio.create_task(duty.duty.run())
+        await scene(duty)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+def test_who_does_not_hold_the_lease_does_not_call(platform: Platform) -> None:
+    async def scene(duty: Duty) -> None:
+        await duty.play(0.2)
+        assert platform.calls == 0
+
+    play(platform, scene)
+
+
+def test_the_holder_publishes_all_pages_and_every_change(platform: Platform) -> None:
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.until(lambda: duty.published)
+        assert [worker.instance_id for worker in duty.published[0].workers] == ["i-1", "i-2", "i-3"]
+        await duty.play(0.2)
+        assert len(duty.published) == 1
+        platform.instances[2] = instance("i-3", state="draining")
+        await duty.until(lambda: len(duty.published) == 2)
+        assert [worker.draining for worker in duty.published[1].workers] == [False, False, True]
+
+    play(platform, scene)
+
+
+@pytest.mark.parametrize("status", [500, 503, 404])
+def test_a_holder_whose_calls_fail_gives_the_lease_up(platform: Platform, status: int) -> None:
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.until(lambda: duty.published)
+        platform.status = status
+        await duty.until(lambda: not duty.lease.holds(duty.loop.time()))
+        assert duty.book.current == duty.published[0]
+
+    play(platform, scene)
+
+
+def test_a_holder_that_is_called_too_often_keeps_the_lease(platform: Platform) -> None:
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.until(lambda: duty.published)
+        platform.status = 429
+        await duty.play(0.6)
+        assert duty.lease.holds(duty.loop.time())
+
+    play(platform, scene)
+
+
+def test_a_platform_that_is_silent_is_one_that_fails(platform: Platform) -> None:
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        duty.duty.settings_changed(CloudApi(f"{host}:{port}", 1000.0))
+        await duty.until(lambda: duty.lease.holds(duty.loop.time()))
+        await duty.until(lambda: not duty.lease.holds(duty.loop.time()))
+        assert duty.published == []
+        server.close()
+
+    play(platform, scene)
+
+
+def test_the_rate_of_the_platform_is_kept(platform: Platform) -> None:
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.play(1.0)
+        assert platform.calls <= 10
+
+    play(platform, scene, rate_per_s=10.0)
+
+
+def test_a_newer_list_elsewhere_is_overtaken_at_once(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(list_duty, "LIST_INTERVAL_S", 60.0)
+
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.until(lambda: duty.published)
+        duty.book.note_seen((70, 4))
+        await duty.until(lambda: len(duty.published) == 2)
+        assert duty.published[1].version > (70, 4)
+        assert duty.published[1].workers == duty.published[0].workers
+        pages = 2
+        assert platform.calls == pages
+
+    play(platform, scene)
+
+
+def test_a_list_from_before_the_lease_was_lost_is_not_published_again(platform: Platform) -> None:
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.until(lambda: duty.published)
+        duty.lease.give_up(duty.loop.time())
+        duty.duty.look()
+        duty.book.note_seen((70, 4))
+        platform.status = 503
+        await duty.play(0.3)
+        assert len(duty.published) == 1
+
+    play(platform, scene)
+
+
+def test_a_call_goes_over_one_connection_until_it_ends(platform: Platform) -> None:
+    async def run() -> None:
+        client = PlatformClient(platform.address)
+        pages = [await client.page(None)]
+        while pages[-1].next_token is not None:
+            pages.append(await client.page(pages[-1].next_token))
+        assert [len(page.instances) for page in pages] == [2, 1]
+        platform.status = 429
+        with pytest.raises(PlatformRateError):
+            await client.page(None)
+        platform.status = 500
+        with pytest.raises(PlatformError):
+            await client.page(None)
+        platform.status = 200
+        assert len((await client.page(None)).instances) == 2
+        client.close()
+        assert len((await client.page(None)).instances) == 2
+        client.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+        b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"instances":[',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{"instances":[',
+    ],
+)
+def test_an_answer_that_is_none_is_an_error(answer: bytes) -> None:
+    async def run() -> None:
+        def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        with pytest.raises(PlatformError):
+            await PlatformClient(f"{host}:{port}").page(None)
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_a_platform_that_closes_idle_connections_is_called_again(platform: Platform) -> None:
+    page = b'{"instances":[],"next_token":null}'
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(page)
+
+    async def run() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + page)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = PlatformClient(f"{host}:{port}")
+        for _ in range(3):
+            assert (await client.page(None)).instances == ()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_a_process_without_a_list_reads_one_before_the_lease_and_the_holder_replaces_it(
+    platform: Platform,
+) -> None:
+    async def scene(duty: Duty) -> None:
+        await duty.duty.first_list()
+        assert [workers.version for workers in duty.published] == [(0, 1)]
+        duty.take()
+        await duty.until(lambda: len(duty.published) == 2)
+        assert duty.published[1].version[0] > 0
+        assert duty.published[1].workers == duty.published[0].workers
+
+    play(platform, scene)
+
+
+def test_a_first_list_is_asked_for_until_the_platform_answers(platform: Platform) -> None:
+    platform.status = 503
+
+    async def scene(duty: Duty) -> None:
+        reading = asyncio.create_task(duty.duty.first_list())
+        await duty.play(0.2)
+        assert duty.published == []
+        platform.status = 200
+        await duty.until(lambda: duty.published)
+        await reading
+
+    play(platform, scene)
--- /dev/null
+++ b/tests/control_plane_process/test_membership.py
@@ -0,0 +1,153 @@
+"""Membership under a virtual clock."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from reedspoke.cluster.messages import ControlMember, EdgeMember, Watch
+from reedspoke.control_plane.events import Member
+from reedspoke.control_plane.membership import TABLE_LIFE_S, Membership, Running
+from reedspoke.control_plane.peer_messages import SessionEntry, SessionTable
+
+OWN = ControlMember("10.0.0.1:1", "za")
+EDGE_LIFE_S = 3.0
+NONE = (0, 0)
+
+
+def watch(name: str, incarnation: str = "1", running: Running | None = None) -> Watch:
+    return Watch(1, name, incarnation, "zx", {}, running or {})
+
+
+def table(*entries: SessionEntry) -> SessionTable:
+    return SessionTable(entries, (1, 2), (3, 4))
+
+
+def entry(name: str, silent_s: float = 0.0, running: Running | None = None, life: str = "1") -> SessionEntry:
+    return SessionEntry(name, life, "zx", silent_s, running or {})
+
+
+def membership() -> Membership:
+    return Membership(OWN, EDGE_LIFE_S, 77)
+
+
+def names(members: Membership) -> list[str]:
+    return [edge.node_name for edge in members.members.edges]
+
+
+def test_an_edge_is_a_member_while_it_watches() -> None:
+    members = membership()
+    assert members.watched(watch("e1"), 0.0)
+    assert not members.watched(watch("e1"), 1.0)
+    assert members.refresh(1.0)
+    assert members.members.edges == (EdgeMember("e1", "1", "zx"),)
+    assert not members.refresh(1.0 + EDGE_LIFE_S)
+    assert members.refresh(1.1 + EDGE_LIFE_S)
+    assert names(members) == []
+
+
+def test_the_version_changes_with_the_list_alone_and_bears_the_identity() -> None:
+    members = membership()
+    members.watched(watch("e1", running={"i": (1, 2)}), 0.0)
+    members.refresh(0.0)
+    version = members.members.version
+    members.watched(watch("e1", running={"i": (2, 2)}), 0.1)
+    members.refresh(0.1)
+    assert members.members.version == version
+    assert version[0] == 77
+    assert members.watched(watch("e1", "2"), 0.2)
+    members.refresh(0.2)
+    assert members.members.version != version
+
+
+def test_an_edge_that_leaves_is_gone_at_once_and_its_next_life_is_not() -> None:
+    members = membership()
+    members.watched(watch("e1", "2"), 0.0)
+    members.left("e1", "1")
+    members.refresh(0.0)
+    assert names(members) == ["e1"]
+    members.left("e1", "2")
+    members.refresh(0.0)
+    assert names(members) == []
+
+
+def test_edges_of_other_control_schedulers_count_until_their_word_is_old() -> None:
+    members = membership()
+    members.watched(watch("e1"), 0.0)
+    members.heard_table("10.0.0.2:1", table(entry("e2")), 0.0)
+    members.refresh(0.0)
+    assert names(members) == ["e1", "e2"]
+    assert members.peer_workers("10.0.0.2:1") == (1, 2)
+    members.watched(watch("e1"), TABLE_LIFE_S)
+    members.refresh(TABLE_LIFE_S + 0.1)
+    assert names(members) == ["e1"]
+    assert members.peer_workers("10.0.0.2:1") == NONE
+
+
+def test_an_edge_with_two_sessions_counts_once_by_its_latest_word() -> None:
+    members = membership()
+    members.watched(watch("e1", running={"i": (1, 10)}), 0.0)
+    members.heard_table("p", table(entry("e1", 0.2, {"i": (5, 50)})), 1.0)
+    members.refresh(1.0)
+    members.add_up(1.0)
+    assert names(members) == ["e1"]
+    assert members.running_except("other") == {"i": (5, 50)}
+    members.watched(watch("e1", running={"i": (2, 20)}), 1.1)
+    members.add_up(1.1)
+    assert members.running_except("other") == {"i": (2, 20)}
+
+
+def test_a_new_life_elsewhere_replaces_the_old_one_here() -> None:
+    members = membership()
+    members.watched(watch("e1", "old"), 0.0)
+    members.heard_table("p", table(entry("e1", 0.1, life="new")), 1.0)
+    members.refresh(1.0)
+    assert [edge.incarnation for edge in members.members.edges] == ["new"]
+
+
+def test_control_members_are_those_of_the_view_that_are_heard() -> None:
+    members = membership()
+    members.set_view((Member("f1", OWN.address, "za"), Member("f2", "p2", "zb"), Member("f3", "p3", "zc")))
+    members.heard_peer("p2", 0.0)
+    members.heard_peer("stranger", 0.0)
+    members.refresh(0.0)
+    assert list(members.members.control) == [OWN, ControlMember("p2", "zb")]
+    members.refresh(TABLE_LIFE_S + 0.1)
+    assert list(members.members.control) == [OWN]
+
+
+RUNNING = st.dictionaries(
+    st.sampled_from(("i1", "i2", "i3")), st.tuples(st.integers(0, 9), st.integers(0, 99)), max_size=3
+)
+
+
+@given(st.lists(RUNNING, max_size=4), st.lists(RUNNING, max_size=4))
+def test_the_sum_for_an_edge_is_that_of_all_others(here: list[Running], there: list[Running]) -> None:
+    members = membership()
+    for number, running in enumerate(here):
+        members.watched(watch(f"h{number}", running=running), 0.0)
+    entries = [entry(f"t{number}", running=running) for number, running in enumerate(there)]
+    members.heard_table("p", table(*entries), 0.0)
+    members.add_up(0.0)
+    everybody = {f"h{number}": running for number, running in enumerate(here)}
+    everybody |= {f"t{number}": running for number, running in enumerate(there)}
+    for asker in everybody:
+        expected: Running = {}
+        for name, running in everybody.items():
+            if name != asker:
+                for instance, (requests, tokens) in running.items():
+                    so_far = expected.get(instance, (0, 0))
+                    expected[instance] = (so_far[0] + requests, so_far[1] + tokens)
+        got = members.running_except(asker)
+        assert _without_zeros(got) == _without_zeros(expected)
+
+
+def _without_zeros(running: Running) -> Running:
+    return {instance: load for instance, load in running.items() if load != (0, 0)}
+
+
+def test_the_own_table_tells_how_long_each_edge_has_been_silent() -> None:
+    members = membership()
+    members.watched(watch("e1", running={"i": (1, 2)}), 1.0)
+    told = members.table(1.5, (1, 1), (2, 2))
+    assert told == SessionTable((SessionEntry("e1", "1", "zx", 0.5, {"i": (1, 2)}),), (1, 1), (2, 2))
--- /dev/null
+++ b/tests/control_plane_process/test_openapi.py
@@ -0,0 +1,124 @@
+"""The OpenAPI files say what the code does: paths, methods, statuses, error codes and fields."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import jsonschema
+import msgspec
+import pytest
+
+from reedspoke.cluster.configuration import Document
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.http_server import Request
+from reedspoke.control_plane.operator_api import (
+    OPERATIONS,
+    Accepted,
+    ErrorAnswer,
+    StatusAnswer,
+    error_response,
+    http_error_body,
+    status_of,
+)
+from reedspoke.control_plane.platform_client import LIST_PATH, PAGE_PARAMETER
+from reedspoke.control_plane.worker_list import PlatformPage, parse_page
+from tests.control_plane_process.stand_ins import configuration, instance
+
+FOLDER = Path(__file__).resolve().parents[2] / "openapi"
+OPERATOR = json.loads((FOLDER / "operator.json").read_text())
+WORKER = json.loads((FOLDER / "worker.json").read_text())
+SCHEMAS = "#/components/schemas/{name}"
+
+
+def components(*types: Any) -> dict[str, Any]:
+    return msgspec.json.schema_components(types, ref_template=SCHEMAS)[1]
+
+
+def validate(file: dict[str, Any], name: str, document: Any) -> None:
+    jsonschema.validate(document, file | {"$ref": f"#/components/schemas/{name}"})
+
+
+def test_the_operator_file_has_the_paths_and_methods_of_the_code() -> None:
+    described = {path: {method.upper() for method in methods} for path, methods in OPERATOR["paths"].items()}
+    assert described == {path: set(methods) for path, methods in OPERATIONS.items()}
+
+
+@pytest.mark.parametrize(
+    ("path", "method"), [(path, method) for path, methods in OPERATIONS.items() for method in methods]
+)
+def test_the_operator_file_has_the_statuses_and_error_codes_of_the_code(path: str, method: str) -> None:
+    expected: dict[str, set[int]] = {"200": set()}
+    for code in OPERATIONS[path][method].errors:
+        expected.setdefault(str(status_of(code)), set()).add(int(code))
+    responses = OPERATOR["paths"][path][method.lower()]["responses"]
+    assert {status: set(told.get("x-error-codes", ())) for status, told in responses.items()} == expected
+
+
+def test_the_operator_file_has_the_fields_of_the_code() -> None:
+    assert OPERATOR["components"]["schemas"] == components(Accepted, ErrorAnswer, StatusAnswer, Document)
+
+
+def test_every_answer_with_an_error_has_the_described_body() -> None:
+    for code in ErrorCode:
+        validate(OPERATOR, "ErrorAnswer", json.loads(error_response(_error(code)).body))
+    for status in (400, 413, 431, 501, 505):
+        validate(OPERATOR, "ErrorAnswer", json.loads(http_error_body(status, "text")))
+
+
+def test_a_valid_configuration_is_a_described_one() -> None:
+    validate(OPERATOR, "Document", json.loads(configuration(3)))
+
+
+def test_the_put_wants_if_match() -> None:
+    (parameter,) = OPERATOR["paths"]["/reedspoke/configuration"]["put"]["parameters"]
+    assert (parameter["name"], parameter["in"], parameter["required"]) == ("If-Match", "header", True)
+
+
+def test_the_worker_file_has_the_platform_call_of_the_code() -> None:
+    call = WORKER["paths"][LIST_PATH]["get"]
+    assert PAGE_PARAMETER in [parameter["name"] for parameter in call["parameters"]]
+    schema = call["responses"]["200"]["content"]["application/json"]["schema"]
+    assert schema == {"$ref": SCHEMAS.format(name="PlatformPage")}
+
+
+def test_the_worker_file_has_the_fields_of_the_code() -> None:
+    described = WORKER["components"]["schemas"]
+    used = components(PlatformPage)
+    assert {name: described.get(name) for name in used} == used
+
+
+def test_a_page_of_the_platform_is_a_described_one() -> None:
+    page = {"instances": [instance("i-1")], "next_token": None}
+    validate(WORKER, "PlatformPage", page)
+    assert parse_page(json.dumps(page).encode()).instances[0].instance_id == "i-1"
+
+
+@pytest.mark.parametrize("file", [OPERATOR, WORKER])
+def test_each_operation_is_named_and_each_reference_leads_somewhere(file: dict[str, Any]) -> None:
+    assert file["openapi"].startswith("3.1.")
+    operations = [operation for methods in file["paths"].values() for operation in methods.values()]
+    names = [operation["operationId"] for operation in operations]
+    assert len(set(names)) == len(names)
+    for reference in references(file):
+        assert reference.removeprefix("#/components/schemas/") in file["components"]["schemas"]
+
+
+def references(value: Any) -> list[str]:
+    if isinstance(value, dict):
+        own = [value["$ref"]] if isinstance(value.get("$ref"), str) else []
+        return own + [found for item in value.values() for found in references(item)]
+    if isinstance(value, list):
+        return [found for item in value for found in references(item)]
+    return []
+
+
+def _error(code: ErrorCode) -> Any:
+    from reedspoke.cluster.errors import FleetError
+
+    return FleetError(code, "text")
+
+
+def test_a_request_is_what_the_handlers_take() -> None:
+    assert {field.name for field in msgspec.structs.fields(Request)} == {"method", "path", "headers", "body"}
--- /dev/null
+++ b/tests/control_plane_process/test_operator_api.py
@@ -0,0 +1,164 @@
+"""The operator's calls against a stand-in for the process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from reedspoke.cluster.configuration import Configuration, parse_configuration
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.control_plane import operator_api
+from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer
+from reedspoke.control_plane.http_server import Request, Response
+from reedspoke.control_plane.operator_api import OPERATIONS, Calls, OperatorApi, StatusAnswer, status_of
+from tests.control_plane_process.stand_ins import configuration
+
+PATH = "/reedspoke/configuration"
+
+
+class StandIn(Calls):
+    """Answers as told, or never."""
+
+    def __init__(self) -> None:
+        self.put_answer: PutAnswer | None = PutAnswer(1, None)
+        self.get_answer: GetAnswer | None = GetAnswer(1, Committed(1, 3, configuration(3)))
+        self.raises: FleetError | None = None
+        self.puts: list[tuple[int, int]] = []
+
+    async def check(self, document: bytes) -> Configuration:
+        return parse_configuration(document)
+
+    async def put(self, match: int, generation: int, document: bytes) -> PutAnswer:
+        self.puts.append((match, generation))
+        self._raise()
+        if self.put_answer is None:
+            await asyncio.Event().wait()
+        assert self.put_answer is not None
+        return self.put_answer
+
+    async def get(self) -> GetAnswer:
+        self._raise()
+        if self.get_answer is None:
+            await asyncio.Event().wait()
+        assert self.get_answer is not None
+        return self.get_answer
+
+    def _raise(self) -> None:
+        if self.raises is not None:
+            raise self.raises
+
+    def status(self) -> StatusAnswer:
+        return StatusAnswer("n", "a", 1, (), (), None, 0, (), (), 0, (0, 0), False)
+
+
+def answered(
+    calls: StandIn, method: str, path: str = PATH, body: bytes = b"", match: str | None = "0"
+) -> Response:
+    headers = {} if match is None else {"if-match": match}
+    return asyncio.run(OperatorApi(calls).handle(Request(method, path, headers, body)))
+
+
+def error_code(response: Response) -> int:
+    code = json.loads(response.body)["error"]["code"]
+    assert isinstance(code, int)
+    return code
+
+
+def test_a_configuration_is_taken() -> None:
+    calls = StandIn()
+    response = answered(calls, "PUT", body=configuration(3), match=' "2" ')
+    assert (response.status, json.loads(response.body)) == (200, {"generation": 3})
+    assert calls.puts == [(2, 3)]
+
+
+@pytest.mark.parametrize("match", [None, "", "x", "-1", "1.5", "٣", "9" * 19, '"', "1,2"])
+def test_a_match_that_is_missing_or_no_number(match: str | None) -> None:
+    calls = StandIn()
+    response = answered(calls, "PUT", body=configuration(3), match=match)
+    assert (response.status, error_code(response)) == (400, ErrorCode.CONFIGURATION_MATCH_MISSING)
+    assert calls.puts == []
+
+
+@pytest.mark.parametrize("generation", [0, -5, 2**63])
+def test_a_generation_that_is_out_of_range(generation: int) -> None:
+    response = answered(StandIn(), "PUT", body=configuration(generation))
+    assert (response.status, error_code(response)) == (400, ErrorCode.CONFIGURATION_FIELD)
+
+
+@pytest.mark.parametrize("code", sorted(OPERATIONS[PATH]["PUT"].errors))
+def test_each_error_of_a_put_has_its_status(code: ErrorCode) -> None:
+    calls = StandIn()
+    calls.put_answer = PutAnswer(1, code, "text")
+    response = answered(calls, "PUT", body=configuration(3))
+    assert (response.status, error_code(response)) == (status_of(code), code)
+    assert ("Retry-After" in response.headers) == (response.status == 503)
+
+
+@pytest.mark.parametrize("code", sorted(OPERATIONS[PATH]["GET"].errors))
+def test_each_error_of_a_get_has_its_status(code: ErrorCode) -> None:
+    calls = StandIn()
+    calls.get_answer = GetAnswer(1, None, code, "text")
+    response = answered(calls, "GET")
+    assert (response.status, error_code(response)) == (status_of(code), code)
+
+
+def test_statuses_that_the_rules_name() -> None:
+    assert status_of(ErrorCode.CONFIGURATION_STALE_MATCH) == 412
+    assert status_of(ErrorCode.CONFIGURATION_OLD_GENERATION) == 400
+    for code in (
+        ErrorCode.NO_QUORUM,
+        ErrorCode.WRITE_UNCLEAR,
+        ErrorCode.SHUTTING_DOWN,
+        ErrorCode.STORAGE_FULL,
+    ):
+        assert status_of(code) == 503
+
+
+def test_a_call_without_an_answer_ends_within_a_second(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert operator_api.ANSWER_S < 1.0
+    monkeypatch.setattr(operator_api, "ANSWER_S", 0.05)
+    calls = StandIn()
+    calls.put_answer = calls.get_answer = None
+    began = time.monotonic()
+    put = answered(calls, "PUT", body=configuration(3))
+    get = answered(calls, "GET")
+    assert time.monotonic() - began < 0.9
+    assert (put.status, error_code(put)) == (503, ErrorCode.WRITE_UNCLEAR)
+    assert (get.status, error_code(get)) == (503, ErrorCode.NO_QUORUM)
+
+
+def test_a_process_that_is_not_ready_says_so() -> None:
+    calls = StandIn()
+    calls.raises = FleetError(ErrorCode.SHUTTING_DOWN, "text")
+    for method in ("PUT", "GET"):
+        response = answered(calls, method, body=configuration(3))
+        assert (response.status, error_code(response)) == (503, ErrorCode.SHUTTING_DOWN)
+
+
+def test_the_newest_configuration_is_given_byte_for_byte() -> None:
+    response = answered(StandIn(), "GET")
+    assert (response.status, response.body, response.headers["ETag"]) == (200, configuration(3), '"3"')
+
+
+def test_no_configuration_is_an_answer_of_its_own() -> None:
+    calls = StandIn()
+    calls.get_answer = GetAnswer(1, None)
+    response = answered(calls, "GET")
+    assert (response.status, error_code(response)) == (404, ErrorCode.NO_CONFIGURATION)
+
+
+def test_too_many_calls_are_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "MOST_CALLS", 1)
+    monkeypatch.setattr(operator_api, "ANSWER_S", 0.1)
+
+    async def two_calls() -> list[Response]:
+        calls = StandIn()
+        calls.get_answer = None
+        api = OperatorApi(calls)
+        return await asyncio.gather(*(api.handle(Request("GET", PATH, {}, b"")) for _ in range(2)))
+
+    _, second = asyncio.run(two_calls())
+    assert (second.status, error_code(second)) == (503, ErrorCode.OVERLOADED)
--- /dev/null
+++ b/tests/control_plane_process/test_peer_transport.py
@@ -0,0 +1,157 @@
+"""Connections between control schedulers: opened again, bounded, in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from reedspoke.cluster.messages import EdgeMessage
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.cluster.transport import Channel
+from reedspoke.control_plane import peer_transport
+from reedspoke.control_plane.peer_messages import LeaseRelease
+from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
+from tests.control_plane_process.fleet import free_port
+
+HOST = "127.0.0.1"
+
+
+class NoEdges:
+    """No data plane scheduler comes here."""
+
+    def received(self, channel: Channel, message: EdgeMessage) -> None:
+        raise AssertionError(message)
+
+    def ended(self, channel: Channel) -> None:
+        """Called for every connection."""
+
+
+class Scheduler:
+    """A transport, and what came by it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.terms: list[int] = []
+        self.transport = PeerTransport(address, "za", self.received, NoEdges())
+
+    def received(self, sender: str, message: PeerMessage) -> None:
+        assert isinstance(message, LeaseRelease)
+        self.terms.append(message.term)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(5):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+
+def two(scene: Callable[[Scheduler, Scheduler], Awaitable[None]]) -> None:
+    async def run() -> None:
+        first, second = (Scheduler(f"{HOST}:{free_port((HOST,))}") for _ in range(2))
+        await first.transport.listen()
+        await scene(first, second)
+        for scheduler in (first, second):
+            scheduler.transport.close()
+        await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+def test_messages_come_in_order_from_the_very_first() -> None:
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        for term in range(50):
+            first.transport.send(second.address, LeaseRelease(term))
+        await second.until(lambda: len(second.terms) == 50)
+        assert second.terms == list(range(50))
+
+    two(scene)
+
+
+def test_the_connection_is_opened_again_when_the_other_comes_back() -> None:
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        first.transport.send(second.address, LeaseRelease(1))
+        await asyncio.sleep(0.1)
+        await second.transport.listen()
+        term = 10
+
+        def sent() -> bool:
+            nonlocal term
+            term += 1
+            first.transport.send(second.address, LeaseRelease(term))
+            return bool(second.terms)
+
+        await first.until(sent)
+        second.transport.close()
+        await asyncio.sleep(0.05)
+        third = Scheduler(second.address)
+        await third.transport.listen()
+        second.terms = third.terms
+        await first.until(sent)
+        third.transport.close()
+
+    two(scene)
+
+
+def test_a_message_to_oneself_goes_nowhere() -> None:
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        first.transport.send(first.address, LeaseRelease(1))
+        await asyncio.sleep(0.05)
+        assert first.terms == []
+
+    two(scene)
+
+
+def test_a_peer_that_does_not_read_loses_messages_and_then_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(peer_transport, "MOST_WAITING", 1_000_000)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        arrived: list[asyncio.StreamWriter] = []
+
+        async def never_reads(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            arrived.append(writer)
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+        server = await asyncio.start_server(never_reads, *split_address(second.address))
+        payload = bytes(500_000)
+        for _ in range(400):
+            first.transport.send_encoded(second.address, payload)
+            await asyncio.sleep(0.001)
+            if len(arrived) > 1:
+                break
+        assert len(arrived) > 1, "the first connection was given up"
+        for writer in arrived:
+            writer.transport.abort()
+        server.close()
+
+    two(scene)
+
+
+def test_connections_that_are_not_used_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "IDLE_LINK_S", 0.0)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        first.transport.send(second.address, LeaseRelease(1))
+        await second.until(lambda: second.terms == [1])
+        first.transport.close_idle()
+        first.transport.send(second.address, LeaseRelease(2))
+        await second.until(lambda: second.terms == [1, 2])
+
+    two(scene)
+
+
+def test_there_are_no_more_connections_than_the_most(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "MOST_LINKS", 1)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        first.transport.send("127.0.0.9:9", LeaseRelease(0))
+        first.transport.send(second.address, LeaseRelease(1))
+        await asyncio.sleep(0.1)
+        assert second.terms == []
+
+    two(scene)
--- /dev/null
+++ b/tests/control_plane_process/test_process.py
@@ -0,0 +1,218 @@
+"""Three real control schedulers on loopback addresses, and what surrounds them."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+
+import pytest
+
+from reedspoke.cluster.configuration import apply_difference, parse_configuration
+from reedspoke.cluster.messages import ConfigurationDelta
+from tests.control_plane_process.fleet import HEARTBEAT_MS, HOSTS, UP_S, Fleet
+from tests.control_plane_process.stand_ins import (
+    Answer,
+    EdgeClient,
+    Reply,
+    call,
+    configuration,
+    first_workers,
+    until,
+)
+
+ACK_S = 4.0
+HEARTBEAT_S = HEARTBEAT_MS / 1000
+
+
+# ---- the operator ----
+
+
+def test_there_is_no_configuration_before_the_first(fleet: Fleet) -> None:
+    def answered() -> bool:
+        reply = fleet.nodes[1].get()
+        return reply is not None and reply.status == 404 and reply.error_code() == 304
+
+    until(answered, UP_S, "an answer that there is none")
+
+
+def test_a_configuration_is_taken_and_given_back_byte_for_byte_everywhere(fleet: Fleet) -> None:
+    document = fleet.first_configuration()
+    for node in fleet.nodes:
+        reply = node.get()
+        assert reply is not None
+        assert (reply.status, reply.body) == (200, document)
+
+
+def test_what_the_operator_may_get_for_an_answer(fleet: Fleet) -> None:
+    document = fleet.first_configuration()
+    node = fleet.nodes[2]
+    second = configuration(9, routes=3)
+
+    def refused(body: bytes, match: str | None) -> tuple[int, int]:
+        reply = node.put(body, match)
+        assert reply is not None
+        return reply.status, reply.error_code()
+
+    assert refused(second, None) == (400, 209)
+    assert refused(second, "x") == (400, 209)
+    assert refused(second, "9" * 5000) == (400, 209)
+    assert refused(b"{", "3") == (400, 201)
+    assert refused(json.dumps(json.loads(second) | {"routes": [{"name": "r"}]}).encode(), "3") == (400, 202)
+    assert refused(configuration(2), "3") == (400, 207)
+    assert refused(second, "2") == (412, 208)
+    reply = node.put(second, "3")
+    assert reply is not None
+    assert (reply.status, json.loads(reply.body)) == (200, {"generation": 9})
+    assert refused(configuration(12), "3") == (412, 208)
+    for other in fleet.nodes:
+        for again, match in ((second, "3"), (document, "0")):
+            reply = other.put(again, match)
+            assert reply is not None
+            assert reply.status == 200, "the same bytes again have been taken"
+        newest = other.get()
+        assert newest is not None
+        assert newest.body == second
+
+
+def test_paths_and_methods_that_are_not_there(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    address = fleet.nodes[0].control
+    for method, path, status in (("GET", "/", 404), ("POST", "/reedspoke/configuration", 405)):
+        reply = call(address, method, path)
+        assert reply is not None
+        assert reply.status == status
+
+
+def test_a_configuration_of_four_megabytes_is_taken_in_chunks_and_passed_on(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    large = configuration(9, routes=30000)
+    assert len(large) > 4_000_000
+    edge = EdgeClient(fleet.nodes[1].internal)
+    edge.catch_up()
+    until(lambda: _taken(fleet.nodes[0].put(large, "3", in_chunks=True)), ACK_S, "it is taken")
+    for node in fleet.nodes:
+        reply = node.get()
+        assert reply is not None
+        assert reply.body == large
+    held: list[Answer] = []
+
+    def passed_on() -> bool:
+        held.extend(answer for source, answer in edge.catch_up().items() if source == "configuration")
+        return bool(held)
+
+    until(passed_on, 2.0, "the data plane holds it")
+    assert isinstance(held[0], ConfigurationDelta)
+    first = parse_configuration(configuration(3))
+    assert apply_difference(first, held[0]) == parse_configuration(large)
+
+
+def _taken(reply: Reply | None) -> bool:
+    assert reply is None or reply.status in (200, 503), reply
+    return reply is not None and reply.status == 200
+
+
+# ---- losses ----
+
+
+@pytest.mark.parametrize("lost", range(3))
+def test_a_change_is_acknowledged_after_one_is_killed(fleet: Fleet, lost: int) -> None:
+    fleet.first_configuration()
+    fleet.nodes[lost].kill()
+    fleet.put_until_taken(configuration(5), 3, ACK_S)
+    for node in fleet.nodes:
+        if node is not fleet.nodes[lost]:
+            reply = node.get()
+            assert reply is not None
+            assert reply.body == configuration(5)
+    fleet.nodes[lost].start()
+
+    def has_it() -> bool:
+        reply = fleet.nodes[lost].get()
+        return reply is not None and reply.body == configuration(5)
+
+    until(has_it, UP_S, "the one that was killed has it too")
+
+
+def test_everything_is_there_after_all_were_killed_at_once(fleet: Fleet) -> None:
+    document = fleet.first_configuration()
+    edge = EdgeClient(fleet.nodes[0].internal)
+    held = first_workers(edge).version
+    for node in fleet.nodes:
+        node.kill()
+    for node in fleet.nodes:
+        node.start()
+
+    def read_back() -> bool:
+        replies = [node.get() for node in fleet.nodes]
+        return all(reply is not None and reply.body == document for reply in replies)
+
+    until(read_back, UP_S, "the configuration is read back")
+    again = EdgeClient(fleet.nodes[1].internal)
+    again.versions = {"workers": held}
+    assert first_workers(again).version > held, "a list that is newer than what the data plane holds"
+
+
+def test_a_corrupt_log_is_set_aside_and_the_member_comes_back(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    node = fleet.nodes[1]
+    node.kill()
+    log = node.folder / "control.log"
+    content = bytearray(log.read_bytes())
+    content[20] ^= 0xFF  # in the first record, which good ones follow
+    log.write_bytes(content)
+    node.start()
+
+    def has_it() -> bool:
+        reply = node.get()
+        return reply is not None and reply.body == configuration(3)
+
+    until(has_it, UP_S, "the member is back")
+    assert b'"code":401' in node.log_file.read_bytes()
+    fleet.put_until_taken(configuration(5), 3, ACK_S)
+
+
+# ---- ends and settings ----
+
+
+@pytest.mark.parametrize("leaver", range(3))
+def test_a_scheduler_ends_in_order_and_the_others_go_on(fleet: Fleet, leaver: int) -> None:
+    fleet.first_configuration()
+    node = fleet.nodes[leaver]
+    edge = EdgeClient(node.internal)
+    edge.catch_up()
+    began = time.monotonic()
+    node.signal(signal.SIGTERM)
+    assert node.process is not None
+    assert node.process.wait(3) == 0
+    assert time.monotonic() - began < 1.5
+    with pytest.raises(ConnectionError):
+        edge.watch()
+    fleet.put_until_taken(configuration(5), 3, ACK_S)
+
+
+def test_bad_settings_end_the_process_with_a_numbered_error(fleet: Fleet) -> None:
+    node = fleet.nodes[0]
+    node.kill()
+    settings = node.settings(bootstrap=False)
+    for change, code, key in (({"data_dir": None}, 102, "data_dir"), ({"ip_address": 5}, 102, "ip_address")):
+        node.log_file.unlink()
+        node.start_with(json.dumps(settings | change))
+        assert node.process is not None
+        assert node.process.wait(5) == 2
+        (line,) = node.log_file.read_text().splitlines()
+        told = json.loads(line)
+        assert (told["code"], told["level"]) == (code, "error")
+        assert key in told["message"]
+
+
+def test_settings_that_change_are_taken_in_and_bad_ones_are_not(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    node = fleet.nodes[0]
+    node.settings_file.write_text("{")
+    node.signal(signal.SIGHUP)
+    until(lambda: b'"settings kept"' in node.log_file.read_bytes(), 2.0, "the bad file is told")
+    changed = node.settings(bootstrap=False) | {"seed_nodes": [f"{HOSTS[0]}:{fleet.control_port}"]}
+    node.settings_file.write_text(json.dumps(changed))
+    until(lambda: b'"seeds changed"' in node.log_file.read_bytes(), 4.0, "new seeds without a signal")
+    fleet.put_until_taken(configuration(5), 3, ACK_S)
--- /dev/null
+++ b/tests/control_plane_process/test_process_data_plane.py
@@ -0,0 +1,195 @@
+"""Sessions of data plane schedulers and the list of workers, with three real control schedulers."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+
+from reedspoke.cluster.messages import ConfigurationDelta, ConfigurationSnapshot, MemberList, WorkerList
+from tests.control_plane_process.fleet import HEARTBEAT_MS, UP_S, Fleet
+from tests.control_plane_process.stand_ins import (
+    WORKERS_S,
+    Answer,
+    EdgeClient,
+    configuration,
+    first_workers,
+    instance,
+    until,
+    workers_of,
+)
+
+ACK_S = 4.0
+HEARTBEAT_S = HEARTBEAT_MS / 1000
+
+
+# ---- the data plane ----
+
+
+def test_a_session_is_told_of_configuration_workers_and_members(fleet: Fleet) -> None:
+    document = fleet.first_configuration()
+    edge = EdgeClient(fleet.nodes[0].internal)
+    held: dict[str, Answer] = {}
+
+    def whole() -> bool:
+        held.update(edge.catch_up())
+        members = held.get("members")
+        return len(held) == 3 and isinstance(members, MemberList) and len(members.control) == 3
+
+    until(whole, WORKERS_S, "everything has come")
+    snapshot, workers, members = held["configuration"], held["workers"], held["members"]
+    assert isinstance(snapshot, ConfigurationSnapshot)
+    assert snapshot.document == document
+    assert isinstance(workers, WorkerList)
+    assert [worker.instance_id for worker in workers.workers] == ["i-1", "i-2", "i-3"]
+    assert isinstance(members, MemberList)
+    assert [member.address for member in members.control] == [node.internal for node in fleet.nodes]
+    assert [member.node_name for member in members.edges] == ["edge-1"]
+
+
+def test_a_session_is_told_of_a_change_at_once_and_gets_the_difference(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    edge = EdgeClient(fleet.nodes[2].internal)
+    until(lambda: "workers" in edge.versions or edge.catch_up() is None, WORKERS_S, "everything has come")
+    before = edge.versions["configuration"]
+    fleet.put_until_taken(configuration(4, routes=50), 3, ACK_S)
+    began = time.monotonic()
+    deltas: list[Answer] = []
+
+    def told() -> bool:
+        deltas.extend(answer for source, answer in edge.catch_up().items() if source == "configuration")
+        return bool(deltas)
+
+    until(told, 1.0, "the change is told")
+    assert time.monotonic() - began < 0.5
+    (delta,) = deltas
+    assert isinstance(delta, ConfigurationSnapshot | ConfigurationDelta)
+    assert delta.version > before
+
+
+def test_a_small_change_of_a_large_configuration_comes_as_a_difference(fleet: Fleet) -> None:
+    fleet.put_until_taken(configuration(3, routes=500), 0, UP_S)
+    edge = EdgeClient(fleet.nodes[1].internal)
+    until(lambda: "configuration" in edge.catch_up(), 3.0, "the first configuration has come")
+    base = edge.versions["configuration"]
+    changed = json.loads(configuration(3, routes=500)) | {"generation": 8}
+    changed["routes"][7]["timeout_ms"] = 77
+    del changed["routes"][9]
+    fleet.put_until_taken(json.dumps(changed).encode(), 3, ACK_S)
+    found: list[Answer] = []
+
+    def told() -> bool:
+        found.extend(answer for source, answer in edge.catch_up().items() if source == "configuration")
+        return bool(found)
+
+    until(told, 2.0, "the change has come")
+    (delta,) = found
+    assert isinstance(delta, ConfigurationDelta)
+    assert (delta.base, delta.generation, delta.removed_routes) == (base, 8, ("r9",))
+    assert [route["name"] for route in json.loads(delta.routes)] == ["r7"]
+
+
+def test_a_watch_is_answered_within_the_heartbeat_when_nothing_is_new(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    edge = EdgeClient(fleet.nodes[0].internal)
+
+    def quiet() -> bool:
+        return not edge.catch_up() and len(edge.versions) == 3
+
+    until(quiet, WORKERS_S, "nothing is new")
+    began = time.monotonic()
+    edge.watch()
+    assert time.monotonic() - began < HEARTBEAT_S
+
+
+def test_data_plane_schedulers_are_members_everywhere_with_their_load(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    first = EdgeClient(fleet.nodes[0].internal, "edge-1")
+    second = EdgeClient(fleet.nodes[1].internal, "edge-2")
+
+    def load_of_the_other() -> bool:
+        first.watch(running={"i-1": (2, 300)})
+        return second.watch(running={"i-1": (1, 50)}).running == {"i-1": (2, 300)}
+
+    until(load_of_the_other, 4.0, "the load of the other is told")
+
+    def members() -> list[str]:
+        answer = EdgeClient(fleet.nodes[2].internal, "edge-3").fetch("members")
+        assert isinstance(answer, MemberList)
+        return [edge.node_name for edge in answer.edges]
+
+    first.watch()
+    second.watch()
+    until(lambda: members() == ["edge-1", "edge-2"], 2.0, "both are members at the third")
+    first.watch(draining=True)
+    first.close()
+
+    def only_the_second() -> bool:
+        second.watch()
+        return members() == ["edge-2"]
+
+    until(only_the_second, 1.0, "the one that left is gone at once")
+
+
+# ---- the list of workers ----
+
+
+def test_a_drain_is_told_soon_and_one_scheduler_alone_calls_the_platform(fleet: Fleet) -> None:
+    edge = EdgeClient(fleet.nodes[0].internal)
+    first = first_workers(edge)
+    fleet.platform.instances[0] = instance("i-1", state="draining")
+    changed = until(lambda: workers_of(edge), 2.0, "the drain is told")
+    assert [worker.draining for worker in changed.workers] == [True, False, False]
+    assert changed.version == (first.version[0], first.version[1] + 1)
+    before = fleet.platform.calls
+    time.sleep(2.0)  # the calls of two seconds are counted
+    pages = 2
+    assert fleet.platform.calls - before <= pages * 4
+
+
+def test_another_takes_the_list_when_its_holder_is_killed(fleet: Fleet) -> None:
+    holder = until(fleet.duty_holder, WORKERS_S, "one holds the duty")
+    others = [node for node in fleet.nodes if node is not holder]
+    edge = EdgeClient(others[0].internal)
+    first = first_workers(edge)
+    holder.kill()
+    fleet.platform.instances.append(instance("i-4"))
+    changed = until(lambda: workers_of(edge), 4.0, "the list has a new holder")
+    assert changed.version > first.version
+    assert len(changed.workers) == 4
+
+
+def test_a_frozen_holder_does_not_go_on_when_it_wakes(fleet: Fleet) -> None:
+    holder = until(fleet.duty_holder, WORKERS_S, "one holds the duty")
+    others = [node for node in fleet.nodes if node is not holder]
+    first_workers(EdgeClient(others[0].internal))
+    holder.signal(signal.SIGSTOP)
+    until(lambda: any(node.status().get("holds_list_duty") for node in others), 4.0, "another holds the duty")
+    holder.signal(signal.SIGCONT)
+    until(lambda: holder.status(), 2.0, "the first one has woken")
+    assert not holder.status()["holds_list_duty"]
+
+
+def test_the_last_list_stays_while_the_platform_is_down(fleet: Fleet) -> None:
+    edge = EdgeClient(fleet.nodes[0].internal)
+    first = first_workers(edge)
+    fleet.platform.status = 503
+    began = time.monotonic()
+    while time.monotonic() - began < 3.0:
+        assert workers_of(edge) is None
+    answer = edge.fetch("workers")
+    assert isinstance(answer, WorkerList)
+    assert answer.workers == first.workers
+    fleet.platform.status = 200
+    fleet.platform.instances.append(instance("i-4"))
+    changed = until(lambda: workers_of(edge), 4.0, "the list goes on")
+    assert len(changed.workers) == 4
+
+
+def test_a_list_that_a_data_plane_scheduler_holds_from_before_is_overtaken(fleet: Fleet) -> None:
+    edge = EdgeClient(fleet.nodes[0].internal)
+    first_workers(edge)
+    edge.versions["workers"] = (50, 3)
+    newer = until(lambda: workers_of(edge), 2.0, "a newer list")
+    assert newer.version > (50, 3)
+    assert [worker.instance_id for worker in newer.workers] == ["i-1", "i-2", "i-3"]
--- /dev/null
+++ b/tests/control_plane_process/test_worker_list.py
@@ -0,0 +1,125 @@
+"""Which list of workers is the newest, and what the platform's pages mean."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from reedspoke.cluster.messages import WorkerEntry, WorkerList
+from reedspoke.control_plane.worker_list import (
+    UNLEASED_TERM,
+    PlatformPage,
+    WorkerBook,
+    aged,
+    merge_pages,
+    parse_page,
+    worker_entry,
+)
+
+PAGE = b"""{"instances":[{"upstream":"u1","address":"10.0.0.9:8080","zone":"z","generation":"v1","capacity":64
+,"state":"draining","cold_left_ms":1500,"stage":"dual","models":[{"name":"m","generation":1,"adapters":[]}],
+"instance_id":"i-1"}],"next_token":"p-50"}"""
+
+
+def worker(name: str, cold: float = 0.0, draining: bool = False) -> WorkerEntry:
+    return WorkerEntry(name, "u1", "10.0.0.9:8080", "z", "v1", 4, draining, cold)
+
+
+def test_a_page_is_read_with_fields_that_are_not_used_left_out() -> None:
+    page = parse_page(PAGE)
+    assert page.next_token == "p-50"
+    entry = worker_entry(page.instances[0])
+    assert entry == WorkerEntry("i-1", "u1", "10.0.0.9:8080", "z", "v1", 64, True, 1500.0, ("m",))
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"instances":[{}],"next_token":null}', PAGE[:-1]])
+def test_what_is_no_page_is_an_error(body: bytes) -> None:
+    with pytest.raises(msgspec.DecodeError):
+        parse_page(body)
+
+
+def test_pages_are_joined_in_the_order_of_ids_and_without_doubles() -> None:
+    first = parse_page(PAGE)
+    up = msgspec.structs.replace(first.instances[0], state="up")
+    other = msgspec.structs.replace(up, instance_id="i-0")
+    merged = merge_pages([first, PlatformPage((up, other))])
+    assert [(entry.instance_id, entry.draining) for entry in merged] == [("i-0", False), ("i-1", False)]
+
+
+def test_a_list_is_published_when_its_content_changes() -> None:
+    book = WorkerBook()
+    assert book.platform_answered(3, (worker("a", 500),), 0.0) is not None
+    assert book.version == (3, 1)
+    assert book.platform_answered(3, (worker("a", 100),), 0.0) is None
+    published = book.platform_answered(3, (worker("a", draining=True),), 0.0)
+    assert published is not None
+    assert published.version == (3, 2)
+
+
+def test_an_empty_list_is_published_first() -> None:
+    book = WorkerBook()
+    assert book.platform_answered(1, (), 0.0) == WorkerList((1, 1), ())
+
+
+def test_a_new_holder_goes_on_from_the_list_it_has() -> None:
+    book = WorkerBook()
+    assert book.adopt(WorkerList((3, 5), (worker("a"),)), 0.0)
+    assert book.platform_answered(4, (worker("a"),), 0.0) is None
+    assert book.version == (3, 5)
+    published = book.platform_answered(4, (worker("b"),), 0.0)
+    assert published is not None
+    assert published.version == (4, 1)
+
+
+def test_a_list_read_without_the_lease_is_replaced_even_if_nothing_has_changed() -> None:
+    book = WorkerBook()
+    assert book.adopt(WorkerList((UNLEASED_TERM, 1), (worker("a"),)), 0.0)
+    published = book.platform_answered(1, (worker("a"),), 0.0)
+    assert published is not None
+    assert published.version == (1, 1)
+    assert book.platform_answered(1, (worker("a"),), 0.0) is None
+
+
+def test_only_a_newer_list_is_adopted() -> None:
+    book = WorkerBook()
+    assert book.adopt(WorkerList((3, 5), (worker("a"),)), 0.0)
+    assert not book.adopt(WorkerList((3, 5), (worker("b"),)), 0.0)
+    assert not book.adopt(WorkerList((2, 9), (worker("b"),)), 0.0)
+    assert book.adopt(WorkerList((4, 1), (worker("b"),)), 0.0)
+
+
+def test_a_newer_list_elsewhere_forces_a_new_version_though_nothing_has_changed() -> None:
+    book = WorkerBook()
+    book.adopt(WorkerList((3, 5), (worker("a"),)), 0.0)
+    book.note_seen((3, 6))
+    assert book.behind()
+    published = book.platform_answered(4, (worker("a"),), 0.0)
+    assert published is not None
+    assert published.version == (4, 1)
+    assert not book.behind()
+
+
+@pytest.mark.parametrize(("seen", "above"), [((4, 1), None), ((5, 1), 5), ((9, 3), 9), ((5, 9), 5)])
+def test_a_holder_needs_a_higher_term_where_its_lists_would_be_older(
+    seen: tuple[int, int], above: int | None
+) -> None:
+    book = WorkerBook()
+    book.note_seen(seen)
+    term = 5
+    assert book.needs_term_above(term) == above
+    assert (book.platform_answered(term, (worker("a"),), 0.0) is None) == (above is not None)
+
+
+def test_versions_of_one_holder_rise_whatever_comes_between() -> None:
+    book = WorkerBook()
+    versions = []
+    for number in range(5):
+        published = book.platform_answered(2, (worker(str(number)),), 0.0)
+        assert published is not None
+        versions.append(published.version)
+    assert versions == [(2, count) for count in range(1, 6)]
+
+
+def test_time_is_taken_off_what_is_left_until_a_worker_is_warm() -> None:
+    entries = (worker("a", 500), worker("b", 100), worker("c"))
+    assert [entry.cold_left_ms for entry in aged(WorkerList((1, 1), entries), 200).workers] == [300, 0, 0]
