--- a/reedspoke/cluster/configuration.py
+++ b/reedspoke/cluster/configuration.py
@@ -148,9 +148,10 @@
     if not targets:
         text = f"route {name}: neither upstream nor traffic_split names a service"
         return FleetError(ErrorCode.CONFIGURATION_FIELD, text)
-    for split in targets:
-        if split["upstream"] not in upstreams:
-            text = f"route {name}: unknown upstream {split['upstream']}"
+    named = [split["upstream"] for split in targets] + [route.get("upstream", targets[0]["upstream"])]
+    for upstream in named:
+        if upstream not in upstreams:
+            text = f"route {name}: unknown upstream {upstream}"
             return FleetError(ErrorCode.CONFIGURATION_UNKNOWN_UPSTREAM, text)
     weights = [split["weight"] for split in targets]
     if min(weights) < 0 or sum(weights) <= 0:
@@ -165,9 +166,9 @@
 
 def _targets(route: Route) -> Iterable[Split]:
     split = route.get("traffic_split")
+    upstream = route.get("upstream")
     if split:
         return split
-    upstream = route.get("upstream")
     return () if upstream is None else (Split(upstream=upstream, weight=1),)
 
 
--- a/reedspoke/cluster/transport.py
+++ b/reedspoke/cluster/transport.py
@@ -27,6 +27,7 @@
     """One connection that carries messages both ways."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.silence_s: float | None = None  # with no byte for so long the other side is taken to be gone
         self._reader = reader
         self._writer = writer
         tune(writer)
@@ -44,15 +45,27 @@
         return self._writer.transport.get_write_buffer_size()
 
     async def receive(self, expected: Any) -> Any:
-        """The next message. Raises ConnectionError or IncompleteReadError when the connection is over."""
-        (length,) = LENGTH.unpack(await self._reader.readexactly(LENGTH.size))
+        """The next message. Raises ConnectionError or IncompleteReadError when the connection is over, and
+        TimeoutError when no byte has come for `silence_s`."""
+        (length,) = LENGTH.unpack(await self._exactly(LENGTH.size))
         if length > MOST_FRAME:
             raise FramingError(f"a frame of {length} bytes")
         try:
-            return decode(await self._reader.readexactly(length), expected)
+            return decode(await self._exactly(length), expected)
         except (msgspec.ValidationError, ormsgpack.MsgpackDecodeError) as error:
             raise FramingError(str(error)) from error
 
+    async def _exactly(self, count: int) -> bytes:
+        if self.silence_s is None:
+            return await self._reader.readexactly(count)
+        data = bytearray()
+        while len(data) < count:
+            piece = await asyncio.wait_for(self._reader.read(count - len(data)), self.silence_s)
+            if not piece:
+                raise asyncio.IncompleteReadError(bytes(data), count)
+            data += piece
+        return bytes(data)
+
     def close(self) -> None:
         self._writer.transport.abort()
 
--- a/reedspoke/control_plane/edge_sessions.py
+++ b/reedspoke/control_plane/edge_sessions.py
@@ -12,7 +12,7 @@
 from reedspoke.cluster.transport import Channel
 from reedspoke.control_plane.published_state import PublishedState
 
-MOST_SESSIONS = 256
+MOST_SESSIONS = 2048
 MOST_WAITING = 12 * 1024 * 1024  # bytes for a data plane scheduler that does not read them
 
 
--- a/reedspoke/control_plane/list_duty.py
+++ b/reedspoke/control_plane/list_duty.py
@@ -107,8 +107,7 @@
         while pages[-1].next_token is not None:
             if len(pages) >= MOST_PAGES:
                 raise PlatformError("the list has too many pages")
-            if (gap := self._call_gap()) > RETRY_S / 4:
-                await asyncio.sleep(gap)
+            await asyncio.sleep(self._call_gap())
             pages.append(await client.page(pages[-1].next_token))
         return pages
 
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -30,6 +30,7 @@
 from reedspoke.control_plane.worker_list import WorkerBook
 
 TABLE_INTERVAL_S = 0.4  # between two tables of sessions for the other control schedulers
+ARRIVALS_S = 0.1  # data plane schedulers that come or go within this time are told of together
 SETTINGS_INTERVAL_S = 2.0
 MAINTENANCE_INTERVAL_S = 5.0
 HEARTBEAT_SHARE = 1 / 3  # of the settings' heartbeat: a session's answer comes after that at the latest
@@ -231,9 +232,9 @@
         self._sessions.changed()
 
     def _sessions_changed(self) -> None:
-        """A data plane scheduler has come or gone: all are told at once."""
+        """A data plane scheduler has come or gone: all are told soon."""
         self._lease.term_seen(self._book.seen[0])
-        self._tell_sessions(self._loop.time())
+        self._table_at = min(self._table_at, self._loop.time() + ARRIVALS_S)
 
     def _tell_sessions(self, now: float) -> None:
         self._table_at = now + TABLE_INTERVAL_S
--- /dev/null
+++ b/reedspoke/data_plane/attempt.py
@@ -0,0 +1,37 @@
+"""What is known of an attempt at a worker while it is out."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from reedspoke.data_plane.event_stream import EventSplitter
+from reedspoke.data_plane.upstream_connection import UpstreamConnection
+from reedspoke.decision.attempt_fate import Ending, Evidence
+from reedspoke.decision.messages import WorkerEntry
+
+
+class Attempt(Struct):
+    """The attempt that is out."""
+
+    worker: WorkerEntry
+    number: int
+    urgency: int | None
+    sent_at: float
+    heard_at: float
+    started: bool = False  # its first event or its body has begun
+    connection: UpstreamConnection | None = None
+    bytes_sent: bool = False
+    status: int = 0  # 0: no head has come
+    not_executed: bool = False
+    fields: bytes = b""  # of the answer, to pass on; a copy, as the head lies in the connection's buffer
+    body: bytearray | None = None  # of an answer that is read whole
+    splitter: EventSplitter | None = None  # of a stream of events
+
+    def evidence(self, ending: Ending) -> Evidence:
+        """What was seen of it, now that it has ended so."""
+        return Evidence(ending, self.bytes_sent, self.status, self.not_executed)
+
+
+def may_pass(status: int) -> bool:
+    """Guards a promise that nobody made: a worker's own 503 without proof says that it may have run."""
+    return status not in (408, 421, 429, 503)
--- a/reedspoke/data_plane/client_connection.py
+++ b/reedspoke/data_plane/client_connection.py
@@ -15,6 +15,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+WITHOUT_BODY = (b"204", b"304")  # statuses
 DEFAULT_HEADER_BYTES = 16 * 1024
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_MS = 10_000.0
@@ -66,6 +67,8 @@
         self._keep_alive = True
         self._chunked = False
         self._answering = False
+        self._older = False  # the request is of HTTP/1.0: its client knows no chunks
+        self._head_only = False  # it is a HEAD: its answer has no body
         self._head_begun = False  # the time limit for a head runs from its first bytes
         self._timer: asyncio.TimerHandle | None = None
 
@@ -86,8 +89,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         self._buffer.filled(nbytes)
         if self._answering:
-            if len(self._buffer) > MOST_UNREAD_BEHIND:
-                self.abort()
+            if len(self._buffer) > MOST_UNREAD_BEHIND and self._transport is not None:
+                self._transport.pause_reading()
             return
         self._read()
 
@@ -136,12 +139,15 @@
         self._head = None
         self._answering = True
         self._keep_alive = request.head.keeps_alive()
+        self._older = request.head.version == 0
+        self._head_only = request.head.method == b"HEAD"
         exchange = self._frontend.begin(request, self)
         if self._answering:
             self._exchange = exchange
 
     def _read_head(self) -> None:
         limit = self._frontend.limits().get("max_header_bytes", DEFAULT_HEADER_BYTES)
+        self._requests.most_head = limit
         first_bytes = len(self._buffer)
         head = self._requests.head()
         if head is None:
@@ -166,7 +172,7 @@
 
     def _refuse_malformed(self, error: MalformedError) -> None:
         self._answering = True
-        self._keep_alive = False
+        self._keep_alive = self._head_only = False
         too_large = error.status in (413, 431)
         code = ErrorCode.REQUEST_TOO_LARGE if too_large else ErrorCode.MALFORMED_REQUEST
         self.answer_whole(own_answer(error.status, code, str(error)))
@@ -175,26 +181,37 @@
 
     def answer_whole(self, answer: WholeAnswer) -> None:
         """Write an answer with its whole body."""
-        fields = answer.fields + b"Content-Length: %d\r\n" % len(answer.body)
-        self._write(answer.status_line + fields + self._connection_field() + b"\r\n" + answer.body)
+        fields, body = answer.fields, answer.body
+        if self._head_only or answer.status_line[9:12] in WITHOUT_BODY:
+            body = b""
+        else:
+            fields += b"Content-Length: %d\r\n" % len(body)
+        self._write(answer.status_line + fields + self._connection_field() + b"\r\n" + body)
         self._end_answer()
 
     def begin_stream(self, status_line: bytes, fields: bytes, first: bytes) -> None:
         """Write the head of an answer whose body comes in pieces, with its first piece."""
-        self._chunked = True
-        head = status_line + fields + b"Transfer-Encoding: chunked\r\n" + self._connection_field() + b"\r\n"
-        self._write(head + chunk(first) if first else head)
+        self._chunked = not (self._older or self._head_only)
+        if self._older:
+            self._keep_alive = False  # its body ends with the connection
+        coding = b"Transfer-Encoding: chunked\r\n" if self._chunked else b""
+        self._write(status_line + fields + coding + self._connection_field() + b"\r\n" + self._coded(first))
 
     def write_piece(self, piece: bytes) -> None:
         """Write a piece of the body."""
-        if piece:
-            self._write(chunk(piece))
+        self._write(self._coded(piece))
 
     def end_stream(self) -> None:
         """The body is whole."""
-        self._write(LAST_CHUNK)
+        if self._chunked:
+            self._write(LAST_CHUNK)
         self._end_answer()
 
+    def _coded(self, piece: bytes) -> bytes:
+        if self._head_only or not piece:
+            return b""
+        return chunk(piece) if self._chunked else piece
+
     def abort(self) -> None:
         """Break the connection off: an answer that has begun is seen to be not whole."""
         self._exchange = None
@@ -212,7 +229,7 @@
 
     def _connection_field(self) -> bytes:
         if self._keep_alive and not self._frontend.closing():
-            return b""
+            return b"Connection: keep-alive\r\n" if self._older else b""
         self._keep_alive = False
         return b"Connection: close\r\n"
 
@@ -222,9 +239,10 @@
         self._chunked = False
         if self._transport is None:
             return
-        if not self._keep_alive or self._frontend.closing():
+        if not self._keep_alive or (self._frontend.closing() and not len(self._buffer)):
             self._transport.close()
             return
+        self._transport.resume_reading()
         self._buffer.recycle()
         self._wait(self._idle_timeout())
         if len(self._buffer):
--- a/reedspoke/data_plane/control_session.py
+++ b/reedspoke/data_plane/control_session.py
@@ -17,6 +17,7 @@
     apply_difference,
     parse_configuration,
 )
+from reedspoke.cluster.json_log import WARNING, log
 from reedspoke.cluster.messages import (
     CONFIGURATION,
     MEMBERS,
@@ -122,7 +123,8 @@
 
     def _take_delta(self, message: ConfigurationDelta) -> bool:
         held = self.state.configuration
-        if held is None or message.base != self.version(CONFIGURATION):
+        version = self.version(CONFIGURATION)
+        if held is None or message.base != version or message.version <= version:
             return False
         self._set_configuration(apply_difference(held, message), message.version)
         return True
@@ -166,10 +168,12 @@
         self._seeds = seeds
         self._random = random
         self._in_use: dict[str, str] = {}  # address of each session that is up or coming up, with its zone
+        self._conversations: set[Conversation] = set()
         self._failed_at: dict[str, float] = {}
 
     def sessions(self) -> int:
-        return len(self._in_use)
+        """Sessions in which the other side has said something."""
+        return sum(conversation.heard for conversation in self._conversations)
 
     async def run(self) -> None:
         """Runs until it is cancelled."""
@@ -185,6 +189,9 @@
                     await self._converse(chosen.address)
                 except CONNECTION_ENDED:
                     self._failed_at[chosen.address] = loop.time()
+                except Exception as error:  # whatever one session brings, the next one is opened
+                    self._failed_at[chosen.address] = loop.time()
+                    log(WARNING, "session given up", address=chosen.address, error=repr(error))
                 finally:
                     del self._in_use[chosen.address]
             await asyncio.sleep(BACK_OFF_S * (0.5 + self._random.random()))
@@ -212,9 +219,12 @@
 
     async def _converse(self, address: str) -> None:
         channel = await open_channel(address)
+        conversation = Conversation(channel, self._subscription, self._own_state)
+        self._conversations.add(conversation)
         try:
-            await Conversation(channel, self._subscription, self._own_state).run()
+            await conversation.run()
         finally:
+            self._conversations.discard(conversation)
             channel.close()
 
 
@@ -224,7 +234,9 @@
     def __init__(
         self, channel: Channel, subscription: Subscription, own_state: Callable[[], OwnState]
     ) -> None:
+        self.heard = False  # whether the other side has said anything
         self._channel = channel
+        channel.silence_s = SILENCE_S
         self._subscription = subscription
         self._own_state = own_state
         self._request_id = 0
@@ -235,7 +247,8 @@
         """Runs until the connection ends or the other side is silent."""
         self._watch()
         while True:
-            message = await asyncio.wait_for(self._channel.receive(ControlMessage), SILENCE_S)
+            message = await self._channel.receive(ControlMessage)
+            self.heard = True
             if isinstance(message, Versions):
                 self._take_versions(message)
             else:
--- a/reedspoke/data_plane/event_stream.py
+++ b/reedspoke/data_plane/event_stream.py
@@ -55,4 +55,5 @@
     if start < 0:
         return ""
     end = events.find(b"\n", start)
-    return events[start + len(ID_FIELD) : end].strip().decode("latin-1")
+    stop = len(events) if end < 0 else end
+    return events[start + len(ID_FIELD) : stop].strip().decode("latin-1")
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -9,23 +9,23 @@
 import asyncio
 from typing import Protocol
 
-from msgspec import Struct
-
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.data_plane.answers import WholeAnswer, own_answer
+from reedspoke.data_plane.attempt import Attempt, may_pass
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest
 from reedspoke.data_plane.event_stream import EventSplitter, EventTooLargeError, last_event_id
 from reedspoke.data_plane.headers import (
     ATTEMPT_ID,
     LAST_EVENT_ID,
     NOT_EXECUTED,
+    RESPONSE_SEAL,
     forwarded_answer_fields,
     forwarded_request_fields,
     status_line,
     text_of,
 )
 from reedspoke.data_plane.route_table import CompiledRoute
-from reedspoke.data_plane.upstream_connection import Failure, UpstreamConnection
+from reedspoke.data_plane.upstream_connection import SUCCESS_STATUS, Failure, UpstreamConnection
 from reedspoke.data_plane.upstream_pool import ConnectFailure, ConnectResult, UpstreamPool
 from reedspoke.decision.attempt_fate import STATUS_WRONG_INSTANCE, Ending, Evidence
 from reedspoke.decision.messages import Expire, Fail, FailReason, Job, Refuse, Repeat, WorkerEntry
@@ -34,6 +34,8 @@
 
 MOST_WHOLE_ANSWER = 8 * 1024 * 1024  # bytes of an answer that is read whole before it is passed on
 SUCCESS = 200
+STATUS_BAD_REQUEST = 400
+STATUS_WORKER_TIMEOUT = 504  # the worker's own, at the deadline: there is no time for another attempt
 
 
 class Owner(Protocol):
@@ -50,24 +52,6 @@
     def client_left(self, exchange: Exchange) -> None: ...
 
 
-class Attempt(Struct):
-    """The attempt that is out."""
-
-    worker: WorkerEntry
-    number: int
-    urgency: int | None
-    sent_at: float
-    heard_at: float
-    started: bool = False  # its first event or its body has begun
-    connection: UpstreamConnection | None = None
-    bytes_sent: bool = False
-    status: int = 0  # 0: no head has come
-    not_executed: bool = False
-    fields: bytes = b""  # of the answer, to pass on; a copy, as the head lies in the connection's buffer
-    body: bytearray | None = None  # of an answer that is read whole
-    splitter: EventSplitter | None = None  # of a stream of events
-
-
 class Exchange:
     """Listens to the worker's answer, and writes the client's."""
 
@@ -94,6 +78,8 @@
         self._attempt_id = text_of(request.head, ATTEMPT_ID)
         self._last_event_id = text_of(request.head, LAST_EVENT_ID)
         self._answer: WholeAnswer | None = None  # a worker's error, kept while other workers are tried
+        self._sent = False  # whether a request may have reached a worker
+        self._client_full = False  # its end takes no more for now
         self.events_passed = False
 
     # ---- what the dispatcher decides ----
@@ -135,6 +121,10 @@
         else:
             self._finish(own_answer(503, ErrorCode.DEADLINE, "no worker in time", 0.0))
 
+    def is_overdue(self, now: float) -> bool:
+        """Whether the time for the request is over while an attempt is out."""
+        return self._attempt is not None and now >= self.job.deadline
+
     def give_up_attempt(self) -> None:
         """The worker is silent: call the attempt off, and say so."""
         if self._attempt is not None:
@@ -155,15 +145,21 @@
             repeat=self.job.repeat,
             streaming=self.job.streaming,
             aim_s=self.job.aim_s,
+            pause_s=self.route.pause,
             sent_at=attempt.sent_at,
-            heard_at=attempt.heard_at,
+            heard_at=self._loop.time() if self._client_full else attempt.heard_at,
             deadline=self.job.deadline,
         )
 
     def shut_down(self) -> None:
-        """The process ends: break the answer off."""
+        """The process ends: a request without an answer gets one, a stream is broken off."""
         self._call_off()
-        self._break_off()
+        if self.events_passed:
+            self._break_off()
+        elif self._sent:
+            self._finish(self._answer or own_answer(502, ErrorCode.SHUTTING_DOWN, "the scheduler ends"))
+        else:
+            self._finish(own_answer(503, ErrorCode.SHUTTING_DOWN, "the scheduler ends", 0.0))
 
     # ---- the client's connection ----
 
@@ -173,10 +169,12 @@
         self._owner.client_left(self)
 
     def writable(self, on: bool) -> None:
+        self._client_full = not on
         attempt = self._attempt
         if attempt is None or attempt.connection is None:
             return
         if on:
+            attempt.heard_at = self._loop.time()
             attempt.connection.resume()
         else:
             attempt.connection.pause()
@@ -192,15 +190,22 @@
         if isinstance(result, ConnectFailure):
             self._end_attempt(Ending.CONNECT_FAILED)
             return
+        if not result.is_quiet():  # reset as it came up: nothing was sent on it, nor would its end be told
+            result.close()
+            self._end_attempt(Ending.CONNECT_FAILED)
+            return
         self._transmit(result)
 
     def _transmit(self, connection: UpstreamConnection) -> None:
         attempt = self._attempt
         assert attempt is not None
         attempt.connection = connection
-        attempt.bytes_sent = True
+        attempt.bytes_sent = self._sent = True
         attempt.sent_at = attempt.heard_at = self._loop.time()
-        connection.send(self._render(attempt), self._attempt_id, self)
+        head_only = self._request.head.method == b"HEAD"
+        connection.send(self._render(attempt), self._attempt_id, self, head_only=head_only)
+        if self._client_full:
+            connection.pause()
 
     def _render(self, attempt: Attempt) -> bytes:
         head = self._request.head
@@ -230,10 +235,15 @@
         attempt.status = head.status
         attempt.not_executed = head.get(NOT_EXECUTED) is not None
         attempt.fields = forwarded_answer_fields(head)
+        if head.status in SUCCESS_STATUS and head.get(RESPONSE_SEAL) is None:
+            self._end_attempt(Ending.MALFORMED)  # no worker has sealed it: it may be anybody's answer
+            return
         if head.status == SUCCESS and self.route.streaming:
             attempt.splitter = EventSplitter()
-        else:
-            attempt.body = bytearray()
+            return
+        attempt.body = bytearray()
+        if head.status in SUCCESS_STATUS:
+            self._started()
 
     def on_body(self, piece: memoryview) -> None:
         attempt = self._attempt
@@ -305,7 +315,7 @@
             self._pass_on(rest, last_event_id(rest))
         elif not self.events_passed:
             self._pass_empty(attempt)
-        evidence = self._evidence(Ending.COMPLETE)
+        evidence = attempt.evidence(Ending.COMPLETE)
         self._attempt = None
         client = self._client
         self._client = None
@@ -320,16 +330,18 @@
             self._client.begin_stream(status_line(attempt.status), attempt.fields, b"")
 
     def _end_of_body(self, attempt: Attempt) -> None:
-        evidence = self._evidence(Ending.COMPLETE)
+        evidence = attempt.evidence(Ending.COMPLETE)
         status = attempt.status
         answer = WholeAnswer(status_line(status), attempt.fields, bytes(attempt.body or b""))
+        if status == STATUS_BAD_REQUEST:  # no worker would take it
+            evidence = Evidence(Ending.COMPLETE, attempt.bytes_sent, status)
         if evidence.not_executed or status == STATUS_WRONG_INSTANCE:
             self._attempt = None
             self._owner.attempt_ended(self, evidence, 0)
             return
         if self._try_elsewhere(status):
             self._attempt = None
-            self._answer = answer if self._may_pass(status) else self._answer
+            self._answer = answer if may_pass(status) else self._answer
             failed = Evidence(Ending.MALFORMED, True, status)
             self._owner.attempt_ended(self, failed, 0)
             return
@@ -337,7 +349,7 @@
         self._owner.attempt_ended(self, evidence, 0)
         if self.events_passed:
             self._break_off()
-        elif self._may_pass(status):
+        elif may_pass(status):
             self._finish(answer)
         else:
             self._finish(own_answer(502, ErrorCode.WORKER_FAILED, "the worker failed"))
@@ -346,25 +358,16 @@
         """Whether a worker's error is worth another attempt."""
         if self.events_passed:
             return self.job.repeat is Repeat.RESUMABLE
-        return status >= 500 and self.job.repeat is not Repeat.NEVER
-
-    def _may_pass(self, status: int) -> bool:
-        """Guards a promise that nobody made: a worker's own 503 without proof says that it may have run."""
-        return status not in (408, 421, 429, 503)
-
-    def _evidence(self, ending: Ending) -> Evidence:
-        attempt = self._attempt
-        assert attempt is not None
-        return Evidence(ending, attempt.bytes_sent, attempt.status, attempt.not_executed)
+        worth = status >= 500 and status != STATUS_WORKER_TIMEOUT
+        return worth and self.job.repeat is not Repeat.NEVER
 
     def _end_attempt(self, ending: Ending) -> None:
-        evidence = self._evidence(ending)
         attempt = self._attempt
         self._attempt = None
         assert attempt is not None
         if attempt.connection is not None:
             attempt.connection.close()
-        self._owner.attempt_ended(self, evidence, 0)
+        self._owner.attempt_ended(self, attempt.evidence(ending), 0)
 
     def _call_off(self) -> None:
         attempt = self._attempt
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -12,7 +12,7 @@
 from reedspoke.data_plane.exchange import Exchange
 from reedspoke.data_plane.job_builder import build_job
 from reedspoke.data_plane.route_table import CompiledRoute
-from reedspoke.data_plane.upstream_pool import UpstreamPool
+from reedspoke.data_plane.upstream_pool import MOST_IDLE, UpstreamPool
 from reedspoke.decision.attempt_fate import Evidence, cause_of, outcome_of
 from reedspoke.decision.dispatcher import Dispatcher
 from reedspoke.decision.messages import (
@@ -45,6 +45,8 @@
         self._workers: dict[str, WorkerEntry] = {}
         self._heard_from: dict[str, float] = {}
         self._next_job_id = 0
+        self._schedulers = 1
+        self._most_connections: dict[str, int] = {}  # that workers of a service accept, from all schedulers
         self._wake: asyncio.TimerHandle | None = None
         self._watch: asyncio.TimerHandle | None = None
 
@@ -52,6 +54,12 @@
 
     def configure(self, configuration: Configuration) -> None:
         """The configuration in force has changed."""
+        self._most_connections = {
+            name: most
+            for name, item in configuration.upstreams.items()
+            if (most := item.get("max_connections"))
+        }
+        self._share_connections()
         upstreams = [_upstream(item) for item in configuration.upstreams.values()]
         self._apply(self._dispatcher.configure(upstreams, self._loop.time()))
 
@@ -61,6 +69,7 @@
         entries = [_entry(worker, now) for worker in workers.workers]
         self._workers = {entry.instance_id: entry for entry in entries}
         self._pool.retain(frozenset(self._workers))
+        self._share_connections()
         known = self._heard_from
         self._heard_from = {name: known[name] for name in self._workers if name in known}
         self._apply(self._dispatcher.workers_changed(entries, now))
@@ -72,8 +81,17 @@
 
     def set_fleet_size(self, schedulers: int) -> None:
         """How many schedulers there are, this one included."""
+        self._schedulers = max(1, schedulers)
+        self._share_connections()
         self._dispatcher.fleet_size(schedulers, self._loop.time())
 
+    def _share_connections(self) -> None:
+        self._pool.most_idle = {
+            name: min(MOST_IDLE, max(1, most // self._schedulers))
+            for name, worker in self._workers.items()
+            if (most := self._most_connections.get(worker.upstream))
+        }
+
     def own_load(self) -> dict[str, tuple[int, int]]:
         """What this scheduler holds at workers, for the others."""
         loads = self._dispatcher.own_load()
@@ -173,6 +191,8 @@
     def _look_after(self) -> None:
         self._watch = None
         now = self._loop.time()
+        for overdue in [item for item in self._exchanges.values() if item.is_overdue(now)]:
+            self._end_overdue(overdue, now)
         attempts = [attempt for item in self._exchanges.values() if (attempt := item.open_attempt())]
         for job_id in attempts_to_give_up(attempts, self._heard_from, now):
             exchange = self._exchanges.get(job_id)
@@ -180,6 +200,13 @@
                 exchange.give_up_attempt()
         self._watch_later()
 
+    def _end_overdue(self, exchange: Exchange, now: float) -> None:
+        """The worker should have ended it by now; it may have run."""
+        job_id = exchange.job.job_id
+        exchange.expire(Expire(job_id, ran=True))
+        self._apply(self._dispatcher.job_gone(job_id, now))
+        self._apply(self._dispatcher.attempt_ended(job_id, AttemptEnd(Outcome.CANCELLED), now))
+
 
 def _upstream(configured: ConfiguredUpstream) -> Upstream:
     engine = configured.get("engine")
--- a/reedspoke/data_plane/job_builder.py
+++ b/reedspoke/data_plane/job_builder.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+import re
+
 from reedspoke.data_plane.headers import (
     DEADLINE_MS,
     MODEL_NAME,
@@ -15,6 +18,7 @@
 from reedspoke.net.http import Head
 
 MOST_PARTS = 64
+COUNT = re.compile(r"[0-9]{1,9}")  # `isdigit` would take other digits too, and `int` has no bound
 
 
 def parse_parts(text: str) -> tuple[Part, ...]:
@@ -22,7 +26,7 @@
     parts = []
     for item in text.split(",")[:MOST_PARTS]:
         part_id, _, tokens = item.strip().partition(":")
-        if not part_id or not tokens.isdigit():
+        if not part_id or COUNT.fullmatch(tokens) is None:
             break
         parts.append(Part(part_id, int(tokens)))
     return tuple(parts)
@@ -36,7 +40,7 @@
 
 def _whole(text: str) -> int:
     stripped = text.strip()
-    return int(stripped) if stripped.isdigit() else 0
+    return int(stripped) if COUNT.fullmatch(stripped) else 0
 
 
 def repeat_of(route: CompiledRoute) -> Repeat:
@@ -49,7 +53,7 @@
 def time_limit(head: Head, route: CompiledRoute) -> float:
     """Seconds that the request may take: what the client waits, and what the operator wants it held."""
     told = number_of(head, DEADLINE_MS)
-    if told is None:
+    if told is None or not math.isfinite(told):
         return route.timeout
     return min(route.timeout, max(0.0, told / 1000))
 
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -83,13 +83,17 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         front = listen(self._settings.bind.frontend)
         readiness = await self._loop.create_server(
-            lambda: ReadinessConnection(self.is_ready), sock=listen(self._settings.bind.readiness)
+            lambda: ReadinessConnection(self.is_ready),
+            sock=listen(self._settings.bind.readiness),
+            backlog=BACKLOG,
         )
         following = self._loop.create_task(self._sessions.run())
         reloading = self._loop.create_task(self._poll_settings())
         log(INFO, "data plane up", node=self._settings.node_name)
         await self._first_state()
-        frontend = await self._loop.create_server(lambda: ClientConnection(self, self._loop), sock=front)
+        frontend = await self._loop.create_server(  # without its own backlog it would set one of 100
+            lambda: ClientConnection(self, self._loop), sock=front, backlog=BACKLOG
+        )
         await self._ended.wait()
         await self._finish(frontend)
         following.cancel()
@@ -200,8 +204,8 @@
             message = "no configuration has come yet"
             connection.answer_whole(own_answer(503, ErrorCode.NOT_READY, message, NOT_READY_RETRY_S))
             return NoExchange()
-        host = text_of(request.head, b"host")
-        route = self._routes.find(host, bytes(request.head.target).decode("latin-1"))
+        host, path = place_of(request)
+        route = self._routes.find(host, path)
         if route is None:
             connection.answer_whole(own_answer(404, ErrorCode.NO_ROUTE, "no route for this host and path"))
             return NoExchange()
@@ -209,6 +213,15 @@
         return self._forwarder.begin(request, connection, route, upstream)
 
 
+def place_of(request: ClientRequest) -> tuple[str, str]:
+    """Host and path; a target that names its host goes before the field."""
+    target = bytes(request.head.target).decode("latin-1")
+    if not target.lower().startswith("http://"):
+        return text_of(request.head, b"host"), target
+    host, slash, path = target[len("http://") :].partition("/")
+    return host, slash + path
+
+
 def listen(address: str) -> socket.socket:
     """A listening socket at `ip:port`; connections come up before anybody accepts them."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/reedspoke/data_plane/upstream_connection.py
+++ b/reedspoke/data_plane/upstream_connection.py
@@ -14,6 +14,7 @@
 USER_TIMEOUT_MS = 4000  # bytes that are not acknowledged for so long end the connection
 KEEP_ALIVE_MARGIN_S = 0.5  # a connection is not used in the last part of the idle time that the worker grants
 USUAL_KEEP_ALIVE_S = 30.0  # where the worker does not tell
+ANSWER_START = b"HTTP/1."
 SUCCESS_STATUS = range(200, 300)
 
 
@@ -47,6 +48,7 @@
         self._listener: AnswerListener | None = None
         self._expected_id = ""
         self._foreign = False  # the answer that comes belongs to an earlier request
+        self._in_answer = False  # its head has come
         self._to_close = False  # the worker closes it after the answer
         self.usable_until = 0.0  # seconds of the loop's clock
         self.open = False
@@ -93,13 +95,16 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
-    def send(self, request: bytes, attempt_id: str, listener: AnswerListener) -> None:
-        """Send a request; its answer goes to `listener`."""
+    def send(
+        self, request: bytes, attempt_id: str, listener: AnswerListener, *, head_only: bool = False
+    ) -> None:
+        """Send a request; its answer goes to `listener`. `head_only`: the answer has no body (HEAD)."""
         assert self._transport is not None
         assert self._listener is None
         self._listener = listener
         self._expected_id = attempt_id
         self._foreign = False
+        self._answers.head_only = head_only
         self._transport.write(request)
 
     def pause(self) -> None:
@@ -122,6 +127,7 @@
     # ---- the answer ----
 
     def _read_answer(self) -> None:
+        self._check_start()
         for part in self._answers.feed():
             if self._listener is None:
                 return
@@ -132,8 +138,17 @@
             elif not self._foreign:
                 self._listener.on_body(part)
 
+    def _check_start(self) -> None:
+        """Bytes that are no answer are told at once: their sender may never end a head."""
+        if self._in_answer:
+            return
+        begun = bytes(self._buffer.data[self._buffer.start : self._buffer.end][: len(ANSWER_START)])
+        if not ANSWER_START.startswith(begun):
+            raise MalformedError(502, "these bytes begin no answer")
+
     def _take_head(self, head: Head) -> None:
         assert self._listener is not None
+        self._in_answer = True
         self._foreign = not self._is_ours(head)
         self._note_keep_alive(head)
         if self._foreign:
@@ -156,6 +171,7 @@
         self.usable_until = self._loop.time() + granted - KEEP_ALIVE_MARGIN_S
 
     def _take_end(self, end: End) -> None:
+        self._in_answer = False
         if not end.reusable:
             self._to_close = True
         if self._foreign:
@@ -165,6 +181,7 @@
         self._listener = None
         if self._to_close or len(self._buffer):
             self.close()  # bytes behind a whole answer belong to no request
+        self.resume()  # a full client may have paused it; the next request is another client's
         assert listener is not None
         listener.on_end()
 
--- a/reedspoke/data_plane/upstream_pool.py
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -29,6 +29,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self.most_idle: dict[str, int] = {}  # by instance id, where it is less than MOST_IDLE
         self._tasks: set[asyncio.Task[None]] = set()
 
     def take_idle(self, instance_id: str) -> UpstreamConnection | None:
@@ -52,21 +53,24 @@
 
     async def _open(self, address: str) -> ConnectResult:
         host, port = split_address(address)
-        opening = self._loop.create_connection(lambda: UpstreamConnection(self._loop), host, port)
         try:
-            _, connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(self._make, host, port)
         except TimeoutError:
             return ConnectFailure(refused=False)
         except OSError:
             return ConnectFailure(refused=True)
         return connection
 
+    def _make(self) -> UpstreamConnection:
+        return UpstreamConnection(self._loop)
+
     def give_back(self, instance_id: str, connection: UpstreamConnection) -> None:
         """Keep a connection whose answer was read whole."""
         if not connection.open:
             return
         idle = self._idle.setdefault(instance_id, [])
-        if len(idle) >= MOST_IDLE:
+        if len(idle) >= self.most_idle.get(instance_id, MOST_IDLE):
             connection.close()
             return
         idle.append(connection)
--- a/reedspoke/decision/placement.py
+++ b/reedspoke/decision/placement.py
@@ -19,10 +19,9 @@
 from reedspoke.decision.prefix_cache import chain_of, rendezvous
 from reedspoke.decision.worker_state import LATE_PART, Running, WorkerState
 
-NEAR = 3  # workers of a key's order that may be taken to keep what other schedulers sent there
 TOLD_BY_ORDER = (0.9, 0.5, 0.25)  # chance that others had a shared prefix read there, by place in the order
 REREAD = 16.0  # price of reading a shared token again, in times of reading it: all kinds wait for it
-LATE_FROM = 1.0  # of the aim: an expected first event beyond it costs more
+LATE_FROM = 0.85  # of the aim: an expected first event beyond it costs more
 LATE_WEIGHT = 10.0  # price of an expected first event beyond what is late, in times of that delay
 CROSS_ZONE = 0.01  # of the aim: what another zone costs
 BUSY_FROM = 0.7  # share of positions or memory above which load costs more
--- a/reedspoke/decision/silence.py
+++ b/reedspoke/decision/silence.py
@@ -12,9 +12,11 @@
 
 from reedspoke.decision.messages import Repeat
 
-SILENT_S = 1.0  # a worker with requests out says something more often than that
-FIRST_WAIT_OF_AIM = 1.5  # a first event may take this multiple of its aim before silence counts
-LEAST_WAIT_OF_AIM = 2.0  # of a plain request
+LEAST_SILENCE_S = 2.0  # a client leaves a stream after this silence at the earliest,
+SILENCE_OF_AIM = 4.0  # after this multiple of the aim,
+SILENCE_OF_PAUSE = 8.0  # and of the longest pause that is in time
+PART_OF_SILENCE = 0.5  # of what the client bears: the other half is for the next worker
+PLAIN_WAIT_OF_AIM = 2.0  # of a plain request
 
 
 class OpenAttempt(Struct, frozen=True):
@@ -25,6 +27,7 @@
     repeat: Repeat
     streaming: bool
     aim_s: float
+    pause_s: float  # the longest pause between events that is in time; 0: unknown
     sent_at: float
     heard_at: float  # of this attempt; `sent_at` where nothing has come
     deadline: float
@@ -47,13 +50,12 @@
     if now - attempt.heard_at < limit:
         return False
     since = max(heard_from.get(attempt.instance_id, 0.0), attempt.sent_at)
-    return now - since >= min(limit, SILENT_S)
+    return now - since >= limit
 
 
 def patience(attempt: OpenAttempt) -> float:
     """Seconds without a byte that an attempt is given."""
     if not attempt.streaming:
-        return LEAST_WAIT_OF_AIM * attempt.aim_s
-    if attempt.heard_at == attempt.sent_at:
-        return max(SILENT_S, FIRST_WAIT_OF_AIM * attempt.aim_s)
-    return SILENT_S
+        return PLAIN_WAIT_OF_AIM * attempt.aim_s
+    borne = max(LEAST_SILENCE_S, SILENCE_OF_AIM * attempt.aim_s, SILENCE_OF_PAUSE * attempt.pause_s)
+    return PART_OF_SILENCE * borne
--- a/reedspoke/lab/fleet_emulator/hollow_edge.py
+++ b/reedspoke/lab/fleet_emulator/hollow_edge.py
@@ -94,8 +94,8 @@
         self._meter = meter
 
     async def receive(self, expected: Any) -> Any:
-        (length,) = LENGTH.unpack(await self._reader.readexactly(LENGTH.size))
-        return DECODER.decode(await self._reader.readexactly(length), expected)
+        (length,) = LENGTH.unpack(await self._exactly(LENGTH.size))
+        return DECODER.decode(await self._exactly(length), expected)
 
     def send_encoded(self, payload: bytes) -> None:
         self._meter.bytes_out += len(payload)
--- a/reedspoke/net/http.py
+++ b/reedspoke/net/http.py
@@ -110,18 +110,18 @@
         return int(told)
 
 
-def parse_head(buffer: Buffer, *, answer: bool = False) -> Head | None:
+def parse_head(buffer: Buffer, *, answer: bool = False, most: int = MOST_HEAD) -> Head | None:
     """The head at the front of the buffer, None until it is whole."""
     data = buffer.data
     while not answer and data.startswith(b"\r\n", buffer.start, buffer.end):
         buffer.take(2)  # a blank line before a request is passed over
     start = buffer.start
     end = data.find(b"\r\n\r\n", start, buffer.end)
-    if end < 0 or end - start > MOST_HEAD:
-        if len(buffer) > MOST_HEAD:
+    if end < 0 or end - start > most:
+        if len(buffer) > most:
             raise MalformedError(431, "the head is too large")
-        if not answer and data.find(b"\n", start, min(buffer.end, start + MOST_HEAD)) >= 0:
-            check_first_line(data, start, buffer.end)
+        if data.find(b"\n", start, min(buffer.end, start + most)) >= 0:
+            check_first_line(data, start, buffer.end, STATUS_LINE if answer else REQUEST_LINE)
         return None
     end += 2
     first = (STATUS_LINE if answer else REQUEST_LINE).match(data, start, end)
@@ -149,9 +149,9 @@
     return head
 
 
-def check_first_line(data: bytearray, start: int, end: int) -> None:
+def check_first_line(data: bytearray, start: int, end: int, expected: re.Pattern[bytes]) -> None:
     """Garbage is told at its first line: its sender may never send the blank line that ends a head."""
-    if REQUEST_LINE.match(data, start, end) is None:
+    if expected.match(data, start, end) is None:
         raise MalformedError(400, "the first line is malformed")
 
 
@@ -207,12 +207,13 @@
     def __init__(self, buffer: Buffer, most_body: int = MOST_BODY) -> None:
         self.buffer = buffer
         self.most_body = most_body
+        self.most_head = MOST_HEAD
         self._length = 0
         self._chunks: Chunks | None = None
         self._joined = bytearray()
 
     def head(self) -> Head | None:
-        return parse_head(self.buffer)
+        return parse_head(self.buffer, most=self.most_head)
 
     def expect(self, length: int) -> None:
         """A body comes, of this length or, with -1, in chunks."""
@@ -245,6 +246,7 @@
 
     def __init__(self, buffer: Buffer) -> None:
         self.buffer = buffer
+        self.head_only = False  # answers to HEAD have no body, whatever their fields say
         self._head: Head | None = None
         self._left: int | None = None  # None: until the connection ends
         self._chunks: Chunks | None = None
@@ -259,7 +261,7 @@
                 if 100 <= head.status < 200:
                     continue
                 self._head, length = head, head.length()
-                if head.status in (204, 304):
+                if head.status in (204, 304) or self.head_only:
                     length = 0
                 self._chunks = Chunks() if length == -1 else None
                 self._left = length if length != -1 else None
--- /dev/null
+++ b/tests/cluster/test_messages.py
@@ -0,0 +1,84 @@
+"""Each message between data plane and control plane, to bytes and back."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.messages import (
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    ControlMember,
+    ControlMessage,
+    EdgeMember,
+    EdgeMessage,
+    Fetch,
+    MemberList,
+    Versions,
+    Watch,
+    WorkerEntry,
+    WorkerList,
+    decode,
+    encode,
+)
+
+WORKER = WorkerEntry("i-1", "u1", "10.0.0.1:80", "za", "v1", 64, False, 1500.5, ("m", "n"))
+EDGE_MESSAGES: list[Struct] = [
+    Watch(1, "edge-1", "ab12", "za", {}),
+    Watch(2**40, "edge-1", "ab12", "zä", {"workers": (3, 4)}, {"i-1": (2, 300)}, True),
+    Fetch("configuration"),
+    Fetch("workers", (7, 9)),
+]
+CONTROL_MESSAGES: list[Struct] = [
+    Versions(1, "core-1", {"configuration": (5, 0), "workers": (2, 3), "members": (0, 1)}),
+    Versions(1, "core-1", {}, {"i-1": (0, 0)}),
+    WorkerList((1, 2), ()),
+    WorkerList((1, 2), (WORKER, WorkerEntry("i-2", "u2", "10.0.0.2:80", "zb", "v2", 1, True))),
+    ConfigurationSnapshot((5, 0), b'{"generation":1}\x00\xff'),
+    ConfigurationDelta((5, 0), (8, 0), 12, b"[]", ("r1", "r2"), b"[{}]", ("u1",), b"{}"),
+    ConfigurationDelta((5, 0), (8, 0), 12, b"", (), b"", ()),
+    MemberList((0, 3), (ControlMember("10.0.0.3:7660", "za"),), (EdgeMember("edge-1", "ab12", "za"),)),
+    MemberList((0, 0), (), ()),
+]
+
+
+@pytest.mark.parametrize("message", EDGE_MESSAGES, ids=lambda message: type(message).__name__)
+def test_what_the_data_plane_sends_arrives(message: Struct) -> None:
+    assert decode(encode(message), EdgeMessage) == message
+
+
+@pytest.mark.parametrize("message", CONTROL_MESSAGES, ids=lambda message: type(message).__name__)
+def test_what_the_control_plane_sends_arrives(message: Struct) -> None:
+    assert decode(encode(message), ControlMessage) == message
+
+
+@pytest.mark.parametrize("message", CONTROL_MESSAGES, ids=lambda message: type(message).__name__)
+def test_a_message_that_is_not_expected_is_refused(message: Struct) -> None:
+    with pytest.raises(msgspec.ValidationError):
+        decode(encode(message), EdgeMessage)
+
+
+@pytest.mark.parametrize(
+    "message", EDGE_MESSAGES + CONTROL_MESSAGES, ids=lambda message: type(message).__name__
+)
+def test_every_cut_of_a_message_is_refused(message: Struct) -> None:
+    payload = encode(message)
+    expected = EdgeMessage if message in EDGE_MESSAGES else ControlMessage
+    for length in range(len(payload)):
+        with pytest.raises(ValueError):  # noqa: PT011 - both libraries' errors are ValueErrors
+            decode(payload[:length], expected)
+
+
+def test_fields_that_a_later_version_adds_are_passed_over() -> None:
+    import ormsgpack
+
+    later = ormsgpack.packb(["fetch", "workers", [1, 2], "a later field"])
+    assert decode(later, EdgeMessage) == Fetch("workers", (1, 2))
+
+
+def test_fields_that_an_earlier_version_lacks_take_their_defaults() -> None:
+    import ormsgpack
+
+    earlier = ormsgpack.packb(["watch", 1, "edge-1", "ab12", "za", {}])
+    assert decode(earlier, EdgeMessage) == Watch(1, "edge-1", "ab12", "za", {})
--- /dev/null
+++ b/tests/data_plane/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the data plane scheduler."""
--- /dev/null
+++ b/tests/data_plane/test_conversation.py
@@ -0,0 +1,359 @@
+"""Sessions with the control plane in virtual time: what is asked for, and what follows a loss."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.messages import (
+    CONFIGURATION,
+    MEMBERS,
+    WORKERS,
+    ConfigurationSnapshot,
+    ControlMember,
+    Fetch,
+    MemberList,
+    Version,
+    Versions,
+    Watch,
+)
+from reedspoke.data_plane import control_session
+from reedspoke.data_plane.control_session import SILENCE_S, ControlSessions, OwnState, Subscription
+from tests.data_plane.test_subscription import Heard, delta, snapshot, subscription, workers
+from tests.data_plane.virtual_loop import VirtualLoop
+
+OWN = OwnState("edge-1", "ab12", "za", False, {"i-1": (2, 30)})
+
+
+class ChannelStandIn:
+    """A session whose other end is the test."""
+
+    def __init__(self, loop: VirtualLoop, address: str) -> None:
+        self.loop = loop
+        self.address = address
+        self.sent: list[Struct] = []
+        self.closed = False
+        self.silence_s: float | None = None
+        self._incoming: asyncio.Queue[Struct | Exception] = asyncio.Queue()
+
+    def send(self, message: Struct) -> None:
+        self.sent.append(message)
+
+    async def receive(self, expected: Any) -> Struct:
+        found = await asyncio.wait_for(self._incoming.get(), self.silence_s)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def close(self) -> None:
+        self.closed = True
+
+    def say(self, *messages: Struct | Exception) -> None:
+        """The control scheduler sends these."""
+        for message in messages:
+            self._incoming.put_nowait(message)
+        self.loop.settle()
+
+    def watch(self) -> Watch:
+        """The latest message, a watch."""
+        found = self.sent[-1]
+        assert isinstance(found, Watch)
+        return found
+
+    def offer(self, **versions: Version) -> None:
+        """Answer the watch that is out."""
+        self.say(Versions(self.watch().request_id, self.address, versions))
+
+    def fetches(self) -> list[Fetch]:
+        return [message for message in self.sent if isinstance(message, Fetch)]
+
+
+class Control:
+    """The control plane as sessions meet it."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.loop = VirtualLoop()
+        self.made, self.heard = subscription()
+        self.channels: list[ChannelStandIn] = []
+        self.dark: set[str] = set()  # addresses from which nothing comes
+        self.refusing: set[str] = set()
+        self.seeds: tuple[str, ...] = ("c1:1", "c2:1", "c3:1")
+        self.tried: list[str] = []
+        self.sessions = ControlSessions(self.made, lambda: OWN, lambda: self.seeds, Random(7))
+        monkeypatch.setattr(control_session, "open_channel", self.open)
+        self.running = self.loop.create_task(self.sessions.run())
+        self.loop.settle()
+
+    async def open(self, address: str) -> ChannelStandIn:
+        self.tried.append(address)
+        if address in self.dark:
+            await asyncio.sleep(0.7)
+            raise TimeoutError
+        if address in self.refusing:
+            raise ConnectionRefusedError
+        self.channels.append(ChannelStandIn(self.loop, address))
+        return self.channels[-1]
+
+    def live(self) -> list[ChannelStandIn]:
+        return [channel for channel in self.channels if not channel.closed]
+
+    def keep_alive(self, seconds: float) -> None:
+        """All live sessions answer each watch for so long."""
+        for _ in range(round(seconds / 0.4)):
+            for channel in self.live():
+                if isinstance(channel.sent[-1], Watch):
+                    channel.offer()
+            self.loop.run_for(0.4)
+
+    def close(self) -> None:
+        self.running.cancel()
+        self.loop.settle()
+        self.loop.close()
+
+
+@pytest.fixture
+def control(monkeypatch: pytest.MonkeyPatch) -> Iterator[Control]:
+    made = Control(monkeypatch)
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+@pytest.fixture
+def heard(control: Control) -> Heard:
+    return control.heard
+
+
+@pytest.fixture
+def made(control: Control) -> Subscription:
+    return control.made
+
+
+def test_two_sessions_stand_with_different_schedulers(control: Control) -> None:
+    assert len(control.live()) == 2
+    assert len({channel.address for channel in control.live()}) == 2
+
+
+def test_the_first_watch_tells_who_asks_and_what_it_holds(control: Control) -> None:
+    watch = control.channels[0].watch()
+    assert (watch.node_name, watch.incarnation, watch.zone, watch.draining) == ("edge-1", "ab12", "za", False)
+    assert watch.running == {"i-1": (2, 30)}
+    assert watch.versions == {CONFIGURATION: (0, 0), WORKERS: (0, 0), MEMBERS: (0, 0)}
+
+
+def test_what_is_lacking_is_fetched_and_then_watched(control: Control, heard: Heard) -> None:
+    channel = control.channels[0]
+    channel.offer(configuration=(3, 0), workers=(1, 2), members=(0, 5))
+    assert channel.fetches() == [Fetch(CONFIGURATION), Fetch(WORKERS), Fetch(MEMBERS)]
+    channel.say(snapshot(3), workers(1, 2), MemberList((0, 5), (), ()))
+    assert heard.configurations == [(3, (3, 0))]
+    assert heard.workers == [(1, 2)]
+    assert channel.watch().versions == {CONFIGURATION: (3, 0), WORKERS: (1, 2), MEMBERS: (0, 5)}
+    assert channel.watch().request_id == 2
+
+
+def test_two_sessions_do_not_both_fetch_the_same(control: Control) -> None:
+    one, two = control.channels
+    one.offer(configuration=(3, 0))
+    two.offer(configuration=(3, 0))
+    assert one.fetches() == [Fetch(CONFIGURATION)]
+    assert two.fetches() == []
+    assert two.watch().versions[CONFIGURATION] == (3, 0)
+
+
+def test_what_one_session_fails_to_bring_is_fetched_by_the_other(control: Control, heard: Heard) -> None:
+    one, two = control.channels
+    one.offer(configuration=(3, 0))
+    one.say(ConnectionResetError())
+    two.offer(configuration=(3, 0))
+    control.loop.run_for(0.6)
+    two.offer(configuration=(3, 0))
+    assert two.fetches() == [Fetch(CONFIGURATION)]
+    two.say(snapshot(3))
+    assert heard.configurations == [(3, (3, 0))]
+
+
+def test_a_difference_from_another_base_is_followed_by_the_whole(control: Control, heard: Heard) -> None:
+    one = control.channels[0]
+    one.offer(configuration=(3, 0))
+    one.say(snapshot(3))
+    one.offer(configuration=(6, 0))
+    assert one.fetches()[-1] == Fetch(CONFIGURATION, (3, 0))
+    one.say(delta(2, 6))
+    assert one.fetches()[-1] == Fetch(CONFIGURATION, (0, 0))
+    one.say(snapshot(6))
+    assert heard.configurations == [(3, (3, 0)), (6, (6, 0))]
+    assert isinstance(one.sent[-1], Watch)
+
+
+def test_a_scheduler_that_is_behind_changes_nothing(control: Control, heard: Heard) -> None:
+    one, two = control.channels
+    one.offer(configuration=(6, 0), workers=(3, 1))
+    one.say(snapshot(6), workers(3, 1))
+    two.offer(configuration=(2, 0), workers=(2, 9))
+    assert two.fetches() == []
+    two.say(snapshot(2), workers(2, 9), delta(6, 2))
+    assert heard.configurations == [(6, (6, 0))]
+    assert heard.workers == [(3, 1)]
+
+
+def test_an_answer_with_nothing_new_is_followed_by_one_watch(control: Control) -> None:
+    one = control.channels[0]
+    for number in range(1, 6):
+        assert len(one.sent) == number
+        one.offer()
+    assert all(isinstance(message, Watch) for message in one.sent)
+
+
+def test_a_silent_scheduler_is_left_for_another(control: Control) -> None:
+    silent = control.channels[0].address
+    control.loop.run_for(SILENCE_S + 0.3)
+    assert control.channels[0].closed
+    assert control.channels[2].address != silent
+
+
+def test_an_ended_session_is_replaced(control: Control) -> None:
+    ended = control.channels[0]
+    ended.say(ConnectionResetError())
+    control.loop.run_for(0.4)
+    assert ended.closed
+    assert len(control.live()) == 2
+    assert ended.address not in {channel.address for channel in control.live()}
+
+
+def test_a_scheduler_that_refuses_is_not_asked_without_pause(control: Control) -> None:
+    control.refusing = {"c1:1", "c2:1", "c3:1"}
+    for channel in control.channels:
+        channel.say(ConnectionResetError())
+    control.tried.clear()
+    control.loop.run_for(3)
+    assert 4 <= len(control.tried) <= 80
+    control.refusing = set()
+    control.loop.run_for(1)
+    assert len(control.live()) == 2
+
+
+def test_schedulers_that_members_name_are_asked_too(control: Control) -> None:
+    one, two = control.channels
+    named = (ControlMember("c9:1", "za"), ControlMember("c8:1", "zb"))
+    one.offer(members=(0, 1))
+    one.say(MemberList((0, 1), named, ()))
+    control.refusing = {"c1:1", "c2:1", "c3:1"}
+    one.say(ConnectionResetError())
+    two.say(ConnectionResetError())
+    control.loop.run_for(0.5)
+    assert {channel.address for channel in control.live()} == {"c9:1", "c8:1"}
+
+
+def test_sessions_stand_in_different_zones_where_that_is_possible(control: Control) -> None:
+    one, two = control.channels
+    named = tuple(
+        ControlMember(f"c{number}:1", zone) for number, zone in enumerate(["zb", "za", "zb", "za", "zc"])
+    )
+    one.offer(members=(0, 1))
+    one.say(MemberList((0, 1), named, ()))
+    one.say(ConnectionResetError())
+    control.loop.run_for(0.3)
+    two.say(ConnectionResetError())
+    control.loop.run_for(2)
+    control.keep_alive(4)
+    zones = {member.address: member.zone for member in named}
+    assert len({zones[channel.address] for channel in control.live()}) == 2
+
+
+@pytest.mark.parametrize(
+    "poison",
+    [ConfigurationSnapshot((9, 0), b"{"), ConfigurationSnapshot((9, 0), b'{"generation":1}')],
+    ids=["no JSON", "a field is missing"],
+)
+def test_a_configuration_that_cannot_be_used_does_not_end_the_sessions(
+    control: Control, heard: Heard, poison: ConfigurationSnapshot
+) -> None:
+    """As from a control scheduler of another version."""
+    for channel in list(control.live()):
+        channel.offer(configuration=(9, 0))
+        channel.say(poison)
+    control.loop.run_for(1)
+    assert len(control.live()) == 2
+    for channel in control.live():
+        channel.offer(configuration=(10, 0))
+    control.loop.run_for(1)
+    for channel in control.live():
+        if channel.fetches():
+            channel.say(snapshot(10))
+    assert heard.configurations == [(10, (10, 0))]
+
+
+def test_a_seed_that_is_no_address_does_not_end_the_sessions(monkeypatch: pytest.MonkeyPatch) -> None:
+    control = Control(monkeypatch)
+    real_open = control.open
+
+    async def open_channel(address: str) -> ChannelStandIn:
+        if address == "nonsense":
+            raise ValueError("not a port")
+        return await real_open(address)
+
+    monkeypatch.setattr(control_session, "open_channel", open_channel)
+    control.seeds = ("nonsense", "c1:1", "c2:1")
+    for channel in list(control.live()):
+        channel.say(ConnectionResetError())
+    control.loop.run_for(2)
+    for channel in list(control.live()):
+        channel.say(ConnectionResetError())
+    control.loop.run_for(2)
+    assert len(control.live()) >= 1
+    assert not control.running.done()
+    control.close()
+
+
+def test_sessions_that_do_not_come_up_do_not_count(control: Control) -> None:
+    """By their number the process knows that it has to read its settings again."""
+    control.dark = {"c1:1", "c2:1", "c3:1"}
+    for channel in control.channels:
+        channel.say(ConnectionResetError())
+    counts = []
+    for _ in range(20):
+        control.loop.run_for(0.17)
+        counts.append(control.sessions.sessions())
+    assert set(counts) == {0}
+
+
+def test_a_frame_that_takes_long_is_no_silence(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A large configuration over a narrow link: its bytes keep coming."""
+    from reedspoke.cluster.messages import encode
+    from reedspoke.cluster.transport import LENGTH, Channel
+
+    loop = VirtualLoop()
+    reader = asyncio.StreamReader(loop=loop, limit=2**20)
+    sent: list[bytes] = []
+
+    class Writer:
+        def get_extra_info(self, name: str) -> None:
+            return None
+
+        def write(self, data: bytes) -> None:
+            sent.append(data)
+
+    made, heard = subscription()
+    channel = Channel(reader, Writer())  # type: ignore[arg-type]
+    conversation = control_session.Conversation(channel, made, lambda: OWN)
+    running = loop.create_task(conversation.run())
+    loop.settle()
+    frame = encode(snapshot(5))
+    raw = LENGTH.pack(len(frame)) + frame
+    step = len(raw) // 6
+    for start in range(0, len(raw), step):
+        reader.feed_data(raw[start : start + step])
+        loop.run_for(0.4)
+    failed = running.exception() if running.done() else None
+    running.cancel()
+    loop.settle()
+    loop.close()
+    assert failed is None
+    assert heard.configurations == [(5, (5, 0))]
--- /dev/null
+++ b/tests/data_plane/test_data_plane.py
@@ -0,0 +1,253 @@
+"""The process around connections, in virtual time: readiness, requests without a route, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.cluster.messages import ConfigurationSnapshot, WorkerEntry, WorkerList
+from reedspoke.cluster.node_settings import Bounds, NodeSettings
+from reedspoke.data_plane.client_connection import ClientConnection
+from reedspoke.data_plane.process import LINGER_S, DataPlane
+from reedspoke.data_plane.readiness import ReadinessConnection
+from tests.data_plane.virtual_loop import VirtualLoop
+from tests.data_plane.wire import SeenAnswer, TransportStandIn, chunked, event, events, read_answers
+from tests.data_plane.world import LIMITS, ONCE, STREAM, Arrival, Network, document, request_bytes
+
+GRACE_S = 8.0
+WORKER = WorkerEntry("i-1", "u1", "10.0.0.1:80", "za", "v1", 1, False)
+
+
+class ServerStandIn:
+    """What accepts connections."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.closed_at = 0.0
+
+    def close(self) -> None:
+        self.closed_at = self.closed_at or self.loop.time()
+
+
+class Plane(Struct, eq=False):
+    """A data plane without listening sockets."""
+
+    loop: VirtualLoop
+    network: Network
+    plane: DataPlane
+    server: ServerStandIn
+
+    def learn(self, workers: tuple[WorkerEntry, ...] = (WORKER,)) -> None:
+        """A control scheduler tells of a configuration and of workers."""
+        self.network.names |= {worker.address: worker.instance_id for worker in workers}
+        self.plane._subscription.take(ConfigurationSnapshot((1, 0), document(2, LIMITS)))
+        self.plane._subscription.take(WorkerList((1, 1), workers))
+
+    def connect(self) -> TransportStandIn:
+        transport = TransportStandIn(self.loop, ClientConnection(self.plane, self.loop))
+        self.network.transports.append(transport)
+        return transport
+
+    def asked(self, path: str, attempt_id: str = "a1") -> TransportStandIn:
+        transport = self.connect()
+        transport.arrive(request_bytes(path, attempt_id))
+        self.loop.settle()
+        return transport
+
+    def arrival(self) -> Arrival:
+        return self.network.arrivals[-1]
+
+    def finish(self) -> asyncio.Task[None]:
+        """SIGTERM has come."""
+        task = self.loop.create_task(self.plane._finish(self.server))  # type: ignore[arg-type]
+        self.loop.settle()
+        return task
+
+
+def settings() -> NodeSettings:
+    return NodeSettings("edge-1", "127.0.0.1", "za", bounds=Bounds(grace_s=GRACE_S))
+
+
+@pytest.fixture
+def plane() -> Iterator[Plane]:
+    loop = VirtualLoop()
+    network = Network(loop)
+    loop.connector = network.connect
+
+    async def make() -> DataPlane:
+        return DataPlane(settings())
+
+    yield Plane(loop, network, loop.run_until_complete(make()), ServerStandIn(loop))
+    for transport in network.transports:
+        transport.abort()
+    loop.run_for(1)
+    for transport in network.transports:
+        transport.socket.close()
+    loop.close()
+    assert loop.errors == []
+
+
+def answer(transport: TransportStandIn) -> SeenAnswer:
+    (found,) = read_answers(bytes(transport.written))
+    return found
+
+
+# ---- readiness ----
+
+
+def ask_readiness(plane: Plane, *pieces: bytes) -> bytes:
+    loop = plane.loop
+    connection = ReadinessConnection(plane.plane.is_ready)
+    written = bytearray()
+
+    class Transport(asyncio.Transport):
+        def write(self, data: bytes | bytearray | memoryview) -> None:
+            written.extend(data)
+
+        def abort(self) -> None:
+            written.extend(b"aborted")
+
+    connection.connection_made(Transport())
+    for piece in pieces:
+        connection.data_received(piece)
+    loop.settle()
+    return bytes(written)
+
+
+ASK = b"GET /reedspoke/readiness HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def test_it_is_ready_when_it_knows_routes_and_workers(plane: Plane) -> None:
+    assert ask_readiness(plane, ASK).startswith(b"HTTP/1.1 503 ")
+    plane.plane._subscription.take(ConfigurationSnapshot((1, 0), document(2, LIMITS)))
+    assert ask_readiness(plane, ASK).startswith(b"HTTP/1.1 503 ")
+    plane.learn()
+    assert ask_readiness(plane, ASK).startswith(b"HTTP/1.1 200 ")
+
+
+def test_it_is_not_ready_without_any_worker(plane: Plane) -> None:
+    plane.learn(workers=())
+    assert ask_readiness(plane, ASK).startswith(b"HTTP/1.1 503 ")
+
+
+def test_readiness_is_told_on_one_connection_again_and_again(plane: Plane) -> None:
+    plane.learn()
+    told = ask_readiness(plane, ASK[:10], ASK[10:] + ASK, ASK)
+    assert told.count(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") == 3
+
+
+def test_a_readiness_connection_does_not_gather_without_end(plane: Plane) -> None:
+    assert ask_readiness(plane, b"x" * 9000) == b"aborted"
+
+
+# ---- requests that go to no worker ----
+
+
+def test_before_there_is_a_configuration_requests_are_refused_for_a_moment(plane: Plane) -> None:
+    refused = answer(plane.asked(ONCE))
+    assert refused.status == 503
+    assert 0 < float(refused.get("retry-after") or 0) <= 1
+    assert f'"code":{int(ErrorCode.NOT_READY)}'.encode() in refused.body
+
+
+@pytest.mark.parametrize("path", ["/nowhere/", "/once", "/"])
+def test_a_request_without_a_route_is_told_so(plane: Plane, path: str) -> None:
+    plane.learn()
+    assert answer(plane.asked(path)).status == 404
+    assert plane.network.arrivals == []
+
+
+def test_a_request_whose_target_names_its_host_takes_the_same_route(plane: Plane) -> None:
+    plane.learn()
+    plane.asked("http://a.example/once/x")
+    assert len(plane.network.arrivals) == 1
+
+
+def test_the_limits_of_the_configuration_hold(plane: Plane) -> None:
+    plane.learn()
+    assert plane.plane.limits() == LIMITS
+
+
+# ---- the end ----
+
+
+def test_from_the_signal_on_it_is_not_ready(plane: Plane) -> None:
+    plane.learn()
+    plane.finish()
+    assert not plane.plane.is_ready()
+    assert plane.plane._own_state().draining
+
+
+def test_connections_without_a_request_are_closed_at_once(plane: Plane) -> None:
+    plane.learn()
+    idle = plane.connect()
+    plane.finish()
+    assert idle.closed
+    assert not idle.written
+
+
+def test_connections_still_come_until_the_platform_knows(plane: Plane) -> None:
+    plane.learn()
+    ending = plane.finish()
+    plane.loop.run_for(LINGER_S - 0.2)
+    assert plane.server.closed_at == 0.0
+    late = plane.asked(ONCE)
+    plane.arrival().worker.say(plane.arrival().whole())
+    assert (answer(late).status, answer(late).get("connection")) == (200, "close")
+    plane.loop.run_for(0.5)
+    assert plane.server.closed_at > 0
+    assert ending.done()
+
+
+def test_a_stream_ends_whole_before_the_process_does(plane: Plane) -> None:
+    plane.learn()
+    client = plane.asked(STREAM)
+    arrival = plane.arrival()
+    arrival.worker.say(arrival.stream_head() + chunked(event(1), last=False))
+    ending = plane.finish()
+    for number in range(2, 7):
+        plane.loop.run_for(1)
+        assert not ending.done()
+        arrival.worker.say(chunked(event(number), last=False))
+    arrival.worker.say(b"0\r\n\r\n")
+    assert (answer(client).body, answer(client).whole) == (events(1, 6), True)
+    plane.loop.run_for(0.2)
+    assert ending.done()
+
+
+def test_a_request_that_is_late_is_answered_before_the_process_is_killed(plane: Plane) -> None:
+    plane.learn()
+    client = plane.asked(ONCE)
+    ending = plane.finish()
+    plane.loop.run_for(GRACE_S - 1)
+    assert not ending.done()
+    plane.loop.run_for(0.9)
+    assert ending.done()
+    assert answer(client).status in (502, 504)
+    assert answer(client).whole
+
+
+def test_a_stream_that_is_late_is_broken_off_before_the_process_is_killed(plane: Plane) -> None:
+    plane.learn()
+    client = plane.asked(STREAM)
+    arrival = plane.arrival()
+    arrival.worker.say(arrival.stream_head() + chunked(event(1), last=False))
+    ending = plane.finish()
+    plane.loop.run_for(GRACE_S - 0.1)
+    assert ending.done()
+    assert client.aborted
+    assert not answer(client).whole
+
+
+def test_a_request_that_waits_is_refused_in_time_while_the_process_ends(plane: Plane) -> None:
+    plane.learn()
+    plane.asked(ONCE, "a1")
+    waiting = plane.asked(ONCE, "a2")
+    plane.finish()
+    plane.loop.run_for(1)
+    assert answer(waiting).status == 503
+    assert waiting.closed
--- /dev/null
+++ b/tests/data_plane/test_event_stream.py
@@ -0,0 +1,95 @@
+"""Streams of events, cut into pieces at any place."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedspoke.data_plane.event_stream import (
+    MOST_PENDING,
+    EventSplitter,
+    EventTooLargeError,
+    last_event_id,
+)
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\nversions: 7\ndata: b\n\ndata: without id\n\nid: 3\ndata: c\n\n"
+
+
+def passed(pieces: list[bytes]) -> tuple[bytes, int, str, EventSplitter]:
+    """What comes out of these pieces: bytes, number of events, the last id."""
+    splitter = EventSplitter()
+    data, count, last = b"", 0, ""
+    for piece in pieces:
+        events = splitter.feed(piece)
+        if events is not None:
+            data += events.data
+            count += events.count
+            last = events.last_id or last
+    return data, count, last, splitter
+
+
+@pytest.mark.parametrize("cut", range(len(STREAM) + 1))
+def test_two_pieces_cut_anywhere_give_the_same_events(cut: int) -> None:
+    data, count, last, splitter = passed([STREAM[:cut], STREAM[cut:]])
+    assert (data, count, last) == (STREAM, 4, "3")
+    assert splitter.pending() == 0
+    assert splitter.rest() == b""
+
+
+@pytest.mark.parametrize("length", range(len(STREAM) + 1))
+def test_a_stream_cut_off_anywhere_gives_whole_events_only(length: int) -> None:
+    data, count, last, splitter = passed([STREAM[:length]])
+    assert data == STREAM[: STREAM.rfind(b"\n\n", 0, length) + 2 if b"\n\n" in STREAM[:length] else 0]
+    assert count == data.count(b"\n\n")
+    assert last == last_event_id(data)
+    assert data + splitter.rest() == STREAM[:length]
+    assert splitter.pending() == length - len(data)
+
+
+def test_bytes_one_by_one_give_each_event_when_it_is_whole() -> None:
+    splitter = EventSplitter()
+    found = [events for byte in STREAM if (events := splitter.feed(bytes([byte]))) is not None]
+    assert [events.last_id for events in found] == ["1", "2", "", "3"]
+    assert [events.count for events in found] == [1, 1, 1, 1]
+    assert b"".join(events.data for events in found) == STREAM
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.text(alphabet="ab :é", max_size=8), max_size=6), st.data())
+def test_any_events_cut_anyhow_come_out_as_they_went_in(texts: list[str], data: st.DataObject) -> None:
+    whole = b"".join(
+        b"id: %d\ndata: %b\n\n" % (number, text.encode()) for number, text in enumerate(texts, 1)
+    )
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=5)))
+    pieces = [whole[start:end] for start, end in zip([0, *cuts], [*cuts, len(whole)], strict=True)]
+    out, count, last, splitter = passed(pieces)
+    assert (out, count, last) == (whole, len(texts), str(len(texts)) if texts else "")
+    assert splitter.pending() == 0
+
+
+def test_an_event_without_end_is_not_kept_for_ever() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"x" * MOST_PENDING) is None
+    with pytest.raises(EventTooLargeError):
+        splitter.feed(b"x")
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        (b"", ""),
+        (b"data: a\n\n", ""),
+        (b"id: 5\ndata: a\n\n", "5"),
+        (b"id:5\n\n", "5"),
+        (b"data: a\nid: 6\n\n", "6"),
+        (b"id: 5\n\nid: 6\n\n", "6"),
+        (b"id: 5\n\ndata: a\n\n", "5"),
+        (b"data: id: 9\n\n", ""),
+        (b"identity: 9\n\n", ""),
+        (b"id: 12", "12"),
+        (b"data: a\n\nid: 12", "12"),
+    ],
+)
+def test_the_last_id_is_found(events: bytes, expected: str) -> None:
+    assert last_event_id(events) == expected
--- /dev/null
+++ b/tests/data_plane/test_exchange_random.py
@@ -0,0 +1,217 @@
+"""Days of random events: answers, refusals, cuts and surplus, clients that leave, lists that change.
+
+Each day is judged by the rules; a day that fails is played again by its seed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from tests.data_plane.judge import Asked, Ledger, Run
+from tests.data_plane.wire import chunked, event, events
+from tests.data_plane.world import (
+    AGAIN,
+    KINDS,
+    ONCE,
+    RESUME,
+    STREAM,
+    TIMEOUT_S,
+    World,
+    fresh_world,
+    request_bytes,
+)
+
+STEPS = 120
+CONNECTING = ("accept", "accept", "accept", "slow", "refuse", "hang", "reset at once")
+STREAMS = (STREAM, RESUME)
+
+
+class Day:
+    """One day: everything that happens follows from its seed."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.random = Random(seed)
+        self.ledger = Ledger()
+        self.seen = 0
+        self.open_runs: list[Run] = []
+        self.begun: set[Run] = set()  # streams whose head was sent
+        self.names = ["i-1", "i-2", "i-3", "i-4"]
+
+    def play(self) -> None:
+        for _ in range(STEPS):
+            self.random.choice(EVENTS)(self)
+            self.note_arrivals()
+        for _ in range(60):  # the evening: every worker answers what is left
+            self.note_arrivals()
+            for run in list(self.open_runs):
+                self.answer(run)
+            self.world.run_for(0.5)
+        self.world.run_for(TIMEOUT_S)
+        self.ledger.check()
+        assert self.world.settled()
+
+    # ---- clients ----
+
+    def ask(self) -> None:
+        attempt_id = f"a{len(self.ledger.asked)}"
+        path = self.random.choice(list(KINDS))
+        body = b"question %d" % len(self.ledger.asked) * self.random.randrange(1, 30)
+        client = self.world.client()
+        asked = Asked(attempt_id, path, body, client, self.random.randrange(1, 6))
+        self.ledger.asked[attempt_id] = asked
+        self.world.network.plan = [self.random.choice(CONNECTING) for _ in range(3)]
+        more = {"Reedspoke_Deadline_Ms": "3000"} if self.random.random() < 0.2 else {}
+        raw = request_bytes(path, attempt_id, body, Connection="close", **more)
+        cut = self.random.randrange(len(raw))
+        client.say(raw[:cut])
+        client.say(raw[cut:])
+
+    def leave(self) -> None:
+        staying = [
+            asked for asked in self.ledger.asked.values() if not asked.left and not asked.client.answers()
+        ]
+        if staying:
+            asked = self.random.choice(staying)
+            asked.left = True
+            asked.client.leave()
+
+    # ---- workers ----
+
+    def note_arrivals(self) -> None:
+        for arrival in self.world.arrivals[self.seen :]:
+            run = Run(arrival)
+            asked = self.ledger.asked[arrival.attempt_id]
+            resumed = int(arrival.request.get("last-event-id") or 0)
+            run.next_event = resumed + 1
+            run.status = 200
+            run.body = (
+                events(1, asked.pieces) if asked.path in STREAMS else b"to %b" % asked.attempt_id.encode()
+            )
+            self.ledger.runs[arrival.attempt_id].append(run)
+            self.open_runs.append(run)
+        self.seen = len(self.world.arrivals)
+
+    def some_run(self) -> Run | None:
+        self.open_runs = [run for run in self.open_runs if not run.arrival.worker.over]
+        return self.random.choice(self.open_runs) if self.open_runs else None
+
+    def answer(self, run: Run, surplus: bytes = b"") -> None:
+        """The rest of a whole answer."""
+        asked = self.ledger.asked[run.arrival.attempt_id]
+        if asked.path in STREAMS:
+            raw = self.head(run) + chunked(*(event(n) for n in range(run.next_event, asked.pieces + 1)))
+        else:
+            raw = run.arrival.whole(run.body)
+        self.say(run, raw + surplus)
+        self.open_runs.remove(run)
+
+    def head(self, run: Run) -> bytes:
+        begun = run in self.begun
+        self.begun.add(run)
+        return b"" if begun else run.arrival.stream_head()
+
+    def say(self, run: Run, raw: bytes) -> None:
+        cut = self.random.randrange(len(raw) + 1)
+        run.arrival.worker.transport.arrive(raw[:cut])
+        if self.random.random() < 0.5:
+            self.world.loop.settle()
+        run.arrival.worker.say(raw[cut:])
+
+    def answer_some(self) -> None:
+        run = self.some_run()
+        if run is not None:
+            self.answer(run)
+
+    def answer_with_surplus(self) -> None:
+        run = self.some_run()
+        if run is not None:
+            self.answer(run, self.random.choice([b"x", run.arrival.whole(b"again"), b"\r\n"]))
+
+    def surplus_later(self) -> None:
+        """An answer that was whole comes again, wherever its connection is by now."""
+        old = [run for runs in self.ledger.runs.values() for run in runs if run not in self.open_runs]
+        if old:
+            run = self.random.choice(old)
+            run.arrival.worker.say(run.arrival.whole(b"again", self.random.choice(["200 OK", "500 Oh"])))
+
+    def some_events(self) -> None:
+        run = self.some_run()
+        if run is None:
+            return
+        asked = self.ledger.asked[run.arrival.attempt_id]
+        if asked.path in STREAMS and run.next_event <= asked.pieces:
+            self.say(run, self.head(run) + chunked(event(run.next_event), last=False))
+            run.next_event += 1
+
+    def refuse(self) -> None:
+        run = self.some_run()
+        if run is None or run in self.begun:
+            return
+        run.proven_not_run = True
+        self.open_runs.remove(run)
+        refusal = self.random.choice([run.arrival.full, run.arrival.wrong_instance])
+        self.say(run, refusal())
+
+    def fail(self) -> None:
+        run = self.some_run()
+        if run is None or run in self.begun:
+            return
+        self.open_runs.remove(run)
+        run.status = self.random.choice([500, 503, 504])
+        run.body = b"why"
+        self.say(run, run.arrival.whole(b"why", f"{run.status} Failed"))
+
+    def cut(self) -> None:
+        run = self.some_run()
+        if run is None:
+            return
+        self.open_runs.remove(run)
+        if self.random.random() < 0.5 and run not in self.begun:
+            raw = run.arrival.whole(b"never whole")
+            run.arrival.worker.say(raw[: self.random.randrange(len(raw))])
+        self.random.choice([run.arrival.worker.reset, run.arrival.worker.end])()
+
+    def garbage(self) -> None:
+        run = self.some_run()
+        if run is not None:
+            self.open_runs.remove(run)
+            run.arrival.worker.say(b"garbage\r\n\r\n")
+
+    # ---- the rest ----
+
+    def change_list(self) -> None:
+        self.world.set_workers(self.random.sample(self.names, self.random.randrange(1, 5)))
+
+    def wait(self) -> None:
+        self.world.run_for(self.random.choice([0.01, 0.1, 0.5, 2.0]))
+
+
+Event = Callable[[Day], None]
+EVENTS: list[Event] = [
+    *[Day.ask] * 6,
+    *[Day.answer_some] * 4,
+    *[Day.some_events] * 4,
+    *[Day.wait] * 3,
+    Day.leave,
+    Day.answer_with_surplus,
+    Day.surplus_later,
+    Day.refuse,
+    Day.fail,
+    Day.cut,
+    Day.garbage,
+    Day.change_list,
+]
+
+
+@pytest.mark.parametrize("seed", range(15))
+def test_a_random_day_breaks_no_rule(seed: int) -> None:
+    with fresh_world(workers=4, capacity=3) as world:
+        Day(world, seed).play()
+
+
+def test_the_kinds_of_requests_are_all_played() -> None:
+    assert set(KINDS) == {ONCE, AGAIN, STREAM, RESUME}
--- /dev/null
+++ b/tests/data_plane/test_job_builder.py
@@ -0,0 +1,156 @@
+"""What decisions need to know of a request, out of fields that may hold anything."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from reedspoke.cluster.messages import Watch, encode
+from reedspoke.data_plane.job_builder import build_job, parse_parts, parse_token_count, repeat_of, time_limit
+from reedspoke.data_plane.route_table import CompiledRoute, Target
+from reedspoke.decision.messages import Job, Part, Repeat
+from tests.data_plane.test_headers import request
+
+VALUES = st.binary(max_size=40).filter(lambda raw: not any(byte < 32 or byte == 127 for byte in raw))
+TOKEN_LIKE = st.text(alphabet="0123456789:,. -+e\xb2\xb9\xbcinfa", max_size=30).map(
+    lambda text: text.encode("latin-1")
+)
+
+
+def route(**changes: object) -> CompiledRoute:
+    fields: dict[str, object] = {
+        "name": "r1",
+        "prefix": "/",
+        "streaming": False,
+        "repeatable": False,
+        "resumable": False,
+        "timeout": 3.0,
+        "target": 0.5,
+        "priority": 1,
+        "max_attempts": 2,
+        "session_affinity": False,
+        "targets": (Target("u1", 1.0),),
+    }
+    return CompiledRoute(**(fields | changes))  # type: ignore[arg-type]
+
+
+def job_of(*fields: bytes) -> Job:
+    return build_job(7, request(*fields), route(), "u1", 100.0)
+
+
+def test_a_job_holds_what_the_request_tells() -> None:
+    job = job_of(
+        b"Reedspoke-Model-Name: m",
+        b"Reedspoke-Token-Count: 1460,80",
+        b"Reedspoke-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410, e4402b7d:250",
+        b"Reedspoke-Deadline-Ms: 1200",
+    )
+    assert job.model == "m"
+    assert (job.prompt_tokens, job.output_tokens) == (1460, 80)
+    assert job.parts == (Part("5c1e07a2", 800), Part("91bd3f06", 410), Part("e4402b7d", 250))
+    assert job.subject == "91bd3f06"
+    assert job.deadline == pytest.approx(101.2)
+    assert (job.aim_s, job.arrived, job.max_attempts) == (0.5, 100.0, 2)
+
+
+def test_a_request_that_tells_nothing_takes_the_routes_time() -> None:
+    job = job_of()
+    assert job.deadline == 103.0
+    assert (job.parts, job.prompt_tokens, job.output_tokens, job.model) == ((), 0, 0, "")
+
+
+def test_the_prompts_parts_tell_its_size_where_no_count_does() -> None:
+    assert job_of(b"Reedspoke-Prompt-Prefix: a:10,b:5").prompt_tokens == 15
+
+
+@pytest.mark.parametrize(
+    ("told", "seconds"),
+    [(b"1000", 1.0), (b"9000", 3.0), (b"0", 0.0), (b"-4", 0.0), (b"1.5", 0.0015), (b"soon", 3.0), (b"", 3.0)],
+)
+def test_the_shorter_of_the_clients_and_the_routes_time_counts(told: bytes, seconds: float) -> None:
+    head = request(b"Reedspoke-Deadline-Ms: " + told)
+    assert time_limit(head, route()) == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize("told", [b"nan", b"inf", b"-inf", b"1e400", b"-nan"])
+def test_a_deadline_that_is_no_finite_number_still_gives_one(told: bytes) -> None:
+    seconds = time_limit(request(b"Reedspoke-Deadline-Ms: " + told), route())
+    assert math.isfinite(seconds)
+    assert 0 <= seconds <= 3.0
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("", ()),
+        ("a:1", (Part("a", 1),)),
+        ("a:1,b", (Part("a", 1),)),
+        ("a:1,:2", (Part("a", 1),)),
+        ("a:1,b:-2,c:3", (Part("a", 1),)),
+        ("a:1,b:x", (Part("a", 1),)),
+        ("a:\xb2", ()),
+        ("a:1,b:\xb9", (Part("a", 1),)),
+        ("a:1:2", ()),
+    ],
+)
+def test_what_is_malformed_ends_the_list_of_parts(text: str, parts: tuple[Part, ...]) -> None:
+    assert parse_parts(text) == parts
+
+
+@pytest.mark.parametrize(
+    ("text", "counts"),
+    [
+        ("", (0, 0)),
+        ("5", (5, 0)),
+        ("5,", (5, 0)),
+        (" 5 , 6 ", (5, 6)),
+        ("x,6", (0, 6)),
+        ("\xb2,\xb9", (0, 0)),
+    ],
+)
+def test_counts_that_are_no_numbers_are_unknown(text: str, counts: tuple[int, int]) -> None:
+    assert parse_token_count(text) == counts
+
+
+@pytest.mark.parametrize("count", [b"9" * 30, b"9" * 5000])
+def test_a_count_beyond_all_reason_neither_raises_nor_breaks_the_heartbeat(count: bytes) -> None:
+    for field in (b"Reedspoke-Token-Count: " + count + b"," + count, b"Reedspoke-Prompt-Prefix: a:" + count):
+        job = job_of(field)
+        held = {"i-1": (1, job.prompt_tokens + job.output_tokens)}
+        assert encode(Watch(1, "edge-1", "ab", "za", {}, held))
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    parts=st.one_of(VALUES, TOKEN_LIKE),
+    counts=st.one_of(VALUES, TOKEN_LIKE),
+    deadline=st.one_of(VALUES, TOKEN_LIKE),
+    model=VALUES,
+)
+@example(parts=b"a:\xb2", counts=b"", deadline=b"", model=b"")
+@example(parts=b"", counts=b"\xb2,1", deadline=b"", model=b"")
+def test_no_field_makes_it_raise(parts: bytes, counts: bytes, deadline: bytes, model: bytes) -> None:
+    job = job_of(
+        b"Reedspoke-Prompt-Prefix: " + parts,
+        b"Reedspoke-Token-Count: " + counts,
+        b"Reedspoke-Deadline-Ms: " + deadline,
+        b"Reedspoke-Model-Name: " + model,
+    )
+    assert job.prompt_tokens >= 0
+    assert job.output_tokens >= 0
+    assert 100.0 <= job.deadline <= 103.0
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "resumable", "repeat"),
+    [
+        (False, False, Repeat.NEVER),
+        (True, False, Repeat.IDEMPOTENT),
+        (True, True, Repeat.RESUMABLE),
+    ],
+)
+def test_what_may_be_repeated(repeatable: bool, resumable: bool, repeat: Repeat) -> None:
+    assert repeat_of(route(repeatable=repeatable, resumable=resumable)) is repeat
--- /dev/null
+++ b/tests/data_plane/test_process.py
@@ -0,0 +1,207 @@
+"""The real process on loopback addresses, with stand-ins for control schedulers and workers."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import select
+import signal
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.messages import CONFIGURATION
+from reedspoke.cluster.node_settings import split_address
+from tests.control_plane_process.fleet import free_port
+from tests.control_plane_process.stand_ins import until
+from tests.data_plane.stand_ins import (
+    CALL_S,
+    UP_S,
+    Background,
+    ControlStandIn,
+    EdgeProcess,
+    WorkerStandIn,
+    call,
+)
+from tests.data_plane.wire import event, events
+
+HOSTS = ("127.0.0.1", "127.0.0.2")
+HOST = "a.example"
+MANY = 400  # connections at once
+CONNECT_S = 0.9  # clients give a connection one second to come up
+
+
+def document(generation: int, *prefixes: str) -> bytes:
+    """A configuration with these prefixes, besides the stream."""
+    routes = [
+        {
+            "name": f"r{prefix}",
+            "hostname": HOST,
+            "path_prefix": prefix,
+            "route_type": "streaming" if prefix == "/stream/" else "idempotent",
+            "timeout_ms": 10_000,
+            "upstream": "u1",
+        }
+        for prefix in ("/stream/", *prefixes)
+    ]
+    return json.dumps({"generation": generation, "routes": routes, "upstreams": [{"name": "u1"}]}).encode()
+
+
+class Stage(Struct, eq=False):
+    """Everything together."""
+
+    background: Background
+    controls: list[ControlStandIn]
+    worker: WorkerStandIn
+    edge: EdgeProcess
+
+    def tell(self, sequence: int, *prefixes: str, control: int = 0) -> None:
+        known = document(sequence, *prefixes)
+        self.controls[control].tell(sequence, known, (self.worker.entry(),))
+
+    def ask(self, path: str, attempt_id: str = "a1") -> tuple[int, bytes]:
+        return call(self.edge.frontend, "GET", path, HOST, attempt_id)
+
+    def until_status(self, path: str, status: int) -> None:
+        until(lambda: self.ask(path)[0] == status, UP_S, f"{path} gives {status}")
+
+    def start(self) -> None:
+        """With one control scheduler that knows a route to /one/."""
+        self.controls[0].start()
+        self.tell(3, "/one/")
+        self.edge.write_settings([HOSTS[0]])
+        self.edge.start()
+        self.edge.until_ready()
+
+
+@pytest.fixture
+def stage(tmp_path: Path) -> Iterator[Stage]:
+    background = Background()
+    port = free_port(HOSTS)
+    frontend, readiness = (f"127.0.0.1:{free_port(HOSTS)}" for _ in range(2))
+    controls = [ControlStandIn(background, host, port) for host in HOSTS]
+    worker = WorkerStandIn(background, "i-1")
+    worker.start()
+    edge = EdgeProcess(tmp_path, frontend, readiness, port)
+    try:
+        yield Stage(background, controls, worker, edge)
+    finally:
+        edge.kill()
+        for control in controls:
+            control.stop()
+        background.close()
+
+
+def test_it_becomes_ready_serves_and_follows_its_control_scheduler(stage: Stage) -> None:
+    stage.edge.write_settings([HOSTS[0]])
+    stage.edge.start()
+    until(lambda: stage.edge.is_ready() == 503, UP_S, "it listens, and is not ready")
+    stage.controls[0].start()
+    stage.tell(3, "/one/")
+    stage.edge.until_ready()
+    assert stage.ask("/one/x?y=1") == (200, b"i-1 ran /one/x?y=1")
+    assert stage.worker.requests[-1].get("reedspoke-target-instance") == "i-1"
+    assert stage.ask("/two/")[0] == 404
+    stage.tell(5, "/two/")
+    stage.until_status("/two/", 200)
+    assert stage.ask("/one/")[0] == 404
+
+
+def test_it_goes_on_serving_without_any_control_scheduler(stage: Stage) -> None:
+    stage.start()
+    stage.controls[0].stop()
+    connection = http.client.HTTPConnection(*split_address(stage.edge.frontend), timeout=CALL_S)
+    for number in range(20):
+        connection.request("GET", "/one/", headers={"Host": HOST, "Reedspoke-Attempt-Id": f"a{number}"})
+        assert connection.getresponse().read() == b"i-1 ran /one/"
+    connection.close()
+    assert stage.edge.is_ready() == 200
+
+
+def test_an_old_control_scheduler_never_brings_the_configuration_back(stage: Stage) -> None:
+    stage.controls[1].start()
+    stage.tell(2, "/old/", control=1)
+    stage.controls[0].start()
+    stage.tell(5, "/new/")
+    stage.edge.write_settings(list(HOSTS))
+    stage.edge.start()
+    stage.edge.until_ready()
+    stage.until_status("/new/", 200)
+    stage.controls[0].stop()
+    old = stage.controls[1]
+    seen = len(old.watches)
+    until(lambda: len(old.watches) > seen + 2, UP_S, "the old one has told its versions again")
+    assert old.watches[-1].versions[CONFIGURATION] == (5, 0)
+    assert stage.ask("/new/")[0] == 200
+    assert stage.ask("/old/")[0] == 404
+
+
+def test_a_stream_that_runs_at_sigterm_ends_whole(stage: Stage) -> None:
+    stage.start()
+    idle = http.client.HTTPConnection(*split_address(stage.edge.frontend), timeout=CALL_S)
+    idle.connect()
+    stream = http.client.HTTPConnection(*split_address(stage.edge.frontend), timeout=CALL_S)
+    stream.request("GET", "/stream/", headers={"Host": HOST, "Reedspoke-Attempt-Id": "a1"})
+    response = stream.getresponse()
+    assert response.read(len(event(1))) == event(1)
+    stage.edge.signal(signal.SIGTERM)
+    until(lambda: stage.edge.is_ready() == 503, UP_S, "it is not ready any more")
+    assert idle.sock.recv(1) == b""
+    assert stage.ask("/one/") == (200, b"i-1 ran /one/")
+    stage.worker.go_on()
+    assert response.read() == events(2, 3)
+    assert stage.edge.wait(UP_S) == 0
+    assert any(watch.draining for watch in stage.controls[0].watches)
+    stream.close()
+    idle.close()
+
+
+def test_many_connections_come_up_while_the_process_is_busy(stage: Stage) -> None:
+    """A full queue drops the opening packet, and the client's next one comes after its second is over."""
+    stage.start()
+    stage.edge.signal(signal.SIGSTOP)
+    try:
+        waiting = [connecting(stage.edge.frontend) for _ in range(MANY)]
+        until(lambda: all(came_up(client) for client in waiting), CONNECT_S, "all connections are up")
+    finally:
+        stage.edge.signal(signal.SIGCONT)
+    for client in waiting:
+        client.close()
+
+
+def connecting(address: str) -> socket.socket:
+    """A connection that has been asked for."""
+    client = socket.socket()
+    client.setblocking(False)
+    client.connect_ex(split_address(address))
+    return client
+
+
+def came_up(client: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(client, select.POLLOUT)
+    return bool(poll.poll(0))
+
+
+def test_changed_settings_are_read_at_sighup(stage: Stage) -> None:
+    stage.start()
+    stage.controls[0].stop()
+    stage.controls[1].start()
+    stage.tell(7, "/seven/", control=1)
+    stage.edge.write_settings([HOSTS[1]])
+    stage.edge.signal(signal.SIGHUP)
+    stage.until_status("/seven/", 200)
+
+
+def test_settings_that_cannot_be_used_are_told_and_end_it(stage: Stage) -> None:
+    stage.edge.write_settings([HOSTS[0]])
+    settings = json.loads(stage.edge.settings_file.read_text())
+    stage.edge.settings_file.write_text(json.dumps(settings | {"bind": {"frontend": stage.edge.frontend}}))
+    stage.edge.start()
+    assert stage.edge.wait(UP_S) == 2
+    line = json.loads(stage.edge.log_file.read_text())
+    assert (line["code"], line["name"]) == (102, "settings_invalid")
+    assert "bind.readiness" in line["message"]
--- /dev/null
+++ b/tests/data_plane/test_route_table.py
@@ -0,0 +1,151 @@
+"""Which route and which service a request takes."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from reedspoke.cluster.configuration import parse_configuration
+from reedspoke.data_plane.route_table import CompiledRoute, RouteTable
+
+
+def table(*routes: dict[str, Any]) -> RouteTable:
+    """A table of these routes, completed with what a route needs."""
+    completed = [
+        {
+            "name": f"r{number}",
+            "hostname": "a.example",
+            "route_type": "idempotent",
+            "timeout_ms": 3000,
+            "upstream": "u1",
+        }
+        | route
+        for number, route in enumerate(routes)
+    ]
+    upstreams = [{"name": f"u{number}"} for number in range(1, 5)]
+    document = {"generation": 1, "routes": completed, "upstreams": upstreams}
+    return RouteTable(parse_configuration(json.dumps(document).encode()), (1, 0))
+
+
+def only(**route: Any) -> CompiledRoute:
+    found = table({"path_prefix": "/"} | route).find("a.example", "/")
+    assert found is not None
+    return found
+
+
+def prefix_at(made: RouteTable, path: str, host: str = "a.example") -> str | None:
+    found = made.find(host, path)
+    return None if found is None else found.prefix
+
+
+NESTED = table({"path_prefix": "/a/"}, {"path_prefix": "/a/b/"}, {"path_prefix": "/a/b/c/d/"})
+
+
+@pytest.mark.parametrize(
+    ("path", "prefix"),
+    [
+        ("/a/", "/a/"),
+        ("/a/x", "/a/"),
+        ("/a/b", "/a/"),
+        ("/a/b/", "/a/b/"),
+        ("/a/b/c/x", "/a/b/"),
+        ("/a/b/c/d/", "/a/b/c/d/"),
+        ("/a/b/c/d/e/f", "/a/b/c/d/"),
+        ("/a/?next=/a/b/c/d/", "/a/"),
+        ("/a/b?x=1", "/a/"),
+        ("/a/b/?", "/a/b/"),
+        ("/a//b/", "/a/"),
+        ("/a", None),
+        ("/A/", None),
+        ("/ab/", None),
+        ("/", None),
+        ("/x/a/", None),
+        ("/?p=/a/", None),
+        ("*", None),
+        ("", None),
+    ],
+)
+def test_the_longest_prefix_that_begins_the_path_wins(path: str, prefix: str | None) -> None:
+    assert prefix_at(NESTED, path) == prefix
+
+
+def test_the_root_prefix_takes_every_path() -> None:
+    made = table({"path_prefix": "/"}, {"path_prefix": "/a/"})
+    assert prefix_at(made, "/") == "/"
+    assert prefix_at(made, "/anything/else") == "/"
+    assert prefix_at(made, "/a/x") == "/a/"
+
+
+@pytest.mark.parametrize("host", ["a.example", "A.Example", "a.example:80", "a.example:8144", "A.EXAMPLE:1"])
+def test_a_host_in_any_letters_and_with_any_port(host: str) -> None:
+    assert prefix_at(NESTED, "/a/", host) == "/a/"
+
+
+@pytest.mark.parametrize("host", ["", "b.example", "a.example.org", "xa.example", "a.example:port", ":80"])
+def test_an_unknown_host_has_no_route(host: str) -> None:
+    assert prefix_at(NESTED, "/a/", host) is None
+
+
+def test_hosts_are_kept_apart() -> None:
+    made = table({"path_prefix": "/a/"}, {"path_prefix": "/b/", "hostname": "B.example"})
+    assert prefix_at(made, "/b/") is None
+    assert prefix_at(made, "/b/", "b.example") == "/b/"
+
+
+def test_an_empty_table_has_no_route() -> None:
+    assert RouteTable().find("a.example", "/") is None
+
+
+def test_requests_of_a_split_are_shared_by_weight() -> None:
+    parts = [("u1", 70), ("u2", 0), ("u3", 20), ("u4", 10)]
+    route = only(traffic_split=[{"upstream": name, "weight": weight} for name, weight in parts])
+    counts = Counter(route.upstream_for(f"{number:016x}".encode()) for number in range(10_000))
+    assert set(counts) == {"u1", "u3", "u4"}
+    for name, weight in parts:
+        assert abs(counts[name] / 10_000 - weight / 100) < 0.03
+
+
+def test_the_same_key_takes_the_same_part() -> None:
+    route = only(traffic_split=[{"upstream": "u1", "weight": 1}, {"upstream": "u2", "weight": 1}])
+    assert len({route.upstream_for(b"9c41d07be2a35f68") for _ in range(10)}) == 1
+
+
+@pytest.mark.parametrize("weights", [(0, 5), (5, 0), (0, 0.001)])
+def test_a_part_of_weight_zero_gets_nothing(weights: tuple[float, float]) -> None:
+    names = ("u1", "u2")
+    route = only(traffic_split=[{"upstream": n, "weight": w} for n, w in zip(names, weights, strict=True)])
+    expected = names[weights[0] == 0]
+    assert {route.upstream_for(str(number).encode()) for number in range(500)} == {expected}
+
+
+def test_weights_that_round_leave_no_gap() -> None:
+    route = only(traffic_split=[{"upstream": f"u{1 + number % 4}", "weight": 0.1} for number in range(7)])
+    assert route.targets[-1].until == pytest.approx(1.0)
+    assert all(route.upstream_for(str(number).encode()) for number in range(5000))
+
+
+@pytest.mark.parametrize(
+    ("route_type", "resume", "repeatable", "resumable"),
+    [
+        ("idempotent", False, True, False),
+        ("idempotent", True, True, False),
+        ("non_idempotent", False, False, False),
+        ("non_idempotent", True, False, False),
+        ("streaming", False, False, False),
+        ("streaming", True, True, True),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_type(
+    route_type: str, resume: bool, repeatable: bool, resumable: bool
+) -> None:
+    route = only(route_type=route_type, stream_resume=resume)
+    assert (route.repeatable, route.resumable) == (repeatable, resumable)
+    assert route.streaming == (route_type == "streaming")
+
+
+def test_times_are_seconds_and_a_request_has_an_attempt() -> None:
+    route = only(timeout_ms=1500, target_ms=250, max_attempts=0)
+    assert (route.timeout, route.target, route.max_attempts) == (1.5, 0.25, 1)
--- /dev/null
+++ b/tests/data_plane/test_subscription.py
@@ -0,0 +1,223 @@
+"""What sessions bring is taken only where it is newer."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec import Struct, field
+
+from reedspoke.cluster.configuration import Configuration, difference, parse_configuration
+from reedspoke.cluster.errors import FleetError
+from reedspoke.cluster.messages import (
+    CONFIGURATION,
+    NO_VERSION,
+    WORKERS,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    MemberList,
+    Version,
+    Versions,
+    WorkerList,
+)
+from reedspoke.data_plane.control_session import FETCH_S, Listener, Subscription
+
+Running = dict[str, tuple[int, int]]
+
+
+class Heard(Struct):
+    """All that a listener was told."""
+
+    configurations: list[tuple[int, Version]] = field(default_factory=list)
+    workers: list[Version] = field(default_factory=list)
+    members: list[Version] = field(default_factory=list)
+    running: list[Running] = field(default_factory=list)
+
+
+def subscription() -> tuple[Subscription, Heard]:
+    heard = Heard()
+
+    def on_configuration(configuration: Configuration, version: Version) -> None:
+        heard.configurations.append((configuration.generation, version))
+
+    listener = Listener(
+        on_configuration=on_configuration,
+        on_workers=lambda workers: heard.workers.append(workers.version),
+        on_members=lambda members: heard.members.append(members.version),
+        on_running=heard.running.append,
+    )
+    return Subscription(listener), heard
+
+
+def document(generation: int) -> bytes:
+    """A configuration with as many routes as its generation."""
+    routes = [
+        {
+            "name": f"r{number}",
+            "hostname": "a.example",
+            "path_prefix": f"/{number}/",
+            "route_type": "idempotent",
+            "timeout_ms": 1000 + generation,
+            "upstream": "u1",
+        }
+        for number in range(generation)
+    ]
+    return json.dumps({"generation": generation, "routes": routes, "upstreams": [{"name": "u1"}]}).encode()
+
+
+def snapshot(sequence: int) -> ConfigurationSnapshot:
+    """The configuration of generation `sequence`, as version (sequence, 0)."""
+    return ConfigurationSnapshot((sequence, 0), document(sequence))
+
+
+def delta(base: int, sequence: int) -> ConfigurationDelta:
+    old, new = parse_configuration(document(base)), parse_configuration(document(sequence))
+    return difference(old, new, (base, 0), (sequence, 0))
+
+
+def workers(term: int, count: int) -> WorkerList:
+    return WorkerList((term, count), ())
+
+
+def test_newer_state_replaces_older() -> None:
+    made, heard = subscription()
+    assert made.take(snapshot(3))
+    assert made.take(snapshot(5))
+    assert heard.configurations == [(3, (3, 0)), (5, (5, 0))]
+    assert made.version(CONFIGURATION) == (5, 0)
+
+
+@pytest.mark.parametrize("sequence", [1, 4, 5])
+def test_a_configuration_that_is_not_newer_is_not_taken(sequence: int) -> None:
+    made, heard = subscription()
+    made.take(snapshot(5))
+    assert not made.take(snapshot(sequence))
+    assert heard.configurations == [(5, (5, 0))]
+    assert made.state.configuration is not None
+    assert made.state.configuration.generation == 5
+
+
+@pytest.mark.parametrize("version", [(1, 9), (2, 6), (2, 7)])
+def test_a_list_of_workers_that_is_not_newer_is_not_taken(version: Version) -> None:
+    made, heard = subscription()
+    made.take(workers(2, 7))
+    assert not made.take(workers(*version))
+    assert heard.workers == [(2, 7)]
+
+
+def test_a_later_term_goes_before_a_higher_count() -> None:
+    made, heard = subscription()
+    made.take(workers(2, 90))
+    assert made.take(workers(3, 1))
+    assert heard.workers == [(2, 90), (3, 1)]
+
+
+def test_a_difference_is_applied_to_its_base() -> None:
+    made, _ = subscription()
+    made.take(snapshot(3))
+    assert made.take(delta(3, 6))
+    assert made.state.configuration == parse_configuration(document(6))
+    assert made.version(CONFIGURATION) == (6, 0)
+
+
+@pytest.mark.parametrize("base", [2, 4, 6])
+def test_a_difference_from_another_base_is_not_taken(base: int) -> None:
+    made, heard = subscription()
+    made.take(snapshot(3))
+    assert not made.take(delta(base, 8))
+    assert heard.configurations == [(3, (3, 0))]
+
+
+def test_a_difference_is_not_taken_where_nothing_is_held() -> None:
+    made, heard = subscription()
+    assert not made.take(delta(3, 4))
+    assert heard.configurations == []
+
+
+def test_a_difference_that_leads_back_is_not_taken() -> None:
+    made, heard = subscription()
+    made.take(snapshot(5))
+    assert not made.take(delta(5, 2))
+    assert heard.configurations == [(5, (5, 0))]
+
+
+def test_a_document_that_is_invalid_changes_nothing() -> None:
+    made, heard = subscription()
+    made.take(snapshot(3))
+    with pytest.raises(FleetError):
+        made.take(ConfigurationSnapshot((9, 0), b"{"))
+    assert made.version(CONFIGURATION) == (3, 0)
+    assert heard.configurations == [(3, (3, 0))]
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.lists(st.one_of(
+    st.integers(1, 9).map(snapshot),
+    st.tuples(st.integers(1, 9), st.integers(1, 9)).map(lambda pair: delta(*pair)),
+    st.tuples(st.integers(0, 3), st.integers(0, 3)).map(lambda pair: workers(*pair)),
+), max_size=12))  # fmt: skip
+def test_versions_only_rise_whatever_comes(
+    messages: list[ConfigurationSnapshot | ConfigurationDelta | WorkerList],
+) -> None:
+    made, heard = subscription()
+    for message in messages:
+        made.take(message)
+    configurations = [version for _, version in heard.configurations]
+    assert configurations == sorted(set(configurations))
+    assert heard.workers == sorted(set(heard.workers))
+    for generation, version in heard.configurations:
+        assert version == (generation, 0)
+    if heard.configurations:
+        assert made.state.configuration == parse_configuration(document(heard.configurations[-1][0]))
+
+
+def test_members_and_loads_are_passed_on_as_they_come() -> None:
+    made, heard = subscription()
+    made.take(MemberList((0, 7), (), ()))
+    made.take(MemberList((0, 2), (), ()))
+    made.take(Versions(1, "core-1", {}, {"i-1": (1, 20)}))
+    assert heard.members == [(0, 7), (0, 2)]
+    assert heard.running == [{"i-1": (1, 20)}]
+
+
+# ---- what to ask for ----
+
+
+def test_what_the_other_side_has_newer_is_lacking() -> None:
+    made, _ = subscription()
+    made.take(snapshot(3))
+    offered = {CONFIGURATION: (4, 0), WORKERS: (0, 1), "members": (0, 9)}
+    assert made.lacks(offered, 0.0) == [CONFIGURATION, WORKERS]
+    assert made.lacks({CONFIGURATION: (3, 0), WORKERS: NO_VERSION}, 0.0) == []
+    assert made.lacks({}, 0.0) == []
+
+
+def test_what_some_session_has_asked_for_is_not_asked_for_again() -> None:
+    made, _ = subscription()
+    made.begin_fetch(CONFIGURATION, (4, 0), 10.0)
+    assert made.lacks({CONFIGURATION: (4, 0)}, 10.1) == []
+    assert made.expected_version(CONFIGURATION, 10.1) == (4, 0)
+    assert made.version(CONFIGURATION) == NO_VERSION
+
+
+def test_something_newer_than_what_was_asked_for_is_lacking() -> None:
+    made, _ = subscription()
+    made.begin_fetch(CONFIGURATION, (4, 0), 10.0)
+    assert made.lacks({CONFIGURATION: (5, 0)}, 10.1) == [CONFIGURATION]
+
+
+def test_a_fetch_that_is_not_answered_is_begun_anew() -> None:
+    made, _ = subscription()
+    made.begin_fetch(CONFIGURATION, (4, 0), 10.0)
+    late = 10.0 + FETCH_S + 0.01
+    assert made.lacks({CONFIGURATION: (4, 0)}, late) == [CONFIGURATION]
+    assert made.expected_version(CONFIGURATION, late) == NO_VERSION
+
+
+def test_a_fetch_never_hides_what_is_held() -> None:
+    made, _ = subscription()
+    made.begin_fetch(CONFIGURATION, (4, 0), 10.0)
+    made.take(snapshot(6))
+    assert made.expected_version(CONFIGURATION, 10.1) == (6, 0)
--- /dev/null
+++ b/tests/data_plane/world.py
@@ -0,0 +1,349 @@
+"""A data plane without sockets: its parts are real, clients and workers are the test."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from msgspec import Struct, field
+
+from reedspoke.cluster.configuration import RequestLimits, parse_configuration
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.cluster.messages import WorkerEntry, WorkerList
+from reedspoke.data_plane.answers import own_answer
+from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, Exchange
+from reedspoke.data_plane.forwarder import Forwarder
+from reedspoke.data_plane.headers import ATTEMPT_ID, text_of
+from reedspoke.data_plane.process import NoExchange
+from reedspoke.data_plane.route_table import RouteTable
+from reedspoke.data_plane.upstream_pool import UpstreamPool
+from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
+from tests.data_plane.virtual_loop import TICK_S, VirtualLoop
+from tests.data_plane.wire import (
+    SeenAnswer,
+    SeenRequest,
+    TransportStandIn,
+    read_answers,
+    read_requests,
+)
+
+HOST = "a.example"
+SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+TIMEOUT_S = 20.0  # of every route
+AIM_S = 2.0
+SLOW_S = 0.5  # a connection that comes up slowly
+ONCE, AGAIN, STREAM, RESUME = "/once/", "/again/", "/stream/", "/resume/"
+NEVER_REPEATED = (ONCE, STREAM)
+KINDS: dict[str, dict[str, object]] = {
+    ONCE: {"route_type": "non_idempotent"},
+    AGAIN: {"route_type": "idempotent"},
+    STREAM: {"route_type": "streaming"},
+    RESUME: {"route_type": "streaming", "stream_resume": True},
+}
+ENGINE = {"capacity": 8, "kv_tokens": 200_000}
+LIMITS = {
+    "max_header_bytes": 2048,
+    "max_body_bytes": 8192,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def document(
+    attempts: int, limits: dict[str, int], most_connections: int = 100, *, engine: bool = False
+) -> bytes:
+    """A configuration with a route of each kind."""
+    routes = [
+        {
+            "name": f"r{prefix.strip('/')}",
+            "hostname": HOST,
+            "path_prefix": prefix,
+            "timeout_ms": TIMEOUT_S * 1000,
+            "target_ms": AIM_S * 1000,
+            "upstream": "u1",
+            "max_attempts": attempts,
+        }
+        | kind
+        for prefix, kind in KINDS.items()
+    ]
+    upstreams: list[dict[str, object]] = [{"name": "u1", "max_connections": most_connections}]
+    if engine:
+        upstreams[0]["engine"] = ENGINE
+    return json.dumps({"generation": 1, "routes": routes, "upstreams": upstreams, "limits": limits}).encode()
+
+
+class WorkerEnd(Struct, eq=False):
+    """The worker's end of a connection."""
+
+    instance_id: str
+    transport: TransportStandIn
+
+    def say(self, data: bytes) -> None:
+        self.transport.arrive(data)
+        self.transport.loop.settle()
+
+    def end(self) -> None:
+        self.transport.arrive_end()
+        self.transport.loop.settle()
+
+    def reset(self) -> None:
+        self.transport.arrive_reset()
+        self.transport.loop.settle()
+
+    def requests(self) -> list[SeenRequest]:
+        return read_requests(bytes(self.transport.written))
+
+    @property
+    def over(self) -> bool:
+        """Whether the connection has ended."""
+        return self.transport.is_closing()
+
+
+class Arrival(Struct, eq=False):
+    """A request that has reached a worker."""
+
+    worker: WorkerEnd
+    request: SeenRequest
+
+    @property
+    def attempt_id(self) -> str:
+        found = self.request.get("reedspoke-attempt-id")
+        assert found is not None
+        return found
+
+    def fields(self, **more: str) -> bytes:
+        """The fields of the worker's answer: echo and stamp."""
+        named = {"Reedspoke-Attempt-Id": self.attempt_id, "Reedspoke-Response-Seal": SEAL}
+        named |= {name.replace("_", "-"): value for name, value in more.items()}
+        return "".join(f"{name}: {value}\r\n" for name, value in named.items()).encode()
+
+    def whole(self, body: bytes = b"the answer", status: str = "200 OK", **more: str) -> bytes:
+        """An answer with its length."""
+        length = f"Content-Length: {len(body)}\r\n".encode()
+        return b"HTTP/1.1 %b\r\n" % status.encode() + self.fields(**more) + length + b"\r\n" + body
+
+    def stream_head(self, **more: str) -> bytes:
+        coding = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        return b"HTTP/1.1 200 OK\r\n" + self.fields(**more) + coding
+
+    def full(self, **more: str) -> bytes:
+        """The answer of a worker that has no room."""
+        more |= {"Reedspoke_Not_Executed": "1", "Retry_After": "1"}
+        return self.whole(b"", "503 Service Unavailable", **more)
+
+    def wrong_instance(self) -> bytes:
+        return self.whole(b"", "421 Misdirected Request", Reedspoke_Not_Executed="1")
+
+
+class Network:
+    """Leads connections to workers. `plan` has what happens to the next ones; without it they come up."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.names: dict[str, str] = {}  # instance ids by address
+        self.plan: list[str] = []  # each one of accept, slow, refuse, refuse slowly, hang, reset at once
+        self.connections: list[WorkerEnd] = []
+        self.arrivals: list[Arrival] = []
+        self.transports: list[TransportStandIn] = []
+
+    async def connect(self, protocol: asyncio.BaseProtocol, address: str) -> asyncio.Transport:
+        behaviour = self.plan.pop(0) if self.plan else "accept"
+        if behaviour == "hang":
+            await self.loop.create_future()
+        if "slow" in behaviour:
+            await asyncio.sleep(SLOW_S)
+        if behaviour.startswith("refuse"):
+            raise ConnectionRefusedError
+        assert isinstance(protocol, asyncio.BufferedProtocol)
+        transport = TransportStandIn(self.loop, protocol)
+        self.transports.append(transport)
+        end = WorkerEnd(self.names[address], transport)
+        self.connections.append(end)
+        transport.on_write = lambda: self._written(end)
+        if behaviour == "reset at once":
+            transport.arrive_reset()
+            await asyncio.sleep(0)
+        return transport
+
+    def _written(self, end: WorkerEnd) -> None:
+        known = sum(arrival.worker is end for arrival in self.arrivals)
+        self.arrivals += [Arrival(end, request) for request in end.requests()[known:]]
+
+
+class Frontend:
+    """What client connections belong to; stands for the process."""
+
+    def __init__(self, forwarder: Forwarder) -> None:
+        self.forwarder = forwarder
+        self.routes = RouteTable()
+        self.is_closing = False
+        self.requests: list[ClientRequest] = []
+        self.connections: set[ClientConnection] = set()
+
+    def limits(self) -> RequestLimits:
+        configuration = self.routes.configuration
+        return RequestLimits() if configuration is None else configuration.limits
+
+    def closing(self) -> bool:
+        return self.is_closing
+
+    def opened(self, connection: ClientConnection) -> None:
+        self.connections.add(connection)
+
+    def closed(self, connection: ClientConnection) -> None:
+        self.connections.discard(connection)
+
+    def begin(self, request: ClientRequest, connection: ClientConnection) -> Exchange:
+        self.requests.append(request)
+        target = bytes(request.head.target).decode("latin-1")
+        route = self.routes.find(text_of(request.head, b"host"), target)
+        if route is None:
+            connection.answer_whole(own_answer(404, ErrorCode.NO_ROUTE, "no route"))
+            return NoExchange()
+        upstream = route.upstream_for(request.head.get(ATTEMPT_ID) or b"")
+        return self.forwarder.begin(request, connection, route, upstream)
+
+
+class Client:
+    """A client and its connection."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.connection = ClientConnection(world.frontend, world.loop)
+        self.transport = TransportStandIn(world.loop, self.connection)
+        world.network.transports.append(self.transport)
+
+    def say(self, data: bytes) -> None:
+        self.transport.arrive(data)
+        self.world.loop.settle()
+
+    def ask(self, path: str, attempt_id: str = "a1", body: bytes = b"the question", **more: str) -> None:
+        """Send a request."""
+        self.say(request_bytes(path, attempt_id, body, **more))
+
+    def leave(self) -> None:
+        self.transport.arrive_reset()
+        self.world.loop.settle()
+
+    def answers(self) -> list[SeenAnswer]:
+        return read_answers(bytes(self.transport.written))
+
+    def answer(self) -> SeenAnswer:
+        """The only answer."""
+        (found,) = self.answers()
+        return found
+
+    @property
+    def broken_off(self) -> bool:
+        """Whether the program has broken the connection off, so that the client sees a reset."""
+        return self.transport.aborted
+
+
+def request_bytes(path: str, attempt_id: str = "a1", body: bytes = b"the question", **more: str) -> bytes:
+    """A client's request with its body."""
+    named = {"Host": HOST, "Reedspoke-Attempt-Id": attempt_id, "Content-Length": str(len(body))}
+    named |= {name.replace("_", "-"): value for name, value in more.items()}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in named.items())
+    return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body
+
+
+class World(Struct, eq=False):
+    """Everything together."""
+
+    loop: VirtualLoop
+    network: Network
+    forwarder: Forwarder
+    frontend: Frontend
+    dispatcher: Dispatcher
+    pool: UpstreamPool
+    clients: list[Client] = field(default_factory=list)
+
+    def client(self) -> Client:
+        made = Client(self)
+        self.clients.append(made)
+        return made
+
+    def asked(self, path: str, attempt_id: str = "a1", body: bytes = b"the question", **more: str) -> Client:
+        """A new client that has sent a request."""
+        made = self.client()
+        made.ask(path, attempt_id, body, **more)
+        return made
+
+    @property
+    def arrivals(self) -> list[Arrival]:
+        return self.network.arrivals
+
+    def arrival(self) -> Arrival:
+        """The latest request at a worker."""
+        return self.network.arrivals[-1]
+
+    def run_for(self, seconds: float) -> None:
+        self.loop.run_for(seconds)
+
+    def set_workers(self, names: Iterable[str], capacity: int = 8) -> None:
+        """The list of workers from now on."""
+        entries = [
+            WorkerEntry(name, "u1", f"10.0.0.{name.rpartition('-')[2]}:80", "za", "v1", capacity, False)
+            for name in names
+        ]
+        self.network.names |= {entry.address: entry.instance_id for entry in entries}
+        self.forwarder.set_workers(WorkerList((1, len(self.arrivals)), tuple(entries)))
+
+    def settled(self) -> bool:
+        """Whether nothing of any request is left."""
+        return (
+            self.forwarder.open_exchanges() == 0
+            and self.dispatcher.jobs == 0
+            and not self.forwarder.own_load()
+        )
+
+    def close(self) -> None:
+        for transport in self.network.transports:
+            transport.abort()
+        self.loop.run_for(TICK_S)
+        for transport in self.network.transports:
+            transport.socket.close()
+        self.loop.close()
+
+
+def make_world(
+    *,
+    workers: int = 3,
+    attempts: int = 3,
+    capacity: int = 8,
+    slack: float = 50.0,
+    limits: dict[str, int] = LIMITS,
+    most_connections: int = 100,
+    engine: bool = False,
+) -> World:
+    """A data plane that has run for long, with a configuration and workers."""
+    loop = VirtualLoop()
+    network = Network(loop)
+    loop.connector = network.connect
+    started = loop.time() - 500
+    dispatcher = Dispatcher(
+        zone="za", budget=BudgetRule(window_s=10, ratio=0.2, slack=slack), started=started
+    )
+    dispatcher.fleet_size(1, started)
+    pool = UpstreamPool(loop)
+    forwarder = Forwarder(loop, pool, dispatcher)
+    world = World(loop, network, forwarder, Frontend(forwarder), dispatcher, pool)
+    configuration = parse_configuration(document(attempts, limits, most_connections, engine=engine))
+    world.frontend.routes = RouteTable(configuration, (1, 0))
+    forwarder.configure(configuration)
+    world.set_workers([f"i-{number}" for number in range(1, workers + 1)], capacity)
+    return world
+
+
+@contextmanager
+def fresh_world(**settings: Any) -> Iterator[World]:
+    """A data plane for a while; at the end no error may be unhandled."""
+    world = make_world(**settings)
+    try:
+        yield world
+    finally:
+        world.close()
+    assert world.loop.errors == []
--- /dev/null
+++ b/tests/decision/test_attempt_fate.py
@@ -0,0 +1,128 @@
+"""What happened to an attempt, what it proves, and what that allows: every case."""
+
+from __future__ import annotations
+
+from itertools import product
+
+import pytest
+
+from reedspoke.decision.attempt_fate import (
+    Another,
+    Ending,
+    Evidence,
+    Fate,
+    FinalStatus,
+    another_attempt,
+    cause_of,
+    fate_of,
+    final_status,
+    outcome_of,
+)
+from reedspoke.decision.messages import Cause, Outcome, Repeat
+
+STATUSES = (0, 200, 421, 429, 500, 503, 504)
+ALL = [
+    Evidence(ending, bytes_sent=sent, status=status, not_executed=told)
+    for ending, sent, status, told in product(Ending, (False, True), STATUSES, (False, True))
+]
+
+
+@pytest.mark.parametrize("evidence", ALL, ids=str)
+def test_only_proof_makes_a_fate_better_than_may_have_run(evidence: Evidence) -> None:
+    proof = not evidence.bytes_sent or evidence.not_executed or evidence.status == 421
+    whole = evidence.ending is Ending.COMPLETE and evidence.status > 0
+    expected = Fate.NEVER_RAN if proof else Fate.ANSWERED if whole else Fate.MAY_HAVE_RUN
+    assert fate_of(evidence) is expected
+
+
+@pytest.mark.parametrize(
+    ("evidence", "fate"),
+    [
+        (Evidence(Ending.CONNECT_FAILED, bytes_sent=False), Fate.NEVER_RAN),
+        (Evidence(Ending.SILENCE, bytes_sent=False), Fate.NEVER_RAN),
+        (Evidence(Ending.RESET, bytes_sent=True), Fate.MAY_HAVE_RUN),
+        (Evidence(Ending.CLOSED, bytes_sent=True), Fate.MAY_HAVE_RUN),
+        (Evidence(Ending.SILENCE, bytes_sent=True), Fate.MAY_HAVE_RUN),
+        (Evidence(Ending.MALFORMED, bytes_sent=True, status=200), Fate.MAY_HAVE_RUN),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=503), Fate.ANSWERED),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=503, not_executed=True), Fate.NEVER_RAN),
+        (Evidence(Ending.RESET, bytes_sent=True, status=503, not_executed=True), Fate.NEVER_RAN),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=421), Fate.NEVER_RAN),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=500), Fate.ANSWERED),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=200), Fate.ANSWERED),
+    ],
+)
+def test_named_cases(evidence: Evidence, fate: Fate) -> None:
+    assert fate_of(evidence) is fate
+
+
+FINAL = {
+    (Fate.NEVER_RAN, Repeat.IDEMPOTENT): FinalStatus.PROMISE,
+    (Fate.NEVER_RAN, Repeat.RESUMABLE): FinalStatus.PROMISE,
+    (Fate.NEVER_RAN, Repeat.NEVER): FinalStatus.PROMISE,
+    (Fate.MAY_HAVE_RUN, Repeat.IDEMPOTENT): FinalStatus.PROMISE,
+    (Fate.MAY_HAVE_RUN, Repeat.RESUMABLE): FinalStatus.PROMISE,
+    (Fate.MAY_HAVE_RUN, Repeat.NEVER): FinalStatus.NO_PROMISE,
+    (Fate.ANSWERED, Repeat.IDEMPOTENT): FinalStatus.PROMISE,
+    (Fate.ANSWERED, Repeat.RESUMABLE): FinalStatus.PROMISE,
+    (Fate.ANSWERED, Repeat.NEVER): FinalStatus.NO_PROMISE,
+}
+FURTHER = {
+    (Fate.NEVER_RAN, Repeat.IDEMPOTENT, False): Another.WHOLE,
+    (Fate.NEVER_RAN, Repeat.IDEMPOTENT, True): Another.NO,
+    (Fate.NEVER_RAN, Repeat.RESUMABLE, False): Another.WHOLE,
+    (Fate.NEVER_RAN, Repeat.RESUMABLE, True): Another.RESUMED,
+    (Fate.NEVER_RAN, Repeat.NEVER, False): Another.WHOLE,
+    (Fate.NEVER_RAN, Repeat.NEVER, True): Another.NO,
+    (Fate.MAY_HAVE_RUN, Repeat.IDEMPOTENT, False): Another.WHOLE,
+    (Fate.MAY_HAVE_RUN, Repeat.IDEMPOTENT, True): Another.NO,
+    (Fate.MAY_HAVE_RUN, Repeat.RESUMABLE, False): Another.WHOLE,
+    (Fate.MAY_HAVE_RUN, Repeat.RESUMABLE, True): Another.RESUMED,
+    (Fate.MAY_HAVE_RUN, Repeat.NEVER, False): Another.NO,
+    (Fate.MAY_HAVE_RUN, Repeat.NEVER, True): Another.NO,
+} | {(Fate.ANSWERED, repeat, passed): Another.NO for repeat, passed in product(Repeat, (False, True))}
+
+
+def test_the_tables_are_whole() -> None:
+    assert set(FINAL) == set(product(Fate, Repeat))
+    assert set(FURTHER) == set(product(Fate, Repeat, (False, True)))
+
+
+@pytest.mark.parametrize(("fate", "repeat"), FINAL, ids=str)
+def test_what_a_client_may_be_told(fate: Fate, repeat: Repeat) -> None:
+    assert final_status(fate, repeat) is FINAL[fate, repeat]
+
+
+@pytest.mark.parametrize(("fate", "repeat", "passed"), FURTHER, ids=str)
+def test_whether_another_worker_may_have_it(fate: Fate, repeat: Repeat, passed: bool) -> None:
+    assert another_attempt(fate, repeat, passed) is FURTHER[fate, repeat, passed]
+
+
+@pytest.mark.parametrize("evidence", ALL, ids=str)
+def test_the_outcome_follows_the_fate(evidence: Evidence) -> None:
+    outcome = outcome_of(evidence)
+    if evidence.ending is Ending.ABANDONED:
+        assert outcome is Outcome.CANCELLED
+    else:
+        assert (outcome is Outcome.NOT_EXECUTED) == (fate_of(evidence) is Fate.NEVER_RAN)
+        assert (outcome is Outcome.OK) == (fate_of(evidence) is Fate.ANSWERED)
+
+
+@pytest.mark.parametrize(
+    ("evidence", "cause"),
+    [
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=200), Cause.NONE),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=500), Cause.BAD_ANSWER),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=503, not_executed=True), Cause.FULL),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=429, not_executed=True), Cause.NONE),
+        (Evidence(Ending.COMPLETE, bytes_sent=True, status=421, not_executed=True), Cause.WRONG_INSTANCE),
+        (Evidence(Ending.CONNECT_FAILED, bytes_sent=False), Cause.CONNECT_FAILED),
+        (Evidence(Ending.SILENCE, bytes_sent=True), Cause.SILENT),
+        (Evidence(Ending.RESET, bytes_sent=True), Cause.RESET),
+        (Evidence(Ending.CLOSED, bytes_sent=True), Cause.RESET),
+        (Evidence(Ending.MALFORMED, bytes_sent=True), Cause.BAD_ANSWER),
+        (Evidence(Ending.ABANDONED, bytes_sent=True), Cause.NONE),
+    ],
+)
+def test_what_is_learned_of_the_worker(evidence: Evidence, cause: Cause) -> None:
+    assert cause_of(evidence) is cause
--- /dev/null
+++ b/tests/decision/test_dispatcher.py
@@ -0,0 +1,377 @@
+"""Jobs, from their arrival to their final answer."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+import pytest
+
+from reedspoke.decision import service
+from reedspoke.decision.dispatcher import Dispatcher
+from reedspoke.decision.messages import (
+    AttemptEnd,
+    Decision,
+    Expire,
+    Fail,
+    FailReason,
+    Load,
+    Outcome,
+    Refuse,
+    RefuseReason,
+    Repeat,
+    Send,
+    Upstream,
+    WorkerEntry,
+)
+from tests.decision.facts import FULL, OK, REFUSED, RESET, dispatcher, entry, job, plain
+
+CANCELLED = AttemptEnd(Outcome.CANCELLED)
+
+
+def one_place(count: int = 1) -> list[WorkerEntry]:
+    return [entry(f"w{index}", capacity=1) for index in range(count)]
+
+
+def only(decisions: Iterable[Decision]) -> Decision:
+    (decision,) = decisions
+    return decision
+
+
+def sent(decision: Decision) -> tuple[int, str]:
+    """The job and the worker of a send."""
+    assert isinstance(decision, Send)
+    return decision.job_id, decision.instance_id
+
+
+def sends(decisions: Iterable[Decision]) -> list[int]:
+    return [decision.job_id for decision in decisions if isinstance(decision, Send)]
+
+
+def advance(scheduler: Dispatcher, now: float, until: float) -> list[tuple[float, Decision]]:
+    """Call the timer whenever it is asked for; what was decided when."""
+    decided: list[tuple[float, Decision]] = []
+    while (at := scheduler.wake_at(now)) is not None and at <= until:
+        assert at > now
+        now = at
+        decided += [(now, decision) for decision in scheduler.timer(now)]
+    return decided
+
+
+def test_a_request_is_sent_at_once_while_there_is_room() -> None:
+    scheduler = dispatcher([entry("w0")])
+    assert sent(only(scheduler.job_arrived(job(1), 0.0))) == (1, "w0")
+    assert scheduler.wake_at(0.0) is None
+
+
+def test_without_room_it_waits_and_goes_when_a_position_frees() -> None:
+    scheduler = dispatcher(one_place())
+    scheduler.job_arrived(job(1), 0.0)
+    assert scheduler.job_arrived(job(2), 0.0) == []
+    assert sent(only(scheduler.attempt_ended(1, OK, 0.1))) == (2, "w0")
+
+
+@pytest.mark.parametrize("aim_s", [0.1, 1.0, 4.0])
+def test_what_waits_is_refused_within_a_quarter_of_its_aim(aim_s: float) -> None:
+    scheduler = dispatcher(one_place())
+    scheduler.job_arrived(job(1), 0.0)
+    scheduler.job_arrived(job(2, aim_s=aim_s), 0.0)
+    ((at, refused),) = advance(scheduler, 0.0, 20.0)
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.OVERLOAD
+    assert 0.15 * aim_s < at < 0.25 * aim_s
+    assert 0 < refused.retry_after_s <= (10.0 - at) / 3
+    assert scheduler.jobs == 1
+    assert scheduler.attempt_ended(1, OK, 5.0) == []
+
+
+def test_clients_are_told_to_come_back_later_the_worse_the_shortage() -> None:
+    scheduler = dispatcher(one_place())
+    scheduler.job_arrived(job(1), 0.0)
+    for job_id in range(2, 60):
+        scheduler.job_arrived(job(job_id), 0.0)
+    waits = [d.retry_after_s for _, d in advance(scheduler, 0.0, 1.0) if isinstance(d, Refuse)]
+    assert len(waits) == 58
+    assert sum(waits[-5:]) > 1.2 * sum(waits[:5])
+    assert len({round(wait, 3) for wait in waits}) > 50
+
+
+def test_without_workers_it_is_refused_as_such_unless_one_comes() -> None:
+    scheduler = dispatcher([])
+    scheduler.job_arrived(job(1), 0.0)
+    ((_, refused),) = advance(scheduler, 0.0, 5.0)
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.NO_WORKER
+    scheduler.job_arrived(job(2, arrived=5.0), 5.0)
+    assert sent(only(scheduler.workers_changed([entry("w0")], 5.1))) == (2, "w0")
+
+
+def test_an_unknown_service_is_refused() -> None:
+    refused = only(dispatcher([]).job_arrived(job(1, upstream="other"), 0.0))
+    assert isinstance(refused, Refuse)
+
+
+def test_a_request_whose_deadline_is_over_expires() -> None:
+    scheduler = dispatcher([entry("w0")])
+    assert only(scheduler.job_arrived(job(1, deadline_s=0.0), 0.0)) == Expire(1, ran=False)
+    assert scheduler.jobs == 0
+
+
+def test_a_deadline_in_the_queue_ends_it() -> None:
+    scheduler = dispatcher(one_place())
+    scheduler.job_arrived(job(1), 0.0)
+    scheduler.job_arrived(job(2, deadline_s=0.1), 0.0)
+    assert advance(scheduler, 0.0, 1.0) == [(0.1, Expire(2, ran=False))]
+
+
+def test_a_worker_that_drains_gets_nothing_more() -> None:
+    scheduler = dispatcher(one_place())
+    scheduler.job_arrived(job(1), 0.0)
+    scheduler.job_arrived(job(2), 0.0)
+    scheduler.workers_changed([entry("w0", capacity=1, draining=True)], 0.05)
+    assert scheduler.attempt_ended(1, OK, 0.1) == []
+    assert sent(only(scheduler.workers_changed([entry("w1")], 0.15))) == (2, "w1")
+
+
+def test_a_resting_worker_is_tried_rather_than_refuse_while_places_are_free() -> None:
+    scheduler = dispatcher([entry("w0")])
+    for job_id in range(6):
+        now = job_id * 5.0
+        assert sends(scheduler.job_arrived(job(job_id, max_attempts=1, arrived=now), now)) == [job_id]
+        scheduler.attempt_ended(job_id, REFUSED, now)
+    assert scheduler.job_arrived(job(9, arrived=25.1), 25.1) == []
+    ((at, decision),) = advance(scheduler, 25.1, 40.0)
+    assert sent(decision) == (9, "w0")
+    assert at < 25.1 + 0.25
+
+
+def test_a_resting_worker_is_left_alone_while_most_places_are_taken() -> None:
+    scheduler = dispatcher([entry("w0")])
+    for job_id in range(6):
+        now = job_id * 5.0
+        scheduler.job_arrived(job(job_id, max_attempts=1, arrived=now), now)
+        scheduler.attempt_ended(job_id, REFUSED, now)
+    scheduler.others_load({"w0": Load(40, 0)}, 25.05)
+    scheduler.job_arrived(job(9, arrived=25.1), 25.1)
+    ((_, decision),) = advance(scheduler, 25.1, 40.0)
+    assert isinstance(decision, Refuse)
+
+
+# ---- after an attempt ----
+
+
+def test_a_request_that_never_ran_goes_to_another_worker_before_all_others() -> None:
+    scheduler = dispatcher(one_place(2))
+    first = only(scheduler.job_arrived(job(1), 0.0))
+    second = only(scheduler.job_arrived(job(2), 0.0))
+    assert isinstance(first, Send)
+    assert isinstance(second, Send)
+    for job_id in range(3, 6):
+        scheduler.job_arrived(job(job_id), 0.0)
+    assert sends(scheduler.attempt_ended(1, FULL, 0.01)) == []
+    assert sent(scheduler.attempt_ended(2, OK, 0.1)[0]) == (1, second.instance_id)
+
+
+def test_its_charge_is_given_back() -> None:
+    scheduler = dispatcher([entry("w0"), entry("w1")])
+    scheduler.job_arrived(job(1, max_attempts=1), 0.0)
+    (account,) = scheduler.accounts("llm")
+    start = account.start
+    scheduler.attempt_ended(1, FULL, 0.01)
+    (account,) = scheduler.accounts("llm")
+    assert account.out == 0
+    assert account.start == pytest.approx(start - account.largest[""] / account.phi)
+
+
+def test_attempts_are_bounded_by_the_route() -> None:
+    scheduler = dispatcher([entry(f"w{index}") for index in range(5)])
+    scheduler.job_arrived(job(1, max_attempts=3), 0.0)
+    assert sends(scheduler.attempt_ended(1, FULL, 0.1)) == [1]
+    assert sends(scheduler.attempt_ended(1, FULL, 0.2)) == [1]
+    refused = only(scheduler.attempt_ended(1, FULL, 0.3))
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.ATTEMPTS
+
+
+def test_attempts_are_bounded_by_the_budget() -> None:
+    scheduler = dispatcher([entry(f"w{index}") for index in range(5)], slack=2.5)
+    answers = []
+    for job_id in range(5):
+        scheduler.job_arrived(job(job_id), 0.0)
+        answers.append(only(scheduler.attempt_ended(job_id, FULL, 0.01)))
+    refused = [answer for answer in answers if isinstance(answer, Refuse)]
+    assert [isinstance(answer, Send) for answer in answers] == [True, True, False, False, False]
+    assert {answer.reason for answer in refused} == {RefuseReason.BUDGET}
+
+
+def test_a_repeat_that_waits_in_vain_gives_its_budget_back() -> None:
+    scheduler = dispatcher(one_place(), slack=1.3)
+    for turn in range(3):
+        now = 100.0 * turn
+        scheduler.job_arrived(job(turn, arrived=now), now)
+        assert scheduler.attempt_ended(turn, FULL, now) == []  # it may not go to the same worker again
+        ((_, refused),) = advance(scheduler, now, now + 5)
+        assert isinstance(refused, Refuse)
+    assert scheduler.jobs == 0
+
+
+@pytest.mark.parametrize(
+    ("repeat", "started", "expected"),
+    [
+        (Repeat.IDEMPOTENT, False, Send),
+        (Repeat.RESUMABLE, False, Send),
+        (Repeat.RESUMABLE, True, Send),
+        (Repeat.IDEMPOTENT, True, Fail),
+        (Repeat.NEVER, False, Fail),
+        (Repeat.NEVER, True, Fail),
+    ],
+)
+def test_a_stream_that_may_have_run(repeat: Repeat, started: bool, expected: type) -> None:
+    scheduler = dispatcher([entry("w0"), entry("w1")])
+    first = only(scheduler.job_arrived(job(1, repeat=repeat), 0.0))
+    if started:
+        scheduler.attempt_started(1, 0.1)
+    then = only(scheduler.attempt_ended(1, RESET, 0.2))
+    assert type(then) is expected
+    if isinstance(then, Send):
+        assert isinstance(first, Send)
+        assert then.instance_id != first.instance_id
+
+
+@pytest.mark.parametrize(
+    ("repeat", "started", "expected"),
+    [
+        (Repeat.IDEMPOTENT, False, Refuse),
+        (Repeat.RESUMABLE, False, Refuse),
+        (Repeat.RESUMABLE, True, Fail),
+    ],
+)
+def test_the_end_of_a_stream_that_may_have_run_and_has_no_attempt_left(
+    repeat: Repeat, started: bool, expected: type
+) -> None:
+    scheduler = dispatcher([entry("w0"), entry("w1")])
+    scheduler.job_arrived(job(1, repeat=repeat, max_attempts=1), 0.0)
+    if started:
+        scheduler.attempt_started(1, 0.1)
+    assert type(only(scheduler.attempt_ended(1, RESET, 0.2))) is expected
+
+
+def test_a_stream_once_passed_on_is_not_refused_by_what_follows() -> None:
+    scheduler = dispatcher([entry("w0"), entry("w1")])
+    scheduler.job_arrived(job(1, repeat=Repeat.RESUMABLE), 0.0)
+    scheduler.attempt_started(1, 0.1)
+    assert sends(scheduler.attempt_ended(1, RESET, 0.2)) == [1]
+    ended = only(scheduler.attempt_ended(1, FULL, 0.3))
+    assert ended == Fail(1, FailReason.ATTEMPTS)
+
+
+def test_a_plain_repeatable_request_may_start_again_though_bytes_have_come() -> None:
+    scheduler = dispatcher([entry("p0", upstream="svc", capacity=6), entry("p1", upstream="svc", capacity=6)])
+    scheduler.job_arrived(plain(1), 0.0)
+    scheduler.attempt_started(1, 0.01)
+    assert sends(scheduler.attempt_ended(1, RESET, 0.02)) == [1]
+
+
+def test_after_the_deadline_there_is_no_further_attempt() -> None:
+    scheduler = dispatcher([entry("w0"), entry("w1")])
+    scheduler.job_arrived(job(1, repeat=Repeat.IDEMPOTENT), 0.0)
+    assert only(scheduler.attempt_ended(1, RESET, 10.0)) == Expire(1, ran=True)
+
+
+@pytest.mark.parametrize("end", [OK, RESET, FULL, CANCELLED])
+def test_nothing_is_decided_for_a_client_that_has_left(end: AttemptEnd) -> None:
+    scheduler = dispatcher(one_place(2))
+    scheduler.job_arrived(job(1, repeat=Repeat.IDEMPOTENT), 0.0)
+    assert scheduler.job_gone(1, 0.1) == []
+    assert scheduler.attempt_ended(1, end, 0.2) == []
+    assert scheduler.jobs == 0
+
+
+def test_a_client_that_leaves_the_queue_leaves_nothing_behind() -> None:
+    scheduler = dispatcher(one_place())
+    scheduler.job_arrived(job(1), 0.0)
+    scheduler.job_arrived(job(2), 0.0)
+    scheduler.job_gone(2, 0.1)
+    assert scheduler.attempt_ended(1, OK, 0.15) == []
+    assert scheduler.jobs == 0
+    assert scheduler.wake_at(0.2) is None
+
+
+def test_events_of_unknown_jobs_are_passed_over() -> None:
+    scheduler = dispatcher([entry("w0")])
+    decisions = [
+        scheduler.job_gone(5, 0.0),
+        scheduler.attempt_started(5, 0.0),
+        scheduler.attempt_ended(5, OK, 0.0),
+    ]
+    assert decisions == [[], [], []]
+
+
+# ---- configuration, loads, memory ----
+
+
+def test_a_service_that_is_dropped_keeps_its_jobs_until_they_end() -> None:
+    scheduler = dispatcher([entry("w0")])
+    scheduler.job_arrived(job(1, repeat=Repeat.IDEMPOTENT), 0.0)
+    scheduler.configure([Upstream("svc")], 0.1)
+    assert scheduler.attempt_ended(1, OK, 0.2) == []
+    scheduler.configure([Upstream("svc")], 0.3)
+    refused = only(scheduler.job_arrived(job(2, arrived=0.4), 0.4))
+    assert isinstance(refused, Refuse)
+
+
+def test_own_load_is_what_is_out() -> None:
+    scheduler = dispatcher([entry("w0")])
+    scheduler.job_arrived(job(1, shared=1000, own=200, output=50), 0.0)
+    scheduler.job_arrived(job(2, shared=1000, own=300, output=50), 0.0)
+    assert scheduler.own_load() == {"w0": Load(2, 1250 + 350)}
+    scheduler.attempt_ended(1, OK, 0.1)
+    assert scheduler.own_load() == {"w0": Load(1, 350)}
+
+
+def test_a_large_prompt_is_not_kept_out_for_ever_by_small_ones() -> None:
+    scheduler = dispatcher([entry("w0")])
+    sent_at: dict[int, float] = {}
+    ends: list[tuple[float, int]] = []
+    random, now = Random(1), 0.0
+    large = 10_000
+    for step in range(400):
+        now = step * 0.01
+        decisions = scheduler.timer(now)
+        for at, job_id in [pair for pair in ends if pair[0] <= now]:
+            ends.remove((at, job_id))
+            decisions += scheduler.attempt_ended(job_id, OK, now)
+        small = job(
+            step, route="small", subject=str(step), shared=10, own=20_000, output=10, aim_s=2.0, arrived=now
+        )
+        decisions += scheduler.job_arrived(small, now)
+        if step == 100:
+            big = job(
+                large, route="large", subject="x", shared=10, own=300_000, output=10, aim_s=4.0, arrived=now
+            )
+            decisions += scheduler.job_arrived(big, now)
+        for job_id in sends(decisions):
+            sent_at[job_id] = now
+            scheduler.attempt_started(job_id, now)
+            ends.append((now + random.uniform(0.3, 0.5), job_id))
+    assert large in sent_at
+
+
+def test_the_number_that_waits_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "QUEUE_MOST", 10)
+    scheduler = dispatcher(one_place())
+    answers = [scheduler.job_arrived(job(job_id), 0.0) for job_id in range(20)]
+    assert sum(len(answer) for answer in answers[11:]) == 9
+    assert scheduler.jobs == 11
+
+
+def test_accounts_of_routes_that_are_no_longer_asked_for_are_forgotten() -> None:
+    scheduler = dispatcher([entry("w0")])
+    for job_id in range(6000):
+        now = job_id * 0.01
+        route = f"route{job_id // 10}" if job_id < 5000 else "last"
+        scheduler.job_arrived(job(job_id, route=route, arrived=now), now)
+        scheduler.attempt_started(job_id, now + 0.003)
+        scheduler.attempt_ended(job_id, OK, now + 0.005)
+    assert len(scheduler.accounts("llm")) < 300
+    assert scheduler.jobs == 0
--- /dev/null
+++ b/tests/decision/test_dispatcher_play.py
@@ -0,0 +1,86 @@
+"""Random play of the dispatcher: what holds whatever happens."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from reedspoke.decision.messages import (
+    AttemptEnd,
+    Cause,
+    Decision,
+    Job,
+    Outcome,
+    Repeat,
+    Send,
+)
+from tests.decision.facts import FULL, OK, REFUSED, RESET, dispatcher, entry, job
+
+CANCELLED = AttemptEnd(Outcome.CANCELLED)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_every_request_gets_one_answer_and_positions_are_never_exceeded(seed: int) -> None:
+    """Random play: each job ends once, and a worker never holds more of ours than its capacity."""
+    random, now = Random(seed), 0.0
+    names = [f"w{index}" for index in range(4)]
+    entries = [entry(name, capacity=random.randint(1, 4)) for name in names]
+    capacity = {each.instance_id: each.capacity for each in entries}
+    scheduler = dispatcher(entries, slack=random.choice((0.0, 20.0)))
+    out: dict[int, str] = {}
+    open_jobs: dict[int, Job] = {}
+    tried: dict[int, list[str]] = {}
+
+    def carry_out(decisions: list[Decision]) -> None:
+        for decision in decisions:
+            assert decision.job_id in open_jobs, decision
+            if isinstance(decision, Send):
+                assert decision.job_id not in out
+                assert decision.instance_id not in tried[decision.job_id]
+                assert now < open_jobs[decision.job_id].deadline
+                tried[decision.job_id].append(decision.instance_id)
+                out[decision.job_id] = decision.instance_id
+                assert len(tried[decision.job_id]) <= open_jobs[decision.job_id].max_attempts
+                assert list(out.values()).count(decision.instance_id) <= capacity[decision.instance_id]
+            else:
+                del open_jobs[decision.job_id]
+
+    for job_id in range(1500):
+        now += random.expovariate(60)
+        repeat = random.choice(list(Repeat))
+        request = job(job_id, repeat=repeat, arrived=now, max_attempts=random.randint(1, 3))
+        open_jobs[job_id], tried[job_id] = request, []
+        carry_out(scheduler.job_arrived(request, now))
+        for other in list(out):
+            lot = random.random()
+            if lot < 0.1:
+                carry_out(scheduler.attempt_started(other, now))
+            elif lot < 0.3:
+                del out[other]
+                silent = AttemptEnd(Outcome.FAILED, Cause.SILENT)
+                end = random.choice((OK, OK, OK, FULL, REFUSED, RESET, silent))
+                if end is OK:
+                    del open_jobs[other]
+                carry_out(scheduler.attempt_ended(other, end, now))
+            elif lot < 0.31 and other in open_jobs:
+                del out[other]
+                del open_jobs[other]
+                carry_out(scheduler.job_gone(other, now))
+                carry_out(scheduler.attempt_ended(other, CANCELLED, now))
+        if (at := scheduler.wake_at(now)) is not None and at <= now + 0.01:
+            carry_out(scheduler.timer(now))
+    for job_id in list(out):
+        del out[job_id]
+        del open_jobs[job_id]
+        carry_out(scheduler.attempt_ended(job_id, OK, now))
+    for _ in range(200):
+        now += 0.02
+        carry_out(scheduler.timer(now))
+        for job_id in list(out):
+            del out[job_id]
+            del open_jobs[job_id]
+            carry_out(scheduler.attempt_ended(job_id, OK, now))
+    assert not open_jobs
+    assert scheduler.jobs == 0
+    assert scheduler.own_load() == {}
--- /dev/null
+++ b/tests/decision/test_placement.py
@@ -0,0 +1,193 @@
+"""Which worker a job goes to."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from reedspoke.decision import placement
+from reedspoke.decision.dispatcher import Dispatcher
+from reedspoke.decision.messages import AttemptEnd, Cause, Decision, Job, Load, Outcome, Send
+from tests.decision.facts import OK, dispatcher, entry, job, plain
+
+NINE = [entry(f"w{index}", zone=("north", "south", "west")[index % 3]) for index in range(9)]
+
+
+def sent_to(scheduler: Dispatcher, request: Job, now: float = 0.0) -> str | None:
+    """The worker that a job is sent to at once."""
+    sends = [decision for decision in scheduler.job_arrived(request, now) if isinstance(decision, Send)]
+    return sends[0].instance_id if sends else None
+
+
+def sends_of(decisions: list[Decision]) -> list[int]:
+    return [decision.job_id for decision in decisions if isinstance(decision, Send)]
+
+
+def serve(scheduler: Dispatcher, request: Job, now: float = 0.0) -> str | None:
+    """The worker that runs the job, to its end."""
+    found = sent_to(scheduler, request, now)
+    scheduler.attempt_started(request.job_id, now + 0.01)
+    scheduler.attempt_ended(request.job_id, OK, now + 0.02)
+    return found
+
+
+def test_schedulers_agree_on_a_prefix_without_talk() -> None:
+    one, two = dispatcher(NINE, zone="north"), dispatcher(NINE[::-1], zone="west")
+    for index in range(60):
+        subject = f"subject{index}"
+        assert serve(one, job(index, subject=subject)) == serve(two, job(1000 + index, subject=subject))
+
+
+def test_a_prefix_keeps_its_worker_and_different_ones_spread() -> None:
+    scheduler = dispatcher(NINE)
+    homes = Counter[str | None]()
+    for subject in range(90):
+        places = {serve(scheduler, job(subject * 10 + turn, subject=f"s{subject}")) for turn in range(4)}
+        assert len(places) == 1
+        homes.update(places)
+    assert len(homes) == 9
+    assert max(homes.values()) < 25
+
+
+def test_a_session_goes_where_its_last_part_was() -> None:
+    scheduler = dispatcher(NINE)
+    first = sent_to(scheduler, job(1))
+    others = {name.instance_id: Load(30, 0) for name in NINE if name.instance_id == first}
+    scheduler.others_load(others, 0.1)
+    second_job = job(2, shared=100, own=9000)
+    second = serve(scheduler, second_job, 0.2)
+    again = Job(**{name: getattr(second_job, name) for name in second_job.__struct_fields__} | {"job_id": 3})
+    scheduler.others_load({}, 0.3)
+    assert serve(scheduler, again, 0.4) == second
+
+
+def test_a_hot_prefix_spreads_over_a_few_workers() -> None:
+    scheduler = dispatcher(NINE)
+    places = Counter(
+        sent_to(scheduler, job(index, subject="hot", shared=5000, own=1000)) for index in range(40)
+    )
+    assert 2 <= len(places) <= 6
+    assert places.most_common(1)[0][1] < 30
+
+
+def test_a_long_prefix_waits_a_moment_for_its_homes_and_a_short_one_does_not() -> None:
+    scheduler = dispatcher(NINE)
+    homes: set[str] = set()
+    for turn in range(3):
+        home = serve(scheduler, job(turn, shared=9000), turn)
+        assert home is not None
+        homes.add(home)
+        scheduler.others_load({name: Load(64, 0) for name in homes}, turn + 0.5)
+        serve(scheduler, job(10 + turn, subject=f"other{turn}"), turn + 0.6)
+    assert len(homes) == 3
+    assert sent_to(scheduler, job(20, shared=9000, arrived=5.0), 5.0) is None
+    assert sent_to(scheduler, job(21, shared=90, subject="short", arrived=5.0), 5.0) is not None
+    assert sends_of(scheduler.timer(5.0 + placement.PATIENT_PART - 0.02)) == []
+    assert sends_of(scheduler.timer(5.0 + placement.PATIENT_PART + 0.001)) == [20]
+
+
+def test_a_worker_that_rests_gets_nothing_until_its_rest_is_over() -> None:
+    scheduler = dispatcher([entry("w0", models=("m",)), entry("w1", models=("n",))])
+    scheduler.job_arrived(job(1, model="m", max_attempts=1), 0.0)
+    scheduler.attempt_ended(1, AttemptEnd(Outcome.NOT_EXECUTED, Cause.CONNECT_FAILED), 0.0)
+    assert sent_to(scheduler, job(2, model="m"), 0.01) is None
+    assert sends_of(scheduler.timer(0.09)) == []
+    assert sends_of(scheduler.timer(0.11)) == [2]
+
+
+def test_a_prompt_that_was_not_run_is_not_taken_to_be_kept() -> None:
+    scheduler = dispatcher([entry("w0")])
+    scheduler.job_arrived(job(1, shared=1000, max_attempts=1), 0.0)
+    scheduler.attempt_ended(1, AttemptEnd(Outcome.NOT_EXECUTED, Cause.NONE), 0.01)
+    assert sent_to(scheduler, job(2, shared=1000, own=200, output=50), 0.1) == "w0"
+    assert scheduler.own_load() == {"w0": Load(1, 1250)}
+
+
+def test_what_does_not_fit_a_worker_s_memory_goes_elsewhere_or_waits() -> None:
+    scheduler = dispatcher([entry("w0")])
+    assert sent_to(scheduler, job(1, subject="a", shared=10, own=300_000)) == "w0"
+    assert sent_to(scheduler, job(2, subject="b", shared=10, own=110_000)) is None
+    scheduler.workers_changed([entry("w0"), entry("w1")], 0.01)
+    assert scheduler.own_load().keys() == {"w0", "w1"}
+
+
+@pytest.mark.parametrize("told", [Load(60, 0), Load(10, 390_000)])
+def test_it_gives_way_to_what_others_hold(told: Load) -> None:
+    scheduler = dispatcher(NINE)
+    home = serve(scheduler, job(1))
+    assert home is not None
+    scheduler.others_load({home: told}, 1.0)
+    assert serve(scheduler, job(2), 1.0) != home
+    scheduler.others_load({}, 2.0)
+    assert serve(scheduler, job(3), 2.0) == home
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        entry("w0", draining=True),
+        entry("w0", models=("other",)),
+        entry("w0", capacity=0),
+    ],
+)
+def test_a_worker_that_must_not_or_cannot_take_it_is_left_out(changed: object) -> None:
+    scheduler = dispatcher([changed, entry("w1")])  # type: ignore[list-item]
+    places = {serve(scheduler, job(index, subject=str(index), model="m")) for index in range(30)}
+    assert places == {"w1"}
+
+
+def test_a_worker_with_the_model_may_take_it() -> None:
+    scheduler = dispatcher([entry("w0", models=("m", "n"))])
+    assert serve(scheduler, job(1, model="n")) == "w0"
+
+
+@pytest.mark.parametrize("cause", [Cause.CONNECT_FAILED, Cause.FULL, Cause.WRONG_INSTANCE])
+def test_a_worker_that_just_failed_is_left_out(cause: Cause) -> None:
+    scheduler = dispatcher([entry("w0"), entry("w1")])
+    first = sent_to(scheduler, job(1))
+    end = AttemptEnd(Outcome.NOT_EXECUTED, cause)
+    (again,) = scheduler.attempt_ended(1, end, 0.01)
+    assert isinstance(again, Send)
+    assert again.instance_id != first
+    assert sent_to(scheduler, job(2), 0.02) != first
+
+
+def test_a_cold_worker_is_avoided_where_it_costs_more_than_the_prefix() -> None:
+    warm = [entry("w0"), entry("w1")]
+    home = serve(dispatcher(warm), job(1, shared=200, own=4000))
+    cold = [entry(name.instance_id, cold_until=50.0 if name.instance_id == home else 0.0) for name in warm]
+    scheduler = dispatcher(cold)
+    assert serve(scheduler, job(1, shared=200, own=4000)) != home
+    assert serve(scheduler, job(2, subject="t", shared=200, own=4000, arrived=60.0), 60.0) is not None
+
+
+def test_a_plain_service_goes_by_load_and_prefers_its_zone_slightly() -> None:
+    three = [entry(f"p{zone}", upstream="svc", zone=zone, capacity=6) for zone in ("north", "south", "west")]
+    scheduler = dispatcher(three)
+    assert {serve(scheduler, plain(index, arrived=index), index) for index in range(20)} == {"pnorth"}
+    scheduler.others_load({"pnorth": Load(5, 0)}, 20.0)
+    assert serve(scheduler, plain(30, arrived=20.0), 20.0) != "pnorth"
+
+
+def test_a_plain_service_uses_all_its_positions() -> None:
+    three = [entry(f"p{index}", upstream="svc", capacity=6) for index in range(3)]
+    scheduler = dispatcher(three)
+    places = Counter(sent_to(scheduler, plain(index)) for index in range(18))
+    assert places == {"p0": 6, "p1": 6, "p2": 6}
+    assert sent_to(scheduler, plain(99)) is None
+
+
+def test_a_slow_worker_of_a_plain_service_gets_less() -> None:
+    scheduler = dispatcher(
+        [entry("fast", upstream="svc", capacity=6), entry("slow", upstream="svc", capacity=6)]
+    )
+    places = Counter[str | None]()
+    for index in range(200):
+        now = index * 1.0
+        found = sent_to(scheduler, plain(index, arrived=now), now)
+        places[found] += 1
+        took = 0.05 if found == "fast" else 0.19
+        scheduler.attempt_started(index, now + took)
+        scheduler.attempt_ended(index, OK, now + took)
+    assert places["fast"] > 4 * places["slow"]
