--- a/reedspoke/cluster/errors.py
+++ b/reedspoke/cluster/errors.py
@@ -27,6 +27,9 @@
     WRITE_UNCLEAR = 303
     NO_CONFIGURATION = 304
     SHUTTING_DOWN = 305
+    PLATFORM_FAILED = 306
+    PLATFORM_RATE = 307
+    FRAME_MALFORMED = 308
 
     STORAGE_CORRUPT = 401
     STORAGE_FULL = 402
@@ -41,15 +44,25 @@
     REQUEST_TOO_LARGE = 507
     NOT_READY = 508
     RETRY_BUDGET = 509
+    EVENT_TOO_LARGE = 510
 
 
-class FleetError(Exception):
-    """An error with its result code and one plain sentence."""
+class NumberedError(Exception):
+    """The base of all errors of the fleet: a result code and one plain sentence."""
 
-    def __init__(self, code: ErrorCode, message: str) -> None:
+    def __init__(self, code: IntEnum, message: str) -> None:
         super().__init__(message)
         self.code = code
         self.message = message
 
     def __str__(self) -> str:
         return f"E{int(self.code)} {self.code.name.lower()}: {self.message}"
+
+
+class FleetError(NumberedError):
+    """An error of the two programs."""
+
+    code: ErrorCode
+
+    def __init__(self, code: ErrorCode, message: str) -> None:
+        super().__init__(code, message)
--- a/reedspoke/cluster/transport.py
+++ b/reedspoke/cluster/transport.py
@@ -10,6 +10,7 @@
 import msgspec
 import ormsgpack
 
+from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.messages import decode, encode
 from reedspoke.cluster.node_settings import split_address
 
@@ -19,9 +20,12 @@
 CONNECT_TIMEOUT_S = 0.7
 
 
-class FramingError(ConnectionError):
+class FramingError(FleetError, ConnectionError):
     """What came is no framed message."""
 
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorCode.FRAME_MALFORMED, message)
+
 
 class Channel:
     """One connection that carries messages both ways."""
--- a/reedspoke/control_plane/platform_client.py
+++ b/reedspoke/control_plane/platform_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.node_settings import split_address
 from reedspoke.control_plane.worker_list import PlatformPage, parse_page
 from reedspoke.net.http import Answers, Buffer, End, Head, MalformedError
@@ -17,13 +18,19 @@
 READ_SIZE = 64 * 1024
 
 
-class PlatformError(Exception):
+class PlatformError(FleetError):
     """The platform gave no page of its list."""
 
+    def __init__(self, message: str, code: ErrorCode = ErrorCode.PLATFORM_FAILED) -> None:
+        super().__init__(code, message)
+
 
 class PlatformRateError(PlatformError):
     """The platform has been called too often by all schedulers together."""
 
+    def __init__(self, message: str) -> None:
+        super().__init__(message, ErrorCode.PLATFORM_RATE)
+
 
 class PlatformClient:
     """Asks for one page at a time."""
--- a/reedspoke/data_plane/event_stream.py
+++ b/reedspoke/data_plane/event_stream.py
@@ -4,14 +4,19 @@
 
 from msgspec import Struct
 
+from reedspoke.cluster.errors import ErrorCode, FleetError
+
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
 MOST_PENDING = 1024 * 1024  # bytes of one event
 
 
-class EventTooLargeError(ValueError):
+class EventTooLargeError(FleetError):
     """An event is longer than MOST_PENDING."""
 
+    def __init__(self) -> None:
+        super().__init__(ErrorCode.EVENT_TOO_LARGE, f"an event of more than {MOST_PENDING} bytes")
+
 
 class Events(Struct, frozen=True):
     """Whole events, as bytes to pass on, their number and the id of the last one that has an id."""
--- a/reedspoke/lab/fleet_emulator/answer_check.py
+++ b/reedspoke/lab/fleet_emulator/answer_check.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct, field
 
+from reedspoke.errors import ReedspokeError
 from reedspoke.lab.fleet_emulator import http_messages as http
 from reedspoke.lab.fleet_emulator.answers import StreamEvent, checksum_of, parse_event, seal_run
 from reedspoke.lab.fleet_emulator.http_messages import AnswerHead
@@ -13,9 +14,12 @@
 EVENT_END = b"\n\n"
 
 
-class MixedAnswerError(Exception):
+class MixedAnswerError(ReedspokeError):
     """The answer is not one that its worker gave to this request."""
 
+    code = "lab-mixed-answer"
+    remedy = "a defect of the data plane: keep the seed that the run names"
+
 
 class StreamState(Struct):
     """Events of one request so far, over all its tries."""
--- a/reedspoke/operator_cli/errors.py
+++ b/reedspoke/operator_cli/errors.py
@@ -4,6 +4,8 @@
 
 from enum import IntEnum
 
+from reedspoke.cluster.errors import NumberedError
+
 
 class OperatorErrorCode(IntEnum):
     """6xx: errors of the operator's command line. No number is ever reused."""
@@ -36,16 +38,13 @@
 }
 
 
-class OperatorError(Exception):
+class OperatorError(NumberedError):
     """A command could not be carried out."""
 
-    def __init__(self, code: OperatorErrorCode, message: str) -> None:
-        super().__init__(message)
-        self.code = code
-        self.message = message
+    code: OperatorErrorCode
 
-    def __str__(self) -> str:
-        return f"E{int(self.code)} {self.code.name.lower()}: {self.message}"
+    def __init__(self, code: OperatorErrorCode, message: str) -> None:
+        super().__init__(code, message)
 
     @property
     def exit_code(self) -> ExitCode:
