A worker that was not reached counts as no attempt; no wait when all were tried

Change: only attempts of which something may have arrived count against the route's attempts and the retry budget; three workers not reached are enough. Ruled out: waiting for a worker when all have been tried.

--- a/reedspoke/decision/job_class.py
+++ b/reedspoke/decision/job_class.py
@@ -40,6 +40,7 @@
     closed: bool = False  # its client has left
     ran: bool = False  # an attempt may have run
     tried: list[str] = field(default_factory=list)  # workers, in order
+    arrivals: int = 0  # attempts of which something may have reached a worker; one more is a repeat
     passed: bool = False  # its client has a part of the answer
 
 
--- a/reedspoke/decision/placement.py
+++ b/reedspoke/decision/placement.py
@@ -99,6 +99,10 @@
                 return found
         return None
 
+    def possible(self, job: Job, excluded: Collection[str]) -> bool:
+        """Whether any worker could run the job, now or later."""
+        return any(able(job, worker, excluded) for worker in self.ranked)
+
     def roomiest(self, job: Job, excluded: Collection[str], now: float) -> str | None:
         """The worker with the most memory left of those that have a position for the job, if memory is all
         that it lacks."""
@@ -203,11 +207,15 @@
     return f"{job.model}/{job.subject}" if job.subject else f"job {job.job_id}"
 
 
+def able(job: Job, worker: WorkerState, excluded: Collection[str]) -> bool:
+    """Whether the worker could run the job, now or later."""
+    model_fits = not job.model or not worker.entry.models or job.model in worker.entry.models
+    return worker.usable and model_fits and worker.entry.instance_id not in excluded
+
+
 def has_place(job: Job, worker: WorkerState, excluded: Collection[str]) -> bool:
     """Whether the worker could run the job and has a position free."""
-    model_fits = not job.model or not worker.entry.models or job.model in worker.entry.models
-    able = worker.usable and model_fits and worker.entry.instance_id not in excluded
-    return able and worker.room() > 0
+    return able(job, worker, excluded) and worker.room() > 0
 
 
 def may_take(job: Job, worker: WorkerState, excluded: Collection[str], now: float) -> bool:
--- a/reedspoke/decision/service.py
+++ b/reedspoke/decision/service.py
@@ -12,6 +12,7 @@
 from reedspoke.decision.job_class import JobClass, JobState, Shares, head_key, key_of
 from reedspoke.decision.messages import (
     AttemptEnd,
+    Cause,
     Decision,
     Expire,
     Fail,
@@ -40,6 +41,7 @@
 QUEUE_MOST = 1000  # jobs that wait; what comes beyond them is refused at once
 CREDIT_JOBS = 4.0  # jobs of its share that a class without work keeps: those of rare ones come at random
 LOOK_AHEAD = 2  # subjects of a class whose next job may go while those before wait for a worker
+MOST_UNREACHED = 3  # workers to which no connection came up, before a job is given up
 FORGET_EVERY = 256  # arrivals between looks for classes without work
 
 
@@ -125,6 +127,7 @@
         self._queue.clock(now, self._classes.values())  # while its class still counts as active
         cost = self.pool.cost(out.worker, out.running, now)
         self.pool.end(job_id, out.worker, end, now)
+        out.state.arrivals += end.cause is not Cause.CONNECT_FAILED
         if end.outcome is Outcome.NOT_EXECUTED:
             self._queue.reverse(out.state.job_class, out.charge)
             out.state.job_class.queue.refund(out.state.job.subject, out.turn_cost)
@@ -212,7 +215,7 @@
         """The class's head job and its worker. Where the head has to wait for the worker of its prefix, the
         next subject's job may go before it."""
         for state in job_class.queue.heads(LOOK_AHEAD):
-            if state.tried and not self.budget.covered(now):
+            if state.arrivals and not self.budget.covered(now):
                 continue
             excluded = self._reserved.union(state.tried)
             placed = self.pool.placement.best(state.job, excluded, now)
@@ -237,7 +240,7 @@
         turn_cost = job_class.largest[key_of(state.job)]
         job_class.queue.take(state.job.subject, state, turn_cost)
         state.waiting = False
-        if state.tried:
+        if state.arrivals:
             self.budget.use(now)
         state.tried.append(placed.worker.entry.instance_id)
         charge = self._queue.begin(job_class, key_of(state.job))
@@ -262,9 +265,11 @@
             self._answer(state, Expire(state.job.job_id, state.ran))
         elif another_attempt(fate(state), state.job.repeat, state.passed) is Another.NO:
             self._answer(state, Fail(state.job.job_id, FailReason.MAY_HAVE_RUN))
-        elif len(state.tried) >= state.job.max_attempts:
+        elif state.arrivals >= state.job.max_attempts or unreached(state) >= MOST_UNREACHED:
             self._end_without(state, RefuseReason.ATTEMPTS, FailReason.ATTEMPTS, now)
-        elif not self.budget.reserve(now):
+        elif self.pool.usable and not self.pool.placement.possible(state.job, state.tried):
+            self._end_without(state, RefuseReason.NO_WORKER, FailReason.NO_WORKER, now)
+        elif state.arrivals and not self.budget.reserve(now):
             self._end_without(state, RefuseReason.BUDGET, FailReason.BUDGET, now)
         else:
             self._requeue(state, now)
@@ -289,7 +294,7 @@
 
     def _last_resort(self, state: JobState, now: float) -> Placed | None:
         """While under half of the positions are taken, a worker that is in doubt is better than a refusal."""
-        if self.pool.taken_share() >= HALF_TAKEN or state.tried and not self.budget.covered(now):
+        if self.pool.taken_share() >= HALF_TAKEN or state.arrivals and not self.budget.covered(now):
             return None
         excluded = self._reserved.union(state.tried)
         return self.pool.placement.best(state.job, excluded, now, last_resort=True)
@@ -312,7 +317,7 @@
         if state.waiting:
             state.job_class.queue.remove(state.job.subject, state)
             state.waiting = False
-            if state.tried:
+            if state.arrivals:
                 self.budget.give_back()
         self._jobs.pop(state.job.job_id, None)
 
@@ -377,6 +382,12 @@
         self._bands = {route: bands for route, bands in self._bands.items() if route in routes}
 
 
+def unreached(state: JobState) -> int:
+    """Attempts for which no connection came up: nothing of them has reached a worker, so they count neither
+    against the route's attempts nor against the retry budget."""
+    return len(state.tried) - state.arrivals
+
+
 def fate(state: JobState) -> Fate:
     """The fate of all of the job's attempts that have ended without an answer."""
     return Fate.MAY_HAVE_RUN if state.ran else Fate.NEVER_RAN
