--- a/reedspoke/net/http.py
+++ b/reedspoke/net/http.py
@@ -120,8 +120,8 @@
     if end < 0 or end - start > most:
         if len(buffer) > most:
             raise MalformedError(431, "the head is too large")
-        if data.find(b"\n", start, min(buffer.end, start + most)) >= 0:
-            check_first_line(data, start, buffer.end, STATUS_LINE if answer else REQUEST_LINE)
+        if not answer and data.find(b"\n", start, min(buffer.end, start + most)) >= 0:
+            check_first_line(data, start, buffer.end)
         return None
     end += 2
     first = (STATUS_LINE if answer else REQUEST_LINE).match(data, start, end)
@@ -149,9 +149,9 @@
     return head
 
 
-def check_first_line(data: bytearray, start: int, end: int, expected: re.Pattern[bytes]) -> None:
+def check_first_line(data: bytearray, start: int, end: int) -> None:
     """Garbage is told at its first line: its sender may never send the blank line that ends a head."""
-    if expected.match(data, start, end) is None:
+    if REQUEST_LINE.match(data, start, end) is None:
         raise MalformedError(400, "the first line is malformed")
 
 
