--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = .venv/bin/python
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: build demo test lint format run check
+.PHONY: build demo fleet test lint format run check
 
 build: .venv/made
 
@@ -14,6 +14,9 @@
 demo: build
 	$(PYTHON) -m reedspoke demo
 
+fleet: build
+	$(PYTHON) -m reedspoke.lab.fleet_emulator --control 3 --edges 2 --workers 4 --seconds 8
+
 test: build
 	$(PYTHON) -m pytest
 
