Messages of a session say whether a majority stands behind their sender

Ruled out: a flag alone; the receiver must know as of which moment on its own clock the state was the newest, so held_s and confirmed_ago_s are told. Change: Versions.held_s and confirmed_ago_s, message Unconfirmed, Fetch.unconfirmed_too; the decoding test names one field more, as strict as before. Nothing sends them yet.

--- a/reedspoke/cluster/messages.py
+++ b/reedspoke/cluster/messages.py
@@ -3,10 +3,11 @@
 A data plane scheduler opens a session to the internal port of a control scheduler. It sends `Watch` with the
 versions that it holds; the answer `Versions` comes as soon as any source has a newer version, or after the
 heartbeat. What it lacks it asks for with `Fetch`, answered by the source's own message. One `Watch` is out at
-a time on a session, and any number of `Fetch`.
+a time on a session, and any number of `Fetch`. A control scheduler that no majority of voters stands behind
+answers `Unconfirmed` in place of `Versions`, as soon as that is so, and hands over no state.
 
 Sources, with their versions (compared as pairs, the larger is newer):
-- `configuration`: (sequence on the chain, 0)
+- `configuration`: (view in which the chain's head took it, sequence on the chain)
 - `workers`: (term of the list duty's lease, count within the term)
 - `members`: (0, count); it is local to one control scheduler and compared for equality only.
 """
@@ -43,19 +44,52 @@
 
 
 class Versions(Struct, tag="versions", array_like=True):
-    """Control plane to data plane: the newest versions that this control scheduler has."""
+    """Control plane to data plane: the newest versions that this control scheduler has.
+
+    `held_s` is how long the `Watch` waited here for this answer. `confirmed_ago_s` is how long before the
+    answer the configuration told here was certainly the newest, by the grants of a majority of voters. Both
+    are seconds of the sender's steady clock. So the receiver knows that it was the newest when it sent the
+    `Watch`, plus `held_s`, minus `confirmed_ago_s`, on its own clock.
+    """
 
     request_id: int
     node_name: str
     versions: dict[str, Version]
     running: dict[str, tuple[int, int]] = field(default_factory=dict)  # sum of all schedulers but the asker
+    held_s: float = 0.0
+    confirmed_ago_s: float = 0.0
+
+
+class ControlMember(Struct, array_like=True, frozen=True):
+    """A control scheduler: its address for other schedulers and its zone."""
+
+    address: str
+    zone: str
+
+
+class Unconfirmed(Struct, tag="unconfirmed", array_like=True):
+    """Control plane to data plane: no majority of voters stands behind this control scheduler now.
+
+    `control` are control schedulers where the asker may look for one that has a majority. `versions` is what
+    this one held last; it is fetched only with `Fetch.unconfirmed_too`.
+    """
+
+    request_id: int
+    node_name: str
+    control: tuple[ControlMember, ...] = ()
+    versions: dict[str, Version] = field(default_factory=dict)
 
 
 class Fetch(Struct, tag="fetch", array_like=True):
-    """Data plane to control plane: send me this source, I hold `have` of it."""
+    """Data plane to control plane: send me this source, I hold `have` of it.
+
+    `unconfirmed_too` asks for what the control scheduler holds even while no majority stands behind it; a
+    data plane scheduler does so when it holds nothing and has found no better source for a while.
+    """
 
     source: str
     have: Version = NO_VERSION
+    unconfirmed_too: bool = False
 
 
 class WorkerEntry(Struct, array_like=True, frozen=True):
@@ -102,13 +136,6 @@
     limits: bytes = b""
 
 
-class ControlMember(Struct, array_like=True, frozen=True):
-    """A control scheduler: its address for other schedulers and its zone."""
-
-    address: str
-    zone: str
-
-
 class EdgeMember(Struct, array_like=True, frozen=True):
     """A data plane scheduler whose session with some control scheduler stands."""
 
@@ -126,7 +153,7 @@
 
 
 EdgeMessage = Watch | Fetch
-ControlMessage = Versions | WorkerList | ConfigurationSnapshot | ConfigurationDelta | MemberList
+ControlMessage = Versions | Unconfirmed | WorkerList | ConfigurationSnapshot | ConfigurationDelta | MemberList
 
 
 def encode(message: Struct) -> bytes:
--- a/tests/cluster/test_messages.py
+++ b/tests/cluster/test_messages.py
@@ -15,6 +15,7 @@
     EdgeMessage,
     Fetch,
     MemberList,
+    Unconfirmed,
     Versions,
     Watch,
     WorkerEntry,
@@ -29,10 +30,14 @@
     Watch(2**40, "edge-1", "ab12", "zä", {"workers": (3, 4)}, {"i-1": (2, 300)}, True),
     Fetch("configuration"),
     Fetch("workers", (7, 9)),
+    Fetch("configuration", unconfirmed_too=True),
 ]
 CONTROL_MESSAGES: list[Struct] = [
     Versions(1, "core-1", {"configuration": (5, 0), "workers": (2, 3), "members": (0, 1)}),
     Versions(1, "core-1", {}, {"i-1": (0, 0)}),
+    Versions(2, "core-1", {"configuration": (5, 9)}, {}, 0.4, 0.25),
+    Unconfirmed(3, "core-2", (ControlMember("10.0.0.3:7660", "za"),), {"configuration": (5, 9)}),
+    Unconfirmed(4, "core-2"),
     WorkerList((1, 2), ()),
     WorkerList((1, 2), (WORKER, WorkerEntry("i-2", "u2", "10.0.0.2:80", "zb", "v2", 1, True))),
     ConfigurationSnapshot((5, 0), b'{"generation":1}\x00\xff'),
@@ -73,8 +78,8 @@
 def test_fields_that_a_later_version_adds_are_passed_over() -> None:
     import ormsgpack
 
-    later = ormsgpack.packb(["fetch", "workers", [1, 2], "a later field"])
-    assert decode(later, EdgeMessage) == Fetch("workers", (1, 2))
+    later = ormsgpack.packb(["fetch", "workers", [1, 2], True, "a later field"])
+    assert decode(later, EdgeMessage) == Fetch("workers", (1, 2), True)
 
 
 def test_fields_that_an_earlier_version_lacks_take_their_defaults() -> None:
