Data plane: sessions follow confirmed control schedulers; 404 only while that is certain

Cause: both sessions stayed with control schedulers that were cut off, and routes that existed were refused with 404. Ruled out: refusing all requests in doubt; known routes are served by what is held, as before. A request without route gets 503 (511 configuration_in_doubt) with Retry-After while what is held was not confirmed within 0.7 of apply_ms, or a newer version is known.

--- a/reedspoke/cluster/errors.py
+++ b/reedspoke/cluster/errors.py
@@ -45,6 +45,7 @@
     NOT_READY = 508
     RETRY_BUDGET = 509
     EVENT_TOO_LARGE = 510
+    CONFIGURATION_IN_DOUBT = 511
 
 
 class NumberedError(Exception):
--- a/reedspoke/cluster/node_settings.py
+++ b/reedspoke/cluster/node_settings.py
@@ -12,6 +12,7 @@
 
 SETTINGS_VARIABLE = "REEDSPOKE_NODE_FILE"
 SETTINGS_DEFAULT_PATH = "/etc/reedspoke/settings.json"
+WATCH_HOLD_SHARE = 1 / 3  # of the heartbeat
 
 
 class Limits(Struct, frozen=True):
@@ -90,6 +91,10 @@
     bounds: Bounds = field(default_factory=Bounds)
     cloud_api: CloudApi = field(default_factory=CloudApi)
 
+    def watch_hold_s(self) -> float:
+        """A control scheduler answers a `Watch` after this at the latest."""
+        return self.heartbeat_ms / 1000 * WATCH_HOLD_SHARE
+
     def seed_addresses(self) -> tuple[str, ...]:
         """The internal addresses of the control schedulers at the seeds."""
         return tuple(internal_address(seed, self) for seed in self.seed_nodes)
--- a/reedspoke/data_plane/address_book.py
+++ b/reedspoke/data_plane/address_book.py
@@ -15,7 +15,8 @@
 MOST_ADDRESSES = 128
 FORGET_S = 1800.0  # an address that nobody has named for so long goes at the next list
 RETRY_LEAST_S = 0.5  # until the next try after one setback; doubled with each further one
-RETRY_MOST_S = 2.0
+RETRY_MOST_S = 0.8  # where connections fail
+RETRY_UNCONFIRMED_MOST_S = 2.0  # where there are answers, none of them confirmed
 URGENT_RETRY_S = 0.15  # after a failed connection, while there is no session that counts
 LATELY_S = 5.0  # who had a setback within this time is tried after all others
 
@@ -47,7 +48,8 @@
     def _pause(self, urgent: bool) -> float:
         if urgent and not self.unconfirmed:
             return URGENT_RETRY_S
-        return min(RETRY_MOST_S, RETRY_LEAST_S * 2.0 ** (min(self.setbacks, 8) - 1))
+        most = RETRY_UNCONFIRMED_MOST_S if self.unconfirmed else RETRY_MOST_S
+        return min(most, RETRY_LEAST_S * 2.0 ** (min(self.setbacks, 8) - 1))
 
 
 class AddressBook:
--- a/reedspoke/data_plane/confirmation.py
+++ b/reedspoke/data_plane/confirmation.py
@@ -17,11 +17,13 @@
 class Confirmation:
     """Compares what confirmed control schedulers tell with what is held.
 
-    `apply_s` is the time within which an acknowledged change has to be in force.
+    `apply_s` is the time within which an acknowledged change has to be in force, `started` that of the start.
     """
 
-    def __init__(self, apply_s: float) -> None:
+    def __init__(self, apply_s: float, started: float) -> None:
         self._most_age_s = DOUBT_SHARE * apply_s
+        self._started = started
+        self._told_at = started
         self._held: Version = NO_VERSION
         self._as_of: float | None = None
         self._awaited: dict[Version, float] = {}  # newer than what is held, each with its time
@@ -30,6 +32,7 @@
         """A confirmed control scheduler tells the newest version."""
         if not math.isfinite(as_of):
             return
+        self._told_at = max(self._told_at, as_of)
         if version <= self._held:
             self._confirm(as_of)
             return
@@ -49,13 +52,25 @@
         """When what is held was last known to be the newest; None: never yet."""
         return self._as_of
 
+    def told_at(self) -> float:
+        """The latest time for which any version was told as the newest, at first the start."""
+        return self._told_at
+
     def awaits_newer(self) -> bool:
         """Whether a newer version is known than the one that is held."""
         return bool(self._awaited)
 
     def is_old(self, now: float) -> bool:
         """Whether what is held was last confirmed too long ago."""
-        return self._as_of is None or now - self._as_of > self._most_age_s
+        return self._as_of is None or not self.is_fresh(self._as_of, now)
+
+    def is_fresh(self, as_of: float, now: float) -> bool:
+        """Whether being told the newest version as of that time is of use now."""
+        return now - as_of <= self._most_age_s
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether more control schedulers are to be asked; at the start the usual number gets some time."""
+        return not self.is_fresh(self._started if self._as_of is None else self._as_of, now)
 
     def in_doubt(self, now: float) -> bool:
         """Whether what is held may be older than it is allowed to be."""
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -14,13 +14,16 @@
 from reedspoke.cluster.json_log import INFO, WARNING, log
 from reedspoke.cluster.messages import MemberList, Version, WorkerList
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, split_address
-from reedspoke.data_plane.answers import own_answer
+from reedspoke.data_plane.answers import WholeAnswer, own_answer
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, Exchange
-from reedspoke.data_plane.control_session import ControlSessions, Listener, OwnState, Subscription
+from reedspoke.data_plane.confirmation import Confirmation
+from reedspoke.data_plane.control_session import ControlSessions
+from reedspoke.data_plane.conversation import OwnState, SessionPace
 from reedspoke.data_plane.forwarder import Forwarder
 from reedspoke.data_plane.headers import ATTEMPT_ID, text_of
 from reedspoke.data_plane.readiness import ReadinessConnection
 from reedspoke.data_plane.route_table import RouteTable
+from reedspoke.data_plane.subscription import Listener, Subscription
 from reedspoke.data_plane.upstream_pool import UpstreamPool
 from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
 
@@ -31,6 +34,7 @@
 MOST_START_S = 2.0  # connections are accepted after that, even if there is no configuration yet
 SETTINGS_INTERVAL_S = 2.0
 NOT_READY_RETRY_S = 0.3
+IN_DOUBT_RETRY_S = 0.3
 EMPTY_LIMITS = RequestLimits()
 
 
@@ -66,8 +70,15 @@
             on_members=self._on_members,
             on_running=self._forwarder.set_others_load,
         )
-        self._subscription = Subscription(listener)
-        self._sessions = ControlSessions(self._subscription, self._own_state, self._seeds, self._random)
+        self._confirmation = Confirmation(settings.bounds.apply_ms / 1000, started=self._loop.time())
+        self._subscription = Subscription(listener, self._confirmation)
+        self._sessions = ControlSessions(
+            self._subscription,
+            self._own_state,
+            self._seeds,
+            self._random,
+            SessionPace(settings.watch_hold_s()),
+        )
 
     def _make_dispatcher(self) -> Dispatcher:
         bounds = self._settings.bounds
@@ -207,11 +218,18 @@
         host, path = place_of(request)
         route = self._routes.find(host, path)
         if route is None:
-            connection.answer_whole(own_answer(404, ErrorCode.NO_ROUTE, "no route for this host and path"))
+            connection.answer_whole(self._no_route())
             return NoExchange()
         upstream = route.upstream_for(request.head.get(ATTEMPT_ID) or b"")
         return self._forwarder.begin(request, connection, route, upstream)
 
+    def _no_route(self) -> WholeAnswer:
+        """Final only while it is certain that no route has come for the request."""
+        if self._confirmation.in_doubt(self._loop.time()):
+            message = "the configuration that is held may be an old one"
+            return own_answer(503, ErrorCode.CONFIGURATION_IN_DOUBT, message, IN_DOUBT_RETRY_S)
+        return own_answer(404, ErrorCode.NO_ROUTE, "no route for this host and path")
+
 
 def place_of(request: ClientRequest) -> tuple[str, str]:
     """Host and path; a target that names its host goes before the field."""
--- a/reedspoke/data_plane/session_choice.py
+++ b/reedspoke/data_plane/session_choice.py
@@ -24,6 +24,7 @@
 MOST_OPEN = 4  # sessions at once, with those that do not count
 OPENING_S = 0.3  # a session counts for so long without any answer
 DEFAULT_QUIET_S = 0.8
+LOOK_S = 0.1  # between two looks while something is to be done
 SURPLUS_S = 1.0  # a session beyond the wanted number is kept for so long after the last doubt
 DIAL_BURST = 6.0  # connections that may be begun at once
 DIALS_PER_S = 2.5  # and in the long run
@@ -166,6 +167,13 @@
         """Addresses of the sessions behind whose control schedulers a majority stands."""
         return [session.address for session in self._sessions.values() if self._is_sound(session, now)]
 
+    def next_look_s(self, now: float) -> float:
+        """How long the caller may wait with its next look, if nothing happens in between."""
+        if self._in_doubt or len(self._sessions) != SESSIONS or len(self.sound(now)) != SESSIONS:
+            return LOOK_S
+        first_answer = min(session.answered_at for session in self._sessions.values())
+        return max(LOOK_S, first_answer + self._quiet_s - now)
+
     def _note(self, now: float, own_zone: str, in_doubt: bool) -> None:
         self._own_zone = own_zone
         self._in_doubt = in_doubt
--- a/reedspoke/lab/fleet_emulator/hollow_edge.py
+++ b/reedspoke/lab/fleet_emulator/hollow_edge.py
@@ -15,15 +15,12 @@
 
 from reedspoke.cluster.configuration import Configuration
 from reedspoke.cluster.messages import MemberList, Version, WorkerList, decode
-from reedspoke.cluster.node_settings import split_address
+from reedspoke.cluster.node_settings import Bounds, split_address
 from reedspoke.cluster.transport import CONNECT_TIMEOUT_S, CONNECTION_ENDED, LENGTH, Channel
-from reedspoke.data_plane.control_session import (
-    ControlSessions,
-    Conversation,
-    Listener,
-    OwnState,
-    Subscription,
-)
+from reedspoke.data_plane.confirmation import Confirmation
+from reedspoke.data_plane.control_session import ControlSessions, OpenSession
+from reedspoke.data_plane.conversation import OwnState
+from reedspoke.data_plane.subscription import Listener, Subscription
 
 Running = dict[str, tuple[int, int]]
 
@@ -118,17 +115,18 @@
 
     meter: Meter
 
-    async def _converse(self, address: str) -> None:
-        channel = await open_counting_channel(address, self.meter)
+    async def _connect(self, address: str) -> Channel:
+        return await open_counting_channel(address, self.meter)
+
+    async def _converse(self, address: str, channel: Channel, session: OpenSession) -> None:
         self.meter.session_starts.append(time.monotonic())
         try:
-            await Conversation(channel, self._subscription, self._own_state).run()
+            await super()._converse(address, channel, session)
         except CONNECTION_ENDED as error:
             self.meter.count_end(type(error).__name__)
             raise
         finally:
             self.meter.session_ends.append(time.monotonic())
-            channel.close()
 
 
 class HollowEdge:
@@ -143,7 +141,8 @@
         self._workers: list[str] = []
         self.load_size = 0
         listener = Listener(self._on_configuration, self._on_workers, self._on_members, self._on_running)
-        self._subscription = Subscription(listener)
+        confirmation = Confirmation(Bounds().apply_ms / 1000, started=asyncio.get_running_loop().time())
+        self._subscription = Subscription(listener, confirmation)
         self._sessions = CountingSessions(
             self._subscription, self._own_state, lambda: seeds, self._random
         )  # fmt: skip
