Every outlet of a control scheduler stands on a majority's grant that has not run out

Cause: nothing that a control scheduler told depended on contact with a majority of voters. Cut off with a minority, it handed out its last configuration for as long as the cut lasted, and answered operators by the pings it had heard last. Ruled out: a lease that blocks the next view, as the tail's does (every member would delay each repair); hearing pings as proof (old pings were enough after a stop of the process). Change: each ping asks the voters for a ContactGrant: the voter acts in the same view and has accepted no next one. From a majority's grants follows as of which time, on the own steady clock, the view and the committed configuration were the newest (majority_contact.py).

--- a/reedspoke/control_plane/chain_register.py
+++ b/reedspoke/control_plane/chain_register.py
@@ -31,6 +31,7 @@
         self.committed: Committed | None = None
         self.adopting = False
         self.synced_since = restored.synced_since
+        self._synced_at: float | None = None  # of `entry`, where the one before it is known to be committed
         self._history = restored.history
 
     @property
@@ -53,6 +54,16 @@
         """Whether nothing is in flight."""
         return self.storing is None and not self.adopting and self.committed_sequence == self.sequence
 
+    def committed_until(self, now: float) -> float | None:
+        """`committed` is the newest, unless something has been committed after this time.
+
+        An entry is committed only after it has been synced here. None where entries may have been committed
+        of which this replica has not been told.
+        """
+        if self.adopting:
+            return None
+        return now if self.committed_sequence == self.sequence else self._synced_at
+
     @property
     def history(self) -> tuple[Acknowledged, ...]:
         """The accepted changes, oldest first."""
@@ -72,6 +83,7 @@
             self.storing = None
             if error is None:
                 self.entry = entry
+                self._synced_at = self._outbox.now
                 self._history.append(acknowledged(entry))
             on_synced(error is None)
 
@@ -82,6 +94,7 @@
     ) -> None:
         """Take over a predecessor's state in place of the own."""
         self.entry = entry
+        self._synced_at = None
         self.storing = None
         self._history.clear()
         self._history.extend(history)
@@ -100,7 +113,7 @@
         """The newest synced entry is committed; it is returned where this is news."""
         if self.entry is None or self.entry.sequence <= self.committed_sequence:
             return None
-        self.committed = Committed(self.entry.sequence, self.entry.generation, self.entry.document)
+        self.committed = committed_of(self.entry)
         return self.committed
 
     def records(self) -> list[Struct]:
@@ -109,3 +122,8 @@
         records += [EntryRecord(entry) for entry in (self.entry, self.storing) if entry is not None]
         records.append(SyncedRecord(self.synced_since))
         return records
+
+
+def committed_of(entry: Entry) -> Committed:
+    """An entry as it is told once it is committed."""
+    return Committed(entry.sequence, entry.generation, entry.document, entry.view)
--- a/reedspoke/control_plane/configuration_cache.py
+++ b/reedspoke/control_plane/configuration_cache.py
@@ -115,7 +115,7 @@
 
 
 def _version(committed: Committed) -> Version:
-    return (committed.sequence, 0)
+    return (committed.view, committed.sequence)
 
 
 def _snapshot(committed: Committed) -> bytes:
--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -133,6 +133,14 @@
         self.handle(Get(request_id))
         return future
 
+    def holds_majority(self) -> bool:
+        """Whether a majority of voters stands behind this replica at this instant."""
+        return self._replica is not None and self._replica.holds_majority(self._loop.time())
+
+    def confirmed_as_of(self) -> float | None:
+        """As `Replica.confirmed_as_of`, at this instant; None before the data folder is open."""
+        return None if self._replica is None else self._replica.confirmed_as_of(self._loop.time())
+
     @property
     def waiting_calls(self) -> int:
         """Calls without an answer."""
--- a/reedspoke/control_plane/edge_sessions.py
+++ b/reedspoke/control_plane/edge_sessions.py
@@ -1,4 +1,8 @@
-"""Sessions with data plane schedulers: `Watch` is answered when something is new, `Fetch` at once."""
+"""Sessions with data plane schedulers: `Watch` is answered when something is new, `Fetch` at once.
+
+While no majority of voters stands behind this control scheduler, both are answered with `Unconfirmed`. That
+is decided anew for each message, in the same step in which the message is handed to the connection.
+"""
 
 from __future__ import annotations
 
@@ -8,12 +12,21 @@
 from msgspec import Struct, field
 
 from reedspoke.cluster.json_log import INFO, log
-from reedspoke.cluster.messages import WORKERS, EdgeMessage, Fetch, Version, Versions, Watch
+from reedspoke.cluster.messages import (
+    WORKERS,
+    EdgeMessage,
+    Fetch,
+    Unconfirmed,
+    Version,
+    Versions,
+    Watch,
+)
 from reedspoke.cluster.transport import Channel
 from reedspoke.control_plane.published_state import PublishedState
 
 MOST_SESSIONS = 2048
 MOST_WAITING = 12 * 1024 * 1024  # bytes for a data plane scheduler that does not read them
+NO_REQUEST = 0  # in an answer that belongs to no `Watch`
 
 
 class Session(Struct, eq=False):
@@ -21,9 +34,11 @@
 
     channel: Channel
     watch: Watch | None = None  # not answered yet
+    watched_at: float = 0.0
     timer: asyncio.TimerHandle | None = None
     last: Watch | None = None
     told: dict[str, Version] = field(default_factory=dict)  # in our last answer
+    told_unconfirmed: bool = False  # and nothing else since
 
 
 class EdgeSessions:
@@ -41,6 +56,7 @@
         self._on_arrival = on_arrival
         self._loop = asyncio.get_running_loop()
         self._sessions: dict[Channel, Session] = {}
+        self._confirmed = False
 
     def received(self, channel: Channel, message: EdgeMessage) -> None:
         """A message of a data plane scheduler."""
@@ -73,6 +89,16 @@
             if session.watch is not None and self._has_news(session, session.watch):
                 self._answer(session)
 
+    def look(self) -> None:
+        """Time has passed: where a majority has come or gone, all that wait are told at once."""
+        confirmed = self._state.confirmed_ago(self._loop.time()) is not None
+        if confirmed == self._confirmed:
+            return
+        self._confirmed = confirmed
+        log(INFO, "majority reached" if confirmed else "majority lost", sessions=len(self._sessions))
+        for session in list(self._sessions.values()):
+            self._answer(session)
+
     def close(self) -> None:
         """End all sessions."""
         for session in list(self._sessions.values()):
@@ -80,6 +106,7 @@
 
     def _watched(self, session: Session, watch: Watch) -> None:
         session.last = session.watch = watch
+        session.watched_at = self._loop.time()
         if WORKERS in watch.versions:
             self._state.workers.note_seen(watch.versions[WORKERS])
         if self._state.membership.watched(watch, self._loop.time()):
@@ -94,6 +121,10 @@
 
     def _has_news(self, session: Session, watch: Watch) -> bool:
         """Each set of versions is told at once one time only, or the two sides would do nothing else."""
+        if self._state.confirmed_ago(self._loop.time()) is None:
+            return not session.told_unconfirmed
+        if session.told_unconfirmed:
+            return True
         return self._state.differs(watch.versions) and self._state.versions() != session.told
 
     def _heartbeat(self, session: Session) -> None:
@@ -109,15 +140,33 @@
         if session.timer is not None:
             session.timer.cancel()
             session.timer = None
+        now = self._loop.time()
+        confirmed_ago_s = self._state.confirmed_ago(now)
+        if confirmed_ago_s is None:
+            self._tell_unconfirmed(session, watch.request_id)
+            return
         running = self._state.membership.running_except(watch.node_name)
         session.told = self._state.versions()
-        session.channel.send(Versions(watch.request_id, self._node_name, session.told, running))
+        session.told_unconfirmed = False
+        held_s = now - session.watched_at
+        session.channel.send(
+            Versions(watch.request_id, self._node_name, session.told, running, held_s, confirmed_ago_s)
+        )
+
+    def _tell_unconfirmed(self, session: Session, request_id: int) -> None:
+        session.told_unconfirmed = True
+        control = self._state.membership.known_control()
+        session.channel.send(Unconfirmed(request_id, self._node_name, control, self._state.versions()))
 
     def _fetched(self, session: Session, fetch: Fetch) -> None:
         if session.channel.waiting() > MOST_WAITING:
             log(INFO, "data plane scheduler does not read", node=session.last and session.last.node_name)
             session.channel.close()
             return
+        confirmed = self._state.confirmed_ago(self._loop.time()) is not None
+        if not confirmed and not fetch.unconfirmed_too:
+            self._tell_unconfirmed(session, NO_REQUEST)
+            return
         payload = self._state.frame(fetch.source, fetch.have, self._loop.time())
         if payload is not None:
             session.channel.send_encoded(payload)
--- a/reedspoke/control_plane/events.py
+++ b/reedspoke/control_plane/events.py
@@ -39,6 +39,7 @@
     sequence: int
     generation: int
     document: bytes
+    view: int = 0  # the view in which the head took it
 
 
 # ---- events ----
--- a/reedspoke/control_plane/membership.py
+++ b/reedspoke/control_plane/membership.py
@@ -95,6 +95,13 @@
         told = self._tables.get(address)
         return NO_VERSION if told is None else told.table.workers
 
+    def known_control(self) -> tuple[ControlMember, ...]:
+        """The other control schedulers of the newest view known here, and those heard of late beside them."""
+        known = {member.address: member.zone for member in self._view}
+        known |= {member.address: member.zone for member in self._members.control}
+        known.pop(self._own.address, None)
+        return tuple(ControlMember(address, zone) for address, zone in sorted(known.items()))
+
     def peers_heard(self, now: float) -> tuple[str, ...]:
         """Addresses of the control schedulers that were heard of late."""
         return tuple(address for address, at in self._heard.items() if now - at <= TABLE_LIFE_S)
--- a/reedspoke/control_plane/operator_api.py
+++ b/reedspoke/control_plane/operator_api.py
@@ -74,6 +74,7 @@
     workers: int
     workers_version: tuple[int, int]
     holds_list_duty: bool
+    holds_majority: bool = False
 
 
 class Calls:
@@ -91,6 +92,10 @@
         """The newest configuration. Raises FleetError where that cannot be tried."""
         raise NotImplementedError
 
+    def holds_majority(self) -> bool:
+        """Whether a majority of voters stands behind this scheduler at this instant."""
+        raise NotImplementedError
+
     def status(self) -> StatusAnswer:
         """The state of this scheduler."""
         raise NotImplementedError
@@ -101,6 +106,7 @@
 
     run: Callable[[OperatorApi, Request], Awaitable[Response]]
     errors: frozenset[ErrorCode] = frozenset()
+    needs_majority: bool = True  # at the instant at which the answer is given
 
 
 class OperatorApi:
@@ -122,11 +128,14 @@
             return error_response(FleetError(ErrorCode.OVERLOADED, "too many calls are waiting"))
         self._waiting += 1
         try:
-            return await operation.run(self, request)
+            response = await operation.run(self, request)
         except FleetError as error:
-            return error_response(error)
+            response = error_response(error)
         finally:
             self._waiting -= 1
+        if operation.needs_majority and response.status != UNAVAILABLE and not self._calls.holds_majority():
+            return error_response(FleetError(ErrorCode.NO_QUORUM, "no majority stands behind this machine"))
+        return response
 
     async def put_configuration(self, request: Request) -> Response:
         """Take a whole configuration."""
@@ -196,7 +205,9 @@
     },
     STATUS_PATH: {
         "GET": Operation(
-            OperatorApi.get_status, frozenset((ErrorCode.OVERLOADED, ErrorCode.MALFORMED_REQUEST))
+            OperatorApi.get_status,
+            frozenset((ErrorCode.OVERLOADED, ErrorCode.MALFORMED_REQUEST)),
+            needs_majority=False,
         )
     },
 }
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -64,6 +64,8 @@
         self._table_at = 0.0
         self._settings_at = 0.0
         self._maintenance_at = 0.0
+        self._newest_committed: Committed | None = None
+        self._preparing_since: float | None = None  # what is committed is not published yet
         self._build(settings)
 
     def _build(self, settings: NodeSettings) -> None:
@@ -75,7 +77,7 @@
         self._documents = JobThread("documents")
         self._configuration = ConfigurationCache()
         self._book = WorkerBook()
-        self._state = PublishedState(self._configuration, self._book, self._membership)
+        self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
         self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap)
         self._sessions = EdgeSessions(
             settings.node_name, self._state, heartbeat_s * HEARTBEAT_SHARE, self._sessions_changed
@@ -114,6 +116,9 @@
 
     def deliver(self, committed: Committed) -> None:
         """The data plane may have this configuration."""
+        self._newest_committed = committed
+        if self._preparing_since is None:
+            self._preparing_since = self._loop.time()
         prepared = self._documents.call(lambda: self._configuration.prepare(committed))
         prepared.add_done_callback(self._prepared)
 
@@ -125,9 +130,18 @@
         prepared = future.result()
         if self._configuration.install(prepared):
             committed = prepared.committed
+            if committed == self._newest_committed:
+                self._preparing_since = None
             log(INFO, "configuration in force", generation=committed.generation, sequence=committed.sequence)
             self._sessions.changed()
 
+    def _confirmed_as_of(self) -> float | None:
+        """The time as of which what is published here was certainly the newest configuration."""
+        as_of = self._driver.confirmed_as_of()
+        if as_of is None or self._preparing_since is None:
+            return as_of
+        return min(as_of, self._preparing_since)
+
     def view_changed(self, view: View) -> None:
         """A newer view is known."""
         self._view = view
@@ -142,6 +156,7 @@
         now = self._loop.time()
         self._send_lease(self._lease.tick(now))
         self._duty.look()
+        self._sessions.look()
         if now >= self._table_at:
             self._tell_sessions(now)
         if now >= self._settings_at:
@@ -168,6 +183,10 @@
         self._check_not_leaving()
         return self._driver.get()
 
+    def holds_majority(self) -> bool:
+        """Whether a majority of voters stands behind this scheduler at this instant."""
+        return self._driver.holds_majority()
+
     def status(self) -> StatusAnswer:
         """The state of this scheduler."""
         view = self._view
@@ -186,6 +205,7 @@
             workers=0 if self._book.current is None else len(self._book.current.workers),
             workers_version=self._book.version,
             holds_list_duty=self._lease.holds(now),
+            holds_majority=self.holds_majority(),
         )
 
     def _check_not_leaving(self) -> None:
--- a/reedspoke/control_plane/published_state.py
+++ b/reedspoke/control_plane/published_state.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from reedspoke.cluster.messages import (
     CONFIGURATION,
     MEMBERS,
@@ -20,21 +22,38 @@
 WORKERS_FRAME_LIFE_S = 0.5  # a frame with workers that are still cold is older than this only in its encoding
 
 
+ConfirmedAsOf = Callable[[], float | None]
+
+
 class PublishedState:
-    """The newest state of each source in this process."""
+    """The newest state of each source in this process.
+
+    `confirmed_as_of` answers with the time as of which the configuration here was certainly the newest, on
+    the steady clock; None while no majority stands behind this process.
+    """
 
     def __init__(
-        self, configuration: ConfigurationCache, workers: WorkerBook, membership: Membership
+        self,
+        configuration: ConfigurationCache,
+        workers: WorkerBook,
+        membership: Membership,
+        confirmed_as_of: ConfirmedAsOf,
     ) -> None:
         self.configuration = configuration
         self.workers = workers
         self.membership = membership
+        self._confirmed_as_of = confirmed_as_of
         self._workers_frame = b""
         self._workers_version = NO_VERSION
         self._workers_at = 0.0
         self._members_frame = b""
         self._members_version = NO_VERSION
 
+    def confirmed_ago(self, now: float) -> float | None:
+        """How long ago the configuration here was certainly the newest; None: it is not to be handed over."""
+        as_of = self._confirmed_as_of()
+        return None if as_of is None else max(0.0, now - as_of)
+
     def versions(self) -> dict[str, Version]:
         """The newest version of each source."""
         return {
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -20,9 +20,11 @@
     Effect,
     Event,
     Get,
+    GetAnswer,
     Leave,
     Member,
     Put,
+    PutAnswer,
     Received,
     SeedsChanged,
     Stored,
@@ -30,9 +32,11 @@
     View,
     ViewChanged,
 )
+from reedspoke.control_plane.majority_contact import Contact, MajorityContact
 from reedspoke.control_plane.replica_gets import GetForwarder, TailReader
 from reedspoke.control_plane.replica_head import HeadQueue
 from reedspoke.control_plane.replica_messages import (
+    ContactGrant,
     GetReply,
     GetRequest,
     LeaseGrant,
@@ -59,6 +63,9 @@
 
 __all__ = ["TICK_S", "Replica", "ReplicaSettings"]
 
+NO_MAJORITY = "No majority stands behind this machine any more."
+UNCLEAR_ERRORS = (ErrorCode.NO_QUORUM, ErrorCode.WRITE_UNCLEAR)
+
 
 class Replica:
     """One member of the replicated control state.
@@ -95,6 +102,8 @@
         self._puts = PutForwarder(name, self._outbox, limit)
         self._gets = GetForwarder(name, self._outbox, self._register, limit)
         self._tail_lease = TailLease()
+        self._contact = MajorityContact(now)
+        self._contact_asked: set[str] = set()  # voters that were asked out of turn in this view
         self._reader = TailReader(self._outbox, self._chain, self._register, self._holds_lease)
         self._agreement = ViewAgreement(settings, name, self._outbox, restored, self._enter)
         self._repair = Repair(settings, self._outbox, self._peers, self._agreement, self._own_ping)
@@ -117,6 +126,20 @@
         """Whether this replica and a majority of the voters hear each other."""
         return self._repair.majority_reached()
 
+    def holds_majority(self, now: float) -> bool:
+        """Whether a majority of voters has lately granted that this replica acts in the newest view."""
+        return self.view is not None and self._contact.holds(now)
+
+    def confirmed_as_of(self, now: float) -> float | None:
+        """The time as of which the configuration known here to be committed was certainly the newest.
+
+        None while this replica may not hand over its state: it is no complete member of the chain, it has
+        heard of a newer view, or no majority has lately granted that its own is the newest.
+        """
+        if not self.in_chain or self._agreement.behind or not self.holds_majority(now):
+            return None
+        return self._contact.confirmed_as_of
+
     @property
     def committed(self) -> Committed | None:
         """The newest configuration that this replica knows to be committed."""
@@ -139,7 +162,26 @@
         self._notice_gap(now)
         self._dispatch(event)
         self._receive_own_messages()
-        return self._outbox.take()
+        return [self._checked(effect) for effect in self._outbox.take()]
+
+    def _checked(self, effect: Effect) -> Effect:
+        """No operator is told anything for certain while no majority stands behind this replica."""
+        if self._reaches_majority():
+            return effect
+        match effect:
+            case PutAnswer(request_id=request_id, error=error) if error not in UNCLEAR_ERRORS:
+                return PutAnswer(request_id, ErrorCode.WRITE_UNCLEAR, NO_MAJORITY)
+            case GetAnswer(request_id=request_id, error=error) if error is not ErrorCode.NO_QUORUM:
+                return GetAnswer(request_id, None, ErrorCode.NO_QUORUM, NO_MAJORITY)
+        return effect
+
+    def _reaches_majority(self) -> bool:
+        return self.holds_majority(self._outbox.now)
+
+    def _contact_state(self) -> Contact:
+        if self._reaches_majority():
+            return Contact.GRANTED
+        return Contact.HEARD if self.majority_reached else Contact.NONE
 
     def _dispatch(self, event: Event) -> None:
         match event:
@@ -150,9 +192,9 @@
             case Tick():
                 self._tick()
             case Put():
-                self._puts.put(event, self.view, self.majority_reached)
+                self._puts.put(event, self.view, self._contact_state())
             case Get():
-                self._gets.get(event, self.view, self.majority_reached)
+                self._gets.get(event, self.view, self._contact_state())
             case Leave():
                 self._leave()
             case SeedsChanged(seeds=seeds):
@@ -172,10 +214,12 @@
             case LeaseGrant(folder_id=folder_id, view=number, sent=sent):
                 if self.view is not None and self.view.number == number:
                     self._tail_lease.granted(folder_id, sent)
+            case ContactGrant():
+                self._receive_contact_grant(message)
             case ResignRequest(view=number):
                 self._resign(sender, number)
             case PutRequest():
-                self._head.receive(sender, message, self.majority_reached)
+                self._head.receive(sender, message, self._reaches_majority())
             case PutReply():
                 self._puts.reply(message)
             case GetRequest():
@@ -190,8 +234,7 @@
         self._agreement.tick()
         self._chain.tick()
         self._head.tick()
-        self._puts.tick(self.view)
-        self._gets.tick(self.view)
+        self._tick_calls()
         disk_changed = self._outbox.disk_ok != self._last_disk_ok
         if disk_changed or now - self._last_ping >= PING_INTERVAL_S:
             self._ping_all()
@@ -199,6 +242,11 @@
             self._last_look = now
             self._look_for_better_view()
 
+    def _tick_calls(self) -> None:
+        contact = self._contact_state()
+        self._puts.tick(self.view, contact)
+        self._gets.tick(self.view, contact)
+
     def _look_for_better_view(self) -> None:
         if self.view is not None:
             self._repair.propose_next(self.view)
@@ -238,12 +286,13 @@
         self._outbox.emit(ViewChanged(view))
         self._view_members = frozenset(_members(view))
         self._tail_lease.enter()
+        self._contact.enter()
+        self._contact_asked.clear()
         self._head.enter(view)
         self._chain.enter(view)
         self._repair.entered()
         self._ping_all()
-        self._puts.tick(view)
-        self._gets.tick(view)
+        self._tick_calls()
 
     def _notice_gap(self, now: float) -> None:
         """After a stop of this process nobody is judged by silence until it has listened for a while."""
@@ -266,6 +315,7 @@
             leaving=self._leaving,
             bootstrap=bool(self._first_seeds),
             undecided=self._agreement.undecided,
+            sent=self._outbox.now,
         )
 
     def _ping_all(self) -> None:
@@ -276,6 +326,7 @@
         if self._asks_for_lease():
             ping = structs.replace(ping, lease_sent=now)
             self._grant(ping)
+        self._grant_contact(ping)
         addresses = {member.address for member in self._view_members}
         addresses.update(member.address for member in self._peers.members(now))
         addresses.update(self._seeds)
@@ -285,6 +336,8 @@
     def _receive_ping(self, sender: str, ping: Ping) -> None:
         self._peers.heard_ping(ping, self._outbox.now)
         self._grant(ping)
+        self._grant_contact(ping)
+        self._ask_for_contact(ping)
         if ping.view < self._agreement.learned_number:
             self._agreement.tell(sender)
         elif ping.view > self._agreement.learned_number:
@@ -305,6 +358,31 @@
             grant = LeaseGrant(self._settings.folder_id, ping.view, ping.lease_sent)
             self._outbox.send(ping.member.address, grant)
 
+    def _grant_contact(self, ping: Ping) -> None:
+        """As voter: say that the view in which the sender of this ping acts is the newest known here."""
+        if self._agreement.may_confirm(ping.view):
+            grant = ContactGrant(self._settings.folder_id, ping.view, ping.sent)
+            self._outbox.send(ping.member.address, grant)
+
+    def _ask_for_contact(self, ping: Ping) -> None:
+        """A voter has come to the present view and has granted nothing in it: ask without delay, but once."""
+        view = self.view
+        folder_id = ping.member.folder_id
+        if view is None or ping.view != view.number or folder_id in self._contact_asked:
+            return
+        if not self._contact.has_granted(folder_id):
+            self._contact_asked.add(folder_id)
+            self._outbox.send(ping.member.address, self._own_ping())
+
+    def _receive_contact_grant(self, grant: ContactGrant) -> None:
+        view = self.view
+        if view is None or view.number != grant.view:
+            return
+        now = self._outbox.now
+        committed_until = self._register.committed_until(now) if self.in_chain else None
+        self._contact.granted(grant.folder_id, grant.sent, now)
+        self._contact.update(view.voters, committed_until)
+
     def _holds_lease(self) -> bool:
         return self.view is not None and self._tail_lease.holds(self.view.voters, self._outbox.now)
 
--- a/reedspoke/control_plane/replica_gets.py
+++ b/reedspoke/control_plane/replica_gets.py
@@ -8,11 +8,12 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.chain import Chain
-from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.chain_register import Register, committed_of
 from reedspoke.control_plane.events import Committed, Get, GetAnswer, View
+from reedspoke.control_plane.majority_contact import Contact
 from reedspoke.control_plane.replica_messages import GetReply, GetRequest
 from reedspoke.control_plane.replica_outbox import Outbox
-from reedspoke.control_plane.replica_settings import GET_RETRY_S, RESEND_S
+from reedspoke.control_plane.replica_settings import CONTACT_WAIT_S, GET_RETRY_S, RESEND_S
 from reedspoke.control_plane.view_lease import tail_of
 
 
@@ -20,9 +21,9 @@
     """A read without answer; `held` is what this replica knew to be committed when it asked."""
 
     get: Get
-    deadline: float
+    came_at: float
     held: Committed | None = None
-    sent_view: int = 0
+    sent_view: int = 0  # 0: not sent yet
     ask_again_at: float = float("-inf")
 
 
@@ -37,24 +38,28 @@
         self._outstanding: dict[str, OutstandingGet] = {}
         self._count = 0
 
-    def get(self, get: Get, view: View | None, majority_reached: bool) -> None:
-        """An operator's read."""
-        if view is None or not majority_reached:
-            self._refuse(get, "This machine reaches no majority.")
-            return
+    def get(self, get: Get, view: View | None, contact: Contact) -> None:
+        """An operator's read; it is sent once a majority of voters has granted."""
         self._count += 1
         request = f"{self._name}:{self._count}"
-        self._outstanding[request] = OutstandingGet(get, self._outbox.now + self._limit)
-        self._send(request, view)
+        self._outstanding[request] = OutstandingGet(get, self._outbox.now)
+        self._advance(request, view, contact)
 
-    def tick(self, view: View | None) -> None:
+    def tick(self, view: View | None, contact: Contact) -> None:
         """Ask again where the tail was not ready or the message may have been lost."""
-        for request, outstanding in list(self._outstanding.items()):
-            if self._outbox.now >= outstanding.deadline:
-                del self._outstanding[request]
-                self._refuse(outstanding.get, "The newest configuration can't be told for certain.")
-            elif view is not None and self._due(outstanding, view):
+        for request in list(self._outstanding):
+            self._advance(request, view, contact)
+
+    def _advance(self, request: str, view: View | None, contact: Contact) -> None:
+        outstanding = self._outstanding[request]
+        waited = self._outbox.now - outstanding.came_at
+        if waited >= self._limit:
+            self._refuse(request, "The newest configuration can't be told for certain.")
+        elif view is not None and contact is Contact.GRANTED:
+            if self._due(outstanding, view):
                 self._send(request, view)
+        elif not outstanding.sent_view and (contact is Contact.NONE or waited >= CONTACT_WAIT_S):
+            self._refuse(request, "This machine reaches no majority.")
 
     def reply(self, reply: GetReply) -> None:
         """The tail's answer."""
@@ -78,7 +83,8 @@
         have = outstanding.held.sequence if outstanding.held else 0
         self._outbox.send(tail_of(view).address, GetRequest(view.number, request, have))
 
-    def _refuse(self, get: Get, message: str) -> None:
+    def _refuse(self, request: str, message: str) -> None:
+        get = self._outstanding.pop(request).get
         self._outbox.emit(GetAnswer(get.request_id, None, ErrorCode.NO_QUORUM, message))
 
 
@@ -113,8 +119,7 @@
 def _answer(outstanding: OutstandingGet, reply: GetReply) -> GetAnswer:
     request_id = outstanding.get.request_id
     if reply.entry is not None:
-        entry = reply.entry
-        return GetAnswer(request_id, Committed(entry.sequence, entry.generation, entry.document))
+        return GetAnswer(request_id, committed_of(reply.entry))
     if reply.sequence and outstanding.held is not None and outstanding.held.sequence == reply.sequence:
         return GetAnswer(request_id, outstanding.held)
     if reply.sequence == 0:
--- a/reedspoke/control_plane/replica_messages.py
+++ b/reedspoke/control_plane/replica_messages.py
@@ -33,6 +33,8 @@
 class Ping(Struct, tag="ping", array_like=True, frozen=True):
     """Sign of life, sent to every known replica; `lease_sent` is set by a tail that asks for a read lease.
 
+    Each ping asks for a `ContactGrant`; `sent` is its time on the sender's steady clock.
+
     `synced_since` is the view since whose appending the sender holds what its predecessor held; `undecided`
     is set where it has accepted a next view that it does not know to be decided.
     """
@@ -47,6 +49,15 @@
     bootstrap: bool = False
     undecided: bool = False
     lease_sent: float | None = None
+    sent: float = 0.0
+
+
+class ContactGrant(Struct, tag="contact_grant", array_like=True, frozen=True):
+    """A voter acts in this view and had accepted no next one when the ping of `sent` came."""
+
+    folder_id: str
+    view: int
+    sent: float
 
 
 class LeaseGrant(Struct, tag="lease_grant", array_like=True, frozen=True):
@@ -193,6 +204,7 @@
 
 ReplicaMessage = (
     Ping
+    | ContactGrant
     | LeaseGrant
     | ViewTold
     | Prepare
--- a/reedspoke/control_plane/replica_puts.py
+++ b/reedspoke/control_plane/replica_puts.py
@@ -6,17 +6,18 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Put, PutAnswer, View
+from reedspoke.control_plane.majority_contact import Contact
 from reedspoke.control_plane.replica_messages import PutReply, PutRequest
 from reedspoke.control_plane.replica_outbox import Outbox
-from reedspoke.control_plane.replica_settings import RESEND_BYTES_PER_S, RESEND_S
+from reedspoke.control_plane.replica_settings import CONTACT_WAIT_S, RESEND_BYTES_PER_S, RESEND_S
 
 
 class OutstandingPut(Struct):
     """A change without answer; `sent_view` is the view whose head got it last."""
 
     put: Put
-    deadline: float
-    sent_view: int = 0
+    came_at: float
+    sent_view: int = 0  # 0: not sent yet
     sent_at: float = float("-inf")
 
 
@@ -30,23 +31,29 @@
         self._outstanding: dict[str, OutstandingPut] = {}
         self._count = 0
 
-    def put(self, put: Put, view: View | None, majority_reached: bool) -> None:
-        """An operator's change."""
-        if view is None or not majority_reached:
-            self._answer(put, ErrorCode.NO_QUORUM, "This machine reaches no majority.")
-            return
+    def put(self, put: Put, view: View | None, contact: Contact) -> None:
+        """An operator's change; it is sent once a majority of voters has granted."""
         self._count += 1
         request = f"{self._name}:{self._count}"
-        self._outstanding[request] = OutstandingPut(put, self._outbox.now + self._limit)
-        self._send(request, view)
+        self._outstanding[request] = OutstandingPut(put, self._outbox.now)
+        self._advance(request, view, contact)
 
-    def tick(self, view: View | None) -> None:
+    def tick(self, view: View | None, contact: Contact) -> None:
         """Send again what may have been lost; answer what has waited too long."""
-        for request, outstanding in list(self._outstanding.items()):
-            if self._outbox.now >= outstanding.deadline:
-                self._expire(request, outstanding)
-            elif view is not None and self._due(outstanding, view):
+        for request in list(self._outstanding):
+            self._advance(request, view, contact)
+
+    def _advance(self, request: str, view: View | None, contact: Contact) -> None:
+        outstanding = self._outstanding[request]
+        waited = self._outbox.now - outstanding.came_at
+        if waited >= self._limit:
+            self._expire(request, outstanding)
+        elif view is not None and contact is Contact.GRANTED:
+            if self._due(outstanding, view):
                 self._send(request, view)
+        elif not outstanding.sent_view and (contact is Contact.NONE or waited >= CONTACT_WAIT_S):
+            del self._outstanding[request]
+            self._answer(outstanding.put, ErrorCode.NO_QUORUM, "This machine reaches no majority.")
 
     def reply(self, reply: PutReply) -> None:
         """The head's answer. A refusal counts only from the head that was asked last."""
--- a/reedspoke/control_plane/view_agreement.py
+++ b/reedspoke/control_plane/view_agreement.py
@@ -63,6 +63,11 @@
         """Number of the newest view heard of."""
         return self._learned.number if self._learned else 0
 
+    @property
+    def behind(self) -> bool:
+        """Whether a newer view is known than the one that this replica acts in."""
+        return self.learned_number > self._number()
+
     @property
     def undecided(self) -> bool:
         """Whether this replica has accepted a next view that may never have been decided."""
@@ -103,6 +108,12 @@
         harmless = accepted is None or keeps_lease(self._view, accepted)
         return harmless and self.voter_lease.may_grant(self._outbox.now)
 
+    def may_confirm(self, view: int) -> bool:
+        """Whether this voter can say that it knows of no view after this one, decided or accepted."""
+        if self._number() != view or self.behind or not self._is_acceptor(view + 1):
+            return False
+        return not self.undecided
+
     def tick(self) -> None:
         """Time has passed."""
         self._proposer.tick()
@@ -170,7 +181,7 @@
         return any(acceptor_key(number, acceptor) == own_key for acceptor in self._acceptors(number))
 
     def _store_learned(self) -> None:
-        if self._learned is None or self._storing or self.learned_number <= self._number():
+        if self._learned is None or self._storing or not self.behind:
             return
         if self._outbox.disk_failed:
             return
--- a/tests/control_plane/test_replica_stale.py
+++ b/tests/control_plane/test_replica_stale.py
@@ -16,6 +16,7 @@
     SendTo,
     View,
 )
+from reedspoke.control_plane.majority_contact import Contact
 from reedspoke.control_plane.replica_messages import (
     Accept,
     Append,
@@ -163,8 +164,8 @@
 def test_a_refusal_counts_only_from_the_head_that_was_asked_last() -> None:
     outbox = Outbox("at-own", 10.0, 0)
     puts = PutForwarder("own:1", outbox, 0.9)
-    puts.put(Put(1, 0, 1, b"first"), _view(1, "a"), majority_reached=True)
-    puts.tick(_view(2, "b"))
+    puts.put(Put(1, 0, 1, b"first"), _view(1, "a"), contact=Contact.GRANTED)
+    puts.tick(_view(2, "b"), Contact.GRANTED)
     sent = [effect for effect in outbox.take() if isinstance(effect, SendTo)]
     assert [effect.address for effect in sent] == ["at-a", "at-b"]
     stale = int(ErrorCode.CONFIGURATION_STALE_MATCH)
@@ -178,8 +179,8 @@
 def test_an_acknowledgement_counts_from_any_head() -> None:
     outbox = Outbox("at-own", 10.0, 0)
     puts = PutForwarder("own:1", outbox, 0.9)
-    puts.put(Put(1, 0, 1, b"first"), _view(1, "a"), majority_reached=True)
-    puts.tick(_view(2, "b"))
+    puts.put(Put(1, 0, 1, b"first"), _view(1, "a"), contact=Contact.GRANTED)
+    puts.tick(_view(2, "b"), Contact.GRANTED)
     outbox.take()
     puts.reply(PutReply(1, "own:1:1", 0))
     assert _answers(outbox.take()) == [None]
--- a/tests/control_plane_process/stand_ins.py
+++ b/tests/control_plane_process/stand_ins.py
@@ -19,6 +19,7 @@
     ConfigurationSnapshot,
     Fetch,
     MemberList,
+    Unconfirmed,
     Version,
     Versions,
     Watch,
@@ -33,7 +34,7 @@
 POLL_S = 0.02
 CHUNK = 50_000
 WORKERS_S = 6.0
-Answer = Versions | WorkerList | ConfigurationSnapshot | ConfigurationDelta | MemberList
+Answer = Versions | Unconfirmed | WorkerList | ConfigurationSnapshot | ConfigurationDelta | MemberList
 Found = TypeVar("Found")
 
 
@@ -124,13 +125,22 @@
         self._socket = socket.create_connection(split_address(address), timeout=3.0)
 
     def watch(self, *, draining: bool = False, running: dict[str, tuple[int, int]] | None = None) -> Versions:
+        """The versions, as soon as a majority stands behind the control scheduler."""
+        while True:
+            answer = self.watch_once(draining=draining, running=running)
+            if isinstance(answer, Versions):
+                return answer
+
+    def watch_once(
+        self, *, draining: bool = False, running: dict[str, tuple[int, int]] | None = None
+    ) -> Versions | Unconfirmed:
         self._request_id += 1
         asked = Watch(
             self._request_id, self.node_name, self.incarnation, "za", self.versions, running or {}, draining
         )
         self._send(asked)
         answer = self.receive()
-        assert isinstance(answer, Versions)
+        assert isinstance(answer, Versions | Unconfirmed)
         assert answer.request_id == self._request_id
         return answer
 
--- a/tests/control_plane_process/test_configuration_cache.py
+++ b/tests/control_plane_process/test_configuration_cache.py
@@ -20,9 +20,11 @@
 from reedspoke.control_plane.events import Committed
 from tests.control_plane_process.stand_ins import configuration
 
+VIEW = 3
 
-def commit(cache: ConfigurationCache, sequence: int, document: bytes) -> bool:
-    return cache.install(cache.prepare(Committed(sequence, sequence * 2, document)))
+
+def commit(cache: ConfigurationCache, sequence: int, document: bytes, view: int = VIEW) -> bool:
+    return cache.install(cache.prepare(Committed(sequence, sequence * 2, document, view)))
 
 
 def received(cache: ConfigurationCache, have: Version) -> ConfigurationSnapshot | ConfigurationDelta:
@@ -53,8 +55,8 @@
 def test_nothing_is_sent_to_who_holds_the_newest() -> None:
     cache = ConfigurationCache()
     assert commit(cache, 4, configuration(8))
-    assert cache.frame((4, 0)) is None
-    assert cache.frame((9, 0)) is None
+    assert cache.frame((VIEW, 4)) is None
+    assert cache.frame((VIEW, 9)) is None
 
 
 def test_an_older_one_is_not_installed() -> None:
@@ -62,7 +64,16 @@
     commit(cache, 4, configuration(8))
     assert not commit(cache, 4, configuration(8))
     assert not commit(cache, 3, configuration(6))
-    assert cache.version == (4, 0)
+    assert cache.version == (VIEW, 4)
+
+
+def test_one_of_a_later_view_is_newer_whatever_its_sequence() -> None:
+    cache = ConfigurationCache()
+    commit(cache, 4, configuration(8))
+    assert commit(cache, 4, configuration(10), view=VIEW + 1)
+    assert cache.version == (VIEW + 1, 4)
+    assert not commit(cache, 9, configuration(18))
+    assert isinstance(received(cache, (VIEW, 4)), ConfigurationSnapshot | ConfigurationDelta)
 
 
 def test_a_small_change_is_sent_as_a_difference_and_encoded_once() -> None:
@@ -71,10 +82,10 @@
     changed = json.loads(configuration(4, routes=100))
     changed["routes"] = json.loads(configuration(2, routes=99))["routes"]
     commit(cache, 2, json.dumps(changed).encode())
-    answer = received(cache, (1, 0))
+    answer = received(cache, (VIEW, 1))
     assert isinstance(answer, ConfigurationDelta)
     assert (json.loads(answer.routes), answer.removed_routes) == ([], ("r99",))
-    assert cache.frame((1, 0)) is cache.frame((1, 0))
+    assert cache.frame((VIEW, 1)) is cache.frame((VIEW, 1))
 
 
 @given(st.lists(st.integers(1, 40), min_size=2, max_size=MOST_KEPT + 4))
@@ -86,20 +97,20 @@
         commit(cache, number, document)
         held.append(parse_configuration(document))
     for number, old in enumerate(held[:-1], 1):
-        assert brought_up_to_date(cache, old, (number, 0)) == held[-1]
+        assert brought_up_to_date(cache, old, (VIEW, number)) == held[-1]
     assert brought_up_to_date(cache, None, (0, 0)) == held[-1]
 
 
 def test_two_that_are_prepared_before_either_is_installed() -> None:
     cache = ConfigurationCache()
     commit(cache, 1, configuration(2))
-    second = cache.prepare(Committed(2, 4, configuration(4)))
-    third = cache.prepare(Committed(3, 6, configuration(6)))
+    second = cache.prepare(Committed(2, 4, configuration(4), VIEW))
+    third = cache.prepare(Committed(3, 6, configuration(6), VIEW))
     assert cache.install(second)
     assert cache.install(third)
     for have in (1, 2):
         old = parse_configuration(configuration(have * 2))
-        assert brought_up_to_date(cache, old, (have, 0)) == parse_configuration(configuration(6))
+        assert brought_up_to_date(cache, old, (VIEW, have)) == parse_configuration(configuration(6))
 
 
 def test_large_documents_are_not_all_kept(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -108,4 +119,4 @@
     commit(cache, 1, configuration(2))
     commit(cache, 2, configuration(4))
     commit(cache, 3, configuration(6))
-    assert isinstance(received(cache, (1, 0)), ConfigurationSnapshot)
+    assert isinstance(received(cache, (VIEW, 1)), ConfigurationSnapshot)
--- a/tests/control_plane_process/test_edge_sessions.py
+++ b/tests/control_plane_process/test_edge_sessions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import pytest
 
@@ -12,6 +13,7 @@
     ControlMember,
     Fetch,
     MemberList,
+    Unconfirmed,
     Version,
     Versions,
     Watch,
@@ -22,7 +24,7 @@
 from reedspoke.control_plane import edge_sessions
 from reedspoke.control_plane.configuration_cache import ConfigurationCache
 from reedspoke.control_plane.edge_sessions import EdgeSessions
-from reedspoke.control_plane.events import Committed
+from reedspoke.control_plane.events import Committed, Member
 from reedspoke.control_plane.membership import Membership
 from reedspoke.control_plane.peer_messages import Hello, SessionTable
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
@@ -33,9 +35,13 @@
 
 HOST = "127.0.0.1"
 HEARTBEAT_S = 0.3
+VIEW = 2
 WORKER = WorkerEntry("i-1", "u1", "a:1", "z", "v1", 4, False, 1000.0)
 
 
+Received = TypeVar("Received")
+
+
 class Side:
     """The control scheduler's side of sessions, without its replica."""
 
@@ -44,11 +50,16 @@
         self.membership = Membership(ControlMember(self.address, "za"), 5.0, 77)
         self.cache = ConfigurationCache()
         self.book = WorkerBook()
-        self.state = PublishedState(self.cache, self.book, self.membership)
+        self.confirmed = True
+        self.confirmed_ago_s = 0.0
+        self.state = PublishedState(self.cache, self.book, self.membership, self.confirmed_as_of)
         self.sessions = EdgeSessions("core", self.state, HEARTBEAT_S, self.arrival)
         self.peer_messages: list[tuple[str, PeerMessage]] = []
         self.transport = PeerTransport(self.address, "za", self.peer_message, self.sessions)
 
+    def confirmed_as_of(self) -> float | None:
+        return asyncio.get_running_loop().time() - self.confirmed_ago_s if self.confirmed else None
+
     def arrival(self) -> None:
         self.membership.refresh(asyncio.get_running_loop().time())
         self.sessions.changed()
@@ -57,7 +68,7 @@
         self.peer_messages.append((sender, message))
 
     def commit(self, sequence: int, document: bytes) -> None:
-        self.cache.install(self.cache.prepare(Committed(sequence, sequence * 2, document)))
+        self.cache.install(self.cache.prepare(Committed(sequence, sequence * 2, document, VIEW)))
         self.sessions.changed()
 
     def publish(self, workers: WorkerList) -> None:
@@ -110,7 +121,7 @@
     asyncio.run(run())
 
 
-async def elapsed(awaited: Awaitable[Versions]) -> tuple[float, Versions]:
+async def elapsed(awaited: Awaitable[Received]) -> tuple[float, Received]:
     loop = asyncio.get_running_loop()
     began = loop.time()
     answer = await awaited
@@ -135,7 +146,7 @@
         side.commit(3, configuration(6))
         took, answer = await elapsed(edge.versions())
         assert took < HEARTBEAT_S / 2
-        assert answer.versions["configuration"] == (3, 0)
+        assert answer.versions["configuration"] == (VIEW, 3)
         snapshot = await edge.fetch("configuration")
         assert isinstance(snapshot, ConfigurationSnapshot)
         assert snapshot.document == configuration(6)
@@ -163,10 +174,10 @@
     async def scene(side: Side, edge: Edge) -> None:
         side.commit(3, configuration(6))
         side.publish(WorkerList((2, 2), (WORKER,)))
-        edge.held = {"configuration": (9, 0), "workers": (8, 1)}
+        edge.held = {"configuration": (VIEW, 9), "workers": (8, 1)}
         await edge.watched()
         assert side.book.seen == (8, 1)
-        edge.channel.send(Fetch("configuration", (9, 0)))
+        edge.channel.send(Fetch("configuration", (VIEW, 9)))
         edge.channel.send(Fetch("workers", (8, 1)))
         edge.channel.send(Fetch("no such source", (0, 0)))
         assert isinstance(await edge.fetch("members"), MemberList)
@@ -237,6 +248,103 @@
     play(scene)
 
 
+def test_an_answer_tells_how_long_it_waited_and_as_of_when_it_is_confirmed() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        edge.held = (await edge.watched()).versions
+        side.confirmed_ago_s = 0.25
+        answer = await edge.watched()
+        assert answer.held_s == pytest.approx(HEARTBEAT_S, abs=HEARTBEAT_S / 2)
+        assert answer.confirmed_ago_s == pytest.approx(0.25, abs=0.01)
+
+    play(scene)
+
+
+def test_without_a_majority_a_watch_and_a_fetch_bring_nothing_but_the_word_of_it() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.commit(3, configuration(6))
+        side.publish(WorkerList((2, 2), (WORKER,)))
+        side.confirmed = False
+        edge.watch()
+        answer = await edge.channel.receive(Answer)
+        assert isinstance(answer, Unconfirmed)
+        assert (answer.request_id, answer.versions["configuration"]) == (1, (VIEW, 3))
+        for source in ("configuration", "workers", "members"):
+            assert isinstance(await edge.fetch(source), Unconfirmed)
+
+    play(scene)
+
+
+def test_who_asks_for_what_is_unconfirmed_gets_it() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.commit(3, configuration(6))
+        side.confirmed = False
+        edge.channel.send(Fetch("configuration", unconfirmed_too=True))
+        assert isinstance(await edge.channel.receive(Answer), ConfigurationSnapshot)
+
+    play(scene)
+
+
+def test_a_watch_that_waits_is_answered_when_the_majority_is_lost_and_when_it_is_back() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.sessions.look()
+        edge.held = (await edge.watched()).versions
+        edge.watch()
+        await asyncio.sleep(0.02)
+        side.confirmed = False
+        side.sessions.look()
+        took, answer = await elapsed(edge.channel.receive(Answer))
+        assert isinstance(answer, Unconfirmed)
+        assert took < HEARTBEAT_S / 2
+        edge.watch()
+        await asyncio.sleep(0.02)
+        side.confirmed = True
+        side.sessions.look()
+        took, answer = await elapsed(edge.channel.receive(Answer))
+        assert isinstance(answer, Versions)
+        assert took < HEARTBEAT_S / 2
+
+    play(scene)
+
+
+def test_the_word_of_a_lost_majority_is_repeated_with_each_heartbeat_only() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.confirmed = False
+        edge.watch()
+        await edge.channel.receive(Answer)
+        edge.watch()
+        took, _ = await elapsed(edge.channel.receive(Answer))
+        assert took >= HEARTBEAT_S * 0.9
+
+    play(scene)
+
+
+def test_a_process_that_was_stopped_before_its_answer_hands_over_nothing_as_current() -> None:
+    """The grant runs out while the process stands still between the arrival of a watch and its answer."""
+
+    async def scene(side: Side, edge: Edge) -> None:
+        edge.held = (await edge.watched()).versions
+        edge.watch()
+        await asyncio.sleep(0.02)
+        side.confirmed = False
+        side.commit(3, configuration(6))
+        answer = await edge.channel.receive(Answer)
+        assert isinstance(answer, Unconfirmed)
+
+    play(scene)
+
+
+def test_the_word_of_a_lost_majority_names_other_control_schedulers() -> None:
+    async def scene(side: Side, edge: Edge) -> None:
+        side.membership.set_view((Member("f1", side.address, "za"), Member("f2", "10.0.0.9:7660", "zb")))
+        side.confirmed = False
+        edge.watch()
+        answer = await edge.channel.receive(Answer)
+        assert isinstance(answer, Unconfirmed)
+        assert answer.control == (ControlMember("10.0.0.9:7660", "zb"),)
+
+    play(scene)
+
+
 @pytest.mark.parametrize("payload", [b"", b"x", b"\xc1", b"\x91\xa5watch", b"\x92\xa5other\x01"])
 def test_a_message_that_is_none_ends_its_connection_alone(payload: bytes) -> None:
     async def scene(side: Side, edge: Edge) -> None:
--- a/tests/control_plane_process/test_operator_api.py
+++ b/tests/control_plane_process/test_operator_api.py
@@ -26,6 +26,8 @@
         self.put_answer: PutAnswer | None = PutAnswer(1, None)
         self.get_answer: GetAnswer | None = GetAnswer(1, Committed(1, 3, configuration(3)))
         self.raises: FleetError | None = None
+        self.majority = True
+        self.loses_majority = False  # while a call waits
         self.puts: list[tuple[int, int]] = []
 
     async def check(self, document: bytes) -> Configuration:
@@ -34,6 +36,7 @@
     async def put(self, match: int, generation: int, document: bytes) -> PutAnswer:
         self.puts.append((match, generation))
         self._raise()
+        self.majority = self.majority and not self.loses_majority
         if self.put_answer is None:
             await asyncio.Event().wait()
         assert self.put_answer is not None
@@ -41,6 +44,7 @@
 
     async def get(self) -> GetAnswer:
         self._raise()
+        self.majority = self.majority and not self.loses_majority
         if self.get_answer is None:
             await asyncio.Event().wait()
         assert self.get_answer is not None
@@ -50,6 +54,9 @@
         if self.raises is not None:
             raise self.raises
 
+    def holds_majority(self) -> bool:
+        return self.majority
+
     def status(self) -> StatusAnswer:
         return StatusAnswer("n", "a", 1, (), (), None, 0, (), (), 0, (0, 0), False)
 
@@ -105,6 +112,40 @@
     assert (response.status, error_code(response)) == (status_of(code), code)
 
 
+@pytest.mark.parametrize("loses", [False, True], ids=["before", "while it waits"])
+@pytest.mark.parametrize("code", [None, *sorted(OPERATIONS[PATH]["PUT"].errors)])
+def test_no_put_is_answered_for_certain_without_a_majority(code: ErrorCode | None, loses: bool) -> None:
+    calls = StandIn()
+    calls.majority, calls.loses_majority = loses, loses
+    calls.put_answer = PutAnswer(1, code, "text")
+    assert answered(calls, "PUT", body=configuration(3)).status == 503
+
+
+@pytest.mark.parametrize("loses", [False, True], ids=["before", "while it waits"])
+@pytest.mark.parametrize("code", [None, *sorted(OPERATIONS[PATH]["GET"].errors)])
+def test_no_get_is_answered_for_certain_without_a_majority(code: ErrorCode | None, loses: bool) -> None:
+    calls = StandIn()
+    calls.majority, calls.loses_majority = loses, loses
+    if code is not None:
+        calls.get_answer = GetAnswer(1, None, code, "text")
+    assert answered(calls, "GET").status == 503
+
+
+@pytest.mark.parametrize("body", [b"", b"{", configuration(0)])
+def test_not_even_an_invalid_document_is_refused_without_a_majority(body: bytes) -> None:
+    calls = StandIn()
+    calls.majority = False
+    assert answered(calls, "PUT", body=body).status == 503
+    calls.majority = True
+    assert answered(calls, "PUT", body=body).status == 400
+
+
+def test_the_status_is_told_without_a_majority() -> None:
+    calls = StandIn()
+    calls.majority = False
+    assert answered(calls, "GET", "/reedspoke/status").status == 200
+
+
 def test_statuses_that_the_rules_name() -> None:
     assert status_of(ErrorCode.CONFIGURATION_STALE_MATCH) == 412
     assert status_of(ErrorCode.CONFIGURATION_OLD_GENERATION) == 400
