Doubt and sessions: model of a cut control plane, requests in doubt, loopback runs

Cause: what was tested so far were the decisions alone. Change: a control plane in virtual time that knows what was acknowledged when (fleet_model) under cuts, lost paths, stops of the process and changes; requests and readiness in doubt; the real process over loopback with a stand-in that loses its majority and regains it. Unconfirmed also answers a Fetch, with the id of no request: a Watch that is out stays out. The whole data plane (plane.py) and the stage of processes (stage.py) moved out of two test files, unchanged, so that others can use them.

--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -142,7 +142,7 @@
         now = self._loop.time()
         self._unconfirmed = None
         self._note_confirmation(message, now)
-        self._watch_answered()
+        self._note_answered(message.request_id)
         self._subscription.take(message)
         for source in self._subscription.lacks(message.versions, now):
             self._subscription.begin_fetch(source, message.versions[source], now)
@@ -174,13 +174,18 @@
         """No majority stands behind the control scheduler: its hints are of use, its state is not."""
         now = self._loop.time()
         self._unconfirmed = message
-        self._watch_answered()
+        self._note_answered(message.request_id)
         self._report(False, message.control, now)
         self._fetch_unconfirmed(message, now)
 
-    def _watch_answered(self) -> None:
-        self._watch_sent_at = None
-        self._fetching.clear()  # what was asked for before the `Watch` is not answered any more
+    def _note_answered(self, request_id: int) -> None:
+        """Answers keep their order, so what was fetched before will not come any more.
+
+        `Unconfirmed` answers a `Fetch` too, without the id of any request; a `Watch` may be out then.
+        """
+        self._fetching.clear()
+        if request_id == self._request_id:
+            self._watch_sent_at = None
 
     def _watch_if_idle(self) -> None:
         if not self._fetching and self._watch_sent_at is None:
--- a/tests/data_plane/conftest.py
+++ b/tests/data_plane/conftest.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from tests.data_plane.plane import Plane, fresh_plane
+from tests.data_plane.stage import Stage, fresh_stage
 from tests.data_plane.world import World, fresh_world
 
 
@@ -25,3 +28,15 @@
 @pytest.fixture
 def world(worlds: Callable[..., World]) -> World:
     return worlds()
+
+
+@pytest.fixture
+def plane() -> Iterator[Plane]:
+    with fresh_plane() as made:
+        yield made
+
+
+@pytest.fixture
+def stage(tmp_path: Path) -> Iterator[Stage]:
+    with fresh_stage(tmp_path) as made:
+        yield made
--- /dev/null
+++ b/tests/data_plane/fleet_model.py
@@ -0,0 +1,252 @@
+"""A small control plane in virtual time, for the sessions of one data plane scheduler.
+
+It knows the truth: which configuration was acknowledged when. A control scheduler in the larger part of a cut
+is confirmed; one outside goes on for `CONTACT_S` on the grants that it has, and then says `Unconfirmed`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Any
+
+from msgspec import Struct
+
+from reedspoke.cluster.messages import (
+    CONFIGURATION,
+    MEMBERS,
+    ConfigurationSnapshot,
+    ControlMember,
+    Fetch,
+    MemberList,
+    Unconfirmed,
+    Version,
+    Versions,
+    Watch,
+)
+from reedspoke.data_plane.control_session import ControlSessions
+from tests.data_plane.control_stand_in import OWN
+from tests.data_plane.test_subscription import document, subscription
+from tests.data_plane.virtual_loop import VirtualLoop
+
+LATENCY_S = 0.01
+HOLD_S = 0.4
+GRANT_AGE_S = 0.15
+CONTACT_S = 0.8
+CATCH_UP_S = 0.3  # after a cut, until a control scheduler knows what it missed
+CONNECT_TIMEOUT_S = 0.7
+APPLY_S = 2.0
+
+
+class ModelChannel:
+    """The data plane's end of a session; what does not come through is lost."""
+
+    def __init__(self, model: FleetModel, control: ModelControl) -> None:
+        self.silence_s: float | None = None
+        self.closed = False
+        self.watch: Watch | None = None
+        self.watched_at = 0.0
+        self.told_unconfirmed = False
+        self.members_told = False
+        self._model = model
+        self._control = control
+        self._incoming: asyncio.Queue[Struct] = asyncio.Queue()
+
+    def send(self, message: Struct) -> None:
+        if self._model.passes(self._control):
+            self._model.loop.call_later(LATENCY_S, self._control.received, self, message)
+
+    def answer(self, message: Struct) -> None:
+        if self._model.passes(self._control) and not self.closed:
+            self._model.loop.call_later(LATENCY_S, self._incoming.put_nowait, message)
+
+    async def receive(self, expected: Any) -> Struct:
+        async with asyncio.timeout(self.silence_s):
+            return await self._incoming.get()
+
+    def close(self) -> None:
+        self.closed = True
+        self._control.channels.discard(self)
+
+
+class ModelControl:
+    """One control scheduler."""
+
+    def __init__(self, model: FleetModel, address: str, zone: str) -> None:
+        self.member = ControlMember(address, zone)
+        self.channels: set[ModelChannel] = set()
+        self.in_majority = True
+        self.version: Version = (1, 1)
+        self._model = model
+        self._as_of = model.loop.time()
+        self._joined_at = model.loop.time() - CATCH_UP_S
+
+    def set_in_majority(self, in_majority: bool) -> None:
+        now = self._model.loop.time()
+        if in_majority and not self.in_majority:
+            self._joined_at = now
+        if not in_majority and self.in_majority:
+            self._as_of = self.as_of()
+        self.in_majority = in_majority
+
+    def as_of(self) -> float:
+        """When what is known here was certainly the newest."""
+        now = self._model.loop.time()
+        if self.in_majority and now - self._joined_at >= CATCH_UP_S:
+            self.version = self._model.committed[-1][1]
+            self._as_of = now - GRANT_AGE_S
+        return self._as_of
+
+    def is_confirmed(self) -> bool:
+        return self._model.loop.time() - self.as_of() < CONTACT_S
+
+    def step(self) -> None:
+        """Some time has passed."""
+        self.as_of()
+        for channel in list(self.channels):
+            self._look_at(channel)
+
+    def received(self, channel: ModelChannel, message: Struct) -> None:
+        if channel.closed:
+            return
+        self.channels.add(channel)
+        if isinstance(message, Watch):
+            channel.watch, channel.watched_at = message, self._model.loop.time()
+            self._look_at(channel)
+        elif isinstance(message, Fetch):
+            self._fetched(channel, message)
+
+    def _fetched(self, channel: ModelChannel, fetch: Fetch) -> None:
+        if not self.is_confirmed() and not fetch.unconfirmed_too:
+            channel.answer(self._unconfirmed(0))
+        elif fetch.source == MEMBERS:
+            channel.members_told = True
+            channel.answer(MemberList((0, 1), self._model.members_seen_by(self), ()))
+        elif fetch.source == CONFIGURATION:
+            channel.answer(ConfigurationSnapshot(self.version, document(self.version[1])))
+
+    def _look_at(self, channel: ModelChannel) -> None:
+        watch = channel.watch
+        if watch is None:
+            return
+        now = self._model.loop.time()
+        waited = now - channel.watched_at
+        confirmed = self.is_confirmed()
+        has_news = not channel.told_unconfirmed
+        if confirmed:
+            newer = self.version > watch.versions[CONFIGURATION]
+            has_news = channel.told_unconfirmed or newer or not channel.members_told
+        if not has_news and waited < HOLD_S:
+            return
+        channel.watch = None
+        channel.told_unconfirmed = not confirmed
+        if not confirmed:
+            channel.answer(self._unconfirmed(watch.request_id))
+            return
+        versions = {CONFIGURATION: self.version, MEMBERS: (0, 1)}
+        ago = now - self.as_of()
+        channel.answer(Versions(watch.request_id, self.member.address, versions, {}, waited, ago))
+
+    def _unconfirmed(self, request_id: int) -> Unconfirmed:
+        hints = self._model.members_seen_by(self)
+        return Unconfirmed(request_id, self.member.address, hints, {CONFIGURATION: self.version})
+
+
+class FleetModel:
+    """All of it. `cut` and `reach` change the network, `commit` the configuration."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.loop = VirtualLoop()
+        self.committed: list[tuple[float, Version]] = [(self.loop.time(), (1, 1))]
+        self.controls = [ModelControl(self, f"c{number}:1", f"z{number % 3}") for number in range(size)]
+        self.reached = set(range(size))
+        self.parts: list[set[int]] = [set(range(size))]
+        self.made, self.heard = subscription()
+        seeds = tuple(control.member.address for control in self.controls)
+        self.sessions = ControlSessions(self.made, lambda: OWN, lambda: seeds, Random(seed))
+        self.running = self.loop.create_task(self.sessions.run())
+        self.dials = 0
+
+    def close(self) -> None:
+        """End all sessions."""
+        self.running.cancel()
+        self.loop.settle()
+        self.loop.close()
+
+    # ---- the network ----
+
+    def passes(self, control: ModelControl) -> bool:
+        return self.controls.index(control) in self.reached
+
+    def cut(self, part: set[int]) -> None:
+        """These and the others do not hear each other."""
+        others = set(range(len(self.controls))) - part
+        self.parts = [part, others]
+        for number, control in enumerate(self.controls):
+            own = part if number in part else others
+            control.set_in_majority(len(own) > len(self.controls) // 2)
+
+    def reach(self, numbers: set[int]) -> None:
+        """The data plane scheduler has a path to these only."""
+        self.reached = numbers
+
+    def members_seen_by(self, control: ModelControl) -> tuple[ControlMember, ...]:
+        number = self.controls.index(control)
+        own = next(part for part in self.parts if number in part)
+        return tuple(self.controls[other].member for other in sorted(own))
+
+    def sound_numbers(self) -> set[int]:
+        """Control schedulers with a majority and a path."""
+        return {
+            number
+            for number, control in enumerate(self.controls)
+            if number in self.reached and control.in_majority
+        }
+
+    async def open(self, address: str) -> ModelChannel:
+        self.dials += 1
+        control = next(one for one in self.controls if one.member.address == address)
+        if not self.passes(control):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise TimeoutError
+        await asyncio.sleep(2 * LATENCY_S)
+        return ModelChannel(self, control)
+
+    # ---- the configuration ----
+
+    def commit(self) -> None:
+        """A change is acknowledged, if some part of the cut can take one; its members know it then."""
+        takers = [control for control in self.controls if control.in_majority]
+        if takers:
+            version = (1, self.committed[-1][1][1] + 1)
+            self.committed.append((self.loop.time(), version))
+            for control in takers:
+                control.step()
+
+    def due_version(self) -> Version:
+        """What has to be in force now."""
+        limit = self.loop.time() - APPLY_S
+        return max((version for at, version in self.committed if at <= limit), default=(0, 0))
+
+    def in_doubt(self) -> bool:
+        return self.made.confirmation.in_doubt(self.loop.time())
+
+    # ---- time ----
+
+    def run_for(self, seconds: float, step_s: float = 0.02) -> None:
+        for _ in range(max(1, round(seconds / step_s))):
+            for control in self.controls:
+                control.step()
+            self.loop.run_for(step_s)
+            self.check()
+
+    def stop_process_for(self, seconds: float) -> None:
+        """The data plane's process does nothing for so long, and a change is acknowledged at once."""
+        self.commit()
+        self.loop._virtual.now += seconds
+        self.check()
+
+    def check(self) -> None:
+        """While there is no doubt, all that has to be in force is in force."""
+        if not self.in_doubt():
+            assert self.made.version(CONFIGURATION) >= self.due_version()
--- /dev/null
+++ b/tests/data_plane/plane.py
@@ -0,0 +1,96 @@
+"""A whole data plane without listening sockets, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from msgspec import Struct
+
+from reedspoke.cluster.messages import ConfigurationSnapshot, WorkerEntry, WorkerList
+from reedspoke.cluster.node_settings import Bounds, NodeSettings
+from reedspoke.data_plane.client_connection import ClientConnection
+from reedspoke.data_plane.process import DataPlane
+from tests.data_plane.virtual_loop import VirtualLoop
+from tests.data_plane.wire import SeenAnswer, TransportStandIn, read_answers
+from tests.data_plane.world import LIMITS, Arrival, Network, document, request_bytes
+
+GRACE_S = 8.0
+WORKER = WorkerEntry("i-1", "u1", "10.0.0.1:80", "za", "v1", 1, False)
+
+
+class ServerStandIn:
+    """What accepts connections."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.closed_at = 0.0
+
+    def close(self) -> None:
+        self.closed_at = self.closed_at or self.loop.time()
+
+
+class Plane(Struct, eq=False):
+    """A data plane without listening sockets."""
+
+    loop: VirtualLoop
+    network: Network
+    plane: DataPlane
+    server: ServerStandIn
+
+    def learn(self, workers: tuple[WorkerEntry, ...] = (WORKER,)) -> None:
+        """A control scheduler, confirmed by a majority, tells of a configuration and of workers."""
+        self.network.names |= {worker.address: worker.instance_id for worker in workers}
+        self.plane._confirmation.told((1, 0), self.loop.time())
+        self.plane._subscription.take(ConfigurationSnapshot((1, 0), document(2, LIMITS)))
+        self.plane._subscription.take(WorkerList((1, 1), workers))
+
+    def connect(self) -> TransportStandIn:
+        transport = TransportStandIn(self.loop, ClientConnection(self.plane, self.loop))
+        self.network.transports.append(transport)
+        return transport
+
+    def asked(self, path: str, attempt_id: str = "a1") -> TransportStandIn:
+        transport = self.connect()
+        transport.arrive(request_bytes(path, attempt_id))
+        self.loop.settle()
+        return transport
+
+    def arrival(self) -> Arrival:
+        return self.network.arrivals[-1]
+
+    def finish(self) -> asyncio.Task[None]:
+        """SIGTERM has come."""
+        task = self.loop.create_task(self.plane._finish(self.server))  # type: ignore[arg-type]
+        self.loop.settle()
+        return task
+
+
+def settings() -> NodeSettings:
+    return NodeSettings("edge-1", "127.0.0.1", "za", bounds=Bounds(grace_s=GRACE_S))
+
+
+@contextmanager
+def fresh_plane() -> Iterator[Plane]:
+    """A data plane in virtual time, until the block ends."""
+    loop = VirtualLoop()
+    network = Network(loop)
+    loop.connector = network.connect
+
+    async def make() -> DataPlane:
+        return DataPlane(settings())
+
+    yield Plane(loop, network, loop.run_until_complete(make()), ServerStandIn(loop))
+    for transport in network.transports:
+        transport.abort()
+    loop.run_for(1)
+    for transport in network.transports:
+        transport.socket.close()
+    loop.close()
+    assert loop.errors == []
+
+
+def answer(transport: TransportStandIn) -> SeenAnswer:
+    (found,) = read_answers(bytes(transport.written))
+    return found
--- /dev/null
+++ b/tests/data_plane/stage.py
@@ -0,0 +1,79 @@
+"""The real process on loopback addresses, with two control schedulers and a worker."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from msgspec import Struct
+
+from tests.control_plane_process.fleet import free_port
+from tests.control_plane_process.stand_ins import until
+from tests.data_plane.stand_ins import UP_S, Background, ControlStandIn, EdgeProcess, WorkerStandIn, call
+
+HOSTS = ("127.0.0.1", "127.0.0.2")
+HOST = "a.example"
+
+
+def document(generation: int, *prefixes: str) -> bytes:
+    """A configuration with these prefixes, besides the stream."""
+    routes = [
+        {
+            "name": f"r{prefix}",
+            "hostname": HOST,
+            "path_prefix": prefix,
+            "route_type": "streaming" if prefix == "/stream/" else "idempotent",
+            "timeout_ms": 10_000,
+            "upstream": "u1",
+        }
+        for prefix in ("/stream/", *prefixes)
+    ]
+    return json.dumps({"generation": generation, "routes": routes, "upstreams": [{"name": "u1"}]}).encode()
+
+
+class Stage(Struct, eq=False):
+    """Everything together."""
+
+    background: Background
+    controls: list[ControlStandIn]
+    worker: WorkerStandIn
+    edge: EdgeProcess
+
+    def tell(self, sequence: int, *prefixes: str, control: int = 0) -> None:
+        known = document(sequence, *prefixes)
+        self.controls[control].tell(sequence, known, (self.worker.entry(),))
+
+    def ask(self, path: str, attempt_id: str = "a1") -> tuple[int, bytes]:
+        return call(self.edge.frontend, "GET", path, HOST, attempt_id)
+
+    def until_status(self, path: str, status: int) -> None:
+        until(lambda: self.ask(path)[0] == status, UP_S, f"{path} gives {status}")
+
+    def start(self) -> None:
+        """With one control scheduler that knows a route to /one/."""
+        self.controls[0].start()
+        self.tell(3, "/one/")
+        self.edge.write_settings([HOSTS[0]])
+        self.edge.start()
+        self.edge.until_ready()
+
+
+@contextmanager
+def fresh_stage(folder: Path) -> Iterator[Stage]:
+    """All of it, until the block ends."""
+    background = Background()
+    port = free_port(HOSTS)
+    frontend, readiness = (f"127.0.0.1:{free_port(HOSTS)}" for _ in range(2))
+    controls = [ControlStandIn(background, host, port) for host in HOSTS]
+    worker = WorkerStandIn(background, "i-1")
+    worker.start()
+    edge = EdgeProcess(folder, frontend, readiness, port)
+    try:
+        yield Stage(background, controls, worker, edge)
+    finally:
+        edge.kill()
+        for control in controls:
+            control.stop()
+        background.close()
--- a/tests/data_plane/stand_ins.py
+++ b/tests/data_plane/stand_ins.py
@@ -23,6 +23,7 @@
     EdgeMessage,
     Fetch,
     MemberList,
+    Unconfirmed,
     Version,
     Versions,
     Watch,
@@ -69,8 +70,10 @@
         self.versions: dict[str, Version] = {CONFIGURATION: (0, 0), WORKERS: (0, 0), MEMBERS: (0, 0)}
         self.workers: tuple[WorkerEntry, ...] = ()
         self.watches: list[Watch] = []
+        self.confirmed = True  # whether a majority stands behind it
         self._channels: set[Channel] = set()
         self._waiting: list[tuple[Channel, Watch]] = []
+        self._told_unconfirmed: set[Channel] = set()
         self._server: asyncio.Server | None = None
 
     def start(self) -> None:
@@ -80,6 +83,14 @@
         """All connections break at once, and none comes up again."""
         self.background.run(self._stop())
 
+    def lose_majority(self) -> None:
+        """It knows no more and says so, as soon as it is asked; a second time only after the heartbeat."""
+        self.background.run(self._set_confirmed(False))
+
+    def regain_majority(self) -> None:
+        """All that wait are told at once."""
+        self.background.run(self._set_confirmed(True))
+
     def tell(self, sequence: int, document: bytes, workers: tuple[WorkerEntry, ...]) -> None:
         """What it knows from now on, each source in version (sequence, 0)."""
         self.background.run(self._tell(sequence, document, workers))
@@ -93,12 +104,20 @@
         for channel in list(self._channels):
             channel.close()
 
+    async def _set_confirmed(self, confirmed: bool) -> None:
+        self.confirmed = confirmed
+        self._told_unconfirmed.clear()
+        self._answer_all()
+
+    def _answer_all(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for channel, watch in waiting:
+            self._answer(channel, watch)
+
     async def _tell(self, sequence: int, document: bytes, workers: tuple[WorkerEntry, ...]) -> None:
         self.document, self.workers = document, workers
         self.versions = {CONFIGURATION: (sequence, 0), WORKERS: (sequence, 0), MEMBERS: (0, 1)}
-        for channel, watch in self._waiting:
-            self._answer(channel, watch)
-        self._waiting.clear()
+        self._answer_all()
 
     async def _converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         channel = Channel(reader, writer)
@@ -113,23 +132,36 @@
 
     def _received(self, channel: Channel, message: Watch | Fetch) -> None:
         if isinstance(message, Fetch):
-            channel.send(self._state(message.source))
+            served = self.confirmed or message.unconfirmed_too
+            channel.send(self._state(message.source) if served else self._unconfirmed(0))
             return
         self.watches.append(message)
-        if any(version > message.versions[source] for source, version in self.versions.items()):
+        if self._has_news(channel, message):
             self._answer(channel, message)
             return
         self._waiting.append((channel, message))
         self.background.loop.call_later(HEARTBEAT_S, self._heartbeat, channel, message)
 
+    def _has_news(self, channel: Channel, watch: Watch) -> bool:
+        if not self.confirmed:
+            return channel not in self._told_unconfirmed
+        return any(version > watch.versions[source] for source, version in self.versions.items())
+
     def _heartbeat(self, channel: Channel, watch: Watch) -> None:
         if (channel, watch) in self._waiting:
             self._waiting.remove((channel, watch))
             self._answer(channel, watch)
 
     def _answer(self, channel: Channel, watch: Watch) -> None:
+        if not self.confirmed:
+            self._told_unconfirmed.add(channel)
+            channel.send(self._unconfirmed(watch.request_id))
+            return
         channel.send(Versions(watch.request_id, f"core-{self.host}", self.versions))
 
+    def _unconfirmed(self, request_id: int) -> Unconfirmed:
+        return Unconfirmed(request_id, f"core-{self.host}", (), self.versions)
+
     def _state(self, source: str) -> ConfigurationSnapshot | WorkerList | MemberList:
         if source == CONFIGURATION:
             return ConfigurationSnapshot(self.versions[source], self.document)
--- a/tests/data_plane/test_process.py
+++ b/tests/data_plane/test_process.py
@@ -7,94 +7,21 @@
 import select
 import signal
 import socket
-from collections.abc import Iterator
-from pathlib import Path
-
-import pytest
-from msgspec import Struct
 
 from reedspoke.cluster.messages import CONFIGURATION
 from reedspoke.cluster.node_settings import split_address
-from tests.control_plane_process.fleet import free_port
 from tests.control_plane_process.stand_ins import until
+from tests.data_plane.stage import HOST, HOSTS, Stage
 from tests.data_plane.stand_ins import (
     CALL_S,
     UP_S,
-    Background,
-    ControlStandIn,
-    EdgeProcess,
-    WorkerStandIn,
-    call,
 )
 from tests.data_plane.wire import event, events
 
-HOSTS = ("127.0.0.1", "127.0.0.2")
-HOST = "a.example"
 MANY = 400  # connections at once
 CONNECT_S = 0.9  # clients give a connection one second to come up
 
 
-def document(generation: int, *prefixes: str) -> bytes:
-    """A configuration with these prefixes, besides the stream."""
-    routes = [
-        {
-            "name": f"r{prefix}",
-            "hostname": HOST,
-            "path_prefix": prefix,
-            "route_type": "streaming" if prefix == "/stream/" else "idempotent",
-            "timeout_ms": 10_000,
-            "upstream": "u1",
-        }
-        for prefix in ("/stream/", *prefixes)
-    ]
-    return json.dumps({"generation": generation, "routes": routes, "upstreams": [{"name": "u1"}]}).encode()
-
-
-class Stage(Struct, eq=False):
-    """Everything together."""
-
-    background: Background
-    controls: list[ControlStandIn]
-    worker: WorkerStandIn
-    edge: EdgeProcess
-
-    def tell(self, sequence: int, *prefixes: str, control: int = 0) -> None:
-        known = document(sequence, *prefixes)
-        self.controls[control].tell(sequence, known, (self.worker.entry(),))
-
-    def ask(self, path: str, attempt_id: str = "a1") -> tuple[int, bytes]:
-        return call(self.edge.frontend, "GET", path, HOST, attempt_id)
-
-    def until_status(self, path: str, status: int) -> None:
-        until(lambda: self.ask(path)[0] == status, UP_S, f"{path} gives {status}")
-
-    def start(self) -> None:
-        """With one control scheduler that knows a route to /one/."""
-        self.controls[0].start()
-        self.tell(3, "/one/")
-        self.edge.write_settings([HOSTS[0]])
-        self.edge.start()
-        self.edge.until_ready()
-
-
-@pytest.fixture
-def stage(tmp_path: Path) -> Iterator[Stage]:
-    background = Background()
-    port = free_port(HOSTS)
-    frontend, readiness = (f"127.0.0.1:{free_port(HOSTS)}" for _ in range(2))
-    controls = [ControlStandIn(background, host, port) for host in HOSTS]
-    worker = WorkerStandIn(background, "i-1")
-    worker.start()
-    edge = EdgeProcess(tmp_path, frontend, readiness, port)
-    try:
-        yield Stage(background, controls, worker, edge)
-    finally:
-        edge.kill()
-        for control in controls:
-            control.stop()
-        background.close()
-
-
 def test_it_becomes_ready_serves_and_follows_its_control_scheduler(stage: Stage) -> None:
     stage.edge.write_settings([HOSTS[0]])
     stage.edge.start()
--- a/tests/data_plane/test_unconfirmed_sessions.py
+++ b/tests/data_plane/test_unconfirmed_sessions.py
@@ -337,6 +337,25 @@
     assert control.sessions.sessions() == 0
 
 
+def test_while_a_watch_is_out_no_other_is_sent_for_an_answer_that_is_not_to_it(control: Control) -> None:
+    """A control scheduler answers a `Fetch` without a majority too, with the id of no request."""
+    one = control.channels[0]
+    one.offer(configuration=(4, 0))
+    control.loop.run_for(FETCH_S + 0.5)
+    assert one.watch().request_id == 2
+    one.say(Unconfirmed(0, one.address))
+    control.loop.run_for(3 * ANSWER_S)
+    assert one.watch().request_id == 2
+
+
+def test_an_unanswered_fetch_does_not_hold_a_session_back(control: Control) -> None:
+    one = control.channels[0]
+    one.offer(configuration=(4, 0))
+    one.say(Unconfirmed(0, one.address))
+    control.loop.run_for(2 * ANSWER_S)
+    assert one.closed or isinstance(one.sent[-1], Watch)
+
+
 def test_a_control_scheduler_that_confirms_the_past_only_is_left(control: Control) -> None:
     """As one that was stopped between the making of an answer and its sending."""
     one, two = control.channels
