A list of workers reaches a control scheduler that its publisher does not reach

Cause: only the holder of the list duty sent its list. Where a link between the holder and one other control scheduler was cut, both with a majority in reach, that one served an old list for as long as the cut lasted, and let requests go to drained workers. Ruled out: making the session unconfirmed for a list that is behind (the configuration is sound there). Change: tables of sessions tell who holds which list, so anyone who has had a newer one for 0.3 s sends it (WorkerBook.sends_to).

--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -234,7 +234,7 @@
         self._membership.heard_table(sender, table, now)
         self._book.note_seen(table.workers_seen)
         self._lease.term_seen(self._book.seen[0])
-        if table.workers < self._book.version and self._lease.holds(now):
+        if self._book.sends_to(table.workers, self._lease.holds(now), now):
             payload = self._state.workers_frame(now)
             if payload is not None:
                 self._transport.send_encoded(sender, payload)
--- a/reedspoke/control_plane/worker_list.py
+++ b/reedspoke/control_plane/worker_list.py
@@ -12,6 +12,7 @@
 
 STATE_DRAINING = "draining"
 MOST_WORKERS = 20000
+RELAY_AFTER_S = 0.3  # who lacks a list for so long is sent it by any process that has it
 UNLEASED_TERM = 0  # of a list read without the lease, of which each process may have another
 
 
@@ -105,6 +106,15 @@
         """Another process holds a list of this version."""
         self.seen = max(self.seen, version)
 
+    def sends_to(self, version: Version, holds_lease: bool, now: float) -> bool:
+        """Whether a process that holds `version` is to be sent the list here.
+
+        The holder of the lease sends at once; others a little later, where the holder does not reach it.
+        """
+        if version >= self.version:
+            return False
+        return holds_lease or now - self.received_at >= RELAY_AFTER_S
+
     def behind(self) -> bool:
         """Whether somebody holds a newer list than we do."""
         return self.seen > self.version
--- a/tests/control_plane_process/test_worker_list.py
+++ b/tests/control_plane_process/test_worker_list.py
@@ -7,6 +7,7 @@
 
 from reedspoke.cluster.messages import WorkerEntry, WorkerList
 from reedspoke.control_plane.worker_list import (
+    RELAY_AFTER_S,
     UNLEASED_TERM,
     PlatformPage,
     WorkerBook,
@@ -123,3 +124,22 @@
 def test_time_is_taken_off_what_is_left_until_a_worker_is_warm() -> None:
     entries = (worker("a", 500), worker("b", 100), worker("c"))
     assert [entry.cold_left_ms for entry in aged(WorkerList((1, 1), entries), 200).workers] == [300, 0, 0]
+
+
+def test_the_holder_sends_its_list_at_once_and_others_when_it_has_not_arrived_for_a_while() -> None:
+    book = WorkerBook()
+    book.adopt(WorkerList((3, 2), (worker("i-1"),)), now=50.0)
+    assert book.sends_to((3, 1), holds_lease=True, now=50.0)
+    assert not book.sends_to((3, 1), holds_lease=False, now=50.0)
+    assert book.sends_to((3, 1), holds_lease=False, now=50.01 + RELAY_AFTER_S)
+
+
+@pytest.mark.parametrize("version", [(3, 2), (3, 3), (4, 1)])
+def test_nobody_is_sent_a_list_that_is_not_newer_than_its_own(version: tuple[int, int]) -> None:
+    book = WorkerBook()
+    book.adopt(WorkerList((3, 2), (worker("i-1"),)), now=50.0)
+    assert not book.sends_to(version, holds_lease=True, now=60.0)
+
+
+def test_without_a_list_nothing_is_sent() -> None:
+    assert not WorkerBook().sends_to((0, 0), holds_lease=True, now=60.0)
