History of accepted changes: packed, 8,192 long, so that 5,000 later changes lose no order

Cause: the history ended at 4,096 changes. An order that was acknowledged and sent again after 5,000 later changes was unknown and refused with 412.

The record of earlier versions is still read. HISTORY_LIMIT is 8,192.

Ruled out: no bound at all (40 bytes for each change for ever); digests cut to 16 bytes (saves 196 kB at 8,192 and weakens the only thing that tells rivals apart).

Changed test: `test_the_history_is_bounded` asserted 4,096 and a deque's maxlen; it now fills the history past 8,192 and asserts length and oldest generation.

--- a/reedspoke/control_plane/chain.py
+++ b/reedspoke/control_plane/chain.py
@@ -203,7 +203,7 @@
             return None
         lag = self._register.sequence - state.sequence
         if not state.complete or lag > 1:
-            return Snapshot(self._view.number, successor.joined, entry, self._register.history)
+            return Snapshot(self._view.number, successor.joined, entry, self._register.packed_history)
         if lag == 1 and entry is not None:
             return Append(self._view.number, entry)
         return None
@@ -211,8 +211,7 @@
     def _due(self, message: Append | Snapshot) -> bool:
         if self._passed_on is None or self._passed_on[0] != self._register.sequence:
             return True
-        size = len(message.entry.document) if message.entry else 0
-        return self._outbox.now - self._passed_on[1] >= RESEND_S + size / RESEND_BYTES_PER_S
+        return self._outbox.now - self._passed_on[1] >= RESEND_S + _size(message) / RESEND_BYTES_PER_S
 
     # ---- commits ----
 
@@ -263,3 +262,8 @@
             self._view.number, self._own.folder_id, link.joined, self.complete, self._register.sequence
         )
         self._outbox.send(predecessor.address, state)
+
+
+def _size(message: Append | Snapshot) -> int:
+    document = len(message.entry.document) if message.entry else 0
+    return document + (len(message.history) if isinstance(message, Snapshot) else 0)
--- a/reedspoke/control_plane/chain_register.py
+++ b/reedspoke/control_plane/chain_register.py
@@ -7,8 +7,9 @@
 from msgspec import Struct
 
 from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.change_history import Acknowledged, ChangeHistory
 from reedspoke.control_plane.events import Committed
-from reedspoke.control_plane.replica_messages import Acknowledged, Entry
+from reedspoke.control_plane.replica_messages import Entry
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import (
     EntryRecord,
@@ -54,14 +55,21 @@
         return self.storing is None and not self.adopting and self.committed_sequence == self.sequence
 
     @property
-    def history(self) -> tuple[Acknowledged, ...]:
-        """The accepted changes, oldest first."""
-        return tuple(self._history)
+    def packed_history(self) -> bytes:
+        """The accepted changes, as `ChangeHistory` packs them."""
+        return self._history.packed()
 
     def knows(self, change: Acknowledged) -> bool:
         """Whether this change has been accepted; it is committed if the register is settled."""
         return change in self._history
 
+    def may_have_forgotten(self, change: Acknowledged) -> bool:
+        """Whether this change may have been accepted before the oldest one that the history still holds.
+
+        Each accepted change has the next sequence, so that a history shorter than the sequence has lost some.
+        """
+        return self.sequence > len(self._history) and change.generation < self._history.oldest_generation
+
     def append(self, entry: Entry, on_synced: OnSynced) -> None:
         """Store the next entry; `on_synced` tells whether it is on disk."""
         self.storing = entry
@@ -72,19 +80,16 @@
             self.storing = None
             if error is None:
                 self.entry = entry
-                self._history.append(acknowledged(entry))
+                self._history.add(acknowledged(entry))
             on_synced(error is None)
 
         self._outbox.store([EntryRecord(entry)], on_end)
 
-    def adopt(
-        self, entry: Entry | None, history: tuple[Acknowledged, ...], joined: int, on_synced: OnSynced
-    ) -> None:
+    def adopt(self, entry: Entry | None, packed_history: bytes, joined: int, on_synced: OnSynced) -> None:
         """Take over a predecessor's state in place of the own."""
         self.entry = entry
         self.storing = None
-        self._history.clear()
-        self._history.extend(history)
+        self._history = ChangeHistory(packed_history)
         self.synced_since = joined
         self.adopting = True
 
@@ -105,7 +110,7 @@
 
     def records(self) -> list[Struct]:
         """What the log has to hold."""
-        records: list[Struct] = [HistoryRecord(self.history)]
+        records: list[Struct] = [HistoryRecord(self.packed_history)]
         records += [EntryRecord(entry) for entry in (self.entry, self.storing) if entry is not None]
         records.append(SyncedRecord(self.synced_since))
         return records
--- /dev/null
+++ b/reedspoke/control_plane/change_history.py
@@ -0,0 +1,79 @@
+"""The accepted changes by number and digest, oldest first, bounded, and packed for disk and network alike.
+
+Generations rise from change to change, so that the packed rows are sorted and are searched as they stand.
+"""
+
+from __future__ import annotations
+
+import struct
+from bisect import bisect_left
+
+from msgspec import Struct
+
+from reedspoke.control_plane.replica_settings import HISTORY_LIMIT
+
+ROW = struct.Struct(">q32s")  # generation, SHA-256 of the document
+
+
+class Acknowledged(Struct, array_like=True, frozen=True):
+    """An accepted change by its number and the SHA-256 of its document."""
+
+    generation: int
+    digest: bytes
+
+
+class ChangeHistory:
+    """The newest HISTORY_LIMIT accepted changes; older ones are forgotten."""
+
+    def __init__(self, packed: bytes = b"") -> None:
+        """Raises ValueError where `packed` is not whole rows."""
+        check_packed(packed)
+        self._rows = bytearray(packed[-HISTORY_LIMIT * ROW.size :])
+
+    def __len__(self) -> int:
+        return len(self._rows) // ROW.size
+
+    def __contains__(self, change: Acknowledged) -> bool:
+        index = bisect_left(range(len(self)), change.generation, key=self._generation)
+        return index < len(self) and self._change(index) == change
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, ChangeHistory) and self._rows == other._rows
+
+    __hash__ = None  # type: ignore[assignment]  # it changes
+
+    @property
+    def oldest_generation(self) -> int:
+        """Generation of the oldest change that is remembered, 0 where there is none."""
+        return self._generation(0) if self._rows else 0
+
+    @property
+    def newest(self) -> Acknowledged | None:
+        """The change that was added last."""
+        return self._change(len(self) - 1) if self._rows else None
+
+    def add(self, change: Acknowledged) -> None:
+        """Remember a change, whose generation is above all others, in place of the oldest if need be."""
+        self._rows += ROW.pack(change.generation, change.digest)
+        if len(self) > HISTORY_LIMIT:
+            del self._rows[: ROW.size]
+
+    def remove_newest(self) -> None:
+        """Forget the change that was added last."""
+        del self._rows[-ROW.size :]
+
+    def packed(self) -> bytes:
+        """All rows, as the constructor takes them."""
+        return bytes(self._rows)
+
+    def _generation(self, index: int) -> int:
+        return self._change(index).generation
+
+    def _change(self, index: int) -> Acknowledged:
+        return Acknowledged(*ROW.unpack_from(self._rows, index * ROW.size))
+
+
+def check_packed(packed: bytes) -> None:
+    """Raises ValueError where `packed` is not whole rows."""
+    if len(packed) % ROW.size:
+        raise ValueError(f"a packed history of {len(packed)} bytes")
--- a/reedspoke/control_plane/replica_head.py
+++ b/reedspoke/control_plane/replica_head.py
@@ -9,8 +9,9 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.chain import Chain
 from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.change_history import Acknowledged
 from reedspoke.control_plane.events import View
-from reedspoke.control_plane.replica_messages import Acknowledged, Entry, PutReply, PutRequest
+from reedspoke.control_plane.replica_messages import Entry, PutReply, PutRequest
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import acknowledged
 from reedspoke.control_plane.replica_refusals import Refusals
--- a/reedspoke/control_plane/replica_messages.py
+++ b/reedspoke/control_plane/replica_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from reedspoke.control_plane.change_history import check_packed
 from reedspoke.control_plane.events import Member, View
 
 
@@ -23,13 +24,6 @@
     document: bytes
 
 
-class Acknowledged(Struct, array_like=True, frozen=True):
-    """An accepted change by its number and the SHA-256 of its document."""
-
-    generation: int
-    digest: bytes
-
-
 class Ping(Struct, tag="ping", array_like=True, frozen=True):
     """Sign of life, sent to every known replica; `lease_sent` is set by a tail that asks for a read lease.
 
@@ -136,12 +130,18 @@
 
 
 class Snapshot(Struct, tag="snapshot", array_like=True, frozen=True):
-    """Predecessor to a successor that was appended in the view `joined`: all, in place of what it has."""
+    """Predecessor to a successor that was appended in the view `joined`: all, in place of what it has.
+
+    `history` is a packed `ChangeHistory`.
+    """
 
     view: int
     joined: int
     entry: Entry | None
-    history: tuple[Acknowledged, ...]
+    history: bytes
+
+    def __post_init__(self) -> None:
+        check_packed(self.history)
 
 
 class Commit(Struct, tag="commit", array_like=True, frozen=True):
--- a/reedspoke/control_plane/replica_records.py
+++ b/reedspoke/control_plane/replica_records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Sequence
 from hashlib import sha256
 
@@ -10,9 +9,9 @@
 from msgspec import Struct, ValidationError, convert, field, to_builtins
 
 from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.control_plane.change_history import Acknowledged, ChangeHistory, check_packed
 from reedspoke.control_plane.events import View
-from reedspoke.control_plane.replica_messages import Acknowledged, Ballot, Entry
-from reedspoke.control_plane.replica_settings import HISTORY_LIMIT
+from reedspoke.control_plane.replica_messages import Ballot, Entry
 
 NO_BALLOT = Ballot()
 
@@ -44,8 +43,17 @@
     entry: Entry
 
 
-class HistoryRecord(Struct, tag="history", array_like=True, frozen=True):
-    """The whole history of accepted changes, in place of what was before."""
+class HistoryRecord(Struct, tag="packed_history", array_like=True, frozen=True):
+    """The whole history of accepted changes, as `ChangeHistory` packs it, in place of what was before."""
+
+    history: bytes
+
+    def __post_init__(self) -> None:
+        check_packed(self.history)
+
+
+class ListedHistoryRecord(Struct, tag="history", array_like=True, frozen=True):
+    """The whole history as earlier versions wrote it; it is only read."""
 
     history: tuple[Acknowledged, ...]
 
@@ -61,7 +69,14 @@
 
 
 Record = (
-    BootstrapRecord | ViewRecord | AcceptorRecord | EntryRecord | HistoryRecord | SyncedRecord | ProbeRecord
+    BootstrapRecord
+    | ViewRecord
+    | AcceptorRecord
+    | EntryRecord
+    | HistoryRecord
+    | ListedHistoryRecord
+    | SyncedRecord
+    | ProbeRecord
 )
 
 
@@ -72,7 +87,7 @@
     view: View | None = None
     acceptors: dict[int, AcceptorRecord] = field(default_factory=dict)
     entry: Entry | None = None
-    history: deque[Acknowledged] = field(default_factory=lambda: deque(maxlen=HISTORY_LIMIT))
+    history: ChangeHistory = field(default_factory=ChangeHistory)
     synced_since: int = 0
 
 
@@ -114,8 +129,13 @@
             state.acceptors[number] = record
         case EntryRecord(entry=entry):
             _apply_entry(state, entry)
-        case HistoryRecord(history=history):
-            state.history = deque(history, maxlen=HISTORY_LIMIT)
+        case HistoryRecord(history=packed):
+            state.history = ChangeHistory(packed)
+            state.entry = None
+        case ListedHistoryRecord(history=listed):
+            state.history = ChangeHistory()
+            for change in listed:
+                state.history.add(change)
             state.entry = None
         case SyncedRecord(joined=joined):
             state.synced_since = joined
@@ -126,7 +146,7 @@
 def _apply_entry(state: RestoredState, entry: Entry) -> None:
     replaced = state.entry is not None and state.entry.sequence == entry.sequence
     if replaced:
-        state.history.pop()
+        state.history.remove_newest()
     state.entry = entry
-    if not state.history or state.history[-1] != acknowledged(entry):
-        state.history.append(acknowledged(entry))
+    if state.history.newest != acknowledged(entry):
+        state.history.add(acknowledged(entry))
--- a/reedspoke/control_plane/replica_settings.py
+++ b/reedspoke/control_plane/replica_settings.py
@@ -29,7 +29,7 @@
 DISK_PROBE_S = 0.3
 REWRITE_BYTES = 8 * 1024 * 1024  # the log is rewritten when longer than this
 REWRITE_RATIO = 4  # and than this many times the live records
-HISTORY_LIMIT = 4096
+HISTORY_LIMIT = 8192  # accepted changes that are remembered, 40 bytes each
 
 
 class ReplicaSettings(Struct, frozen=True):
--- /dev/null
+++ b/tests/control_plane/direct_core.py
@@ -0,0 +1,111 @@
+"""Replicas that are driven directly: no delay, no loss, and no time passes but in `run`.
+
+Thousands of changes go through in a few seconds; for faults there is the simulation.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Event, Put, PutAnswer, Received, SendTo, Store, Stored, Tick
+from reedspoke.control_plane.replica import TICK_S, Replica, ReplicaSettings
+
+START_S = 3.0
+
+
+class DirectCore:
+    """A core of machines `m1`, `m2`, …, whose messages and stores are carried out at once, in order."""
+
+    def __init__(self, machines: int = 3, tolerated: int = 1) -> None:
+        self.now = 100.0
+        self.addresses = tuple(f"m{number}" for number in range(1, machines + 1))
+        self.disks: dict[str, list[bytes]] = {}
+        self.replicas: dict[str, Replica] = {}
+        self.stored: list[tuple[str, bytes]] = []
+        self.sent: list[SendTo] = []
+        self._tolerated = tolerated
+        self._folders: dict[str, str] = {}
+        self._lives = 0
+        self._events: deque[tuple[str, Event]] = deque()
+        self._answers: dict[int, PutAnswer] = {}
+        self._requests = 0
+        for address in self.addresses:
+            self.lose_disk(address)
+        self.restart(bootstrap=True)
+
+    def lose_disk(self, address: str) -> None:
+        """The folder is empty from now on; the process is to be started again."""
+        self._lives += 1
+        self._folders[address] = f"folder-{self._lives}"
+        self.disks[address] = []
+
+    def restart(self, bootstrap: bool = False) -> None:
+        """All processes end and start again from their disks."""
+        self._events.clear()
+        for address in self.addresses:
+            self.start(address, bootstrap)
+        self.run(START_S)
+
+    def start(self, address: str, bootstrap: bool = False) -> None:
+        """One process starts from its disk."""
+        self._lives += 1
+        settings = ReplicaSettings(
+            folder_id=self._folders[address],
+            address=address,
+            zone=f"zone-{address}",
+            seeds=self.addresses,
+            bootstrap=bootstrap,
+            machines_tolerated=self._tolerated,
+        )
+        records = list(self.disks[address])
+        self.replicas[address] = Replica(settings, records, self.now, f"life-{self._lives}")
+
+    def run(self, duration: float) -> None:
+        """Let time pass."""
+        for _ in range(round(duration / TICK_S)):
+            self.now += TICK_S
+            for address in self.addresses:
+                self._events.append((address, Tick()))
+            self._handle_all()
+
+    def put(self, address: str, match: int, generation: int, document: bytes) -> ErrorCode | None:
+        """A change and its answer; time passes until it comes."""
+        self._requests += 1
+        request_id = self._requests
+        self.inject(address, Put(request_id, match, generation, document))
+        while request_id not in self._answers:
+            self.run(TICK_S)
+        return self._answers.pop(request_id).error
+
+    def inject(self, address: str, event: Event) -> None:
+        """Hand any event to a machine, and carry out all that follows."""
+        self._events.append((address, event))
+        self._handle_all()
+
+    def head(self) -> str:
+        """Address of the head."""
+        views = [replica.view for replica in self.replicas.values() if replica.view is not None]
+        return max(views, key=lambda view: view.number).chain[0].member.address
+
+    def _handle_all(self) -> None:
+        while self._events:
+            address, event = self._events.popleft()
+            for effect in self.replicas[address].handle(self.now, event):
+                match effect:
+                    case SendTo(address=receiver, message=message):
+                        self.sent.append(effect)
+                        if receiver in self.replicas:
+                            self._events.append((receiver, Received(address, message)))
+                    case Store():
+                        self._store(address, effect)
+                    case PutAnswer(request_id=request_id):
+                        self._answers[request_id] = effect
+
+    def _store(self, address: str, store: Store) -> None:
+        disk = self.disks[address]
+        if store.replace:
+            disk.clear()
+        disk.extend(store.records)
+        self.stored.extend((address, record) for record in store.records)
+        self._events.append((address, Stored(store.token)))
--- a/tests/control_plane/test_replica_answers.py
+++ b/tests/control_plane/test_replica_answers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.change_history import Acknowledged
 from reedspoke.control_plane.events import SendTo
 from reedspoke.control_plane.replica_messages import Append
 from reedspoke.control_plane.replica_records import restore
@@ -177,6 +178,9 @@
 
 
 def test_the_history_is_bounded() -> None:
-    assert HISTORY_LIMIT == 4096
-    state = restore([])
-    assert state.history.maxlen == HISTORY_LIMIT
+    assert HISTORY_LIMIT == 8192
+    history = restore([]).history
+    for generation in range(1, HISTORY_LIMIT + 2):
+        history.add(Acknowledged(generation, bytes(32)))
+    assert len(history) == HISTORY_LIMIT
+    assert history.oldest_generation == 2
--- a/tests/control_plane/test_replica_stale.py
+++ b/tests/control_plane/test_replica_stale.py
@@ -30,6 +30,7 @@
 )
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_puts import PutForwarder
+from reedspoke.control_plane.replica_records import restore
 from tests.control_plane.simulation import Simulation
 
 OLD_VIEW = 1
@@ -96,7 +97,7 @@
     before = replica.snapshot_records()
     messages = (
         Append(OLD_VIEW, stray),
-        Snapshot(OLD_VIEW, 1, stray, ()),
+        Snapshot(OLD_VIEW, 1, stray, b""),
         Commit(OLD_VIEW, 4),
         PutRequest(OLD_VIEW, "x:1", 3, 9, b"stray"),
     )
@@ -149,6 +150,7 @@
     simulation.settle()
     simulation.run(1.0)
     assert simulation.put_and_wait("m1", 0, 1, b"first") is ErrorCode.NO_QUORUM
+    assert restore(simulation.machines["m1"].disk.records).entry is None
 
 
 def _view(number: int, head: str) -> View:
