Head refuses only for good: a match not reached yet is held, a forgotten order is unclear

Cause 1: an order whose If-Match was above the current generation was refused with 412, and a copy of it that was late, doubled or sent again was taken once that generation was reached. Eight orders at once through different schedulers, each on top of the one before, were refused although they were right. Cause 2: an order older than the history was refused with 412 although it may have been acknowledged. Cause 3: the head gave up with 301, which the judge counts as a refusal; a head started anew in the same view has lost that answer and takes a copy that is still on its way.

Change: `verdict_on` says what a settled register makes of a change. Refused are a match below the current generation (412) and a generation not above its own match (400): generations only rise, so that both stay so through each change of the head and each restart, with nothing to be remembered. Older than the oldest remembered change: 303. Whatever else the head gives up gets 303 too; 301 is left to the scheduler that was asked and has passed nothing on, where it is true.

Ruled out: remembering refused orders durably. The match stays out of an order's identity (number and digest of the document): what is in force is the document, and the same bytes under another match after an acknowledgement are acknowledged, not refused.

--- a/reedspoke/control_plane/replica_head.py
+++ b/reedspoke/control_plane/replica_head.py
@@ -1,8 +1,13 @@
-"""Changes at the head of the chain: taken one at a time, in the order in which they came."""
+"""Changes at the head of the chain: taken one at a time, each once what it builds on is in force.
+
+A refusal (4xx) is final wherever a copy of the request is still on its way: generations only rise, so that
+what is stale or too low once stays so. A change that builds on a generation not reached yet may become right,
+and is held; at its deadline it gets no clear answer, as does all else that is not ruled out for good.
+"""
 
 from __future__ import annotations
 
-from collections import deque
+from enum import Enum
 
 from msgspec import Struct
 
@@ -21,7 +26,18 @@
 WAIT_SHARE = 0.9  # of the asker's own limit
 
 
-class WaitingPut(Struct):
+class Verdict(Enum):
+    """What a settled register says to a change."""
+
+    ACKNOWLEDGE = "it has been accepted"
+    FORGOTTEN = "it may have been accepted before the history begins"
+    STALE_MATCH = "the configuration that it builds on has been replaced"
+    OLD_GENERATION = "its generation is not above the one that it builds on"
+    HOLD = "the configuration that it builds on is not there yet"
+    TAKE = "it is next"
+
+
+class WaitingPut(Struct, eq=False):
     """A change that has no final answer yet."""
 
     request: PutRequest
@@ -38,7 +54,7 @@
         self._chain = chain
         self._register = register
         self._limit = answer_limit_s * WAIT_SHARE
-        self._waiting: deque[WaitingPut] = deque()
+        self._waiting: list[WaitingPut] = []
         self._replies: dict[str, PutReply] = {}
         self._view = 0
         self.refusals = Refusals(outbox)
@@ -69,37 +85,41 @@
     def tick(self) -> None:
         """Give up on what has waited too long."""
         while self._waiting and self._waiting[0].deadline <= self._outbox.now:
-            self._expire(self._waiting.popleft())
+            self._expire(self._waiting.pop(0))
         self.refusals.tick()
         self.advance()
 
     def advance(self) -> None:
         """Decide as many as possible."""
-        while self._waiting and self._may_decide():
-            waiting = self._waiting[0]
-            if not self._decide(waiting):
-                return
-            self._waiting.popleft()
+        if not self._waiting or not self._may_decide():
+            return
+        verdicts = [(waiting, verdict_on(waiting, self._register)) for waiting in self._waiting]
+        for waiting, verdict in verdicts:
+            if verdict not in (Verdict.TAKE, Verdict.HOLD):
+                self._waiting.remove(waiting)
+                self._answer(waiting, verdict)
+        following = [waiting for waiting, verdict in verdicts if verdict is Verdict.TAKE]
+        if following:
+            self._take(following[0])
 
     def _may_decide(self) -> bool:
         chain = self._chain
         return chain.is_head and chain.complete and chain.long_enough and self._register.settled
 
-    def _decide(self, waiting: WaitingPut) -> bool:
-        """Whether the change is decided; otherwise it has been taken or waits for the disk."""
+    def _answer(self, waiting: WaitingPut, verdict: Verdict) -> None:
         request = waiting.request
-        if self._register.knows(waiting.change):
-            self._reply(waiting, None)
-        elif request.match != self._register.generation:
-            message = f"The newest generation is {self._register.generation}, not {request.match}."
-            self._refuse(waiting, ErrorCode.CONFIGURATION_STALE_MATCH, message)
-        elif request.generation <= self._register.generation:
-            message = f"The generation must be above {self._register.generation}."
-            self._refuse(waiting, ErrorCode.CONFIGURATION_OLD_GENERATION, message)
-        else:
-            self._take(waiting)
-            return False
-        return True
+        match verdict:
+            case Verdict.ACKNOWLEDGE:
+                self._reply(waiting, None)
+            case Verdict.FORGOTTEN:
+                message = "The change is older than the history of accepted changes."
+                self._reply(waiting, ErrorCode.WRITE_UNCLEAR, message)
+            case Verdict.STALE_MATCH:
+                message = f"The newest generation is {self._register.generation}, not {request.match}."
+                self._refuse(waiting, ErrorCode.CONFIGURATION_STALE_MATCH, message)
+            case Verdict.OLD_GENERATION:
+                message = f"The generation must be above {request.match}."
+                self._refuse(waiting, ErrorCode.CONFIGURATION_OLD_GENERATION, message)
 
     def _take(self, waiting: WaitingPut) -> None:
         if not self._outbox.disk_ok:
@@ -126,14 +146,17 @@
         return queued or self.refusals.has(request)
 
     def _expire(self, waiting: WaitingPut) -> None:
-        if self._held(waiting.change):
-            self._reply(waiting, ErrorCode.WRITE_UNCLEAR, "The write is under way, its end is not known yet.")
-        else:
-            self._reply(waiting, ErrorCode.NO_QUORUM, "Too few machines are in reach to take a change.")
+        """Give no clear answer: this head, started anew, may still take a copy that is on its way."""
+        self._reply(waiting, ErrorCode.WRITE_UNCLEAR, self._why_unclear(waiting))
 
-    def _held(self, change: Acknowledged) -> bool:
+    def _why_unclear(self, waiting: WaitingPut) -> str:
         storing = self._register.storing
-        return self._register.knows(change) or (storing is not None and acknowledged(storing) == change)
+        stored = storing is not None and acknowledged(storing) == waiting.change
+        if stored or self._register.knows(waiting.change):
+            return "The write is under way, its end is not known yet."
+        if waiting.request.match > self._register.generation:
+            return f"Generation {waiting.request.match}, which the change builds on, is not in force yet."
+        return "Too few machines are in reach to take a change."
 
     def _reply(self, waiting: WaitingPut, error: ErrorCode | None, message: str = "") -> None:
         request = waiting.request
@@ -146,3 +169,17 @@
     def _waiting_put(self, sender: str, request: PutRequest) -> WaitingPut:
         entry = Entry(0, 0, request.generation, request.document)
         return WaitingPut(request, sender, acknowledged(entry), self._outbox.now + self._limit)
+
+
+def verdict_on(waiting: WaitingPut, register: Register) -> Verdict:
+    """What is to become of a change, by a register in which everything is committed."""
+    request = waiting.request
+    if register.knows(waiting.change):
+        return Verdict.ACKNOWLEDGE
+    if register.may_have_forgotten(waiting.change):
+        return Verdict.FORGOTTEN
+    if request.match < register.generation:
+        return Verdict.STALE_MATCH
+    if request.generation <= request.match:
+        return Verdict.OLD_GENERATION
+    return Verdict.HOLD if request.match > register.generation else Verdict.TAKE
--- a/tests/control_plane/test_orders_history.py
+++ b/tests/control_plane/test_orders_history.py
@@ -70,6 +70,19 @@
     _check_ends(core)
 
 
+def test_what_has_fallen_out_of_the_history_gets_no_clear_answer() -> None:
+    core = _core_with_rivals()
+    newest = _change(core, HISTORY_LIMIT, after=FIRST)
+    oldest = newest - HISTORY_LIMIT + 1
+    for _ in range(2):
+        assert core.put("m2", 0, FIRST, _document(FIRST)) is ErrorCode.WRITE_UNCLEAR
+        assert core.put("m3", 0, FIRST, b"a rival") is ErrorCode.WRITE_UNCLEAR
+        assert core.put("m3", oldest - 1, oldest, _document(oldest)) is None
+        assert core.put("m3", oldest - 1, oldest, b"a rival") is ErrorCode.CONFIGURATION_STALE_MATCH
+        assert core.put("m3", newest - 1, newest, b"a rival") is ErrorCode.CONFIGURATION_STALE_MATCH
+        core.restart()
+
+
 def test_nothing_is_forgotten_while_the_history_is_not_full() -> None:
     core = DirectCore()
     assert core.put("m1", 0, 1000, b"the first has a high number") is None
--- /dev/null
+++ b/tests/control_plane/test_orders_invalid.py
@@ -0,0 +1,120 @@
+"""Invalid and stale documents, sent through the operator's API, reach no disk."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from reedspoke.cluster.configuration import Configuration, parse_configuration
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import PutAnswer
+from reedspoke.control_plane.http_server import Request
+from reedspoke.control_plane.operator_api import (
+    CONFIGURATION_PATH,
+    OPERATIONS,
+    Calls,
+    OperatorApi,
+    status_of,
+)
+from reedspoke.control_plane.replica_records import EntryRecord, decode_record
+from tests.control_plane.direct_core import DirectCore
+from tests.control_plane_process.stand_ins import configuration
+
+FINAL = {  # the errors that end an order; whatever got another one may be in force
+    ErrorCode.CONFIGURATION_UNREADABLE,
+    ErrorCode.CONFIGURATION_FIELD,
+    ErrorCode.CONFIGURATION_UNKNOWN_UPSTREAM,
+    ErrorCode.CONFIGURATION_DUPLICATE_ROUTE,
+    ErrorCode.CONFIGURATION_ZERO_WEIGHT,
+    ErrorCode.CONFIGURATION_ZERO_TIMEOUT,
+    ErrorCode.CONFIGURATION_OLD_GENERATION,
+    ErrorCode.CONFIGURATION_STALE_MATCH,
+    ErrorCode.CONFIGURATION_MATCH_MISSING,
+    ErrorCode.CONFIGURATION_TOO_LARGE,
+    ErrorCode.MALFORMED_REQUEST,
+}
+
+
+class CoreCalls(Calls):
+    """The API's way to a core that is driven directly."""
+
+    def __init__(self, core: DirectCore) -> None:
+        self._core = core
+
+    async def check(self, document: bytes) -> Configuration:
+        """Parse a configuration."""
+        return parse_configuration(document)
+
+    async def put(self, match: int, generation: int, document: bytes) -> PutAnswer:
+        """Have the configuration replicated."""
+        return PutAnswer(1, self._core.put("m2", match, generation, document))
+
+
+def _status(core: DirectCore, match: str, document: bytes) -> int:
+    request = Request("PUT", CONFIGURATION_PATH, {"if-match": match}, document)
+    return asyncio.run(OperatorApi(CoreCalls(core)).handle(request)).status
+
+
+def _stored(core: DirectCore) -> set[bytes]:
+    records = [decode_record(payload) for _, payload in core.stored]
+    return {record.entry.document for record in records if isinstance(record, EntryRecord)}
+
+
+def _route(**fields: Any) -> dict[str, Any]:
+    route: dict[str, Any] = json.loads(configuration(1))["routes"][0]
+    return route | fields
+
+
+def _with(**changes: Any) -> bytes:
+    document: dict[str, Any] = json.loads(configuration(2))
+    return json.dumps(document | changes).encode()
+
+
+INVALID = {
+    "not whole": configuration(2)[:-1],
+    "nothing": b"",
+    "not an object": b"[]",
+    "two": configuration(2) + configuration(2),
+    "unknown service": _with(routes=[_route(upstream="u9")]),
+    "same host and prefix": _with(routes=[_route(), _route(name="r1")]),
+    "weights of 0": _with(routes=[_route(upstream=None, traffic_split=[{"upstream": "u1", "weight": 0}])]),
+    "no time": _with(routes=[_route(timeout_ms=0)]),
+    "no generation": configuration(2).replace(b'"generation": 2', b'"generatio": 2'),
+    "generation 0": configuration(0),
+    "a negative generation": configuration(-2),
+    "a generation too large": configuration(2**63),
+    "the current generation": configuration(1, routes=1),
+}
+
+
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_document_is_refused_and_on_no_disk(name: str) -> None:
+    core = DirectCore()
+    assert _status(core, "0", configuration(1)) == 200
+    for _ in range(2):
+        assert _status(core, "1", INVALID[name]) == 400
+        core.restart()
+    assert _stored(core) == {configuration(1)}
+    assert _status(core, "1", configuration(2)) == 200
+
+
+def test_a_stale_document_is_refused_and_on_no_disk() -> None:
+    core = DirectCore()
+    assert _status(core, "0", configuration(1)) == 200
+    assert _status(core, "1", configuration(2)) == 200
+    for match in ("0", "1"):
+        assert _status(core, match, configuration(3)) == 412
+    assert _status(core, "0", configuration(2, routes=3)) == 412
+    core.restart()
+    assert _stored(core) == {configuration(1), configuration(2)}
+    assert _status(core, "7", configuration(8)) == 503
+    assert _status(core, "0", configuration(1)) == 200
+
+
+@pytest.mark.parametrize("code", ErrorCode)
+def test_only_what_is_final_looks_final_to_an_operator(code: ErrorCode) -> None:
+    if code in OPERATIONS[CONFIGURATION_PATH]["PUT"].errors:
+        assert (status_of(code) == 503) == (code not in FINAL)
--- /dev/null
+++ b/tests/control_plane/test_orders_refused.py
@@ -0,0 +1,192 @@
+"""A refused order is never in force later, and one that might become right is not refused."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Received
+from reedspoke.control_plane.replica_messages import PutReply, PutRequest
+from reedspoke.control_plane.replica_records import EntryRecord, decode_record
+from tests.control_plane.direct_core import DirectCore
+from tests.control_plane.rivals import REFUSED
+from tests.control_plane.schedule import Faults, check_end, come_back
+from tests.control_plane.simulation import Simulation
+
+ASKER = "asker:1"
+STALE = ErrorCode.CONFIGURATION_STALE_MATCH
+OLD = ErrorCode.CONFIGURATION_OLD_GENERATION
+UNCLEAR = ErrorCode.WRITE_UNCLEAR
+
+
+def _core(seed: int = 61) -> Simulation:
+    simulation = Simulation(seed)
+    simulation.settle()
+    simulation.run(1.0)
+    assert simulation.put_and_wait("m2", 0, 1, b"first") is None
+    return simulation
+
+
+def _error(simulation: Simulation, call: int) -> ErrorCode | None:
+    return simulation.judge.put_answers[call].error
+
+
+@pytest.mark.parametrize("order", ["forward", "backward", "mixed"])
+def test_eight_orders_each_on_top_of_the_one_before_are_all_taken(order: str) -> None:
+    simulation = _core()
+    generations = list(range(2, 10))
+    if order == "backward":
+        generations.reverse()
+    elif order == "mixed":
+        simulation.random.shuffle(generations)
+    calls = []
+    for generation in generations:
+        address = simulation.random.choice(list(simulation.machines))
+        calls.append(simulation.put(address, generation - 1, generation, b"%d" % generation))
+    simulation.run(0.8)
+    assert [_error(simulation, call) for call in calls] == [None] * 8
+
+
+def test_an_order_on_top_of_what_never_comes_gets_no_clear_answer_in_time() -> None:
+    simulation = _core()
+    call = simulation.put("m3", 5, 6, b"sixth")
+    simulation.run(1.0)
+    assert _error(simulation, call) is UNCLEAR
+
+
+def test_a_held_order_keeps_no_other_waiting() -> None:
+    simulation = _core()
+    simulation.put("m1", 5, 6, b"sixth")
+    simulation.run(0.05)
+    assert simulation.put_and_wait("m1", 1, 2, b"second") is None
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_a_late_copy_of_an_order_that_came_too_early_contradicts_no_answer(restart: bool) -> None:
+    """The copy that is late may be taken: the first one was not refused."""
+    core = DirectCore()
+    assert core.put("m2", 0, 1, b"first") is None
+    first_answer = core.put("m2", 2, 3, b"third")
+    assert first_answer is UNCLEAR
+    assert core.put("m2", 1, 2, b"second") is None
+    if restart:
+        core.restart()
+    view = core.replicas[core.head()].view
+    assert view is not None
+    core.inject(core.head(), Received("m3", PutRequest(view.number, f"{ASKER}:1", 2, 3, b"third")))
+    assert core.put("m3", 2, 3, b"third") is None
+
+
+def test_no_copy_of_a_refused_order_is_taken_later() -> None:
+    core = DirectCore()
+    assert core.put("m2", 0, 10, b"tenth") is None
+    refused = {
+        (0, 11, b"on nothing"): STALE,
+        (9, 11, b"on what never was"): STALE,
+        (10, 10, b"same number"): OLD,
+        (10, 4, b"lower number"): OLD,
+        (20, 15, b"below what it builds on"): OLD,
+    }
+    for (match, generation, document), error in refused.items():
+        assert core.put("m3", match, generation, document) is error
+    for generation in range(11, 31):
+        assert core.put("m1", generation - 1, generation, b"%d" % generation) is None
+        for match, other, document in refused:
+            assert core.put("m3", match, other, document) in REFUSED
+        if generation % 5 == 0:
+            core.restart()
+    stored = {record.entry.document for record in _stored_entries(core)}
+    assert not stored & {document for _, _, document in refused}
+
+
+def _stored_entries(core: DirectCore) -> list[EntryRecord]:
+    records = [decode_record(payload) for _, payload in core.stored]
+    return [record for record in records if isinstance(record, EntryRecord)]
+
+
+def test_the_same_document_on_top_of_another_version() -> None:
+    """Refused on top of a stale version, it may be sent on top of the newest one, and is then known."""
+    core = DirectCore()
+    assert core.put("m1", 0, 5, b"fifth") is None
+    assert core.put("m2", 3, 7, b"seventh") is STALE
+    assert core.put("m2", 5, 7, b"seventh") is None
+    assert core.put("m3", 3, 7, b"seventh") is None
+    assert core.put("m1", 7, 9, b"ninth") is None
+    assert core.put("m3", 5, 7, b"seventh") is None
+    assert core.put("m3", 9, 7, b"seventh") is None
+
+
+def test_the_same_number_and_bytes_after_another_change_took_over() -> None:
+    simulation = _core()
+    assert simulation.put_and_wait("m1", 1, 2, b"second") is None
+    assert simulation.put_and_wait("m3", 2, 4, b"fourth") is None
+    simulation.kill(simulation.chain()[0], restart_after=None)
+    simulation.run(2.0)
+    for address in simulation.chain():
+        assert simulation.put_and_wait(address, 1, 2, b"second") is None
+        assert simulation.put_and_wait(address, 1, 2, b"a rival") is STALE
+
+
+def test_a_head_that_gave_up_and_was_started_anew_may_take_a_copy() -> None:
+    """The answer of its first life must not be a refusal, as its second life knows nothing of it."""
+    core = DirectCore()
+    head = core.head()
+    assert core.put("m2", 0, 1, b"first") is None
+    view = core.replicas[head].view
+    assert view is not None
+    request = PutRequest(view.number, f"{ASKER}:1", 2, 3, b"third")
+    core.sent.clear()
+    core.inject(head, Received("m9", request))
+    core.run(1.0)
+    (reply,) = _replies(core)
+    core.start(head)
+    core.run(0.5)
+    assert core.put(head, 1, 2, b"second") is None
+    core.inject(head, Received("m9", request))
+    assert reply.error == UNCLEAR
+    committed = core.replicas[head].committed
+    assert committed is not None
+    assert committed.document == b"third"
+
+
+def test_an_answer_comes_again_for_each_copy_though_its_first_one_is_forgotten() -> None:
+    """More answers than are kept; each copy of a request then gets an answer that fits its first one."""
+    core = DirectCore()
+    assert core.put("m2", 0, 1, b"first") is None
+    head = core.head()
+    view = core.replicas[head].view
+    assert view is not None
+    requests = [PutRequest(view.number, f"{ASKER}:{n}", n, n + 1, b"%d" % (n + 1)) for n in range(1, 701)]
+    requests += [PutRequest(view.number, f"{ASKER}:{n + 700}", n, n + 1, b"rival") for n in range(1, 701)]
+    first = _answers_to(core, head, requests)
+    again = _answers_to(core, head, requests)
+    assert first == again
+    assert list(first.values()).count(0) == 700
+    assert list(first.values()).count(STALE) == 700
+
+
+def _answers_to(core: DirectCore, head: str, requests: list[PutRequest]) -> dict[str, int]:
+    core.sent.clear()
+    for request in requests:
+        core.inject(head, Received("m9", request))
+    return {reply.request: reply.error for reply in _replies(core)}
+
+
+def _replies(core: DirectCore) -> list[PutReply]:
+    replies = [effect.message for effect in core.sent if effect.address == "m9"]
+    return [reply for reply in replies if isinstance(reply, PutReply)]
+
+
+@pytest.mark.parametrize("seed", range(6000, 6030))
+def test_orders_that_build_on_one_another_in_any_order_amid_faults(seed: int) -> None:
+    simulation = _core(seed)
+    faults = Faults(simulation, tolerated=1)
+    pending = [(match, match + 1, b"on %d, rival %d" % (match, n)) for match in range(1, 9) for n in (1, 2)]
+    for _ in range(12):
+        for match, generation, document in simulation.random.sample(pending, 5):
+            simulation.put(simulation.random.choice(list(simulation.machines)), match, generation, document)
+        if simulation.random.random() < 0.5:
+            faults.act()
+        simulation.run(simulation.random.uniform(0.0, 0.6))
+    come_back(simulation)
+    check_end(simulation)
--- /dev/null
+++ b/tests/control_plane/test_orders_views.py
@@ -0,0 +1,159 @@
+"""What a head or a member may do in a view that others have left, and a head without a majority."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Deliver, Effect, Event, Member, Received, SendTo, Store
+from reedspoke.control_plane.replica_messages import Commit, GetReply, Ping, PutReply, PutRequest
+from reedspoke.control_plane.replica_records import restore
+from tests.control_plane.simulation import Simulation
+
+ASIDE = 10_000  # id of a call that the test makes itself
+
+
+@pytest.fixture
+def core() -> Simulation:
+    """Three machines in a chain that has been repaired twice, with one change in force."""
+    simulation = Simulation(seed=81)
+    simulation.settle()
+    simulation.run(1.0)
+    assert simulation.put_and_wait("m2", 0, 1, b"first") is None
+    simulation.kill(simulation.chain()[0], restart_after=2.0)
+    simulation.run(2.5)
+    simulation.settle()
+    return simulation
+
+
+def _view_number(simulation: Simulation) -> int:
+    view = simulation.newest_view()
+    assert view is not None
+    return view.number
+
+
+def _handle(simulation: Simulation, address: str, event: Event) -> list[Effect]:
+    """Hand an event to one replica alone; its effects are looked at and not carried out."""
+    now = simulation.now + simulation.machines[address].clock_skew
+    return simulation.replica(address).handle(now, event)
+
+
+def _news_of_commit(kind: str, member: Member, view: int, sequence: int) -> Struct:
+    if kind == "commit":
+        return Commit(view, sequence)
+    return Ping(member, view, (), True, 0, sequence)
+
+
+@pytest.mark.parametrize("kind", ["commit", "ping"])
+@pytest.mark.parametrize("offset", [-1, 1])
+def test_news_of_commits_in_another_view_commits_nothing_here(
+    core: Simulation, kind: str, offset: int
+) -> None:
+    """The entry at that sequence may be another one there."""
+    head = core.chain()[0]
+    view = core.newest_view()
+    assert view is not None
+    others = [address for address in core.machines if address != head]
+    for address in others:
+        core.cut(head, address, both=False)
+    core.put(head, 1, 2, b"only at the head")
+    core.run(0.05)
+    entry = restore(core.machines[head].disk.records).entry
+    assert entry is not None
+    assert entry.document == b"only at the head"
+    tail = view.chain[-1].member
+    news = _news_of_commit(kind, tail, view.number + offset, entry.sequence)
+    effects = _handle(core, head, Received(tail.address, news))
+    assert not [effect for effect in effects if isinstance(effect, Deliver)]
+    committed = core.replica(head).committed
+    assert committed is not None
+    assert committed.sequence == entry.sequence - 1
+
+
+def test_a_lost_race_is_not_delivered_by_the_old_head(core: Simulation) -> None:
+    """The others go on with a rival at the same sequence; what the old head hears first is its commit."""
+    head = core.chain()[0]
+    old_view = _view_number(core)
+    for address in core.machines:
+        if address != head:
+            core.cut(head, address, both=False)
+    core.put(head, 1, 2, b"loses")
+    core.run(0.05)
+    core.freeze(head)
+    core.run(2.0)
+    winner = core.chain()[0]
+    assert winner != head
+    assert core.put_and_wait(winner, 1, 2, b"wins") is None
+    core.run(0.3)
+    machine = core.machines[head]
+    newer = [event for event in machine.missed if _is_newer_ping(event, old_view)]
+    machine.missed = newer[-1:]
+    assert machine.missed
+    core.thaw(head)  # the judge holds each delivery against those of the others
+    core.run(0.05)
+    assert core.judge.delivered_sequence(head) == 1
+
+
+def _is_newer_ping(event: Event, view: int) -> bool:
+    ping = event.message if isinstance(event, Received) else None
+    return isinstance(ping, Ping) and ping.view > view and ping.committed == 2
+
+
+def test_a_head_without_a_majority_takes_nothing_and_says_so_at_once(core: Simulation) -> None:
+    head = core.chain()[0]
+    number = _view_number(core)
+    core.isolate(head)
+    assert core.run_until(lambda: not core.replica(head).majority_reached, 2.0)
+    request = PutRequest(number, "asker:1:1", 1, 2, b"second")
+    effects = _handle(core, head, Received("m9", request))
+    assert not [effect for effect in effects if isinstance(effect, Store)]
+    replies = [effect.message for effect in effects if isinstance(effect, SendTo)]
+    (reply,) = [message for message in replies if isinstance(message, PutReply)]
+    assert reply.error == ErrorCode.WRITE_UNCLEAR
+    core.run(1.0)
+    entry = restore(core.machines[head].disk.records).entry
+    assert entry is not None
+    assert entry.document == b"first"
+
+
+def test_a_head_without_a_majority_refuses_nothing(core: Simulation) -> None:
+    """What is stale by its register may have been acknowledged by the others."""
+    head = core.chain()[0]
+    number = _view_number(core)
+    core.isolate(head)
+    assert core.run_until(lambda: not core.replica(head).majority_reached, 2.0)
+    effects = _handle(core, head, Received("m9", PutRequest(number, "asker:1:1", 0, 2, b"stale")))
+    messages = [effect.message for effect in effects if isinstance(effect, SendTo)]
+    assert [message.error for message in messages if isinstance(message, PutReply)] == [303]
+    assert not [message for message in messages if isinstance(message, GetReply)]
+
+
+def test_a_head_without_a_majority_that_is_started_anew_may_take_a_copy(core: Simulation) -> None:
+    """The new life knows nothing of the answer, which must not have been a refusal."""
+    head = core.chain()[0]
+    number = _view_number(core)
+    copy = Received("m9", PutRequest(number, "asker:1:1", 1, 2, b"second"))
+    core.isolate(head)
+    assert core.run_until(lambda: not core.replica(head).majority_reached, 2.0)
+    replies = [effect.message for effect in _handle(core, head, copy) if isinstance(effect, SendTo)]
+    core.heal()
+    core.kill(head, restart_after=0.02)
+    core.run(0.4)
+    assert (core.chain()[0], _view_number(core)) == (head, number)
+    core.judge.asked_put(head, ASIDE, 1, 2, b"second")
+    core.inject(head, copy)
+    core.run(0.3)
+    committed = core.replica(head).committed
+    assert committed is not None
+    assert committed.document == b"second"
+    assert [reply.error for reply in replies if isinstance(reply, PutReply)] == [ErrorCode.WRITE_UNCLEAR]
+
+
+@pytest.mark.parametrize("offset", [-1, 1])
+def test_a_request_of_another_view_is_neither_taken_nor_answered(core: Simulation, offset: int) -> None:
+    head = core.chain()[0]
+    number = _view_number(core) + offset
+    for match in (0, 1):
+        request = PutRequest(number, f"asker:1:{match}", match, 2, b"second")
+        assert _handle(core, head, Received("m9", request)) == []
