Requests between replicas are named by a random incarnation; a confirmation fits one refusal

Cause: requests and proposals were named by the folder id and the reading of the steady clock at the start. A reboot sets that clock back, so that two lives of one folder could share names, and an answer or an acceptance of the first would count for the second. The question that confirms a refusal was keyed by the refused request, whose name comes again after the head was started anew: a late answer to the first life confirmed the second one's refusal, without a word from the tail since.

Change: the driver draws 16 random bytes for each life, and `Replica` has no default. Keys of confirmations are made of the head's own name and a count. Ruled out: a counter in the folder (lost with the disk, and one more write that has to be synced before the start).

--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
@@ -224,7 +225,7 @@
             machines_tolerated=self._settings.fault_tolerance.machines,
         )
         try:
-            self._replica = Replica(settings, opened.records, self._loop.time())
+            self._replica = Replica(settings, opened.records, self._loop.time(), os.urandom(16).hex())
         except FleetError as error:
             opened.writer.close()
             self._open_failed(error)
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -63,7 +63,8 @@
 class Replica:
     """One member of the replicated control state.
 
-    `records` is what the log holds. `incarnation` must differ in each life of the process.
+    `records` is what the log holds. `incarnation` differs in each life of the process: requests and proposals
+    are named by it. It is drawn at random, as clocks and counters may repeat after a reboot or a lost disk.
     """
 
     def __init__(
@@ -71,7 +72,7 @@
         settings: ReplicaSettings,
         records: Sequence[bytes],
         now: float,
-        incarnation: str = "",
+        incarnation: str,
     ) -> None:
         restored = restore(records)
         self._settings = settings
@@ -84,14 +85,14 @@
         self._last_ping = float("-inf")
         self._last_look = now
         self._last_disk_ok = True
-        name = f"{settings.folder_id}:{incarnation or now!r}"
+        name = f"{settings.folder_id}:{incarnation}"
         limit = settings.answer_limit_s
         self._outbox = Outbox(settings.address, now, sum(map(len, records)))
         self._outbox.snapshot_records = self.snapshot_records
         self._peers = Peers(settings.member, now)
         self._register = Register(self._outbox, restored)
         self._chain = Chain(settings, self._outbox, self._register, self._deliver, self._advance)
-        self._head = HeadQueue(self._outbox, self._chain, self._register, limit)
+        self._head = HeadQueue(name, self._outbox, self._chain, self._register, limit)
         self._puts = PutForwarder(name, self._outbox, limit)
         self._gets = GetForwarder(name, self._outbox, self._register, limit)
         self._tail_lease = TailLease()
--- a/reedspoke/control_plane/replica_head.py
+++ b/reedspoke/control_plane/replica_head.py
@@ -49,7 +49,9 @@
 class HeadQueue:
     """Decides changes. A request that came twice is decided once; one of another view is not taken at all."""
 
-    def __init__(self, outbox: Outbox, chain: Chain, register: Register, answer_limit_s: float) -> None:
+    def __init__(
+        self, name: str, outbox: Outbox, chain: Chain, register: Register, answer_limit_s: float
+    ) -> None:
         self._outbox = outbox
         self._chain = chain
         self._register = register
@@ -57,7 +59,7 @@
         self._waiting: list[WaitingPut] = []
         self._replies: dict[str, PutReply] = {}
         self._view = 0
-        self.refusals = Refusals(outbox)
+        self.refusals = Refusals(name, outbox)
 
     def enter(self, view: View) -> None:
         """A newer view: the askers send again what is still undecided."""
--- a/reedspoke/control_plane/replica_refusals.py
+++ b/reedspoke/control_plane/replica_refusals.py
@@ -15,7 +15,7 @@
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_settings import GET_RETRY_S
 
-KEY_PREFIX = "refusal "
+KEY_PREFIX = "refusal "  # tells the keys from the names of reads
 
 NOTHING_WANTED = 2**62  # no sequence is larger, so that the tail sends no entry
 
@@ -25,15 +25,22 @@
 class Refusal(Struct):
     """A refusal that is not confirmed yet; `on_end` is told whether it was confirmed in time."""
 
+    request: str
     on_end: Confirmed
     deadline: float
     asked_at: float
 
 
 class Refusals:
-    """Asks the tail for each refusal, until it confirms or the deadline is reached."""
+    """Asks the tail for each refusal, until it confirms or the deadline is reached.
 
-    def __init__(self, outbox: Outbox) -> None:
+    Each has a key of its own, so that an answer to an earlier question confirms nothing: the name of the
+    refused request would come again where the head has been started anew, as the asker repeats it.
+    """
+
+    def __init__(self, name: str, outbox: Outbox) -> None:
+        self._prefix = f"{KEY_PREFIX}{name}:"
+        self._count = 0
         self._outbox = outbox
         self._waiting: dict[str, Refusal] = {}
         self._view = 0
@@ -47,13 +54,14 @@
 
     def add(self, request: str, deadline: float, on_end: Confirmed) -> None:
         """Have a refusal confirmed."""
-        key = KEY_PREFIX + request
-        self._waiting[key] = Refusal(on_end, deadline, self._outbox.now)
+        self._count += 1
+        key = f"{self._prefix}{self._count}"
+        self._waiting[key] = Refusal(request, on_end, deadline, self._outbox.now)
         self._ask(key)
 
     def has(self, request: str) -> bool:
         """Whether a refusal of this request waits."""
-        return KEY_PREFIX + request in self._waiting
+        return any(refusal.request == request for refusal in self._waiting.values())
 
     def reply(self, reply: GetReply) -> bool:
         """The tail's answer; false where it belongs to a read."""
--- /dev/null
+++ b/tests/control_plane/test_orders_requests.py
@@ -0,0 +1,193 @@
+"""Requests between replicas: their names, and answers that are late, doubled or in another order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.control_plane import driver as driver_module
+from reedspoke.control_plane.driver import ReplicaDriver, Surroundings
+from reedspoke.control_plane.events import Committed, Member, SendTo, View
+from reedspoke.control_plane.replica import Replica, ReplicaSettings
+from reedspoke.control_plane.replica_messages import GetReply, GetRequest, PutReply, PutRequest
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_refusals import Refusals
+from tests.control_plane.schedule import Faults, Operator, check_end, come_back
+from tests.control_plane.simulation import Simulation
+
+STEPS = 25
+MOST_EXTRA_DELAY_S = 2.5  # longer than an answer may take and a repair lasts
+SHUFFLED = (PutRequest, PutReply, GetRequest, GetReply)
+
+
+class ShufflingSimulation(Simulation):
+    """Requests and replies come one to three times, each copy after a delay of its own."""
+
+    shuffles = True
+
+    def _transmit(self, sender: str, receiver: str, message: Struct, extra: float) -> None:
+        if not (self.shuffles and isinstance(message, SHUFFLED)):
+            super()._transmit(sender, receiver, message, extra)
+            return
+        for _ in range(self.random.randint(1, 3)):
+            delay = self.random.choice([0.001, 0.02, 0.3, MOST_EXTRA_DELAY_S]) * self.random.random()
+            super()._transmit(sender, receiver, message, delay)
+
+
+@pytest.mark.parametrize("machines", [3, 5])
+@pytest.mark.parametrize("seed", range(7000, 7030))
+def test_requests_and_replies_in_any_order(seed: int, machines: int) -> None:
+    tolerated = (machines - 1) // 2
+    simulation = ShufflingSimulation(seed, machines=machines, tolerated=tolerated)
+    simulation.settle()
+    operator = Operator(simulation)
+    faults = Faults(simulation, tolerated)
+    for _ in range(STEPS):
+        faults.act() if simulation.random.random() < 0.2 else operator.act()
+        simulation.run(simulation.random.uniform(0.0, 0.4))
+    come_back(simulation)
+    simulation.run(MOST_EXTRA_DELAY_S)
+    simulation.shuffles = False
+    check_end(simulation)
+
+
+# ---- names ----
+
+
+class Quiet(Surroundings):
+    """A process of which nothing is asked."""
+
+    def send(self, effect: SendTo) -> None:
+        """Nothing is sent."""
+
+    def deliver(self, committed: Committed) -> None:
+        """Nothing is delivered."""
+
+    def view_changed(self, view: View) -> None:
+        """Nothing is told."""
+
+    def ticked(self) -> None:
+        """Nothing is done."""
+
+
+def test_each_life_of_a_process_names_its_requests_anew(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    """The same folder and the same clock, as after a reboot, and yet no name comes again."""
+    names: list[str] = []
+
+    class Noting(Replica):
+        def __init__(
+            self, settings: ReplicaSettings, records: Sequence[bytes], now: float, incarnation: str
+        ) -> None:
+            names.append(f"{settings.folder_id}:{incarnation}")
+            super().__init__(settings, records, now, incarnation)
+
+    monkeypatch.setattr(driver_module, "Replica", Noting)
+
+    async def live() -> None:
+        count = len(names)
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "time", lambda: 1.0)
+        settings = NodeSettings("node", "127.0.0.1", "za", data_dir=str(tmp_path))
+        ReplicaDriver(settings, "127.0.0.1:1", Quiet()).start()
+        while len(names) == count:
+            await asyncio.sleep(0)
+
+    for _ in range(3):
+        asyncio.run(live())
+    assert len({name.partition(":")[0] for name in names}) == 1
+    assert len(set(names)) == 3
+
+
+def test_a_replica_has_no_incarnation_of_its_own_making() -> None:
+    settings = ReplicaSettings("f", "m1", "z", ("m1",), False, 0)
+    with pytest.raises(TypeError, match="incarnation"):
+        Replica(settings, [], 1.0)  # type: ignore[call-arg]
+
+
+def test_two_lives_with_one_clock_reading_share_no_request() -> None:
+    simulation = Simulation(seed=71)
+    sent: set[str] = set()
+    simulation.spy = lambda effect: _note_request(effect, sent)
+    simulation.settle()
+    asker = simulation.chain()[-1]
+    assert simulation.put_and_wait(asker, 0, 1, b"first") is None
+    first = set(sent)
+    simulation.kill(asker, restart_after=0.1)
+    simulation.run(2.0)
+    simulation.settle()
+    sent.clear()
+    assert simulation.put_and_wait(asker, 1, 2, b"second") is None
+    assert first
+    assert sent
+    assert not first & sent
+
+
+def _note_request(effect: SendTo, sent: set[str]) -> None:
+    if isinstance(effect.message, PutRequest):
+        sent.add(effect.message.request)
+
+
+# ---- confirmations of refusals ----
+
+
+def _refusals(name: str, outbox: Outbox) -> Refusals:
+    refusals = Refusals(name, outbox)
+    refusals.enter(1, Member(folder_id="t", address="tail"))
+    return refusals
+
+
+def _key(outbox: Outbox) -> str:
+    (effect,) = (effect for effect in outbox.take() if isinstance(effect, SendTo))
+    assert isinstance(effect.message, GetRequest)
+    return effect.message.request
+
+
+def test_a_late_confirmation_is_none_for_a_head_that_was_started_anew() -> None:
+    outbox = Outbox("head", 10.0, 0)
+    ends: list[bool] = []
+    first_life = _refusals("head:1", outbox)
+    first_life.add("asker:1:1", 11.0, ends.append)
+    late = GetReply(1, _key(outbox), ready=True)
+    second_life = _refusals("head:2", outbox)
+    second_life.add("asker:1:1", 11.0, ends.append)
+    key = _key(outbox)
+    assert second_life.reply(late)
+    assert ends == []
+    assert second_life.reply(GetReply(1, key, ready=True))
+    assert ends == [True]
+
+
+def test_a_confirmation_counts_once_in_its_view_and_only_when_ready() -> None:
+    outbox = Outbox("head", 10.0, 0)
+    ends: list[bool] = []
+    refusals = _refusals("head:1", outbox)
+    refusals.add("asker:1:1", 11.0, ends.append)
+    key = _key(outbox)
+    refusals.reply(GetReply(1, key, ready=False))
+    refusals.reply(GetReply(2, key, ready=True))
+    assert ends == []
+    assert refusals.has("asker:1:1")
+    refusals.reply(GetReply(1, key, ready=True))
+    refusals.reply(GetReply(1, key, ready=True))
+    assert ends == [True]
+    assert not refusals.has("asker:1:1")
+
+
+def test_a_refusal_that_nobody_confirms_gets_no_clear_answer() -> None:
+    simulation = Simulation(seed=72)
+    simulation.settle()
+    simulation.run(1.0)
+    assert simulation.put_and_wait("m1", 0, 1, b"first") is None
+    head, *_, tail = simulation.chain()
+    simulation.cut(tail, head)
+    assert simulation.put_and_wait(head, 0, 2, b"stale") is not None
+    errors = [answer.error for answer in simulation.judge.put_answers.values()]
+    assert errors == [None, ErrorCode.WRITE_UNCLEAR]
