--- a/reedspoke/control_plane/replica_head.py
+++ b/reedspoke/control_plane/replica_head.py
@@ -1,14 +1,12 @@
 """Changes at the head of the chain: taken one at a time, each once what it builds on is in force.
 
-A refusal (4xx) is final wherever a copy of the request is still on its way: generations only rise, so that
-what is stale or too low once stays so. A change that builds on a generation not reached yet may become right,
-and is held; at its deadline it gets no clear answer, as does all else that is not ruled out for good.
+What is refused stays refused, wherever a copy of the request is still on its way. A change that builds on a
+generation not reached yet may become right, and is held; at its deadline it gets no clear answer, as does all
+else that is not ruled out for good.
 """
 
 from __future__ import annotations
 
-from enum import Enum
-
 from msgspec import Struct
 
 from reedspoke.cluster.errors import ErrorCode
@@ -20,23 +18,13 @@
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import acknowledged
 from reedspoke.control_plane.replica_refusals import Refusals
+from reedspoke.control_plane.replica_verdict import Verdict, verdict_on
 from reedspoke.control_plane.view_lease import tail_of
 
 REPLIES_KEPT = 512
 WAIT_SHARE = 0.9  # of the asker's own limit
 
 
-class Verdict(Enum):
-    """What a settled register says to a change."""
-
-    ACKNOWLEDGE = "it has been accepted"
-    FORGOTTEN = "it may have been accepted before the history begins"
-    STALE_MATCH = "the configuration that it builds on has been replaced"
-    OLD_GENERATION = "its generation is not above the one that it builds on"
-    HOLD = "the configuration that it builds on is not there yet"
-    TAKE = "it is next"
-
-
 class WaitingPut(Struct, eq=False):
     """A change that has no final answer yet."""
 
@@ -95,7 +83,7 @@
         """Decide as many as possible."""
         if not self._waiting or not self._may_decide():
             return
-        verdicts = [(waiting, verdict_on(waiting, self._register)) for waiting in self._waiting]
+        verdicts = [(waiting, self._verdict(waiting)) for waiting in self._waiting]
         for waiting, verdict in verdicts:
             if verdict not in (Verdict.TAKE, Verdict.HOLD):
                 self._waiting.remove(waiting)
@@ -108,6 +96,9 @@
         chain = self._chain
         return chain.is_head and chain.complete and chain.long_enough and self._register.settled
 
+    def _verdict(self, waiting: WaitingPut) -> Verdict:
+        return verdict_on(waiting.request, waiting.change, self._register)
+
     def _answer(self, waiting: WaitingPut, verdict: Verdict) -> None:
         request = waiting.request
         match verdict:
@@ -171,17 +162,3 @@
     def _waiting_put(self, sender: str, request: PutRequest) -> WaitingPut:
         entry = Entry(0, 0, request.generation, request.document)
         return WaitingPut(request, sender, acknowledged(entry), self._outbox.now + self._limit)
-
-
-def verdict_on(waiting: WaitingPut, register: Register) -> Verdict:
-    """What is to become of a change, by a register in which everything is committed."""
-    request = waiting.request
-    if register.knows(waiting.change):
-        return Verdict.ACKNOWLEDGE
-    if register.may_have_forgotten(waiting.change):
-        return Verdict.FORGOTTEN
-    if request.match < register.generation:
-        return Verdict.STALE_MATCH
-    if request.generation <= request.match:
-        return Verdict.OLD_GENERATION
-    return Verdict.HOLD if request.match > register.generation else Verdict.TAKE
