`lab mutants`: take the safety guards away one at a time and see that a test fails

Cause: two guards of the control plane were known to be checked by reading only, and nothing told of how many others the same was true.

Ruled out: a mutation tool from the registry, as those change operators at random; what is asked here is whether each guard that somebody wrote on purpose is held by a test.

Change: `reedspoke/lab/mutation` copies the files that git tracks, replaces one text, runs the entry's tests until the first failure and reports each verdict; `guards.toml` has the entries. The tests run first without any mutant, so that a red test is not taken for a catch, and a mutant that cannot be imported is not one either. Every run is a process group that is ended with it.

--- a/reedspoke/cli/lab.py
+++ b/reedspoke/cli/lab.py
@@ -75,3 +75,20 @@
     except TimelineError as error:
         raise click.ClickException(error.told()) from None
     return run(partial(play, plan=plan), 0, seed, json_file)
+
+
+@lab.command("mutants", help="Take guards away one at a time: exit status 0 only if the tests catch each.")
+@click.option("--name", "pattern", default="*", show_default=True, help="Those whose name matches alone.")
+@click.option("--at-once", type=click.IntRange(1, 16), default=2, show_default=True)
+@click.option("--limit", "limit_s", type=click.FloatRange(1, 3600), default=180.0, show_default=True,
+              help="Seconds for the tests of one mutant.")  # fmt: skip
+@click.option("--tree", type=click.Path(exists=True, file_okay=False, path_type=Path), default=Path(),
+              help="The git checkout that is copied; the present folder by default.")  # fmt: skip
+@click.option("--list", "list_file", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="A list in place of the one of the safety guards.")  # fmt: skip
+def mutants(pattern: str, at_once: int, limit_s: float, tree: Path, list_file: Path | None) -> int:
+    from reedspoke.lab.mutation.command import play
+    from reedspoke.lab.mutation.mutant_list import GUARDS_FILE
+    from reedspoke.lab.mutation.runner import Settings
+
+    return play(Settings(tree.resolve(), at_once, limit_s), list_file or GUARDS_FILE, pattern)
--- /dev/null
+++ b/reedspoke/lab/mutation/__init__.py
@@ -0,0 +1,1 @@
+"""Mutation testing of the safety guards: `reedspoke lab mutants`."""
--- /dev/null
+++ b/tests/lab_mutation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the mutation runner."""
