One entry for the programs of both planes

Cause: the two `__main__` modules had 22 lines in common: logging, reading the settings, the garbage collector's thresholds, exit statuses.

--- /dev/null
+++ b/reedspoke/cluster/entry.py
@@ -0,0 +1,43 @@
+"""What the programs of both planes do before they serve: logging, settings, garbage collector."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from reedspoke.cluster import json_log
+from reedspoke.cluster.errors import FleetError
+from reedspoke.cluster.node_settings import NodeSettings, load_settings
+
+SETTINGS_EXIT = 2
+GC_THRESHOLDS = (20000, 20, 20)  # fewer and longer intervals between collections than by default
+
+Serve = Callable[[NodeSettings], Coroutine[Any, Any, None]]
+CheckSettings = Callable[[NodeSettings], None]  # raises FleetError where the role needs more
+
+
+def run(serve: Serve, check: CheckSettings) -> int:
+    """Serve by the settings file. Exit status: 0 after SIGTERM, 2 where the settings cannot be used."""
+    json_log.configure()
+    try:
+        settings = load_settings()
+        check(settings)
+    except FleetError as error:
+        _log_unusable(error)
+        return SETTINGS_EXIT
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    asyncio.run(serve(settings))
+    return 0
+
+
+def _log_unusable(error: FleetError) -> None:
+    json_log.log(
+        json_log.ERROR,
+        "settings unusable",
+        code=int(error.code),
+        name=error.code.name.lower(),
+        message=error.message,
+    )
