Renewal of a certificate split by concern

`Place` is now `Authority`, `Wanted` `CertificateRequest`, `Rules` `RenewalSettings`, `At` `State`, `at` `state`, `place` `authority`; fields say what they bound (`call_timeout`, `longest_backoff`, `order_timeout`). A change of the operator file returns nothing, as it never had steps. Tests changed in these names and that signature only.

--- a/reedspoke/acme/engine.py
+++ b/reedspoke/acme/engine.py
@@ -8,7 +8,8 @@
 from reedspoke.acme import words
 from reedspoke.acme.limits import Limits
 from reedspoke.acme.record import Record
-from reedspoke.acme.renewal import At, Renewal, Rules, Wanted
+from reedspoke.acme.renewal import Renewal, State
+from reedspoke.acme.renewal_settings import CertificateRequest, RenewalSettings
 
 AT_ONCE = 4  # certificates that are ordered at one authority at a time
 JUMP = 30_000_000  # us between two ticks that only a clock that was set, or a machine that slept, can make
@@ -34,7 +35,7 @@
         self.may = True
         for record in records:
             renewal = self.renewals.get(record.name)
-            if renewal is not None and renewal.at is At.RESTING:
+            if renewal is not None and renewal.state is State.RESTING:
                 renewal.resume(record)
 
     def limits(self, authority: str) -> Limits:
@@ -43,23 +44,23 @@
     def resume_limits(self, authority: str, found: Limits) -> None:
         self._limits[authority] = found
 
-    def want(self, wanted: Iterable[Wanted], rules: Rules, now: int) -> list[words.Step]:
+    def want(self, requests: Iterable[CertificateRequest], settings: RenewalSettings) -> list[words.Step]:
         """What the operator file names, at the start and whenever it has changed."""
         told: list[words.Step] = []
-        named = {one.name: one for one in wanted}
+        named = {request.name: request for request in requests}
         for name in [name for name in self.renewals if name not in named]:
             gone = self.renewals.pop(name)
-            if gone.at is not At.RESTING:
+            if gone.state is not State.RESTING:
                 told += [
                     words.Withdraw(name, gone.record.authority, *place) for place in gone.record.published
                 ]
                 told.append(words.Release(name))
             told.append(words.Tell(f"acme: {name}: not wanted any more"))
-        for name, one in named.items():
+        for name, request in named.items():
             if name in self.renewals:
-                told += self.renewals[name].change(one, rules, now)
+                self.renewals[name].change(request, settings)
             else:
-                self.renewals[name] = Renewal(one, rules, self.limits)
+                self.renewals[name] = Renewal(request, settings, self.limits)
         return told
 
     def resume(self, record: Record) -> None:
@@ -111,17 +112,17 @@
         busy: dict[str, int] = {}
         resting = []
         for renewal in self.renewals.values():
-            if renewal.at is At.RESTING:
+            if renewal.state is State.RESTING:
                 resting.append(renewal)
-            elif renewal.at is not At.ASKING:
+            elif renewal.state is not State.ASKING:
                 busy[renewal.record.authority] = busy.get(renewal.record.authority, 0) + 1
         resting.sort(key=lambda renewal: (renewal.urgency(now), renewal.name))
         for renewal in resting:
             if not renewal.waits(now):
-                place = renewal.place(now)
-                if place is not None and busy.get(place.name, 0) < AT_ONCE:
-                    busy[place.name] = busy.get(place.name, 0) + 1
-                    renewal.record.authority = renewal.record.authority or place.name
+                authority = renewal.authority(now)
+                if authority is not None and busy.get(authority.name, 0) < AT_ONCE:
+                    busy[authority.name] = busy.get(authority.name, 0) + 1
+                    renewal.record.authority = renewal.record.authority or authority.name
                     told += renewal.begin(now)
             elif now < renewal.due() and (steps := renewal.tidy(now)):
                 told += steps
@@ -132,6 +133,6 @@
     def alarm(self, name: str, now: int) -> tuple[float, int]:
         """Seconds to expiry (0: none in force), and the figure that operators watch."""
         renewal = self.renewals[name]
-        life = renewal.life if renewal.covers() else None
+        life = renewal.life_in_force
         left = (life.ends - now) / 1_000_000 if life is not None else 0.0
-        return left, renewal.rules.policy.alarm(life, now)
+        return left, renewal.settings.policy.alarm(life, now)
--- a/reedspoke/acme/service.py
+++ b/reedspoke/acme/service.py
@@ -17,7 +17,7 @@
 from reedspoke.acme.limits import Limits
 from reedspoke.acme.plan import Policy
 from reedspoke.acme.record import Record, unpacked
-from reedspoke.acme.renewal import Place, Rules, Wanted
+from reedspoke.acme.renewal_settings import Authority, CertificateRequest, RenewalSettings
 from reedspoke.fleet.events import Enter, Leave
 from reedspoke.net.config import address
 from reedspoke.operator.check import OperatorError, reloaded
@@ -37,29 +37,31 @@
 POLL_MOST = 1_000_000  # us
 
 
-def wanted(certificate: Certificate, acme: Acme) -> Wanted:
-    """The operator file's words as the engine's."""
-    places = {
-        one.name: Place(one.name, one.tries_a_day, microseconds(one.timeout)) for one in acme.authorities
+def certificate_request(certificate: Certificate, acme: Acme) -> CertificateRequest:
+    """A certificate of the operator file as the engine knows it."""
+    authorities = {
+        one.name: Authority(one.name, one.tries_a_day, microseconds(one.timeout)) for one in acme.authorities
     }
-    names = certificate.authorities or list(places)
-    return Wanted(
+    names = certificate.authorities or list(authorities)
+    return CertificateRequest(
         certificate.name,
         tuple(certificate.hosts),
         certificate.challenge,
-        tuple(places[name] for name in names),
+        tuple(authorities[name] for name in names),
     )
 
 
-def rules(acme: Acme) -> Rules:
-    first, most = microseconds(acme.backoff.first), microseconds(acme.backoff.most)
-    return Rules(
+def renewal_settings(acme: Acme) -> RenewalSettings:
+    """What the operator file says of all certificates."""
+    first, longest = microseconds(acme.backoff.first), microseconds(acme.backoff.most)
+    challenge = microseconds(acme.dns.limit) + microseconds(acme.dns.settle) if acme.dns else POLL_MOST
+    return RenewalSettings(
         policy=Policy(acme.renew_at, acme.spread),
-        first=first,
-        most=most,
-        poll=min(first, POLL_MOST),
-        patience=microseconds(acme.order_limit),
-        command=microseconds(acme.dns.limit) + microseconds(acme.dns.settle) if acme.dns else POLL_MOST,
+        first_backoff=first,
+        longest_backoff=longest,
+        first_poll_interval=min(first, POLL_MOST),
+        order_timeout=microseconds(acme.order_limit),
+        challenge_timeout=challenge,
         use_ari=acme.use_ari,
     )
 
@@ -136,8 +138,8 @@
         if told.acme is not None:
             self.driver.authorities(told.acme.authorities)
             self.driver.dns = told.acme.dns
-            meant = rules(told.acme)
-            steps = self.engine.want([wanted(one, told.acme) for one in told.certificates], meant, self.now())
+            requests = [certificate_request(one, told.acme) for one in told.certificates]
+            steps = self.engine.want(requests, renewal_settings(told.acme))
             for authority in told.acme.authorities:
                 if (found := self._kept(f"{authority.name}.rate", Limits)) is not None and not before:
                     self.engine.resume_limits(authority.name, found)
--- a/tests/acme/desk.py
+++ b/tests/acme/desk.py
@@ -11,17 +11,20 @@
 from reedspoke.acme.limits import Limits
 from reedspoke.acme.plan import SECOND, Policy
 from reedspoke.acme.record import Record, packed, unpacked
-from reedspoke.acme.renewal import At, Place, Rules, Wanted
+from reedspoke.acme.renewal import State
+from reedspoke.acme.renewal_settings import Authority, CertificateRequest, RenewalSettings
 
 NOW = 1_800_000_000 * SECOND
 MINUTE, HOUR, DAY = 60 * SECOND, 3600 * SECOND, 86_400 * SECOND
 LIFETIME = 90 * DAY
-RULES = Rules(Policy(1 / 3, 0.0), MINUTE, 6 * HOUR, SECOND, HOUR, MINUTE)
+RULES = RenewalSettings(Policy(1 / 3, 0.0), MINUTE, 6 * HOUR, SECOND, HOUR, MINUTE)
 
 
-def wanted(name: str = "api", *authorities: str, hosts: tuple[str, ...] = ("api.example.org",)) -> Wanted:
-    places = tuple(Place(one, 50, 15 * SECOND) for one in authorities or ("first",))
-    return Wanted(name, hosts, "http-01", places)
+def wanted(
+    name: str = "api", *authorities: str, hosts: tuple[str, ...] = ("api.example.org",)
+) -> CertificateRequest:
+    known = tuple(Authority(one, 50, 15 * SECOND) for one in authorities or ("first",))
+    return CertificateRequest(name, hosts, "http-01", known)
 
 
 @dataclass
@@ -40,8 +43,8 @@
     """`faults`: asked before each step; what one returns is the outcome. `silent`: names of steps whose
     outcome never comes."""
 
-    wants: tuple[Wanted, ...] = (wanted(),)
-    rules: Rules = RULES
+    wants: tuple[CertificateRequest, ...] = (wanted(),)
+    rules: RenewalSettings = RULES
     now: int = NOW
     lifetime: int = LIFETIME
     faults: list[Fault] = field(default_factory=list)
@@ -64,7 +67,7 @@
         self.alive, self.engine = True, Engine()
         self.locked.clear()
         self.findable.clear()
-        self.engine.want(self.wants, self.rules, self.now)
+        self.engine.want(self.wants, self.rules)
         for file, raw in self.disk.items():
             if file.endswith(".rate"):
                 self.engine.resume_limits(file.removesuffix(".rate"), unpacked(raw, Limits))
@@ -82,7 +85,9 @@
         while self.now < end and self.alive:
             self.tick(min(step, end - self.now))
             for _ in range(0 if step <= SECOND else 300):  # what has begun goes on by the second
-                if self.alive and any(one.at is not At.RESTING for one in self.engine.renewals.values()):
+                if self.alive and any(
+                    one.state is not State.RESTING for one in self.engine.renewals.values()
+                ):
                     self.tick(SECOND)
 
     def do(self, steps: list[words.Step]) -> None:
--- a/tests/acme/test_engine.py
+++ b/tests/acme/test_engine.py
@@ -13,7 +13,8 @@
 from reedspoke.acme.engine import AT_ONCE
 from reedspoke.acme.plan import SECOND, Policy
 from reedspoke.acme.record import Record, unpacked
-from reedspoke.acme.renewal import At, Wanted
+from reedspoke.acme.renewal import State
+from reedspoke.acme.renewal_settings import CertificateRequest
 from reedspoke.acme.words import Trouble
 from tests.acme.desk import CALLS, DAY, HOUR, LIFETIME, MINUTE, NOW, RULES, Desk, Fault, failing, wanted
 
@@ -95,7 +96,7 @@
 def test_kills_in_a_row_do_not_flood_the_authority() -> None:
     """Guards the authority: each new process that dies as it begins an order counts in the budget of a
     day."""
-    desk = Desk(wants=(replace(wanted(), places=(replace(wanted().places[0], tries_a_day=5),)),))
+    desk = Desk(wants=(replace(wanted(), authorities=(replace(wanted().authorities[0], tries_a_day=5),)),))
     for _ in range(40):
         desk.dies_at = 0
         desk.start()
@@ -220,10 +221,10 @@
     perform = desk.perform
     desk.perform = lambda step: None if isinstance(step, words.Finalize) else perform(step)  # type: ignore[method-assign]
     desk.run(10 * SECOND)
-    assert desk.engine.renewals["api"].at is At.FINALIZING
+    assert desk.engine.renewals["api"].state is State.FINALIZING
     desk.now += DAY
     desk.tick(SECOND)
-    assert desk.engine.renewals["api"].at is At.FINALIZING
+    assert desk.engine.renewals["api"].state is State.FINALIZING
 
 
 def test_two_instances_on_one_store_order_once() -> None:
@@ -246,10 +247,10 @@
     perform = desk.perform
     desk.perform = lambda step: None if isinstance(step, words.Finalize) else perform(step)  # type: ignore[method-assign]
     desk.run(10 * SECOND)
-    assert all(one.at is At.FINALIZING for one in desk.engine.renewals.values())
+    assert all(one.state is State.FINALIZING for one in desk.engine.renewals.values())
     changed = wanted("api", hosts=("api.example.org", "pay.example.org"))
     new = wanted("portal", hosts=("portal.example.org",))
-    desk.do(desk.engine.want((changed, new), RULES, desk.now))
+    desk.do(desk.engine.want((changed, new), RULES))
     desk.perform = perform  # type: ignore[method-assign]
     desk.run(HOUR)
     assert set(desk.installed) == {"api", "portal"}
@@ -261,7 +262,7 @@
 def test_a_name_added_to_a_certificate_is_ordered_at_once() -> None:
     desk = Desk()
     desk.run(MINUTE)
-    desk.do(desk.engine.want((wanted("api", hosts=("api.example.org", "b.example.org")),), RULES, desk.now))
+    desk.do(desk.engine.want((wanted("api", hosts=("api.example.org", "b.example.org")),), RULES))
     assert desk.engine.alarm("api", desk.now)[1] == 3, "it is not in force for all its names"
     desk.run(MINUTE)
     assert desk.counts["issued"] == 2
@@ -307,7 +308,7 @@
         found = words.Installed(ends - LIFETIME, ends, f"{at}", (f"n{at}.example.org",))
         desk.engine.held(f"n{at}", found)
     desk.tick(SECOND)
-    busy = [name for name, one in desk.engine.renewals.items() if one.at is not At.RESTING]
+    busy = [name for name, one in desk.engine.renewals.items() if one.state is not State.RESTING]
     assert busy == [f"n{at}" for at in range(AT_ONCE)]
 
 
@@ -367,7 +368,7 @@
     assert "a key" not in repr(Record("api", key="a key"))
     desk.run(MINUTE)
     assert not any("a key" in repr(step) for step in desk.steps)
-    assert isinstance(desk.wants[0], Wanted)
+    assert isinstance(desk.wants[0], CertificateRequest)
 
 
 @pytest.mark.parametrize("at", range(1, 16, 2))
--- a/tests/acme/test_parts.py
+++ b/tests/acme/test_parts.py
@@ -114,7 +114,7 @@
     store.install("api", old)
     put: list[Pair] = []
     driver = Driver(Engine(), store, Meters(), lambda _, found: put.append(found))
-    driver.engine.want([wanted()], RULES, NOW)
+    driver.engine.want([wanted()], RULES)
 
     class Caller:
         def fetch(self, _: str) -> bytes:
@@ -143,7 +143,7 @@
     async def play() -> tuple[Engine, list[object]]:
         engine, called = Engine(), list[object]()
         driver = Driver(engine, Store(tmp_path / "store"), Meters(), lambda *_: None, lambda: NOW)
-        engine.want([wanted()], RULES, NOW)
+        engine.want([wanted()], RULES)
 
         async def call(step: words.Wait) -> None:
             called.append(step)
