Tests of the guards of chain, register, head, reads and agreement

Change: a replica's chain, register and head queue on their own (`tests/control_plane/chain_replica.py`), and tests that hand them what each guard keeps out: messages of another view or joining, answers before a sync, strangers' votes.

--- /dev/null
+++ b/tests/control_plane/chain_replica.py
@@ -0,0 +1,88 @@
+"""Chain, register and head queue of one replica, fed by hand; a store ends when the test says so."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.chain import Chain
+from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.events import ChainLink, Committed, Member, SendTo, Store, Stored, View
+from reedspoke.control_plane.replica_head import HeadQueue
+from reedspoke.control_plane.replica_messages import Entry
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_records import RestoredState, acknowledged
+from reedspoke.control_plane.replica_settings import ReplicaSettings
+
+START = 100.0
+ANSWER_LIMIT_S = 1.0
+VIEW_NUMBER = 3
+HEAD, MIDDLE, TAIL = (Member(folder_id=name, address=f"at-{name}") for name in "abc")
+
+
+def view_of(*links: tuple[Member, int], number: int = VIEW_NUMBER) -> View:
+    """A view with this chain, each member with the view that appended it."""
+    voters = (HEAD, MIDDLE, TAIL)
+    return View(number, voters, tuple(ChainLink(member, joined) for member, joined in links))
+
+
+WHOLE = view_of((HEAD, 1), (MIDDLE, 1), (TAIL, 1))
+
+
+def entry(sequence: int, document: bytes = b"") -> Entry:
+    """An entry whose generation is ten times its sequence."""
+    return Entry(sequence, VIEW_NUMBER, 10 * sequence, document or b"document %d" % sequence)
+
+
+class ChainReplica:
+    """One member of the chain, with what it holds when the view begins."""
+
+    def __init__(
+        self,
+        own: Member,
+        view: View = WHOLE,
+        held: Entry | None = None,
+        synced_since: int = 0,
+        tolerated: int = 1,
+    ) -> None:
+        settings = ReplicaSettings(
+            folder_id=own.folder_id,
+            address=own.address,
+            zone="",
+            seeds=(),
+            bootstrap=False,
+            machines_tolerated=tolerated,
+            answer_limit_s=ANSWER_LIMIT_S,
+        )
+        history = deque([acknowledged(held)] if held else [])
+        self.outbox = Outbox(own.address, START, 0)
+        self.register = Register(
+            self.outbox, RestoredState(entry=held, history=history, synced_since=synced_since)
+        )
+        self.delivered: list[Committed] = []
+        self.chain = Chain(settings, self.outbox, self.register, self.delivered.append, self._settled)
+        self.head = HeadQueue(self.outbox, self.chain, self.register, ANSWER_LIMIT_S)
+        self.stores: list[Store] = []
+        self.head.enter(view)
+        self.chain.enter(view)
+        self.sent()
+
+    def _settled(self) -> None:
+        self.head.advance()
+
+    def sent(self) -> list[Struct]:
+        """The messages since the last call, also those to itself; stores go to `stores`."""
+        messages = self.outbox.take_to_self()
+        for effect in self.outbox.take():
+            if isinstance(effect, SendTo):
+                messages.append(effect.message)
+            elif isinstance(effect, Store):
+                self.stores.append(effect)
+        return messages
+
+    def end_store(self, error: ErrorCode | None = None) -> None:
+        """The oldest store that is out ends."""
+        self.sent()
+        self.outbox.stored(Stored(self.stores.pop(0).token, error))
--- /dev/null
+++ b/tests/control_plane/test_guards_agreement.py
@@ -0,0 +1,191 @@
+"""Guards of the agreement on views and of the leases that it respects, one at a time."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.control_plane.events import ChainLink, Member, SendTo, View
+from reedspoke.control_plane.replica_messages import (
+    Accept,
+    Accepted,
+    Ballot,
+    Prepare,
+    Promise,
+    Rejected,
+    Resigned,
+)
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_records import NO_BALLOT
+from reedspoke.control_plane.view_lease import TailLease, VoterLease
+from reedspoke.control_plane.view_proposer import Proposer
+from tests.control_plane.test_view_agreement import MEMBERS, PRESENT, START, Voter
+
+A, B, C = MEMBERS
+STRANGER = Member(folder_id="z", address="at-z")
+SAME_TAIL = View(2, MEMBERS, (ChainLink(B, 1), ChainLink(C, 1)))
+OTHER_TAIL = View(2, MEMBERS, (ChainLink(A, 1), ChainLink(B, 1)))
+LATER = 1e6
+
+
+def _answers(voter: Voter) -> list[type]:
+    return [type(effect.message) for effect in voter.step()]
+
+
+# ---- the acceptor ----
+
+
+def test_a_ballot_below_the_promised_one_is_not_accepted() -> None:
+    voter = Voter(A)
+    voter.agreement.receive("at-b", Prepare(2, Ballot(5, "b")))
+    voter.agreement.receive("at-c", Accept(2, Ballot(4, "c"), SAME_TAIL))
+    assert _answers(voter) == [Promise, Rejected]
+
+
+def test_a_view_with_another_tail_is_not_accepted_while_a_lease_runs() -> None:
+    voter = Voter(A)
+    voter.agreement.voter_lease.grant(voter.outbox.now, voter.outbox.now)
+    voter.agreement.receive("at-b", Accept(2, Ballot(1, "b"), OTHER_TAIL))
+    assert _answers(voter) == []
+    voter.agreement.receive("at-b", Accept(2, Ballot(1, "b"), SAME_TAIL))
+    assert _answers(voter) == [Accepted]
+
+
+def test_a_request_that_comes_again_during_the_store_is_not_answered_before_its_end() -> None:
+    voter = Voter(A)
+    voter.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    voter.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    assert not [effect for effect in voter.outbox.take() if isinstance(effect, SendTo)]
+
+
+def test_a_voter_votes_on_the_next_view_alone() -> None:
+    voter = Voter(A)
+    voter.agreement.receive("at-b", Prepare(3, Ballot(1, "b")))
+    voter.agreement.receive("at-b", Accept(3, Ballot(1, "b"), View(3, MEMBERS, PRESENT.chain)))
+    assert _answers(voter) == []
+
+
+# ---- the proposer ----
+
+
+class RunningAttempt:
+    """A proposer of SAME_TAIL to three acceptors, in its first ballot."""
+
+    def __init__(self) -> None:
+        self.outbox = Outbox(A.address, START, 0)
+        self.proposer = Proposer("a:1", self.outbox)
+        self.proposer.start(SAME_TAIL, {member.folder_id: member.address for member in MEMBERS}, NO_BALLOT)
+
+    @property
+    def ballot(self) -> Ballot:
+        assert self.proposer.attempt is not None
+        return self.proposer.attempt.ballot
+
+    def promise(self, member: Member, accepted: View | None = None, round_: int = 0) -> None:
+        """A promise, with what this acceptor has accepted in an earlier ballot."""
+        before = Ballot(round_, "c:1") if accepted else NO_BALLOT
+        self.proposer.promise(Promise(member, 2, self.ballot, before, accepted))
+
+    def prepared(self) -> bool:
+        """Whether it goes on to the second phase."""
+        assert self.proposer.attempt is not None
+        return self.proposer.attempt.prepared
+
+    def value(self) -> View:
+        """What it proposes."""
+        assert self.proposer.attempt is not None
+        return self.proposer.attempt.value
+
+
+def test_a_stranger_s_promise_does_not_count() -> None:
+    attempt = RunningAttempt()
+    attempt.promise(A)
+    attempt.promise(STRANGER)
+    assert not attempt.prepared()
+    attempt.promise(B)
+    assert attempt.prepared()
+
+
+def test_a_promise_for_an_earlier_ballot_does_not_count() -> None:
+    attempt = RunningAttempt()
+    attempt.promise(A)
+    attempt.proposer.promise(Promise(B, 2, Ballot(0, "a:1"), NO_BALLOT, None))
+    assert not attempt.prepared()
+
+
+def test_a_late_promise_does_not_change_the_value() -> None:
+    attempt = RunningAttempt()
+    attempt.promise(A)
+    attempt.promise(B)
+    attempt.promise(C, accepted=OTHER_TAIL, round_=1)
+    assert attempt.value() == SAME_TAIL
+
+
+def test_the_value_of_the_largest_ballot_is_carried_on() -> None:
+    attempt = RunningAttempt()
+    attempt.promise(A, accepted=OTHER_TAIL, round_=2)
+    attempt.promise(C, accepted=SAME_TAIL, round_=1)
+    assert attempt.value() == OTHER_TAIL
+
+
+def test_a_stranger_s_acceptance_does_not_count() -> None:
+    attempt = RunningAttempt()
+    for member in (A, B):
+        attempt.promise(member)
+    assert attempt.proposer.accepted(Accepted(A, 2, attempt.ballot)) is None
+    assert attempt.proposer.accepted(Accepted(STRANGER, 2, attempt.ballot)) is None
+    assert attempt.proposer.accepted(Accepted(B, 2, attempt.ballot)) == SAME_TAIL
+
+
+# ---- leases ----
+
+
+def test_a_voter_grants_nothing_against_its_vote() -> None:
+    voter = Voter(A)
+    assert voter.agreement.may_grant(PRESENT.number)
+    voter.agreement.receive("at-b", Accept(2, Ballot(1, "b"), OTHER_TAIL))
+    voter.step()
+    assert not voter.agreement.may_grant(PRESENT.number)
+
+
+@pytest.mark.parametrize("number", [PRESENT.number - 1, PRESENT.number + 1])
+def test_a_voter_grants_nothing_in_another_view(number: int) -> None:
+    assert not Voter(A).agreement.may_grant(number)
+
+
+def test_a_stranger_grants_nothing() -> None:
+    assert not Voter(STRANGER).agreement.may_grant(PRESENT.number)
+
+
+def test_a_resignation_from_another_view_is_passed_over() -> None:
+    voter = Voter(A)
+    voter.agreement.propose(OTHER_TAIL)
+    voter.step()
+    voter.agreement.receive("at-c", Resigned(PRESENT.number + 1, LATER))
+    assert voter.step() == []
+    voter.agreement.receive("at-c", Resigned(PRESENT.number, LATER))
+    assert voter.step() != []
+
+
+def test_an_older_view_is_not_learned_again() -> None:
+    voter = Voter(A)
+    voter.agreement.learn(View(3, MEMBERS, PRESENT.chain))
+    voter.agreement.learn(SAME_TAIL)
+    voter.step()
+    assert voter.agreement.learned_number == 3
+    assert voter.agreement.view == View(3, MEMBERS, PRESENT.chain)
+
+
+def test_a_resignation_before_the_newest_grant_ends_nothing_also_in_the_next_view() -> None:
+    lease = VoterLease(now=0.0)
+    lease.grant(sent=20.0, now=20.0)
+    lease.enter(PRESENT, SAME_TAIL)
+    assert not lease.may_accept(SAME_TAIL, OTHER_TAIL, 19.0, 20.1)
+
+
+def test_a_tail_asks_for_its_lease_anew_in_each_view() -> None:
+    lease = TailLease()
+    for voter in MEMBERS:
+        lease.granted(voter.folder_id, 20.0)
+    assert lease.holds(MEMBERS, 20.1)
+    lease.enter()
+    assert not lease.holds(MEMBERS, 20.1)
--- /dev/null
+++ b/tests/control_plane/test_guards_chain.py
@@ -0,0 +1,168 @@
+"""Guards of the chain, one at a time: what each message must not do."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Member
+from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Snapshot
+from reedspoke.control_plane.replica_records import acknowledged
+from tests.control_plane.chain_replica import (
+    HEAD,
+    MIDDLE,
+    TAIL,
+    VIEW_NUMBER,
+    ChainReplica,
+    entry,
+    view_of,
+)
+
+FIRST, SECOND, THIRD = entry(1), entry(2), entry(3)
+JUST_APPENDED = view_of((HEAD, 1), (MIDDLE, VIEW_NUMBER), (TAIL, 1))
+
+
+def _of_type(messages: list[Struct], *kinds: type[Struct]) -> list[Struct]:
+    return [message for message in messages if isinstance(message, kinds)]
+
+
+def test_a_successor_s_state_in_another_view_is_not_answered() -> None:
+    head = ChainReplica(HEAD, held=FIRST)
+    head.chain.receive(ChainState(VIEW_NUMBER - 1, MIDDLE.folder_id, 1, True, 0))
+    assert not _of_type(head.sent(), Append, Snapshot)
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 0))
+    assert head.sent() == [Append(VIEW_NUMBER, FIRST)]
+
+
+def test_a_successor_s_state_before_it_was_appended_anew_is_not_answered() -> None:
+    head = ChainReplica(HEAD, JUST_APPENDED, held=FIRST)
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 1))
+    assert not head.sent()
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, VIEW_NUMBER, False, 1))
+    assert head.sent() == [Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),))]
+
+
+def test_an_incomplete_successor_gets_all_also_where_one_entry_seems_to_lack() -> None:
+    head = ChainReplica(HEAD, JUST_APPENDED, held=SECOND)
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, VIEW_NUMBER, False, 1))
+    assert _of_type(head.sent(), Append, Snapshot) == [
+        Snapshot(VIEW_NUMBER, VIEW_NUMBER, SECOND, (acknowledged(SECOND),))
+    ]
+
+
+def test_a_successor_that_lacks_several_entries_gets_all() -> None:
+    head = ChainReplica(HEAD, held=THIRD)
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 1))
+    assert head.sent() == [Snapshot(VIEW_NUMBER, 1, THIRD, (acknowledged(THIRD),))]
+
+
+def test_an_incomplete_replica_stores_no_single_entry() -> None:
+    middle = ChainReplica(MIDDLE, JUST_APPENDED)
+    middle.chain.receive(Append(VIEW_NUMBER, FIRST))
+    middle.sent()
+    assert not middle.stores
+
+
+def test_an_incomplete_replica_hands_nothing_on() -> None:
+    middle = ChainReplica(MIDDLE, JUST_APPENDED, held=SECOND)
+    middle.chain.receive(ChainState(VIEW_NUMBER, TAIL.folder_id, 1, True, 1))
+    assert not _of_type(middle.sent(), Append, Snapshot)
+
+
+def test_no_entry_is_stored_after_a_failed_store() -> None:
+    middle = ChainReplica(MIDDLE)
+    middle.outbox.disk_failed = True
+    middle.chain.receive(Append(VIEW_NUMBER, FIRST))
+    middle.sent()
+    assert not middle.stores
+
+
+def test_an_entry_that_comes_again_while_it_is_stored_is_stored_once() -> None:
+    middle = ChainReplica(MIDDLE)
+    middle.chain.receive(Append(VIEW_NUMBER, FIRST))
+    middle.chain.receive(Append(VIEW_NUMBER, entry(1)))
+    middle.sent()
+    assert len(middle.stores) == 1
+
+
+def test_an_entry_that_does_not_follow_is_not_stored() -> None:
+    middle = ChainReplica(MIDDLE, held=FIRST)
+    middle.chain.receive(Append(VIEW_NUMBER, THIRD))
+    middle.sent()
+    assert not middle.stores
+    assert not middle.delivered
+
+
+def test_an_entry_that_the_disk_refused_is_neither_told_nor_handed_on() -> None:
+    middle = ChainReplica(MIDDLE)
+    middle.chain.receive(ChainState(VIEW_NUMBER, TAIL.folder_id, 1, True, 0))
+    middle.chain.receive(Append(VIEW_NUMBER, FIRST))
+    middle.end_store(ErrorCode.STORAGE_FULL)
+    assert not middle.sent()
+
+
+def test_a_snapshot_made_for_an_earlier_joining_is_not_adopted() -> None:
+    middle = ChainReplica(MIDDLE, JUST_APPENDED)
+    middle.chain.receive(Snapshot(VIEW_NUMBER, 1, FIRST, (acknowledged(FIRST),)))
+    middle.sent()
+    assert not middle.stores
+    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),)))
+    middle.sent()
+    assert len(middle.stores) == 1
+
+
+def test_a_complete_replica_keeps_its_entries_whatever_snapshot_comes() -> None:
+    middle = ChainReplica(MIDDLE, held=SECOND)
+    middle.chain.receive(Snapshot(VIEW_NUMBER, 1, FIRST, (acknowledged(FIRST),)))
+    middle.sent()
+    assert middle.register.entry == SECOND
+    assert not middle.stores
+
+
+def test_a_replica_is_complete_once_the_adopted_state_is_on_disk() -> None:
+    middle = ChainReplica(MIDDLE, JUST_APPENDED)
+    assert not middle.chain.complete
+    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),)))
+    assert not middle.chain.complete
+    middle.end_store()
+    assert middle.chain.complete
+
+
+def test_a_replica_whose_disk_refuses_the_adopted_state_is_not_complete() -> None:
+    middle = ChainReplica(MIDDLE, JUST_APPENDED)
+    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),)))
+    middle.end_store(ErrorCode.STORAGE_FULL)
+    assert not middle.chain.complete
+
+
+def test_a_commit_beyond_what_is_held_here_is_heeded_and_one_below_is_not() -> None:
+    middle = ChainReplica(MIDDLE, held=SECOND)
+    middle.chain.receive(Commit(VIEW_NUMBER, 1))
+    assert not middle.delivered
+    middle.chain.receive(Commit(VIEW_NUMBER, 3))
+    assert [committed.sequence for committed in middle.delivered] == [2]
+
+
+def test_an_incomplete_replica_takes_no_entry_for_committed() -> None:
+    middle = ChainReplica(MIDDLE, JUST_APPENDED, held=SECOND)
+    middle.chain.receive(Commit(VIEW_NUMBER, 2))
+    assert not middle.delivered
+
+
+@pytest.mark.parametrize(("member", "committed"), [(HEAD, False), (MIDDLE, False), (TAIL, True)])
+def test_the_tail_alone_commits_what_it_holds(member: Member, committed: bool) -> None:
+    replica = ChainReplica(member, held=FIRST)
+    assert bool(replica.delivered) is committed
+
+
+def test_an_incomplete_tail_commits_nothing() -> None:
+    chain = view_of((HEAD, 1), (TAIL, VIEW_NUMBER))
+    assert not ChainReplica(TAIL, chain, held=FIRST).delivered
+    assert ChainReplica(TAIL, chain, held=FIRST, synced_since=VIEW_NUMBER).delivered
+
+
+def test_a_chain_of_as_many_copies_as_may_be_lost_commits_nothing() -> None:
+    chain = view_of((HEAD, 1), (TAIL, 1))
+    assert not ChainReplica(TAIL, chain, held=FIRST, tolerated=2).delivered
+    assert ChainReplica(TAIL, chain, held=FIRST, tolerated=1).delivered
--- /dev/null
+++ b/tests/control_plane/test_guards_head.py
@@ -0,0 +1,194 @@
+"""Guards of the head's queue, of its refusals, and of the forwarding of changes, one at a time."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Member, Put, PutAnswer, View
+from reedspoke.control_plane.replica_head import WAIT_SHARE
+from reedspoke.control_plane.replica_messages import Commit, GetReply, GetRequest, PutReply, PutRequest
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_puts import PutForwarder
+from reedspoke.control_plane.replica_refusals import Refusals
+from tests.control_plane.chain_replica import (
+    ANSWER_LIMIT_S,
+    HEAD,
+    MIDDLE,
+    START,
+    TAIL,
+    VIEW_NUMBER,
+    WHOLE,
+    ChainReplica,
+    view_of,
+)
+
+STALE = int(ErrorCode.CONFIGURATION_STALE_MATCH)
+
+
+def _request(name: str, match: int, generation: int, view: int = VIEW_NUMBER) -> PutRequest:
+    return PutRequest(view, name, match, generation, b"document %d" % generation)
+
+
+def _replies(replica: ChainReplica) -> list[PutReply]:
+    return [message for message in replica.sent() if isinstance(message, PutReply)]
+
+
+def _receive(replica: ChainReplica, request: PutRequest) -> None:
+    replica.head.receive("at-asker", request, majority_reached=True)
+
+
+def _confirm_refusals(replica: ChainReplica) -> None:
+    """The tail confirms whatever it is asked."""
+    for message in replica.sent():
+        if isinstance(message, GetRequest):
+            replica.head.refusals.reply(GetReply(message.view, message.request, ready=True))
+
+
+def _commit_next(replica: ChainReplica) -> None:
+    replica.end_store()
+    replica.chain.receive(Commit(VIEW_NUMBER, replica.register.sequence))
+
+
+@pytest.mark.parametrize("view", [VIEW_NUMBER - 1, VIEW_NUMBER + 1])
+def test_a_change_sent_in_another_view_is_not_taken(view: int) -> None:
+    head = ChainReplica(HEAD)
+    _receive(head, _request("r1", 0, 10, view))
+    assert not head.sent()
+    assert not head.stores
+
+
+@pytest.mark.parametrize("member", [MIDDLE, TAIL])
+def test_a_change_sent_to_another_member_is_not_answered(member: Member) -> None:
+    replica = ChainReplica(member)
+    _receive(replica, _request("r1", 7, 10))
+    replica.outbox.now = START + ANSWER_LIMIT_S
+    replica.head.tick()
+    assert not replica.sent()
+    assert not replica.stores
+
+
+def test_a_refused_request_is_refused_again_whatever_has_changed() -> None:
+    head = ChainReplica(HEAD)
+    _receive(head, _request("r1", 10, 20))
+    _confirm_refusals(head)
+    assert [reply.error for reply in _replies(head)] == [STALE]
+    _receive(head, _request("r2", 0, 10))
+    _commit_next(head)
+    assert [reply.error for reply in _replies(head)] == [0]
+    _receive(head, _request("r1", 10, 20))
+    assert [reply.error for reply in _replies(head)] == [STALE]
+    assert not head.stores
+
+
+def test_a_request_that_comes_again_while_it_waits_is_decided_once() -> None:
+    head = ChainReplica(HEAD)
+    for _ in range(2):
+        _receive(head, _request("r1", 0, 10))
+    _commit_next(head)
+    assert len(_replies(head)) == 1
+
+
+def test_an_incomplete_head_decides_nothing() -> None:
+    head = ChainReplica(HEAD, view_of((HEAD, VIEW_NUMBER), (TAIL, 1)))
+    _receive(head, _request("r1", 0, 10))
+    _receive(head, _request("r2", 7, 10))
+    assert not head.sent()
+    assert not head.stores
+
+
+def test_a_head_whose_disk_fails_takes_nothing() -> None:
+    head = ChainReplica(HEAD)
+    head.outbox.disk_failed = True
+    _receive(head, _request("r1", 0, 10))
+    head.sent()
+    assert not head.stores
+
+
+def test_the_next_change_is_decided_once_the_one_before_is_committed() -> None:
+    head = ChainReplica(HEAD)
+    _receive(head, _request("r1", 0, 10))
+    _receive(head, _request("r2", 10, 20))
+    head.end_store()
+    head.sent()
+    assert not head.stores
+    head.chain.receive(Commit(VIEW_NUMBER, 1))
+    head.sent()
+    assert len(head.stores) == 1
+
+
+def test_a_refusal_that_nobody_confirmed_is_not_final() -> None:
+    head = ChainReplica(HEAD)
+    _receive(head, _request("r1", 7, 10))
+    assert not _replies(head)
+    head.outbox.now = START + ANSWER_LIMIT_S * WAIT_SHARE
+    head.head.tick()
+    assert [reply.error for reply in _replies(head)] == [int(ErrorCode.NO_QUORUM)]
+
+
+def test_a_change_that_is_under_way_expires_as_unclear() -> None:
+    head = ChainReplica(HEAD)
+    _receive(head, _request("r1", 0, 10))
+    head.end_store()
+    head.outbox.now = START + ANSWER_LIMIT_S * WAIT_SHARE
+    head.head.tick()
+    assert [reply.error for reply in _replies(head)] == [int(ErrorCode.WRITE_UNCLEAR)]
+
+
+class RefusalUnderWay:
+    """A refusal that waits for the tail of the present view."""
+
+    def __init__(self) -> None:
+        self.ended: list[bool] = []
+        self.outbox = Outbox(HEAD.address, START, 0)
+        self.refusals = Refusals(self.outbox)
+        self.refusals.enter(VIEW_NUMBER, TAIL)
+        self.refusals.add("r1", START + ANSWER_LIMIT_S, self.ended.append)
+        (sent,) = self.outbox.take()
+        asked = sent.message  # type: ignore[union-attr]
+        assert isinstance(asked, GetRequest)
+        self.key = asked.request
+
+
+def test_a_tail_that_is_not_ready_confirms_no_refusal() -> None:
+    waiting = RefusalUnderWay()
+    waiting.refusals.reply(GetReply(VIEW_NUMBER, waiting.key, ready=False))
+    assert waiting.ended == []
+    waiting.refusals.reply(GetReply(VIEW_NUMBER, waiting.key, ready=True))
+    assert waiting.ended == [True]
+
+
+@pytest.mark.parametrize("view", [VIEW_NUMBER - 1, VIEW_NUMBER + 1])
+def test_the_tail_of_another_view_confirms_no_refusal(view: int) -> None:
+    waiting = RefusalUnderWay()
+    waiting.refusals.reply(GetReply(view, waiting.key, ready=True))
+    assert waiting.ended == []
+
+
+def test_a_refusal_whose_time_is_over_is_not_confirmed() -> None:
+    waiting = RefusalUnderWay()
+    waiting.outbox.now = START + ANSWER_LIMIT_S
+    waiting.refusals.tick()
+    assert waiting.ended == [False]
+
+
+@pytest.mark.parametrize(("view", "majority"), [(None, True), (WHOLE, False)])
+def test_a_replica_cut_off_refuses_a_change_at_once(view: View | None, majority: bool) -> None:
+    outbox = Outbox(MIDDLE.address, START, 0)
+    puts = PutForwarder("b:1", outbox, ANSWER_LIMIT_S)
+    puts.put(Put(1, 0, 10, b"document"), view, majority)
+    (answer,) = outbox.take()
+    assert isinstance(answer, PutAnswer)
+    assert answer.error is ErrorCode.NO_QUORUM
+
+
+def test_a_change_that_the_head_has_not_answered_is_unclear() -> None:
+    outbox = Outbox(MIDDLE.address, START, 0)
+    puts = PutForwarder("b:1", outbox, ANSWER_LIMIT_S)
+    puts.put(Put(1, 0, 10, b"document"), WHOLE, majority_reached=True)
+    outbox.take()
+    outbox.now = START + ANSWER_LIMIT_S
+    puts.tick(WHOLE)
+    assert [answer.error for answer in outbox.take() if isinstance(answer, PutAnswer)] == [
+        ErrorCode.WRITE_UNCLEAR
+    ]
--- /dev/null
+++ b/tests/control_plane/test_guards_reads.py
@@ -0,0 +1,78 @@
+"""Guards of the reads, one at a time: who answers, and what an answer is taken for."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Committed, Get, GetAnswer, Member, View
+from reedspoke.control_plane.replica_gets import GetForwarder, TailReader
+from reedspoke.control_plane.replica_messages import GetReply, GetRequest
+from tests.control_plane.chain_replica import (
+    ANSWER_LIMIT_S,
+    HEAD,
+    MIDDLE,
+    TAIL,
+    VIEW_NUMBER,
+    WHOLE,
+    ChainReplica,
+    entry,
+    view_of,
+)
+
+FIRST = entry(1)
+INCOMPLETE_TAIL = view_of((HEAD, 1), (TAIL, VIEW_NUMBER))
+
+
+def _reply(
+    replica: ChainReplica, view: View = WHOLE, asked_view: int = VIEW_NUMBER, lease: bool = True
+) -> GetReply:
+    reader = TailReader(replica.outbox, replica.chain, replica.register, lambda: lease)
+    reader.receive("at-asker", GetRequest(asked_view, "r1", have=0), view)
+    (reply,) = replica.sent()
+    assert isinstance(reply, GetReply)
+    return reply
+
+
+def test_a_complete_tail_that_holds_its_lease_answers() -> None:
+    assert _reply(ChainReplica(TAIL, held=FIRST)) == GetReply(VIEW_NUMBER, "r1", True, 1, FIRST)
+
+
+@pytest.mark.parametrize("asked_view", [VIEW_NUMBER - 1, VIEW_NUMBER + 1])
+def test_a_read_sent_in_another_view_is_not_answered(asked_view: int) -> None:
+    assert not _reply(ChainReplica(TAIL), asked_view=asked_view).ready
+
+
+@pytest.mark.parametrize("member", [HEAD, MIDDLE])
+def test_a_member_before_the_tail_answers_no_read(member: Member) -> None:
+    assert not _reply(ChainReplica(member)).ready
+
+
+def test_an_incomplete_tail_answers_no_read() -> None:
+    assert not _reply(ChainReplica(TAIL, INCOMPLETE_TAIL), INCOMPLETE_TAIL).ready
+
+
+def test_a_tail_without_lease_answers_no_read() -> None:
+    assert not _reply(ChainReplica(TAIL, held=FIRST), lease=False).ready
+
+
+def test_what_is_not_committed_is_not_read() -> None:
+    too_short_to_commit = view_of((HEAD, 1), (TAIL, 1))
+    tail = ChainReplica(TAIL, too_short_to_commit, held=FIRST, tolerated=2)
+    assert not _reply(tail, too_short_to_commit).ready
+
+
+def test_what_is_held_here_is_told_only_where_the_tail_holds_the_same() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    replica.register.commit()
+    for sequence, expected in ((1, 10), (2, None)):
+        gets = GetForwarder("b:1", replica.outbox, replica.register, ANSWER_LIMIT_S)
+        gets.get(Get(1), WHOLE, majority_reached=True)
+        replica.outbox.take()
+        gets.reply(GetReply(VIEW_NUMBER, "b:1:1", True, sequence))
+        (answer,) = replica.outbox.take()
+        assert isinstance(answer, GetAnswer)
+        if expected is None:
+            assert (answer.committed, answer.error) == (None, ErrorCode.NO_QUORUM)
+        else:
+            assert answer.committed == Committed(1, expected, FIRST.document)
--- /dev/null
+++ b/tests/control_plane/test_guards_register.py
@@ -0,0 +1,74 @@
+"""Guards of the register and of the records that it is restored from, one at a time."""
+
+from __future__ import annotations
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.replica_messages import Entry
+from reedspoke.control_plane.replica_records import (
+    EntryRecord,
+    HistoryRecord,
+    ViewRecord,
+    acknowledged,
+    encode_record,
+    restore,
+)
+from tests.control_plane.chain_replica import MIDDLE, VIEW_NUMBER, WHOLE, ChainReplica, entry, view_of
+
+FIRST, SECOND = entry(1), entry(2)
+
+
+def test_a_store_that_ends_after_a_snapshot_changes_nothing() -> None:
+    replica = ChainReplica(MIDDLE)
+    ended: list[bool] = []
+    replica.register.append(FIRST, ended.append)
+    replica.register.adopt(SECOND, (acknowledged(SECOND),), VIEW_NUMBER, lambda synced: None)
+    replica.end_store()
+    assert replica.register.entry == SECOND
+    assert replica.register.history == (acknowledged(SECOND),)
+    assert not ended
+
+
+def test_an_entry_that_the_disk_refused_is_not_held() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    ended: list[bool] = []
+    replica.register.append(SECOND, ended.append)
+    replica.end_store(ErrorCode.STORAGE_FULL)
+    assert replica.register.entry == FIRST
+    assert ended == [False]
+
+
+def test_an_adopted_state_that_the_disk_refused_counts_as_lacking() -> None:
+    replica = ChainReplica(MIDDLE)
+    replica.register.adopt(FIRST, (), VIEW_NUMBER, lambda synced: None)
+    replica.end_store(ErrorCode.STORAGE_FULL)
+    assert replica.register.synced_since == 0
+
+
+def test_a_rewritten_log_has_the_entry_that_is_being_stored() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    replica.register.append(SECOND, lambda synced: None)
+    restored = restore([encode_record(record) for record in replica.register.records()])
+    assert restored.entry == SECOND
+
+
+def test_a_committed_entry_is_told_once() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    assert replica.register.commit() is not None
+    assert replica.register.commit() is None
+
+
+def test_the_newest_view_of_the_log_counts() -> None:
+    older = view_of(number=VIEW_NUMBER - 1)
+    restored = restore([encode_record(ViewRecord(view)) for view in (WHOLE, older)])
+    assert restored.view == WHOLE
+
+
+def test_an_adopted_state_without_entry_replaces_the_one_before() -> None:
+    restored = restore([encode_record(EntryRecord(FIRST)), encode_record(HistoryRecord(()))])
+    assert restored.entry is None
+
+
+def test_an_entry_that_was_replaced_leaves_the_history() -> None:
+    replacing = Entry(1, VIEW_NUMBER, 11, b"another document")
+    restored = restore([encode_record(EntryRecord(each)) for each in (FIRST, replacing)])
+    assert list(restored.history) == [acknowledged(replacing)]
