Tests of the guards of log file, choice of views, replica, failure detector and disk state

Change: a replica fed by hand, with what the others sent (`test_guards_replica.py`); what the log file syncs in which order; one condition changed at a time for the choice of a view.

--- /dev/null
+++ b/tests/control_plane/test_guards_choice.py
@@ -0,0 +1,51 @@
+"""Guards of the choice of the next view, one at a time."""
+
+from __future__ import annotations
+
+from msgspec import structs
+
+from reedspoke.control_plane.events import View
+from reedspoke.control_plane.view_choice import Surroundings, choose_view
+from tests.control_plane.test_view_choice import _around, _chain, _member, _view, _voters
+
+
+def _changed(around: Surroundings, name: str, **changes: bool) -> Surroundings:
+    """The same, but for the condition of one member."""
+    condition = structs.replace(around.conditions[name], **changes)
+    return structs.replace(around, conditions={**around.conditions, name: condition})
+
+
+def test_a_member_whose_disk_fails_leaves_the_chain() -> None:
+    view = _view("abc")
+    around = _changed(_around("abc", view), "b", healthy=False)
+    assert _chain(choose_view(view, around)) == "ac"
+
+
+def test_a_joiner_that_has_just_come_waits() -> None:
+    view = _view("ab", voters="abc")
+    around = _around("ab", view, joiners=[_member("c")])
+    assert choose_view(view, _changed(around, "c", steady=False)) == view
+    assert _chain(choose_view(view, around)) == "abc"
+
+
+def test_a_joiner_whose_disk_fails_waits() -> None:
+    view = _view("ab", voters="abc")
+    around = _around("ab", view, joiners=[_member("c")])
+    assert choose_view(view, _changed(around, "c", healthy=False)) == view
+
+
+def test_one_spare_voter_goes_at_a_time() -> None:
+    view = _view("abc", voters="abcde")
+    following = choose_view(view, _around("abc", view, gone="de"))
+    assert _voters(following) == "abce"
+    assert _differing(view, following) == 1
+
+
+def test_a_joiner_takes_the_place_of_one_voter() -> None:
+    view = _view("ab", voters="abcd")
+    following = choose_view(view, _around("ab", view, gone="cd", joiners=[_member("e")]))
+    assert _voters(following) == "abde"
+
+
+def _differing(one: View, other: View) -> int:
+    return len(set(one.voters) ^ set(other.voters))
--- /dev/null
+++ b/tests/control_plane/test_guards_log_file.py
@@ -0,0 +1,93 @@
+"""Guards of the log file, one at a time: what is synced when, and which damage is told."""
+
+from __future__ import annotations
+
+import os
+import stat
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.control_plane.log_file import HEADER, LOG_NAME, open_log, set_aside
+
+FILE, DIRECTORY, REPLACED = "file synced", "directory synced", "name replaced"
+
+
+@pytest.fixture
+def steps(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """What the module asks of the disk, in order."""
+    taken: list[str] = []
+    fsync: Callable[[int], None] = os.fsync
+    replace = os.replace
+
+    def noted_fsync(descriptor: int) -> None:
+        taken.append(DIRECTORY if stat.S_ISDIR(os.fstat(descriptor).st_mode) else FILE)
+        fsync(descriptor)
+
+    def noted_replace(source: Path, target: Path) -> None:
+        taken.append(REPLACED)
+        replace(source, target)
+
+    monkeypatch.setattr(os, "fsync", noted_fsync)
+    monkeypatch.setattr(os, "replace", noted_replace)
+    return taken
+
+
+def _in_order(steps: list[str], *expected: str) -> bool:
+    """Whether these steps were taken in this order, whatever stands between them."""
+    left = iter(steps)
+    return all(step in left for step in expected)
+
+
+def test_a_new_log_is_synced_and_then_its_name(tmp_path: Path, steps: list[str]) -> None:
+    open_log(tmp_path).writer.close()
+    assert _in_order(steps, FILE, DIRECTORY)
+
+
+def test_a_log_is_synced_before_it_is_built_upon(tmp_path: Path, steps: list[str]) -> None:
+    open_log(tmp_path).writer.close()
+    steps.clear()
+    open_log(tmp_path).writer.close()
+    assert _in_order(steps, FILE)
+
+
+def test_a_rewritten_log_is_synced_then_named_then_its_name_is_synced(
+    tmp_path: Path, steps: list[str]
+) -> None:
+    opened = open_log(tmp_path)
+    steps.clear()
+    opened.writer.rewrite([b"one"])
+    opened.writer.close()
+    assert _in_order(steps, FILE, REPLACED, DIRECTORY)
+
+
+def test_an_append_is_synced(tmp_path: Path, steps: list[str]) -> None:
+    opened = open_log(tmp_path)
+    steps.clear()
+    opened.writer.append([b"one"])
+    opened.writer.close()
+    assert _in_order(steps, FILE)
+
+
+def test_the_name_of_a_log_that_was_set_aside_is_synced(tmp_path: Path, steps: list[str]) -> None:
+    open_log(tmp_path).writer.close()
+    steps.clear()
+    set_aside(tmp_path)
+    assert _in_order(steps, REPLACED, DIRECTORY)
+
+
+def test_damage_to_the_header_and_the_first_record_is_told(tmp_path: Path) -> None:
+    opened = open_log(tmp_path)
+    opened.writer.append([b"one"])
+    opened.writer.close()
+    path = tmp_path / LOG_NAME
+    content = bytearray(path.read_bytes())
+    content[0] ^= 1
+    content[content.index(opened.folder_id.encode())] ^= 1
+    assert len(content) > len(HEADER)
+    path.write_bytes(content)
+    with pytest.raises(FleetError) as raised:
+        open_log(tmp_path)
+    assert raised.value.code is ErrorCode.STORAGE_CORRUPT
--- /dev/null
+++ b/tests/control_plane/test_guards_peers.py
@@ -0,0 +1,104 @@
+"""Guards of the failure detector, the first view and the state of the disk, one at a time."""
+
+from __future__ import annotations
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Effect, Member, Store, Stored
+from reedspoke.control_plane.replica_messages import Ping
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_peers import Peers
+from reedspoke.control_plane.replica_records import ProbeRecord
+from reedspoke.control_plane.replica_settings import (
+    DISK_PROBE_S,
+    DISK_STALL_S,
+    GONE_S,
+    HEARD_S,
+    JOIN_AFTER_S,
+    PING_INTERVAL_S,
+)
+from reedspoke.control_plane.view_first import first_view
+from tests.control_plane.chain_replica import HEAD, MIDDLE, START, TAIL
+
+
+def _ping(member: Member, *heard: Member, bootstrap: bool = False) -> Ping:
+    folders = tuple(other.folder_id for other in heard)
+    return Ping(member, 1, folders, True, 0, 0, bootstrap=bootstrap)
+
+
+def _hear(peers: Peers, ping: Ping, begin: float, end: float) -> None:
+    now = begin
+    while now <= end:
+        peers.heard_ping(ping, now)
+        now += PING_INTERVAL_S
+
+
+def test_a_voter_that_another_replica_hears_is_not_gone() -> None:
+    end = START + 2 * GONE_S
+    for witnessed in (True, False):
+        peers = Peers(HEAD, START)
+        heard = (HEAD, TAIL) if witnessed else (HEAD,)
+        _hear(peers, _ping(MIDDLE, *heard), START, end)
+        assert peers.gone(TAIL.folder_id, end) is not witnessed
+
+
+def test_a_replica_is_steady_after_a_while_in_reach() -> None:
+    peers = Peers(HEAD, START)
+    peers.heard_ping(_ping(MIDDLE, HEAD), START)
+    assert not peers.steady(MIDDLE.folder_id, START + JOIN_AFTER_S / 2)
+    _hear(peers, _ping(MIDDLE, HEAD), START, START + JOIN_AFTER_S + PING_INTERVAL_S)
+    assert peers.steady(MIDDLE.folder_id, START + JOIN_AFTER_S + PING_INTERVAL_S)
+
+
+def test_a_replica_in_reach_is_one_that_was_heard_lately_and_hears_us() -> None:
+    peers = Peers(HEAD, START)
+    peers.heard_ping(_ping(MIDDLE, HEAD), START)
+    peers.heard_ping(_ping(TAIL), START)
+    assert peers.mutual(MIDDLE.folder_id, START + HEARD_S)
+    assert not peers.mutual(MIDDLE.folder_id, START + HEARD_S + 0.01)
+    assert not peers.mutual(TAIL.folder_id, START)
+
+
+def test_the_first_view_waits_for_folders_that_were_made_for_it() -> None:
+    seeds = (HEAD.address, MIDDLE.address)
+    starting = [_ping(HEAD, bootstrap=True), _ping(MIDDLE, bootstrap=True)]
+    assert first_view(seeds, starting) is not None
+    assert first_view(seeds, [starting[0], _ping(MIDDLE, bootstrap=False)]) is None
+
+
+class FailedDisk:
+    """An outbox whose first store has failed."""
+
+    def __init__(self) -> None:
+        self.outbox = Outbox(HEAD.address, START, 0)
+        self.outbox.store([ProbeRecord()], lambda error: None)
+        self.end_store(ErrorCode.STORAGE_FAILED)
+
+    def end_store(self, error: ErrorCode | None = None) -> Store:
+        """The store that is out ends."""
+        (store,) = _stores(self.outbox.take())
+        self.outbox.stored(Stored(store.token, error))
+        return store
+
+
+def _stores(effects: list[Effect]) -> list[Store]:
+    return [effect for effect in effects if isinstance(effect, Store)]
+
+
+def test_after_a_failed_store_the_disk_is_bad_until_the_log_is_rewritten() -> None:
+    disk = FailedDisk()
+    assert disk.outbox.disk_failed
+    disk.outbox.now += DISK_PROBE_S
+    disk.outbox.tick()
+    assert not disk.end_store().replace
+    assert disk.outbox.disk_failed
+    assert disk.end_store().replace
+    assert not disk.outbox.disk_failed
+
+
+def test_a_store_that_hangs_makes_the_disk_bad() -> None:
+    outbox = Outbox(HEAD.address, START, 0)
+    outbox.store([ProbeRecord()], lambda error: None)
+    outbox.now = START + DISK_STALL_S
+    assert outbox.disk_ok
+    outbox.now += 0.01
+    assert not outbox.disk_ok
--- /dev/null
+++ b/tests/control_plane/test_guards_replica.py
@@ -0,0 +1,281 @@
+"""Guards of a whole replica, one at a time: leases, resignations, the first start, and whom it judges."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import (
+    Effect,
+    Member,
+    Received,
+    SendTo,
+    Store,
+    Stored,
+    Tick,
+    View,
+)
+from reedspoke.control_plane.replica import Replica, ReplicaSettings
+from reedspoke.control_plane.replica_messages import (
+    Accept,
+    Accepted,
+    Ballot,
+    GetReply,
+    GetRequest,
+    LeaseGrant,
+    Ping,
+    Prepare,
+    Resigned,
+    ResignRequest,
+    Snapshot,
+)
+from reedspoke.control_plane.replica_records import ViewRecord, encode_record
+from reedspoke.control_plane.replica_settings import (
+    HEARD_S,
+    LEASE_S,
+    PING_INTERVAL_S,
+    PROPOSE_AFTER_S,
+    RANK_DELAY_S,
+    TICK_S,
+)
+from tests.control_plane.chain_replica import HEAD, MIDDLE, START, TAIL, VIEW_NUMBER, WHOLE, entry, view_of
+
+OTHER_TAIL = View(VIEW_NUMBER + 1, WHOLE.voters, WHOLE.chain[:-1])
+LONG_PAUSE_S = 5.0
+PROPOSED_BY_S = HEARD_S + PROPOSE_AFTER_S + 3 * RANK_DELAY_S + 1.0
+
+
+class LoneReplica:
+    """One replica; the others are what the test says they sent."""
+
+    def __init__(
+        self,
+        own: Member,
+        view: View | None = WHOLE,
+        *,
+        tolerated: int = 1,
+        bootstrap: bool = False,
+        disk_error: ErrorCode | None = None,
+    ) -> None:
+        settings = ReplicaSettings(
+            folder_id=own.folder_id,
+            address=own.address,
+            zone="",
+            seeds=(HEAD.address, MIDDLE.address, TAIL.address),
+            bootstrap=bootstrap,
+            machines_tolerated=tolerated,
+        )
+        records = [encode_record(ViewRecord(view))] if view else []
+        self.own = own
+        self.view_number = view.number if view else 0
+        self.now = START
+        self.disk_error = disk_error
+        self.disk_answers = True
+        self.store_count = 0
+        self.replica = Replica(settings, records, START)
+        self.tick(0.0)
+
+    def receive(self, sender: Member, message: Struct) -> list[Struct]:
+        """What it sends when this comes."""
+        return self._carry_out(self.replica.handle(self.now, Received(sender.address, message)))
+
+    def tick(self, seconds: float = TICK_S) -> list[Struct]:
+        """What it sends when so much time has passed."""
+        self.now += seconds
+        return self._carry_out(self.replica.handle(self.now, Tick()))
+
+    def ping_from(self, member: Member, *, disk_ok: bool = True, hears_us: bool = True) -> list[Struct]:
+        """A sign of life of a complete member in the same view."""
+        heard = (self.own.folder_id,) if hears_us else ()
+        return self.receive(member, Ping(member, self.view_number, heard, disk_ok, 0, 0))
+
+    def lease_asked_by(self, member: Member, *, hears_us: bool = True) -> list[Struct]:
+        """A ping that asks for a read lease."""
+        heard = (self.own.folder_id,) if hears_us else ()
+        ping = Ping(member, self.view_number, heard, True, 0, 0, lease_sent=self.now)
+        return self.receive(member, ping)
+
+    def run_beside(self, *members: Member, seconds: float, disk_ok: bool = True) -> list[Struct]:
+        """What it sends while these members are in reach."""
+        sent: list[Struct] = []
+        end = self.now + seconds
+        while self.now < end:
+            for member in members:
+                sent += self.ping_from(member, disk_ok=disk_ok)
+            sent += self.tick()
+        return sent
+
+    def read_is_answered(self) -> bool:
+        """Whether it answers a read as the tail."""
+        sent = self.receive(HEAD, GetRequest(self.view_number, "r1", have=0))
+        (reply,) = _of_type(sent, GetReply)
+        assert isinstance(reply, GetReply)
+        return reply.ready
+
+    def _carry_out(self, effects: list[Effect]) -> list[Struct]:
+        sent: list[Struct] = []
+        for effect in effects:
+            if isinstance(effect, SendTo):
+                sent.append(effect.message)
+            elif isinstance(effect, Store):
+                self.store_count += 1
+                if self.disk_answers:
+                    sent += self._carry_out(
+                        self.replica.handle(self.now, Stored(effect.token, self.disk_error))
+                    )
+        return sent
+
+
+def _of_type(messages: list[Struct], kind: type[Struct]) -> list[Struct]:
+    return [message for message in messages if isinstance(message, kind)]
+
+
+def _last_ping(messages: list[Struct]) -> Ping:
+    ping = _of_type(messages, Ping)[-1]
+    assert isinstance(ping, Ping)
+    return ping
+
+
+# ---- leases of the tail ----
+
+
+@pytest.mark.parametrize(("view", "ready"), [(VIEW_NUMBER - 1, False), (VIEW_NUMBER, True)])
+def test_a_grant_counts_in_its_own_view_alone(view: int, ready: bool) -> None:
+    tail = LoneReplica(TAIL)
+    tail.receive(HEAD, LeaseGrant(HEAD.folder_id, view, tail.now))
+    assert tail.read_is_answered() is ready
+
+
+def test_a_tail_that_has_resigned_answers_no_read() -> None:
+    tail = LoneReplica(TAIL)
+    tail.receive(HEAD, LeaseGrant(HEAD.folder_id, VIEW_NUMBER, tail.now))
+    assert _of_type(tail.receive(MIDDLE, ResignRequest(VIEW_NUMBER)), Resigned)
+    assert not tail.read_is_answered()
+
+
+def test_a_tail_does_not_resign_for_another_view_s_proposer() -> None:
+    tail = LoneReplica(TAIL)
+    assert not _of_type(tail.receive(MIDDLE, ResignRequest(VIEW_NUMBER - 1)), Resigned)
+
+
+def test_a_member_before_the_tail_does_not_resign() -> None:
+    assert not _of_type(LoneReplica(MIDDLE).receive(HEAD, ResignRequest(VIEW_NUMBER)), Resigned)
+
+
+def test_an_incomplete_tail_asks_for_no_lease() -> None:
+    incomplete = view_of((HEAD, 1), (TAIL, VIEW_NUMBER))
+    assert _last_ping(LoneReplica(TAIL, incomplete).tick(PING_INTERVAL_S)).lease_sent is None
+    assert _last_ping(LoneReplica(TAIL).tick(PING_INTERVAL_S)).lease_sent is not None
+
+
+def test_a_voter_grants_the_tail_in_reach_alone() -> None:
+    voter = LoneReplica(HEAD)
+    assert _of_type(voter.lease_asked_by(TAIL), LeaseGrant)
+    assert not _of_type(voter.lease_asked_by(MIDDLE), LeaseGrant)
+    assert not _of_type(voter.lease_asked_by(TAIL, hears_us=False), LeaseGrant)
+
+
+def test_a_voter_accepts_no_other_tail_after_a_grant() -> None:
+    voter = LoneReplica(HEAD)
+    voter.tick(LEASE_S)
+    voter.lease_asked_by(TAIL)
+    accept = Accept(OTHER_TAIL.number, Ballot(1, "b"), OTHER_TAIL)
+    assert not _of_type(voter.receive(MIDDLE, accept), Accepted)
+    voter.tick(LEASE_S)
+    assert _of_type(voter.receive(MIDDLE, accept), Accepted)
+
+
+def test_a_voter_grants_nothing_after_it_has_accepted_another_tail() -> None:
+    voter = LoneReplica(HEAD)
+    voter.tick(LEASE_S)
+    accept = Accept(OTHER_TAIL.number, Ballot(1, "b"), OTHER_TAIL)
+    assert _of_type(voter.receive(MIDDLE, accept), Accepted)
+    assert not _of_type(voter.lease_asked_by(TAIL), LeaseGrant)
+
+
+# ---- what it says of itself ----
+
+
+def test_a_member_says_that_it_is_complete_once_its_state_is_on_disk() -> None:
+    middle = LoneReplica(MIDDLE, view_of((HEAD, 1), (MIDDLE, VIEW_NUMBER), (TAIL, 1)))
+    middle.disk_answers = False
+    middle.receive(HEAD, Snapshot(VIEW_NUMBER, VIEW_NUMBER, entry(1), ()))
+    assert middle.store_count == 1
+    assert _last_ping(middle.tick(PING_INTERVAL_S)).synced_since == 0
+
+
+def test_a_process_that_was_stopped_still_says_whom_it_heard_before() -> None:
+    middle = LoneReplica(MIDDLE)
+    for other in (HEAD, TAIL):
+        middle.ping_from(other)
+    assert _last_ping(middle.tick(LONG_PAUSE_S)).heard == (HEAD.folder_id, TAIL.folder_id)
+
+
+# ---- the first start ----
+
+
+def test_a_folder_that_the_disk_refused_takes_no_part_in_the_first_start() -> None:
+    starting = LoneReplica(HEAD, None, bootstrap=True)
+    assert _last_ping(starting.tick(PING_INTERVAL_S)).bootstrap
+    refused = LoneReplica(HEAD, None, bootstrap=True, disk_error=ErrorCode.STORAGE_FULL)
+    assert not _last_ping(refused.tick(PING_INTERVAL_S)).bootstrap
+
+
+def test_an_empty_folder_founds_nothing_unless_it_is_told_to() -> None:
+    joining = LoneReplica(HEAD, None, bootstrap=False)
+    assert joining.store_count == 0
+    assert not _last_ping(joining.tick(PING_INTERVAL_S)).bootstrap
+
+
+# ---- whom it judges ----
+
+
+def test_a_replica_alone_reaches_no_majority() -> None:
+    assert not LoneReplica(HEAD).replica.majority_reached
+
+
+def test_a_replica_that_is_heard_but_does_not_hear_us_is_not_in_reach() -> None:
+    head = LoneReplica(HEAD)
+    head.ping_from(TAIL, hears_us=False)
+    assert not head.replica.majority_reached
+    head.ping_from(TAIL)
+    assert head.replica.majority_reached
+
+
+def test_a_replica_that_falls_silent_is_not_in_reach() -> None:
+    head = LoneReplica(HEAD)
+    head.ping_from(TAIL)
+    for _ in range(int(HEARD_S / TICK_S) + 2):
+        head.tick()
+    assert not head.replica.majority_reached
+
+
+def test_who_has_just_started_proposes_nobody_s_removal() -> None:
+    head = LoneReplica(HEAD)
+    sent = head.run_beside(MIDDLE, seconds=HEARD_S - 2 * TICK_S)
+    assert not _of_type(sent, Prepare)
+    assert _of_type(head.run_beside(MIDDLE, seconds=PROPOSED_BY_S), Prepare)
+
+
+def test_who_reaches_no_majority_proposes_nothing() -> None:
+    head = LoneReplica(HEAD, tolerated=0)
+    assert not _of_type(head.run_beside(seconds=PROPOSED_BY_S), Prepare)
+
+
+def test_an_incomplete_member_is_not_proposed_as_head() -> None:
+    middle = LoneReplica(MIDDLE, view_of((HEAD, 1), (MIDDLE, VIEW_NUMBER), (TAIL, 1)))
+    assert not _of_type(middle.run_beside(TAIL, seconds=PROPOSED_BY_S), Prepare)
+    complete = LoneReplica(MIDDLE)
+    assert _of_type(complete.run_beside(TAIL, seconds=PROPOSED_BY_S), Prepare)
+
+
+def test_a_member_whose_disk_fails_is_proposed_to_leave() -> None:
+    head = LoneReplica(HEAD)
+    head.run_beside(MIDDLE, TAIL, seconds=PROPOSED_BY_S)
+    sent: list[Struct] = []
+    for _ in range(int(PROPOSED_BY_S / TICK_S)):
+        sent += head.ping_from(MIDDLE)
+        sent += head.ping_from(TAIL, disk_ok=False)
+        sent += head.tick()
+    assert _of_type(sent, Prepare)
