--- a/reedspoke/lab/fleet_emulator/__main__.py
+++ b/reedspoke/lab/fleet_emulator/__main__.py
@@ -87,8 +87,7 @@
     arguments = build_scale_parser(f"{PROGRAM} {SCALE}").parse_args(words[1:])
     report = run_scale(arguments, progress=lambda text: print(text, flush=True))
     print(slope_text(report))
-    if arguments.json:
-        arguments.json.write_bytes(msgspec.json.encode(report))
+    _write_json(arguments.json, report)
     return NOT_SOUND if report.failed else SOUND
 
 
@@ -97,8 +96,7 @@
     arguments = build_rates_parser(f"{PROGRAM} {RATES}").parse_args(words[1:])
     report = run_rates(arguments)
     print(rates_text(report))
-    if arguments.json:
-        arguments.json.write_bytes(msgspec.json.encode(report))
+    _write_json(arguments.json, report)
     return SOUND if report.sound else NOT_SOUND
 
 
@@ -107,8 +105,7 @@
     arguments = build_messages_parser(f"{PROGRAM} {MESSAGES}").parse_args(words[1:])
     costs, states = measure_all(), measure_states()
     print(costs_text(costs), struct_table(states), sep="\n\n")
-    if arguments.json:
-        arguments.json.write_bytes(msgspec.json.encode((costs, states)))
+    _write_json(arguments.json, (costs, states))
     return SOUND
 
 
@@ -122,10 +119,15 @@
         arguments.keep.mkdir(parents=True)
         report = asyncio.run(run_in(arguments.keep, options))
     print(report_text(report))
-    if arguments.json:
-        arguments.json.write_bytes(msgspec.json.encode(report))
+    _write_json(arguments.json, report)
     return SOUND if report.sound() else NOT_SOUND
 
 
+def _write_json(path: Path | None, results: object) -> None:
+    """To the file that `--json` names, if any."""
+    if path is not None:
+        path.write_bytes(msgspec.json.encode(results))
+
+
 if __name__ == "__main__":
     sys.exit(main())
