--- a/reedspoke/lab/fleet_emulator/message_costs.py
+++ b/reedspoke/lab/fleet_emulator/message_costs.py
@@ -31,7 +31,7 @@
 from reedspoke.lab.fleet_emulator.layout import draw_layout, encode_configuration
 from reedspoke.lab.fleet_emulator.measurement import Slope, least_squares
 from reedspoke.lab.fleet_emulator.report_text import struct_table
-from reedspoke.lab.fleet_emulator.scale_run import hollow_worker, long_configuration
+from reedspoke.lab.fleet_emulator.scale_inputs import hollow_worker, long_configuration
 
 SIZES = (100, 400, 1000, 2400)
 CONTROL_MEMBERS = 15
--- a/reedspoke/lab/fleet_emulator/state_costs.py
+++ b/reedspoke/lab/fleet_emulator/state_costs.py
@@ -15,7 +15,7 @@
 from reedspoke.lab.fleet_emulator.layout import encode_configuration
 from reedspoke.lab.fleet_emulator.measurement import least_squares
 from reedspoke.lab.fleet_emulator.message_costs import member_list, versions, worker_list
-from reedspoke.lab.fleet_emulator.scale_run import long_configuration
+from reedspoke.lab.fleet_emulator.scale_inputs import long_configuration
 
 SIZES = (500, 1000, 2000)
 UNBOUNDED_TOKENS = 10**12
--- a/tests/lab_fleet/test_measurement.py
+++ b/tests/lab_fleet/test_measurement.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import pytest
 
 from reedspoke.cluster.configuration import parse_configuration
 from reedspoke.cluster.messages import WorkerEntry, WorkerList, encode
 from reedspoke.lab.fleet_emulator.hollow_edge import Meter, SharedDecoder
 from reedspoke.lab.fleet_emulator.hollow_host import HollowResult, TrafficSample
-from reedspoke.lab.fleet_emulator.layout import encode_configuration
+from reedspoke.lab.fleet_emulator.layout import draw_layout, encode_configuration
 from reedspoke.lab.fleet_emulator.measurement import (
     arrivals_of,
     bytes_between,
@@ -25,7 +23,8 @@
 from reedspoke.lab.fleet_emulator.rates import run_rates
 from reedspoke.lab.fleet_emulator.scale import build_parser, points, slopes
 from reedspoke.lab.fleet_emulator.scale_figures import PhaseFigures, RunFigures, ScalePoint
-from reedspoke.lab.fleet_emulator.scale_run import Change, ScaleRun, long_configuration
+from reedspoke.lab.fleet_emulator.scale_inputs import HollowWorkers, long_configuration
+from reedspoke.lab.fleet_emulator.scale_summary import Change, Recording, ScaleSummary
 
 
 def test_a_straight_line_is_found_exactly() -> None:
@@ -102,21 +101,19 @@
     assert len(parse_configuration(encode_configuration(long_configuration(300))).routes) == 300
 
 
-def test_a_scheduler_that_went_past_a_version_has_it_in_force(tmp_path: Path) -> None:
-    run = ScaleRun(point(2), tmp_path)
-    run.document["generation"] = 3
+def test_a_scheduler_that_went_past_a_version_has_it_in_force() -> None:
     change = Change("burst", 1, 1.0, 1.1)
     skipped = [HollowResult(Meter(in_force={1: [1.2], 2: [1.3, 1.6]}))]
-    found = run._in_force(change, skipped)
+    found = ScaleSummary(Recording(point(2), generation=3), skipped).in_force(change)
     assert (found.count, found.missing) == (2, 0)
     assert found.worst_s == pytest.approx(0.3)
 
 
-def test_workers_are_replaced_and_the_count_stays(tmp_path: Path) -> None:
-    run = ScaleRun(point(2), tmp_path)
-    before = set(run.worker_entries)
-    run._replace_workers()
-    after = set(run.worker_entries)
+def test_workers_are_replaced_and_the_count_stays() -> None:
+    workers = HollowWorkers(draw_layout(), 10)
+    before = set(workers.entries)
+    workers.replace_oldest()
+    after = set(workers.entries)
     assert len(after) == len(before) == 10
     assert len(after - before) == 1
 
