--- a/reedspoke/lab/mutation/pytest_run.py
+++ b/reedspoke/lab/mutation/pytest_run.py
@@ -15,7 +15,7 @@
 
 EXIT_PASSED = 0
 EXIT_TESTS_FAILED = 1
-FAILED_PREFIX = "FAILED "
+FAILED_PREFIXES = ("FAILED ", "ERROR ")  # an error is that of a fixture
 LAST_LINES = 5
 
 
@@ -67,8 +67,8 @@
 
 def _failed_test(output: str) -> str:
     for line in output.splitlines():
-        if line.startswith(FAILED_PREFIX):
-            return line.removeprefix(FAILED_PREFIX).partition(" - ")[0]
+        if line.startswith(FAILED_PREFIXES):
+            return line.partition(" ")[2].partition(" - ")[0]
     return ""
 
 
--- a/tests/lab_mutation/test_runner.py
+++ b/tests/lab_mutation/test_runner.py
@@ -6,6 +6,7 @@
 import os
 import select
 import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 from reedspoke.lab.mutation.report import exit_status, table
 from reedspoke.lab.mutation.runner import Result, Settings, Verdict, run_mutants
 from reedspoke.lab.mutation.source_tree import mutated_text, tracked_files
+from tests.peers import ROOT
 
 CODE = """
 LIMIT = 3
@@ -38,6 +40,7 @@
 """
 GENEROUS_S = 60.0
 ENDS_WITHIN_MS = 10_000
+INTERRUPTED_STATUS = 130
 
 UPPER = Mutant("upper", "limits.py", "0 <= count <= LIMIT", "0 <= count", ("tests",), "There is a limit.")
 LOWER = Mutant("lower", "limits.py", "0 <= count <=", "count <=", ("tests",), "Counts are not negative.")
@@ -133,9 +136,32 @@
             limit_s *= 2  # a busy machine has not come to the test yet
 
     assert asyncio.run(run_until_started()) is Outcome.TIMED_OUT
+    assert _all_writers_ended(descriptor)
+
+
+def test_a_signal_ends_the_runner_with_all_its_processes(
+    checkout: Path, tmp_path: Path, fifo: tuple[Path, int]
+) -> None:
+    path, descriptor = fifo
+    (checkout / "tests" / "test_limits.py").write_text(ENDLESS.format(path=str(path)))
+    (tmp_path / "list.toml").write_text(LIST)
+    words = ["lab", "mutants", "--tree", str(checkout), "--list", str(tmp_path / "list.toml")]
+    runner = subprocess.Popen(
+        [sys.executable, "-m", "reedspoke", *words],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    assert select.select([descriptor], [], [], GENEROUS_S)[0]
+    runner.terminate()
+    assert runner.wait(GENEROUS_S) == INTERRUPTED_STATUS
+    assert _all_writers_ended(descriptor)
+
+
+def _all_writers_ended(descriptor: int) -> bool:
     ended = select.poll()
     ended.register(descriptor, 0)  # tells POLLHUP alone: no process has the other end any more
-    assert ended.poll(ENDS_WITHIN_MS)
+    return bool(ended.poll(ENDS_WITHIN_MS))
 
 
 def test_the_table_ends_with_the_counts_and_the_status_asks_for_all() -> None:
@@ -150,6 +176,28 @@
         assert exit_status([caught, Result(LOWER, verdict)]) == (0 if verdict is Verdict.CAUGHT else 1)
 
 
+TESTS_WITH_FIXTURE = """
+import pytest
+from limits import allowed
+
+
+@pytest.fixture
+def limit() -> None:
+    assert not allowed(4)
+
+
+def test_something(limit: None) -> None:
+    pass
+"""
+
+
+def test_a_fixture_that_fails_catches_a_mutant_too(checkout: Path) -> None:
+    (checkout / "tests" / "test_limits.py").write_text(TESTS_WITH_FIXTURE)
+    (result,) = _run(checkout, UPPER)
+    assert result.verdict is Verdict.CAUGHT
+    assert result.detail == "tests/test_limits.py::test_something"
+
+
 def test_a_replacement_that_changes_nothing_is_outdated() -> None:
     same = Mutant("same", "limits.py", "LIMIT = 3", "LIMIT = 3", ("tests",), "Nothing.")
     with pytest.raises(OutdatedMutantError):
