--- a/reedspoke/data_plane/answers.py
+++ b/reedspoke/data_plane/answers.py
@@ -9,6 +9,7 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.data_plane.headers import status_line
+from reedspoke.decision.messages import Fail, FailReason, Refuse
 
 
 class WholeAnswer(Struct, frozen=True):
@@ -31,3 +32,37 @@
 def format_seconds(seconds: float) -> bytes:
     """Seconds rounded up to hundredths."""
     return f"{math.ceil(seconds * 100) / 100:.2f}".encode()
+
+
+# ---- final answers to requests without one of a worker: 503 promises that it has not run, 502 and 504 don't
+
+
+def refused(decision: Refuse) -> WholeAnswer:
+    """No worker took it, or it is harmless to repeat."""
+    message = f"not served: {decision.reason.name.lower()}"
+    return own_answer(503, ErrorCode.OVERLOADED, message, decision.retry_after_s)
+
+
+def failed(decision: Fail) -> WholeAnswer:
+    """Its last attempt may have run."""
+    code = ErrorCode.RETRY_BUDGET if decision.reason is FailReason.BUDGET else ErrorCode.WORKER_FAILED
+    return own_answer(502, code, "the worker failed")
+
+
+def worker_failed() -> WholeAnswer:
+    """The worker's answer cannot be passed on."""
+    return own_answer(502, ErrorCode.WORKER_FAILED, "the worker failed")
+
+
+def expired(*, ran: bool) -> WholeAnswer:
+    """Its time is over."""
+    if ran:
+        return own_answer(504, ErrorCode.DEADLINE, "no answer in time")
+    return own_answer(503, ErrorCode.DEADLINE, "no worker in time", 0.0)
+
+
+def process_ends(*, ran: bool) -> WholeAnswer:
+    """This process ends first."""
+    if ran:
+        return own_answer(502, ErrorCode.SHUTTING_DOWN, "the scheduler ends")
+    return own_answer(503, ErrorCode.SHUTTING_DOWN, "the scheduler ends", 0.0)
--- a/reedspoke/data_plane/attempt.py
+++ b/reedspoke/data_plane/attempt.py
@@ -16,6 +16,7 @@
     worker: WorkerEntry
     number: int
     urgency: int | None
+    version_asked: bool
     sent_at: float
     heard_at: float
     started: bool = False  # its first event or its body has begun
@@ -29,7 +30,7 @@
 
     def evidence(self, ending: Ending) -> Evidence:
         """What was seen of it, now that it has ended so."""
-        return Evidence(ending, self.bytes_sent, self.status, self.not_executed)
+        return Evidence(ending, self.bytes_sent, self.status, self.not_executed, self.version_asked)
 
 
 def may_pass(status: int) -> bool:
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -28,6 +28,7 @@
     Upstream,
     WorkerEntry,
 )
+from reedspoke.decision.overdue import overdue_ends
 from reedspoke.decision.silence import attempts_to_give_up
 
 WATCH_INTERVAL_S = 0.1  # between two looks for silent workers and deadlines
@@ -132,13 +133,14 @@
         """The first event of an attempt has come."""
         self._apply(self._dispatcher.attempt_started(exchange.job.job_id, self._loop.time()))
 
-    def attempt_ended(self, exchange: Exchange, evidence: Evidence, output_tokens: int) -> None:
-        """An attempt has ended, other than by the client's leaving."""
-        end = AttemptEnd(outcome_of(evidence), cause_of(evidence), output_tokens)
+    def attempt_ended(self, exchange: Exchange, evidence: Evidence) -> None:
+        """An attempt has ended, other than by being called off."""
+        end = AttemptEnd(outcome_of(evidence), cause_of(evidence))
         self._apply(self._dispatcher.attempt_ended(exchange.job.job_id, end, self._loop.time()))
 
-    def client_left(self, exchange: Exchange) -> None:
-        """The client has gone before its answer was whole; an attempt that was out has been called off."""
+    def called_off(self, exchange: Exchange) -> None:
+        """The answer will not be whole, as the client has gone or the stream can't be resumed. An attempt
+        that was out has been called off."""
         job_id = exchange.job.job_id
         if self._exchanges.pop(job_id, None) is None:
             return
@@ -191,21 +193,23 @@
     def _look_after(self) -> None:
         self._watch = None
         now = self._loop.time()
-        for overdue in [item for item in self._exchanges.values() if item.is_overdue(now)]:
-            self._end_overdue(overdue, now)
         attempts = [attempt for item in self._exchanges.values() if (attempt := item.open_attempt())]
+        for expired in overdue_ends(attempts, now):
+            self._end_overdue(expired, now)
         for job_id in attempts_to_give_up(attempts, self._heard_from, now):
             exchange = self._exchanges.get(job_id)
             if exchange is not None:
                 exchange.give_up_attempt()
         self._watch_later()
 
-    def _end_overdue(self, exchange: Exchange, now: float) -> None:
-        """The worker should have ended it by now; it may have run."""
-        job_id = exchange.job.job_id
-        exchange.expire(Expire(job_id, ran=True))
-        self._apply(self._dispatcher.job_gone(job_id, now))
-        self._apply(self._dispatcher.attempt_ended(job_id, AttemptEnd(Outcome.CANCELLED), now))
+    def _end_overdue(self, expired: Expire, now: float) -> None:
+        exchange = self._exchanges.get(expired.job_id)
+        if exchange is None:
+            return
+        exchange.expire(expired)
+        self._apply(self._dispatcher.job_gone(expired.job_id, now))
+        end = AttemptEnd(Outcome.CANCELLED)
+        self._apply(self._dispatcher.attempt_ended(expired.job_id, end, now))
 
 
 def _upstream(configured: ConfiguredUpstream) -> Upstream:
--- a/reedspoke/data_plane/headers.py
+++ b/reedspoke/data_plane/headers.py
@@ -16,6 +16,7 @@
 RESPONSE_SEAL = b"reedspoke-response-seal"
 NOT_EXECUTED = b"reedspoke-not-executed"
 LAST_EVENT_ID = b"last-event-id"
+EXPECT_VERSION = b"expect-version"
 PRIORITY = b"priority"
 
 # Fields that concern one connection only (RFC 9110, 7.6.1), and those that are written anew.
--- a/reedspoke/data_plane/upstream_pool.py
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -29,6 +29,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._listed: frozenset[str] | None = None  # workers on the list; None: no list has come yet
         self.most_idle: dict[str, int] = {}  # by instance id, where it is less than MOST_IDLE
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -66,9 +67,12 @@
         return UpstreamConnection(self._loop)
 
     def give_back(self, instance_id: str, connection: UpstreamConnection) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Keep a connection whose answer was read whole, or that was never used."""
         if not connection.open:
             return
+        if self._listed is not None and instance_id not in self._listed:
+            connection.close()
+            return
         idle = self._idle.setdefault(instance_id, [])
         if len(idle) >= self.most_idle.get(instance_id, MOST_IDLE):
             connection.close()
@@ -82,6 +86,7 @@
 
     def retain(self, instance_ids: frozenset[str]) -> None:
         """Forget all workers but these, and connections whose time is over."""
+        self._listed = instance_ids
         for instance_id in list(self._idle):
             if instance_id not in instance_ids:
                 self.forget(instance_id)
--- /dev/null
+++ b/reedspoke/data_plane/upstream_request.py
@@ -0,0 +1,45 @@
+"""A client's request as it goes to a worker."""
+
+from __future__ import annotations
+
+from reedspoke.data_plane.client_connection import ClientRequest
+from reedspoke.data_plane.headers import (
+    ATTEMPT_ID,
+    EXPECT_VERSION,
+    LAST_EVENT_ID,
+    forwarded_request_fields,
+    text_of,
+)
+
+WITHOUT_LENGTH = (b"GET", b"HEAD")  # methods whose empty body needs no length
+
+
+class UpstreamRequest:
+    """What all attempts of one request have in common."""
+
+    def __init__(self, request: ClientRequest) -> None:
+        self.attempt_id = text_of(request.head, ATTEMPT_ID)
+        self.last_event_id = text_of(request.head, LAST_EVENT_ID)
+        self.head_only = request.head.method == b"HEAD"
+        self.version_asked = request.head.get(EXPECT_VERSION) is not None
+        self._request = request
+        self._fields = forwarded_request_fields(request.head)
+
+    def render(self, instance_id: str, left_ms: int, last_event_id: str, urgency: int | None) -> bytes:
+        """The bytes for one worker."""
+        head, body = self._request.head, self._request.body
+        lines = [
+            b"%b %b HTTP/1.1\r\n" % (head.method, bytes(head.target)),
+            self._fields,
+            b"Reedspoke-Deadline-Ms: %d\r\n" % left_ms,
+            b"Reedspoke-Target-Instance: %b\r\n" % instance_id.encode(),
+        ]
+        if last_event_id:
+            lines.append(b"Last-Event-Id: %b\r\n" % last_event_id.encode("latin-1"))
+        if urgency is not None:
+            lines.append(b"Priority: %d\r\n" % urgency)
+        if body or head.method not in WITHOUT_LENGTH:
+            lines.append(b"Content-Length: %d\r\n" % len(body))
+        lines.append(b"\r\n")
+        lines.append(body)
+        return b"".join(lines)
--- a/reedspoke/decision/attempt_fate.py
+++ b/reedspoke/decision/attempt_fate.py
@@ -40,6 +40,17 @@
     bytes_sent: bool  # whether any byte of the request may have left
     status: int = 0  # of the answer's head; 0: none came
     not_executed: bool = False  # Reedspoke-Not-Executed stands in the head
+    version_asked: bool = False  # the request names the weights that it wants: a 421 may be about these
+
+    @property
+    def refused(self) -> bool:
+        """Whether the worker said that it has not run the request. A success that says so proves nothing."""
+        return self.status == STATUS_WRONG_INSTANCE or self.not_executed and self.status >= LEAST_REFUSAL
+
+
+LEAST_REFUSAL = 400
+STATUS_WRONG_INSTANCE = 421
+STATUS_FULL = 503
 
 
 class FinalStatus(Enum):
@@ -57,15 +68,11 @@
     RESUMED = auto()  # from the last event on, with Last-Event-Id
 
 
-STATUS_WRONG_INSTANCE = 421
-STATUS_FULL = 503
-
-
 def fate_of(evidence: Evidence) -> Fate:
     """The fate that the evidence proves; MAY_HAVE_RUN unless it proves more."""
     if not evidence.bytes_sent:
         return Fate.NEVER_RAN
-    if evidence.not_executed or evidence.status == STATUS_WRONG_INSTANCE:
+    if evidence.refused:
         return Fate.NEVER_RAN
     if evidence.ending is Ending.COMPLETE and evidence.status:
         return Fate.ANSWERED
@@ -100,15 +107,20 @@
 
 def cause_of(evidence: Evidence) -> Cause:
     """What the evidence says of the worker."""
-    if evidence.status == STATUS_WRONG_INSTANCE:
+    if is_wrong_instance(evidence):
         return Cause.WRONG_INSTANCE
-    if evidence.not_executed:
+    if evidence.refused:
         return Cause.FULL if evidence.status == STATUS_FULL else Cause.NONE
     if evidence.ending is Ending.COMPLETE:
         return Cause.BAD_ANSWER if evidence.status >= 500 else Cause.NONE
     return CAUSES[evidence.ending]
 
 
+def is_wrong_instance(evidence: Evidence) -> bool:
+    """Whether another worker answers at the address."""
+    return evidence.status == STATUS_WRONG_INSTANCE and not evidence.version_asked
+
+
 OUTCOMES = {
     Fate.NEVER_RAN: Outcome.NOT_EXECUTED,
     Fate.MAY_HAVE_RUN: Outcome.FAILED,
--- a/reedspoke/decision/silence.py
+++ b/reedspoke/decision/silence.py
@@ -31,6 +31,8 @@
     sent_at: float
     heard_at: float  # of this attempt; `sent_at` where nothing has come
     deadline: float
+    connected: bool = True  # its request has been sent; else the connection is still coming up
+    may_have_run: bool = True  # this attempt, or one before it
 
 
 def attempts_to_give_up(
@@ -44,7 +46,7 @@
 
 
 def _is_lost(attempt: OpenAttempt, heard_from: dict[str, float], now: float) -> bool:
-    if attempt.repeat is Repeat.NEVER:
+    if attempt.repeat is Repeat.NEVER or not attempt.connected:
         return False
     limit = patience(attempt)
     if now - attempt.heard_at < limit:
--- /dev/null
+++ b/tests/data_plane/test_attempts_connections.py
@@ -0,0 +1,235 @@
+"""Connections to workers around attempts: early answers, answers without an id, addresses used again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.data_plane.wire import HIGH_WATER, chunked, event
+from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, Arrival, World
+
+Worlds = Callable[..., World]
+LARGE = b"x" * (HIGH_WATER + 1)
+LARGE_LIMITS = {"max_header_bytes": 2048, "max_body_bytes": 4 * len(LARGE)}
+
+
+@pytest.fixture
+def single(worlds: Worlds) -> World:
+    """A world with one worker, so that connections are used again."""
+    return worlds(workers=1)
+
+
+def answered(world: World, attempt_id: str, path: str = ONCE) -> Arrival:
+    """A request that was answered whole."""
+    client = world.asked(path, attempt_id)
+    arrival = world.arrival()
+    arrival.worker.say(arrival.whole(f"to {attempt_id}".encode()))
+    assert client.answer().body == f"to {attempt_id}".encode()
+    return arrival
+
+
+def unnamed(status: str, *fields: str) -> bytes:
+    """An answer of a worker that does not say which request it belongs to."""
+    lines = "".join(f"{field}\r\n" for field in ("Content-Length: 0", *fields))
+    return f"HTTP/1.1 {status}\r\n{lines}\r\n".encode()
+
+
+# ---- early answers ----
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_connection_with_a_request_that_has_not_left_is_not_used_again(
+    worlds: Worlds, refused: bool
+) -> None:
+    """The worker answered before it read the body, and reads on later: it gets the rest of it or nothing."""
+    world = worlds(workers=1, limits=LARGE_LIMITS)
+    client = world.client()
+    first = answered(world, "a0")
+    first.worker.transport.stop_taking()
+    client.ask(ONCE, "a1", LARGE)
+    early = world.arrival()
+    assert early.worker is first.worker
+    early.worker.say(early.full() if refused else early.whole(b"early"))
+    assert client.answer().status == (503 if refused else 200)
+    written = bytes(first.worker.transport.written)
+    assert first.worker.over
+    world.run_for(5)
+    assert answered(world, "a2").worker is not first.worker
+    assert bytes(first.worker.transport.written) == written
+
+
+# ---- answers that name no request ----
+
+PROOFS = [
+    ("503 Service Unavailable", "Reedspoke-Not-Executed: 1"),
+    ("429 Too Many Requests", "Reedspoke-Not-Executed: 1"),
+    ("421 Misdirected Request",),
+]
+
+
+@pytest.mark.parametrize("proof", PROOFS)
+def test_a_proof_that_may_be_about_an_earlier_request_proves_nothing(
+    worlds: Worlds, proof: list[str]
+) -> None:
+    world = worlds(workers=1)
+    first = answered(world, "a1")
+    client = world.asked(ONCE, "a2")
+    second = world.arrival()
+    assert second.worker is first.worker
+    world.set_workers(["i-1", "i-2"])
+    second.worker.say(unnamed(*proof))
+    assert client.answer().status == 502
+    assert len(world.arrivals) == 2, "it was not sent a second time"
+    assert second.worker.over
+
+
+@pytest.mark.parametrize("proof", PROOFS)
+def test_on_a_new_connection_a_proof_can_only_be_about_its_request(world: World, proof: list[str]) -> None:
+    client = world.asked(ONCE)
+    world.arrival().worker.say(unnamed(*proof))
+    assert len(world.arrivals) == 2
+    world.arrival().worker.say(world.arrival().whole())
+    assert client.answer().body == b"the answer"
+
+
+def test_an_error_that_names_no_request_is_that_of_the_first_request(world: World) -> None:
+    client = world.asked(ONCE)
+    world.arrival().worker.say(unnamed("500 Internal Server Error"))
+    assert client.answer().status == 500
+
+
+def test_a_success_that_says_that_it_never_ran_is_not_sent_again(world: World) -> None:
+    client = world.asked(ONCE)
+    arrival = world.arrival()
+    arrival.worker.say(arrival.whole(Reedspoke_Not_Executed="1"))
+    assert len(world.arrivals) == 1
+    assert client.answer().status == 200
+
+
+# ---- addresses that are used again ----
+
+
+def test_all_connections_to_an_address_that_another_worker_has_are_closed(single: World) -> None:
+    clients = [single.asked(ONCE, f"a{number}") for number in range(2)]
+    idle, second = single.arrivals
+    idle.worker.say(idle.whole())
+    second.worker.say(second.wrong_instance())
+    single.run_for(3)
+    assert clients[1].answer().status == 503
+    assert idle.worker.over
+    assert second.worker.over
+    refused = single.asked(ONCE, "a9")
+    single.run_for(3)
+    assert refused.answer().status == 503
+    assert len(single.arrivals) == 2, "nothing more is sent there while the list has not changed"
+
+
+def test_a_421_to_a_request_that_names_its_weights_says_nothing_of_the_instance(single: World) -> None:
+    client = single.asked(ONCE, Expect_Version="7")
+    single.arrival().worker.say(single.arrival().wrong_instance())
+    assert client.answer().status == 503
+    answered(single, "a2")
+
+
+def test_a_connection_that_comes_up_for_a_worker_that_left_the_list_is_not_kept(single: World) -> None:
+    single.network.plan = ["slow"]
+    single.asked(ONCE).leave()
+    single.set_workers(["i-2"])
+    single.run_for(2)
+    (end,) = single.network.connections
+    assert end.over
+
+
+# ---- ends that promise ----
+
+
+def test_what_was_never_sent_by_its_deadline_is_promised_not_to_run(single: World) -> None:
+    single.network.plan = ["hang"]
+    client = single.asked(ONCE, Reedspoke_Deadline_Ms="400")
+    single.run_for(0.7)
+    assert client.answer().status == 503
+    assert single.arrivals == []
+    assert single.settled()
+
+
+def test_what_was_sent_and_is_silent_at_its_deadline_gets_no_promise(single: World) -> None:
+    client = single.asked(ONCE, Reedspoke_Deadline_Ms="400")
+    single.run_for(0.7)
+    assert client.answer().status == 504
+    assert len(single.arrivals) == 1
+
+
+@pytest.mark.parametrize("path", [ONCE, STREAM])
+def test_at_the_end_of_the_process_only_what_may_have_run_gets_no_promise(worlds: Worlds, path: str) -> None:
+    world = worlds(workers=1)
+    ran = world.asked(path, "a1")
+    world.network.plan = ["hang"]
+    connecting = world.asked(path, "a2")
+    world.forwarder.break_off_all()
+    world.loop.settle()
+    assert (ran.answer().status, connecting.answer().status) == (502, 503)
+
+
+def test_a_proven_refusal_before_the_end_of_the_process_leaves_the_promise(worlds: Worlds) -> None:
+    world = worlds(workers=2)
+    client = world.asked(ONCE)
+    world.network.plan = ["hang"]
+    world.arrival().worker.say(world.arrival().full())
+    world.forwarder.break_off_all()
+    world.loop.settle()
+    assert client.answer().status == 503
+
+
+# ---- streams ----
+
+
+def test_a_stream_whose_events_have_no_id_is_not_gone_on_with(world: World) -> None:
+    """Another run would begin with the first event again."""
+    client = world.asked(RESUME)
+    first = world.arrival()
+    first.worker.say(first.stream_head() + chunked(b"data: one\n\n", last=False))
+    first.worker.reset()
+    assert client.answer().body == b"data: one\n\n"
+    assert not client.answer().whole
+    assert client.broken_off
+    assert len(world.arrivals) == 1
+    assert world.settled()
+
+
+def test_a_stream_without_a_length_is_whole_at_its_end(world: World) -> None:
+    client = world.asked(STREAM)
+    arrival = world.arrival()
+    arrival.worker.say(b"HTTP/1.1 200 OK\r\n" + arrival.fields() + b"\r\n" + event(1) + event(2))
+    assert not client.answer().whole
+    arrival.worker.end()
+    assert (client.answer().body, client.answer().whole) == (event(1) + event(2), True)
+
+
+@pytest.mark.parametrize("path", [STREAM, RESUME])
+def test_a_stream_without_a_length_that_is_reset_is_not_whole(world: World, path: str) -> None:
+    client = world.asked(path)
+    arrival = world.arrival()
+    arrival.worker.say(b"HTTP/1.1 200 OK\r\n" + arrival.fields() + b"\r\n" + event(1))
+    arrival.worker.reset()
+    assert not client.answer().whole
+    assert len(world.arrivals) == (2 if path == RESUME else 1)
+
+
+@pytest.mark.parametrize("path", [STREAM, RESUME])
+def test_a_stream_without_a_length_that_ends_inside_an_event_is_not_whole(world: World, path: str) -> None:
+    client = world.asked(path)
+    arrival = world.arrival()
+    arrival.worker.say(b"HTTP/1.1 200 OK\r\n" + arrival.fields() + b"\r\n" + event(1) + event(2)[:-4])
+    arrival.worker.end()
+    assert (client.answer().body, client.answer().whole) == (event(1), False)
+    assert len(world.arrivals) == (2 if path == RESUME else 1)
+
+
+def test_a_first_line_that_is_none_is_told_before_its_head_ends(world: World) -> None:
+    client = world.asked(AGAIN)
+    first = world.arrival()
+    first.worker.say(b"HTTP/1.1 nonsense\r\n")
+    assert first.worker.over
+    world.arrival().worker.say(world.arrival().whole())
+    assert client.answer().status == 200
--- a/tests/data_plane/wire.py
+++ b/tests/data_plane/wire.py
@@ -77,6 +77,9 @@
                 self.protocol.pause_writing()
         self.on_write()
 
+    def get_write_buffer_size(self) -> int:
+        return 0 if self._taken else self._waiting
+
     def pause_reading(self) -> None:
         self.reads_paused = True
 
