--- /dev/null
+++ b/tests/data_plane/loopback.py
@@ -0,0 +1,219 @@
+"""A data plane in this process between real sockets: workers that follow a script, and a client."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from msgspec import Struct, field
+
+from reedspoke.cluster.configuration import parse_configuration
+from reedspoke.cluster.messages import WorkerEntry, WorkerList
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.data_plane.client_connection import ClientConnection
+from reedspoke.data_plane.forwarder import Forwarder
+from reedspoke.data_plane.route_table import RouteTable
+from reedspoke.data_plane.upstream_pool import ConnectResult, UpstreamPool
+from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
+from tests.data_plane.wire import SeenAnswer, SeenRequest, chunked, events, read_answers, read_requests
+from tests.data_plane.world import HOST, KINDS, SEAL, Frontend, request_bytes
+
+AIM_MS = 100
+LAST_EVENT = 3  # of every whole stream
+CLIENT_WAITS_S = 8.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
+STREAMING = ("/stream/", "/resume/")
+
+
+class WorkerSide:
+    """A worker's end of a connection on which a request has come."""
+
+    def __init__(self, writer: asyncio.StreamWriter, request: SeenRequest) -> None:
+        self._writer = writer
+        self.request = request
+        self.attempt_id = request.get("reedspoke-attempt-id") or ""
+        self.streaming = request.target.startswith(STREAMING)
+
+    def say(self, data: bytes) -> None:
+        self._writer.write(data)
+
+    def close(self) -> None:
+        """Write no more: what was written arrives, then the end."""
+        self._writer.close()
+
+    def half_close(self) -> None:
+        """Write no more, and go on reading."""
+        self._writer.write_eof()
+
+    def reset(self) -> None:
+        raw = self._writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._writer.transport.abort()
+
+    def head(self, status: str = "200 OK", *more: str, seal: bool = True) -> bytes:
+        """A head without the fields that tell the body's length."""
+        lines = [f"HTTP/1.1 {status}", f"Reedspoke-Attempt-Id: {self.attempt_id}", *more]
+        if seal:
+            lines.append(f"Reedspoke-Response-Seal: {SEAL}")
+        return "\r\n".join([*lines, ""]).encode()
+
+    def whole(self, status: str = "200 OK", body: bytes = b"why", *more: str, seal: bool = True) -> bytes:
+        return self.head(status, *more, seal=seal) + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+    def success(self) -> bytes:
+        """The whole answer that this request is to get: a stream goes on where it was left."""
+        if not self.streaming:
+            return self.whole(body=b"the answer")
+        first = int(self.request.get("last-event-id") or 0) + 1
+        return self.head() + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(events(first, LAST_EVENT))
+
+    def body(self) -> bytes:
+        """The whole body of a first answer."""
+        return events(1, LAST_EVENT) if self.streaming else b"the answer"
+
+
+Script = Callable[[WorkerSide], Awaitable[None]]
+
+
+class RedirectedPool(UpstreamPool):
+    """Leads the first connection elsewhere, and calls `came_up` on each one before it is used."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.first_address: str | None = None
+        self.came_up: Callable[[], None] = lambda: None
+
+    async def _open(self, address: str) -> ConnectResult:
+        address, self.first_address = self.first_address or address, None
+        result = await super()._open(address)
+        self.came_up()
+        return result
+
+
+class Loopback(Struct, eq=False):
+    """A data plane with workers. The first request follows the script, later ones are answered."""
+
+    pool: RedirectedPool
+    forwarder: Forwarder
+    frontend: Frontend
+    script: Script
+    requests: list[SeenRequest] = field(default_factory=list)
+    servers: list[asyncio.Server] = field(default_factory=list)
+    address: tuple[str, int] = ("", 0)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def serve_worker(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raw, known = b"", 0
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        try:
+            while piece := await reader.read(65536):
+                raw += piece
+                for request in read_requests(raw)[known:]:
+                    known += 1
+                    await self.answer(WorkerSide(writer, request))
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def answer(self, side: WorkerSide) -> None:
+        self.requests.append(side.request)
+        if len(self.requests) == 1:
+            await self.script(side)
+        else:
+            side.say(side.success())
+
+    async def ask(self, path: str, attempt_id: str = "a1", **more: str) -> SeenAnswer | None:
+        """What a client of its own gets; None where its connection ends without any byte."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(request_bytes(path, attempt_id, b"the question", Connection="close", **more))
+        raw = b""
+        try:
+            async with asyncio.timeout(CLIENT_WAITS_S):
+                while piece := await reader.read(65536):
+                    raw += piece
+        except ConnectionError:
+            pass
+        writer.transport.abort()
+        answers = read_answers(raw)
+        assert len(answers) <= 1, answers
+        return answers[0] if answers else None
+
+    def close(self) -> None:
+        self.forwarder.break_off_all()
+        for server in self.servers:
+            server.close()
+        for task in self.tasks:
+            task.cancel()
+
+
+def configuration() -> bytes:
+    routes = [
+        {
+            "name": f"r{prefix.strip('/')}",
+            "hostname": HOST,
+            "path_prefix": prefix,
+            "timeout_ms": 20_000,
+            "target_ms": AIM_MS,
+            "upstream": "u1",
+            "max_attempts": 3,
+        }
+        | kind
+        for prefix, kind in KINDS.items()
+    ]
+    return json.dumps({"generation": 1, "routes": routes, "upstreams": [{"name": "u1"}]}).encode()
+
+
+async def start(script: Script, workers: int) -> Loopback:
+    """A data plane that has run for long."""
+    loop = asyncio.get_running_loop()
+    started = loop.time() - 500
+    budget = BudgetRule(window_s=10, ratio=0.2, slack=50)
+    dispatcher = Dispatcher(zone="za", budget=budget, started=started)
+    dispatcher.fleet_size(1, started)
+    pool = RedirectedPool(loop)
+    forwarder = Forwarder(loop, pool, dispatcher)
+    made = Loopback(pool, forwarder, Frontend(forwarder), script)
+    parsed = parse_configuration(configuration())
+    made.frontend.routes = RouteTable(parsed, (1, 0))
+    forwarder.configure(parsed)
+    entries = []
+    for number in range(workers):
+        server = await asyncio.start_server(made.serve_worker, "127.0.0.1", 0)
+        made.servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        entries.append(WorkerEntry(f"i-{number}", "u1", f"127.0.0.1:{port}", "za", "v1", 8, False))
+    forwarder.set_workers(WorkerList((1, 0), tuple(entries)))
+    front = await loop.create_server(lambda: ClientConnection(made.frontend, loop), "127.0.0.1", 0)
+    made.servers.append(front)
+    made.address = front.sockets[0].getsockname()
+    return made
+
+
+class DeafListener:
+    """A port at which connections come up, or none does, and nobody reads."""
+
+    def __init__(self, *, full: bool = False) -> None:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0 if full else 8)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self._waiting = [self._connection() for _ in range(3)] if full else []
+
+    def _connection(self) -> socket.socket:
+        client = socket.socket()
+        client.setblocking(False)
+        client.connect_ex(split_address(self.address))
+        return client
+
+    def close(self) -> None:
+        """Connections that nobody has accepted are reset."""
+        self._listener.close()
+        for client in self._waiting:
+            client.close()
--- a/tests/data_plane/test_attempts_connections.py
+++ b/tests/data_plane/test_attempts_connections.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.data_plane.wire import HIGH_WATER, chunked, event
-from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, Arrival, World
+from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, TIMEOUT_S, Arrival, World
 
 Worlds = Callable[..., World]
 LARGE = b"x" * (HIGH_WATER + 1)
@@ -141,6 +141,47 @@
     assert end.over
 
 
+# ---- workers out of reach, and workers that leave ----
+
+
+@pytest.mark.parametrize("path", [ONCE, STREAM])
+def test_bytes_that_are_not_acknowledged_in_time_are_no_proof(world: World, path: str) -> None:
+    """So a connection ends whose worker was cut off: the system gives up with ETIMEDOUT."""
+    client = world.asked(path)
+    world.arrival().worker.transport.arrive_timeout()
+    world.run_for(TIMEOUT_S + 1)
+    assert client.answer().status == 502
+    assert len(world.arrivals) == 1
+
+
+@pytest.mark.parametrize("path", [ONCE, STREAM])
+def test_a_silent_worker_keeps_an_unsafe_request_until_its_deadline_and_nobody_else_gets_it(
+    world: World, path: str
+) -> None:
+    client = world.asked(path)
+    world.run_for(TIMEOUT_S - 0.5)
+    assert client.answers() == []
+    world.run_for(1)
+    assert client.answer().status == 504
+    assert len(world.arrivals) == 1
+
+
+@pytest.mark.parametrize("path", [ONCE, AGAIN, STREAM, RESUME])
+@pytest.mark.parametrize("listed", [["i-9"], []])
+def test_a_request_under_way_at_a_worker_that_leaves_the_list_is_answered_there(
+    worlds: Worlds, path: str, listed: list[str]
+) -> None:
+    world = worlds(workers=1)
+    client = world.asked(path)
+    arrival = world.arrival()
+    world.set_workers(listed)
+    world.run_for(1)
+    assert len(world.arrivals) == 1
+    arrival.worker.say(arrival.whole(event(1)))
+    assert (client.answer().status, client.answer().body) == (200, event(1))
+    assert arrival.worker.over, "its connection is not kept"
+
+
 # ---- ends that promise ----
 
 
--- a/tests/data_plane/wire.py
+++ b/tests/data_plane/wire.py
@@ -113,6 +113,10 @@
         """The other end resets the connection."""
         self.loop.call_soon(self._reset)
 
+    def arrive_timeout(self) -> None:
+        """The system gives the connection up, as nothing that was sent is acknowledged."""
+        self.loop.call_soon(self._lose, TimeoutError())
+
     def stop_taking(self) -> None:
         """The other end reads no more."""
         self._taken = False
