The last answer on a connection arrives, also where unread bytes stand behind it

Cause: a client connection that was refused (413, 431, 400, 408), or whose last request had bytes behind it, was closed with bytes unread; the reset that follows destroyed the answer. In the operators' server the same befell answers with Connection: close, what a refused client sent was read without a bound, and a request that a client had sent behind another was run after it had left. Ruled out: to read all away before the answer: it would come late, and at the pace of the client. Change: both half-close and read away what comes, 16 MiB and 1 s (operators: 2 s) at most. Where nothing is unread a client connection is closed at once, as before.

--- a/reedspoke/control_plane/http_server.py
+++ b/reedspoke/control_plane/http_server.py
@@ -18,6 +18,8 @@
 IDLE_S = 30.0
 REQUEST_S = 10.0  # a request has to be whole by then
 SWEEP_S = 2.0
+LINGER_S = 2.0  # what a client still sends after its last answer is read and forgotten for so long,
+MOST_DISCARDED = 2 * MOST_BODY  # and so much of it: a reset at once could destroy that answer
 
 REASONS = {
     200: "OK",
@@ -65,6 +67,7 @@
         self._connections: set[HttpConnection] = set()
         self._server: asyncio.Server | None = None
         self._loop = asyncio.get_running_loop()
+        self._next_sweep: asyncio.TimerHandle | None = None
 
     async def listen(self, address: str) -> None:
         """Open the port at `ip:port`."""
@@ -76,6 +79,8 @@
         """End the server and all connections."""
         if self._server is not None:
             self._server.close()
+        if self._next_sweep is not None:
+            self._next_sweep.cancel()
         for connection in list(self._connections):
             connection.abort()
 
@@ -95,7 +100,7 @@
         for connection in list(self._connections):
             if connection.overdue(now):
                 connection.abort()
-        self._loop.call_later(SWEEP_S, self._sweep)
+        self._next_sweep = self._loop.call_later(SWEEP_S, self._sweep)
 
 
 class HttpConnection(asyncio.BufferedProtocol):
@@ -109,7 +114,8 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._loop = asyncio.get_running_loop()
-        self._discarding = False  # the rest of a refused request is read and forgotten, or the answer is lost
+        self._discarding = False  # the last answer is written; what still comes is read and forgotten
+        self._discarded = 0  # bytes
         self._since = self._loop.time()  # of the request that is coming in, or of the last answer
 
     # ---- called by asyncio ----
@@ -124,6 +130,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._discarding:
+            self._discard(nbytes)
             return
         if len(self._buffer) == 0 and self._head is None:
             self._since = self._loop.time()
@@ -135,6 +142,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._server.ended(self)
+        self._transport = None  # requests that came behind are not run: nobody waits for their answers
         if self._task is not None:
             self._task.cancel()
 
@@ -144,8 +152,7 @@
         """Whether the connection has been idle, or a request incomplete, for too long."""
         if self._task is not None:
             return False
-        incomplete = self._discarding or self._head is not None or len(self._buffer) > 0
-        return now - self._since > (REQUEST_S if incomplete else IDLE_S)
+        return now - self._since > self._patience()
 
     def abort(self) -> None:
         """End the connection at once."""
@@ -154,6 +161,12 @@
 
     # ---- inside ----
 
+    def _patience(self) -> float:
+        if self._discarding:
+            return LINGER_S
+        incomplete = self._head is not None or len(self._buffer) > 0
+        return REQUEST_S if incomplete else IDLE_S
+
     def _advance(self) -> None:
         """Go on with the bytes at hand until a request is whole."""
         if self._task is not None or self._transport is None:
@@ -200,19 +213,26 @@
             return
         transport.write(_head_bytes(response, keep) + response.body)
         self._since = self._loop.time()
-        if self._discarding:
-            transport.write_eof()
-            return
         if not keep:
-            transport.close()
+            self._end_writing(transport)
             return
         self._buffer.recycle()
         transport.resume_reading()
         if len(self._buffer):
             self._loop.call_soon(self._advance)
 
-    def _refuse(self, error: MalformedError) -> None:
+    def _end_writing(self, transport: asyncio.Transport) -> None:
+        """The client ends the connection when it has read its answer."""
         self._discarding = True
+        transport.write_eof()
+        transport.resume_reading()
+
+    def _discard(self, count: int) -> None:
+        self._discarded += count
+        if self._discarded > MOST_DISCARDED:
+            self.abort()
+
+    def _refuse(self, error: MalformedError) -> None:
         self._write(Response(error.status, self._server.error_body(error.status, str(error))), keep=False)
 
 
--- a/reedspoke/data_plane/client_connection.py
+++ b/reedspoke/data_plane/client_connection.py
@@ -22,6 +22,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 60_000.0
 BODY_TIMEOUT_S = 30.0
 MOST_UNREAD_BEHIND = 64 * 1024  # bytes that may come behind a request before its answer has ended
+LINGER_S = 1.0  # what a client still sends after its last answer is read and forgotten for so long,
+MOST_DISCARDED = 16 * 1024 * 1024  # and so much of it: a reset at once could destroy that answer
 
 
 class ClientRequest(Struct, frozen=True):
@@ -54,7 +56,8 @@
 
 
 class ClientConnection(asyncio.BufferedProtocol):
-    """States: waiting for a request, reading one, answering one. What comes behind it waits in the buffer."""
+    """States: waiting for a request, reading one, answering one, and, where unread bytes are left behind the
+    last answer, discarding them. What comes behind a request waits in the buffer."""
 
     def __init__(self, frontend: Frontend, loop: asyncio.AbstractEventLoop) -> None:
         self._frontend = frontend
@@ -70,6 +73,9 @@
         self._older = False  # the request is of HTTP/1.0: its client knows no chunks
         self._head_only = False  # it is a HEAD: its answer has no body
         self._head_begun = False  # the time limit for a head runs from its first bytes
+        self._refused = False  # the rest of the request that was refused is still on its way
+        self._discarding = False
+        self._discarded = 0  # bytes
         self._timer: asyncio.TimerHandle | None = None
 
     # ---- asyncio ----
@@ -87,6 +93,9 @@
         return self._buffer.room()
 
     def buffer_updated(self, nbytes: int) -> None:
+        if self._discarding:
+            self._discard(nbytes)
+            return
         self._buffer.filled(nbytes)
         if self._answering:
             if len(self._buffer) > MOST_UNREAD_BEHIND and self._transport is not None:
@@ -118,7 +127,8 @@
 
     def is_idle(self) -> bool:
         """Whether nothing of a request has been read."""
-        return self._head is None and not self._answering and not len(self._buffer)
+        reading = self._head is not None or len(self._buffer) > 0
+        return not (reading or self._answering or self._discarding)
 
     def _read(self) -> None:
         try:
@@ -171,7 +181,7 @@
             self._transport.write(CONTINUE)
 
     def _refuse_malformed(self, error: MalformedError) -> None:
-        self._answering = True
+        self._answering = self._refused = True
         self._keep_alive = self._head_only = False
         too_large = error.status in (413, 431)
         code = ErrorCode.REQUEST_TOO_LARGE if too_large else ErrorCode.MALFORMED_REQUEST
@@ -240,7 +250,7 @@
         if self._transport is None:
             return
         if not self._keep_alive or (self._frontend.closing() and not len(self._buffer)):
-            self._transport.close()
+            self._close()
             return
         self._transport.resume_reading()
         self._buffer.recycle()
@@ -248,6 +258,22 @@
         if len(self._buffer):
             self._loop.call_soon(self._read_next)
 
+    def _close(self) -> None:
+        """End the connection so that the client can read its answer, whatever it still sends."""
+        assert self._transport is not None
+        if not (self._refused or len(self._buffer)):
+            self._transport.close()
+            return
+        self._discarding = True
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._wait(LINGER_S)
+
+    def _discard(self, count: int) -> None:
+        self._discarded += count
+        if self._discarded > MOST_DISCARDED and self._transport is not None:
+            self._transport.abort()
+
     def _read_next(self) -> None:
         if self._transport is not None and not self._answering and self._head is None:
             self._read()
@@ -273,10 +299,10 @@
         self._timer = None
         if self._answering or self._transport is None:
             return
-        if self.is_idle():
+        if self.is_idle() or self._discarding:
             self._transport.close()
             return
-        self._answering = True
+        self._answering = self._refused = True
         self._keep_alive = False
         self.answer_whole(own_answer(408, ErrorCode.MALFORMED_REQUEST, "the request came too slowly"))
 
--- /dev/null
+++ b/tests/control_plane_process/test_http_server_edges.py
@@ -0,0 +1,200 @@
+"""The HTTP server on a loopback address: requests cut off, answers to clients that leave or go on sending."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+from msgspec import Struct, field
+
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.control_plane import http_server
+from reedspoke.control_plane.http_server import HttpServer, Request, Response
+from reedspoke.control_plane.operator_api import http_error_body
+from tests.control_plane_process.fleet import free_port
+
+HOST = "127.0.0.1"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
+PUT = b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n0123456789"
+LARGE = b"z" * 300_000
+
+
+class Operators(Struct):
+    """A handler that answers when it is told to."""
+
+    paths: list[str] = field(default_factory=list)
+    go_on: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def answer(self, request: Request) -> Response:
+        self.paths.append(request.path)
+        await self.go_on.wait()
+        return Response(200, f"{request.method} {request.path} ".encode() + request.body)
+
+
+Scene = Callable[[Operators, tuple[str, int]], Awaitable[None]]
+
+
+def with_server(scene: Scene) -> Operators:
+    """Run the scene beside a server."""
+
+    async def run() -> Operators:
+        operators = Operators()
+        operators.go_on.set()
+        server = HttpServer(operators.answer, http_error_body)
+        address = f"{HOST}:{free_port((HOST,))}"
+        await server.listen(address)
+        try:
+            async with asyncio.timeout(8):
+                await scene(operators, split_address(address))
+        finally:
+            server.close()
+        return operators
+
+    return asyncio.run(run())
+
+
+def exchange(address: tuple[str, int], data: bytes, *, reset: bool = False) -> bytes:
+    """Send everything, then read until the end; or reset the connection instead."""
+    with socket.create_connection(address, timeout=5) as client:
+        client.sendall(data)
+        if reset:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            return b""
+        raw = b""
+        while piece := client.recv(65536):
+            raw += piece
+    return raw
+
+
+async def write_on(writer: asyncio.StreamWriter) -> None:
+    """Until the connection is over."""
+    while True:
+        writer.write(b"more")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_request_that_is_cut_off_anywhere_is_never_run(reset: bool) -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        for length in range(len(PUT)):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(PUT[:length])
+            if reset:
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.close()
+        found = await asyncio.to_thread(
+            exchange, address, PUT.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        )
+        assert found.endswith(b"PUT /a 0123456789")
+
+    assert with_server(scene).paths == ["/a"]
+
+
+REFUSED = {
+    "a body by length": (b"PUT /a HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n" + b"x" * 9_000_000, 413),
+    "a body in chunks": (
+        b"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n8FFFFF\r\n" + b"x" * 9_000_000,
+        413,
+    ),
+    "a head": (b"GET /a HTTP/1.1\r\n" + b"X: y\r\n" * 200_000, 431),
+    "no HTTP": (b"nonsense\r\n" * 100_000, 400),
+}
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_refusal_arrives_at_a_client_that_reads_only_at_the_end(name: str) -> None:
+    data, status = REFUSED[name]
+
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        found = await asyncio.to_thread(exchange, address, data)
+        assert found.startswith(b"HTTP/1.1 %d " % status)
+        assert b'"error"' in found
+
+    assert with_server(scene).paths == []
+
+
+def test_the_last_answer_arrives_though_more_was_sent_behind_its_request() -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        last = b"GET /last HTTP/1.1\r\nConnection: close\r\n\r\n"
+        found = await asyncio.to_thread(exchange, address, last + LARGE)
+        assert found.endswith(b"GET /last ")
+
+    assert with_server(scene).paths == ["/last"]
+
+
+def test_a_client_that_never_ends_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_server, "MOST_DISCARDED", 1024 * 1024)
+
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        with pytest.raises(ConnectionError):
+            await asyncio.to_thread(exchange, address, REFUSED["no HTTP"][0] * 40)
+
+    with_server(scene)
+
+
+def test_a_client_that_does_not_end_its_side_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_server, "SWEEP_S", 0.02)
+    monkeypatch.setattr(http_server, "LINGER_S", 0.1)
+
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+        assert (await reader.read()).endswith(b"GET /a ")
+        with pytest.raises(ConnectionError):
+            await write_on(writer)
+
+    with_server(scene)
+
+
+def test_what_a_client_sent_behind_a_request_is_not_run_once_it_has_left() -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        operators.go_on.clear()
+        both = b"GET /first HTTP/1.1\r\n\r\nPUT /second HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+        await asyncio.to_thread(exchange, address, both, reset=True)
+        await until(lambda: operators.paths == ["/first"])
+        operators.go_on.set()
+        found = await asyncio.to_thread(
+            exchange, address, b"GET /later HTTP/1.1\r\nConnection: close\r\n\r\n"
+        )
+        assert found.endswith(b"GET /later ")
+
+    assert with_server(scene).paths == ["/first", "/later"]
+
+
+def test_two_calls_at_once_on_two_connections_get_their_own_answers() -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        operators.go_on.clear()
+        calls = [
+            asyncio.create_task(
+                asyncio.to_thread(
+                    exchange, address, f"GET /{name} HTTP/1.1\r\nConnection: close\r\n\r\n".encode()
+                )
+            )
+            for name in ("a", "b", "c")
+        ]
+        await until(lambda: len(operators.paths) == 3)
+        operators.go_on.set()
+        answers = [found.rpartition(b"\r\n\r\n")[2] for found in await asyncio.gather(*calls)]
+        assert answers == [b"GET /a ", b"GET /b ", b"GET /c "]
+
+    with_server(scene)
+
+
+def test_a_client_that_ends_its_side_behind_the_request_gets_its_answer() -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(PUT)
+        writer.write_eof()
+        assert (await reader.read()).endswith(b"PUT /a 0123456789")
+
+    with_server(scene)
--- /dev/null
+++ b/tests/data_plane/test_attempts_client_end.py
@@ -0,0 +1,70 @@
+"""The last answer on a client's connection arrives, whatever the client still sends; over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from reedspoke.data_plane import client_connection
+from tests.data_plane.loopback import Loopback, WorkerSide, start
+from tests.data_plane.wire import SeenAnswer, read_answers
+
+HEAD = b"POST /once/ HTTP/1.1\r\nHost: a.example\r\nReedspoke-Attempt-Id: a1\r\n"
+TOO_LARGE = 5 * 1024 * 1024
+REFUSED = {
+    "a body by length": (HEAD + b"Content-Length: %d\r\n\r\n" % TOO_LARGE + b"x" * TOO_LARGE, 413),
+    "a body in chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % TOO_LARGE + b"x" * TOO_LARGE,
+        413,
+    ),
+    "a head": (HEAD + b"X: y\r\n" * 200_000, 431),
+    "no HTTP": (b"nonsense\r\n" * 100_000, 400),
+}
+WHOLE = HEAD + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+async def answer(side: WorkerSide) -> None:
+    side.say(side.success())
+
+
+def send_all_then_read(address: tuple[str, int], data: bytes) -> SeenAnswer:
+    """A client that reads only when it has sent everything."""
+    with socket.create_connection(address, timeout=5) as client:
+        client.sendall(data)
+        raw = b""
+        while piece := client.recv(65536):
+            raw += piece
+    (found,) = read_answers(raw)
+    return found
+
+
+def with_client(data: bytes) -> tuple[SeenAnswer, Loopback]:
+    async def run() -> tuple[SeenAnswer, Loopback]:
+        stage = await start(answer, 1)
+        found = await asyncio.to_thread(send_all_then_read, stage.address, data)
+        stage.close()
+        return found, stage
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_refusal_arrives_at_a_client_that_goes_on_sending(name: str) -> None:
+    data, status = REFUSED[name]
+    found, stage = with_client(data)
+    assert (found.status, found.whole) == (status, True)
+    assert stage.requests == []
+
+
+def test_the_last_answer_arrives_though_more_was_sent_behind_its_request() -> None:
+    found, stage = with_client(WHOLE + b"y" * 300_000)
+    assert (found.status, found.body) == (200, b"the answer")
+    assert len(stage.requests) == 1
+
+
+def test_a_client_that_never_ends_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_connection, "MOST_DISCARDED", 1024 * 1024)
+    with pytest.raises(ConnectionError):
+        with_client(REFUSED["no HTTP"][0] * 40)
--- a/tests/data_plane/test_client_lifetime.py
+++ b/tests/data_plane/test_client_lifetime.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from reedspoke.data_plane.client_connection import LINGER_S
 from tests.data_plane.wire import chunked, event, events
 from tests.data_plane.world import LIMITS, ONCE, STREAM, Client, World, request_bytes
 
@@ -126,6 +127,8 @@
     assert client.answers() == []
     world.run_for(1)
     assert client.answer().status == 408
+    assert client.transport.ended_writing
+    world.run_for(LINGER_S)
     assert client.transport.closed
 
 
--- a/tests/data_plane/test_client_requests.py
+++ b/tests/data_plane/test_client_requests.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from reedspoke.cluster.errors import ErrorCode
+from reedspoke.data_plane.client_connection import LINGER_S
 from tests.data_plane.wire import chunked
 from tests.data_plane.world import AGAIN, LIMITS, ONCE, STREAM, Client, World, fresh_world, request_bytes
 
@@ -30,11 +31,18 @@
 
 
 def refused(client: Client, status: int) -> None:
-    """The client has got this status on a connection that then ended."""
+    """The client has got this status on a connection that ends then, without a reset: what the client still
+    sends is not read as a request."""
     answer = client.answer()
     assert (answer.status, answer.whole) == (status, True)
     assert answer.get("connection") == "close"
+    assert client.transport.ended_writing
+    known = len(client.world.frontend.requests)
+    client.say(HIDDEN)
+    client.world.run_for(LINGER_S + 0.1)
     assert client.transport.closed
+    assert len(client.world.frontend.requests) == known
+    assert client.answer() == answer
 
 
 @pytest.mark.parametrize("form", WHOLE)
--- a/tests/data_plane/wire.py
+++ b/tests/data_plane/wire.py
@@ -38,7 +38,8 @@
 class TransportStandIn(asyncio.Transport):
     """The program's end of a connection. What the program writes is in `written`.
 
-    `aborted` and `closed` tell how the program ended it: an abort is seen by the other end as a reset.
+    `aborted` and `closed` tell how the program ended it: an abort is seen by the other end as a reset, and
+    `ended_writing` that it writes no more, while it may still read.
     """
 
     def __init__(self, loop: VirtualLoop, protocol: asyncio.BufferedProtocol) -> None:
@@ -48,6 +49,7 @@
         self.written = bytearray()
         self.aborted = False
         self.closed = False
+        self.ended_writing = False
         self.reads_paused = False
         self.socket = SocketStandIn()
         self.on_write: Callable[[], None] = lambda: None
@@ -69,6 +71,7 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         if self.is_closing():
             return
+        assert not self.ended_writing, "written behind the end"
         self.written += data
         if not self._taken:
             self._waiting += len(data)
@@ -89,6 +92,9 @@
         for piece in pending:
             self.loop.call_soon(self._deliver, piece)
 
+    def write_eof(self) -> None:
+        self.ended_writing = True
+
     def close(self) -> None:
         if not self.is_closing():
             self.closed = True
