--- /dev/null
+++ b/tests/control_plane_process/test_peer_connections.py
@@ -0,0 +1,264 @@
+"""Connections between control schedulers: frames that are cut, restarts, an old connection beside a new one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from reedspoke.cluster.messages import EdgeMessage, encode
+from reedspoke.cluster.node_settings import split_address
+from reedspoke.cluster.transport import CONNECTION_ENDED, LENGTH, MOST_FRAME, Channel, FramingError
+from reedspoke.control_plane.peer_messages import Hello, LeaseRelease
+from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
+from tests.control_plane_process.fleet import free_port
+
+HOST = "127.0.0.1"
+PEER = "127.0.0.7:1"
+OTHER = "127.0.0.8:1"
+LIMIT_S = 5.0
+
+
+class NoEdges:
+    """No data plane scheduler comes here."""
+
+    def received(self, channel: Channel, message: EdgeMessage) -> None:
+        raise AssertionError(message)
+
+    def ended(self, channel: Channel) -> None:
+        """Called for every connection."""
+
+
+class Listener:
+    """A transport, and what came by it."""
+
+    def __init__(self) -> None:
+        self.address = f"{HOST}:{free_port((HOST,))}"
+        self.came: list[tuple[str, int]] = []
+        self.transport = PeerTransport(self.address, "za", self.received, NoEdges())
+
+    def received(self, sender: str, message: PeerMessage) -> None:
+        assert isinstance(message, LeaseRelease)
+        self.came.append((sender, message.term))
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*split_address(self.address))
+
+
+Scene = Callable[[Listener], Awaitable[None]]
+
+
+def with_listener(scene: Scene) -> Listener:
+    async def run() -> Listener:
+        listener = Listener()
+        await listener.transport.listen()
+        async with asyncio.timeout(LIMIT_S):
+            await scene(listener)
+        listener.transport.close()
+        await asyncio.sleep(0)
+        return listener
+
+    return asyncio.run(run())
+
+
+def frame(payload: bytes) -> bytes:
+    return LENGTH.pack(len(payload)) + payload
+
+
+def hello(address: str = PEER) -> bytes:
+    return frame(encode(Hello(address, "za")))
+
+
+def release(term: int) -> bytes:
+    return frame(encode(LeaseRelease(term)))
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+async def receive_all(channel: Channel) -> None:
+    """Until there is an error."""
+    while True:
+        await channel.receive(PeerMessage)
+
+
+async def is_over(reader: asyncio.StreamReader) -> None:
+    """Returns when the other side has ended the connection."""
+    with suppress(ConnectionError):
+        assert await reader.read() == b""
+
+
+def test_frames_may_be_cut_anywhere() -> None:
+    raw = hello() + release(1) + release(2)
+
+    async def scene(listener: Listener) -> None:
+        for cut in range(1, len(raw)):
+            listener.came.clear()
+            _, writer = await listener.connect()
+            writer.write(raw[:cut])
+            await asyncio.sleep(0)
+            writer.write(raw[cut:])
+            await until(lambda: len(listener.came) == 2)
+            assert listener.came == [(PEER, 1), (PEER, 2)]
+            writer.close()
+
+    with_listener(scene)
+
+
+def test_a_frame_that_is_cut_off_is_no_message() -> None:
+    whole = hello() + release(1)
+    raw = whole + release(2)
+
+    async def scene(listener: Listener) -> None:
+        for length in range(len(whole), len(raw)):
+            reader, writer = await listener.connect()
+            writer.write(raw[:length])
+            writer.write_eof()
+            await is_over(reader)
+            writer.close()
+
+    listener = with_listener(scene)
+    assert listener.came == [(PEER, 1)] * (len(raw) - len(whole))
+
+
+MALFORMED = {
+    "no message": frame(b"\xc1"),
+    "an empty frame": frame(b""),
+    "another type": frame(encode(Hello(PEER, "za"))),
+    "an endless one": LENGTH.pack(MOST_FRAME + 1),
+    "deep": frame(b"\x91" * 100_000),
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_what_is_no_message_ends_its_own_connection_only(name: str) -> None:
+    async def scene(listener: Listener) -> None:
+        _, other = await listener.connect()
+        other.write(hello(OTHER) + release(1))
+        await until(lambda: listener.came == [(OTHER, 1)])
+        reader, writer = await listener.connect()
+        writer.write(hello() + MALFORMED[name] + release(7))
+        await is_over(reader)
+        other.write(release(2))
+        await until(lambda: len(listener.came) == 2)
+        _, again = await listener.connect()
+        again.write(hello() + release(8))
+        await until(lambda: len(listener.came) == 3)
+        assert listener.came == [(OTHER, 1), (OTHER, 2), (PEER, 8)]
+        for item in (other, writer, again):
+            item.close()
+
+    with_listener(scene)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.binary(max_size=60), st.integers(0, 60), st.integers(0, 255))
+def test_any_bytes_are_messages_or_a_framing_error(data: bytes, at: int, byte: int) -> None:
+    """No other error leaves a channel: it would end the task that keeps the connection to a peer."""
+    changed = bytearray(release(5))
+    changed[at % len(changed)] = byte
+
+    async def read(raw: bytes) -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(raw)
+        reader.feed_eof()
+        channel = Channel.__new__(Channel)  # without a socket
+        channel.silence_s, channel._reader = None, reader
+        with pytest.raises((FramingError, asyncio.IncompleteReadError)):
+            await receive_all(channel)
+
+    for raw in (data, frame(data), bytes(changed)):
+        asyncio.run(read(raw))
+
+
+def test_what_is_left_of_an_older_connection_is_dropped() -> None:
+    """A peer that restarts, or whose connection broke, sends on a new one; what comes later on the old one
+    would be out of order."""
+
+    async def scene(listener: Listener) -> None:
+        old_reader, old = await listener.connect()
+        old.write(hello() + release(1))
+        await until(lambda: listener.came == [(PEER, 1)])
+        new_reader, new = await listener.connect()
+        new.write(hello() + release(3))
+        await until(lambda: len(listener.came) == 2)
+        old.write(release(2))
+        await is_over(old_reader)
+        new.write(release(4))
+        await until(lambda: len(listener.came) == 3)
+        assert listener.came == [(PEER, 1), (PEER, 3), (PEER, 4)]
+        for item in (old, new):
+            item.close()
+
+    with_listener(scene)
+
+
+def test_messages_that_wait_on_an_older_connection_do_not_come_after_newer_ones() -> None:
+    async def scene(listener: Listener) -> None:
+        _, old = await listener.connect()
+        old.write(hello() + release(1))
+        await until(lambda: listener.came == [(PEER, 1)])
+        _, new = await listener.connect()
+        old.write(b"".join(release(2) for _ in range(2000)))
+        new.write(hello() + release(3))
+        await until(lambda: (PEER, 3) in listener.came)
+        seen = len(listener.came)
+        new.write(release(4))
+        await until(lambda: (PEER, 4) in listener.came)
+        assert listener.came[seen - 1 :] == [(PEER, 3), (PEER, 4)]
+        for item in (old, new):
+            item.close()
+
+    with_listener(scene)
+
+
+def test_the_end_of_an_older_connection_leaves_the_newer_one_alone() -> None:
+    async def scene(listener: Listener) -> None:
+        old_reader, old = await listener.connect()
+        old.write(hello() + release(1))
+        await until(lambda: listener.came == [(PEER, 1)])
+        _, new = await listener.connect()
+        new.write(hello() + release(2))
+        await is_over(old_reader)
+        old.close()
+        for term in (3, 4):
+            new.write(release(term))
+            await until(lambda: listener.came[-1] == (PEER, term))  # noqa: B023
+        new.close()
+
+    with_listener(scene)
+
+
+def test_a_peer_that_answers_on_our_connection_ends_only_that() -> None:
+    """Answers come on connections of the other's own; what comes on ours instead is not read as one."""
+
+    async def scene(listener: Listener) -> None:
+        came: list[int] = []
+
+        async def other_side(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            channel = Channel(reader, writer)
+            writer.write(release(9))
+            try:
+                await channel.receive(Hello)
+                while True:
+                    came.append((await channel.receive(PeerMessage)).term)
+            except CONNECTION_ENDED:
+                channel.close()
+
+        address = f"{HOST}:{free_port((HOST,))}"
+        server = await asyncio.start_server(other_side, *split_address(address))
+        term = 0
+        while len(came) < 3:
+            term += 1
+            listener.transport.send(address, LeaseRelease(term))
+            await asyncio.sleep(0.02)
+        assert listener.came == []
+        server.close()
+
+    with_listener(scene)
