--- a/reedspoke/control_plane/peer_transport.py
+++ b/reedspoke/control_plane/peer_transport.py
@@ -210,8 +210,8 @@
             arrived.heard_at = self._loop.time()
 
     async def _converse_with_peer(self, address: str, arrived: Arrived) -> None:
-        """What is left of an older connection is dropped, so that messages of one peer keep their order: it may
-        have restarted in between."""
+        """What is left of an older connection is dropped: messages of a peer keep their order, also when it
+        restarts."""
         older = self._newest.get(address)
         if older is not None:
             older.channel.close()
--- a/tests/control_plane_process/test_peer_connections.py
+++ b/tests/control_plane_process/test_peer_connections.py
@@ -1,4 +1,4 @@
-"""Connections between control schedulers: frames that are cut, restarts, an old connection beside a new one."""
+"""Connections between control schedulers: cut frames, restarts, an old connection beside a new one."""
 
 from __future__ import annotations
 
