What is done with a whole answer is decided in decision/, and tried at each byte

Cause: exchange.py still judged whole answers itself (which status is worth another worker, which may pass), beside the module that knows what they prove.

--- a/reedspoke/data_plane/attempt.py
+++ b/reedspoke/data_plane/attempt.py
@@ -31,8 +31,3 @@
     def evidence(self, ending: Ending) -> Evidence:
         """What was seen of it, now that it has ended so."""
         return Evidence(ending, self.bytes_sent, self.status, self.not_executed, self.version_asked)
-
-
-def may_pass(status: int) -> bool:
-    """Guards a promise that nobody made: a worker's own 503 without proof says that it may have run."""
-    return status not in (408, 421, 429, 503)
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -11,7 +11,7 @@
 
 from reedspoke.data_plane.answer_reader import SUCCESS_STATUS
 from reedspoke.data_plane.answers import WholeAnswer, expired, failed, process_ends, refused, worker_failed
-from reedspoke.data_plane.attempt import Attempt, may_pass
+from reedspoke.data_plane.attempt import Attempt
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest
 from reedspoke.data_plane.client_response import ClientResponse
 from reedspoke.data_plane.event_stream import EventSplitter, EventTooLargeError, last_event_id
@@ -20,15 +20,14 @@
 from reedspoke.data_plane.upstream_connection import Failure, UpstreamConnection
 from reedspoke.data_plane.upstream_pool import ConnectFailure, ConnectResult, UpstreamPool
 from reedspoke.data_plane.upstream_request import UpstreamRequest
+from reedspoke.decision.answer_use import AnswerUse, may_pass, use_of_answer
 from reedspoke.decision.attempt_fate import Ending, Evidence, Fate, fate_of, is_wrong_instance
-from reedspoke.decision.messages import Expire, Fail, Job, Refuse, Repeat, WorkerEntry
+from reedspoke.decision.messages import Expire, Fail, Job, Refuse, WorkerEntry
 from reedspoke.decision.silence import OpenAttempt
 from reedspoke.net.http import Head
 
 MOST_WHOLE_ANSWER = 8 * 1024 * 1024  # bytes of an answer that is read whole before it is passed on
 SUCCESS = 200
-STATUS_BAD_REQUEST = 400
-STATUS_WORKER_TIMEOUT = 504  # the worker's own, at the deadline: there is no time for another attempt
 
 
 class Owner(Protocol):
@@ -271,27 +270,18 @@
 
     def _end_of_body(self, attempt: Attempt) -> None:
         evidence = attempt.evidence(Ending.COMPLETE)
-        status = attempt.status
-        answer = WholeAnswer(status_line(status), attempt.fields, bytes(attempt.body or b""))
+        answer = WholeAnswer(status_line(attempt.status), attempt.fields, bytes(attempt.body or b""))
         if is_wrong_instance(evidence):
             self._pool.forget(attempt.worker.instance_id)  # they all lead to another worker
-        if status == STATUS_BAD_REQUEST:  # no worker would take it
-            evidence = Evidence(Ending.COMPLETE, attempt.bytes_sent, status)
-        if fate_of(evidence) is Fate.NEVER_RAN:
+        use = use_of_answer(evidence, self.job.repeat, self._response.begun)
+        if use is AnswerUse.NOT_RUN:
             self._attempt_over(evidence)
-        elif self._try_elsewhere(status):
-            self._answer = answer if may_pass(status) else self._answer
-            self._attempt_over(Evidence(Ending.MALFORMED, True, status))
+        elif use is AnswerUse.TRY_ELSEWHERE:
+            self._answer = answer if may_pass(attempt.status) else self._answer
+            self._attempt_over(Evidence(Ending.MALFORMED, True, attempt.status))
         else:
-            self._attempt_over(evidence)
-            self._end_with(answer if may_pass(status) else worker_failed())
-
-    def _try_elsewhere(self, status: int) -> bool:
-        """Whether a worker's error is worth another attempt."""
-        if self._response.begun:
-            return self.job.repeat is Repeat.RESUMABLE
-        worth = status >= 500 and status != STATUS_WORKER_TIMEOUT
-        return worth and self.job.repeat is not Repeat.NEVER
+            self._attempt_over(Evidence(Ending.COMPLETE, True, attempt.status))
+            self._end_with(answer if use is AnswerUse.PASS_ON else worker_failed())
 
     def _end_attempt(self, ending: Ending) -> None:
         attempt = self._attempt
--- a/reedspoke/decision/attempt_fate.py
+++ b/reedspoke/decision/attempt_fate.py
@@ -51,6 +51,7 @@
 LEAST_REFUSAL = 400
 STATUS_WRONG_INSTANCE = 421
 STATUS_FULL = 503
+PROMISES = frozenset((408, 421, 429, 503))  # statuses that say: it has not run and never will
 
 
 class FinalStatus(Enum):
--- a/tests/data_plane/test_attempts_connections.py
+++ b/tests/data_plane/test_attempts_connections.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.data_plane.wire import HIGH_WATER, chunked, event
-from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, TIMEOUT_S, Arrival, World
+from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, TIMEOUT_S, Arrival, World, fresh_world
 
 Worlds = Callable[..., World]
 LARGE = b"x" * (HIGH_WATER + 1)
@@ -274,3 +274,66 @@
     assert first.worker.over
     world.arrival().worker.say(world.arrival().whole())
     assert client.answer().status == 200
+
+
+# ---- clients that leave, and silence, at each byte of an answer ----
+
+STREAM_EVENTS = event(1) + event(2)
+
+
+def raw_answer(arrival: Arrival, path: str) -> bytes:
+    if path in (STREAM, RESUME):
+        return arrival.stream_head() + chunked(event(1), event(2))
+    return arrival.whole(body_to(arrival))
+
+
+def body_to(arrival: Arrival) -> bytes:
+    return b"to " + arrival.attempt_id.encode()
+
+
+@pytest.mark.parametrize("path", [ONCE, RESUME])
+def test_a_client_may_leave_at_any_byte_and_the_next_one_gets_its_own_answer(path: str) -> None:
+    length, most = 0, 1
+    while length < most:
+        with fresh_world(workers=1) as world:
+            client = world.asked(path, "a1")
+            first = world.arrival()
+            raw = raw_answer(first, path)
+            most = len(raw)
+            first.worker.say(raw[:length])
+            client.leave()
+            assert first.worker.over, length
+            later = world.asked(ONCE, "a2")
+            first.worker.say(raw[length:])
+            second = world.arrival()
+            assert second.worker is not first.worker, length
+            assert later.answers() == [], length
+            second.worker.say(second.whole(body_to(second)))
+            assert later.answer().body == b"to a2", length
+            assert len(world.arrivals) == 2, length
+            assert world.settled(), length
+        length += 1
+
+
+@pytest.mark.parametrize("path", [ONCE, STREAM])
+def test_silence_from_any_byte_on_never_sends_an_unsafe_request_again(path: str) -> None:
+    length, most = 0, 1
+    while length < most:
+        with fresh_world(workers=2) as world:
+            client = world.asked(path, "a1", Reedspoke_Deadline_Ms="3000")
+            first = world.arrival()
+            raw = raw_answer(first, path)
+            most = len(raw)
+            first.worker.say(raw[:length])
+            world.run_for(4)
+            first.worker.say(raw[length:])
+            assert len(world.arrivals) == 1, length
+            assert first.worker.over, length
+            (answer,) = client.answers()
+            if path == STREAM and event(1) in raw[:length]:
+                assert not answer.whole, length
+                assert STREAM_EVENTS.startswith(answer.body), length
+            else:
+                assert (answer.status, answer.whole) == (504, True), length
+            assert world.settled(), length
+        length += 1
