--- a/tests/data_plane/loopback.py
+++ b/tests/data_plane/loopback.py
@@ -128,10 +128,12 @@
         else:
             side.say(side.success())
 
-    async def ask(self, path: str, attempt_id: str = "a1", **more: str) -> SeenAnswer | None:
+    async def ask(
+        self, path: str, attempt_id: str = "a1", body: bytes = b"the question", **more: str
+    ) -> SeenAnswer | None:
         """What a client of its own gets; None where its connection ends without any byte."""
         reader, writer = await asyncio.open_connection(*self.address)
-        writer.write(request_bytes(path, attempt_id, b"the question", Connection="close", **more))
+        writer.write(request_bytes(path, attempt_id, body, Connection="close", **more))
         raw = b""
         try:
             async with asyncio.timeout(CLIENT_WAITS_S):
--- a/tests/data_plane/test_attempts_table.py
+++ b/tests/data_plane/test_attempts_table.py
@@ -22,6 +22,7 @@
 NOT_EXECUTED = "Reedspoke-Not-Executed: 1"
 CONNECT_TIMEOUT_S = 0.2
 LEAST_SILENCE_S = 0.4
+LARGE = b"x" * 4_000_000  # more than the system takes for a worker that does not read
 UNREAD_S = 0.05  # for which a worker does not read
 DEADLINE_MS = "1500"
 SHORT_DEADLINE_MS = "100"
@@ -42,6 +43,7 @@
     prepare: Callable[[Loopback], DeafListener | None] | None = None
     deadline_ms: str = DEADLINE_MS
     asked_before: bool = False  # an earlier request leaves an idle connection behind
+    body: bytes = b"the question"
 
 
 NEVER_RAN = ((SENT_AGAIN,) * 4, ("503",) * 4)
@@ -154,6 +156,7 @@
         end_the_idle_connection, (SENT_AGAIN,) * 4, (SENT_AGAIN,) * 4, asked_before=True,
     ),
     Case("reset, all bytes taken by the system and none read", answer, *MAY_HAVE_RUN, prepare=reset_unread),
+    Case("reset while the body was being sent", answer, *MAY_HAVE_RUN, prepare=reset_unread, body=LARGE),
     Case("reset after the whole request", says(lambda side: b"", "reset"), *MAY_HAVE_RUN),
     Case("closed after the whole request", says(lambda side: b"", "close"), *MAY_HAVE_RUN),
     Case("half-closed after the whole request", says(lambda side: b"", "half_close"), *MAY_HAVE_RUN),
@@ -223,7 +226,7 @@
         if case.asked_before:
             assert await stage.ask(path, "a0") is not None
         listener = case.prepare(stage) if case.prepare is not None else None
-        answer = await stage.ask(path, Reedspoke_Deadline_Ms=case.deadline_ms)
+        answer = await stage.ask(path, "a1", case.body, Reedspoke_Deadline_Ms=case.deadline_ms)
         check(path, case, expected, stage, answer)
         if listener is not None:
             listener.close()
