Control schedulers read all connections of a peer again

Ruled out: to tell restarts by an incarnation in Hello: messages on different connections may pass each other by the transport's rule, and receivers have to bear it anyway.

--- a/reedspoke/control_plane/peer_transport.py
+++ b/reedspoke/control_plane/peer_transport.py
@@ -135,7 +135,6 @@
         self._edges = edges
         self._links: dict[str, PeerLink] = {}
         self._arrived: dict[asyncio.Task[None], Arrived] = {}
-        self._newest: dict[str, Arrived] = {}  # by the address of the control scheduler that opened it
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
 
@@ -192,7 +191,6 @@
             pass  # the process ends
         finally:
             del self._arrived[task]
-            self._forget(arrived)
             channel.close()
             self._edges.ended(channel)
 
@@ -201,29 +199,11 @@
         async with asyncio.timeout(FIRST_MESSAGE_S):
             first = await channel.receive(FirstMessage)
         if isinstance(first, Hello):
-            await self._converse_with_peer(first.address, arrived)
-            return
+            while True:
+                self._on_peer(first.address, await channel.receive(PeerMessage))
+                arrived.heard_at = self._loop.time()
         message = first
         while True:
             self._edges.received(channel, message)
             message = await channel.receive(EdgeMessage)
             arrived.heard_at = self._loop.time()
-
-    async def _converse_with_peer(self, address: str, arrived: Arrived) -> None:
-        """What is left of an older connection is dropped: messages of a peer keep their order, also when it
-        restarts."""
-        older = self._newest.get(address)
-        if older is not None:
-            older.channel.close()
-        self._newest[address] = arrived
-        while True:
-            message = await arrived.channel.receive(PeerMessage)
-            if self._newest.get(address) is not arrived:
-                return
-            self._on_peer(address, message)
-            arrived.heard_at = self._loop.time()
-
-    def _forget(self, arrived: Arrived) -> None:
-        for address, newest in list(self._newest.items()):
-            if newest is arrived:
-                del self._newest[address]
