A stream that has begun is not broken off for its worker's silence alone

Cause: the attempt of a resumable stream was given up after half of the silence that a client bears, whether or not another worker could take it. With no other worker, no attempt or no repeat left the stream was broken off then; a worker's silence is no reason to end an answer sooner. Ruled out: the same rule for requests that nothing of an answer has been passed on: they get a whole answer, and their client may try elsewhere.

--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -106,6 +106,11 @@
         if self._attempt is not None:
             self._end_attempt(Ending.SILENCE)
 
+    @property
+    def stream_begun(self) -> bool:
+        """Whether the client has got a part of a stream."""
+        return self._response.begun
+
     def worker(self) -> WorkerEntry | None:
         """The worker of the attempt that is out."""
         return None if self._attempt is None else self._attempt.worker
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -198,10 +198,14 @@
             self._end_overdue(expired, now)
         for job_id in attempts_to_give_up(attempts, self._heard_from, now):
             exchange = self._exchanges.get(job_id)
-            if exchange is not None:
+            if exchange is not None and self._gains_by_another(exchange, now):
                 exchange.give_up_attempt()
         self._watch_later()
 
+    def _gains_by_another(self, exchange: Exchange, now: float) -> bool:
+        """Silence alone is no reason to break a stream off: it goes to another worker or goes on waiting."""
+        return not exchange.stream_begun or self._dispatcher.can_move(exchange.job.job_id, now)
+
     def _end_overdue(self, expired: Expire, now: float) -> None:
         exchange = self._exchanges.get(expired.job_id)
         if exchange is None:
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -112,6 +112,11 @@
             self._forget(job_id)
         return self._decided()
 
+    def can_move(self, job_id: int, now: float) -> bool:
+        """Whether a job whose attempt is out could go to another worker at once instead."""
+        service = self._service_of.get(job_id)
+        return service is not None and service.can_move(job_id, now)
+
     def timer(self, now: float) -> list[Decision]:
         """Time has passed."""
         for service in self._services.values():
--- a/reedspoke/decision/retry_budget.py
+++ b/reedspoke/decision/retry_budget.py
@@ -67,11 +67,15 @@
 
     def reserve(self, now: float) -> bool:
         """Set a repeat aside; False, and nothing is set aside, if none is left."""
-        if self._available(now) < self._reserved + 1:
+        if not self.has_left(now):
             return False
         self._reserved += 1
         return True
 
+    def has_left(self, now: float) -> bool:
+        """Whether a repeat could be reserved now."""
+        return self._available(now) >= self._reserved + 1
+
     def covered(self, now: float) -> bool:
         """Whether a repeat that was reserved may be sent now: grants end as time passes."""
         return self._available(now) >= 1
--- a/reedspoke/decision/service.py
+++ b/reedspoke/decision/service.py
@@ -141,6 +141,15 @@
         self._after(out.state, end, now)
         self.release(now)
 
+    def can_move(self, job_id: int, now: float) -> bool:
+        """Whether the job could go to another worker at once if its attempt were given up."""
+        out = self._out.get(job_id)
+        if out is None or out.state.arrivals + 1 >= out.state.job.max_attempts:
+            return False
+        excluded = self._reserved.union(out.state.tried)
+        placed = self.pool.placement.best(out.state.job, excluded, now)
+        return placed is not None and self.budget.has_left(now)
+
     def set_upstream(self, upstream: Upstream, now: float) -> None:
         """The configuration has changed the service."""
         self.upstream = upstream
--- a/tests/data_plane/test_attempts_connections.py
+++ b/tests/data_plane/test_attempts_connections.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.data_plane.wire import HIGH_WATER, chunked, event
-from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, TIMEOUT_S, Arrival, World, fresh_world
+from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, TIMEOUT_S, Arrival, Client, World, fresh_world
 
 Worlds = Callable[..., World]
 LARGE = b"x" * (HIGH_WATER + 1)
@@ -276,6 +276,48 @@
     assert client.answer().status == 200
 
 
+def silent_stream(world: World) -> tuple[Client, Arrival]:
+    """A stream whose worker is silent after the first event, for longer than it is usually given."""
+    client = world.asked(RESUME, Reedspoke_Deadline_Ms="9000")
+    first = world.arrival()
+    first.worker.say(first.stream_head() + chunked(event(1), last=False))
+    world.run_for(6)
+    return client, first
+
+
+@pytest.mark.parametrize("settings", [{"workers": 1}, {"attempts": 1}, {"slack": 0.0}])
+def test_a_silent_stream_that_cannot_go_elsewhere_is_not_ended_sooner(
+    worlds: Worlds, settings: dict[str, float]
+) -> None:
+    world = worlds(**settings)
+    client, first = silent_stream(world)
+    assert not client.broken_off
+    first.worker.say(chunked(event(2)))
+    assert (client.answer().body, client.answer().whole) == (event(1) + event(2), True)
+    assert len(world.arrivals) == 1
+
+
+def test_a_silent_stream_goes_elsewhere_as_soon_as_it_can(worlds: Worlds) -> None:
+    world = worlds(workers=1)
+    client, first = silent_stream(world)
+    world.set_workers(["i-1", "i-2"])
+    world.run_for(0.2)
+    second = world.arrival()
+    assert second is not first
+    assert second.request.get("last-event-id") == "1"
+    second.worker.say(second.stream_head() + chunked(event(2)))
+    assert (client.answer().body, client.answer().whole) == (event(1) + event(2), True)
+
+
+def test_a_silent_stream_ends_at_its_deadline(worlds: Worlds) -> None:
+    world = worlds(workers=1)
+    client, _ = silent_stream(world)
+    world.run_for(4)
+    assert client.broken_off
+    assert not client.answer().whole
+    assert world.settled()
+
+
 # ---- clients that leave, and silence, at each byte of an answer ----
 
 STREAM_EVENTS = event(1) + event(2)
