--- a/tests/data_plane/test_attempts_connections.py
+++ b/tests/data_plane/test_attempts_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from reedspoke.cluster.messages import WorkerEntry, WorkerList
 from tests.data_plane.wire import HIGH_WATER, chunked, event
 from tests.data_plane.world import AGAIN, ONCE, RESUME, STREAM, TIMEOUT_S, Arrival, Client, World, fresh_world
 
@@ -182,6 +183,21 @@
     assert arrival.worker.over, "its connection is not kept"
 
 
+@pytest.mark.parametrize("path", [ONCE, AGAIN, STREAM, RESUME])
+def test_a_request_under_way_at_a_worker_that_drains_is_answered_there(worlds: Worlds, path: str) -> None:
+    world = worlds(workers=1)
+    client = world.asked(path)
+    arrival = world.arrival()
+    drains = WorkerEntry("i-1", "u1", "10.0.0.1:80", "za", "v1", 8, True)
+    world.forwarder.set_workers(WorkerList((2, 0), (drains,)))
+    refused = world.asked(path, "a2")
+    world.run_for(3)
+    assert refused.answer().status == 503
+    arrival.worker.say(arrival.whole(event(1)))
+    assert (client.answer().status, client.answer().body) == (200, event(1))
+    assert len(world.arrivals) == 1
+
+
 # ---- ends that promise ----
 
 
