A control scheduler that leaves waits inside its grace while its copy is needed

Cause: it ended 1.0 s after SIGTERM whatever the chain held. Ruled out: waiting in every case; it ends as before where no replica in reach stays, so that all that end together wait for nobody. Change: until a second before grace_s it stays while it is in the chain and another replica in reach is not about to leave; 0.2 s after it has left, as only then the others surely know that view.

--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -138,6 +138,11 @@
         """Calls without an answer."""
         return len(self._puts) + len(self._gets)
 
+    @property
+    def others_stay(self) -> bool:
+        """Whether a replica in reach is not about to leave."""
+        return self._replica is not None and self._replica.others_stay
+
     def _check_open(self) -> None:
         if self._replica is None:
             raise FleetError(ErrorCode.NOT_MEMBER, "the data folder is not open yet")
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -36,8 +36,10 @@
 HEARTBEAT_SHARE = 1 / 3  # of the settings' heartbeat: a session's answer comes after that at the latest
 EDGE_LIFE_HEARTBEATS = 3.0
 LEAVE_S = 1.0  # calls of the operator are answered that long after SIGTERM
+LEAVE_MARGIN_S = 1.0  # the process ends that long before the settings' grace_s is over
 LEAVE_LOOK_S = 0.05
 LEAST_LEAVE_S = 0.3  # for the others to go on without this replica
+TOLD_S = 0.2  # so long after this replica has learned that it is out of the chain, the others know it too
 
 
 class FileStamp(Struct, frozen=True):
@@ -280,17 +282,28 @@
         self._send_lease(self._lease.stop())
         self._duty.look()
         self._driver.leave()
-        while self._loop.time() - began < LEAVE_S and not self._has_left(began):
+        last_needed = began
+        while not self._has_left(self._loop.time() - began, self._loop.time() - last_needed):
             await asyncio.sleep(LEAVE_LOOK_S)
+            if self._in_chain():
+                last_needed = self._loop.time()
         self._sessions.close()
         self._api.close()
         self._transport.close()
 
-    def _has_left(self, began: float) -> bool:
-        if self._loop.time() - began < LEAST_LEAVE_S or self._driver.waiting_calls:
+    def _has_left(self, waited: float, out_of_chain_for: float) -> bool:
+        """Whether the others can do without this replica, or its time is up."""
+        if waited < LEAST_LEAVE_S:
             return False
+        out_of_chain = out_of_chain_for >= TOLD_S
+        if waited < LEAVE_S:
+            return out_of_chain and not self._driver.waiting_calls
+        time_is_up = waited >= self._settings.bounds.grace_s - LEAVE_MARGIN_S
+        return time_is_up or out_of_chain or not self._driver.others_stay
+
+    def _in_chain(self) -> bool:
         chain = () if self._view is None else self._view.chain
-        return self._address not in [link.member.address for link in chain]
+        return self._address in [link.member.address for link in chain]
 
 
 def _stamp(path: Path) -> FileStamp | None:
--- /dev/null
+++ b/tests/control_plane_process/test_process_leave.py
@@ -0,0 +1,66 @@
+"""How long a control scheduler stays after SIGTERM."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+import subprocess
+import time
+
+import pytest
+
+from tests.control_plane_process.fleet import UP_S, Fleet
+from tests.control_plane_process.stand_ins import until
+
+NEEDED_FOR_S = 2.0
+SUCCESSOR_S = 4.0
+GRACE_S = 8.0  # as in the settings where they name none
+ORDINARY_END_S = 2.0
+
+
+def _wait_until_chain_has(fleet: Fleet, asked: int, length: int) -> None:
+    until(lambda: len(fleet.nodes[asked].status().get("chain", ())) == length, UP_S, "the chain is repaired")
+
+
+@pytest.mark.parametrize(("lost", "leaver", "stays"), [(0, 2, 1), (2, 1, 0), (1, 0, 2)])
+def test_one_whose_copy_is_needed_stays_until_its_successor_has_it(
+    fleet: Fleet, lost: int, leaver: int, stays: int
+) -> None:
+    document = fleet.first_configuration()
+    fleet.nodes[lost].kill()
+    _wait_until_chain_has(fleet, stays, 2)
+    leaving = fleet.nodes[leaver]
+    leaving.signal(signal.SIGTERM)
+    assert leaving.process is not None
+    with pytest.raises(subprocess.TimeoutExpired):
+        leaving.process.wait(NEEDED_FOR_S)
+    shutil.rmtree(fleet.nodes[lost].folder)
+    fleet.nodes[lost].start()
+    assert leaving.process.wait(SUCCESSOR_S) == 0
+
+    def read_back() -> bool:
+        reply = fleet.nodes[lost].get()
+        return reply is not None and (reply.status, reply.body) == (200, document)
+
+    until(read_back, UP_S, "the configuration is read at the successor")
+
+
+def test_one_whose_successor_does_not_come_ends_in_time(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    fleet.nodes[0].kill()
+    _wait_until_chain_has(fleet, 1, 2)
+    leaving = fleet.nodes[2]
+    began = time.monotonic()
+    leaving.signal(signal.SIGTERM)
+    assert leaving.process is not None
+    assert leaving.process.wait(GRACE_S) == 0
+    assert time.monotonic() - began > GRACE_S / 2
+
+
+def test_all_that_end_together_do_not_wait_for_one_another(fleet: Fleet) -> None:
+    fleet.first_configuration()
+    for node in fleet.nodes:
+        node.signal(signal.SIGTERM)
+    for node in fleet.nodes:
+        assert node.process is not None
+        assert node.process.wait(ORDINARY_END_S) == 0
