A seed that loses its disk before the first view holds the first start up no longer

Cause: the first view asked for the folders of all seeds; one that had lost its disk starts with bootstrap false and was waited for without end. Ruled out: taking it for a seed again; it may have voted before. The view is still decided by a majority of the seeds, and the lost folder has no vote.

--- a/reedspoke/control_plane/replica_repair.py
+++ b/reedspoke/control_plane/replica_repair.py
@@ -20,6 +20,8 @@
 from reedspoke.control_plane.view_first import first_view
 from reedspoke.control_plane.view_lease import majority
 
+ALL_SEEDS_S = 1.5  # from then on the first view needs a majority of the seeds, not all of them
+
 OwnPing = Callable[[], Ping]
 
 
@@ -40,6 +42,7 @@
         self._peers = peers
         self._agreement = agreement
         self._own_ping = own_ping
+        self._started = outbox.now
         self._judge_from = outbox.now + HEARD_S
         self._in_sight_since: float | None = None
 
@@ -71,10 +74,16 @@
         return any(not self._leaving(member.folder_id) for member in reached)
 
     def propose_first(self, seeds: tuple[str, ...]) -> None:
-        """At the first start: propose the first view, once all seeds are known."""
-        members = [self._own, *self._peers.members(self._outbox.now)]
+        """At the first start: propose the first view, once all seeds are known.
+
+        After a while a majority of them will do, as one may have lost its disk: it has no vote on that view.
+        """
+        now = self._outbox.now
+        patient = now - self._started < ALL_SEEDS_S
+        least = len(set(seeds)) if patient else majority(len(set(seeds)))
+        members = [self._own, *self._peers.members(now)]
         pings = [self._ping_of(member.folder_id) for member in members]
-        view = first_view(seeds, [ping for ping in pings if ping is not None])
+        view = first_view(seeds, [ping for ping in pings if ping is not None], least)
         if view is not None:
             rank = sorted(seeds).index(self._own.address)
             self._propose_in_time(view, rank)
