--- a/tests/control_plane/loss_schedule.py
+++ b/tests/control_plane/loss_schedule.py
@@ -26,6 +26,7 @@
 ARMED_MESSAGES = 60
 LOSS_SHARE = 0.12  # of the steps begin with a loss
 AGAIN_SHARE = 0.04  # of the steps begin with one more trouble of a machine that is lost
+MOST_NOISE = 0.05  # of the messages come late or twice, as after a new connection
 FOREVER = float("inf")
 
 
@@ -66,6 +67,8 @@
 
     def play(self, steps: int) -> Figures:
         """From the first start; the first loss comes when the time to catch up is over."""
+        network = self._simulation.network
+        network.late = network.doubled = self._random.choice([0.0, MOST_NOISE])
         end = self._simulation.now + self._catch_up_s
         while self._simulation.now < end:
             self._act()
