Random losses: losses are checked between messages too, and each two successive views

Cause: between two steps lie several messages, and a view is decided within a few of them. Change: the records are checked before 3 in 100 messages; all views that are told as decided are compared, and one voter at most comes and goes between two.

--- a/tests/control_plane/loss_schedule.py
+++ b/tests/control_plane/loss_schedule.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from reedspoke.control_plane.events import Leave
+from reedspoke.control_plane.events import Leave, SendTo, View
+from reedspoke.control_plane.replica_messages import ViewTold
 from tests.control_plane.loss_check import check_by_trial, check_records, further_losses
 from tests.control_plane.schedule import Operator
 from tests.control_plane.simulated_parts import DiskMode
@@ -27,6 +28,7 @@
 LOSS_SHARE = 0.12  # of the steps begin with a loss
 AGAIN_SHARE = 0.04  # of the steps begin with one more trouble of a machine that is lost
 MOST_NOISE = 0.05  # of the messages come late or twice, as after a new connection
+MESSAGE_CHECK_SHARE = 0.03  # of the messages are moments for a check of the records
 FOREVER = float("inf")
 
 
@@ -49,6 +51,30 @@
     until: float = FOREVER
 
 
+Trouble = Callable[[Lost, str], None]
+
+
+class DecidedViews:
+    """All views that were told to be decided: one of each number, and each near to the one before."""
+
+    def __init__(self) -> None:
+        self._views: dict[int, View] = {}
+
+    def decided(self, view: View) -> None:
+        """A view is told."""
+        known = self._views.setdefault(view.number, view)
+        assert known == view, f"two views {view.number}: {known} and {view}"
+        for number in (view.number, view.number + 1):
+            if number in self._views and number - 1 in self._views:
+                self._check_successive(self._views[number - 1], self._views[number])
+
+    @staticmethod
+    def _check_successive(before: View, after: View) -> None:
+        old, new = set(before.voters), set(after.voters)
+        assert len(old - new) <= 1, f"two voters go between {before} and {after}"
+        assert len(new - old) <= 1, f"two voters come between {before} and {after}"
+
+
 class LossSchedule:
     """Steps of losses and of calls; each step is checked by the records, a share of them by trials too."""
 
@@ -63,7 +89,11 @@
         self._operator = Operator(simulation)
         self._names = itertools.count(1)
         self._losses: list[Lost] = []
+        self._armed: Trouble | None = None
+        self._armed_for = 0
+        self._views = DecidedViews()
         self.figures = Figures()
+        simulation.spy = self._spy
 
     def play(self, steps: int) -> Figures:
         """From the first start; the first loss comes when the time to catch up is over."""
@@ -72,6 +102,7 @@
         end = self._simulation.now + self._catch_up_s
         while self._simulation.now < end:
             self._act()
+        self._simulation.on_message = self._on_message
         for _ in range(steps):
             self._lose_now_and_then()
             self._act()
@@ -102,20 +133,25 @@
             [self._kill, self._power, self._disk, self._replace, self._leave]
             + [self._freeze, self._isolate, self._stall]
         )
-        if not armed:
+        if armed:
+            self._armed = trouble
+            self._armed_for = self._simulation.message_count + self._random.randint(1, ARMED_MESSAGES)
+        else:
             self._begin(trouble)
-            return
-        simulation = self._simulation
-        target = simulation.message_count + self._random.randint(1, ARMED_MESSAGES)
 
-        def on_message(count: int) -> None:
-            if count == target:
-                simulation.on_message = None
-                self._begin(trouble)
+    def _on_message(self, count: int) -> None:
+        """Before a message is sent: some are a moment for a loss, some for a check."""
+        if self._armed is not None and count >= self._armed_for:
+            trouble, self._armed = self._armed, None
+            self._begin(trouble)
+        elif self._random.random() < MESSAGE_CHECK_SHARE:
+            self._check_records()
 
-        simulation.on_message = on_message
+    def _spy(self, effect: SendTo) -> None:
+        if isinstance(effect.message, ViewTold):
+            self._views.decided(effect.message.view)
 
-    def _begin(self, trouble: Callable[[Lost, str], None]) -> None:
+    def _begin(self, trouble: Trouble) -> None:
         if len(self._lost()) >= self._tolerated:
             return
         taken = self._lost_addresses() | {loss.leaving for loss in self._lost()}
@@ -233,15 +269,19 @@
         self._simulation.run(self._random.uniform(0.0, MOST_PAUSE_S))
 
     def _check(self) -> None:
-        figures = self.figures
-        lost = self._lost_addresses()
-        budget = self._tolerated - len(self._lost())
-        figures.steps += 1
-        figures.sets += check_records(self._simulation, lost, budget)
+        self.figures.steps += 1
+        self._check_records()
         if self._random.random() < self._trial_share:
-            for wiped in further_losses(self._simulation, lost, budget):
+            lost = self._lost_addresses()
+            for wiped in further_losses(self._simulation, lost, self._budget()):
                 check_by_trial(self._simulation, lost, wiped)
-                figures.trials += 1
+                self.figures.trials += 1
+
+    def _check_records(self) -> None:
+        self.figures.sets += check_records(self._simulation, self._lost_addresses(), self._budget())
+
+    def _budget(self) -> int:
+        return self._tolerated - len(self._lost())
 
 
 def depart(simulation: Simulation, address: str, on_end: Callable[[], None]) -> None:
--- a/tests/control_plane/test_losses_random.py
+++ b/tests/control_plane/test_losses_random.py
@@ -10,12 +10,12 @@
 TRIAL_SHARE = 0.05
 
 
-@pytest.mark.parametrize("seed", [104, 132, *range(5)])
+@pytest.mark.parametrize("seed", [104, 130, 139, *range(4)])
 def test_three_machines_of_which_one_may_be_lost(seed: int) -> None:
     hunt(SIZES[0], seed, STEPS, TRIAL_SHARE)
 
 
-@pytest.mark.parametrize("seed", [104, *range(100, 104)])
+@pytest.mark.parametrize("seed", [104, 110, 115, 132, *range(100, 103)])
 def test_five_machines_of_which_two_may_be_lost(seed: int) -> None:
     hunt(SIZES[1], seed, STEPS, TRIAL_SHARE)
 
