--- a/tests/control_plane/test_losses_strength.py
+++ b/tests/control_plane/test_losses_strength.py
@@ -22,6 +22,7 @@
 TWO_LOSSES_S = {5: 2.5, 9: 2.5, 15: 2.5}
 START_S = {3: 1.0, 5: 2.0, 9: 3.5, 15: 6.0}
 CATCH_UP_S = {3: 4.0, 5: 4.0, 9: 6.0, 15: 6.0}
+DEAD_VOTERS_S = 2.5
 PLACES = ["head", "tail", "seed"]
 
 
@@ -77,3 +78,22 @@
         return view is not None and len(view.voters) >= 5
 
     assert simulation.run_until(enough, 2.5)
+
+
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize(("machines", "count"), [(4, 1), (5, 1), (7, 2), (9, 2), (9, 4), (15, 2)])
+def test_dead_voters_beyond_the_target_are_removed(machines: int, count: int, place: str) -> None:
+    """Nobody comes in their place; those that are left are as many as the losses ask for."""
+    tolerated = 2 if machines >= 7 else 1
+    simulation = strong_core(machines, machines, tolerated)
+    dead = set(_chosen(simulation, place, min(count, 2)))
+    dead |= set([address for address in simulation.chain() if address not in dead][: count - len(dead)])
+    for address in dead:
+        simulation.lose_power(address, restart_after=None)
+
+    def removed() -> bool:
+        view = simulation.newest_view()
+        return view is not None and not dead & {voter.address for voter in view.voters}
+
+    assert simulation.run_until(removed, DEAD_VOTERS_S)
+    assert len(simulation.chain()) == machines - count
