--- a/tests/control_plane/test_guards_reads.py
+++ b/tests/control_plane/test_guards_reads.py
@@ -6,6 +6,7 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Committed, Get, GetAnswer, Member, View
+from reedspoke.control_plane.majority_contact import Contact
 from reedspoke.control_plane.replica_gets import GetForwarder, TailReader
 from reedspoke.control_plane.replica_messages import GetReply, GetRequest
 from tests.control_plane.chain_replica import (
@@ -67,7 +68,7 @@
     replica.register.commit()
     for sequence, expected in ((1, 10), (2, None)):
         gets = GetForwarder("b:1", replica.outbox, replica.register, ANSWER_LIMIT_S)
-        gets.get(Get(1), WHOLE, majority_reached=True)
+        gets.get(Get(1), WHOLE, Contact.GRANTED)
         replica.outbox.take()
         gets.reply(GetReply(VIEW_NUMBER, "b:1:1", True, sequence))
         (answer,) = replica.outbox.take()
@@ -75,4 +76,4 @@
         if expected is None:
             assert (answer.committed, answer.error) == (None, ErrorCode.NO_QUORUM)
         else:
-            assert answer.committed == Committed(1, expected, FIRST.document)
+            assert answer.committed == Committed(1, expected, FIRST.document, FIRST.view)
--- a/tests/control_plane/test_orders_invalid.py
+++ b/tests/control_plane/test_orders_invalid.py
@@ -48,6 +48,10 @@
         """Parse a configuration."""
         return parse_configuration(document)
 
+    def holds_majority(self) -> bool:
+        """It does, as nothing fails here."""
+        return True
+
     async def put(self, match: int, generation: int, document: bytes) -> PutAnswer:
         """Have the configuration replicated."""
         return PutAnswer(1, self._core.put("m2", match, generation, document))
