--- /dev/null
+++ b/tests/control_plane/test_guards_lists.py
@@ -0,0 +1,97 @@
+"""Guards of the list of workers, its duty and the membership, one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from reedspoke.cluster.messages import ControlMember, Watch, WorkerEntry, WorkerList
+from reedspoke.cluster.node_settings import CloudApi
+from reedspoke.control_plane import list_duty, membership, worker_list
+from reedspoke.control_plane.list_duty import ListDuty
+from reedspoke.control_plane.membership import Membership
+from reedspoke.control_plane.worker_list import PlatformInstance, PlatformPage, WorkerBook
+
+EDGE_LIFE_S = 3.0
+
+
+def _workers(term: int, count: int) -> WorkerList:
+    entries = (WorkerEntry(f"i-{number}", "u1", "a:1", "z", "v1", 4, False) for number in range(count))
+    return WorkerList((term, 1), tuple(entries))
+
+
+def test_a_list_that_is_too_long_is_not_adopted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(worker_list, "MOST_WORKERS", 2)
+    book = WorkerBook()
+    assert not book.adopt(_workers(1, 3), 0.0)
+    assert book.current is None
+    assert book.adopt(_workers(1, 2), 0.0)
+
+
+def test_the_highest_version_that_was_seen_is_remembered() -> None:
+    book = WorkerBook()
+    book.note_seen((5, 1))
+    book.note_seen((3, 9))
+    assert book.seen == (5, 1)
+    assert book.needs_term_above(4) == 5
+
+
+def test_sessions_beyond_the_most_are_no_members(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(membership, "MOST_EDGES", 1)
+    members = Membership(ControlMember("10.0.0.1:1", "za"), EDGE_LIFE_S, 77)
+    for name in ("e1", "e2"):
+        members.watched(Watch(1, name, "1", "zx", {}, {}), 0.0)
+    members.refresh(0.0)
+    assert [edge.node_name for edge in members.members.edges] == ["e1"]
+
+
+class RunningOut:
+    """A lease that runs out while the platform answers."""
+
+    term = 1
+
+    def __init__(self) -> None:
+        self.held = True
+
+    def holds(self, now: float) -> bool:
+        return self.held
+
+
+class Platform:
+    """Answers with one worker, once the lease has run out."""
+
+    def __init__(self, lease: RunningOut) -> None:
+        self._lease = lease
+        self.answered = asyncio.Event()
+
+    async def page(self, token: str | None) -> PlatformPage:
+        self._lease.held = False
+        self.answered.set()
+        return PlatformPage((PlatformInstance("i-1", "u1", "a:1"),))
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+def test_what_is_answered_after_the_lease_is_not_published(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> list[WorkerList]:
+        lease = RunningOut()
+        platform = Platform(lease)
+        monkeypatch.setattr(list_duty, "PlatformClient", lambda address: platform)
+        published: list[WorkerList] = []
+        duty = ListDuty(
+            CloudApi("a:1"),
+            lease,  # type: ignore[arg-type]
+            WorkerBook(),
+            published.append,
+            lambda messages: None,
+        )
+        duty.look()
+        running = asyncio.create_task(duty.run())
+        await platform.answered.wait()
+        await asyncio.sleep(0)  # the call that was under way ends
+        running.cancel()
+        return published
+
+    assert asyncio.run(scene()) == []
--- /dev/null
+++ b/tests/control_plane/test_guards_peer_transport.py
@@ -0,0 +1,83 @@
+"""Guards of the connections between control schedulers, one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from reedspoke.cluster.messages import encode
+from reedspoke.cluster.transport import CONNECTION_ENDED, open_channel
+from reedspoke.control_plane import peer_transport
+from reedspoke.control_plane.peer_messages import Hello, LeaseRelease
+from tests.control_plane_process.test_peer_transport import Scheduler, two
+
+LAST_TERM = 99
+WAIT_S = 5.0
+
+
+def test_what_waits_for_a_connection_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "MOST_WAITING", 2 * len(encode(LeaseRelease(1))))
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        for term in range(1, 6):
+            first.transport.send(second.address, LeaseRelease(term))
+        await second.until(lambda: bool(second.terms))
+        first.transport.send(second.address, LeaseRelease(LAST_TERM))
+        await second.until(lambda: LAST_TERM in second.terms)
+        assert second.terms == [1, 2, LAST_TERM]
+
+    two(scene)
+
+
+def test_what_has_waited_for_too_long_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "QUEUE_LIFE_S", -1.0)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        first.transport.send(second.address, LeaseRelease(1))
+
+        def later_one_has_come() -> bool:
+            first.transport.send(second.address, LeaseRelease(LAST_TERM))
+            return LAST_TERM in second.terms
+
+        await second.until(later_one_has_come)
+        assert 1 not in second.terms
+
+    two(scene)
+
+
+def test_connections_that_arrive_beyond_the_most_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "MOST_ARRIVED", 1)
+    monkeypatch.setattr(peer_transport, "FIRST_MESSAGE_S", 60.0)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        first.transport.send(second.address, LeaseRelease(1))
+        await second.until(lambda: second.terms == [1])
+        one_too_many = await open_channel(second.address)
+        async with asyncio.timeout(WAIT_S):
+            with pytest.raises(CONNECTION_ENDED):
+                await one_too_many.receive(Hello)
+        one_too_many.close()
+
+    two(scene)
+
+
+def test_a_connection_that_brings_nothing_for_long_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "SILENT_PEER_S", -1.0)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        silent = await open_channel(second.address)
+        silent.send(Hello("127.0.0.9:9", "za"))
+        silent.send(LeaseRelease(1))
+        await second.until(lambda: second.terms == [1])
+        second.transport.close_idle()
+        async with asyncio.timeout(WAIT_S):
+            with pytest.raises(CONNECTION_ENDED):
+                await silent.receive(Hello)
+        silent.close()
+
+    two(scene)
