--- a/tests/data_plane/test_guards_exchange.py
+++ b/tests/data_plane/test_guards_exchange.py
@@ -10,13 +10,23 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.data_plane import exchange
 from reedspoke.data_plane.answers import WholeAnswer
+from reedspoke.data_plane.attempt import may_pass
 from reedspoke.data_plane.client_connection import ClientRequest
 from reedspoke.data_plane.exchange import Exchange
 from reedspoke.data_plane.route_table import CompiledRoute, Target
 from reedspoke.data_plane.upstream_connection import AnswerListener, UpstreamConnection
 from reedspoke.data_plane.upstream_pool import ConnectResult
-from reedspoke.decision.attempt_fate import Ending, Evidence
-from reedspoke.decision.messages import Fail, FailReason, Job, Refuse, RefuseReason, Repeat, WorkerEntry
+from reedspoke.decision.attempt_fate import Ending, Evidence, cause_of
+from reedspoke.decision.messages import (
+    Cause,
+    Fail,
+    FailReason,
+    Job,
+    Refuse,
+    RefuseReason,
+    Repeat,
+    WorkerEntry,
+)
 from reedspoke.net.http import Head
 from tests.data_plane.virtual_loop import VirtualLoop
 
@@ -112,7 +122,7 @@
 class Scene:
     """An exchange between stand-ins."""
 
-    def __init__(self) -> None:
+    def __init__(self, repeat: Repeat = Repeat.RESUMABLE) -> None:
         self.loop = VirtualLoop()
         self.client = ClientStandIn()
         self.owner = OwnerStandIn()
@@ -123,7 +133,7 @@
             route="r",
             upstream="u1",
             priority=1,
-            repeat=Repeat.RESUMABLE,
+            repeat=repeat,
             aim_s=1.0,
             deadline=self.loop.time() + DEADLINE_S,
             arrived=self.loop.time(),
@@ -144,13 +154,17 @@
         self.pool.connecting.pop(0)(connection)
         return connection
 
-    def worker_fails(self, body: bytes) -> None:
-        """A worker answers 500; the exchange keeps that answer and asks for another attempt."""
+    def worker_answers(self, status: int, body: bytes = b"why") -> None:
+        """A worker answers whole, with this status and without any proof that it has not run the request."""
         self.exchange.send(FIRST)
         self.connected()
-        self.exchange.on_head(Head(1, status=500))
+        self.exchange.on_head(Head(1, status=status))
         self.exchange.on_body(memoryview(body))
         self.exchange.on_end()
+
+    def worker_fails(self, body: bytes) -> None:
+        """A worker answers 500; the exchange keeps that answer and asks for another attempt."""
+        self.worker_answers(500, body)
         assert len(self.owner.ended) == 1
         assert self.client.answers == []
 
@@ -166,10 +180,21 @@
 
 
 @pytest.fixture
-def scene() -> Iterator[Scene]:
-    made = Scene()
-    yield made
-    made.loop.close()
+def scenes() -> Iterator[Callable[[Repeat], Scene]]:
+    made: list[Scene] = []
+
+    def make(repeat: Repeat) -> Scene:
+        made.append(Scene(repeat))
+        return made[-1]
+
+    yield make
+    for scene in made:
+        scene.loop.close()
+
+
+@pytest.fixture
+def scene(scenes: Callable[[Repeat], Scene]) -> Scene:
+    return scenes(Repeat.RESUMABLE)
 
 
 def _error_code(answer: WholeAnswer) -> int:
@@ -238,3 +263,35 @@
     assert scene.owner.ended == []
     scene.exchange.on_body(memoryview(b"0"))
     assert [evidence.ending for evidence in scene.owner.ended] == [Ending.MALFORMED]
+
+
+def test_a_request_for_another_instance_goes_to_another_worker(scene: Scene) -> None:
+    scene.worker_answers(421)
+    assert scene.client.answers == []
+    (evidence,) = scene.owner.ended
+    assert cause_of(evidence) is Cause.WRONG_INSTANCE
+
+
+@pytest.mark.parametrize(("repeat", "passed_on"), [(Repeat.NEVER, True), (Repeat.IDEMPOTENT, False)])
+def test_a_worker_s_error_is_passed_on_at_once_where_nothing_may_be_repeated(
+    scenes: Callable[[Repeat], Scene], repeat: Repeat, passed_on: bool
+) -> None:
+    scene = scenes(repeat)
+    scene.worker_answers(500)
+    assert bool(scene.client.answers) is passed_on
+
+
+@pytest.mark.parametrize(("repeat", "broken_off"), [(Repeat.IDEMPOTENT, True), (Repeat.RESUMABLE, False)])
+def test_an_answer_that_has_begun_goes_on_only_where_it_can_be_resumed(
+    scenes: Callable[[Repeat], Scene], repeat: Repeat, broken_off: bool
+) -> None:
+    scene = scenes(repeat)
+    scene.events_pass()
+    scene.worker_answers(500)
+    assert scene.client.aborted is broken_off
+    assert scene.client.answers == []
+
+
+@pytest.mark.parametrize("status", [200, 404, 408, 421, 429, 500, 502, 503, 504])
+def test_statuses_that_promise_are_not_passed_on(status: int) -> None:
+    assert may_pass(status) is (status not in (408, 421, 429, 503))
--- /dev/null
+++ b/tests/data_plane/test_guards_pool.py
@@ -0,0 +1,72 @@
+"""Guards of the idle connections to workers, one at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from reedspoke.data_plane.upstream_connection import UpstreamConnection
+from reedspoke.data_plane.upstream_pool import UpstreamPool
+from tests.data_plane.virtual_loop import VirtualLoop
+from tests.data_plane.wire import TransportStandIn
+
+INSTANCE = "i-1"
+
+
+class Connections:
+    """A pool, and connections that are up."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        self.pool = UpstreamPool(self.loop)
+        self._transports: list[TransportStandIn] = []
+
+    def up(self) -> UpstreamConnection:
+        """One more connection."""
+        connection = UpstreamConnection(self.loop)
+        self._transports.append(TransportStandIn(self.loop, connection))
+        return connection
+
+    def close(self) -> None:
+        """Nothing stays open."""
+        for transport in self._transports:
+            transport.socket.close()
+        self.loop.close()
+
+
+@pytest.fixture
+def connections() -> Iterator[Connections]:
+    made = Connections()
+    yield made
+    made.close()
+
+
+def test_a_connection_that_has_ended_takes_no_place_among_the_idle(connections: Connections) -> None:
+    pool = connections.pool
+    pool.most_idle = {INSTANCE: 1}
+    ended, idle = connections.up(), connections.up()
+    ended.close()
+    pool.give_back(INSTANCE, ended)
+    pool.give_back(INSTANCE, idle)
+    assert pool.take_idle(INSTANCE) is idle
+    assert pool.take_idle(INSTANCE) is None
+
+
+def test_no_more_connections_are_kept_than_the_share(connections: Connections) -> None:
+    pool = connections.pool
+    pool.most_idle = {INSTANCE: 1}
+    first, second = connections.up(), connections.up()
+    for connection in (first, second):
+        pool.give_back(INSTANCE, connection)
+    assert pool.take_idle(INSTANCE) is first
+    assert not second.open
+
+
+def test_a_connection_whose_time_is_over_is_not_used(connections: Connections) -> None:
+    pool = connections.pool
+    connection = connections.up()
+    pool.give_back(INSTANCE, connection)
+    connections.loop.run_for(connection.usable_until - connections.loop.time())
+    assert pool.take_idle(INSTANCE) is None
+    assert not connection.open
