An old head refuses nothing that the others took, under whatever match it comes

Refusals are final by the rise of generations alone, but for one case: the same bytes under another match, taken by the others in a newer view. There the tail's confirmation is what keeps the old head from refusing. With refusals that wait for no confirmation this test fails; before it, only the test of the mechanism itself did.

--- a/tests/control_plane/test_orders_views.py
+++ b/tests/control_plane/test_orders_views.py
@@ -157,3 +157,37 @@
     for match in (0, 1):
         request = PutRequest(number, f"asker:1:{match}", match, 2, b"second")
         assert _handle(core, head, Received("m9", request)) == []
+
+
+def test_an_old_head_does_not_refuse_what_the_others_took_whatever_its_match(core: Simulation) -> None:
+    """By its own register the match is stale, and the document unknown."""
+    head = core.chain()[0]
+    number = _view_number(core)
+    core.freeze(head)
+    core.run(2.0)
+    assert core.put_and_wait(core.chain()[0], 1, 2, b"second") is None
+    _thaw_with_old_pings_alone(core, head, number)
+    replies: list[PutReply] = []
+    core.spy = lambda effect: _note_reply(effect, replies)
+    core.inject(head, Received("m9", PutRequest(number, "asker:1:1", 0, 2, b"second")))
+    core.run(1.5)
+    assert [reply for reply in replies if reply.error != ErrorCode.WRITE_UNCLEAR] == []
+
+
+def _thaw_with_old_pings_alone(simulation: Simulation, address: str, view: int) -> None:
+    """What it finds first makes it believe that all are in reach and nothing has changed."""
+    machine = simulation.machines[address]
+    own = machine.disk.folder_id
+    pings = [event for event in machine.missed if isinstance(event, Received)]
+    machine.missed = [event for event in pings if _is_old_ping(event.message, view, own)]
+    simulation.thaw(address)
+    assert simulation.replica(address).majority_reached
+
+
+def _is_old_ping(message: Struct, view: int, hearer: str) -> bool:
+    return isinstance(message, Ping) and message.view == view and hearer in message.heard
+
+
+def _note_reply(effect: SendTo, replies: list[PutReply]) -> None:
+    if effect.address == "m9" and isinstance(effect.message, PutReply):
+        replies.append(effect.message)
