The first view waits longer for a seed that is only late

Cause: 1.5 s after a start a majority of the seeds began without the third; on a loaded machine processes start that far apart, and until it joined two voters were all. Ruled out: no time limit at all, as a machine may be gone for good. Change: a seed is given up when it has been heard for 1.0 s without a part in the first start, or has not come in 5.0 s.

--- a/reedspoke/control_plane/replica_peers.py
+++ b/reedspoke/control_plane/replica_peers.py
@@ -48,6 +48,11 @@
         peer = self._peers.get(folder_id)
         return peer.ping if peer else None
 
+    def heard_for(self, address: str, now: float) -> float:
+        """How long the replica at this address has been heard without a gap."""
+        since = [peer.heard_since for peer in self._peers.values() if peer.ping.member.address == address]
+        return max((now - each for each in since), default=0.0)
+
     def silent(self, folder_id: str, now: float, limit: float) -> bool:
         """Whether this replica has not been heard for `limit`, as far as that can be judged."""
         peer = self._peers.get(folder_id)
--- a/reedspoke/control_plane/replica_repair.py
+++ b/reedspoke/control_plane/replica_repair.py
@@ -20,7 +20,8 @@
 from reedspoke.control_plane.view_first import first_view
 from reedspoke.control_plane.view_lease import majority
 
-ALL_SEEDS_S = 1.5  # from then on the first view needs a majority of the seeds, not all of them
+SEED_STARTS_WITHIN_S = 1.0  # a seed that is heard for longer and has no part in the first start gets none
+SEED_COMES_WITHIN_S = 5.0  # a seed that is not heard by then is not waited for at the first start
 
 OwnPing = Callable[[], Ping]
 
@@ -74,20 +75,24 @@
         return any(not self._leaving(member.folder_id) for member in reached)
 
     def propose_first(self, seeds: tuple[str, ...]) -> None:
-        """At the first start: propose the first view, once all seeds are known.
-
-        After a while a majority of them will do, as one may have lost its disk: it has no vote on that view.
-        """
-        now = self._outbox.now
-        patient = now - self._started < ALL_SEEDS_S
-        least = len(set(seeds)) if patient else majority(len(set(seeds)))
-        members = [self._own, *self._peers.members(now)]
-        pings = [self._ping_of(member.folder_id) for member in members]
-        view = first_view(seeds, [ping for ping in pings if ping is not None], least)
+        """At the first start: propose the first view, of all seeds or a majority where some are given up."""
+        members = [self._own, *self._peers.members(self._outbox.now)]
+        pings = [ping for member in members if (ping := self._ping_of(member.folder_id)) is not None]
+        starting = {ping.member.address for ping in pings if ping.bootstrap}
+        missing = set(seeds) - starting
+        given_up = all(self._given_up(seed) for seed in missing)
+        least = majority(len(set(seeds))) if given_up else len(set(seeds))
+        view = first_view(seeds, pings, least)
         if view is not None:
             rank = sorted(seeds).index(self._own.address)
             self._propose_in_time(view, rank)
 
+    def _given_up(self, seed: str) -> bool:
+        """Whether this seed has no part in the first start, as its disk was lost, or has not come."""
+        now = self._outbox.now
+        without_part = self._peers.heard_for(seed, now) >= SEED_STARTS_WITHIN_S
+        return without_part or now - self._started >= SEED_COMES_WITHIN_S
+
     def propose_next(self, view: View) -> None:
         """Propose the next view, if there is a better one."""
         now = self._outbox.now
