--- a/tests/data_plane/test_attempts_reader.py
+++ b/tests/data_plane/test_attempts_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec import Struct, field
@@ -265,3 +266,23 @@
     observer.receive(answer("a0", b"mine", "length"))
     assert observer.requests[0].body == b"mine"
     assert observer.unusable
+
+
+@pytest.mark.parametrize("garbage", [*GARBAGE, b"HTTP/1.1 200 OK\n", b"HTTP/1.1 20 OK\r\nX: y\r\n"])
+def test_what_begins_no_answer_is_told_before_its_head_ends(garbage: bytes) -> None:
+    observer = Observer()
+    observer.ask("a0")
+    observer.receive(garbage)
+    assert observer.requests[0].failed is Reason.MALFORMED
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_a_connection_that_its_worker_closes_is_not_used_again(version: bytes) -> None:
+    observer = Observer()
+    observer.ask("a0")
+    raw = answer("a0", b"mine", "length").replace(b"HTTP/1.1", version)
+    observer.receive(
+        raw if version == b"HTTP/1.0" else raw.replace(b" X\r\n", b" X\r\nConnection: close\r\n")
+    )
+    assert observer.requests[0].whole
+    assert observer.unusable
