Settings: a Watch is answered within a quarter of apply_ms too; both sides use one figure

Cause: at a heartbeat above about four times apply_ms / 2 answers came too seldom to know that a configuration is as new as it must be: a data plane scheduler would have been in doubt for good, and at 3,600 ms its bound of silence of 1.2 s dropped quiet sessions. Ruled out: a bound on the data plane's side alone, as silence is then shorter than the control side's pause. Change: NodeSettings.watch_hold_s, used by both; at heartbeat 1,200 and apply 2,000 ms it stays at 0.4 s.

--- a/reedspoke/cluster/node_settings.py
+++ b/reedspoke/cluster/node_settings.py
@@ -12,7 +12,8 @@
 
 SETTINGS_VARIABLE = "REEDSPOKE_NODE_FILE"
 SETTINGS_DEFAULT_PATH = "/etc/reedspoke/settings.json"
-WATCH_HOLD_SHARE = 1 / 3  # of the heartbeat
+WATCH_HOLD_OF_HEARTBEAT = 1 / 3
+WATCH_HOLD_OF_APPLY = 1 / 4
 
 
 class Limits(Struct, frozen=True):
@@ -92,8 +93,13 @@
     cloud_api: CloudApi = field(default_factory=CloudApi)
 
     def watch_hold_s(self) -> float:
-        """A control scheduler answers a `Watch` after this at the latest."""
-        return self.heartbeat_ms / 1000 * WATCH_HOLD_SHARE
+        """A control scheduler answers a `Watch` after this at the latest.
+
+        It is also bounded by `apply_ms`: a data plane scheduler that hears less often could not know that its
+        configuration is as new as it has to be.
+        """
+        hold_ms = min(self.heartbeat_ms * WATCH_HOLD_OF_HEARTBEAT, self.bounds.apply_ms * WATCH_HOLD_OF_APPLY)
+        return hold_ms / 1000
 
     def seed_addresses(self) -> tuple[str, ...]:
         """The internal addresses of the control schedulers at the seeds."""
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -33,7 +33,6 @@
 ARRIVALS_S = 0.1  # data plane schedulers that come or go within this time are told of together
 SETTINGS_INTERVAL_S = 2.0
 MAINTENANCE_INTERVAL_S = 5.0
-HEARTBEAT_SHARE = 1 / 3  # of the settings' heartbeat: a session's answer comes after that at the latest
 EDGE_LIFE_HEARTBEATS = 3.0
 LEAVE_S = 1.0  # calls of the operator are answered that long after SIGTERM
 LEAVE_LOOK_S = 0.05
@@ -80,7 +79,7 @@
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
         self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap)
         self._sessions = EdgeSessions(
-            settings.node_name, self._state, heartbeat_s * HEARTBEAT_SHARE, self._sessions_changed
+            settings.node_name, self._state, settings.watch_hold_s(), self._sessions_changed
         )
         self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
         self._duty = ListDuty(
--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -31,7 +31,6 @@
 
 SILENCE_MARGIN_S = 0.8  # beyond the time in which a `Watch` is answered
 QUIET_MARGIN_S = 0.4
-MOST_SILENCE_S = 10.0
 
 
 class SessionPace(Struct, frozen=True):
@@ -42,12 +41,12 @@
     @property
     def silence_s(self) -> float:
         """A control scheduler that says nothing for so long is left."""
-        return min(self.watch_hold_s + SILENCE_MARGIN_S, MOST_SILENCE_S)
+        return self.watch_hold_s + SILENCE_MARGIN_S
 
     @property
     def quiet_s(self) -> float:
         """And after this another one is sought besides it."""
-        return min(self.watch_hold_s + QUIET_MARGIN_S, self.silence_s)
+        return self.watch_hold_s + QUIET_MARGIN_S
 
 
 class OwnState(Struct, frozen=True):
