Sessions: a fetch that its session will not bring is free for the other at once; log lines

Cause: a fetch that was refused, or whose session ended, kept the other session from fetching for 0.5 s more, just when a change has to come around a cut. Ruled out: a shorter bound for all fetches, as a large configuration over a narrow link would be fetched twice. Change: Subscription.end_fetch; log lines when there is no control scheduler with a majority, and when one is found. Test changed: test_what_one_session_fails_to_bring_is_fetched_by_the_other now asks for the fetch at the other's next answer, where it allowed 0.6 s more; the case that is neither answered nor refused has a test of its own.

--- a/reedspoke/data_plane/control_session.py
+++ b/reedspoke/data_plane/control_session.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from reedspoke.cluster.json_log import WARNING, log
+from reedspoke.cluster.json_log import INFO, WARNING, log
 from reedspoke.cluster.transport import CONNECTION_ENDED, Channel, open_channel
 from reedspoke.data_plane.conversation import Conversation, OwnState, SessionPace
 from reedspoke.data_plane.session_choice import SessionChoice
@@ -43,6 +43,7 @@
         self._choice = SessionChoice(random, pace.quiet_s)
         self._open_sessions: dict[str, OpenSession] = {}
         self._news = asyncio.Event()
+        self._was_sound = False
         self._loop: asyncio.AbstractEventLoop | None = None  # from the start on
 
     def sessions(self) -> int:
@@ -67,6 +68,7 @@
         self._leave_unwanted(now)
         self._open_wanted(now, own_zone)
         self._look_at_conversations()
+        self._log_change(now)
         with suppress(TimeoutError):
             async with asyncio.timeout(self._choice.next_look_s(now)):  # wait_for may swallow a cancellation
                 await self._news.wait()
@@ -90,6 +92,13 @@
             if session.conversation is not None:
                 session.conversation.look()
 
+    def _log_change(self, now: float) -> None:
+        sound = self._choice.sound(now)
+        if bool(sound) is not self._was_sound:
+            self._was_sound = bool(sound)
+            text = "control plane found" if sound else "no control scheduler with a majority"
+            log(INFO if sound else WARNING, text, sessions=len(self._open_sessions))
+
     async def _keep(self, address: str) -> None:
         """One session from its opening to its end, whatever it brings."""
         session = self._open_sessions[address]
--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -94,19 +94,25 @@
     async def run(self) -> None:
         """Runs until the connection ends or the other side is silent."""
         self._watch()
-        while True:
-            message = await self._channel.receive(ControlMessage)
-            match message:
-                case Versions():
-                    self._take_versions(message)
-                case Unconfirmed():
-                    self._take_unconfirmed(message)
-                case _:
-                    self._take_state(message)
+        try:
+            while True:
+                self._take(await self._channel.receive(ControlMessage))
+        finally:
+            self._give_up_fetches()
+
+    def _take(self, message: ControlMessage) -> None:
+        match message:
+            case Versions():
+                self._take_versions(message)
+            case Unconfirmed():
+                self._take_unconfirmed(message)
+            case _:
+                self._take_state(message)
 
     def look(self) -> None:
-        """Called about each tenth of a second while the session is of no use, so the `Watch` after an answer
-        without a majority behind it is sent from here; likewise where a fetch stays unanswered."""
+        """Some time has passed. After `Unconfirmed` the next `Watch` is sent from here, which is called about
+        each tenth of a second then; so is the one that finds out why a fetch stays unanswered.
+        """
         now = self._loop.time()
         if self._unconfirmed is not None:
             self._fetch_unconfirmed(self._unconfirmed, now)
@@ -182,7 +188,7 @@
 
         `Unconfirmed` answers a `Fetch` too, without the id of any request; a `Watch` may be out then.
         """
-        self._fetching.clear()
+        self._give_up_fetches()
         if request_id == self._request_id:
             self._watch_sent_at = None
 
@@ -197,6 +203,11 @@
         self._fetched_at = self._loop.time()
         self._channel.send(Fetch(source, have, unconfirmed_too=self._unconfirmed is not None))
 
+    def _give_up_fetches(self) -> None:
+        for source, version in self._fetching.items():
+            self._subscription.end_fetch(source, version)
+        self._fetching.clear()
+
     def _fetch_unconfirmed(self, offer: Unconfirmed, now: float) -> None:
         for source in self._subscription.lacks(offer.versions, now):
             if source not in self._fetching and self._subscription.may_take_unconfirmed(source, now):
--- a/reedspoke/data_plane/subscription.py
+++ b/reedspoke/data_plane/subscription.py
@@ -99,6 +99,12 @@
         """Some session asks for this version."""
         self._pending[source] = PendingFetch(version, now)
 
+    def end_fetch(self, source: str, version: Version) -> None:
+        """The session that asked for this version will not bring it: another one may."""
+        pending = self._pending.get(source)
+        if pending is not None and pending.version == version:
+            del self._pending[source]
+
     def take(self, message: ControlMessage) -> bool:
         """Take a source's state; False where it was of no use (older, or its base is another one)."""
         match message:
--- a/tests/data_plane/test_conversation.py
+++ b/tests/data_plane/test_conversation.py
@@ -84,8 +84,6 @@
     one.offer(configuration=(3, 0))
     one.say(ConnectionResetError())
     two.offer(configuration=(3, 0))
-    control.loop.run_for(0.6)
-    two.offer(configuration=(3, 0))
     assert two.fetches() == [Fetch(CONFIGURATION)]
     two.say(snapshot(3))
     assert heard.configurations == [(3, (3, 0))]
--- a/tests/data_plane/test_unconfirmed_sessions.py
+++ b/tests/data_plane/test_unconfirmed_sessions.py
@@ -304,6 +304,34 @@
     assert one.closed
 
 
+def test_what_one_will_not_bring_is_fetched_from_the_other_at_its_next_answer(control: Control) -> None:
+    one, two = control.channels
+    one.offer(configuration=(4, 0))
+    two.offer(configuration=(4, 0))
+    assert two.fetches() == []
+    one.say(Unconfirmed(0, one.address))
+    two.offer(configuration=(4, 0))
+    assert two.fetches() == [Fetch(CONFIGURATION)]
+
+
+def test_a_fetch_that_is_neither_answered_nor_refused_is_begun_anew_by_the_other(control: Control) -> None:
+    one, two = control.channels
+    one.offer(configuration=(4, 0))
+    two.offer(configuration=(4, 0))
+    control.loop.run_for(FETCH_S + 0.05)
+    two.offer(configuration=(4, 0))
+    assert two.fetches() == [Fetch(CONFIGURATION)]
+
+
+def test_a_fetch_that_another_session_began_since_is_not_given_up(control: Control) -> None:
+    one, two = control.channels
+    one.offer(configuration=(4, 0))
+    two.offer(configuration=(5, 0))
+    assert two.fetches() == [Fetch(CONFIGURATION)]
+    one.say(ConnectionResetError())
+    assert control.made.expected_version(CONFIGURATION, control.loop.time()) == (5, 0)
+
+
 def test_one_watch_is_out_at_a_time(control: Control) -> None:
     one = control.channels[0]
     one.offer(configuration=(4, 0))
