Sessions of both programs against each other in virtual time

Cause: the two ends were written apart and tested against stand-ins. Change: test_session_wire has the control side's own EdgeSessions behind the data plane's ControlSessions, encoded as on the wire, under cuts, a time without majority, a start without majority and stops of the process.

--- a/tests/data_plane/fleet_model.py
+++ b/tests/data_plane/fleet_model.py
@@ -93,10 +93,18 @@
         """When what is known here was certainly the newest."""
         now = self._model.loop.time()
         if self.in_majority and now - self._joined_at >= CATCH_UP_S:
-            self.version = self._model.committed[-1][1]
+            self.learn(self._model.committed[-1][1])
             self._as_of = now - GRANT_AGE_S
         return self._as_of
 
+    def learn(self, version: Version) -> None:
+        """This is the newest configuration."""
+        self.version = version
+
+    async def connect(self) -> Any:
+        """The data plane's end of a new session."""
+        return ModelChannel(self._model, self)
+
     def is_confirmed(self) -> bool:
         return self._model.loop.time() - self.as_of() < CONTACT_S
 
@@ -155,10 +163,11 @@
 class FleetModel:
     """All of it. `cut` and `reach` change the network, `commit` the configuration."""
 
-    def __init__(self, size: int, seed: int) -> None:
+    def __init__(self, size: int, seed: int, control_type: type[ModelControl] | None = None) -> None:
         self.loop = VirtualLoop()
         self.committed: list[tuple[float, Version]] = [(self.loop.time(), (1, 1))]
-        self.controls = [ModelControl(self, f"c{number}:1", f"z{number % 3}") for number in range(size)]
+        make = control_type or ModelControl
+        self.controls = [make(self, f"c{number}:1", f"z{number % 3}") for number in range(size)]
         self.reached = set(range(size))
         self.parts: list[set[int]] = [set(range(size))]
         self.made, self.heard = subscription()
@@ -203,14 +212,14 @@
             if number in self.reached and control.in_majority
         }
 
-    async def open(self, address: str) -> ModelChannel:
+    async def open(self, address: str) -> Any:
         self.dials += 1
         control = next(one for one in self.controls if one.member.address == address)
         if not self.passes(control):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise TimeoutError
         await asyncio.sleep(2 * LATENCY_S)
-        return ModelChannel(self, control)
+        return await control.connect()
 
     # ---- the configuration ----
 
--- /dev/null
+++ b/tests/data_plane/test_session_wire.py
@@ -0,0 +1,253 @@
+"""The sessions of both programs speak with each other, in virtual time: `EdgeSessions` and `ControlSessions`.
+
+Only the agreement among control schedulers is a model (`fleet_model`); messages go encoded, as on the wire.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Any, cast
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.messages import (
+    CONFIGURATION,
+    ControlMember,
+    ControlMessage,
+    EdgeMessage,
+    Fetch,
+    Version,
+    decode,
+    encode,
+)
+from reedspoke.cluster.transport import Channel
+from reedspoke.control_plane.configuration_cache import ConfigurationCache
+from reedspoke.control_plane.edge_sessions import EdgeSessions
+from reedspoke.control_plane.events import Committed
+from reedspoke.control_plane.membership import Membership
+from reedspoke.control_plane.published_state import PublishedState
+from reedspoke.control_plane.worker_list import WorkerBook
+from reedspoke.data_plane import control_session
+from reedspoke.data_plane.session_choice import DIAL_BURST, DIALS_PER_S, SESSIONS
+from reedspoke.data_plane.subscription import UNCONFIRMED_AFTER_S
+from tests.data_plane.fleet_model import (
+    APPLY_S,
+    CONTACT_S,
+    HOLD_S,
+    LATENCY_S,
+    FleetModel,
+    ModelControl,
+)
+from tests.data_plane.test_subscription import document
+
+SEEDS = range(4)
+SOON_S = 0.3
+
+
+class Wire:
+    """One connection; each end has the methods of a `Channel` that it uses."""
+
+    def __init__(self, model: FleetModel, control: WireControl) -> None:
+        self.silence_s: float | None = None
+        self.fetched: list[Fetch] = []
+        self._model = model
+        self._control = control
+        self._incoming: asyncio.Queue[bytes | Exception] = asyncio.Queue()
+        self._far_end = cast(Channel, FarEnd(self))
+
+    # ---- the end of the data plane ----
+
+    def send(self, message: Struct) -> None:
+        if isinstance(message, Fetch):
+            self.fetched.append(message)
+        self._later(self._control.sessions.received, self._far_end, decode(encode(message), EdgeMessage))
+
+    async def receive(self, expected: Any) -> Any:
+        async with asyncio.timeout(self.silence_s):
+            found = await self._incoming.get()
+        if isinstance(found, Exception):
+            raise found
+        return decode(found, expected)
+
+    def close(self) -> None:
+        self._model.loop.call_later(LATENCY_S, self._control.sessions.ended, self._far_end)
+
+    # ---- the end of the control plane ----
+
+    def arrive(self, frame: bytes | Exception) -> None:
+        self._later(self._incoming.put_nowait, frame)
+
+    def _later(self, call: Callable[..., object], *arguments: object) -> None:
+        if self._model.passes(self._control):
+            self._model.loop.call_later(LATENCY_S, call, *arguments)
+
+
+class FarEnd:
+    """The end of the control scheduler."""
+
+    def __init__(self, wire: Wire) -> None:
+        self._wire = wire
+
+    def send(self, message: Struct) -> None:
+        self.send_encoded(encode(message))
+
+    def send_encoded(self, payload: bytes) -> None:
+        decode(payload, ControlMessage)
+        self._wire.arrive(payload)
+
+    def waiting(self) -> int:
+        return 0
+
+    def close(self) -> None:
+        self._wire.arrive(ConnectionResetError())
+
+
+class WireControl(ModelControl):
+    """A control scheduler whose sessions are the program's own."""
+
+    def __init__(self, model: FleetModel, address: str, zone: str) -> None:
+        super().__init__(model, address, zone)
+        self.wires: list[Wire] = []
+        self._cache = ConfigurationCache()
+        membership = Membership(ControlMember(address, zone), 5.0, 77)
+        state = PublishedState(self._cache, WorkerBook(), membership, self._confirmed_as_of)
+        self._membership = membership
+        self.sessions = model.loop.run_until_complete(self._make_sessions(state))
+
+    async def _make_sessions(self, state: PublishedState) -> EdgeSessions:
+        return EdgeSessions(self.member.address, state, HOLD_S, self._on_arrival)
+
+    def _on_arrival(self) -> None:
+        self._membership.refresh(self._model.loop.time())
+        self.sessions.changed()
+
+    def _confirmed_as_of(self) -> float | None:
+        as_of = self.as_of()
+        return as_of if self._model.loop.time() - as_of < CONTACT_S else None
+
+    def learn(self, version: Version) -> None:
+        super().learn(version)
+        if version > self._cache.version:
+            view, sequence = version
+            committed = Committed(sequence, sequence, document(sequence), view)
+            self._cache.install(self._cache.prepare(committed))
+
+    def step(self) -> None:
+        self.as_of()
+        self.sessions.changed()
+        self.sessions.look()
+
+    async def connect(self) -> Wire:
+        self.wires.append(Wire(self._model, self))
+        return self.wires[-1]
+
+
+@pytest.fixture
+def models(monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., FleetModel]]:
+    made: list[FleetModel] = []
+
+    def make(seed: int, size: int = 5, calm_s: float = 3.0) -> FleetModel:
+        model = FleetModel(size, seed, WireControl)
+        monkeypatch.setattr(control_session, "open_channel", model.open)
+        made.append(model)
+        if calm_s:
+            model.run_for(calm_s)
+        return model
+
+    yield make
+    for model in made:
+        model.close()
+        assert model.loop.errors == []
+
+
+Models = Callable[..., FleetModel]
+
+
+def followed(model: FleetModel) -> set[int]:
+    sound = model.sessions._choice.sound(model.loop.time())
+    return {number for number, control in enumerate(model.controls) if control.member.address in sound}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_in_calm_times_there_is_no_doubt_and_changes_come_at_once(models: Models, seed: int) -> None:
+    model = models(seed)
+    dials = model.dials
+    for _ in range(10):
+        model.commit()
+        model.run_for(SOON_S)
+        assert model.made.version(CONFIGURATION) == model.committed[-1][1]
+        assert not model.in_doubt()
+        model.run_for(1)
+    assert len(followed(model)) == SESSIONS
+    assert model.dials == dials
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_both_sessions_lead_to_a_minority_that_is_cut_off(models: Models, seed: int) -> None:
+    model = models(seed)
+    cut = followed(model)
+    model.cut(cut)
+    model.commit()
+    model.run_for(CONTACT_S + SOON_S)
+    for _ in range(20):
+        assert model.made.version(CONFIGURATION) == model.committed[-1][1]
+        assert not model.in_doubt()
+        assert not followed(model) & cut
+        model.commit()
+        model.run_for(1)
+    model.cut(set())
+    model.run_for(3)
+    assert len(followed(model)) == SESSIONS
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nobody_has_a_majority_for_a_while(models: Models, seed: int) -> None:
+    model = models(seed)
+    held = model.made.version(CONFIGURATION)
+    dials, began = model.dials, model.loop.time()
+    for control in model.controls:
+        control.set_in_majority(False)
+    model.run_for(20)
+    assert model.in_doubt()
+    assert model.made.version(CONFIGURATION) == held
+    assert model.dials - dials <= DIAL_BURST + (model.loop.time() - began) * DIALS_PER_S
+    model.cut(set())
+    model.commit()
+    model.run_for(APPLY_S)
+    assert not model.in_doubt()
+    assert model.made.version(CONFIGURATION) == model.committed[-1][1]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_start_while_nobody_has_a_majority(models: Models, seed: int) -> None:
+    """It holds nothing for a while, then what there is, in doubt; and is without doubt soon after the cut."""
+    model = models(seed, calm_s=0.0)
+    for control in model.controls:
+        control.learn(model.committed[-1][1])
+        control.set_in_majority(False)
+        control._as_of -= 2 * CONTACT_S
+    model.run_for(UNCONFIRMED_AFTER_S - 0.2)
+    assert model.heard.configurations == []
+    model.run_for(1)
+    assert model.made.version(CONFIGURATION) == (1, 1)
+    assert model.in_doubt()
+    model.cut(set())
+    model.run_for(APPLY_S)
+    assert not model.in_doubt()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_it_comes_and_goes(models: Models, seed: int) -> None:
+    model = models(seed)
+    for turn in range(40):
+        model.cut({turn % 5, (turn + 1 + seed) % 5})
+        model.commit()
+        model.run_for(0.3 + 0.1 * (turn % 7))
+        if turn % 10 == 9:
+            model.stop_process_for(4)
+    model.cut(set())
+    model.run_for(2 * APPLY_S)
+    assert not model.in_doubt()
+    assert model.made.version(CONFIGURATION) == model.committed[-1][1]
