--- a/tests/control_plane/test_guards_chain.py
+++ b/tests/control_plane/test_guards_chain.py
@@ -37,9 +37,9 @@
 
 def test_a_successor_s_state_before_it_was_appended_anew_is_not_answered() -> None:
     head = ChainReplica(HEAD, JUST_APPENDED, held=FIRST)
-    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 1))
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 0))
     assert not head.sent()
-    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, VIEW_NUMBER, False, 1))
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, VIEW_NUMBER, False, 0))
     assert head.sent() == [Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),))]
 
 
