--- a/tests/control_plane/test_guards_chain.py
+++ b/tests/control_plane/test_guards_chain.py
@@ -8,7 +8,6 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Member
 from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Snapshot
-from reedspoke.control_plane.replica_records import acknowledged
 from tests.control_plane.chain_replica import (
     HEAD,
     MIDDLE,
@@ -16,6 +15,7 @@
     VIEW_NUMBER,
     ChainReplica,
     entry,
+    packed_history,
     view_of,
 )
 
@@ -40,21 +40,21 @@
     head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 1))
     assert not head.sent()
     head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, VIEW_NUMBER, False, 1))
-    assert head.sent() == [Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),))]
+    assert head.sent() == [Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, packed_history(FIRST))]
 
 
 def test_an_incomplete_successor_gets_all_also_where_one_entry_seems_to_lack() -> None:
     head = ChainReplica(HEAD, JUST_APPENDED, held=SECOND)
     head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, VIEW_NUMBER, False, 1))
     assert _of_type(head.sent(), Append, Snapshot) == [
-        Snapshot(VIEW_NUMBER, VIEW_NUMBER, SECOND, (acknowledged(SECOND),))
+        Snapshot(VIEW_NUMBER, VIEW_NUMBER, SECOND, packed_history(SECOND))
     ]
 
 
 def test_a_successor_that_lacks_several_entries_gets_all() -> None:
     head = ChainReplica(HEAD, held=THIRD)
     head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 1))
-    assert head.sent() == [Snapshot(VIEW_NUMBER, 1, THIRD, (acknowledged(THIRD),))]
+    assert head.sent() == [Snapshot(VIEW_NUMBER, 1, THIRD, packed_history(THIRD))]
 
 
 def test_an_incomplete_replica_stores_no_single_entry() -> None:
@@ -104,17 +104,17 @@
 
 def test_a_snapshot_made_for_an_earlier_joining_is_not_adopted() -> None:
     middle = ChainReplica(MIDDLE, JUST_APPENDED)
-    middle.chain.receive(Snapshot(VIEW_NUMBER, 1, FIRST, (acknowledged(FIRST),)))
+    middle.chain.receive(Snapshot(VIEW_NUMBER, 1, FIRST, packed_history(FIRST)))
     middle.sent()
     assert not middle.stores
-    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),)))
+    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, packed_history(FIRST)))
     middle.sent()
     assert len(middle.stores) == 1
 
 
 def test_a_complete_replica_keeps_its_entries_whatever_snapshot_comes() -> None:
     middle = ChainReplica(MIDDLE, held=SECOND)
-    middle.chain.receive(Snapshot(VIEW_NUMBER, 1, FIRST, (acknowledged(FIRST),)))
+    middle.chain.receive(Snapshot(VIEW_NUMBER, 1, FIRST, packed_history(FIRST)))
     middle.sent()
     assert middle.register.entry == SECOND
     assert not middle.stores
@@ -123,7 +123,7 @@
 def test_a_replica_is_complete_once_the_adopted_state_is_on_disk() -> None:
     middle = ChainReplica(MIDDLE, JUST_APPENDED)
     assert not middle.chain.complete
-    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),)))
+    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, packed_history(FIRST)))
     assert not middle.chain.complete
     middle.end_store()
     assert middle.chain.complete
@@ -131,7 +131,7 @@
 
 def test_a_replica_whose_disk_refuses_the_adopted_state_is_not_complete() -> None:
     middle = ChainReplica(MIDDLE, JUST_APPENDED)
-    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, (acknowledged(FIRST),)))
+    middle.chain.receive(Snapshot(VIEW_NUMBER, VIEW_NUMBER, FIRST, packed_history(FIRST)))
     middle.end_store(ErrorCode.STORAGE_FULL)
     assert not middle.chain.complete
 
