Log: every batch stands twice, and a rewriting goes to a second slot, without a rename

Cause: a changed byte in the newest synced batch looked like a torn end and was cut back, so that a member went back behind what it had told others. A rewriting renamed its file over the log; where each name is kept or lost by itself, both may be gone. The folder was not synced at an opening, so a process killed between a rename and its sync went on in a file that a loss of power replaced by the old one. A first write torn at its front looked like a corrupt file. A folder that was set aside voted on the first view again where its settings still said bootstrap at the next start. After a restart the log could grow to four times what was found.

Change: log_format.py has the bytes, log_file.py the two slots. The first batch of a slot holds folder id, number of the rewriting and all records. An opening mends a file with a damaged copy by a rewriting; files with single copies are read and doubled. The log is rewritten when more than REWRITE_BYTES of it, in bytes of the file, are out of date; REWRITE_RATIO is gone.

--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -220,7 +220,7 @@
             address=self._own_address,
             zone=self._settings.zone,
             seeds=self._settings.seed_addresses(),
-            bootstrap=self._bootstrap,
+            bootstrap=self._bootstrap and not opened.succeeds_corrupt,
             machines_tolerated=self._settings.fault_tolerance.machines,
         )
         try:
--- a/reedspoke/control_plane/replica_outbox.py
+++ b/reedspoke/control_plane/replica_outbox.py
@@ -9,12 +9,12 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Effect, LogLine, SendTo, Store, Stored
+from reedspoke.control_plane.log_format import COPIES, encoded_size
 from reedspoke.control_plane.replica_records import ProbeRecord, encode_record
 from reedspoke.control_plane.replica_settings import (
     DISK_PROBE_S,
     DISK_STALL_S,
     REWRITE_BYTES,
-    REWRITE_RATIO,
 )
 
 StoreEnd = Callable[[ErrorCode | None], None]
@@ -46,8 +46,8 @@
         self._to_self: list[Struct] = []
         self._pending: dict[int, PendingStore] = {}
         self._next_token = 1
-        self._log_size = restored_size
-        self._live_size = restored_size
+        self._log_size = COPIES * restored_size
+        self._live_size = 0  # not known before the first rewriting
         self._probe_after = 0.0
 
     @property
@@ -112,7 +112,7 @@
     def _store(self, records: tuple[bytes, ...], on_end: StoreEnd, replace: bool) -> None:
         token = self._next_token
         self._next_token += 1
-        size = sum(map(len, records))
+        size = encoded_size(records)
         self._pending[token] = PendingStore(self.now, size, replace, on_end)
         self._effects.append(Store(token, records, replace))
 
@@ -140,7 +140,7 @@
     def _rewrite_when_long(self) -> None:
         if self.disk_failed or any(store.replace for store in self._pending.values()):
             return
-        if self._log_size > max(REWRITE_BYTES, REWRITE_RATIO * self._live_size):
+        if self._log_size - self._live_size > REWRITE_BYTES:
             self.rewrite(_ignore)
 
 
--- a/reedspoke/control_plane/replica_settings.py
+++ b/reedspoke/control_plane/replica_settings.py
@@ -27,8 +27,7 @@
 RESEND_BYTES_PER_S = 4_000_000
 DISK_STALL_S = 0.5  # a store outstanding for longer means that the disk is in trouble
 DISK_PROBE_S = 0.3
-REWRITE_BYTES = 8 * 1024 * 1024  # the log is rewritten when longer than this
-REWRITE_RATIO = 4  # and than this many times the live records
+REWRITE_BYTES = 16 * 1024 * 1024  # the log is rewritten when more of it than this is out of date
 HISTORY_LIMIT = 4096
 
 
--- /dev/null
+++ b/tests/control_plane/simulated_files.py
@@ -0,0 +1,263 @@
+"""A file system in memory that stands in for `os` in `log_file`, with numbered calls and losses of power.
+
+A loss of power keeps what was synced. Of what was written to a file after its last sync each write stays,
+is missing or is torn; each name that was made, renamed or removed since the last sync of the folder is as it
+was before or as it was made, by itself.
+"""
+
+from __future__ import annotations
+
+import errno
+import itertools
+import os
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+from reedspoke.control_plane import log_file
+from reedspoke.control_plane.log_format import COPIES, SINGLE_COPY_HEADER, encode_batch
+
+FOLDER = Path("/data")
+TORN_PARTS = 20  # into which a write may be torn
+
+
+class PowerLost(BaseException):
+    """Power is lost at a numbered call; nothing after it is done."""
+
+
+@dataclass(frozen=True)
+class Write:
+    """Bytes written at an offset."""
+
+    offset: int
+    data: bytes
+
+    def outcomes(self, torn_parts: int) -> list[list[Change]]:
+        """What a loss of power may leave of it, beginning with all and nothing."""
+        size = len(self.data)
+        cuts = range(1, size, max(1, size // torn_parts))
+        beginnings: list[list[Change]] = [[self._part(0, cut)] for cut in cuts]
+        ends: list[list[Change]] = [[self._part(cut, size)] for cut in cuts]
+        holes: list[list[Change]] = [
+            [self._part(0, one), self._part(other, size)] for one, other in itertools.pairwise(cuts)
+        ]
+        every_second: list[Change] = [
+            self._part(one, other) for one, other in itertools.pairwise([0, *cuts, size])
+        ]
+        return [[self], [], *beginnings, *ends, *holes, every_second[::2], every_second[1::2]]
+
+    def _part(self, start: int, end: int) -> Write:
+        return Write(self.offset + start, self.data[start:end])
+
+
+@dataclass(frozen=True)
+class Truncate:
+    """The file was cut, or extended, to a length."""
+
+    length: int
+
+    def outcomes(self, _: int) -> list[list[Change]]:
+        """What a loss of power may leave of it."""
+        return [[self], []]
+
+
+Change = Write | Truncate
+
+
+@dataclass
+class Inode:
+    """A file's synced content, and what was done to it since."""
+
+    synced: bytes = b""
+    changes: list[Change] = field(default_factory=list)
+
+    def content(self) -> bytes:
+        """What a reader sees."""
+        return _applied(self.synced, self.changes)
+
+    def after_power_loss(self, torn_parts: int) -> set[bytes]:
+        """Each content that a loss of power may leave."""
+        kept = itertools.product(*(change.outcomes(torn_parts) for change in self.changes))
+        return {_applied(self.synced, list(itertools.chain(*choice))) for choice in kept}
+
+
+@dataclass
+class Descriptor:
+    """An open file or folder."""
+
+    inode: Inode | None  # None for the folder
+    position: int = 0
+
+
+class SimulatedFiles:
+    """One folder. Calls that change or sync something are numbered: those in `refused` are, and at
+    `lose_power_at` power is lost."""
+
+    O_RDWR, O_CREAT, O_TRUNC, O_RDONLY = os.O_RDWR, os.O_CREAT, os.O_TRUNC, os.O_RDONLY
+    SEEK_SET = os.SEEK_SET
+
+    def __init__(self, files: dict[str, bytes] | None = None) -> None:
+        inodes = {name: Inode(content) for name, content in (files or {}).items()}
+        self.synced_names = dict(inodes)
+        self.names = inodes
+        self.calls = 0
+        self.refused = range(0)
+        self.error = errno.EIO
+        self.lose_power_at = 0
+        self.sizes: list[int] = []
+        self.path = self
+        self._descriptors: dict[int, Descriptor] = {}
+        self._next_descriptor = itertools.count(3)
+
+    # ---- what `log_file` uses of `os` ----
+
+    def makedirs(self, path: Path, exist_ok: bool) -> None:
+        """The folder is always there."""
+        assert path == FOLDER
+        assert exist_ok
+
+    def exists(self, path: Path) -> bool:
+        """Whether a name is there."""
+        return path.name in self.names
+
+    def open(self, path: Path, flags: int, mode: int = 0) -> int:
+        """Open a file or the folder."""
+        descriptor = next(self._next_descriptor)
+        if path == FOLDER:
+            self._descriptors[descriptor] = Descriptor(None)
+            return descriptor
+        if flags & os.O_CREAT:
+            self._count()
+            inode = self.names.setdefault(path.name, Inode())
+            if inode.content():
+                inode.changes.append(Truncate(0))
+        if path.name not in self.names:
+            raise FileNotFoundError(errno.ENOENT, "no such file")
+        self._descriptors[descriptor] = Descriptor(self.names[path.name])
+        return descriptor
+
+    def close(self, descriptor: int) -> None:
+        """Close it."""
+        del self._descriptors[descriptor]
+
+    def fstat(self, descriptor: int) -> os.stat_result:
+        """Only the size is right."""
+        size = len(self._inode(descriptor).content())
+        return os.stat_result((0, 0, 0, 0, 0, 0, size, 0, 0, 0))
+
+    def read(self, descriptor: int, size: int) -> bytes:
+        """Read on."""
+        opened = self._descriptors[descriptor]
+        data = self._inode(descriptor).content()[opened.position : opened.position + size]
+        opened.position += len(data)
+        return data
+
+    def lseek(self, descriptor: int, offset: int, whence: int) -> int:
+        """Set the position."""
+        assert whence == os.SEEK_SET
+        self._descriptors[descriptor].position = offset
+        return offset
+
+    def write(self, descriptor: int, data: bytes | memoryview) -> int:
+        """Write all; a refused write may have written a half."""
+        opened = self._descriptors[descriptor]
+        inode = self._inode(descriptor)
+        half = Write(opened.position, bytes(data[: len(data) // 2]))
+        whole = Write(opened.position, bytes(data))
+        self._count(inode, half, whole)
+        inode.changes.append(whole)
+        opened.position += len(data)
+        self.sizes.append(sum(len(other.content()) for other in self.names.values()))
+        return len(data)
+
+    def ftruncate(self, descriptor: int, length: int) -> None:
+        """Set the length."""
+        inode = self._inode(descriptor)
+        self._count(inode, Truncate(length), Truncate(length))
+        inode.changes.append(Truncate(length))
+
+    def fsync(self, descriptor: int) -> None:
+        """Sync a file or the folder; a refused sync has synced nothing."""
+        self._count()
+        inode = self._descriptors[descriptor].inode
+        if inode is None:
+            self.synced_names = dict(self.names)
+        else:
+            inode.synced, inode.changes = inode.content(), []
+
+    def unlink(self, path: Path) -> None:
+        """Remove a name."""
+        if path.name not in self.names:
+            raise FileNotFoundError(errno.ENOENT, "no such file")
+        self._count()
+        del self.names[path.name]
+
+    def replace(self, source: Path, target: Path) -> None:
+        """Rename."""
+        self._count()
+        self.names[target.name] = self.names.pop(source.name)
+
+    # ---- what tests use ----
+
+    def after_power_loss(self, torn_parts: int = TORN_PARTS) -> Iterator[dict[str, bytes]]:
+        """Each folder that a loss of power may leave."""
+        names = sorted({*self.names, *self.synced_names})
+        choices = [_entries(self.synced_names.get(name), self.names.get(name)) for name in names]
+        for entries in itertools.product(*choices):
+            held = {name: inode for name, inode in zip(names, entries, strict=True) if inode}
+            contents = [sorted(inode.after_power_loss(torn_parts)) for inode in held.values()]
+            for content in itertools.product(*contents):
+                yield dict(zip(held, content, strict=True))
+
+    def after_kill(self) -> dict[str, bytes]:
+        """The folder as it is for the next process."""
+        return {name: inode.content() for name, inode in self.names.items()}
+
+    def _inode(self, descriptor: int) -> Inode:
+        inode = self._descriptors[descriptor].inode
+        assert inode is not None
+        return inode
+
+    def _count(
+        self, inode: Inode | None = None, half: Change | None = None, whole: Change | None = None
+    ) -> None:
+        """Count a call that changes or syncs; one that is refused, or cut off by the loss, may be done."""
+        self.calls += 1
+        if self.calls == self.lose_power_at:
+            if inode is not None and whole is not None:
+                inode.changes.append(whole)
+            raise PowerLost
+        if self.calls in self.refused:
+            if inode is not None and half is not None:
+                inode.changes.append(half)
+            raise OSError(self.error, os.strerror(self.error))
+
+
+def _entries(before: Inode | None, after: Inode | None) -> list[Inode | None]:
+    return [after] if before is after else [before, after]
+
+
+def _applied(content: bytes, changes: list[Change]) -> bytes:
+    result = bytearray(content)
+    for change in changes:
+        if isinstance(change, Truncate):
+            del result[change.length :]
+            result.extend(bytes(max(0, change.length - len(result))))
+        else:
+            result.extend(bytes(max(0, change.offset - len(result))))
+            result[change.offset : change.offset + len(change.data)] = change.data
+    return bytes(result)
+
+
+def single_copies(*batches: list[bytes]) -> bytes:
+    """A file as it was before batches were doubled."""
+    copies = [encode_batch(batch) for batch in batches]
+    return SINGLE_COPY_HEADER + b"".join(both[: len(both) // COPIES] for both in copies)
+
+
+def use(monkeypatch: pytest.MonkeyPatch, files: SimulatedFiles) -> SimulatedFiles:
+    """Have `log_file` work on this file system."""
+    monkeypatch.setattr(log_file, "os", files)
+    return files
--- /dev/null
+++ b/tests/control_plane/test_storage_faults.py
@@ -0,0 +1,219 @@
+"""The log on a disk that refuses, or loses power at, each numbered call, with every subset kept of what was
+not synced."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+
+from reedspoke.cluster.errors import FleetError
+from reedspoke.control_plane.log_file import LOG_NAME, OTHER_SLOT_NAME, OpenedLog, open_log
+from tests.control_plane.simulated_files import FOLDER, PowerLost, SimulatedFiles, use
+
+Files = dict[str, bytes]
+
+FEW_TORN_PARTS = 5
+
+
+@dataclass(frozen=True)
+class Step:
+    """One call of the writer."""
+
+    records: tuple[bytes, ...]
+    replace: bool = False
+
+    def after(self, held: tuple[bytes, ...]) -> tuple[bytes, ...]:
+        """What the log holds once this is done."""
+        return self.records if self.replace else held + self.records
+
+    def run(self, opened: OpenedLog) -> None:
+        """Carry it out."""
+        (opened.writer.rewrite if self.replace else opened.writer.append)(self.records)
+
+
+STORY = (
+    Step((b"one",)),
+    Step((b"two" * 9, b"")),
+    Step((b"snapshot" * 5, b"rest"), replace=True),
+    Step((b"three",)),
+    Step((b"newer snapshot",), replace=True),
+    Step((b"four" * 20,)),
+)
+
+
+class Player:
+    """Plays the story and knows what the log must hold, and what it may hold."""
+
+    def __init__(self, files: SimulatedFiles) -> None:
+        self.files = files
+        self.folder_id: str | None = None
+        self.held: tuple[bytes, ...] = ()
+        self.unclear: tuple[Step, ...] = ()
+
+    def play(self) -> None:
+        """All of it, unless power is lost; steps that the disk refuses are left out."""
+        try:
+            self._play()
+        except PowerLost:
+            return
+
+    def open(self) -> OpenedLog:
+        """Open the log, again where the disk refuses."""
+        while True:
+            try:
+                opened = open_log(FOLDER)
+            except FleetError:
+                continue
+            self.folder_id = opened.folder_id
+            return opened
+
+    def step(self, opened: OpenedLog, step: Step) -> None:
+        """One step, whose outcome is unclear until it or a later one has succeeded."""
+        self.unclear += (step,)
+        try:
+            step.run(opened)
+        except FleetError:
+            return
+        self.held = step.after(self.held)
+        self.unclear = ()
+
+    def check(self, files: Files) -> None:
+        """What another process finds in such a folder."""
+        opened = open_log(FOLDER)
+        if self.folder_id is not None:
+            assert opened.folder_id == self.folder_id, files
+        allowed = [self.held, *(step.after(self.held) for step in self.unclear)]
+        assert tuple(opened.records) in allowed, files
+
+    def _play(self) -> None:
+        opened = self.open()
+        for step in STORY:
+            self.step(opened, step)
+
+
+Prepare = Callable[[SimulatedFiles], None]
+
+
+def _count_of_calls(monkeypatch: pytest.MonkeyPatch) -> int:
+    files = use(monkeypatch, SimulatedFiles())
+    Player(files).play()
+    return files.calls
+
+
+def _check_after_power_loss(monkeypatch: pytest.MonkeyPatch, player: Player) -> list[Files]:
+    """The folders that power loss may leave, each of which has been opened."""
+    found = list(player.files.after_power_loss())
+    for files in found:
+        use(monkeypatch, SimulatedFiles(files))
+        player.check(files)
+    return found
+
+
+def test_the_story_has_numbered_points(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert 20 < _count_of_calls(monkeypatch) < 60
+
+
+def test_power_is_lost_at_each_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    checked = 0
+    for number in range(1, _count_of_calls(monkeypatch) + 2):
+        files = use(monkeypatch, SimulatedFiles())
+        files.lose_power_at = number
+        player = Player(files)
+        player.play()
+        checked += len(_check_after_power_loss(monkeypatch, player))
+    assert checked > 500
+
+
+def test_power_is_lost_again_at_each_call_of_the_next_opening(monkeypatch: pytest.MonkeyPatch) -> None:
+    seen: set[tuple[tuple[str, bytes], ...]] = set()
+    for number in range(1, _count_of_calls(monkeypatch) + 2):
+        files = use(monkeypatch, SimulatedFiles())
+        files.lose_power_at = number
+        player = Player(files)
+        player.play()
+        for left in files.after_power_loss(FEW_TORN_PARTS):
+            key = tuple(sorted(left.items()))
+            if key not in seen:
+                seen.add(key)
+                _lose_power_while_opening(monkeypatch, player, left)
+
+
+def _lose_power_while_opening(monkeypatch: pytest.MonkeyPatch, player: Player, left: Files) -> None:
+    number = 0
+    lost = True
+    while lost:
+        number += 1
+        files = use(monkeypatch, SimulatedFiles(left))
+        files.lose_power_at = number
+        lost = False
+        try:
+            open_log(FOLDER)
+        except PowerLost:
+            lost = True
+        for again in files.after_power_loss(FEW_TORN_PARTS):
+            use(monkeypatch, SimulatedFiles(again))
+            player.check(again)
+
+
+def test_a_process_is_killed_at_each_call_and_power_is_lost_in_its_next_life(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the next life has read, or stored, has to outlast a loss of power."""
+    for number in range(1, _count_of_calls(monkeypatch) + 2):
+        files = use(monkeypatch, SimulatedFiles())
+        files.lose_power_at = number
+        player = Player(files)
+        player.play()
+        files.lose_power_at = 0
+        opened = open_log(FOLDER)
+        player.folder_id = opened.folder_id
+        player.held, player.unclear = tuple(opened.records), ()
+        _check_after_power_loss(monkeypatch, player)
+        use(monkeypatch, files)
+        player.step(opened, Step((b"next life",)))
+        assert not player.unclear
+        _check_after_power_loss(monkeypatch, player)
+
+
+@pytest.mark.parametrize("length", [1, 2, 5])
+def test_the_disk_refuses_from_each_call_on_for_a_while(monkeypatch: pytest.MonkeyPatch, length: int) -> None:
+    for number in range(1, _count_of_calls(monkeypatch) + 1):
+        files = use(monkeypatch, SimulatedFiles())
+        files.refused = range(number, number + length)
+        player = Player(files)
+        opened = player.open()
+        for step in STORY:
+            use(monkeypatch, files)
+            player.step(opened, step)
+            _check_after_power_loss(monkeypatch, player)
+        while player.unclear:
+            use(monkeypatch, files)
+            player.step(opened, Step((b"last",)))
+        _check_after_power_loss(monkeypatch, player)
+
+
+def test_power_is_lost_at_each_call_after_a_refused_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    count = _count_of_calls(monkeypatch)
+    for refused in range(1, count + 1):
+        for number in range(refused + 1, min(refused + 8, count + 2)):
+            files = use(monkeypatch, SimulatedFiles())
+            files.refused = range(refused, refused + 1)
+            files.lose_power_at = number
+            player = Player(files)
+            player.play()
+            _check_after_power_loss(monkeypatch, player)
+
+
+def test_of_two_slots_the_newer_one_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    files = use(monkeypatch, SimulatedFiles())
+    opened = open_log(FOLDER)
+    opened.writer.append([b"old"])
+    old = files.names[LOG_NAME].content()
+    opened.writer.rewrite([b"new"])
+    new = files.names[OTHER_SLOT_NAME].content()
+    for one, other in ((LOG_NAME, OTHER_SLOT_NAME), (OTHER_SLOT_NAME, LOG_NAME)):
+        left = use(monkeypatch, SimulatedFiles({one: old, other: new}))
+        assert open_log(FOLDER).records == [b"new"]
+        assert list(left.synced_names) == [other]
