Tests: real logs under the simulated core, catching up, large documents, bounded disk

Cause: the simulation kept each member's records in a list, so that no test stopped a process or a machine in the middle of an append or a rewriting, or looked at the bytes on a disk over many changes and restarts.

Change: storage_simulation.py runs the simulation on simulated_files.py. Members are killed, without power, frozen, cut off or on a stalled disk for 0.1 to 6 s while 0 to 150 changes pass, as head, middle and tail; stopped, or with a disk in trouble, in each store of their return; messages of catching up are lost, doubled or late. test_the_log_is_rewritten_before_it_grows_large counts the bytes on disk, as tight as before.

--- a/tests/control_plane/simulated_files.py
+++ b/tests/control_plane/simulated_files.py
@@ -10,8 +10,8 @@
 import errno
 import itertools
 import os
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
@@ -66,21 +66,35 @@
 Change = Write | Truncate
 
 
-@dataclass
 class Inode:
-    """A file's synced content, and what was done to it since."""
+    """A file: its synced content, what was done to it since, and the content that a reader sees."""
+
+    def __init__(self, content: bytes = b"") -> None:
+        self.synced = bytearray(content)
+        self.content = bytearray(content)
+        self.changes: list[Change] = []
 
-    synced: bytes = b""
-    changes: list[Change] = field(default_factory=list)
+    def change(self, change: Change) -> None:
+        """Write or truncate, unsynced."""
+        _apply(self.content, change)
+        self.changes.append(change)
 
-    def content(self) -> bytes:
-        """What a reader sees."""
-        return _applied(self.synced, self.changes)
+    def sync(self) -> None:
+        """What a reader sees outlasts a loss of power."""
+        for change in self.changes:
+            _apply(self.synced, change)
+        self.changes.clear()
 
     def after_power_loss(self, torn_parts: int) -> set[bytes]:
         """Each content that a loss of power may leave."""
         kept = itertools.product(*(change.outcomes(torn_parts) for change in self.changes))
-        return {_applied(self.synced, list(itertools.chain(*choice))) for choice in kept}
+        return {self._synced_with(itertools.chain(*choice)) for choice in kept}
+
+    def _synced_with(self, changes: Iterable[Change]) -> bytes:
+        content = bytearray(self.synced)
+        for change in changes:
+            _apply(content, change)
+        return bytes(content)
 
 
 @dataclass
@@ -106,7 +120,7 @@
         self.refused = range(0)
         self.error = errno.EIO
         self.lose_power_at = 0
-        self.sizes: list[int] = []
+        self.most_bytes = 0
         self.path = self
         self._descriptors: dict[int, Descriptor] = {}
         self._next_descriptor = itertools.count(3)
@@ -131,8 +145,8 @@
         if flags & os.O_CREAT:
             self._count()
             inode = self.names.setdefault(path.name, Inode())
-            if inode.content():
-                inode.changes.append(Truncate(0))
+            if inode.content:
+                inode.change(Truncate(0))
         if path.name not in self.names:
             raise FileNotFoundError(errno.ENOENT, "no such file")
         self._descriptors[descriptor] = Descriptor(self.names[path.name])
@@ -144,15 +158,15 @@
 
     def fstat(self, descriptor: int) -> os.stat_result:
         """Only the size is right."""
-        size = len(self._inode(descriptor).content())
+        size = len(self._inode(descriptor).content)
         return os.stat_result((0, 0, 0, 0, 0, 0, size, 0, 0, 0))
 
     def read(self, descriptor: int, size: int) -> bytes:
         """Read on."""
         opened = self._descriptors[descriptor]
-        data = self._inode(descriptor).content()[opened.position : opened.position + size]
+        data = self._inode(descriptor).content[opened.position : opened.position + size]
         opened.position += len(data)
-        return data
+        return bytes(data)
 
     def lseek(self, descriptor: int, offset: int, whence: int) -> int:
         """Set the position."""
@@ -167,16 +181,16 @@
         half = Write(opened.position, bytes(data[: len(data) // 2]))
         whole = Write(opened.position, bytes(data))
         self._count(inode, half, whole)
-        inode.changes.append(whole)
+        inode.change(whole)
         opened.position += len(data)
-        self.sizes.append(sum(len(other.content()) for other in self.names.values()))
+        self.most_bytes = max(self.most_bytes, sum(len(other.content) for other in self.names.values()))
         return len(data)
 
     def ftruncate(self, descriptor: int, length: int) -> None:
         """Set the length."""
         inode = self._inode(descriptor)
         self._count(inode, Truncate(length), Truncate(length))
-        inode.changes.append(Truncate(length))
+        inode.change(Truncate(length))
 
     def fsync(self, descriptor: int) -> None:
         """Sync a file or the folder; a refused sync has synced nothing."""
@@ -185,7 +199,7 @@
         if inode is None:
             self.synced_names = dict(self.names)
         else:
-            inode.synced, inode.changes = inode.content(), []
+            inode.sync()
 
     def unlink(self, path: Path) -> None:
         """Remove a name."""
@@ -213,7 +227,7 @@
 
     def after_kill(self) -> dict[str, bytes]:
         """The folder as it is for the next process."""
-        return {name: inode.content() for name, inode in self.names.items()}
+        return {name: bytes(inode.content) for name, inode in self.names.items()}
 
     def _inode(self, descriptor: int) -> Inode:
         inode = self._descriptors[descriptor].inode
@@ -227,11 +241,11 @@
         self.calls += 1
         if self.calls == self.lose_power_at:
             if inode is not None and whole is not None:
-                inode.changes.append(whole)
+                inode.change(whole)
             raise PowerLost
         if self.calls in self.refused:
             if inode is not None and half is not None:
-                inode.changes.append(half)
+                inode.change(half)
             raise OSError(self.error, os.strerror(self.error))
 
 
@@ -239,16 +253,13 @@
     return [after] if before is after else [before, after]
 
 
-def _applied(content: bytes, changes: list[Change]) -> bytes:
-    result = bytearray(content)
-    for change in changes:
-        if isinstance(change, Truncate):
-            del result[change.length :]
-            result.extend(bytes(max(0, change.length - len(result))))
-        else:
-            result.extend(bytes(max(0, change.offset - len(result))))
-            result[change.offset : change.offset + len(change.data)] = change.data
-    return bytes(result)
+def _apply(content: bytearray, change: Change) -> None:
+    if isinstance(change, Truncate):
+        del content[change.length :]
+        content.extend(bytes(max(0, change.length - len(content))))
+    else:
+        content.extend(bytes(max(0, change.offset - len(content))))
+        content[change.offset : change.offset + len(change.data)] = change.data
 
 
 def single_copies(*batches: list[bytes]) -> bytes:
--- /dev/null
+++ b/tests/control_plane/storage_simulation.py
@@ -0,0 +1,142 @@
+"""The simulated core with the real log on each machine, on a file system in memory.
+
+A killed process leaves the call that it was in done or not, and a machine without power what was synced and
+any part of the rest.
+"""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import FleetError
+from reedspoke.control_plane.events import Store
+from reedspoke.control_plane.log_file import OpenedLog, open_log
+from reedspoke.control_plane.replica_messages import Append, Snapshot
+from tests.control_plane.simulated_files import FOLDER, PowerLost, SimulatedFiles, use
+from tests.control_plane.simulated_parts import Disk, DiskMode
+from tests.control_plane.simulation import Simulation
+
+CALLS_OF_A_STORE = 8
+
+MessageFault = Callable[[str, str, Struct], list[float]]
+TORN_PARTS = 4
+
+
+@dataclass
+class LogDisk(Disk):
+    """A disk with a log on it."""
+
+    monkeypatch: pytest.MonkeyPatch = field(default_factory=pytest.MonkeyPatch)
+    files: SimulatedFiles = field(default_factory=SimulatedFiles)
+    opened: OpenedLog | None = None
+
+    def open(self) -> None:
+        """A process starts."""
+        use(self.monkeypatch, self.files)
+        self.opened = open_log(FOLDER)
+        self.folder_id = self.opened.folder_id
+        self.records = self.opened.records
+
+    def carry_out(self, store: Store) -> None:
+        """Append or rewrite."""
+        assert self.opened is not None
+        use(self.monkeypatch, self.files)
+        writer = self.opened.writer
+        (writer.rewrite if store.replace else writer.append)(store.records)
+
+    def stop_in(self, stores: list[Store], random: Random, power: bool) -> None:
+        """The process ends somewhere in these stores; without power, so does the machine."""
+        self.files.lose_power_at = self.files.calls + random.randint(1, CALLS_OF_A_STORE * (len(stores) + 1))
+        try:
+            for store in stores:
+                self.carry_out(store)
+        except PowerLost:
+            pass
+        left = (
+            random.choice(list(self.files.after_power_loss(TORN_PARTS))) if power else self.files.after_kill()
+        )
+        most_bytes = self.files.most_bytes
+        self.files = SimulatedFiles(left)
+        self.files.most_bytes = most_bytes
+        self.opened = None
+
+
+class StorageSimulation(Simulation):
+    """Machines keep their state in logs.
+
+    `link_bytes_per_s` is what each link carries; `message_fault` is asked for each message of the chain, and
+    gives the extra delay of each copy that arrives.
+    """
+
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, seed: int = 0, machines: int = 3, tolerated: int = 1
+    ) -> None:
+        self._monkeypatch = monkeypatch
+        folder_ids = itertools.count(1)
+        monkeypatch.setattr(secrets, "token_hex", lambda size: f"{next(folder_ids):0{2 * size}x}")
+        self.link_bytes_per_s = float("inf")
+        self.message_fault: MessageFault | None = None
+        super().__init__(seed, machines, tolerated, seeds=min(machines, 3))
+
+    def disk(self, address: str) -> LogDisk:
+        """The disk of a machine."""
+        disk = self.machines[address].disk
+        assert isinstance(disk, LogDisk)
+        return disk
+
+    def kill(self, address: str, restart_after: float | None = 0.3) -> None:
+        """The process dies in the middle of a store."""
+        self._stop_in_stores(address, power=False)
+        self._restart_later(address, restart_after)
+
+    def lose_power(self, address: str, restart_after: float | None = 0.5) -> None:
+        """Power is lost in the middle of a store."""
+        self._stop_in_stores(address, power=True)
+        self._restart_later(address, restart_after)
+
+    def _stop_in_stores(self, address: str, power: bool) -> None:
+        machine = self.machines[address]
+        if machine.replica is None:
+            return
+        works = machine.disk.mode in (DiskMode.WORKS, DiskMode.STALLS)
+        stores = list(machine.disk.waiting) if works else []
+        self._stop(address, keep_unsynced=False)
+        self.disk(address).stop_in(stores, self.random, power)
+
+    def _new_disk(self) -> Disk:
+        return LogDisk(folder_id="", monkeypatch=self._monkeypatch)
+
+    def _transmit(self, sender: str, receiver: str, message: Struct, extra: float) -> None:
+        delays = [0.0]
+        if self.message_fault is not None:
+            delays = self.message_fault(sender, receiver, message)
+        for delay in delays:
+            self._occupy_link(sender, receiver, message)
+            super()._transmit(sender, receiver, message, extra + delay)
+
+    def _occupy_link(self, sender: str, receiver: str, message: Struct) -> None:
+        """What is sent later on this link waits until the document has passed."""
+        if isinstance(message, Append | Snapshot) and message.entry is not None:
+            duration = len(message.entry.document) / self.link_bytes_per_s
+            free = max(self.now, self._link_free.get((sender, receiver), 0.0))
+            self._link_free[(sender, receiver)] = free + duration
+
+    def _start(self, address: str) -> None:
+        if self.machines[address].replica is None:
+            self.disk(address).open()
+        super()._start(address)
+
+    @staticmethod
+    def _write(disk: Disk, store: Store) -> None:
+        assert isinstance(disk, LogDisk)
+        try:
+            disk.carry_out(store)
+        except FleetError as error:
+            raise AssertionError("no test makes this file system refuse anything") from error
--- a/tests/control_plane/test_replica_answers.py
+++ b/tests/control_plane/test_replica_answers.py
@@ -6,6 +6,7 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import SendTo
+from reedspoke.control_plane.log_format import COPIES
 from reedspoke.control_plane.replica_messages import Append
 from reedspoke.control_plane.replica_records import restore
 from reedspoke.control_plane.replica_settings import HISTORY_LIMIT, LEASE_S, REWRITE_BYTES
@@ -155,7 +156,7 @@
         assert core.put_and_wait("m1", generation - 1, generation, document + b"%d" % generation) is None
     for machine in core.machines.values():
         size = sum(map(len, machine.disk.records))
-        assert size < REWRITE_BYTES + 4 * 2_000_000
+        assert COPIES * size < REWRITE_BYTES + 4 * 2_000_000
     for address in core.machines:
         core.lose_power(address)
     core.run(1.0)
--- /dev/null
+++ b/tests/control_plane/test_storage_changes.py
@@ -0,0 +1,301 @@
+"""Hundreds of changes on real logs: members that return catch up, and nobody acts by old state meanwhile.
+
+More of them, by another random order:
+`STORAGE_CHANGES=3000 STORAGE_SEED=72 .venv/bin/python -m pytest tests/control_plane/test_storage_changes.py`.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane import replica_outbox
+from reedspoke.control_plane.events import Store
+from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Snapshot
+from tests.control_plane.simulated_parts import DiskMode
+from tests.control_plane.storage_simulation import StorageSimulation
+
+CHANGES = int(os.environ.get("STORAGE_CHANGES", "400"))
+SEED = int(os.environ.get("STORAGE_SEED", "71"))
+CATCH_UP_S = 4.0
+SMALL_LIMIT = 6_000  # bytes of the log that may be out of date, so that it is rewritten often
+CHANGES_PER_FAULT = 12
+POSITIONS = {"head": 0, "middle": 1, "tail": 2}
+STEP_S = 0.02
+
+
+class Fleet:
+    """A core that is whole, with an operator who counts."""
+
+    def __init__(self, simulation: StorageSimulation) -> None:
+        self.simulation = simulation
+        self.generation = 0
+        simulation.settle()
+        simulation.run(1.0)
+
+    def change(self, address: str, document: bytes = b"") -> None:
+        """One change, sent until it is acknowledged."""
+        document = document or b"document %d " % (self.generation + 1) * 6
+        for _ in range(40):
+            error = self.simulation.put_and_wait(address, self.generation, self.generation + 1, document)
+            if error is None:
+                self.generation += 1
+                return
+            assert error in (ErrorCode.NO_QUORUM, ErrorCode.WRITE_UNCLEAR), error
+            self.simulation.run(0.1)
+        raise AssertionError(f"change {self.generation + 1} is not taken")
+
+    def changes(self, count: int, address: str) -> None:
+        """Several changes."""
+        for _ in range(count):
+            self.change(address)
+
+    def at(self, position: str) -> str:
+        """The address at a position of the chain."""
+        return self.simulation.chain()[POSITIONS[position]]
+
+    def catches_up(self, address: str) -> bool:
+        """Whether a member is complete in time; nobody acts by old state meanwhile."""
+        return self.simulation.run_until(lambda: self._checked(address), CATCH_UP_S, STEP_S)
+
+    def check_end(self) -> None:
+        """All machines hold the same, also after all have lost power."""
+        for _ in range(2):
+            self.simulation.settle()
+            assert self.simulation.run_until(self._agree, CATCH_UP_S), "not all hold the newest change"
+            for address in self.simulation.machines:
+                self.simulation.lose_power(address)
+            self.simulation.run(0.6)
+
+    def _checked(self, address: str) -> bool:
+        self._check_ends_of_chain()
+        machine = self.simulation.machines[address]
+        if machine.replica is None or machine.frozen:
+            return False
+        return self.simulation.whole() and self._held(address) == self.generation
+
+    def _check_ends_of_chain(self) -> None:
+        """Who heads the newest chain, or would answer as its tail, holds the newest acknowledged change."""
+        view = self.simulation.newest_view()
+        assert view is not None
+        for link in (view.chain[0], view.chain[-1]):
+            replica = self.simulation.machines[link.member.address].replica
+            if replica is not None and replica.view == view and replica.in_chain:
+                newest = self.simulation.judge.newest_acknowledged
+                assert replica._register.generation >= newest, f"{link.member.address} has old state"
+
+    def _held(self, address: str) -> int:
+        replica = self.simulation.machines[address].replica
+        return replica.committed.generation if replica is not None and replica.committed else 0
+
+    def _agree(self) -> bool:
+        return {self._held(address) for address in self.simulation.machines} == {self.generation}
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    """Three machines whose logs are rewritten often."""
+    monkeypatch.setattr(replica_outbox, "REWRITE_BYTES", SMALL_LIMIT)
+    return Fleet(StorageSimulation(monkeypatch, seed=SEED))
+
+
+def _stop(fleet: Fleet, fault: str, address: str) -> Callable[[], None]:
+    """Stop a member by a fault; the returned call brings it back."""
+    simulation = fleet.simulation
+    match fault:
+        case "killed":
+            simulation.kill(address, restart_after=None)
+        case "without power":
+            simulation.lose_power(address, restart_after=None)
+        case "frozen":
+            simulation.freeze(address)
+            return lambda: simulation.thaw(address)
+        case "isolated":
+            simulation.isolate(address)
+            return simulation.heal
+        case "disk stalls":
+            simulation.set_disk(address, DiskMode.STALLS)
+            return lambda: simulation.set_disk(address, DiskMode.WORKS)
+    return lambda: simulation.start(address)
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("fault", ["killed", "without power", "frozen", "isolated", "disk stalls"])
+@pytest.mark.parametrize(("away", "missed"), [(0.1, 0), (0.4, 1), (1.0, 0), (1.0, 1), (2.5, 2), (6.0, 150)])
+def test_a_member_catches_up_in_time(
+    fleet: Fleet, fault: str, position: str, away: float, missed: int
+) -> None:
+    simulation = fleet.simulation
+    fleet.changes(30, "m1")
+    address = fleet.at(position)
+    other = next(name for name in simulation.machines if name != address)
+    simulation.put(other, fleet.generation, fleet.generation + 1, b"under way at the fault")
+    simulation.run(simulation.random.uniform(0.0, 0.02))
+    stopped_at = simulation.now
+    come_back = _stop(fleet, fault, address)
+    fleet.change(other, b"under way at the fault")
+    fleet.changes(missed, other)
+    simulation.run(max(0.0, stopped_at + away - simulation.now))
+    come_back()
+    assert fleet.catches_up(address)
+    fleet.change(address)
+    fleet.check_end()
+
+
+def test_many_changes_with_faults_in_the_middle_of_stores(fleet: Fleet) -> None:
+    simulation = fleet.simulation
+    addresses = list(simulation.machines)
+    faults = [simulation.kill, simulation.lose_power]
+    for round_number in range(CHANGES // CHANGES_PER_FAULT):
+        fleet.changes(CHANGES_PER_FAULT - 1, addresses[round_number % 3])
+        victim = simulation.random.choice(addresses)
+        wanted = simulation.store_count + simulation.random.randint(1, 3)
+
+        def strike(count: int, victim: str = victim, wanted: int = wanted) -> None:
+            if count == wanted:
+                fault = simulation.random.choice(faults)
+                simulation.at(simulation.now, lambda: fault(victim, simulation.random.uniform(0.1, 1.5)))
+
+        simulation.on_store = strike
+        fleet.change(addresses[(round_number + 1) % 3])
+        simulation.run(0.1)
+        assert fleet.catches_up(victim)
+    simulation.on_store = None
+    fleet.check_end()
+
+
+# ---- a snapshot on its way, and being taken over ----
+
+
+def _away(fleet: Fleet, address: str, changes: int = 3) -> Callable[[], None]:
+    """Stop a member until it is left out of the chain and has missed changes."""
+    come_back = _stop(fleet, "killed", address)
+    other = next(name for name in fleet.simulation.machines if name != address)
+    fleet.simulation.run(1.0)
+    fleet.changes(changes, other)
+    return come_back
+
+
+class ChainFault:
+    """Loses, doubles or delays the n-th message of one kind to one member."""
+
+    def __init__(self, kind: type[Struct], receiver: str | None, number: int, delays: list[float]) -> None:
+        self._kind = kind
+        self._receiver = receiver
+        self._number = number
+        self._delays = delays
+        self.count = 0
+
+    def __call__(self, sender: str, receiver: str, message: Struct) -> list[float]:
+        if isinstance(message, self._kind) and self._receiver in (None, receiver):
+            self.count += 1
+            if self.count == self._number:
+                return self._delays
+        return [0.0]
+
+
+LOST: list[float] = []
+DOUBLED = [0.0, 0.3]
+LATE = [0.8]
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("kind", [Snapshot, Append, ChainState, Commit])
+@pytest.mark.parametrize("delays", [LOST, DOUBLED, LATE], ids=["lost", "doubled", "late"])
+def test_a_message_of_catching_up_is_lost_doubled_or_late(
+    fleet: Fleet, kind: type[Struct], delays: list[float], position: str
+) -> None:
+    simulation = fleet.simulation
+    fleet.changes(5, "m1")
+    address = fleet.at(position)
+    come_back = _away(fleet, address)
+    other = next(name for name in simulation.machines if name != address)
+    receiver = None if kind in (ChainState, Commit) else address
+    for number in (1, 2):
+        fault = simulation.message_fault = ChainFault(kind, receiver, number, delays)
+        come_back()
+        for _ in range(4):
+            simulation.run(0.3)
+            fleet.change(other)
+        assert fleet.catches_up(address)
+        assert fault.count >= 1
+        simulation.message_fault = None
+        come_back = _away(fleet, address)
+    come_back()
+    assert fleet.catches_up(address)
+    fleet.check_end()
+
+
+@pytest.mark.parametrize("power", [False, True], ids=["killed", "without power"])
+@pytest.mark.parametrize("number", range(1, 7))
+def test_a_member_is_stopped_in_each_store_of_its_return(fleet: Fleet, number: int, power: bool) -> None:
+    simulation = fleet.simulation
+    fleet.changes(5, "m1")
+    address = fleet.at("middle")
+    come_back = _away(fleet, address)
+    _strike_in_store(simulation, address, number, power)
+    come_back()
+    simulation.run(0.3)
+    fleet.changes(3, next(name for name in simulation.machines if name != address))
+    assert fleet.catches_up(address)
+    fleet.check_end()
+
+
+def _strike_in_store(simulation: StorageSimulation, address: str, number: int, power: bool) -> None:
+    """Stop a member at the n-th store from now on that is its own."""
+    seen: set[int] = set()
+
+    def strike(_: int) -> None:
+        waiting: list[Store] = simulation.machines[address].disk.waiting
+        seen.update(store.token for store in waiting)
+        if len(seen) == number:
+            simulation.on_store = None
+            stop = simulation.lose_power if power else simulation.kill
+            simulation.at(simulation.now, lambda: stop(address, 0.2))
+
+    simulation.on_store = strike
+
+
+def test_a_change_is_committed_while_a_snapshot_is_taken_over(fleet: Fleet) -> None:
+    simulation = fleet.simulation
+    fleet.changes(5, "m1")
+    address = fleet.at("tail")
+    come_back = _away(fleet, address)
+    come_back()
+    assert simulation.run_until(lambda: simulation.replica(address)._register.adopting, CATCH_UP_S, 0.001)
+    simulation.set_disk(address, DiskMode.STALLS)
+    other = fleet.at("head")
+    simulation.put(other, fleet.generation, fleet.generation + 1, b"meanwhile")
+    simulation.run(0.3)
+    simulation.set_disk(address, DiskMode.WORKS)
+    fleet.change(other, b"meanwhile")
+    assert fleet.catches_up(address)
+    fleet.check_end()
+
+
+@pytest.mark.parametrize("mode", [DiskMode.STALLS, DiskMode.FULL, DiskMode.FAILS])
+@pytest.mark.parametrize("number", range(1, 6))
+def test_the_disk_is_in_trouble_at_each_store_of_a_return(fleet: Fleet, number: int, mode: DiskMode) -> None:
+    simulation = fleet.simulation
+    fleet.changes(5, "m1")
+    address = fleet.at("head")
+    come_back = _away(fleet, address)
+    seen: set[int] = set()
+
+    def strike(_: int) -> None:
+        seen.update(store.token for store in simulation.machines[address].disk.waiting)
+        if len(seen) >= number:
+            simulation.machines[address].disk.mode = mode
+
+    simulation.on_store = strike
+    come_back()
+    simulation.run(1.5)
+    fleet.changes(3, next(name for name in simulation.machines if name != address))
+    simulation.on_store = None
+    simulation.set_disk(address, DiskMode.WORKS)
+    assert fleet.catches_up(address)
+    fleet.check_end()
--- a/tests/control_plane/test_storage_faults.py
+++ b/tests/control_plane/test_storage_faults.py
@@ -39,6 +39,7 @@
     Step((b"snapshot" * 5, b"rest"), replace=True),
     Step((b"three",)),
     Step((b"newer snapshot",), replace=True),
+    Step((b"newest snapshot", b"-" * 60), replace=True),
     Step((b"four" * 20,)),
 )
 
@@ -112,7 +113,7 @@
 
 
 def test_the_story_has_numbered_points(monkeypatch: pytest.MonkeyPatch) -> None:
-    assert 20 < _count_of_calls(monkeypatch) < 60
+    assert 25 < _count_of_calls(monkeypatch) < 60
 
 
 def test_power_is_lost_at_each_call(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -210,9 +211,9 @@
     files = use(monkeypatch, SimulatedFiles())
     opened = open_log(FOLDER)
     opened.writer.append([b"old"])
-    old = files.names[LOG_NAME].content()
+    old = bytes(files.names[LOG_NAME].content)
     opened.writer.rewrite([b"new"])
-    new = files.names[OTHER_SLOT_NAME].content()
+    new = bytes(files.names[OTHER_SLOT_NAME].content)
     for one, other in ((LOG_NAME, OTHER_SLOT_NAME), (OTHER_SLOT_NAME, LOG_NAME)):
         left = use(monkeypatch, SimulatedFiles({one: old, other: new}))
         assert open_log(FOLDER).records == [b"new"]
