Peers: large messages have a connection of their own; copies on a slow link get rarer

On a link of 3 MB/s or less a document of 4 MiB held these up for longer than a member may be silent: the member that came back was left out again and again.

Change: PeerTransport opens a second connection to a peer for messages of more than LARGE_BYTES.

--- a/reedspoke/control_plane/chain.py
+++ b/reedspoke/control_plane/chain.py
@@ -12,14 +12,24 @@
 from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Entry, Snapshot
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_settings import (
+    MOST_RESEND_S,
     PING_INTERVAL_S,
     RESEND_BYTES_PER_S,
+    RESEND_GROWTH,
     RESEND_S,
     ReplicaSettings,
 )
 from reedspoke.control_plane.view_acceptor import FIRST_VIEW
 
 
+class PassedOn(Struct, frozen=True):
+    """What the successor has been sent last, and how often."""
+
+    sequence: int
+    at: float
+    times: int
+
+
 class Chain:
     """This replica's place in the chain, and what it tells its neighbours.
 
@@ -43,7 +53,7 @@
         self._on_settled = on_settled
         self._view: View | None = None
         self._position: int | None = None
-        self._passed_on: tuple[int, float] | None = None
+        self._passed_on: PassedOn | None = None
         self._successor: ChainState | None = None
         self._state_told_at = float("-inf")
 
@@ -193,7 +203,7 @@
             return
         message = self._missing(successor, self._successor)
         if message is not None and self._due(message):
-            self._passed_on = (self._register.sequence, self._outbox.now)
+            self._passed_on = self._passed_on_again()
             self._outbox.send(successor.member.address, message)
 
     def _missing(self, successor: ChainLink, state: ChainState | None) -> Append | Snapshot | None:
@@ -209,10 +219,21 @@
         return None
 
     def _due(self, message: Append | Snapshot) -> bool:
-        if self._passed_on is None or self._passed_on[0] != self._register.sequence:
+        passed_on = self._passed_on
+        if passed_on is None or passed_on.sequence != self._register.sequence:
             return True
         size = len(message.entry.document) if message.entry else 0
-        return self._outbox.now - self._passed_on[1] >= RESEND_S + size / RESEND_BYTES_PER_S
+        pause = RESEND_S + size / RESEND_BYTES_PER_S
+        for _ in range(passed_on.times - 1):
+            pause = min(pause * RESEND_GROWTH, MOST_RESEND_S)
+        return self._outbox.now - passed_on.at >= pause
+
+    def _passed_on_again(self) -> PassedOn:
+        before = self._passed_on
+        sequence = self._register.sequence
+        if before is None or before.sequence != sequence:
+            return PassedOn(sequence, self._outbox.now, 1)
+        return PassedOn(sequence, self._outbox.now, before.times + 1)
 
     # ---- commits ----
 
--- a/reedspoke/control_plane/peer_transport.py
+++ b/reedspoke/control_plane/peer_transport.py
@@ -1,7 +1,8 @@
 """Connections between control schedulers, and the port at which they and data plane schedulers arrive.
 
-Each control scheduler sends over connections that it opened itself, and reads from those that others opened.
-Messages may be lost; on one connection they keep their order.
+Each control scheduler sends over connections that it opened itself, and reads from those that others opened:
+one to each peer for small messages, and one, opened when it is needed, for large ones, so that a document on
+a slow link does not hold up the signs of life. Messages may be lost; on one connection they keep their order.
 """
 
 from __future__ import annotations
@@ -24,7 +25,8 @@
 MOST_WAITING = 8 * 1024 * 1024  # bytes for a peer that does not read them
 MOST_QUEUED = 64  # messages for a peer whose connection is not up yet
 QUEUE_LIFE_S = 1.0  # older messages are of no use to it
-MOST_LINKS = 64
+MOST_LINKS = 128
+LARGE_BYTES = 64 * 1024  # a message of more goes over the connection for large ones
 MOST_ARRIVED = 2048  # connections that others opened
 FIRST_MESSAGE_S = 2.0
 IDLE_LINK_S = 30.0
@@ -133,7 +135,7 @@
         self._hello = Hello(own_address, zone)
         self._on_peer = on_peer
         self._edges = edges
-        self._links: dict[str, PeerLink] = {}
+        self._links: dict[tuple[str, bool], PeerLink] = {}  # by address, and whether it is for large messages
         self._arrived: dict[asyncio.Task[None], Arrived] = {}
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
@@ -149,20 +151,21 @@
 
     def send_encoded(self, address: str, payload: bytes) -> None:
         """Send a message that `encode` has made bytes of."""
-        link = self._links.get(address)
+        key = (address, len(payload) > LARGE_BYTES)
+        link = self._links.get(key)
         if link is None:
             if address == self._own_address or len(self._links) >= MOST_LINKS:
                 return
-            link = self._links[address] = PeerLink(address, self._hello)
+            link = self._links[key] = PeerLink(address, self._hello)
         link.send(payload)
 
     def close_idle(self) -> None:
         """End the connections to whom nothing has been sent, or from whom nothing has come, for long."""
         now = self._loop.time()
-        for address, link in list(self._links.items()):
+        for key, link in list(self._links.items()):
             if link.used_at < now - IDLE_LINK_S:
                 link.close()
-                del self._links[address]
+                del self._links[key]
         for arrived in self._arrived.values():
             if arrived.heard_at < now - SILENT_PEER_S:
                 arrived.channel.close()
--- a/tests/control_plane_process/test_peer_transport.py
+++ b/tests/control_plane_process/test_peer_transport.py
@@ -130,6 +130,29 @@
     two(scene)
 
 
+def test_small_messages_come_while_a_large_one_is_stuck() -> None:
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        received: list[bytearray] = []
+
+        async def reads_little(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            held = bytearray()
+            received.append(held)
+            while len(held) < peer_transport.LARGE_BYTES:
+                held += await reader.read(1000)
+            await asyncio.Event().wait()
+
+        server = await asyncio.start_server(reads_little, *split_address(second.address))
+        first.transport.send_encoded(second.address, bytes(4_000_000))
+        for number in range(5):
+            first.transport.send_encoded(second.address, b"small %d" % number)
+        await first.until(lambda: any(b"small 4" in held for held in received))
+        assert len(received) == 2
+        first.transport.close()
+        server.close()
+
+    two(scene)
+
+
 def test_connections_that_are_not_used_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(peer_transport, "IDLE_LINK_S", 0.0)
 
