--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Protocol, TypeVar
 
+from msgspec import Struct
+
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.json_log import ERROR, INFO, log
 from reedspoke.cluster.node_settings import NodeSettings
@@ -58,6 +60,13 @@
         """TICK_S has passed."""
 
 
+class RestoredReplica(Struct):
+    """An open log and the replica that its records yield."""
+
+    opened: OpenedLog
+    replica: Replica
+
+
 class ReplicaDriver:
     """Owns the replica; everything but the disk runs on the event loop."""
 
@@ -175,11 +184,29 @@
 
     def _open(self) -> None:
         try:
-            opened = open_log(self._directory)
+            restored = self._restore(open_log(self._directory))
         except FleetError as error:
             self._call(self._open_failed, error)
             return
-        self._call(self._opened, opened)
+        self._call(self._opened, restored)
+
+    def _restore(self, opened: OpenedLog) -> RestoredReplica:
+        """Replay the records; this takes long for a long log."""
+        settings = ReplicaSettings(
+            folder_id=opened.folder_id,
+            address=self._own_address,
+            zone=self._settings.zone,
+            seeds=self._settings.seed_addresses(),
+            bootstrap=self._bootstrap and not opened.succeeds_corrupt,
+            machines_tolerated=self._settings.fault_tolerance.machines,
+        )
+        try:
+            replica = Replica(settings, opened.records, self._loop.time())
+        except FleetError:
+            opened.writer.close()
+            raise
+        opened.records = []
+        return RestoredReplica(opened, replica)
 
     def _set_aside(self) -> None:
         try:
@@ -214,23 +241,9 @@
         else:
             self._loop.call_later(OPEN_RETRY_S, self._storage.add, self._open)
 
-    def _opened(self, opened: OpenedLog) -> None:
-        settings = ReplicaSettings(
-            folder_id=opened.folder_id,
-            address=self._own_address,
-            zone=self._settings.zone,
-            seeds=self._settings.seed_addresses(),
-            bootstrap=self._bootstrap and not opened.succeeds_corrupt,
-            machines_tolerated=self._settings.fault_tolerance.machines,
-        )
-        try:
-            self._replica = Replica(settings, opened.records, self._loop.time())
-        except FleetError as error:
-            opened.writer.close()
-            self._open_failed(error)
-            return
-        self._log = opened
-        opened.records = []
+    def _opened(self, restored: RestoredReplica) -> None:
+        opened = self._log = restored.opened
+        self._replica = restored.replica
         log(INFO, "data folder open", folder_id=opened.folder_id, created=opened.created)
         self.handle(Tick())
 
--- /dev/null
+++ b/tests/control_plane/test_storage_driver.py
@@ -0,0 +1,106 @@
+"""The driver's side of the data folder: what it does on which thread, and what it makes of a corrupt log."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.control_plane import driver as driver_module
+from reedspoke.control_plane.driver import ReplicaDriver
+from reedspoke.control_plane.events import Committed, SendTo, View
+from reedspoke.control_plane.log_file import ASIDE_NAME, LOG_NAME, open_log
+from reedspoke.control_plane.replica import Replica
+from reedspoke.control_plane.replica_settings import ReplicaSettings
+
+ADDRESS = "127.0.0.1:7660"
+LIMIT_S = 5.0
+
+
+class Surroundings:
+    """Nothing is around."""
+
+    def send(self, effect: SendTo) -> None:
+        """Lost."""
+
+    def deliver(self, committed: Committed) -> None:
+        """Ignored."""
+
+    def view_changed(self, view: View) -> None:
+        """Ignored."""
+
+    def ticked(self) -> None:
+        """Ignored."""
+
+
+class Made:
+    """How replicas were made by the driver."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.threads: list[str] = []
+        self.settings: list[ReplicaSettings] = []
+        self.records: list[list[bytes]] = []
+        monkeypatch.setattr(driver_module, "Replica", self._make)
+
+    def _make(self, settings: ReplicaSettings, records: list[bytes], *others: Any) -> Replica:
+        self.threads.append(threading.current_thread().name)
+        self.settings.append(settings)
+        self.records.append(list(records))
+        return Replica(settings, records, *others)
+
+
+def _run(folder: Path, until: Callable[[], bool]) -> None:
+    async def run() -> None:
+        settings = NodeSettings(
+            "core-1", "127.0.0.1", "z", seed_nodes=("127.0.0.1:8146",), bootstrap=True, data_dir=str(folder)
+        )
+        driver = ReplicaDriver(settings, ADDRESS, Surroundings())
+        driver.start()
+        async with asyncio.timeout(LIMIT_S):
+            while not until() or driver._replica is None:
+                await asyncio.sleep(0.005)
+
+    asyncio.run(run())
+
+
+def test_a_long_log_is_replayed_on_the_storage_thread(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made = Made(monkeypatch)
+    _run(tmp_path, lambda: bool(made.threads))
+    assert made.threads == ["storage"]
+    assert made.settings[0].bootstrap
+
+
+@pytest.mark.parametrize("damage", ["bytes", "record"])
+def test_a_folder_that_was_corrupt_does_not_bootstrap_in_this_life_or_the_next(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, damage: str
+) -> None:
+    """The settings still say so; its part of what was agreed is lost all the same."""
+    _make_corrupt(tmp_path, damage)
+    made = Made(monkeypatch)
+
+    def started_anew() -> bool:
+        return bool(made.records) and made.records[-1] == []
+
+    _run(tmp_path, started_anew)
+    assert (tmp_path / ASIDE_NAME).exists()
+    assert not made.settings[-1].bootstrap
+    made.settings.clear()
+    _run(tmp_path, lambda: bool(made.settings))
+    assert not made.settings[-1].bootstrap
+
+
+def _make_corrupt(folder: Path, damage: str) -> None:
+    opened = open_log(folder)
+    opened.writer.append([b"no known record"])
+    opened.writer.append([b"another"])
+    opened.writer.close()
+    if damage == "bytes":
+        content = (folder / LOG_NAME).read_bytes()
+        (folder / LOG_NAME).write_bytes(content.replace(b"no known", b"NO KNOWN"))
