Chain: a copy that went back is told by the others; a store's time limit goes with its bytes

Cause 2: a store that took more than 0.5 s counted as a hanging disk, whatever its size.

Change: a complete member that hears of a committed entry, or of one at its successor, above its own has lost synced state. It says E401, counts as one with a bad disk until it is left out, and takes a whole copy. A head takes no change before its successor has told its state. DISK_STALL_S counts beside the time that the bytes take at DISK_BYTES_PER_S.

--- a/reedspoke/control_plane/chain.py
+++ b/reedspoke/control_plane/chain.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.chain_register import Register
 from reedspoke.control_plane.events import ChainLink, Committed, Member, View
 from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Entry, Snapshot
@@ -76,14 +77,16 @@
 
     @property
     def long_enough(self) -> bool:
-        """Whether the chain has enough copies to acknowledge."""
-        return self._view is not None and len(self._view.chain) >= self._minimum
+        """Whether the chain has enough copies to acknowledge, and the next one has told its state."""
+        if self._view is None or len(self._view.chain) < self._minimum:
+            return False
+        return self.is_tail or self._successor is not None
 
     @property
     def complete(self) -> bool:
         """Whether this replica holds everything since it was appended."""
         link = self._own_link()
-        if link is None or self._register.adopting:
+        if link is None or self._register.adopting or self._outbox.copy_lost:
             return False
         return link.joined == FIRST_VIEW or self._register.synced_since == link.joined
 
@@ -95,6 +98,8 @@
         self._position = folders.index(own) if own in folders else None
         self._passed_on = None
         self._successor = None
+        if self._position is None:
+            self._outbox.copy_lost = False  # it takes a whole copy before it is complete again
         self._tell_state()
         self._pass_on_or_commit()
 
@@ -139,6 +144,7 @@
         """The tail of this view has committed up to `sequence`."""
         if not self._of_this_view(view) or not self.complete:
             return
+        self._compare_with_others(sequence)
         if self._register.entry is not None and self._register.sequence <= sequence:
             self._commit()
 
@@ -187,6 +193,8 @@
         if self._successor is None or self._successor.complete != state.complete:
             self._passed_on = None
         self._successor = state
+        if state.complete and self.complete:
+            self._compare_with_others(state.sequence)
         self._pass_on()
 
     def _pass_on_or_commit(self) -> None:
@@ -254,6 +262,22 @@
                 link.member.address, Commit(self._view.number, self._register.committed_sequence)
             )
 
+    def _compare_with_others(self, sequence: int) -> None:
+        """What is committed, or held by the successor, has been synced here: if it is gone, the copy is lost.
+
+        This member then counts as one with a bad disk, is left out and takes a whole copy from another one.
+        """
+        if sequence <= self._register.sequence:
+            return
+        self._outbox.copy_lost = True
+        self._outbox.log(
+            logging.ERROR,
+            "synced state is gone",
+            code=int(ErrorCode.STORAGE_CORRUPT),
+            held=self._register.sequence,
+            known=sequence,
+        )
+
     # ---- helpers ----
 
     def _of_this_view(self, number: int) -> bool:
--- a/reedspoke/control_plane/replica_outbox.py
+++ b/reedspoke/control_plane/replica_outbox.py
@@ -12,6 +12,7 @@
 from reedspoke.control_plane.log_format import COPIES, encoded_size
 from reedspoke.control_plane.replica_records import ProbeRecord, encode_record
 from reedspoke.control_plane.replica_settings import (
+    DISK_BYTES_PER_S,
     DISK_PROBE_S,
     DISK_STALL_S,
     REWRITE_BYTES,
@@ -24,7 +25,7 @@
 class PendingStore(Struct):
     """A store that has not ended."""
 
-    started: float
+    due: float  # the disk is in trouble where it has not ended by then
     size: int
     replace: bool
     on_end: StoreEnd
@@ -40,6 +41,7 @@
     def __init__(self, address: str, now: float, restored_size: int) -> None:
         self.now = now
         self.disk_failed = False
+        self.copy_lost = False
         self.snapshot_records: SnapshotRecords = tuple
         self._address = address
         self._effects: list[Effect] = []
@@ -52,10 +54,10 @@
 
     @property
     def disk_ok(self) -> bool:
-        """Whether the disk answers in time."""
-        if self.disk_failed:
+        """Whether the disk answers in time, and has kept what it had synced."""
+        if self.disk_failed or self.copy_lost:
             return False
-        return all(self.now - store.started <= DISK_STALL_S for store in self._pending.values())
+        return all(self.now <= store.due for store in self._pending.values())
 
     def take(self) -> list[Effect]:
         """The effects collected so far."""
@@ -113,7 +115,9 @@
         token = self._next_token
         self._next_token += 1
         size = encoded_size(records)
-        self._pending[token] = PendingStore(self.now, size, replace, on_end)
+        waiting = size + sum(store.size for store in self._pending.values())
+        due = self.now + DISK_STALL_S + waiting / DISK_BYTES_PER_S
+        self._pending[token] = PendingStore(due, size, replace, on_end)
         self._effects.append(Store(token, records, replace))
 
     def _count(self, pending: PendingStore) -> None:
--- a/tests/control_plane/test_storage_changes.py
+++ b/tests/control_plane/test_storage_changes.py
@@ -333,3 +333,24 @@
     come_back()
     assert simulation.run_until(lambda: fleet.checked(address), 25.0)
     assert count.count <= 5
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize(("bytes_per_s", "limit"), [(40e6, 1.5), (12e6, 2.0), (8e6, 2.5)])
+def test_a_large_snapshot_is_taken_over_on_a_slow_disk(
+    fleet: Fleet, position: str, bytes_per_s: float, limit: float
+) -> None:
+    """A disk that works on it is not taken for one that hangs; no view is wasted on it."""
+    simulation = fleet.simulation
+    fleet.change("m1", b"x" * 4_000_000)
+    address = fleet.at(position)
+    come_back = _away(fleet, address, changes=0)
+    fleet.change(fleet.at("head"), b"y" * 4_000_000)
+    view = simulation.newest_view()
+    simulation.disk_bytes_per_s = {address: bytes_per_s}
+    come_back()
+    assert simulation.run_until(lambda: fleet.checked(address), limit)
+    newest = simulation.newest_view()
+    assert view is not None
+    assert newest is not None
+    assert newest.number == view.number + 1
--- /dev/null
+++ b/tests/control_plane/test_storage_lost_copy.py
@@ -0,0 +1,113 @@
+"""A member whose newest synced batch is gone, both copies of it, learns so from others and starts over."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import Struct
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Received
+from reedspoke.control_plane.log_format import encode_batch
+from reedspoke.control_plane.replica_messages import Append, ChainState, Commit, Ping
+from reedspoke.control_plane.replica_records import EntryRecord, encode_record
+from tests.control_plane.simulated_files import SimulatedFiles
+from tests.control_plane.storage_simulation import StorageSimulation
+
+POSITIONS = {"head": 0, "middle": 1, "tail": 2}
+CATCH_UP_S = 4.0
+CHANGES = 3
+
+
+def _core(monkeypatch: pytest.MonkeyPatch, seed: int) -> StorageSimulation:
+    simulation = StorageSimulation(monkeypatch, seed)
+    simulation.settle()
+    simulation.run(1.0)
+    for generation in range(CHANGES):
+        assert simulation.put_and_wait("m1", generation, generation + 1, b"document %d" % generation) is None
+    simulation.run(0.3)
+    return simulation
+
+
+def _lose_newest_entry(simulation: StorageSimulation, address: str) -> None:
+    """The process is killed, and both copies of its newest batch are changed."""
+    entry = simulation.replica(address)._register.entry
+    assert entry is not None
+    batch = encode_batch([encode_record(EntryRecord(entry))])
+    simulation.kill(address, restart_after=None)
+    disk = simulation.disk(address)
+    ((name, content),) = disk.files.after_kill().items()
+    assert content.endswith(batch)
+    disk.files = SimulatedFiles({name: content[: -len(batch)] + bytes(len(batch))})
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("seed", range(3))
+def test_a_member_that_lost_its_newest_entry_starts_over(
+    monkeypatch: pytest.MonkeyPatch, seed: int, position: str
+) -> None:
+    simulation = _core(monkeypatch, seed)
+    address = simulation.chain()[POSITIONS[position]]
+    view = simulation.newest_view()
+    assert view is not None
+    _lose_newest_entry(simulation, address)
+    simulation.run(0.1)
+    simulation.start(address)
+    assert simulation.replica(address)._register.generation == CHANGES - 1
+    for _ in range(60):
+        for asked in simulation.machines:
+            simulation.get(asked)
+        simulation.run(0.02)
+    assert simulation.run_until(simulation.whole, CATCH_UP_S)
+    for asked in simulation.machines:
+        answer = simulation.get_and_wait(asked)
+        assert answer is not None
+        assert answer.committed is not None
+        assert answer.committed.generation == CHANGES
+    error = simulation.put_and_wait(address, CHANGES, CHANGES + 1, b"next")
+    assert error is None
+
+
+@pytest.mark.parametrize("told_by", ["successor", "tail", "ping"])
+def test_a_member_is_told_what_it_must_have_synced(monkeypatch: pytest.MonkeyPatch, told_by: str) -> None:
+    simulation = _core(monkeypatch, 1)
+    head, middle, _ = simulation.chain()
+    view = simulation.newest_view()
+    assert view is not None
+    link = view.chain[1]
+    messages: dict[str, Struct] = {
+        "successor": ChainState(view.number, link.member.folder_id, link.joined, True, CHANGES + 1),
+        "tail": Commit(view.number, CHANGES + 1),
+        "ping": Ping(link.member, view.number, (), True, 0, CHANGES + 1),
+    }
+    assert simulation.replica(head).in_chain
+    simulation.inject(head, Received(middle, messages[told_by]))
+    assert not simulation.replica(head).in_chain
+    assert simulation.run_until(lambda: simulation.chain()[0] == middle, CATCH_UP_S)
+    simulation.settle()
+
+
+def test_a_head_takes_nothing_before_its_successor_has_told_its_state(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Otherwise it might put another entry in the place of one that it has lost."""
+    simulation = _core(monkeypatch, 1)
+    head = simulation.chain()[0]
+    appended: list[Append] = []
+
+    def fault(_: str, receiver: str, message: Struct) -> list[float]:
+        if isinstance(message, Append):
+            appended.append(message)
+        return [] if receiver == head and isinstance(message, ChainState) else [0.0]
+
+    simulation.kill(head, restart_after=0.1)
+    simulation.message_fault = fault
+    simulation.run(0.5)
+    before = simulation.replica(head)._register.sequence
+    call = simulation.put(head, CHANGES, CHANGES + 1, b"next")
+    simulation.run(1.5)
+    assert simulation.judge.put_answers[call].error is ErrorCode.NO_QUORUM
+    assert simulation.replica(head)._register.sequence == before
+    assert appended == []
+    simulation.message_fault = None
+    simulation.run(0.5)
+    assert simulation.put_and_wait(head, CHANGES, CHANGES + 1, b"next") is None
