--- a/reedspoke/control_plane/chain.py
+++ b/reedspoke/control_plane/chain.py
@@ -221,7 +221,7 @@
             return None
         lag = self._register.sequence - state.sequence
         if not state.complete or lag > 1:
-            return Snapshot(self._view.number, successor.joined, entry, self._register.history)
+            return Snapshot(self._view.number, successor.joined, entry, self._register.packed_history)
         if lag == 1 and entry is not None:
             return Append(self._view.number, entry)
         return None
@@ -230,8 +230,7 @@
         passed_on = self._passed_on
         if passed_on is None or passed_on.sequence != self._register.sequence:
             return True
-        size = len(message.entry.document) if message.entry else 0
-        pause = RESEND_S + size / RESEND_BYTES_PER_S
+        pause = RESEND_S + _size(message) / RESEND_BYTES_PER_S
         for _ in range(passed_on.times - 1):
             pause = min(pause * RESEND_GROWTH, MOST_RESEND_S)
         return self._outbox.now - passed_on.at >= pause
@@ -308,3 +307,8 @@
             self._view.number, self._own.folder_id, link.joined, self.complete, self._register.sequence
         )
         self._outbox.send(predecessor.address, state)
+
+
+def _size(message: Append | Snapshot) -> int:
+    document = len(message.entry.document) if message.entry else 0
+    return document + (len(message.history) if isinstance(message, Snapshot) else 0)
--- a/reedspoke/control_plane/chain_register.py
+++ b/reedspoke/control_plane/chain_register.py
@@ -7,8 +7,9 @@
 from msgspec import Struct
 
 from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.change_history import Acknowledged, ChangeHistory
 from reedspoke.control_plane.events import Committed
-from reedspoke.control_plane.replica_messages import Acknowledged, Entry
+from reedspoke.control_plane.replica_messages import Entry
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import (
     EntryRecord,
@@ -31,6 +32,7 @@
         self.committed: Committed | None = None
         self.adopting = False
         self.synced_since = restored.synced_since
+        self._synced_at: float | None = None  # of `entry`, where the one before it is known to be committed
         self._history = restored.history
 
     @property
@@ -53,15 +55,32 @@
         """Whether nothing is in flight."""
         return self.storing is None and not self.adopting and self.committed_sequence == self.sequence
 
+    def committed_until(self, now: float) -> float | None:
+        """`committed` is the newest, unless something has been committed after this time.
+
+        An entry is committed only after it has been synced here. None where entries may have been committed
+        of which this replica has not been told.
+        """
+        if self.adopting:
+            return None
+        return now if self.committed_sequence == self.sequence else self._synced_at
+
     @property
-    def history(self) -> tuple[Acknowledged, ...]:
-        """The accepted changes, oldest first."""
-        return tuple(self._history)
+    def packed_history(self) -> bytes:
+        """The accepted changes, as `ChangeHistory` packs them."""
+        return self._history.packed()
 
     def knows(self, change: Acknowledged) -> bool:
         """Whether this change has been accepted; it is committed if the register is settled."""
         return change in self._history
 
+    def may_have_forgotten(self, change: Acknowledged) -> bool:
+        """Whether this change may have been accepted before the oldest one that the history still holds.
+
+        Each accepted change has the next sequence, so that a history shorter than the sequence has lost some.
+        """
+        return self.sequence > len(self._history) and change.generation < self._history.oldest_generation
+
     def append(self, entry: Entry, on_synced: OnSynced) -> None:
         """Store the next entry; `on_synced` tells whether it is on disk."""
         self.storing = entry
@@ -72,19 +91,18 @@
             self.storing = None
             if error is None:
                 self.entry = entry
-                self._history.append(acknowledged(entry))
+                self._synced_at = self._outbox.now
+                self._history.add(acknowledged(entry))
             on_synced(error is None)
 
         self._outbox.store([EntryRecord(entry)], on_end)
 
-    def adopt(
-        self, entry: Entry | None, history: tuple[Acknowledged, ...], joined: int, on_synced: OnSynced
-    ) -> None:
+    def adopt(self, entry: Entry | None, packed_history: bytes, joined: int, on_synced: OnSynced) -> None:
         """Take over a predecessor's state in place of the own."""
         self.entry = entry
+        self._synced_at = None
         self.storing = None
-        self._history.clear()
-        self._history.extend(history)
+        self._history = ChangeHistory(packed_history)
         self.synced_since = joined
         self.adopting = True
 
@@ -100,12 +118,17 @@
         """The newest synced entry is committed; it is returned where this is news."""
         if self.entry is None or self.entry.sequence <= self.committed_sequence:
             return None
-        self.committed = Committed(self.entry.sequence, self.entry.generation, self.entry.document)
+        self.committed = committed_of(self.entry)
         return self.committed
 
     def records(self) -> list[Struct]:
         """What the log has to hold."""
-        records: list[Struct] = [HistoryRecord(self.history)]
+        records: list[Struct] = [HistoryRecord(self.packed_history)]
         records += [EntryRecord(entry) for entry in (self.entry, self.storing) if entry is not None]
         records.append(SyncedRecord(self.synced_since))
         return records
+
+
+def committed_of(entry: Entry) -> Committed:
+    """An entry as it is told once it is committed."""
+    return Committed(entry.sequence, entry.generation, entry.document, entry.view)
--- a/reedspoke/control_plane/replica_messages.py
+++ b/reedspoke/control_plane/replica_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from reedspoke.control_plane.change_history import check_packed
 from reedspoke.control_plane.events import Member, View
 
 
@@ -23,16 +24,11 @@
     document: bytes
 
 
-class Acknowledged(Struct, array_like=True, frozen=True):
-    """An accepted change by its number and the SHA-256 of its document."""
-
-    generation: int
-    digest: bytes
-
-
 class Ping(Struct, tag="ping", array_like=True, frozen=True):
     """Sign of life, sent to every known replica; `lease_sent` is set by a tail that asks for a read lease.
 
+    Each ping asks for a `ContactGrant`; `sent` is its time on the sender's steady clock.
+
     `synced_since` is the view since whose appending the sender holds what its predecessor held; `undecided`
     is set where it has accepted a next view that it does not know to be decided.
     """
@@ -47,6 +43,15 @@
     bootstrap: bool = False
     undecided: bool = False
     lease_sent: float | None = None
+    sent: float = 0.0
+
+
+class ContactGrant(Struct, tag="contact_grant", array_like=True, frozen=True):
+    """A voter acts in this view and had accepted no next one when the ping of `sent` came."""
+
+    folder_id: str
+    view: int
+    sent: float
 
 
 class LeaseGrant(Struct, tag="lease_grant", array_like=True, frozen=True):
@@ -136,12 +141,18 @@
 
 
 class Snapshot(Struct, tag="snapshot", array_like=True, frozen=True):
-    """Predecessor to a successor that was appended in the view `joined`: all, in place of what it has."""
+    """Predecessor to a successor that was appended in the view `joined`: all, in place of what it has.
+
+    `history` is a packed `ChangeHistory`.
+    """
 
     view: int
     joined: int
     entry: Entry | None
-    history: tuple[Acknowledged, ...]
+    history: bytes
+
+    def __post_init__(self) -> None:
+        check_packed(self.history)
 
 
 class Commit(Struct, tag="commit", array_like=True, frozen=True):
@@ -193,6 +204,7 @@
 
 ReplicaMessage = (
     Ping
+    | ContactGrant
     | LeaseGrant
     | ViewTold
     | Prepare
--- a/reedspoke/control_plane/replica_settings.py
+++ b/reedspoke/control_plane/replica_settings.py
@@ -12,6 +12,8 @@
 GONE_S = 1.2  # a voter not heard by anyone for this long may be replaced
 WAKE_GAP_S = 0.35  # a longer gap between two ticks means that this process was stopped
 LEASE_S = 0.7  # a voter accepts no other tail for this long after a grant
+CONTACT_S = 0.8  # what a majority has granted to a replica lasts for this long from when it asked
+CONTACT_WAIT_S = 0.25  # a call waits for so long for the majority of voters to grant
 LEASE_MARGIN_S = 0.1  # the tail counts its lease as shorter by this
 GRANT_PAUSE_S = 1.2  # no lease is asked for, or granted, for this long after a resignation or a deferred view
 REPAIR_INTERVAL_S = 0.1  # how often a member looks for a better view
@@ -31,7 +33,7 @@
 DISK_BYTES_PER_S = 8_000_000  # beside the time that its bytes, and those before it, take at this speed
 DISK_PROBE_S = 0.3
 REWRITE_BYTES = 16 * 1024 * 1024  # the log is rewritten when more of it than this is out of date
-HISTORY_LIMIT = 4096
+HISTORY_LIMIT = 8192  # accepted changes that are remembered, 40 bytes each
 
 
 class ReplicaSettings(Struct, frozen=True):
