--- a/tests/control_plane/test_storage_driver.py
+++ b/tests/control_plane/test_storage_driver.py
@@ -64,6 +64,8 @@
         async with asyncio.timeout(LIMIT_S):
             while not until() or driver._replica is None:
                 await asyncio.sleep(0.005)
+            for _ in range(2):
+                await driver._storage.call(lambda: None)  # its stores have ended
 
     asyncio.run(run())
 
