--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -91,7 +91,7 @@
         self._last_tick = now
         self._last_ping = float("-inf")
         self._last_look = now
-        self._last_disk_ok = True
+        self._last_condition = (True, False)  # disk works, copy of the chain's state is complete
         name = f"{settings.folder_id}:{incarnation}"
         limit = settings.answer_limit_s
         self._outbox = Outbox(settings.address, now, sum(map(len, records)))
@@ -141,6 +141,11 @@
             return None
         return self._contact.confirmed_as_of
 
+    @property
+    def others_stay(self) -> bool:
+        """Whether a replica in reach is not about to leave."""
+        return self._repair.others_stay()
+
     @property
     def committed(self) -> Committed | None:
         """The newest configuration that this replica knows to be committed."""
@@ -177,7 +182,8 @@
         return effect
 
     def _reaches_majority(self) -> bool:
-        return self.holds_majority(self._outbox.now)
+        """Whether a majority has granted, and is still heard."""
+        return self.holds_majority(self._outbox.now) and self.majority_reached
 
     def _contact_state(self) -> Contact:
         if self._reaches_majority():
@@ -236,8 +242,8 @@
         self._chain.tick()
         self._head.tick()
         self._tick_calls()
-        disk_changed = self._outbox.disk_ok != self._last_disk_ok
-        if disk_changed or now - self._last_ping >= PING_INTERVAL_S:
+        condition = (self._outbox.disk_ok, self._chain.complete)
+        if condition != self._last_condition or now - self._last_ping >= PING_INTERVAL_S:
             self._ping_all()
         if now - self._last_look >= REPAIR_INTERVAL_S - TICK_S / 2:
             self._last_look = now
@@ -322,7 +328,7 @@
     def _ping_all(self) -> None:
         now = self._outbox.now
         self._last_ping = now
-        self._last_disk_ok = self._outbox.disk_ok
+        self._last_condition = (self._outbox.disk_ok, self._chain.complete)
         ping = self._own_ping()
         if self._asks_for_lease():
             ping = structs.replace(ping, lease_sent=now)
@@ -346,8 +352,7 @@
         self._chain.committed_up_to(ping.view, ping.committed)
 
     def _asks_for_lease(self) -> bool:
-        allowed = self._chain.is_tail and self._chain.complete and not self._leaving
-        return allowed and self._tail_lease.may_ask(self._outbox.now)
+        return self._chain.is_tail and self._chain.complete and self._tail_lease.may_ask(self._outbox.now)
 
     def _grant(self, ping: Ping) -> None:
         """As voter: grant the read lease that the tail of my view asks for."""
--- a/tests/control_plane/chain_replica.py
+++ b/tests/control_plane/chain_replica.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from msgspec import Struct
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.chain import Chain
 from reedspoke.control_plane.chain_register import Register
+from reedspoke.control_plane.change_history import ChangeHistory
 from reedspoke.control_plane.events import ChainLink, Committed, Member, SendTo, Store, Stored, View
 from reedspoke.control_plane.replica_head import HeadQueue
 from reedspoke.control_plane.replica_messages import Entry
@@ -36,6 +35,14 @@
     return Entry(sequence, VIEW_NUMBER, 10 * sequence, document or b"document %d" % sequence)
 
 
+def packed_history(*entries: Entry) -> bytes:
+    """The history after these entries, as a snapshot carries it."""
+    history = ChangeHistory()
+    for each in entries:
+        history.add(acknowledged(each))
+    return history.packed()
+
+
 class ChainReplica:
     """One member of the chain, with what it holds when the view begins."""
 
@@ -56,14 +63,14 @@
             machines_tolerated=tolerated,
             answer_limit_s=ANSWER_LIMIT_S,
         )
-        history = deque([acknowledged(held)] if held else [])
+        history = ChangeHistory(packed_history(held) if held else b"")
         self.outbox = Outbox(own.address, START, 0)
         self.register = Register(
             self.outbox, RestoredState(entry=held, history=history, synced_since=synced_since)
         )
         self.delivered: list[Committed] = []
         self.chain = Chain(settings, self.outbox, self.register, self.delivered.append, self._settled)
-        self.head = HeadQueue(self.outbox, self.chain, self.register, ANSWER_LIMIT_S)
+        self.head = HeadQueue("own:1", self.outbox, self.chain, self.register, ANSWER_LIMIT_S)
         self.stores: list[Store] = []
         self.head.enter(view)
         self.chain.enter(view)
--- a/tests/control_plane/test_guards_register.py
+++ b/tests/control_plane/test_guards_register.py
@@ -8,11 +8,18 @@
     EntryRecord,
     HistoryRecord,
     ViewRecord,
-    acknowledged,
     encode_record,
     restore,
 )
-from tests.control_plane.chain_replica import MIDDLE, VIEW_NUMBER, WHOLE, ChainReplica, entry, view_of
+from tests.control_plane.chain_replica import (
+    MIDDLE,
+    VIEW_NUMBER,
+    WHOLE,
+    ChainReplica,
+    entry,
+    packed_history,
+    view_of,
+)
 
 FIRST, SECOND = entry(1), entry(2)
 
@@ -21,10 +28,10 @@
     replica = ChainReplica(MIDDLE)
     ended: list[bool] = []
     replica.register.append(FIRST, ended.append)
-    replica.register.adopt(SECOND, (acknowledged(SECOND),), VIEW_NUMBER, lambda synced: None)
+    replica.register.adopt(SECOND, packed_history(SECOND), VIEW_NUMBER, lambda synced: None)
     replica.end_store()
     assert replica.register.entry == SECOND
-    assert replica.register.history == (acknowledged(SECOND),)
+    assert replica.register.packed_history == packed_history(SECOND)
     assert not ended
 
 
@@ -39,7 +46,7 @@
 
 def test_an_adopted_state_that_the_disk_refused_counts_as_lacking() -> None:
     replica = ChainReplica(MIDDLE)
-    replica.register.adopt(FIRST, (), VIEW_NUMBER, lambda synced: None)
+    replica.register.adopt(FIRST, b"", VIEW_NUMBER, lambda synced: None)
     replica.end_store(ErrorCode.STORAGE_FULL)
     assert replica.register.synced_since == 0
 
@@ -64,11 +71,11 @@
 
 
 def test_an_adopted_state_without_entry_replaces_the_one_before() -> None:
-    restored = restore([encode_record(EntryRecord(FIRST)), encode_record(HistoryRecord(()))])
+    restored = restore([encode_record(EntryRecord(FIRST)), encode_record(HistoryRecord(b""))])
     assert restored.entry is None
 
 
 def test_an_entry_that_was_replaced_leaves_the_history() -> None:
     replacing = Entry(1, VIEW_NUMBER, 11, b"another document")
     restored = restore([encode_record(EntryRecord(each)) for each in (FIRST, replacing)])
-    assert list(restored.history) == [acknowledged(replacing)]
+    assert restored.history.packed() == packed_history(replacing)
