--- a/reedspoke/control_plane/replica_outbox.py
+++ b/reedspoke/control_plane/replica_outbox.py
@@ -9,12 +9,13 @@
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Effect, LogLine, SendTo, Store, Stored
+from reedspoke.control_plane.log_format import COPIES, encoded_size
 from reedspoke.control_plane.replica_records import ProbeRecord, encode_record
 from reedspoke.control_plane.replica_settings import (
+    DISK_BYTES_PER_S,
     DISK_PROBE_S,
     DISK_STALL_S,
     REWRITE_BYTES,
-    REWRITE_RATIO,
 )
 
 StoreEnd = Callable[[ErrorCode | None], None]
@@ -24,7 +25,7 @@
 class PendingStore(Struct):
     """A store that has not ended."""
 
-    started: float
+    due: float  # the disk is in trouble where it has not ended by then
     size: int
     replace: bool
     on_end: StoreEnd
@@ -40,22 +41,23 @@
     def __init__(self, address: str, now: float, restored_size: int) -> None:
         self.now = now
         self.disk_failed = False
+        self.copy_lost = False
         self.snapshot_records: SnapshotRecords = tuple
         self._address = address
         self._effects: list[Effect] = []
         self._to_self: list[Struct] = []
         self._pending: dict[int, PendingStore] = {}
         self._next_token = 1
-        self._log_size = restored_size
-        self._live_size = restored_size
+        self._log_size = COPIES * restored_size
+        self._live_size = 0  # not known before the first rewriting
         self._probe_after = 0.0
 
     @property
     def disk_ok(self) -> bool:
-        """Whether the disk answers in time."""
-        if self.disk_failed:
+        """Whether the disk answers in time, and has kept what it had synced."""
+        if self.disk_failed or self.copy_lost:
             return False
-        return all(self.now - store.started <= DISK_STALL_S for store in self._pending.values())
+        return all(self.now <= store.due for store in self._pending.values())
 
     def take(self) -> list[Effect]:
         """The effects collected so far."""
@@ -112,8 +114,10 @@
     def _store(self, records: tuple[bytes, ...], on_end: StoreEnd, replace: bool) -> None:
         token = self._next_token
         self._next_token += 1
-        size = sum(map(len, records))
-        self._pending[token] = PendingStore(self.now, size, replace, on_end)
+        size = encoded_size(records)
+        waiting = size + sum(store.size for store in self._pending.values())
+        due = self.now + DISK_STALL_S + waiting / DISK_BYTES_PER_S
+        self._pending[token] = PendingStore(due, size, replace, on_end)
         self._effects.append(Store(token, records, replace))
 
     def _count(self, pending: PendingStore) -> None:
@@ -140,7 +144,7 @@
     def _rewrite_when_long(self) -> None:
         if self.disk_failed or any(store.replace for store in self._pending.values()):
             return
-        if self._log_size > max(REWRITE_BYTES, REWRITE_RATIO * self._live_size):
+        if self._log_size - self._live_size > REWRITE_BYTES:
             self.rewrite(_ignore)
 
 
