--- a/tests/control_plane/chain_replica.py
+++ b/tests/control_plane/chain_replica.py
@@ -10,7 +10,7 @@
 from reedspoke.control_plane.change_history import ChangeHistory
 from reedspoke.control_plane.events import ChainLink, Committed, Member, SendTo, Store, Stored, View
 from reedspoke.control_plane.replica_head import HeadQueue
-from reedspoke.control_plane.replica_messages import Entry
+from reedspoke.control_plane.replica_messages import ChainState, Entry
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import RestoredState, acknowledged
 from reedspoke.control_plane.replica_settings import ReplicaSettings
@@ -71,6 +71,8 @@
         self.delivered: list[Committed] = []
         self.chain = Chain(settings, self.outbox, self.register, self.delivered.append, self._settled)
         self.head = HeadQueue("own:1", self.outbox, self.chain, self.register, ANSWER_LIMIT_S)
+        self._own = own
+        self._view = view
         self.stores: list[Store] = []
         self.head.enter(view)
         self.chain.enter(view)
@@ -79,6 +81,17 @@
     def _settled(self) -> None:
         self.head.advance()
 
+    def successor_tells_its_state(self) -> ChainReplica:
+        """The next member holds what this one holds; a head decides nothing before it has said so."""
+        view = self._view
+        place = [link.member for link in view.chain].index(self._own)
+        if place + 1 < len(view.chain):
+            link = view.chain[place + 1]
+            state = ChainState(view.number, link.member.folder_id, link.joined, True, self.register.sequence)
+            self.chain.receive(state)
+            self.sent()
+        return self
+
     def sent(self) -> list[Struct]:
         """The messages since the last call, also those to itself; stores go to `stores`."""
         messages = self.outbox.take_to_self()
