--- a/tests/control_plane/judge.py
+++ b/tests/control_plane/judge.py
@@ -23,11 +23,12 @@
     open_calls: set[int] = field(default_factory=set)
     acknowledged: bool = False
     unclear: bool = False
+    refused: bool = False  # for good: not only by a machine that reached no majority
 
     @property
     def may_be_in_force(self) -> bool:
-        """False once every call with it was refused."""
-        return bool(self.open_calls) or self.acknowledged or self.unclear
+        """False once it was refused for good, or every call with it was refused."""
+        return not self.refused and (bool(self.open_calls) or self.acknowledged or self.unclear)
 
 
 @dataclass
@@ -45,6 +46,12 @@
     _committed: dict[int, Committed] = field(default_factory=dict)
     _delivered: dict[str, int] = field(default_factory=dict)
     _acknowledged_on: dict[int, bytes] = field(default_factory=dict)
+    _acknowledged_as: dict[int, bytes] = field(default_factory=dict)
+
+    @property
+    def newest_known(self) -> int:
+        """The newest generation that any operator has learned of."""
+        return max(self.newest_acknowledged, self.newest_read)
 
     def asked_put(self, address: str, request_id: int, match: int, generation: int, document: bytes) -> None:
         """A change is handed to a machine."""
@@ -70,6 +77,8 @@
             # a machine without a majority cannot know that a change has been acknowledged before
             known = answer.error is not ErrorCode.NO_QUORUM
             assert not (known and change.acknowledged), "refused after it was acknowledged"
+            # one on top of a version that is still to come may be taken once that version is there
+            change.refused |= known and change.match <= self.newest_known
             self._check_not_committed(change, document)
 
     def stopped(self, address: str) -> None:
@@ -82,7 +91,7 @@
 
     def asked_get(self, request_id: int) -> None:
         """A read is handed to a machine; it must not be older than what is known by now."""
-        self._least_for_get[request_id] = max(self.newest_acknowledged, self.newest_read)
+        self._least_for_get[request_id] = self.newest_known
 
     def answered_get(self, answer: GetAnswer) -> None:
         """A read has its answer."""
@@ -112,7 +121,10 @@
         return self._delivered.get(address, 0)
 
     def _acknowledge(self, change: Change, document: bytes) -> None:
+        assert not change.refused, "acknowledged after it was refused"
         change.acknowledged = True
+        same_number = self._acknowledged_as.setdefault(change.generation, document)
+        assert same_number == document, f"two changes are acknowledged as {change.generation}"
         other = self._acknowledged_on.setdefault(change.match, document)
         assert other == document, f"two changes on top of {change.match} are acknowledged"
         self.newest_acknowledged = max(self.newest_acknowledged, change.generation)
--- /dev/null
+++ b/tests/control_plane/simulated_core.py
@@ -0,0 +1,298 @@
+"""Machinery of the simulation: processes of control schedulers, their disks, and the network between them.
+
+Everything random comes from one seeded generator. A fault can be placed at a numbered point: before the n-th
+message is sent, or when the n-th store is asked for.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable
+from typing import get_args
+
+from msgspec import Struct, structs
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.cluster.messages import decode, encode
+from reedspoke.control_plane.events import (
+    Deliver,
+    Effect,
+    Event,
+    GetAnswer,
+    PutAnswer,
+    Received,
+    SendTo,
+    Store,
+    Stored,
+    Tick,
+    ViewChanged,
+)
+from reedspoke.control_plane.replica import TICK_S, Replica, ReplicaSettings
+from reedspoke.control_plane.replica_messages import LeaseGrant, Ping, ReplicaMessage
+from tests.control_plane.calm import Calm
+from tests.control_plane.judge import Judge
+from tests.control_plane.simulated_parts import (
+    STORE_ERRORS,
+    Component,
+    Disk,
+    DiskMode,
+    Machine,
+    Network,
+    VirtualTime,
+)
+
+LINK_DELAY_S = (0.001, 0.006)
+DISK_DELAY_S = (0.001, 0.008)
+START_SPREAD_S = 0.3
+HELD_RETRY_S = 0.2
+MOST_CLOCK_SKEW_S = 1000.0
+MOST_CLOCK_DRIFT = 1e-3
+
+REPLICA_MESSAGES = get_args(ReplicaMessage)
+
+Hook = Callable[[int], None]
+
+
+class SimulatedCore(VirtualTime):
+    """Runs the machines of a core. Addresses are `m1`, `m2`, …; the first `seeds` of them are the seeds."""
+
+    def __init__(self, seed: int = 0, machines: int = 3, tolerated: int = 1, seeds: int = 3) -> None:
+        super().__init__()
+        self.random = random.Random(seed)
+        self.network = Network()
+        self.judge = Judge()
+        self.machines: dict[str, Machine] = {}
+        self.message_count = 0
+        self.store_count = 0
+        self.on_message: Hook | None = None
+        self.on_store: Hook | None = None
+        self.spy: Callable[[SendTo], None] | None = None
+        self.lost_messages: set[int] = set()
+        self.doubled_messages: set[int] = set()
+        self.late_messages: set[int] = set()
+        self.tolerated = tolerated
+        self.calm = Calm()
+        self.components: list[Component] = []
+        self.on_put_answer: Callable[[PutAnswer], None] | None = None
+        self._clocks = random.Random(f"clocks {seed}")
+        self._folders = itertools.count(1)
+        self._calls = itertools.count(1)
+        self._link_free: dict[tuple[str, str], float] = {}
+        self._disk_free: dict[str, float] = {}
+        names = [f"m{number}" for number in range(1, machines + 1)]
+        self.seeds = tuple(names[:seeds])
+        for name in names:
+            self.machines[name] = self._new_machine(name, bootstrap=True)
+            self.at(self.now + self.random.uniform(0, START_SPREAD_S), self._starter(name))
+
+    def _new_disk(self) -> Disk:
+        return Disk(folder_id=f"{next(self._folders):04x}")
+
+    def _new_machine(self, address: str, bootstrap: bool) -> Machine:
+        skew = self.random.uniform(0.0, MOST_CLOCK_SKEW_S)
+        rate = 1.0 + self._clocks.uniform(-MOST_CLOCK_DRIFT, MOST_CLOCK_DRIFT)
+        return Machine(address, f"zone-{address}", self._new_disk(), bootstrap, skew, rate)
+
+    def start(self, address: str) -> None:
+        """Start the process of a machine."""
+        self._start(address)
+
+    def _starter(self, address: str) -> Callable[[], None]:
+        return lambda: self._start(address)
+
+    def _start(self, address: str) -> None:
+        machine = self.machines[address]
+        if machine.replica is not None:
+            return
+        machine.life += 1
+        machine.frozen = False
+        machine.missed = []
+        machine.calls = {}
+        self.calm.disturbed(self.now, address)
+        self.judge.started(address)
+        settings = ReplicaSettings(
+            folder_id=machine.disk.folder_id,
+            address=address,
+            zone=machine.zone,
+            seeds=self.seeds,
+            bootstrap=machine.bootstrap,
+            machines_tolerated=self.tolerated,
+        )
+        machine.replica = Replica(settings, list(machine.disk.records), machine.clock(self.now))
+        for component in self.components:
+            component.started(machine)
+        self._tick(address, machine.life)
+
+    def _stop(self, address: str, keep_unsynced: bool) -> None:
+        machine = self.machines[address]
+        if machine.replica is None:
+            return
+        machine.replica = None
+        machine.life += 1
+        self.calm.disturbed(self.now, address)
+        self.judge.stopped(address)
+        for component in self.components:
+            component.stopped(machine)
+        waiting, machine.disk.waiting = machine.disk.waiting, []
+        if keep_unsynced and machine.disk.mode is not DiskMode.FULL:
+            for store in waiting[: self.random.randint(0, len(waiting))]:
+                self._write(machine.disk, store)
+
+    def _restart_later(self, address: str, after: float | None) -> None:
+        if after is not None:
+            self.at(self.now + after, self._starter(address))
+
+    def _tick(self, address: str, life: int) -> None:
+        machine = self.machines[address]
+        if machine.life != life:
+            return
+        if not machine.frozen:
+            self._handle(address, Tick())
+            for component in self.components:
+                component.ticked(machine)
+        self.at(self.now + TICK_S, lambda: self._tick(address, life))
+
+    def _handle(self, address: str, event: Event) -> None:
+        machine = self.machines[address]
+        if machine.replica is None:
+            return
+        if machine.frozen:
+            machine.missed.append(event)
+            return
+        if isinstance(event, Received) and not isinstance(event.message, REPLICA_MESSAGES):
+            for component in self.components:
+                component.received(machine, event.sender, event.message)
+            return
+        life = machine.life
+        for effect in machine.replica.handle(machine.clock(self.now), event):
+            if machine.life != life:
+                return  # a fault at a numbered point has ended this process
+            self._carry_out(address, effect)
+
+    def _carry_out(self, address: str, effect: Effect) -> None:
+        match effect:
+            case SendTo():
+                self._send(address, effect)
+            case Store():
+                self._count_store(address, effect)
+            case PutAnswer():
+                self._answered_put(address, effect)
+            case GetAnswer(request_id=request_id):
+                self.judge.answered_get(
+                    structs.replace(effect, request_id=self._call_of(address, request_id))
+                )
+            case Deliver(committed=committed):
+                self.judge.delivered(address, committed)
+                for component in self.components:
+                    component.delivered(self.machines[address], committed)
+            case ViewChanged(view=view):
+                for component in self.components:
+                    component.view_changed(self.machines[address], view)
+            case _:
+                pass
+
+    def _answered_put(self, address: str, effect: PutAnswer) -> None:
+        answer = structs.replace(effect, request_id=self._call_of(address, effect.request_id))
+        self.judge.answered_put(answer)
+        if self.on_put_answer is not None:
+            self.on_put_answer(answer)
+
+    def _new_call(self, address: str) -> tuple[int, int]:
+        """Number of a call in the simulation, and in the process that gets it (each counts anew)."""
+        machine = self.machines[address]
+        call = next(self._calls)
+        in_process = len(machine.calls) + 1
+        machine.calls[in_process] = call
+        return call, in_process
+
+    def _call_of(self, address: str, request_id: int) -> int:
+        """The call that a process answers."""
+        calls = self.machines[address].calls
+        assert request_id in calls, f"{address} answers a call that it never got"
+        return calls[request_id]
+
+    def _send(self, sender: str, effect: SendTo) -> None:
+        number = self._message_number(effect.message)
+        if self.spy is not None:
+            self.spy(effect)
+        if number in self.lost_messages or self.random.random() < self.network.loss:
+            return
+        message = effect.message
+        if self.network.check_encoding:
+            message = decode(encode(message), ReplicaMessage)
+            assert message == effect.message
+        copies = 1
+        if number in self.doubled_messages or self.random.random() < self.network.doubled:
+            copies = 2
+        late = number in self.late_messages or self.random.random() < self.network.late
+        for copy in range(copies):
+            self._transmit(sender, effect.address, message, 0.4 if late or copy else 0.0)
+
+    def _message_number(self, message: Struct) -> int:
+        """Numbers what happens once; signs of life, which are repeated all the time, get none."""
+        if isinstance(message, Ping | LeaseGrant):
+            return 0
+        self.message_count += 1
+        if self.on_message is not None:
+            self.on_message(self.message_count)
+        return self.message_count
+
+    def _transmit(self, sender: str, receiver: str, message: Struct, extra: float) -> None:
+        """Deliver after the link's delay, in order unless `extra` sets the message apart."""
+        arrival = self.now + self.random.uniform(*LINK_DELAY_S) + extra
+        if not extra:
+            arrival = max(arrival, self._link_free.get((sender, receiver), 0.0))
+            self._link_free[(sender, receiver)] = arrival
+
+        def arrive() -> None:
+            if (sender, receiver) not in self.network.cut:
+                self._receive(receiver, Received(sender, message))
+            elif self.network.holds:
+                self.at(self.now + HELD_RETRY_S, arrive)
+
+        self.at(arrival, arrive)
+
+    def _receive(self, receiver: str, event: Received) -> None:
+        if receiver in self.machines:
+            self._handle(receiver, event)
+
+    def _count_store(self, address: str, store: Store) -> None:
+        self.store_count += 1
+        self.machines[address].disk.waiting.append(store)
+        if self.on_store is not None:
+            self.on_store(self.store_count)
+        if store in self.machines[address].disk.waiting:
+            self.machines[address].disk.waiting.remove(store)
+            self._start_store(address, store)
+
+    def _start_store(self, address: str, store: Store) -> None:
+        """Stores end in their order; while the disk hangs they wait."""
+        machine = self.machines[address]
+        life = machine.life
+        machine.disk.waiting.append(store)
+        if machine.disk.mode is DiskMode.STALLS:
+            return
+        end = max(self.now, self._disk_free.get(address, 0.0)) + self.random.uniform(*DISK_DELAY_S)
+        self._disk_free[address] = end
+
+        def finish() -> None:
+            same_life = machine.life == life and store in machine.disk.waiting
+            if same_life and machine.disk.mode is not DiskMode.STALLS:
+                self._finish_store(machine, store)
+
+        self.at(end, finish)
+
+    def _finish_store(self, machine: Machine, store: Store) -> None:
+        machine.disk.waiting.remove(store)
+        error = STORE_ERRORS.get(machine.disk.mode)
+        if error is None or (error is ErrorCode.STORAGE_FAILED and self.random.random() < 0.5):
+            self._write(machine.disk, store)
+        self._handle(machine.address, Stored(store.token, error))
+
+    @staticmethod
+    def _write(disk: Disk, store: Store) -> None:
+        if store.replace:
+            disk.records = list(store.records)
+        else:
+            disk.records.extend(store.records)
--- a/tests/control_plane/simulated_parts.py
+++ b/tests/control_plane/simulated_parts.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
+
+from msgspec import Struct
 
 from reedspoke.cluster.errors import ErrorCode
-from reedspoke.control_plane.events import Event, Store
+from reedspoke.control_plane.events import Committed, Event, Store, View
 from reedspoke.control_plane.replica import Replica
 
 
@@ -22,6 +25,14 @@
     FAILS = "fails"  # refuses, and may have written all the same
 
 
+class Direction(Enum):
+    """Which way a cut holds up, as seen from the machines that are cut off."""
+
+    BOTH = "both"
+    FROM_THEM = "from them"
+    TO_THEM = "to them"
+
+
 @dataclass
 class Disk:
     """What survives; a wiped disk comes with a new folder id."""
@@ -40,11 +51,39 @@
     zone: str
     disk: Disk
     bootstrap: bool
+    clock_skew: float = 0.0
+    clock_rate: float = 1.0
     replica: Replica | None = None
     frozen: bool = False
     life: int = 0
     missed: list[Event] = field(default_factory=list)
-    clock_skew: float = 0.0
+    calls: dict[int, int] = field(default_factory=dict)  # of operators, by their number in this process
+
+    def clock(self, now: float) -> float:
+        """The machine's steady clock, which goes on while its process is stopped."""
+        return self.clock_skew + now * self.clock_rate
+
+
+class Component(Protocol):
+    """A part of the control scheduler that runs beside the replica in the same process."""
+
+    def started(self, machine: Machine) -> None:
+        """A process has started."""
+
+    def stopped(self, machine: Machine) -> None:
+        """A process has ended."""
+
+    def ticked(self, machine: Machine) -> None:
+        """TICK_S has passed in a process that is not frozen."""
+
+    def received(self, machine: Machine, sender: str, message: Struct) -> None:
+        """A message that is not one between replicas."""
+
+    def delivered(self, machine: Machine, committed: Committed) -> None:
+        """The replica has a newer configuration for the data plane."""
+
+    def view_changed(self, machine: Machine, view: View) -> None:
+        """The replica acts in a newer view."""
 
 
 @dataclass
@@ -57,6 +96,17 @@
     late: float = 0.0
     holds: bool = False  # what meets a cut comes once the link carries again, instead of being lost
     check_encoding: bool = False
+    cut_off: set[str] = field(default_factory=set)  # machines whose links are all cut
+
+    @property
+    def noisy(self) -> bool:
+        """Whether any message may be lost, doubled or late."""
+        return bool(self.loss or self.doubled or self.late)
+
+    @property
+    def troubled(self) -> bool:
+        """Whether any link is cut or harmed."""
+        return bool(self.cut) or self.noisy
 
 
 STORE_ERRORS = {DiskMode.FULL: ErrorCode.STORAGE_FULL, DiskMode.FAILS: ErrorCode.STORAGE_FAILED}
--- a/tests/control_plane/simulation.py
+++ b/tests/control_plane/simulation.py
@@ -1,94 +1,35 @@
-"""Deterministic simulation of several replicas: virtual clock, network, disks and processes.
-
-Everything random comes from one seeded generator. Faults are switched on and off by the test, or by a hook
-at a numbered point: before the n-th message is sent, or when the n-th store is asked for.
-"""
+"""Deterministic simulation of control schedulers: calls of operators, and faults switched on and off."""
 
 from __future__ import annotations
 
-import itertools
-import random
-from collections.abc import Callable
-
-from msgspec import Struct
+from collections.abc import Iterable
 
 from reedspoke.cluster.errors import ErrorCode
-from reedspoke.cluster.messages import decode, encode
-from reedspoke.control_plane.events import (
-    Deliver,
-    Effect,
-    Event,
-    Get,
-    GetAnswer,
-    Leave,
-    Put,
-    PutAnswer,
-    Received,
-    SeedsChanged,
-    SendTo,
-    Store,
-    Stored,
-    Tick,
-    View,
-)
-from reedspoke.control_plane.replica import TICK_S, Replica, ReplicaSettings
-from reedspoke.control_plane.replica_messages import LeaseGrant, Ping, ReplicaMessage
-from tests.control_plane.judge import Judge
-from tests.control_plane.simulated_parts import STORE_ERRORS, Disk, DiskMode, Machine, Network, VirtualTime
-
-LINK_DELAY_S = (0.001, 0.006)
-DISK_DELAY_S = (0.001, 0.008)
-START_SPREAD_S = 0.3
-HELD_RETRY_S = 0.2
-MOST_CLOCK_SKEW_S = 1000.0
-
-Hook = Callable[[int], None]
-
-
-class Simulation(VirtualTime):
-    """A core of machines. Addresses are `m1`, `m2`, …; the first `seeds` of them are the seeds."""
-
-    def __init__(self, seed: int = 0, machines: int = 3, tolerated: int = 1, seeds: int = 3) -> None:
-        super().__init__()
-        self.random = random.Random(seed)
-        self.network = Network()
-        self.judge = Judge()
-        self.machines: dict[str, Machine] = {}
-        self.message_count = 0
-        self.store_count = 0
-        self.on_message: Hook | None = None
-        self.on_store: Hook | None = None
-        self.spy: Callable[[SendTo], None] | None = None
-        self.lost_messages: set[int] = set()
-        self.doubled_messages: set[int] = set()
-        self.late_messages: set[int] = set()
-        self._tolerated = tolerated
-        self._folders = itertools.count(1)
-        self._requests = itertools.count(1)
-        self._link_free: dict[tuple[str, str], float] = {}
-        self._disk_free: dict[str, float] = {}
-        names = [f"m{number}" for number in range(1, machines + 1)]
-        self.seeds = tuple(names[:seeds])
-        for name in names:
-            self.machines[name] = self._new_machine(name, bootstrap=True)
-            self.at(self.now + self.random.uniform(0, START_SPREAD_S), self._starter(name))
+from reedspoke.control_plane.events import Event, Get, GetAnswer, Leave, Put, SeedsChanged, View
+from reedspoke.control_plane.replica import Replica
+from tests.control_plane.simulated_core import SimulatedCore
+from tests.control_plane.simulated_parts import Direction, DiskMode, Machine
+
+
+class Simulation(SimulatedCore):
+    """A core of machines with what a test does to it and asks of it."""
 
     # ---- operator ----
 
     def put(self, address: str, match: int, generation: int, document: bytes) -> int:
         """Hand a change to a machine; the judge gets the answer under the returned id."""
-        request_id = next(self._requests)
+        call, request_id = self._new_call(address)
         if self.machines[address].replica is not None:
-            self.judge.asked_put(address, request_id, match, generation, document)
+            self.judge.asked_put(address, call, match, generation, document)
             self._handle(address, Put(request_id, match, generation, document))
-        return request_id
+        return call
 
     def get(self, address: str) -> int:
         """Ask a machine for the newest configuration."""
-        request_id = next(self._requests)
-        self.judge.asked_get(request_id)
+        call, request_id = self._new_call(address)
+        self.judge.asked_get(call)
         self._handle(address, Get(request_id))
-        return request_id
+        return call
 
     def put_and_wait(self, address: str, match: int, generation: int, document: bytes) -> ErrorCode | None:
         """A change and its answer; WRITE_UNCLEAR where none came."""
@@ -135,6 +76,32 @@
         views = {m.replica.view.number if m.replica and m.replica.view else 0 for m in running}
         return len(views) == 1 and all(m.replica is not None and m.replica.in_chain for m in running)
 
+    def harmed_by_links(self) -> set[str]:
+        """Machines that count as cut off: all of a harmed network, else the ends of the cut links.
+
+        A link to a machine that is cut off as a whole does not count against its other end.
+        """
+        if self.network.noisy:
+            return set(self.machines)
+        off = self.network.cut_off
+        links = (link for link in self.network.cut if not off.intersection(link))
+        return off.union(*links)
+
+    def troubled(self) -> set[str]:
+        """Machines that are down, frozen, cut off or have a bad disk now."""
+        bad = {
+            machine.address
+            for machine in self.machines.values()
+            if machine.replica is None or machine.frozen or machine.disk.mode is not DiskMode.WORKS
+        }
+        return bad | self.harmed_by_links()
+
+    def settled_since(self) -> float:
+        """Since when nothing has happened to the core and its links; never where too much is lost now."""
+        if self.network.troubled or len(self.troubled()) > self.tolerated:
+            return float("inf")
+        return self.calm.last_event
+
     def settle(self, limit: float = 6.0) -> None:
         """Let the core become whole."""
         assert self.run_until(self.whole, limit), f"not whole, the chain is {self.chain()}"
@@ -161,10 +128,12 @@
 
     def freeze(self, address: str) -> None:
         """The process is stopped; its clock goes on."""
+        self.calm.disturbed(self.now, address)
         self.machines[address].frozen = True
 
     def thaw(self, address: str) -> None:
         """The process goes on, and finds what came meanwhile."""
+        self.calm.disturbed(self.now, address)
         machine = self.machines[address]
         machine.frozen = False
         missed, machine.missed = machine.missed, []
@@ -192,6 +161,8 @@
     def set_disk(self, address: str, mode: DiskMode) -> None:
         """The disk gets into or out of trouble; what hung is carried out."""
         disk = self.machines[address].disk
+        if disk.mode is not mode:
+            self.calm.disk_changed(self.now, address)
         disk.mode = mode
         waiting, disk.waiting = disk.waiting, []
         for store in waiting:
@@ -199,195 +170,35 @@
 
     def cut(self, one: str, other: str, both: bool = True) -> None:
         """The link carries nothing from one to the other."""
+        self.calm.disturbed(self.now, one, other)
         self.network.cut.add((one, other))
         if both:
             self.network.cut.add((other, one))
 
     def isolate(self, address: str) -> None:
         """All links of a machine are cut."""
-        for other in self.machines:
-            if other != address:
-                self.cut(address, other)
+        self.cut_off([address])
+
+    def cut_off(self, addresses: Iterable[str], direction: Direction = Direction.BOTH) -> None:
+        """Machines are cut off from all others, and go on reaching each other."""
+        inside = set(addresses)
+        self.calm.disturbed(self.now, *inside)
+        self.network.cut_off |= inside
+        for one in inside:
+            for other in set(self.machines) - inside:
+                if direction is not Direction.TO_THEM:
+                    self.network.cut.add((one, other))
+                if direction is not Direction.FROM_THEM:
+                    self.network.cut.add((other, one))
 
     def heal(self) -> None:
         """All links carry again, all disks work, all processes run."""
+        if self.network.troubled:
+            self.calm.disturbed(self.now, *self.harmed_by_links())
         self.network.cut.clear()
+        self.network.cut_off.clear()
         self.network.loss = self.network.doubled = self.network.late = 0.0
         for machine in list(self.machines.values()):
             self.set_disk(machine.address, DiskMode.WORKS)
             if machine.frozen:
                 self.thaw(machine.address)
-
-    # ---- machinery ----
-
-    def _new_disk(self) -> Disk:
-        return Disk(folder_id=f"{next(self._folders):04x}")
-
-    def _new_machine(self, address: str, bootstrap: bool) -> Machine:
-        skew = self.random.uniform(0.0, MOST_CLOCK_SKEW_S)
-        return Machine(address, f"zone-{address}", self._new_disk(), bootstrap, clock_skew=skew)
-
-    def start(self, address: str) -> None:
-        """Start the process of a machine."""
-        self._start(address)
-
-    def _starter(self, address: str) -> Callable[[], None]:
-        return lambda: self._start(address)
-
-    def _start(self, address: str) -> None:
-        machine = self.machines[address]
-        if machine.replica is not None:
-            return
-        machine.life += 1
-        machine.frozen = False
-        machine.missed = []
-        self.judge.started(address)
-        settings = ReplicaSettings(
-            folder_id=machine.disk.folder_id,
-            address=address,
-            zone=machine.zone,
-            seeds=self.seeds,
-            bootstrap=machine.bootstrap,
-            machines_tolerated=self._tolerated,
-        )
-        machine.replica = Replica(
-            settings, list(machine.disk.records), self.now + machine.clock_skew, str(machine.life)
-        )
-        self._tick(address, machine.life)
-
-    def _stop(self, address: str, keep_unsynced: bool) -> None:
-        machine = self.machines[address]
-        if machine.replica is None:
-            return
-        machine.replica = None
-        machine.life += 1
-        self.judge.stopped(address)
-        waiting, machine.disk.waiting = machine.disk.waiting, []
-        if keep_unsynced and machine.disk.mode is not DiskMode.FULL:
-            for store in waiting[: self.random.randint(0, len(waiting))]:
-                self._write(machine.disk, store)
-
-    def _restart_later(self, address: str, after: float | None) -> None:
-        if after is not None:
-            self.at(self.now + after, self._starter(address))
-
-    def _tick(self, address: str, life: int) -> None:
-        machine = self.machines[address]
-        if machine.life != life:
-            return
-        if not machine.frozen:
-            self._handle(address, Tick())
-        self.at(self.now + TICK_S, lambda: self._tick(address, life))
-
-    def _handle(self, address: str, event: Event) -> None:
-        machine = self.machines[address]
-        if machine.replica is None:
-            return
-        if machine.frozen:
-            machine.missed.append(event)
-            return
-        life = machine.life
-        for effect in machine.replica.handle(self.now + machine.clock_skew, event):
-            if machine.life != life:
-                return  # a fault at a numbered point has ended this process
-            self._carry_out(address, effect)
-
-    def _carry_out(self, address: str, effect: Effect) -> None:
-        match effect:
-            case SendTo():
-                self._send(address, effect)
-            case Store():
-                self._count_store(address, effect)
-            case PutAnswer():
-                self.judge.answered_put(effect)
-            case GetAnswer():
-                self.judge.answered_get(effect)
-            case Deliver(committed=committed):
-                self.judge.delivered(address, committed)
-            case _:
-                pass
-
-    def _send(self, sender: str, effect: SendTo) -> None:
-        number = self._message_number(effect.message)
-        if self.spy is not None:
-            self.spy(effect)
-        if number in self.lost_messages or self.random.random() < self.network.loss:
-            return
-        message = effect.message
-        if self.network.check_encoding:
-            message = decode(encode(message), ReplicaMessage)
-            assert message == effect.message
-        copies = 1
-        if number in self.doubled_messages or self.random.random() < self.network.doubled:
-            copies = 2
-        late = number in self.late_messages or self.random.random() < self.network.late
-        for copy in range(copies):
-            self._transmit(sender, effect.address, message, 0.4 if late or copy else 0.0)
-
-    def _message_number(self, message: Struct) -> int:
-        """Numbers what happens once; signs of life, which are repeated all the time, get none."""
-        if isinstance(message, Ping | LeaseGrant):
-            return 0
-        self.message_count += 1
-        if self.on_message is not None:
-            self.on_message(self.message_count)
-        return self.message_count
-
-    def _transmit(self, sender: str, receiver: str, message: Struct, extra: float) -> None:
-        """Deliver after the link's delay, in order unless `extra` sets the message apart."""
-        arrival = self.now + self.random.uniform(*LINK_DELAY_S) + extra
-        if not extra:
-            arrival = max(arrival, self._link_free.get((sender, receiver), 0.0))
-            self._link_free[(sender, receiver)] = arrival
-
-        def arrive() -> None:
-            if (sender, receiver) not in self.network.cut:
-                self._receive(receiver, Received(sender, message))
-            elif self.network.holds:
-                self.at(self.now + HELD_RETRY_S, arrive)
-
-        self.at(arrival, arrive)
-
-    def _receive(self, receiver: str, event: Received) -> None:
-        if receiver in self.machines:
-            self._handle(receiver, event)
-
-    def _count_store(self, address: str, store: Store) -> None:
-        self.store_count += 1
-        self.machines[address].disk.waiting.append(store)
-        if self.on_store is not None:
-            self.on_store(self.store_count)
-        if store in self.machines[address].disk.waiting:
-            self.machines[address].disk.waiting.remove(store)
-            self._start_store(address, store)
-
-    def _start_store(self, address: str, store: Store) -> None:
-        """Stores end in their order; while the disk hangs they wait."""
-        machine = self.machines[address]
-        life = machine.life
-        machine.disk.waiting.append(store)
-        if machine.disk.mode is DiskMode.STALLS:
-            return
-        end = max(self.now, self._disk_free.get(address, 0.0)) + self.random.uniform(*DISK_DELAY_S)
-        self._disk_free[address] = end
-
-        def finish() -> None:
-            same_life = machine.life == life and store in machine.disk.waiting
-            if same_life and machine.disk.mode is not DiskMode.STALLS:
-                self._finish_store(machine, store)
-
-        self.at(end, finish)
-
-    def _finish_store(self, machine: Machine, store: Store) -> None:
-        machine.disk.waiting.remove(store)
-        error = STORE_ERRORS.get(machine.disk.mode)
-        if error is None or (error is ErrorCode.STORAGE_FAILED and self.random.random() < 0.5):
-            self._write(machine.disk, store)
-        self._handle(machine.address, Stored(store.token, error))
-
-    @staticmethod
-    def _write(disk: Disk, store: Store) -> None:
-        if store.replace:
-            disk.records = list(store.records)
-        else:
-            disk.records.extend(store.records)
