--- /dev/null
+++ b/tests/control_plane/hunt.py
@@ -0,0 +1,85 @@
+"""Runs random schedules until one breaks a rule, and shortens that one.
+
+`python -m tests.control_plane.hunt --steps 10000 --seed 1 --machines 3 --tolerated 1`
+"""
+
+from __future__ import annotations
+
+import argparse
+import traceback
+from collections.abc import Sequence
+
+from tests.control_plane.random_schedule import Step, draw_steps, play_schedule
+
+STEPS_PER_SCHEDULE = 100
+MOST_TRIALS = 400
+EXIT_FOUND = 1
+
+
+def failure(seed: int, steps: Sequence[Step], machines: int, tolerated: int) -> Exception | None:
+    """What goes wrong in a schedule; None where it breaks no rule."""
+    try:
+        play_schedule(seed, steps, machines, tolerated)
+    except Exception as error:  # whatever the program raises is a find as well
+        return error
+    return None
+
+
+def shorten(seed: int, steps: Sequence[Step], machines: int, tolerated: int) -> list[Step]:
+    """Take out steps, many at a time and then fewer, while the schedule still fails."""
+    kept = list(steps)
+    size = max(1, len(kept) // 2)
+    trials = 0
+    while size and trials < MOST_TRIALS:
+        start = 0
+        while start < len(kept) and trials < MOST_TRIALS:
+            trials += 1
+            shorter = kept[:start] + kept[start + size :]
+            if failure(seed, shorter, machines, tolerated) is not None:
+                kept = shorter
+            else:
+                start += size
+        size //= 2
+    return kept
+
+
+def show(seed: int, steps: Sequence[Step], machines: int, tolerated: int) -> None:
+    """Print what happens in a schedule that fails."""
+    found = failure(seed, steps, machines, tolerated)
+    print("".join(traceback.format_exception(found)[-4:]))
+    for step in steps:
+        print(f"  {step.number:4d} {step.kind}, then {step.pause:.3f} s")
+
+
+def main() -> int:
+    """Run schedules until the number of steps is reached or one fails."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--steps", type=int, default=10_000)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--machines", type=int, default=3)
+    parser.add_argument("--tolerated", type=int, default=1)
+    parser.add_argument("--go-on", action="store_true", help="print only the seed of a find, and go on")
+    arguments = parser.parse_args()
+    seed, done, found = arguments.seed, 0, 0
+    while done < arguments.steps:
+        steps = draw_steps(seed, STEPS_PER_SCHEDULE)
+        error = failure(seed, steps, arguments.machines, arguments.tolerated)
+        done += len(steps)
+        if error is not None:
+            found += 1
+            print(f"seed {seed} fails: {type(error).__name__}: {error}", flush=True)
+            if not arguments.go_on:
+                show(
+                    seed,
+                    shorten(seed, steps, arguments.machines, arguments.tolerated),
+                    arguments.machines,
+                    arguments.tolerated,
+                )
+                return EXIT_FOUND
+        seed += 1
+    print(f"{done} steps in {seed - arguments.seed} schedules from seed {arguments.seed}: {found} finds")
+    return EXIT_FOUND if found else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tests/control_plane/judge.py
+++ b/tests/control_plane/judge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from reedspoke.cluster.errors import ErrorCode
@@ -40,6 +41,7 @@
     get_answers: dict[int, GetAnswer] = field(default_factory=dict)
     newest_acknowledged: int = 0
     newest_read: int = 0
+    on_acknowledged: Callable[[], None] | None = None
     _calls: dict[str, set[int]] = field(default_factory=dict)
     _documents: dict[int, bytes] = field(default_factory=dict)
     _least_for_get: dict[int, int] = field(default_factory=dict)
@@ -128,6 +130,8 @@
         other = self._acknowledged_on.setdefault(change.match, document)
         assert other == document, f"two changes on top of {change.match} are acknowledged"
         self.newest_acknowledged = max(self.newest_acknowledged, change.generation)
+        if self.on_acknowledged is not None:
+            self.on_acknowledged()
 
     def _check_committed(self, committed: Committed) -> None:
         known = self._committed.setdefault(committed.sequence, committed)
--- /dev/null
+++ b/tests/control_plane/loss_budget.py
@@ -0,0 +1,41 @@
+"""How many machines are lost at a time, as the users count: no more disks may be lost than are tolerated."""
+
+from __future__ import annotations
+
+from tests.control_plane.calm import CATCH_UP_S
+from tests.control_plane.simulation import Simulation
+
+
+class LossBudget:
+    """A machine counts as lost while it is troubled and for CATCH_UP_S after; a successor has its slot."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self._simulation = simulation
+        self._slots = {address: address for address in simulation.machines}
+
+    def allows(self, *addresses: str) -> bool:
+        """Whether these machines may be lost now."""
+        added = {self.slot(address) for address in addresses}
+        return len(self._lost_slots() | added) <= self._simulation.tolerated
+
+    def none_lost(self) -> bool:
+        """Whether all machines count as there."""
+        return not self._lost_slots()
+
+    def slot(self, address: str) -> str:
+        """The place in the core that a machine has."""
+        return self._slots[address]
+
+    def succeeds(self, successor: str, address: str) -> None:
+        """A machine will be replaced, or has been."""
+        self._slots[successor] = self._slots[address]
+
+    def _lost_slots(self) -> set[str]:
+        simulation = self._simulation
+        present = {self._slots[address] for address in simulation.machines}
+        lost = set(self._slots.values()) - present
+        for address in simulation.machines:
+            lately = simulation.now - simulation.calm.last_of(address) < CATCH_UP_S
+            if lately or address in simulation.troubled():
+                lost.add(self._slots[address])
+        return lost
--- /dev/null
+++ b/tests/control_plane/operators.py
@@ -0,0 +1,173 @@
+"""Operators of the simulation: orders under way, lost answers, and the same bytes again at other machines."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+from random import Random
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import PutAnswer
+from tests.control_plane.calm import CONTACT_S
+from tests.control_plane.simulation import Simulation
+
+SILENCE_S = 1.0  # an operator goes on to another machine after that
+FIRST_PAUSE_S = 0.05
+MOST_PAUSE_S = 0.5
+PAUSE_GROWTH = 1.6
+MOST_ORDERS = 8  # under way at a time
+CHECK_INTERVAL_S = 0.1
+SMALL_ACK_S = 4.0
+LARGE_ACK_S = 5.0
+LARGE_CORE = 5
+LARGEST_STEP = 3  # between the numbers of two versions
+FINAL_REFUSALS = (ErrorCode.CONFIGURATION_STALE_MATCH, ErrorCode.CONFIGURATION_OLD_GENERATION)
+
+
+@dataclass(eq=False)
+class Order:
+    """A change that its operator sends until it gets a final answer."""
+
+    match: int
+    generation: int
+    document: bytes
+    began: float
+    pause: float = FIRST_PAUSE_S
+    tries: dict[str, int] = field(default_factory=dict)
+    call: int | None = None  # under way
+    ended: bool = False
+
+
+class Operators:
+    """All operators together. `answer_loss` is the share of answers that never reach them."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self.answer_loss = 0.0
+        self.orders: list[Order] = []
+        self._simulation = simulation
+        self._random = Random(f"operators {simulation.random.random()}")
+        self._documents = itertools.count(1)
+        self._by_call: dict[int, Order] = {}
+        large = len(simulation.machines) >= LARGE_CORE
+        self._ack_s = LARGE_ACK_S if large else SMALL_ACK_S
+        simulation.on_put_answer = self._answered
+        self._check()
+
+    # ---- what they do ----
+
+    def order(
+        self, match: int, generation: int, document: bytes | None = None, at: str | None = None
+    ) -> Order:
+        """Begin an order, at any machine or at this one first."""
+        if document is None:
+            document = f"document {next(self._documents)}".encode()
+        order = Order(match, generation, document, self._simulation.now)
+        self.orders.append(order)
+        self._send(order, at)
+        return order
+
+    def order_next(self) -> None:
+        """A change on top of the newest version that an operator knows."""
+        match = self.newest()
+        self.order(match, match + self._random.randint(1, LARGEST_STEP))
+
+    def race(self, count: int) -> list[Order]:
+        """Changes on the same version under one number, each through another machine if possible."""
+        match = self.newest()
+        generation = match + self._random.randint(1, LARGEST_STEP)
+        addresses = list(self._simulation.machines)
+        self._random.shuffle(addresses)
+        places = itertools.cycle(addresses)
+        return [self.order(match, generation, at=next(places)) for _ in range(count)]
+
+    def again(self) -> None:
+        """The same bytes as in an order that has been acknowledged, the newest more often than others."""
+        done = [change for change in self._simulation.judge.changes.items() if change[1].acknowledged]
+        if done:
+            document, change = done[-1] if self._random.random() < 0.5 else self._random.choice(done)
+            self.order(change.match, change.generation, document)
+
+    def stale(self) -> None:
+        """An order on a version that has been replaced, or under an old number."""
+        newest = self.newest()
+        if newest and self._random.random() < 0.5:
+            self.order(self._random.randint(0, newest - 1), newest + 1)
+        else:
+            self.order(newest, self._random.randint(0, newest))
+
+    def read(self) -> None:
+        """Ask any machine that runs for the newest version."""
+        running = self._simulation.running()
+        if running:
+            self._simulation.get(self._random.choice(running).address)
+
+    def newest(self) -> int:
+        """The newest generation that any operator knows."""
+        return self._simulation.judge.newest_known
+
+    def open_orders(self) -> list[Order]:
+        """Orders without a final answer."""
+        return [order for order in self.orders if not order.ended]
+
+    # ---- one order ----
+
+    def _send(self, order: Order, at: str | None = None) -> None:
+        if order.ended:
+            return
+        simulation = self._simulation
+        address = at or self._next_machine(order)
+        order.tries[address] = order.tries.get(address, 0) + 1
+        machine = simulation.machines[address]
+        if machine.replica is None or machine.leaving:
+            self._later(order)
+            return
+
+        def begin(call: int) -> None:
+            order.call = call
+            self._by_call[call] = order
+            simulation.at(simulation.now + SILENCE_S, lambda: self._silent(order, call))
+
+        simulation.put(address, order.match, order.generation, order.document, on_call=begin)
+
+    def _next_machine(self, order: Order) -> str:
+        """One that has been tried least often."""
+        addresses = list(self._simulation.machines)
+        self._random.shuffle(addresses)
+        return min(addresses, key=lambda address: order.tries.get(address, 0))
+
+    def _later(self, order: Order) -> None:
+        order.call = None
+        pause = order.pause * (0.5 + self._random.random())
+        order.pause = min(MOST_PAUSE_S, order.pause * PAUSE_GROWTH)
+        self._simulation.at(self._simulation.now + pause, lambda: self._send(order))
+
+    def _silent(self, order: Order, call: int) -> None:
+        if order.call == call and not order.ended:
+            del self._by_call[call]
+            self._later(order)
+
+    def _answered(self, answer: PutAnswer) -> None:
+        order = self._by_call.get(answer.request_id)
+        if order is None or self._random.random() < self.answer_loss:
+            return
+        del self._by_call[answer.request_id]
+        if answer.error is None or answer.error in FINAL_REFUSALS:
+            order.ended = True
+            order.call = None
+        else:
+            self._later(order)
+
+    # ---- the bound on acknowledgements ----
+
+    def _check(self) -> None:
+        simulation = self._simulation
+        simulation.at(simulation.now + CHECK_INTERVAL_S, self._check)
+        settled_from = simulation.settled_since() + CONTACT_S
+        for order in self.open_orders():
+            change = simulation.judge.changes.get(order.document)
+            if change is not None and (change.acknowledged or change.refused):
+                continue
+            waited = simulation.now - max(order.began, settled_from)
+            assert waited <= self._ack_s, (
+                f"no answer to {order.generation} on {order.match} for {waited:.1f} s"
+            )
--- /dev/null
+++ b/tests/control_plane/random_schedule.py
@@ -0,0 +1,130 @@
+"""Random schedules of troubles and orders: lists of steps, each with random choices of its own.
+
+So a step does the same whichever other steps are taken out, and a schedule that fails can be made shorter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from tests.control_plane.operators import MOST_ORDERS, Operators
+from tests.control_plane.schedule import SETTLE_LIMIT_S, check_end
+from tests.control_plane.simulation import Simulation
+from tests.control_plane.troubles import CUT_S, Troubles
+
+TROUBLE_SHARE = 0.2
+CALM_SHARE = 0.15
+MOST_PAUSE_S = 0.7
+MOST_CALM_S = 12.0
+BEYOND_SHARE = 0.4  # of schedules, in which cuts and stops may strike more machines than are tolerated
+LONGEST_TROUBLE_S = CUT_S[1] + 2.0
+RACES = (2, 2, 2, 4, 8)
+ACK_LOSS = 0.7
+
+ORDERS = {"order": 10, "race": 4, "again": 3, "stale": 1, "read": 4, "lose answers": 1, "keep answers": 1}
+TROUBLES = {
+    "kill": 4,
+    "power": 3,
+    "freeze": 4,
+    "leave": 3,
+    "disk_trouble": 3,
+    "wipe": 3,
+    "wipe_oldest": 2,
+    "wipe_after_ack": 4,
+    "kill_all": 1,
+    "power_all": 2,
+    "cut": 4,
+    "short_cut": 4,
+    "link": 3,
+    "noise": 2,
+    "replace_planned": 3,
+    "replace_unplanned": 3,
+    "seeds": 2,
+}
+
+
+@dataclass(frozen=True)
+class Step:
+    """One step, and how long nothing else is begun after it."""
+
+    number: int
+    kind: str
+    pause: float
+
+
+@dataclass
+class World:
+    """A simulation with operators and troubles, and what has happened to it."""
+
+    seed: int
+    simulation: Simulation
+    operators: Operators = field(init=False)
+    troubles: Troubles = field(init=False)
+    lines: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.operators = Operators(self.simulation)
+        beyond = Random(f"beyond {self.seed}").random() < BEYOND_SHARE
+        self.troubles = Troubles(self.simulation, self.operators, self.log, beyond)
+
+    def log(self, text: str) -> None:
+        """Note what happens."""
+        self.lines.append(f"{self.simulation.now:8.3f} {text}")
+
+    def take(self, step: Step) -> None:
+        """Carry out one step."""
+        rng = Random(f"step {self.seed} {step.number}")
+        if step.kind in TROUBLES:
+            getattr(self.troubles, step.kind)(rng)
+        else:
+            self._order(step.kind, rng)
+        self.simulation.run(step.pause)
+
+    def end(self) -> None:
+        """All troubles end, all orders get their answers, and the last checks are made."""
+        simulation = self.simulation
+        self.operators.answer_loss = 0.0
+        simulation.run(LONGEST_TROUBLE_S if simulation.network.cut else 6.0)
+        simulation.heal()
+        simulation.settle(SETTLE_LIMIT_S)
+        assert simulation.run_until(lambda: not self.operators.open_orders(), SETTLE_LIMIT_S)
+        simulation.run(1.0)
+        check_end(simulation)
+
+    def _order(self, kind: str, rng: Random) -> None:
+        operators = self.operators
+        if kind == "lose answers":
+            operators.answer_loss = ACK_LOSS
+        elif kind == "keep answers":
+            operators.answer_loss = 0.0
+        elif kind == "read":
+            operators.read()
+        elif kind == "race":
+            count = min(rng.choice(RACES), MOST_ORDERS - len(operators.open_orders()))
+            operators.race(max(0, count))
+        elif len(operators.open_orders()) < MOST_ORDERS:
+            {"order": operators.order_next, "again": operators.again, "stale": operators.stale}[kind]()
+
+
+def draw_steps(seed: int, count: int) -> list[Step]:
+    """A schedule."""
+    rng = Random(f"schedule {seed}")
+    return [_draw_step(rng, number) for number in range(count)]
+
+
+def _draw_step(rng: Random, number: int) -> Step:
+    kinds = TROUBLES if rng.random() < TROUBLE_SHARE else ORDERS
+    kind = rng.choices(list(kinds), list(kinds.values()))[0]
+    calm = kinds is TROUBLES and rng.random() < CALM_SHARE
+    return Step(number, kind, rng.uniform(0.0, MOST_CALM_S if calm else MOST_PAUSE_S))
+
+
+def play_schedule(seed: int, steps: Sequence[Step], machines: int = 3, tolerated: int = 1) -> World:
+    """Carry out a schedule from the first start on. Raises AssertionError where a rule is broken."""
+    world = World(seed, Simulation(seed, machines, tolerated))
+    for step in steps:
+        world.take(step)
+    world.end()
+    return world
--- a/tests/control_plane/simulated_core.py
+++ b/tests/control_plane/simulated_core.py
@@ -87,7 +87,7 @@
             self.at(self.now + self.random.uniform(0, START_SPREAD_S), self._starter(name))
 
     def _new_disk(self) -> Disk:
-        return Disk(folder_id=f"{next(self._folders):04x}")
+        return Disk(folder_id=f"{next(self._folders):04x}", made_at=self.now)
 
     def _new_machine(self, address: str, bootstrap: bool) -> Machine:
         skew = self.random.uniform(0.0, MOST_CLOCK_SKEW_S)
@@ -102,11 +102,12 @@
         return lambda: self._start(address)
 
     def _start(self, address: str) -> None:
-        machine = self.machines[address]
-        if machine.replica is not None:
+        machine = self.machines.get(address)
+        if machine is None or machine.gone or machine.replica is not None:
             return
         machine.life += 1
         machine.frozen = False
+        machine.leaving = False
         machine.missed = []
         machine.calls = {}
         self.calm.disturbed(self.now, address)
@@ -144,8 +145,8 @@
             self.at(self.now + after, self._starter(address))
 
     def _tick(self, address: str, life: int) -> None:
-        machine = self.machines[address]
-        if machine.life != life:
+        machine = self.machines.get(address)
+        if machine is None or machine.life != life:
             return
         if not machine.frozen:
             self._handle(address, Tick())
--- a/tests/control_plane/simulated_parts.py
+++ b/tests/control_plane/simulated_parts.py
@@ -38,6 +38,7 @@
     """What survives; a wiped disk comes with a new folder id."""
 
     folder_id: str
+    made_at: float = 0.0
     records: list[bytes] = field(default_factory=list)
     mode: DiskMode = DiskMode.WORKS
     waiting: list[Store] = field(default_factory=list)
@@ -55,6 +56,8 @@
     clock_rate: float = 1.0
     replica: Replica | None = None
     frozen: bool = False
+    leaving: bool = False
+    gone: bool = False  # for good: it is not started again
     life: int = 0
     missed: list[Event] = field(default_factory=list)
     calls: dict[int, int] = field(default_factory=dict)  # of operators, by their number in this process
@@ -76,6 +79,9 @@
     def ticked(self, machine: Machine) -> None:
         """TICK_S has passed in a process that is not frozen."""
 
+    def leaving(self, machine: Machine) -> None:
+        """The process got SIGTERM."""
+
     def received(self, machine: Machine, sender: str, message: Struct) -> None:
         """A message that is not one between replicas."""
 
--- a/tests/control_plane/simulation.py
+++ b/tests/control_plane/simulation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Event, Get, GetAnswer, Leave, Put, SeedsChanged, View
@@ -16,9 +16,21 @@
 
     # ---- operator ----
 
-    def put(self, address: str, match: int, generation: int, document: bytes) -> int:
-        """Hand a change to a machine; the judge gets the answer under the returned id."""
+    def put(
+        self,
+        address: str,
+        match: int,
+        generation: int,
+        document: bytes,
+        on_call: Callable[[int], None] | None = None,
+    ) -> int:
+        """Hand a change to a machine; the judge gets the answer under the returned id.
+
+        `on_call` is told the id before the machine gets the change, which it may answer at once.
+        """
         call, request_id = self._new_call(address)
+        if on_call is not None:
+            on_call(call)
         if self.machines[address].replica is not None:
             self.judge.asked_put(address, call, match, generation, document)
             self._handle(address, Put(request_id, match, generation, document))
@@ -142,16 +154,34 @@
 
     def leave(self, address: str, gone_after: float = 0.5) -> None:
         """SIGTERM: the process says so, and ends for good a little later."""
+        machine = self.machines[address]
+        machine.leaving = True
+        self.calm.disturbed(self.now, address)
+        life = machine.life
         self._handle(address, Leave())
-        self.at(self.now + gone_after, lambda: self._stop(address, keep_unsynced=True))
+        for component in self.components:
+            component.leaving(machine)
+
+        def end() -> None:
+            if machine.life == life and address in self.machines:
+                self._stop(address, keep_unsynced=True)
+
+        self.at(self.now + gone_after, end)
 
     def add_machine(self, address: str) -> None:
         """A new machine with an empty disk."""
         self.machines[address] = self._new_machine(address, bootstrap=False)
         self._start(address)
 
+    def remove_machine(self, address: str) -> None:
+        """A machine is taken away with its disk."""
+        self.machines[address].gone = True
+        self._stop(address, keep_unsynced=False)
+        del self.machines[address]
+
     def change_seeds(self, seeds: tuple[str, ...]) -> None:
         """The settings of all machines name other seeds from now on."""
+        self.calm.disturbed(self.now)
         self.seeds = seeds
         for machine in self.running():
             self._handle(machine.address, SeedsChanged(seeds))
@@ -191,13 +221,23 @@
                 if direction is not Direction.FROM_THEM:
                     self.network.cut.add((other, one))
 
-    def heal(self) -> None:
-        """All links carry again, all disks work, all processes run."""
-        if self.network.troubled:
+    def join(self) -> None:
+        """No link is cut any more."""
+        if self.network.cut:
             self.calm.disturbed(self.now, *self.harmed_by_links())
         self.network.cut.clear()
         self.network.cut_off.clear()
+
+    def silence_noise(self) -> None:
+        """No message is lost, doubled or late any more."""
+        if self.network.noisy:
+            self.calm.disturbed(self.now, *self.machines)
         self.network.loss = self.network.doubled = self.network.late = 0.0
+
+    def heal(self) -> None:
+        """All links carry again, all disks work, all processes run."""
+        self.join()
+        self.silence_noise()
         for machine in list(self.machines.values()):
             self.set_disk(machine.address, DiskMode.WORKS)
             if machine.frozen:
