--- /dev/null
+++ b/tests/control_plane/contact.py
@@ -0,0 +1,65 @@
+"""Who is in touch, by the users' words: the bounded rules hold for these only."""
+
+from __future__ import annotations
+
+from tests.control_plane.calm import CONTACT_S
+from tests.control_plane.simulation import Simulation
+
+NEVER = float("-inf")
+
+
+class ContactWatch:
+    """Looks at the core again and again; `look` is to be called at least every tenth of a second."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self._simulation = simulation
+        self._majority_since = simulation.now
+        self._joined_since: dict[str, float] = {}
+
+    def look(self, outside: list[str]) -> None:
+        """Note the state of the core, and which of the machines outside it are joined with its majority."""
+        now = self._simulation.now
+        majority = self.majority_side()
+        if not majority:
+            self._majority_since = now
+        for name in [*outside, *self._simulation.machines]:
+            joined = bool(majority) and all(self._path(name, other) for other in majority)
+            if not joined:
+                self._joined_since.pop(name, None)
+            else:
+                self._joined_since.setdefault(name, now)
+
+    def majority_side(self) -> set[str]:
+        """Running machines of the core that reach, both ways, more than half of it."""
+        running = {machine.address for machine in self._simulation.running()}
+        total = len(self._simulation.machines)
+        return {one for one in running if sum(self._path(one, other) for other in running) > total / 2}
+
+    def stable_for(self) -> float:
+        """For how long the core has been stable, less the time after an event in which it is not yet."""
+        if not self.majority_side() or self._simulation.network.noisy:
+            return NEVER
+        last = max(self._simulation.calm.last_event, self._majority_since)
+        return self._simulation.now - last - CONTACT_S
+
+    def majority_for(self) -> float:
+        """For how long more than half of the core has run and been connected."""
+        return self._simulation.now - self._majority_since
+
+    def joined_for(self, name: str) -> float:
+        """For how long a machine has had a path both ways to all that reach more than half of the core."""
+        since = self._joined_since.get(name)
+        return NEVER if since is None else self._simulation.now - since
+
+    def untroubled_for(self, name: str) -> float:
+        """For how long nothing has happened to a machine itself."""
+        return self._simulation.now - self._simulation.calm.last_of(name)
+
+    def in_touch(self, name: str) -> bool:
+        """Whether the rules' time bounds hold for a machine now."""
+        own = min(self.joined_for(name), self.untroubled_for(name))
+        return own >= CONTACT_S and self.stable_for() >= 0.0
+
+    def _path(self, one: str, other: str) -> bool:
+        network = self._simulation.network
+        return one == other or (network.carries(one, other) and network.carries(other, one))
--- a/tests/control_plane/hunt.py
+++ b/tests/control_plane/hunt.py
@@ -9,6 +9,9 @@
 import traceback
 from collections.abc import Sequence
 
+import picologging
+
+from reedspoke.cluster.json_log import LOGGER_NAME
 from tests.control_plane.random_schedule import Step, draw_steps, play_schedule
 
 STEPS_PER_SCHEDULE = 100
@@ -69,6 +72,7 @@
     parser.add_argument("--tolerated", type=int, default=1)
     parser.add_argument("--go-on", action="store_true", help="print only the seed of a find, and go on")
     arguments = parser.parse_args()
+    picologging.getLogger(LOGGER_NAME).setLevel(picologging.CRITICAL)
     seed, done, found = arguments.seed, 0, 0
     while done < arguments.steps:
         steps = draw_steps(seed, STEPS_PER_SCHEDULE)
--- a/tests/control_plane/judge.py
+++ b/tests/control_plane/judge.py
@@ -41,7 +41,7 @@
     get_answers: dict[int, GetAnswer] = field(default_factory=dict)
     newest_acknowledged: int = 0
     newest_read: int = 0
-    on_acknowledged: Callable[[], None] | None = None
+    on_acknowledged: list[Callable[[], None]] = field(default_factory=list)
     _calls: dict[str, set[int]] = field(default_factory=dict)
     _documents: dict[int, bytes] = field(default_factory=dict)
     _least_for_get: dict[int, int] = field(default_factory=dict)
@@ -130,8 +130,8 @@
         other = self._acknowledged_on.setdefault(change.match, document)
         assert other == document, f"two changes on top of {change.match} are acknowledged"
         self.newest_acknowledged = max(self.newest_acknowledged, change.generation)
-        if self.on_acknowledged is not None:
-            self.on_acknowledged()
+        for told in self.on_acknowledged:
+            told()
 
     def _check_committed(self, committed: Committed) -> None:
         known = self._committed.setdefault(committed.sequence, committed)
--- /dev/null
+++ b/tests/control_plane/list_judge.py
@@ -0,0 +1,82 @@
+"""The rules of the list of workers, as an outside observer of the simulation holds them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from reedspoke.cluster.messages import NO_VERSION, Version, WorkerEntry, WorkerList
+from reedspoke.control_plane.worker_list import STATE_DRAINING, UNLEASED_TERM
+from tests.control_plane.simulated_parts import VirtualTime
+from tests.control_plane.simulated_platform import SimulatedPlatform
+
+KNOWN_S = 3.0  # a worker shown as draining is known as such after that
+
+Holder = tuple[str, int]
+
+
+@dataclass
+class Held:
+    """The list that a process has."""
+
+    version: Version = NO_VERSION
+    state: int = 0
+
+
+@dataclass
+class ListJudge:
+    """Checks each list when it is published or taken."""
+
+    virtual_time: VirtualTime
+    platform: SimulatedPlatform
+    publications: int = 0
+    _holders: dict[int, Holder] = field(default_factory=dict)
+    _states: dict[Version, int] = field(default_factory=dict)
+    _held: dict[str, Held] = field(default_factory=dict)
+
+    def started(self, name: str) -> None:
+        """A new process has no list."""
+        self._held.pop(name, None)
+
+    def published(self, address: str, life: int, workers: WorkerList) -> None:
+        """A control scheduler publishes a list."""
+        self.publications += 1
+        term = workers.version[0]
+        if term == UNLEASED_TERM:
+            return
+        holder = self._holders.setdefault(term, (address, life))
+        assert holder == (address, life), f"two processes publish under term {term}"
+        state = self._state_of(workers)
+        assert self._states.setdefault(workers.version, state) == state, f"two lists {workers.version}"
+
+    def holds(self, name: str, workers: WorkerList | None) -> None:
+        """The list that a process has now."""
+        before = self._held.get(name, Held())
+        if workers is None or workers.version == before.version:
+            return
+        assert workers.version > before.version, f"{name} goes back to the list {workers.version}"
+        state = self._states.get(workers.version)
+        if state is None:
+            state = self._state_of(workers)
+        leased = before.version[0] > UNLEASED_TERM
+        assert not leased or state >= before.state, f"the list of {name} goes back to an older state"
+        self._held[name] = Held(workers.version, state)
+
+    def check_known(self, name: str, workers: tuple[WorkerEntry, ...] | None) -> None:
+        """A process in touch knows what the platform has shown for KNOWN_S."""
+        now = self.virtual_time.now
+        if self.platform.out_of_reach or now - self.platform.reachable_since < KNOWN_S:
+            return
+        assert workers is not None, f"{name} has no list of workers"
+        _, shown = self.platform.shown(now - KNOWN_S)
+        for worker in workers:
+            listed = shown.get(worker.instance_id)
+            gone = listed is None and not self._is_new(worker.instance_id, now)
+            leaving = gone or (listed is not None and listed.state == STATE_DRAINING)
+            assert worker.draining or not leaving, f"{name} takes {worker.instance_id} to be up"
+
+    def _is_new(self, instance_id: str, now: float) -> bool:
+        return instance_id in self.platform.shown(now)[1]
+
+    def _state_of(self, workers: WorkerList) -> int:
+        draining = {worker.instance_id: worker.draining for worker in workers.workers}
+        return self.platform.number_of(draining, self.virtual_time.now)
--- a/tests/control_plane/operators.py
+++ b/tests/control_plane/operators.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import json
+
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import PutAnswer
 from tests.control_plane.calm import CONTACT_S
@@ -38,6 +40,12 @@
     ended: bool = False
 
 
+def document_of(generation: int, number: int) -> bytes:
+    """A configuration that differs from all others by its number."""
+    limits = {"max_header_bytes": 16384 + number}
+    return json.encode({"generation": generation, "routes": [], "upstreams": [], "limits": limits})
+
+
 class Operators:
     """All operators together. `answer_loss` is the share of answers that never reach them."""
 
@@ -60,7 +68,7 @@
     ) -> Order:
         """Begin an order, at any machine or at this one first."""
         if document is None:
-            document = f"document {next(self._documents)}".encode()
+            document = document_of(generation, next(self._documents))
         order = Order(match, generation, document, self._simulation.now)
         self.orders.append(order)
         self._send(order, at)
--- a/tests/control_plane/random_schedule.py
+++ b/tests/control_plane/random_schedule.py
@@ -9,12 +9,17 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from tests.control_plane.calm import CONTACT_S
+from tests.control_plane.fleet_troubles import FleetTroubles
 from tests.control_plane.operators import MOST_ORDERS, Operators
 from tests.control_plane.schedule import SETTLE_LIMIT_S, check_end
+from tests.control_plane.simulated_fleet import SimulatedFleet
 from tests.control_plane.simulation import Simulation
 from tests.control_plane.troubles import CUT_S, Troubles
 
-TROUBLE_SHARE = 0.2
+ORDER_SHARE = 0.72
+TROUBLE_SHARE = 0.18
+FLEET_SHARE = 0.1
 CALM_SHARE = 0.15
 MOST_PAUSE_S = 0.7
 MOST_CALM_S = 12.0
@@ -45,6 +50,16 @@
 }
 
 
+FLEET_TROUBLES = {
+    "worker_comes": 4,
+    "worker_drains": 5,
+    "platform_out": 2,
+    "node_kill": 2,
+    "node_freeze": 2,
+    "node_cut": 3,
+}
+
+
 @dataclass(frozen=True)
 class Step:
     """One step, and how long nothing else is begun after it."""
@@ -62,12 +77,18 @@
     simulation: Simulation
     operators: Operators = field(init=False)
     troubles: Troubles = field(init=False)
+    fleet: SimulatedFleet = field(init=False)
+    fleet_troubles: FleetTroubles = field(init=False)
     lines: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.operators = Operators(self.simulation)
         beyond = Random(f"beyond {self.seed}").random() < BEYOND_SHARE
         self.troubles = Troubles(self.simulation, self.operators, self.log, beyond)
+        self.fleet = SimulatedFleet(self.simulation)
+        self.fleet_troubles = FleetTroubles(self.simulation, self.fleet, self.log)
+        self.troubles.on_cut = self._cut_outside
+        self.troubles.on_join = self.fleet.data_plane.join
 
     def log(self, text: str) -> None:
         """Note what happens."""
@@ -78,6 +99,8 @@
         rng = Random(f"step {self.seed} {step.number}")
         if step.kind in TROUBLES:
             getattr(self.troubles, step.kind)(rng)
+        elif step.kind in FLEET_TROUBLES:
+            getattr(self.fleet_troubles, step.kind)(rng)
         else:
             self._order(step.kind, rng)
         self.simulation.run(step.pause)
@@ -89,10 +112,22 @@
         self.troubles.stop()
         simulation.run(LONGEST_TROUBLE_S if simulation.network.cut else 6.0)
         simulation.heal()
+        self.fleet.heal()
         simulation.settle(SETTLE_LIMIT_S)
         assert simulation.run_until(lambda: not self.operators.open_orders(), SETTLE_LIMIT_S)
         simulation.run(1.0)
         check_end(simulation)
+        simulation.run(2 * CONTACT_S)
+        self.fleet.check_end()
+
+    def _cut_outside(self, victims: list[str], rng: Random) -> None:
+        """Control schedulers that are cut off from each other still reach data plane schedulers, or not."""
+        shape = rng.choice(["core only", "core only", "all", "near"])
+        self.log(f"and from data plane schedulers: {shape}")
+        zones = {self.simulation.machines[address].zone for address in victims}
+        for node in self.fleet.data_plane.nodes.values():
+            if shape == "all" or (shape == "near" and node.zone not in zones):
+                self.fleet.data_plane.cut(node.name, victims)
 
     def _order(self, kind: str, rng: Random) -> None:
         operators = self.operators
@@ -116,7 +151,7 @@
 
 
 def _draw_step(rng: Random, number: int) -> Step:
-    kinds = TROUBLES if rng.random() < TROUBLE_SHARE else ORDERS
+    kinds = rng.choices([ORDERS, TROUBLES, FLEET_TROUBLES], [ORDER_SHARE, TROUBLE_SHARE, FLEET_SHARE])[0]
     kind = rng.choices(list(kinds), list(kinds.values()))[0]
     calm = kinds is TROUBLES and rng.random() < CALM_SHARE
     return Step(number, kind, rng.uniform(0.0, MOST_CALM_S if calm else MOST_PAUSE_S))
--- /dev/null
+++ b/tests/control_plane/simulated_channel.py
@@ -0,0 +1,152 @@
+"""Connections between simulated processes: the interface of `Channel`, over links that may be cut."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+from msgspec import Struct
+
+from reedspoke.cluster.messages import decode, encode
+from tests.control_plane.process_loop import ProcessLoop
+from tests.control_plane.simulated_parts import VirtualTime
+
+DELAY_S = (0.001, 0.006)
+RESEND_S = 0.2  # what meets a cut is sent again
+USER_TIMEOUT_S = 1.5  # and ends the connection after this
+
+
+class Links(Protocol):
+    """Which way bytes go."""
+
+    def carries(self, sender: str, receiver: str) -> bool:
+        """Whether bytes of the one reach the other now."""
+
+
+@dataclass
+class Outgoing:
+    """Something that is on its way to the other end."""
+
+    deliver: Callable[[SimulatedChannel], None]
+    sent_at: float
+    due: float
+
+
+class SimulatedChannel:
+    """One end of a connection, in a process of the machine `own`."""
+
+    def __init__(
+        self, own: str, other: str, loop: ProcessLoop, virtual_time: VirtualTime, links: Links, random: Random
+    ) -> None:
+        self.silence_s: float | None = None
+        self.on_message: Callable[[bytes], None] | None = None  # in place of `receive`
+        self.on_end: Callable[[], None] | None = None
+        self.peer: SimulatedChannel | None = None
+        self._own = own
+        self._other = other
+        self._loop = loop
+        self._virtual_time = virtual_time
+        self._links = links
+        self._random = random
+        self._outgoing: deque[Outgoing] = deque()
+        self._arrived: deque[bytes] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._ended = False
+
+    # ---- the interface of a Channel ----
+
+    def send(self, message: Struct) -> None:
+        """Send a message."""
+        self.send_encoded(encode(message))
+
+    def send_encoded(self, payload: bytes) -> None:
+        """Send an encoded message."""
+        if not self._ended:
+            self._transmit(lambda peer: peer.arrive(payload))
+
+    def waiting(self) -> int:
+        """Nothing is held back."""
+        return 0
+
+    async def receive(self, expected: Any) -> Any:
+        """As `Channel.receive`."""
+        while not self._arrived:
+            if self._ended:
+                raise ConnectionResetError("the connection is over")
+            self._waiter = self._loop.create_future()
+            await asyncio.wait_for(self._waiter, self.silence_s)
+        return decode(self._arrived.popleft(), expected)
+
+    def close(self) -> None:
+        """End the connection; the other side learns of it where the link carries that."""
+        if not self._ended:
+            self._transmit(lambda peer: peer.end())
+            self._ended = True
+
+    # ---- what happens to it ----
+
+    def arrive(self, payload: bytes) -> None:
+        """A message has come."""
+        if self._ended:
+            return
+        if self.on_message is not None:
+            self._loop.run(self.on_message, payload)
+            return
+        self._arrived.append(payload)
+        self._wake()
+
+    def end(self) -> None:
+        """The connection is over."""
+        if self._ended:
+            return
+        self._ended = True
+        if self.on_end is not None:
+            self._loop.run(self.on_end)
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            self._loop.run(_settle, waiter)
+
+    def _transmit(self, deliver: Callable[[SimulatedChannel], None]) -> None:
+        now = self._virtual_time.now
+        due = now + self._random.uniform(*DELAY_S)
+        self._outgoing.append(Outgoing(deliver, now, due))
+        if len(self._outgoing) == 1:
+            self._virtual_time.at(due, self._pass_on)
+
+    def _pass_on(self) -> None:
+        """Deliver what is due, in order."""
+        now = self._virtual_time.now
+        while self._outgoing and self.peer is not None:
+            first = self._outgoing[0]
+            if first.due > now:
+                self._virtual_time.at(first.due, self._pass_on)
+                return
+            if not self._links.carries(self._own, self._other):
+                self._hold_up(first, now)
+                return
+            self._outgoing.popleft()
+            first.deliver(self.peer)
+
+    def _hold_up(self, first: Outgoing, now: float) -> None:
+        if now >= first.sent_at + USER_TIMEOUT_S:
+            self._outgoing.clear()
+            self.end()
+        else:
+            self._virtual_time.at(now + RESEND_S, self._pass_on)
+
+
+def _settle(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
+def join_channels(one: SimulatedChannel, other: SimulatedChannel) -> None:
+    """The two ends of one connection."""
+    one.peer, other.peer = other, one
--- /dev/null
+++ b/tests/control_plane/simulated_control.py
@@ -0,0 +1,279 @@
+"""What a control scheduler does beside its replica, in the simulation: the program's own process, lease,
+list duty and sessions, on a loop in virtual time. Only sockets, threads and the platform are replaced.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any, TypeVar, get_args
+
+from msgspec import Struct
+
+from reedspoke.cluster.messages import (
+    ControlMember,
+    EdgeMessage,
+    Version,
+    WorkerEntry,
+    WorkerList,
+    decode,
+)
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.control_plane.configuration_cache import ConfigurationCache
+from reedspoke.control_plane.duty_lease import DutyLease
+from reedspoke.control_plane.edge_sessions import EdgeSessions
+from reedspoke.control_plane.events import Committed, SendTo, View
+from reedspoke.control_plane.list_duty import ListDuty
+from reedspoke.control_plane.membership import Membership
+from reedspoke.control_plane.peer_transport import PeerMessage
+from reedspoke.control_plane.platform_client import PlatformClient
+from reedspoke.control_plane.process import EDGE_LIFE_HEARTBEATS, HEARTBEAT_SHARE, ControlProcess
+from reedspoke.control_plane.published_state import PublishedState
+from reedspoke.control_plane.replica_messages import ReplicaMessage
+from reedspoke.control_plane.worker_list import PlatformPage, WorkerBook
+from tests.control_plane.list_judge import ListJudge
+from tests.control_plane.process_loop import ProcessLoop
+from tests.control_plane.simulated_channel import SimulatedChannel
+from tests.control_plane.simulated_parts import Machine
+from tests.control_plane.simulated_platform import SimulatedPlatform, SimulatedPlatformClient
+from tests.control_plane.simulation import Simulation
+
+PREPARE_S = (0.0, 0.02)  # a configuration is parsed on another thread
+FIRST_LIFE = 1
+NO_SETTINGS_FILE = Path("/nonexistent/settings.json")
+
+Value = TypeVar("Value")
+
+
+class DocumentsThread:
+    """In place of the thread that parses documents: the result comes a little later."""
+
+    def __init__(self, loop: ProcessLoop, random: Random) -> None:
+        self._loop = loop
+        self._random = random
+
+    def call(self, function: Callable[[], Value]) -> asyncio.Future[Value]:
+        """As `JobThread.call`."""
+        future: asyncio.Future[Value] = self._loop.create_future()
+
+        def end() -> None:
+            if not future.done():
+                future.set_result(function())
+
+        self._loop.call_later(self._random.uniform(*PREPARE_S), end)
+        return future
+
+
+class PeerLinks:
+    """In place of the connections to other control schedulers."""
+
+    def __init__(self, simulation: Simulation, address: str) -> None:
+        self._simulation = simulation
+        self._address = address
+
+    def send(self, address: str, message: Struct) -> None:
+        """As `PeerTransport.send`."""
+        if address != self._address:
+            self._simulation.send(self._address, SendTo(address, message))
+
+    def send_encoded(self, address: str, payload: bytes) -> None:
+        """As `PeerTransport.send_encoded`."""
+        self.send(address, decode(payload, PeerMessage))
+
+    def close_idle(self) -> None:
+        """There is nothing to close."""
+
+
+class ReplicaView:
+    """In place of the driver: what the process asks of its replica."""
+
+    def __init__(self, machine: Machine, loop: ProcessLoop) -> None:
+        self._machine = machine
+        self._loop = loop
+
+    def confirmed_as_of(self) -> float | None:
+        """As `ReplicaDriver.confirmed_as_of`."""
+        replica = self._machine.replica
+        return None if replica is None else replica.confirmed_as_of(self._loop.time())
+
+
+class SimulatedListDuty(ListDuty):
+    """The list duty with a client of the simulated platform."""
+
+    platform_client: PlatformClient
+
+    async def _pages(self, client: PlatformClient) -> list[PlatformPage]:
+        return await super()._pages(self.platform_client)
+
+
+class ControlScheduler(ControlProcess):
+    """One life of a control scheduler's process, without its replica."""
+
+    def __init__(
+        self,
+        simulation: Simulation,
+        machine: Machine,
+        loop: ProcessLoop,
+        platform: SimulatedPlatform,
+        judge: ListJudge,
+        settings: NodeSettings,
+    ) -> None:
+        self.loop = loop
+        self.channels: list[SimulatedChannel] = []
+        self._simulation = simulation
+        self._machine = machine
+        self._platform = platform
+        self._judge = judge
+        super().__init__(settings, NO_SETTINGS_FILE)
+        self._address = machine.address
+
+    def _build(self, settings: NodeSettings) -> None:
+        self._address = self._machine.address
+        now = self.loop.time()
+        heartbeat_s = settings.heartbeat_ms / 1000
+        random = self._simulation.random
+        own = ControlMember(self._address, settings.zone)
+        identity = random.getrandbits(31)
+        self._membership = Membership(own, heartbeat_s * EDGE_LIFE_HEARTBEATS, identity)
+        self._documents: Any = DocumentsThread(self.loop, random)
+        self._configuration = ConfigurationCache()
+        self._book = WorkerBook()
+        self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
+        self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap)
+        self._sessions = EdgeSessions(
+            settings.node_name, self._state, heartbeat_s * HEARTBEAT_SHARE, self._sessions_changed
+        )
+        self._transport: Any = PeerLinks(self._simulation, self._address)
+        self._driver: Any = ReplicaView(self._machine, self.loop)
+        duty = SimulatedListDuty(
+            settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
+        )
+        duty.platform_client = SimulatedPlatformClient(self._platform, self._simulation, random)
+        self._duty = duty
+
+    def begin(self) -> None:
+        """The tasks that the process starts with."""
+        self.loop.create_task(self._duty.run())
+        self.loop.create_task(self._duty.first_list())
+
+    def begin_leave(self) -> None:
+        """What SIGTERM changes here."""
+        self._leaving = True
+        self._send_lease(self._lease.stop())
+        self._duty.look()
+
+    def end_sessions(self) -> None:
+        """A process that leaves closes its sessions before it ends."""
+        for channel in self.channels:
+            channel.close()
+
+    def peer_message(self, sender: str, message: Struct) -> None:
+        """A message of another control scheduler, other than those between replicas."""
+        self._peer_message(sender, message)  # type: ignore[arg-type]
+        self._judge.holds(self._address, self._book.current)
+
+    def heard_peer(self, sender: str) -> None:
+        """Any message of another control scheduler is a sign of life."""
+        self._membership.heard_peer(sender, self.loop.time())
+
+    def accept(self, channel: SimulatedChannel) -> None:
+        """A data plane scheduler has opened a session."""
+        self.channels.append(channel)
+        channel.on_message = lambda payload: self._edge_message(channel, payload)
+        channel.on_end = lambda: self._sessions.ended(channel)  # type: ignore[arg-type]
+
+    def workers(self) -> tuple[WorkerEntry, ...] | None:
+        """The list that this scheduler has."""
+        return None if self._book.current is None else self._book.current.workers
+
+    def workers_version(self) -> Version:
+        """And its version."""
+        return self._book.version
+
+    def _edge_message(self, channel: SimulatedChannel, payload: bytes) -> None:
+        self._sessions.received(channel, decode(payload, EdgeMessage))  # type: ignore[arg-type]
+
+    def _publish_workers(self, workers: WorkerList) -> None:
+        self._judge.published(self._address, self._machine.life, workers)
+        self._judge.holds(self._address, self._book.current)
+        super()._publish_workers(workers)
+
+
+class ControlSchedulers:
+    """The component that runs a `ControlScheduler` in each process of the simulation."""
+
+    def __init__(self, simulation: Simulation, platform: SimulatedPlatform, judge: ListJudge) -> None:
+        self.running: dict[str, ControlScheduler] = {}
+        self._simulation = simulation
+        self._platform = platform
+        self._judge = judge
+        simulation.components.append(self)
+
+    def started(self, machine: Machine) -> None:
+        """A process has started."""
+        self._judge.started(machine.address)
+        loop = ProcessLoop(self._simulation, machine.clock_skew, machine.clock_rate)
+        settings = NodeSettings(
+            node_name=machine.address,
+            ip_address=machine.address,
+            zone=machine.zone,
+            bootstrap=machine.bootstrap and machine.life == FIRST_LIFE,
+        )
+
+        def build() -> None:
+            scheduler = ControlScheduler(
+                self._simulation, machine, loop, self._platform, self._judge, settings
+            )
+            self.running[machine.address] = scheduler
+            scheduler.begin()
+
+        loop.run(build)
+
+    def stopped(self, machine: Machine) -> None:
+        """A process has ended; the others are told of it at once, or find out."""
+        scheduler = self.running.pop(machine.address, None)
+        if scheduler is None:
+            return
+        scheduler.loop.end()
+        if machine.leaving or self._simulation.random.random() < 0.5:
+            scheduler.end_sessions()
+
+    def frozen(self, machine: Machine) -> None:
+        """A process stands still."""
+        if machine.address in self.running:
+            self.running[machine.address].loop.freeze()
+
+    def thawed(self, machine: Machine) -> None:
+        """A process goes on."""
+        if machine.address in self.running:
+            self.running[machine.address].loop.thaw()
+
+    def leaving(self, machine: Machine) -> None:
+        """The process got SIGTERM."""
+        self._within(machine, lambda scheduler: scheduler.begin_leave())
+
+    def ticked(self, machine: Machine) -> None:
+        """TICK_S has passed."""
+        self._within(machine, lambda scheduler: scheduler.ticked())
+
+    def received(self, machine: Machine, sender: str, message: Struct) -> None:
+        """A message of another control scheduler."""
+        if isinstance(message, get_args(ReplicaMessage)):
+            self._within(machine, lambda scheduler: scheduler.heard_peer(sender))
+        else:
+            self._within(machine, lambda scheduler: scheduler.peer_message(sender, message))
+
+    def delivered(self, machine: Machine, committed: Committed) -> None:
+        """The replica has a newer configuration."""
+        self._within(machine, lambda scheduler: scheduler.deliver(committed))
+
+    def view_changed(self, machine: Machine, view: View) -> None:
+        """The replica acts in a newer view."""
+        self._within(machine, lambda scheduler: scheduler.view_changed(view))
+
+    def _within(self, machine: Machine, action: Callable[[ControlScheduler], None]) -> None:
+        scheduler = self.running.get(machine.address)
+        if scheduler is not None:
+            scheduler.loop.run(action, scheduler)
--- a/tests/control_plane/simulated_core.py
+++ b/tests/control_plane/simulated_core.py
@@ -161,10 +161,11 @@
         if machine.frozen:
             machine.missed.append(event)
             return
-        if isinstance(event, Received) and not isinstance(event.message, REPLICA_MESSAGES):
+        if isinstance(event, Received):
             for component in self.components:
                 component.received(machine, event.sender, event.message)
-            return
+            if not isinstance(event.message, REPLICA_MESSAGES):
+                return
         life = machine.life
         for effect in machine.replica.handle(machine.clock(self.now), event):
             if machine.life != life:
@@ -174,7 +175,7 @@
     def _carry_out(self, address: str, effect: Effect) -> None:
         match effect:
             case SendTo():
-                self._send(address, effect)
+                self.send(address, effect)
             case Store():
                 self._count_store(address, effect)
             case PutAnswer():
@@ -213,14 +214,15 @@
         assert request_id in calls, f"{address} answers a call that it never got"
         return calls[request_id]
 
-    def _send(self, sender: str, effect: SendTo) -> None:
+    def send(self, sender: str, effect: SendTo) -> None:
+        """Carry a message of one control scheduler to another."""
         number = self._message_number(effect.message)
         if self.spy is not None:
             self.spy(effect)
         if number in self.lost_messages or self.random.random() < self.network.loss:
             return
         message = effect.message
-        if self.network.check_encoding:
+        if self.network.check_encoding and isinstance(message, REPLICA_MESSAGES):
             message = decode(encode(message), ReplicaMessage)
             assert message == effect.message
         copies = 1
--- /dev/null
+++ b/tests/control_plane/simulated_fleet.py
@@ -0,0 +1,38 @@
+"""A whole control side: replicas, list duty, sessions, data plane schedulers, platform and judges."""
+
+from __future__ import annotations
+
+from tests.control_plane.fleet_judge import FleetJudge
+from tests.control_plane.list_judge import ListJudge
+from tests.control_plane.simulated_control import ControlSchedulers
+from tests.control_plane.simulated_data_plane import DataPlane
+from tests.control_plane.simulated_platform import SimulatedPlatform
+from tests.control_plane.simulation import Simulation
+
+DATA_PLANE_SCHEDULERS = 3
+
+
+class SimulatedFleet:
+    """Everything beside the replicas, for a simulation that has not run yet."""
+
+    def __init__(self, simulation: Simulation, data_plane_schedulers: int = DATA_PLANE_SCHEDULERS) -> None:
+        self.platform = SimulatedPlatform(simulation)
+        self.lists = ListJudge(simulation, self.platform)
+        self.control = ControlSchedulers(simulation, self.platform, self.lists)
+        self.data_plane = DataPlane(simulation, self.control, self.lists, data_plane_schedulers)
+        self.judge = FleetJudge(simulation, self.control, self.data_plane, self.lists)
+
+    def heal(self) -> None:
+        """All troubles outside the core end."""
+        self.data_plane.join()
+        self.platform.set_out_of_reach(False)
+        for name in self.data_plane.nodes:
+            self.data_plane.thaw(name)
+
+    def check_end(self) -> None:
+        """All are in touch, hold the newest configuration and are certain of it."""
+        newest = self.judge.newest_acknowledged
+        for name, scheduler in self.data_plane.schedulers().items():
+            assert self.judge.contact.in_touch(name), f"{name} is not in touch at the end"
+            assert scheduler.generation == (newest or None), f"{name} holds {scheduler.generation}"
+            assert not newest or not scheduler.in_doubt(), f"{name} is in doubt at the end"
--- a/tests/control_plane/simulated_parts.py
+++ b/tests/control_plane/simulated_parts.py
@@ -66,6 +66,10 @@
         """The machine's steady clock, which goes on while its process is stopped."""
         return self.clock_skew + now * self.clock_rate
 
+    def true_time(self, clock: float) -> float:
+        """The virtual time at which the machine's clock shows this."""
+        return (clock - self.clock_skew) / self.clock_rate
+
 
 class Component(Protocol):
     """A part of the control scheduler that runs beside the replica in the same process."""
@@ -82,8 +86,14 @@
     def leaving(self, machine: Machine) -> None:
         """The process got SIGTERM."""
 
+    def frozen(self, machine: Machine) -> None:
+        """A process stands still."""
+
+    def thawed(self, machine: Machine) -> None:
+        """A process goes on."""
+
     def received(self, machine: Machine, sender: str, message: Struct) -> None:
-        """A message that is not one between replicas."""
+        """A message of another control scheduler; those between replicas go to the replica as well."""
 
     def delivered(self, machine: Machine, committed: Committed) -> None:
         """The replica has a newer configuration for the data plane."""
@@ -96,7 +106,8 @@
 class Network:
     """Which directed links carry nothing, and how often a message is lost, doubled or late."""
 
-    cut: set[tuple[str, str]] = field(default_factory=set)
+    cut: set[tuple[str, str]] = field(default_factory=set)  # between control schedulers
+    cut_outside: set[tuple[str, str]] = field(default_factory=set)  # to and from data plane schedulers
     loss: float = 0.0
     doubled: float = 0.0
     late: float = 0.0
@@ -104,6 +115,11 @@
     check_encoding: bool = False
     cut_off: set[str] = field(default_factory=set)  # machines whose links are all cut
 
+    def carries(self, sender: str, receiver: str) -> bool:
+        """Whether bytes of the one reach the other now."""
+        link = (sender, receiver)
+        return link not in self.cut and link not in self.cut_outside
+
     @property
     def noisy(self) -> bool:
         """Whether any message may be lost, doubled or late."""
--- /dev/null
+++ b/tests/control_plane/simulated_platform.py
@@ -0,0 +1,112 @@
+"""The platform's list of workers: they come, drain and go; it runs behind and may be out of reach."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from bisect import bisect_right
+from dataclasses import dataclass
+from random import Random
+
+from msgspec import structs
+
+from reedspoke.control_plane.platform_client import PlatformClient, PlatformError
+from reedspoke.control_plane.worker_list import STATE_DRAINING, PlatformInstance, PlatformPage
+from tests.control_plane.simulated_parts import VirtualTime
+
+LAG_S = 0.8
+ANSWER_S = (0.004, 0.03)
+DRAIN_S = 3.0
+FIRST_WORKERS = 4
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True)
+class ListState:
+    """The list from a time on."""
+
+    since: float
+    workers: dict[str, PlatformInstance]
+
+
+class SimulatedPlatform:
+    """Keeps every state of the list, oldest first."""
+
+    def __init__(self, virtual_time: VirtualTime) -> None:
+        self.out_of_reach = False
+        self.reachable_since = NEVER
+        self._virtual_time = virtual_time
+        self._names = itertools.count(1)
+        self._states = [ListState(NEVER, {})]
+        for _ in range(FIRST_WORKERS):
+            self.come()
+
+    # ---- what happens to workers ----
+
+    def come(self) -> None:
+        """A new worker."""
+        name = f"i-{next(self._names)}"
+        self._change(name, PlatformInstance(name, "service", "10.0.0.1:1", "zone-m1"))
+
+    def drain(self, rng: Random, lasts: float = DRAIN_S) -> None:
+        """A worker is about to end, and is gone after a while."""
+        up = [name for name, worker in self._newest.items() if worker.state != STATE_DRAINING]
+        if up:
+            name = rng.choice(up)
+            self._change(name, structs.replace(self._newest[name], state=STATE_DRAINING))
+            self._virtual_time.at(self._virtual_time.now + lasts, lambda: self._change(name, None))
+
+    def set_out_of_reach(self, out_of_reach: bool) -> None:
+        """No call is answered any more, or calls are answered again."""
+        self.out_of_reach = out_of_reach
+        if not out_of_reach:
+            self.reachable_since = self._virtual_time.now
+
+    # ---- what is asked ----
+
+    def shown(self, at: float) -> tuple[int, dict[str, PlatformInstance]]:
+        """What the list shows at a time, with the number of that state."""
+        number = bisect_right(self._states, at - LAG_S, key=lambda state: state.since) - 1
+        return number, self._states[number].workers
+
+    def number_of(self, workers: dict[str, bool], at: float) -> int:
+        """The newest state that the list has shown until `at` with these workers (true: draining)."""
+        newest, _ = self.shown(at)
+        for number in range(newest, -1, -1):
+            if _draining(self._states[number].workers) == workers:
+                return number
+        raise AssertionError("a list that the platform has never shown")
+
+    @property
+    def _newest(self) -> dict[str, PlatformInstance]:
+        return self._states[-1].workers
+
+    def _change(self, name: str, worker: PlatformInstance | None) -> None:
+        workers = dict(self._newest)
+        if worker is None:
+            workers.pop(name, None)
+        else:
+            workers[name] = worker
+        self._states.append(ListState(self._virtual_time.now, workers))
+
+
+def _draining(workers: dict[str, PlatformInstance]) -> dict[str, bool]:
+    return {name: worker.state == STATE_DRAINING for name, worker in workers.items()}
+
+
+class SimulatedPlatformClient(PlatformClient):
+    """Calls of one control scheduler; the whole list fits on one page."""
+
+    def __init__(self, platform: SimulatedPlatform, virtual_time: VirtualTime, random: Random) -> None:
+        super().__init__("platform:1")
+        self._platform = platform
+        self._virtual_time = virtual_time
+        self._random = random
+
+    async def _call(self, token: str | None) -> PlatformPage:
+        await asyncio.sleep(self._random.uniform(*ANSWER_S))
+        if self._platform.out_of_reach:
+            raise PlatformError("the platform is out of reach")
+        _, workers = self._platform.shown(self._virtual_time.now)
+        await asyncio.sleep(self._random.uniform(*ANSWER_S))
+        return PlatformPage(tuple(workers.values()))
--- a/tests/control_plane/simulation.py
+++ b/tests/control_plane/simulation.py
@@ -141,13 +141,18 @@
     def freeze(self, address: str) -> None:
         """The process is stopped; its clock goes on."""
         self.calm.disturbed(self.now, address)
-        self.machines[address].frozen = True
+        machine = self.machines[address]
+        machine.frozen = True
+        for component in self.components:
+            component.frozen(machine)
 
     def thaw(self, address: str) -> None:
         """The process goes on, and finds what came meanwhile."""
         self.calm.disturbed(self.now, address)
         machine = self.machines[address]
         machine.frozen = False
+        for component in self.components:
+            component.thawed(machine)
         missed, machine.missed = machine.missed, []
         for event in missed:
             self._handle(address, event)
--- a/tests/control_plane/test_majority_contact.py
+++ b/tests/control_plane/test_majority_contact.py
@@ -99,13 +99,13 @@
         for machine in self._simulation.running():
             replica = machine.replica
             assert replica is not None
-            clock = self._simulation.now + machine.clock_skew
+            clock = machine.clock(self._simulation.now)
             as_of = replica.confirmed_as_of(clock)
             if as_of is None:
                 continue
             self.claims += 1
             held = replica.committed.generation if replica.committed else 0
-            at_that_time = as_of - machine.clock_skew
+            at_that_time = machine.true_time(as_of)
             wanted = max(each.generation for each in self._acknowledged if each.at < at_that_time)
             assert held >= wanted, f"{machine.address} hands over {held}, {wanted} was acknowledged"
         if newest > self._acknowledged[-1].generation:
--- a/tests/control_plane/troubles.py
+++ b/tests/control_plane/troubles.py
@@ -36,9 +36,11 @@
         self._log = log
         self._beyond = beyond
         self._new_names = (f"n{number}" for number in itertools.count(1))
+        self.on_cut: Callable[[list[str], Random], None] | None = None
+        self.on_join: Callable[[], None] | None = None
         self._at_next_ack: Callable[[], None] | None = None
         self._departing: set[str] = set()
-        simulation.judge.on_acknowledged = self._acknowledged
+        simulation.judge.on_acknowledged.append(self._acknowledged)
 
     def stop(self) -> None:
         """Nothing new is begun any more."""
@@ -136,6 +138,8 @@
         directions = {"from them": Direction.FROM_THEM, "to them": Direction.TO_THEM}
         simulation.network.holds = shape in ("holds", "from them", "to them")
         simulation.cut_off(victims, directions.get(shape, Direction.BOTH))
+        if self.on_cut is not None:
+            self.on_cut(victims, rng)
         others = [address for address in simulation.machines if address not in victims]
         if shape == "both restarted":
             self._restart_in_turn(victims, others, rng)
@@ -145,7 +149,12 @@
         if shape == "meet":
             self._order_at(victims, seconds / 2)
             self._order_at(victims, seconds)
-        self._later(seconds, simulation.join)
+        self._later(seconds, self._join)
+
+    def _join(self) -> None:
+        self._simulation.join()
+        if self.on_join is not None:
+            self.on_join()
 
     def _restart_in_turn(self, first: list[str], then: list[str], rng: Random) -> None:
         for place, address in enumerate([*first, *then]):
