--- a/tests/control_plane/troubles.py
+++ b/tests/control_plane/troubles.py
@@ -175,6 +175,8 @@
 
     def link(self, rng: Random) -> None:
         """One link carries nothing one way, or neither way."""
+        if len(self._simulation.machines) < 2:
+            return
         one, other = rng.sample(list(self._simulation.machines), 2)
         if self._simulation.network.cut or not (self._beyond or self.budget.allows(one)):
             return
