--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -50,9 +50,10 @@
 class DocumentsThread:
     """In place of the thread that parses documents: the result comes a little later."""
 
-    def __init__(self, loop: ProcessLoop, random: Random) -> None:
+    def __init__(self, loop: ProcessLoop, random: Random, lasts: tuple[float, float]) -> None:
         self._loop = loop
         self._random = random
+        self._lasts = lasts
 
     def call(self, function: Callable[[], Value]) -> asyncio.Future[Value]:
         """As `JobThread.call`."""
@@ -62,7 +63,7 @@
             if not future.done():
                 future.set_result(function())
 
-        self._loop.call_later(self._random.uniform(*PREPARE_S), end)
+        self._loop.call_later(self._random.uniform(*self._lasts), end)
         return future
 
 
@@ -119,7 +120,9 @@
         platform: SimulatedPlatform,
         judge: ListJudge,
         settings: NodeSettings,
+        prepare_s: tuple[float, float] = PREPARE_S,
     ) -> None:
+        self._prepare_s = prepare_s
         self.loop = loop
         self.channels: list[SimulatedChannel] = []
         self._simulation = simulation
@@ -137,7 +140,7 @@
         own = ControlMember(self._address, settings.zone)
         identity = random.getrandbits(31)
         self._membership = Membership(own, heartbeat_s * EDGE_LIFE_HEARTBEATS, identity)
-        self._documents: Any = DocumentsThread(self.loop, random)
+        self._documents: Any = DocumentsThread(self.loop, random, self._prepare_s)
         self._configuration = ConfigurationCache()
         self._book = WorkerBook()
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
@@ -206,6 +209,7 @@
 
     def __init__(self, simulation: Simulation, platform: SimulatedPlatform, judge: ListJudge) -> None:
         self.running: dict[str, ControlScheduler] = {}
+        self.prepare_s = PREPARE_S
         self._simulation = simulation
         self._platform = platform
         self._judge = judge
@@ -224,7 +228,7 @@
 
         def build() -> None:
             scheduler = ControlScheduler(
-                self._simulation, machine, loop, self._platform, self._judge, settings
+                self._simulation, machine, loop, self._platform, self._judge, settings, self.prepare_s
             )
             self.running[machine.address] = scheduler
             scheduler.begin()
--- a/tests/control_plane/test_random_schedules.py
+++ b/tests/control_plane/test_random_schedules.py
@@ -1,4 +1,4 @@
-"""Random schedules with everything on, in a process of their own, where a seed is always the same schedule."""
+"""Random schedules with everything on, in a process of their own: a seed is always the same schedule."""
 
 from __future__ import annotations
 
