--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
@@ -146,6 +147,11 @@
         """Calls without an answer."""
         return len(self._puts) + len(self._gets)
 
+    @property
+    def others_stay(self) -> bool:
+        """Whether a replica in reach is not about to leave."""
+        return self._replica is not None and self._replica.others_stay
+
     def _check_open(self) -> None:
         if self._replica is None:
             raise FleetError(ErrorCode.NOT_MEMBER, "the data folder is not open yet")
@@ -232,7 +238,7 @@
             machines_tolerated=self._settings.fault_tolerance.machines,
         )
         try:
-            self._replica = Replica(settings, opened.records, self._loop.time())
+            self._replica = Replica(settings, opened.records, self._loop.time(), os.urandom(16).hex())
         except FleetError as error:
             opened.writer.close()
             self._open_failed(error)
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -70,7 +70,8 @@
 class Replica:
     """One member of the replicated control state.
 
-    `records` is what the log holds. `incarnation` must differ in each life of the process.
+    `records` is what the log holds. `incarnation` differs in each life of the process: requests and proposals
+    are named by it. It is drawn at random, as clocks and counters may repeat after a reboot or a lost disk.
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         settings: ReplicaSettings,
         records: Sequence[bytes],
         now: float,
-        incarnation: str = "",
+        incarnation: str,
     ) -> None:
         restored = restore(records)
         self._settings = settings
@@ -90,15 +91,15 @@
         self._last_tick = now
         self._last_ping = float("-inf")
         self._last_look = now
-        self._last_disk_ok = True
-        name = f"{settings.folder_id}:{incarnation or now!r}"
+        self._last_condition = (True, False)  # disk works, copy of the chain's state is complete
+        name = f"{settings.folder_id}:{incarnation}"
         limit = settings.answer_limit_s
         self._outbox = Outbox(settings.address, now, sum(map(len, records)))
         self._outbox.snapshot_records = self.snapshot_records
         self._peers = Peers(settings.member, now)
         self._register = Register(self._outbox, restored)
         self._chain = Chain(settings, self._outbox, self._register, self._deliver, self._advance)
-        self._head = HeadQueue(self._outbox, self._chain, self._register, limit)
+        self._head = HeadQueue(name, self._outbox, self._chain, self._register, limit)
         self._puts = PutForwarder(name, self._outbox, limit)
         self._gets = GetForwarder(name, self._outbox, self._register, limit)
         self._tail_lease = TailLease()
@@ -140,6 +141,11 @@
             return None
         return self._contact.confirmed_as_of
 
+    @property
+    def others_stay(self) -> bool:
+        """Whether a replica in reach is not about to leave."""
+        return self._repair.others_stay()
+
     @property
     def committed(self) -> Committed | None:
         """The newest configuration that this replica knows to be committed."""
@@ -176,7 +182,8 @@
         return effect
 
     def _reaches_majority(self) -> bool:
-        return self.holds_majority(self._outbox.now)
+        """Whether a majority has granted, and is still heard."""
+        return self.holds_majority(self._outbox.now) and self.majority_reached
 
     def _contact_state(self) -> Contact:
         if self._reaches_majority():
@@ -235,8 +242,8 @@
         self._chain.tick()
         self._head.tick()
         self._tick_calls()
-        disk_changed = self._outbox.disk_ok != self._last_disk_ok
-        if disk_changed or now - self._last_ping >= PING_INTERVAL_S:
+        condition = (self._outbox.disk_ok, self._chain.complete)
+        if condition != self._last_condition or now - self._last_ping >= PING_INTERVAL_S:
             self._ping_all()
         if now - self._last_look >= REPAIR_INTERVAL_S - TICK_S / 2:
             self._last_look = now
@@ -321,7 +328,7 @@
     def _ping_all(self) -> None:
         now = self._outbox.now
         self._last_ping = now
-        self._last_disk_ok = self._outbox.disk_ok
+        self._last_condition = (self._outbox.disk_ok, self._chain.complete)
         ping = self._own_ping()
         if self._asks_for_lease():
             ping = structs.replace(ping, lease_sent=now)
@@ -345,8 +352,7 @@
         self._chain.committed_up_to(ping.view, ping.committed)
 
     def _asks_for_lease(self) -> bool:
-        allowed = self._chain.is_tail and self._chain.complete and not self._leaving
-        return allowed and self._tail_lease.may_ask(self._outbox.now)
+        return self._chain.is_tail and self._chain.complete and self._tail_lease.may_ask(self._outbox.now)
 
     def _grant(self, ping: Ping) -> None:
         """As voter: grant the read lease that the tail of my view asks for."""
--- a/reedspoke/data_plane/attempt.py
+++ b/reedspoke/data_plane/attempt.py
@@ -16,6 +16,7 @@
     worker: WorkerEntry
     number: int
     urgency: int | None
+    version_asked: bool
     sent_at: float
     heard_at: float
     started: bool = False  # its first event or its body has begun
@@ -29,9 +30,4 @@
 
     def evidence(self, ending: Ending) -> Evidence:
         """What was seen of it, now that it has ended so."""
-        return Evidence(ending, self.bytes_sent, self.status, self.not_executed)
-
-
-def may_pass(status: int) -> bool:
-    """Guards a promise that nobody made: a worker's own 503 without proof says that it may have run."""
-    return status not in (408, 421, 429, 503)
+        return Evidence(ending, self.bytes_sent, self.status, self.not_executed, self.version_asked)
--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -31,7 +31,6 @@
 
 SILENCE_MARGIN_S = 0.8  # beyond the time in which a `Watch` is answered
 QUIET_MARGIN_S = 0.4
-MOST_SILENCE_S = 10.0
 
 
 class SessionPace(Struct, frozen=True):
@@ -42,12 +41,12 @@
     @property
     def silence_s(self) -> float:
         """A control scheduler that says nothing for so long is left."""
-        return min(self.watch_hold_s + SILENCE_MARGIN_S, MOST_SILENCE_S)
+        return self.watch_hold_s + SILENCE_MARGIN_S
 
     @property
     def quiet_s(self) -> float:
         """And after this another one is sought besides it."""
-        return min(self.watch_hold_s + QUIET_MARGIN_S, self.silence_s)
+        return self.watch_hold_s + QUIET_MARGIN_S
 
 
 class OwnState(Struct, frozen=True):
@@ -95,23 +94,31 @@
     async def run(self) -> None:
         """Runs until the connection ends or the other side is silent."""
         self._watch()
-        while True:
-            message = await self._channel.receive(ControlMessage)
-            match message:
-                case Versions():
-                    self._take_versions(message)
-                case Unconfirmed():
-                    self._take_unconfirmed(message)
-                case _:
-                    self._take_state(message)
+        try:
+            while True:
+                self._take(await self._channel.receive(ControlMessage))
+        finally:
+            self._give_up_fetches()
+
+    def _take(self, message: ControlMessage) -> None:
+        match message:
+            case Versions():
+                self._take_versions(message)
+            case Unconfirmed():
+                self._take_unconfirmed(message)
+            case _:
+                self._take_state(message)
 
     def look(self) -> None:
-        """Time has passed: ask again where a fetch stays unanswered, or be content with what there is."""
+        """Some time has passed. After `Unconfirmed` the next `Watch` is sent from here, which is called about
+        each tenth of a second then; so is the one that finds out why a fetch stays unanswered.
+        """
         now = self._loop.time()
-        if self._watch_sent_at is None and now - self._fetched_at > FETCH_S:
-            self._watch()
         if self._unconfirmed is not None:
             self._fetch_unconfirmed(self._unconfirmed, now)
+        fetch_is_late = now - self._fetched_at > FETCH_S
+        if self._watch_sent_at is None and (fetch_is_late or not self._fetching):
+            self._watch()
 
     # ---- Watch ----
 
@@ -140,7 +147,7 @@
         now = self._loop.time()
         self._unconfirmed = None
         self._note_confirmation(message, now)
-        self._watch_answered()
+        self._note_answered(message.request_id)
         self._subscription.take(message)
         for source in self._subscription.lacks(message.versions, now):
             self._subscription.begin_fetch(source, message.versions[source], now)
@@ -172,14 +179,18 @@
         """No majority stands behind the control scheduler: its hints are of use, its state is not."""
         now = self._loop.time()
         self._unconfirmed = message
-        self._watch_answered()
+        self._note_answered(message.request_id)
         self._report(False, message.control, now)
         self._fetch_unconfirmed(message, now)
-        self._watch_if_idle()
 
-    def _watch_answered(self) -> None:
-        self._watch_sent_at = None
-        self._fetching.clear()  # what was asked for before the `Watch` is not answered any more
+    def _note_answered(self, request_id: int) -> None:
+        """Answers keep their order, so what was fetched before will not come any more.
+
+        `Unconfirmed` answers a `Fetch` too, without the id of any request; a `Watch` may be out then.
+        """
+        self._give_up_fetches()
+        if request_id == self._request_id:
+            self._watch_sent_at = None
 
     def _watch_if_idle(self) -> None:
         if not self._fetching and self._watch_sent_at is None:
@@ -192,9 +203,14 @@
         self._fetched_at = self._loop.time()
         self._channel.send(Fetch(source, have, unconfirmed_too=self._unconfirmed is not None))
 
+    def _give_up_fetches(self) -> None:
+        for source, version in self._fetching.items():
+            self._subscription.end_fetch(source, version)
+        self._fetching.clear()
+
     def _fetch_unconfirmed(self, offer: Unconfirmed, now: float) -> None:
         for source in self._subscription.lacks(offer.versions, now):
-            if self._subscription.may_take_unconfirmed(source, now):
+            if source not in self._fetching and self._subscription.may_take_unconfirmed(source, now):
                 self._subscription.begin_fetch(source, offer.versions[source], now)
                 self._fetch(source, offer.versions[source], self._subscription.version(source))
 
--- a/reedspoke/data_plane/upstream_pool.py
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -15,9 +15,7 @@
 
 
 class ConnectFailure(Struct, frozen=True):
-    """No connection came up; nothing of a request was sent."""
-
-    refused: bool  # a refusal shows a closed port, else it was silence
+    """No connection came up, as it was refused or nothing answered; nothing of a request was sent."""
 
 
 ConnectResult = UpstreamConnection | ConnectFailure
@@ -29,6 +27,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._listed: frozenset[str] | None = None  # workers on the list; None: no list has come yet
         self.most_idle: dict[str, int] = {}  # by instance id, where it is less than MOST_IDLE
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -56,19 +55,20 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(self._make, host, port)
-        except TimeoutError:
-            return ConnectFailure(refused=False)
-        except OSError:
-            return ConnectFailure(refused=True)
+        except OSError:  # TimeoutError is one
+            return ConnectFailure()
         return connection
 
     def _make(self) -> UpstreamConnection:
         return UpstreamConnection(self._loop)
 
     def give_back(self, instance_id: str, connection: UpstreamConnection) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Keep a connection whose answer was read whole, or that was never used."""
         if not connection.open:
             return
+        if self._listed is not None and instance_id not in self._listed:
+            connection.close()
+            return
         idle = self._idle.setdefault(instance_id, [])
         if len(idle) >= self.most_idle.get(instance_id, MOST_IDLE):
             connection.close()
@@ -82,6 +82,7 @@
 
     def retain(self, instance_ids: frozenset[str]) -> None:
         """Forget all workers but these, and connections whose time is over."""
+        self._listed = instance_ids
         for instance_id in list(self._idle):
             if instance_id not in instance_ids:
                 self.forget(instance_id)
