--- a/tests/control_plane/test_guards_head.py
+++ b/tests/control_plane/test_guards_head.py
@@ -8,7 +8,14 @@
 from reedspoke.control_plane.events import Member, Put, PutAnswer, View
 from reedspoke.control_plane.majority_contact import Contact
 from reedspoke.control_plane.replica_head import WAIT_SHARE
-from reedspoke.control_plane.replica_messages import Commit, GetReply, GetRequest, PutReply, PutRequest
+from reedspoke.control_plane.replica_messages import (
+    ChainState,
+    Commit,
+    GetReply,
+    GetRequest,
+    PutReply,
+    PutRequest,
+)
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_puts import PutForwarder
 from reedspoke.control_plane.replica_refusals import Refusals
@@ -25,6 +32,18 @@
 )
 
 
+def _head(view: View = WHOLE) -> ChainReplica:
+    """A head whose successor has told that it holds the same."""
+    replica = ChainReplica(HEAD, view)
+    successor = view.chain[1]
+    state = ChainState(
+        view.number, successor.member.folder_id, successor.joined, True, replica.register.sequence
+    )
+    replica.chain.receive(state)
+    replica.sent()
+    return replica
+
+
 def _request(name: str, match: int, generation: int, view: int = VIEW_NUMBER) -> PutRequest:
     return PutRequest(view, name, match, generation, b"document %d" % generation)
 
@@ -51,7 +70,7 @@
 
 @pytest.mark.parametrize("view", [VIEW_NUMBER - 1, VIEW_NUMBER + 1])
 def test_a_change_sent_in_another_view_is_not_taken(view: int) -> None:
-    head = ChainReplica(HEAD)
+    head = _head()
     _receive(head, _request("r1", 0, 10, view))
     assert not head.sent()
     assert not head.stores
@@ -69,7 +88,7 @@
 
 def test_a_refused_request_is_refused_again_whatever_has_changed() -> None:
     """Also one that names what is not reached yet, where that would not make it right."""
-    head = ChainReplica(HEAD)
+    head = _head()
     _receive(head, _request("r1", 10, 5))
     _confirm_refusals(head)
     assert [reply.error for reply in _replies(head)] == [int(ErrorCode.CONFIGURATION_OLD_GENERATION)]
@@ -82,7 +101,7 @@
 
 
 def test_a_request_that_comes_again_while_it_waits_is_decided_once() -> None:
-    head = ChainReplica(HEAD)
+    head = _head()
     for _ in range(2):
         _receive(head, _request("r1", 0, 10))
     _commit_next(head)
@@ -90,7 +109,7 @@
 
 
 def test_an_incomplete_head_decides_nothing() -> None:
-    head = ChainReplica(HEAD, view_of((HEAD, VIEW_NUMBER), (TAIL, 1)))
+    head = _head(view_of((HEAD, VIEW_NUMBER), (TAIL, 1)))
     _receive(head, _request("r1", 0, 10))
     _receive(head, _request("r2", 10, 5))
     assert not head.sent()
@@ -98,7 +117,7 @@
 
 
 def test_a_head_whose_disk_fails_takes_nothing() -> None:
-    head = ChainReplica(HEAD)
+    head = _head()
     head.outbox.disk_failed = True
     _receive(head, _request("r1", 0, 10))
     head.sent()
@@ -106,7 +125,7 @@
 
 
 def test_the_next_change_is_decided_once_the_one_before_is_committed() -> None:
-    head = ChainReplica(HEAD)
+    head = _head()
     _receive(head, _request("r1", 0, 10))
     _receive(head, _request("r2", 10, 20))
     head.end_store()
@@ -118,7 +137,7 @@
 
 
 def test_a_refusal_that_nobody_confirmed_is_not_final() -> None:
-    head = ChainReplica(HEAD)
+    head = _head()
     _receive(head, _request("r1", 0, 10))
     _commit_next(head)
     assert [reply.error for reply in _replies(head)] == [0]
@@ -130,7 +149,7 @@
 
 
 def test_a_change_that_is_under_way_expires_as_unclear() -> None:
-    head = ChainReplica(HEAD)
+    head = _head()
     _receive(head, _request("r1", 0, 10))
     head.end_store()
     head.outbox.now = START + ANSWER_LIMIT_S * WAIT_SHARE
