Loopback tests of doubt: wait for certainty where a busy machine may be in doubt for a moment

Cause: on a machine with little time to spare a single look may meet a moment of doubt (503), which is right. Ruled out: a longer bound of doubt.

--- a/tests/data_plane/test_process_doubt.py
+++ b/tests/data_plane/test_process_doubt.py
@@ -21,8 +21,8 @@
     until(lambda: stage.ask("/nowhere/")[0] == 503, DOUBT_S, "a request without route is refused for now")
 
 
-def until_certain(stage: Stage) -> None:
-    until(lambda: stage.ask("/nowhere/")[0] == 404, DOUBT_S, "a request without route is refused for good")
+def until_certain(stage: Stage, path: str = "/nowhere/") -> None:
+    until(lambda: stage.ask(path)[0] == 404, DOUBT_S, f"{path} is refused for good")
 
 
 def test_not_found_is_told_only_while_a_majority_confirms(stage: Stage) -> None:
@@ -52,7 +52,8 @@
     stage.until_status("/two/", 200)
     until_certain(stage)
     stage.tell(4, "/four/")  # what a cut-off one may still hold
-    assert stage.ask("/four/")[0] == 404
+    assert stage.ask("/four/")[0] in (404, 503)
+    until_certain(stage, "/four/")
     assert stage.ask("/two/")[0] == 200
 
 
@@ -93,7 +94,7 @@
     stage.edge.start()
     stage.edge.until_ready()
     assert stage.ask("/new/")[0] == 200
-    assert stage.ask("/old/")[0] == 404
+    until_certain(stage, "/old/")
 
 
 def test_a_stopped_process_refuses_nothing_for_good_when_it_wakes(stage: Stage) -> None:
