--- a/reedspoke/control_plane/replica_settings.py
+++ b/reedspoke/control_plane/replica_settings.py
@@ -27,10 +27,12 @@
 GET_RETRY_S = 0.1
 RESEND_S = 0.4  # a chain message is sent again after this and the time that its size takes
 RESEND_BYTES_PER_S = 4_000_000
-DISK_STALL_S = 0.5  # a store outstanding for longer means that the disk is in trouble
+RESEND_GROWTH = 2  # the pause grows by this each time, so that copies do not fill a slow link
+MOST_RESEND_S = 10.0
+DISK_STALL_S = 0.5  # a store outstanding for longer means that the disk is in trouble,
+DISK_BYTES_PER_S = 8_000_000  # beside the time that its bytes, and those before it, take at this speed
 DISK_PROBE_S = 0.3
-REWRITE_BYTES = 8 * 1024 * 1024  # the log is rewritten when longer than this
-REWRITE_RATIO = 4  # and than this many times the live records
+REWRITE_BYTES = 16 * 1024 * 1024  # the log is rewritten when more of it than this is out of date
 HISTORY_LIMIT = 8192  # accepted changes that are remembered, 40 bytes each
 
 
