--- a/tests/control_plane/simulated_parts.py
+++ b/tests/control_plane/simulated_parts.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
+
+from msgspec import Struct
 
 from reedspoke.cluster.errors import ErrorCode
-from reedspoke.control_plane.events import Event, Store
+from reedspoke.control_plane.events import Committed, Event, Store, View
 from reedspoke.control_plane.replica import Replica
 
 
@@ -22,11 +25,20 @@
     FAILS = "fails"  # refuses, and may have written all the same
 
 
+class Direction(Enum):
+    """Which way a cut holds up, as seen from the machines that are cut off."""
+
+    BOTH = "both"
+    FROM_THEM = "from them"
+    TO_THEM = "to them"
+
+
 @dataclass
 class Disk:
     """What survives; a wiped disk comes with a new folder id."""
 
     folder_id: str
+    made_at: float = 0.0
     records: list[bytes] = field(default_factory=list)
     mode: DiskMode = DiskMode.WORKS
     waiting: list[Store] = field(default_factory=list)
@@ -40,23 +52,83 @@
     zone: str
     disk: Disk
     bootstrap: bool
+    clock_skew: float = 0.0
+    clock_rate: float = 1.0
     replica: Replica | None = None
     frozen: bool = False
+    leaving: bool = False
+    gone: bool = False  # for good: it is not started again
     life: int = 0
     missed: list[Event] = field(default_factory=list)
-    clock_skew: float = 0.0
+    calls: dict[int, int] = field(default_factory=dict)  # of operators, by their number in this process
+
+    def clock(self, now: float) -> float:
+        """The machine's steady clock, which goes on while its process is stopped."""
+        return self.clock_skew + now * self.clock_rate
+
+    def true_time(self, clock: float) -> float:
+        """The virtual time at which the machine's clock shows this."""
+        return (clock - self.clock_skew) / self.clock_rate
+
+
+class Component(Protocol):
+    """A part of the control scheduler that runs beside the replica in the same process."""
+
+    def started(self, machine: Machine) -> None:
+        """A process has started."""
+
+    def stopped(self, machine: Machine) -> None:
+        """A process has ended."""
+
+    def ticked(self, machine: Machine) -> None:
+        """TICK_S has passed in a process that is not frozen."""
+
+    def leaving(self, machine: Machine) -> None:
+        """The process got SIGTERM."""
+
+    def frozen(self, machine: Machine) -> None:
+        """A process stands still."""
+
+    def thawed(self, machine: Machine) -> None:
+        """A process goes on."""
+
+    def received(self, machine: Machine, sender: str, message: Struct) -> None:
+        """A message of another control scheduler; those between replicas go to the replica as well."""
+
+    def delivered(self, machine: Machine, committed: Committed) -> None:
+        """The replica has a newer configuration for the data plane."""
+
+    def view_changed(self, machine: Machine, view: View) -> None:
+        """The replica acts in a newer view."""
 
 
 @dataclass
 class Network:
     """Which directed links carry nothing, and how often a message is lost, doubled or late."""
 
-    cut: set[tuple[str, str]] = field(default_factory=set)
+    cut: set[tuple[str, str]] = field(default_factory=set)  # between control schedulers
+    cut_outside: set[tuple[str, str]] = field(default_factory=set)  # to and from data plane schedulers
     loss: float = 0.0
     doubled: float = 0.0
     late: float = 0.0
     holds: bool = False  # what meets a cut comes once the link carries again, instead of being lost
     check_encoding: bool = False
+    cut_off: set[str] = field(default_factory=set)  # machines whose links are all cut
+
+    def carries(self, sender: str, receiver: str) -> bool:
+        """Whether bytes of the one reach the other now."""
+        link = (sender, receiver)
+        return link not in self.cut and link not in self.cut_outside
+
+    @property
+    def noisy(self) -> bool:
+        """Whether any message may be lost, doubled or late."""
+        return bool(self.loss or self.doubled or self.late)
+
+    @property
+    def troubled(self) -> bool:
+        """Whether any link is cut or harmed."""
+        return bool(self.cut) or self.noisy
 
 
 STORE_ERRORS = {DiskMode.FULL: ErrorCode.STORAGE_FULL, DiskMode.FAILS: ErrorCode.STORAGE_FAILED}
