--- a/tests/control_plane/process_loop.py
+++ b/tests/control_plane/process_loop.py
@@ -115,8 +115,9 @@
 
     def _done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            raise AssertionError("a task of the program failed") from task.exception()
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            raise error
 
     def get_debug(self) -> bool:
         """As in `AbstractEventLoop`."""
--- a/tests/control_plane/simulated_core.py
+++ b/tests/control_plane/simulated_core.py
@@ -46,6 +46,7 @@
 DISK_DELAY_S = (0.001, 0.008)
 START_SPREAD_S = 0.3
 HELD_RETRY_S = 0.2
+HELD_S = 1.5  # a connection that a cut holds up ends after that
 MOST_CLOCK_SKEW_S = 1000.0
 MOST_CLOCK_DRIFT = 1e-3
 
@@ -262,10 +263,13 @@
             arrival = max(arrival, self._link_free.get((sender, receiver), 0.0))
             self._link_free[(sender, receiver)] = arrival
 
+        given_up_at = arrival + HELD_S
+        forever = isinstance(message, REPLICA_MESSAGES)  # they bear that, whatever a connection does
+
         def arrive() -> None:
             if (sender, receiver) not in self.network.cut:
                 self._receive(receiver, Received(sender, message))
-            elif self.network.holds:
+            elif self.network.holds and (forever or self.now < given_up_at):
                 self.at(self.now + HELD_RETRY_S, arrive)
 
         self.at(arrival, arrive)
