Several are appended at once where a chain with one joiner would still be too short

Ruled out: a view with a chain below the minimum; it acknowledges nothing and drops copies that may come back. Change: as many joiners are appended as the minimum asks for, else one at a time as before.

--- a/reedspoke/control_plane/view_choice.py
+++ b/reedspoke/control_plane/view_choice.py
@@ -35,10 +35,8 @@
     kept = _kept_chain(view, around)
     if not kept:
         return view
-    joiner = _joiner(view, kept, around)
-    chain = kept
-    if joiner is not None:
-        chain = (*kept, ChainLink(joiner, view.number + 1))
+    joined = view.number + 1
+    chain = (*kept, *(ChainLink(joiner, joined) for joiner in _joiners(view, kept, around)))
     if len(chain) < around.chain_minimum and len(chain) < len(view.chain):
         return view  # a shorter chain could not acknowledge anything either, and holds fewer copies
     voters = _next_voters(view, chain, around)
@@ -78,20 +76,27 @@
     return around.conditions[link.member.folder_id].complete
 
 
-def _joiner(view: View, kept: Links, around: Surroundings) -> Member | None:
-    """The first by address that may be appended; one at a time, once all before it are complete."""
+def _joiners(view: View, kept: Links, around: Surroundings) -> list[Member]:
+    """The first by address that may be appended, once all before are complete.
+
+    One at a time; several only where the chain would be too short with one.
+    """
     if not all(_complete(link, around) for link in kept):
-        return None
+        return []
     placed = {link.member.folder_id for link in view.chain}
     waiting = [
         condition.member
         for folder_id, condition in around.conditions.items()
         if folder_id not in placed and _may_join(condition, around)
     ]
+    most = max(1, around.chain_minimum - len(kept))
+    connected_to = [link.member.folder_id for link in kept]
+    joiners: list[Member] = []
     for member in sorted(waiting, key=lambda waiter: (waiter.address, waiter.folder_id)):
-        if all(around.connected(member.folder_id, link.member.folder_id) for link in kept):
-            return member
-    return None
+        if len(joiners) < most and all(around.connected(member.folder_id, other) for other in connected_to):
+            joiners.append(member)
+            connected_to.append(member.folder_id)
+    return joiners
 
 
 def _may_join(condition: Condition, around: Surroundings) -> bool:
--- a/tests/control_plane/test_losses_members.py
+++ b/tests/control_plane/test_losses_members.py
@@ -224,3 +224,21 @@
     simulation.lose_power(last, restart_after=None)
     simulation.run(2.0)
     _change(simulation, 2)
+
+
+@pytest.mark.parametrize("places", [(0, 1), (0, 2), (1, 2)])
+def test_two_lost_of_a_chain_as_short_as_may_be(places: tuple[int, int]) -> None:
+    """Of five machines two are out of reach, and back while two others are lost for good."""
+    simulation = strong_core(9, 5, 2)
+    away = simulation.chain()[3:]
+    for address in away:
+        simulation.lose_power(address, restart_after=None)
+    assert simulation.run_until(lambda: len(simulation.chain()) == 3, 2.0)
+    short = simulation.chain()
+    for place in places:
+        simulation.lose_power(short[place], restart_after=None)
+    for address in away:
+        simulation.start(address)
+    simulation.run(3.0)
+    assert len(simulation.chain()) == 3
+    _change(simulation, 2)
--- a/tests/control_plane/test_losses_view_choice.py
+++ b/tests/control_plane/test_losses_view_choice.py
@@ -140,6 +140,15 @@
     assert _chain(following) == "ay"
 
 
+def test_several_are_appended_where_one_would_be_too_few() -> None:
+    view = _view("abc", voters="abcde")
+    following = choose_view(view, _around("ade", incomplete="de", tolerated=2))
+    assert _chain(following) == "ade"
+    assert [link.joined for link in following.chain] == [1, 6, 6]
+    assert choose_view(view, _around("ad", incomplete="d", tolerated=2)) == view
+    assert _chain(choose_view(_view("abc"), _around("abcde", incomplete="de", tolerated=2))) == "abcd"
+
+
 def test_a_leaving_member_is_not_appended() -> None:
     view = _view("ab", voters="abc")
     assert choose_view(view, _around("abx", leaving="x")) == view
