Voters beyond enough come in pairs, and only machines that have been there for a while

Cause: a machine that is to be replaced and its successor count as one loss, but both had a vote. Ruled out: dropping the old one sooner (nobody can know that it is to go); fixed 2f + 1 voters (a core of nine would stop when three particular machines go). Change: up to 2f + 1 voters a newcomer votes at once or in place of one that goes; beyond, two newcomers that have been in reach for 10 s, so that the number ends odd (an even one bears no more losses than the odd one below it). Tests: those that asked for as many votes as machines ask for them after that time and odd; a planned replacement swaps the vote; dead voters must leave the chain, too, in test_losses_strength (stricter).

--- a/reedspoke/control_plane/replica_peers.py
+++ b/reedspoke/control_plane/replica_peers.py
@@ -8,7 +8,7 @@
 
 from reedspoke.control_plane.events import Member
 from reedspoke.control_plane.replica_messages import Ping
-from reedspoke.control_plane.replica_settings import GONE_S, HEARD_S, JOIN_AFTER_S
+from reedspoke.control_plane.replica_settings import ESTABLISHED_AFTER_S, GONE_S, HEARD_S, JOIN_AFTER_S
 
 
 class Peer(Struct):
@@ -85,6 +85,13 @@
         peer = self._peers.get(folder_id)
         return peer is not None and self.mutual(folder_id, now) and now - peer.heard_since >= JOIN_AFTER_S
 
+    def established(self, folder_id: str, now: float) -> bool:
+        """Whether this replica has been in reach for so long that it will hardly be replaced soon."""
+        peer = self._peers.get(folder_id)
+        return (
+            peer is not None and self.mutual(folder_id, now) and now - peer.heard_since >= ESTABLISHED_AFTER_S
+        )
+
     def gone(self, folder_id: str, now: float) -> bool:
         """Whether I have not heard this replica for GONE_S, nor has any other that has run for as long."""
         if folder_id == self._own.folder_id or not self.silent(folder_id, now, GONE_S):
--- a/reedspoke/control_plane/replica_repair.py
+++ b/reedspoke/control_plane/replica_repair.py
@@ -9,6 +9,7 @@
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_peers import Peers
 from reedspoke.control_plane.replica_settings import (
+    ESTABLISHED_AFTER_S,
     HEARD_S,
     PROPOSE_AFTER_S,
     RANK_DELAY_S,
@@ -149,12 +150,16 @@
     def _conditions(self, view: View) -> dict[str, Condition]:
         now = self._outbox.now
         joined = {link.member.folder_id: link.joined for link in view.chain}
-        conditions = {self._own.folder_id: _condition(self._own_ping(), joined, steady=True)}
+        own_established = now - self._started >= ESTABLISHED_AFTER_S
+        conditions = {
+            self._own.folder_id: _condition(self._own_ping(), joined, True, own_established),
+        }
         for member in self._peers.members(now):
             ping = self._peers.latest(member.folder_id)
             if ping is not None and self.reachable(member.folder_id):
                 steady = ping.view == view.number and self._peers.steady(member.folder_id, now)
-                conditions[member.folder_id] = _condition(ping, joined, steady)
+                established = self._peers.established(member.folder_id, now)
+                conditions[member.folder_id] = _condition(ping, joined, steady, established)
         return conditions
 
     def _connected(self, one: str, other: str) -> bool:
@@ -173,11 +178,12 @@
         return self._peers.latest(folder_id)
 
 
-def _condition(ping: Ping, joined: dict[str, int], steady: bool) -> Condition:
+def _condition(ping: Ping, joined: dict[str, int], steady: bool, established: bool) -> Condition:
     """How a replica stands; `joined` has, for each member of the chain, the view that appended it."""
     return Condition(
         member=ping.member,
         healthy=ping.disk_ok,
         complete=joined.get(ping.member.folder_id) in (FIRST_VIEW, ping.synced_since),
         steady=steady,
+        established=established,
     )
--- a/reedspoke/control_plane/replica_settings.py
+++ b/reedspoke/control_plane/replica_settings.py
@@ -19,6 +19,7 @@
 REPAIR_INTERVAL_S = 0.1  # how often a member looks for a better view
 PROPOSE_AFTER_S = 0.08  # how long a better view must be in sight before it is proposed
 RANK_DELAY_S = 0.25  # the further back in the chain, the later a member proposes
+ESTABLISHED_AFTER_S = 10.0  # before it has been in reach for so long, nobody votes beside enough voters
 JOIN_AFTER_S = 0.3  # how long a joiner must be connected before it is appended
 PROPOSAL_RESEND_S = 0.1
 PROPOSAL_LIMIT_S = 1.6
--- a/reedspoke/control_plane/view_choice.py
+++ b/reedspoke/control_plane/view_choice.py
@@ -17,6 +17,7 @@
     healthy: bool  # its disk works
     complete: bool  # it holds everything since it was appended
     steady: bool  # in reach for long enough to be appended
+    established: bool  # in reach for long enough to vote beside as many voters as are needed
 
 
 class Surroundings(Struct, frozen=True):
@@ -105,25 +106,25 @@
 
 def _next_voters(view: View, chain: Links, around: Surroundings) -> tuple[Member, ...]:
     """At most one voter comes and at most one goes."""
-    newcomer = _newcomer(view, chain, around)
-    if newcomer is not None:
-        voters = _with_newcomer(view.voters, newcomer, around)
-        if voters != view.voters:
-            return voters
+    newcomers = _newcomers(view, chain, around)
+    for newcomer in newcomers:
+        replaced = _replaced_voter(view.voters, newcomer, around)
+        if replaced is not None:
+            return (*(voter for voter in view.voters if voter != replaced), newcomer)
+    added = _added_voter(view.voters, newcomers, around)
+    if added is not None:
+        return (*view.voters, added)
     if len(view.voters) <= around.voters_target:
         return view.voters
     spare = _spare_voter(view.voters, chain, around)
     return tuple(voter for voter in view.voters if voter != spare)
 
 
-def _newcomer(view: View, chain: Links, around: Surroundings) -> Member | None:
-    """The first member of the chain that has no vote yet and is not about to leave."""
+def _newcomers(view: View, chain: Links, around: Surroundings) -> list[Member]:
+    """The members of the chain that have no vote yet and are not about to leave."""
     voting = {voter.folder_id for voter in view.voters}
-    for link in chain:
-        folder_id = link.member.folder_id
-        if folder_id not in voting and not around.leaving(folder_id):
-            return link.member
-    return None
+    voteless = [link.member for link in chain if link.member.folder_id not in voting]
+    return [member for member in voteless if not around.leaving(member.folder_id)]
 
 
 def _spare_voter(voters: tuple[Member, ...], chain: Links, around: Surroundings) -> Member | None:
@@ -138,17 +139,21 @@
     return None
 
 
-def _with_newcomer(voters: tuple[Member, ...], newcomer: Member, around: Surroundings) -> tuple[Member, ...]:
-    """In place of a voter, or besides them; the same ones where neither would be safe now.
+def _added_voter(voters: tuple[Member, ...], newcomers: list[Member], around: Surroundings) -> Member | None:
+    """The newcomer that votes besides the others; None where that would not be safe now, or of no use.
 
-    Besides one that may be dead, the newcomer would count as a second loss until it has caught up: if it
-    failed too, the others would be no majority. It gets its vote once that one is back or gone.
+    As long as voters are too few, any. Beyond that a machine and the one that is to replace it would both
+    vote, and count as one loss together: so only those that have been there for a while, and an odd number
+    of voters in the end, as an even one bears no more losses than the odd one below it. None besides one
+    that may be dead: the newcomer would be a second loss until it has caught up.
     """
-    replaced = _replaced_voter(voters, newcomer, around)
-    if replaced is None and len(voters) >= around.voters_target and not _all_healthy(voters, around):
-        return voters
-    remaining = (voter for voter in voters if voter != replaced)
-    return (*remaining, newcomer)
+    if len(voters) < around.voters_target:
+        return newcomers[0] if newcomers else None
+    established = [member for member in newcomers if around.conditions[member.folder_id].established]
+    needed = 1 if len(voters) % 2 == 0 else 2
+    if len(established) < needed or not _all_healthy(voters, around):
+        return None
+    return established[0]
 
 
 def _all_healthy(voters: tuple[Member, ...], around: Surroundings) -> bool:
