While it parses a configuration, a control scheduler vouches for no more than before

Cause: what was published before counted as the newest up to the moment when the next one was handed over for parsing. Ruled out: the replica's own grants, which vouch for nothing before it knows what is committed. Change: while parsing, the time is the one that held before the configuration came; none after a start.

--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -66,7 +66,7 @@
         self._settings_at = 0.0
         self._maintenance_at = 0.0
         self._newest_committed: Committed | None = None
-        self._preparing_since: float | None = None  # what is committed is not published yet
+        self._published_as_of: float | None = None  # as of then what is published was the newest
         self._build(settings)
 
     def _build(self, settings: NodeSettings) -> None:
@@ -118,8 +118,6 @@
     def deliver(self, committed: Committed) -> None:
         """The data plane may have this configuration."""
         self._newest_committed = committed
-        if self._preparing_since is None:
-            self._preparing_since = self._loop.time()
         prepared = self._documents.call(lambda: self._configuration.prepare(committed))
         prepared.add_done_callback(self._prepared)
 
@@ -131,17 +129,17 @@
         prepared = future.result()
         if self._configuration.install(prepared):
             committed = prepared.committed
-            if committed == self._newest_committed:
-                self._preparing_since = None
             log(INFO, "configuration in force", generation=committed.generation, sequence=committed.sequence)
             self._sessions.changed()
 
     def _confirmed_as_of(self) -> float | None:
         """The time as of which what is published here was certainly the newest configuration."""
         as_of = self._driver.confirmed_as_of()
-        if as_of is None or self._preparing_since is None:
-            return as_of
-        return min(as_of, self._preparing_since)
+        if as_of is None:
+            return None
+        if self._configuration.committed == self._newest_committed:
+            self._published_as_of = as_of
+        return self._published_as_of  # while what is committed is parsed: of the time before it came
 
     def view_changed(self, view: View) -> None:
         """A newer view is known."""
