--- a/tests/control_plane/test_worst_days_restart.py
+++ b/tests/control_plane/test_worst_days_restart.py
@@ -46,3 +46,19 @@
     simulation.run(4.0)
     world.fleet.data_plane.join()
     world.end()
+
+
+def test_a_term_of_the_list_is_not_used_again_once_all_control_schedulers_died() -> None:
+    """Else a data plane scheduler with the old list takes another one of the same version for its own."""
+    world = fleet_in_service(seed=121)
+    simulation = world.simulation
+    machines = list(simulation.machines)
+    for name in world.fleet.data_plane.nodes:
+        world.fleet.data_plane.cut(name, machines)
+    for address in machines:
+        simulation.kill(address, restart_after=0.3)
+    simulation.run(3.0)
+    world.fleet.platform.come()
+    simulation.run(2.0)
+    world.fleet.data_plane.join()
+    world.end()
