List duty: terms of a new life are not those of an earlier one

Cause: granters keep terms in memory only; after the loss of all control schedulers they began at 1 again.

--- a/reedspoke/control_plane/duty_lease.py
+++ b/reedspoke/control_plane/duty_lease.py
@@ -79,16 +79,20 @@
 
 
 class DutyLease:
-    """This process as a granter and as one that wants the lease."""
+    """This process as a granter and as one that wants the lease.
 
-    def __init__(self, address: str, now: float, *, fresh_fleet: bool = False) -> None:
+    `first_term` is to differ from process to process: after a loss of all of them the terms begin anew, and
+    lists of an earlier term may still be held elsewhere.
+    """
+
+    def __init__(self, address: str, now: float, *, fresh_fleet: bool = False, first_term: int = 1) -> None:
         self._address = address
         self._granter = Granter(now if fresh_fleet else now + LEASE_S)
         self._voters: tuple[str, ...] = ()
         self._round: Round | None = None
         self._ask_at: float | None = None  # None: no voters are known yet
         self._paused_until = now
-        self._least_term = 1
+        self._least_term = first_term
         self._term = 0
         self._until = 0.0
         self._stopped = False
