--- a/tests/control_plane/calm.py
+++ b/tests/control_plane/calm.py
@@ -14,6 +14,7 @@
 
     last_event: float = float("-inf")
     _last_of: dict[str, float] = field(default_factory=dict)
+    _last_disk_of: dict[str, float] = field(default_factory=dict)
 
     def disturbed(self, now: float, *addresses: str) -> None:
         """Something happened to these machines that also unsettles the core."""
@@ -24,6 +25,11 @@
     def disk_changed(self, now: float, address: str) -> None:
         """A disk got into trouble or out of it, which leaves the core settled."""
         self._last_of[address] = now
+        self._last_disk_of[address] = now
+
+    def disk_lately(self, now: float, address: str) -> bool:
+        """Whether the machine counts as lost still for a trouble of its disk."""
+        return now - self._last_disk_of.get(address, float("-inf")) < CATCH_UP_S
 
     def last_of(self, address: str) -> float:
         """When something last happened to a machine."""
--- a/tests/control_plane/contact.py
+++ b/tests/control_plane/contact.py
@@ -20,8 +20,7 @@
         """Note the state of the core, and which of the machines outside it are joined with its majority."""
         now = self._simulation.now
         majority = self.majority_side()
-        too_many_lost = len(self._simulation.troubled()) > self._simulation.tolerated
-        if not majority or too_many_lost:
+        if not majority or self._too_many_lost():
             self._majority_since = now
         for name in [*outside, *self._simulation.machines]:
             joined = bool(majority) and all(self._path(name, other) for other in majority)
@@ -30,6 +29,12 @@
             else:
                 self._joined_since.setdefault(name, now)
 
+    def _too_many_lost(self) -> bool:
+        simulation = self._simulation
+        calm = simulation.calm
+        lately = {address for address in simulation.machines if calm.disk_lately(simulation.now, address)}
+        return len(simulation.troubled() | lately) > simulation.tolerated
+
     def majority_side(self) -> set[str]:
         """Running machines of the core that reach, both ways, more than half of it."""
         running = {machine.address for machine in self._simulation.running()}
