List duty: each process has terms of its own, so that none is used twice

Cause: a term raised above that of an old list, which a data plane scheduler out of reach had kept, was one that another process had used in between and that all granters had forgotten (seed 5026, 3 machines). Change: a process's terms all have its identity as remainder; those of others are exceeded.

--- a/reedspoke/control_plane/duty_lease.py
+++ b/reedspoke/control_plane/duty_lease.py
@@ -24,6 +24,7 @@
 ROUND_S = 0.35  # a request without a majority of answers by then has failed
 RANK_DELAY_S = 0.12  # a voter waits that much longer for each voter before it in the view
 RETRY_S = 0.3  # pause after a request that failed
+TERM_SPAN = 2**31
 GIVE_UP_PAUSE_S = 2.0  # no request for so long after the lease was given up
 
 
@@ -81,18 +82,22 @@
 class DutyLease:
     """This process as a granter and as one that wants the lease.
 
-    `first_term` is to differ from process to process: after a loss of all of them the terms begin anew, and
-    lists of an earlier term may still be held elsewhere.
+    `identity`, below TERM_SPAN, is to differ from process to process: it is the remainder of each of its
+    terms. So none is used twice, also after a loss of all processes, when terms begin anew while lists of
+    earlier ones may still be held elsewhere.
     """
 
-    def __init__(self, address: str, now: float, *, fresh_fleet: bool = False, first_term: int = 1) -> None:
+    def __init__(
+        self, address: str, now: float, *, fresh_fleet: bool = False, identity: int | None = None
+    ) -> None:
         self._address = address
         self._granter = Granter(now if fresh_fleet else now + LEASE_S)
         self._voters: tuple[str, ...] = ()
         self._round: Round | None = None
         self._ask_at: float | None = None  # None: no voters are known yet
         self._paused_until = now
-        self._least_term = first_term
+        self._least_term = 1
+        self._identity = identity
         self._term = 0
         self._until = 0.0
         self._stopped = False
@@ -118,7 +123,8 @@
 
     def term_seen(self, term: int) -> None:
         """Somebody knows of a list of workers under this term."""
-        self._least_term = max(self._least_term, term)
+        if term != self._term:  # somebody else's, or that of an earlier life: never used again
+            self._least_term = max(self._least_term, term + 1)
 
     def need_higher_term(self, above: int, now: float) -> None:
         """Lists under our term are not the newest: renew under one above `above`, at once."""
@@ -177,7 +183,8 @@
     def _next_term(self, holding: bool) -> int:
         if holding and self._term >= self._least_term:
             return self._term
-        return max(self._term + 1, self._least_term, self._granter.highest_term + 1)
+        least = max(self._term + 1, self._least_term, self._granter.highest_term + 1)
+        return least if self._identity is None else least + (self._identity - least) % TERM_SPAN
 
     def _rank_delay(self) -> float:
         if self._address not in self._voters:
@@ -190,7 +197,8 @@
         return messages + self._answered(self._address, own_answer, now)
 
     def _answered(self, sender: str, answer: LeaseAnswer, now: float) -> list[Outgoing]:
-        self._least_term = max(self._least_term, answer.highest_term)
+        least_term = answer.highest_term if answer.granted else answer.highest_term + 1
+        self._least_term = max(self._least_term, least_term)
         asked = self._round
         if asked is None or answer.term != asked.term or sender not in self._voters:
             return []
@@ -216,7 +224,6 @@
 
     def _refused(self, asked: Round, sender: str, answer: LeaseAnswer, now: float) -> list[Outgoing]:
         if answer.retry_after_s <= 0:  # only the term was too low: rivals that wait here overtake each other
-            self._least_term = max(self._least_term, answer.highest_term + 1)
             self._ask_at = now
             return self._ask(now)
         asked.refused.add(sender)
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -144,7 +144,7 @@
         self._configuration = ConfigurationCache()
         self._book = WorkerBook()
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
-        self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap, first_term=1 + identity)
+        self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap, identity=identity)
         self._sessions = EdgeSessions(
             settings.node_name, self._state, settings.watch_hold_s(), self._sessions_changed
         )
