--- /dev/null
+++ b/tests/fleet_days/make_days.py
@@ -0,0 +1,127 @@
+"""Writes day files for the bench: every way of troubles.py alone, and chosen ways in pairs that meet.
+
+Changes of the configuration go on all day in each of them, so that a trouble always meets a change.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.fleet_days.troubles import PAIRED, SINGLES, Value, Way
+
+FIRST_CHANGE_S = 3.0
+CHANGE_GAP_S = 0.9
+CHANGES = 32
+FIRST_TROUBLE_S = 8.0
+SECOND_TROUBLE_S = 10.5
+SINGLE_REPEAT_S = 20.0
+KINDS_OF_PLANNED_WORK = frozenset(
+    {"config_race", "config_storm", "bad_config", "big_config", "roll_term", "seed_turnover", "hup"}
+)
+KINDS_THAT_COUNT_MACHINES = frozenset(
+    {
+        "core_cut",
+        "node_kill",
+        "node_freeze",
+        "node_slow",
+        "after_ack_kill",
+        "after_ack_wipe",
+        "disk_slow",
+        "disk_stall",
+        "disk_full",
+        "config_race",
+        "bad_config",
+        "big_config",
+    }
+)
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One trouble or piece of planned work at its moment."""
+
+    at: float
+    kind: str
+    fields: dict[str, Value] = field(default_factory=dict)
+
+    def as_toml(self) -> str:
+        """The entry as an inline table."""
+        written: dict[str, Value] = {"at": self.at, "kind": self.kind, **self.fields}
+        return "{ " + ", ".join(f"{name} = {as_value(value)}" for name, value in written.items()) + " }"
+
+
+@dataclass(frozen=True)
+class Day:
+    """A day file: its name and its entries."""
+
+    name: str
+    entries: tuple[Entry, ...]
+
+    def as_toml(self) -> str:
+        """The text of the day file; the seed follows from the name."""
+        planned = [entry for entry in self.entries if entry.kind in KINDS_OF_PLANNED_WORK]
+        unplanned = [entry for entry in self.entries if entry.kind not in KINDS_OF_PLANNED_WORK]
+        lines = [f'name = "{self.name}"', 'slot = "trouble"', f"seed = {zlib.crc32(self.name.encode())}"]
+        lines += ["labels = []", *as_list("plan", planned), *as_list("faults", unplanned)]
+        return "\n".join(lines) + "\n"
+
+
+def as_value(value: Value) -> str:
+    """A string or number in TOML."""
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+def as_list(name: str, entries: list[Entry]) -> list[str]:
+    """A list of entries in TOML, one a line."""
+    return [f"{name} = [", *(f"  {entry.as_toml()}," for entry in entries), "]"]
+
+
+def changes_all_day() -> Entry:
+    """The changes that every trouble of these days meets."""
+    return Entry(FIRST_CHANGE_S, "config_storm", {"count": CHANGES, "gap_s": CHANGE_GAP_S})
+
+
+def entry_of(way: Way, at: float, count: int) -> Entry:
+    """The way at a moment, for this many machines or steps."""
+    fields: dict[str, Value] = {"count": count} if way.kind in KINDS_THAT_COUNT_MACHINES else {}
+    fields.update(way.fields)
+    if way.how:
+        fields["how"] = way.how
+    return Entry(at, way.kind, fields)
+
+
+def single_days() -> Iterator[Day]:
+    """Each way by itself, twice in the day, with each count."""
+    for number, way in enumerate(SINGLES):
+        for count in way.counts:
+            twice = (entry_of(way, FIRST_TROUBLE_S, count), entry_of(way, SINGLE_REPEAT_S, count))
+            yield Day(f"single-{number:03d}-{way.label}-{count}", (changes_all_day(), *twice))
+
+
+def pair_days() -> Iterator[Day]:
+    """Each two of the chosen ways, the second while the first lasts or just after it."""
+    for first, second in itertools.permutations(PAIRED, 2):
+        entries = (
+            entry_of(first, FIRST_TROUBLE_S, first.counts[0]),
+            entry_of(second, SECOND_TROUBLE_S, second.counts[0]),
+        )
+        yield Day(f"pair-{first.label}--{second.label}", (changes_all_day(), *entries))
+
+
+def main() -> None:
+    """Command line: FOLDER."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("folder", type=Path, help="where the day files are written")
+    folder = parser.parse_args().folder
+    folder.mkdir(parents=True, exist_ok=True)
+    for day in itertools.chain(single_days(), pair_days()):
+        (folder / f"{day.name}.toml").write_text(day.as_toml())
+
+
+if __name__ == "__main__":
+    main()
