--- a/tests/fleet_days/five_core_sites.py
+++ b/tests/fleet_days/five_core_sites.py
@@ -17,7 +17,7 @@
 CONTROL_MACHINES_PER_ZONE = re.compile(r'(\{ class = "core", zone = "[^"]+", count = )1\b')
 SPARES_OF_CONTROL_MACHINES = re.compile(r'(class = "core",[^\n]*?spare = )1\b')
 LOSS_TO_BE_BORNE = re.compile(r"(^\[tolerate\]\nmachines = )1\b", re.MULTILINE)
-SPARES_PER_ZONE = 3
+SPARES_PER_ZONE = 6
 SITE_NAME = re.compile(r'\Aname = "([^"]+)"')
 WIRE_EXAMPLES = "wire.json"
 
--- a/tests/fleet_days/make_days.py
+++ b/tests/fleet_days/make_days.py
@@ -1,4 +1,4 @@
-"""Writes day files for the bench: every way of troubles.py alone, and chosen ways in pairs that meet.
+"""Writes day files for the bench: the ways of troubles.py alone and in pairs, and the long days.
 
 Changes of the configuration go on all day in each of them, so that a trouble always meets a change.
 """
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.fleet_days import long_days
 from tests.fleet_days.troubles import PAIRED, SINGLES, Value, Way
 
 FIRST_CHANGE_S = 3.0
@@ -113,13 +114,29 @@
         yield Day(f"pair-{first.label}--{second.label}", (changes_all_day(), *entries))
 
 
+def course_days() -> Iterator[Day]:
+    """Each long day, with losses of one machine and of two at a time."""
+    changes = Entry(
+        long_days.FIRST_CHANGE_S,
+        "config_storm",
+        {"count": long_days.CHANGES, "gap_s": long_days.CHANGE_GAP_S},
+    )
+    for course, lost in itertools.product(long_days.COURSES, (1, 2)):
+        ways = itertools.cycle(course.ways)
+        troubles = (
+            entry_of(way, at, max(lost, way.counts[0]))
+            for at, way in zip(course.moments(), ways, strict=False)
+        )
+        yield Day(f"long-{course.name}-{lost}", (changes, *troubles))
+
+
 def main() -> None:
     """Command line: FOLDER."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("folder", type=Path, help="where the day files are written")
     folder = parser.parse_args().folder
     folder.mkdir(parents=True, exist_ok=True)
-    for day in itertools.chain(single_days(), pair_days()):
+    for day in itertools.chain(single_days(), pair_days(), course_days()):
         (folder / f"{day.name}.toml").write_text(day.as_toml())
 
 
