--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -106,12 +106,14 @@
                     self._take_state(message)
 
     def look(self) -> None:
-        """Time has passed: ask again where a fetch stays unanswered, or be content with what there is."""
+        """Called about each tenth of a second while the session is of no use, so the `Watch` after an answer
+        without a majority behind it is sent from here; likewise where a fetch stays unanswered."""
         now = self._loop.time()
-        if self._watch_sent_at is None and now - self._fetched_at > FETCH_S:
-            self._watch()
         if self._unconfirmed is not None:
             self._fetch_unconfirmed(self._unconfirmed, now)
+        fetch_is_late = now - self._fetched_at > FETCH_S
+        if self._watch_sent_at is None and (fetch_is_late or not self._fetching):
+            self._watch()
 
     # ---- Watch ----
 
@@ -140,7 +142,7 @@
         now = self._loop.time()
         self._unconfirmed = None
         self._note_confirmation(message, now)
-        self._watch_answered()
+        self._note_answered(message.request_id)
         self._subscription.take(message)
         for source in self._subscription.lacks(message.versions, now):
             self._subscription.begin_fetch(source, message.versions[source], now)
@@ -172,14 +174,18 @@
         """No majority stands behind the control scheduler: its hints are of use, its state is not."""
         now = self._loop.time()
         self._unconfirmed = message
-        self._watch_answered()
+        self._note_answered(message.request_id)
         self._report(False, message.control, now)
         self._fetch_unconfirmed(message, now)
-        self._watch_if_idle()
 
-    def _watch_answered(self) -> None:
-        self._watch_sent_at = None
-        self._fetching.clear()  # what was asked for before the `Watch` is not answered any more
+    def _note_answered(self, request_id: int) -> None:
+        """Answers keep their order, so what was fetched before will not come any more.
+
+        `Unconfirmed` answers a `Fetch` too, without the id of any request; a `Watch` may be out then.
+        """
+        self._fetching.clear()
+        if request_id == self._request_id:
+            self._watch_sent_at = None
 
     def _watch_if_idle(self) -> None:
         if not self._fetching and self._watch_sent_at is None:
@@ -194,7 +200,7 @@
 
     def _fetch_unconfirmed(self, offer: Unconfirmed, now: float) -> None:
         for source in self._subscription.lacks(offer.versions, now):
-            if self._subscription.may_take_unconfirmed(source, now):
+            if source not in self._fetching and self._subscription.may_take_unconfirmed(source, now):
                 self._subscription.begin_fetch(source, offer.versions[source], now)
                 self._fetch(source, offer.versions[source], self._subscription.version(source))
 
