--- a/tests/fleet_days/make_days.py
+++ b/tests/fleet_days/make_days.py
@@ -1,4 +1,4 @@
-"""Writes day files for the bench: the ways of troubles.py alone and in pairs, and the long days.
+"""Writes day files for the bench: the ways of troubles.py alone, in pairs and by lot, and the long days.
 
 Changes of the configuration go on all day in each of them, so that a trouble always meets a change.
 """
@@ -7,6 +7,7 @@
 
 import argparse
 import itertools
+import random
 import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -21,6 +22,10 @@
 FIRST_TROUBLE_S = 8.0
 SECOND_TROUBLE_S = 10.5
 SINGLE_REPEAT_S = 20.0
+DRAWN_TROUBLES = (3, 7)
+DRAWN_MOMENTS_S = (4.0, 28.0)
+DRAWN_CHANGE_GAPS_S = (0.25, 0.5, 0.9)
+CHANGES_END_S = 32.0
 KINDS_OF_PLANNED_WORK = frozenset(
     {"config_race", "config_storm", "bad_config", "big_config", "roll_term", "seed_turnover", "hup"}
 )
@@ -130,14 +135,39 @@
         yield Day(f"long-{course.name}-{lost}", (changes, *troubles))
 
 
+def drawn_day(seed: int) -> Day:
+    """Ways drawn by lot at moments drawn by lot, so that several meet; the same seed gives the same day."""
+    lot = random.Random(seed)
+    gap_s = lot.choice(DRAWN_CHANGE_GAPS_S)
+    changes = int((CHANGES_END_S - FIRST_CHANGE_S) / gap_s)
+    troubles = []
+    for _ in range(lot.randint(*DRAWN_TROUBLES)):
+        way = lot.choice(SINGLES)
+        at = round(lot.uniform(*DRAWN_MOMENTS_S), 2)
+        troubles.append(entry_of(way, at, lot.choice(way.counts)))
+    storm = Entry(FIRST_CHANGE_S, "config_storm", {"count": changes, "gap_s": gap_s})
+    return Day(f"drawn-{seed:05d}", (storm, *troubles))
+
+
 def main() -> None:
-    """Command line: FOLDER."""
+    """Command line: FOLDER [--drawn FIRST COUNT]."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("folder", type=Path, help="where the day files are written")
-    folder = parser.parse_args().folder
-    folder.mkdir(parents=True, exist_ok=True)
-    for day in itertools.chain(single_days(), pair_days(), course_days()):
-        (folder / f"{day.name}.toml").write_text(day.as_toml())
+    parser.add_argument(
+        "--drawn",
+        type=int,
+        nargs=2,
+        metavar=("FIRST", "COUNT"),
+        help="write days drawn by lot, with seeds from FIRST on, in place of the listed ones",
+    )
+    arguments = parser.parse_args()
+    arguments.folder.mkdir(parents=True, exist_ok=True)
+    days: Iterator[Day] = itertools.chain(single_days(), pair_days(), course_days())
+    if arguments.drawn is not None:
+        first, count = arguments.drawn
+        days = (drawn_day(seed) for seed in range(first, first + count))
+    for day in days:
+        (arguments.folder / f"{day.name}.toml").write_text(day.as_toml())
 
 
 if __name__ == "__main__":
