--- a/reedspoke/control_plane/replica_repair.py
+++ b/reedspoke/control_plane/replica_repair.py
@@ -20,6 +20,9 @@
 from reedspoke.control_plane.view_first import first_view
 from reedspoke.control_plane.view_lease import majority
 
+SEED_STARTS_WITHIN_S = 1.0  # a seed that is heard for longer and has no part in the first start gets none
+SEED_COMES_WITHIN_S = 5.0  # a seed that is not heard by then is not waited for at the first start
+
 OwnPing = Callable[[], Ping]
 
 
@@ -40,6 +43,7 @@
         self._peers = peers
         self._agreement = agreement
         self._own_ping = own_ping
+        self._started = outbox.now
         self._judge_from = outbox.now + HEARD_S
         self._in_sight_since: float | None = None
 
@@ -64,15 +68,31 @@
         """Whether this replica and that one hear each other."""
         return self._peers.mutual(folder_id, self._outbox.now)
 
+    def others_stay(self) -> bool:
+        """Whether a replica in reach is not about to leave."""
+        now = self._outbox.now
+        reached = [member for member in self._peers.members(now) if self.reachable(member.folder_id)]
+        return any(not self._leaving(member.folder_id) for member in reached)
+
     def propose_first(self, seeds: tuple[str, ...]) -> None:
-        """At the first start: propose the first view, once all seeds are known."""
+        """At the first start: propose the first view, of all seeds or a majority where some are given up."""
         members = [self._own, *self._peers.members(self._outbox.now)]
-        pings = [self._ping_of(member.folder_id) for member in members]
-        view = first_view(seeds, [ping for ping in pings if ping is not None])
+        pings = [ping for member in members if (ping := self._ping_of(member.folder_id)) is not None]
+        starting = {ping.member.address for ping in pings if ping.bootstrap}
+        missing = set(seeds) - starting
+        given_up = all(self._given_up(seed) for seed in missing)
+        least = majority(len(set(seeds))) if given_up else len(set(seeds))
+        view = first_view(seeds, pings, least)
         if view is not None:
             rank = sorted(seeds).index(self._own.address)
             self._propose_in_time(view, rank)
 
+    def _given_up(self, seed: str) -> bool:
+        """Whether this seed has no part in the first start, as its disk was lost, or has not come."""
+        now = self._outbox.now
+        without_part = self._peers.heard_for(seed, now) >= SEED_STARTS_WITHIN_S
+        return without_part or now - self._started >= SEED_COMES_WITHIN_S
+
     def propose_next(self, view: View) -> None:
         """Propose the next view, if there is a better one."""
         now = self._outbox.now
@@ -108,9 +128,10 @@
             self._agreement.propose(desired)
 
     def _rank(self, view: View, conditions: dict[str, Condition]) -> int | None:
-        """This replica's place among the usable members of the chain."""
+        """This replica's place among the usable members of the chain, of which those that leave come last."""
         folders = [link.member.folder_id for link in view.chain]
         usable = [folder for folder in folders if folder in conditions and conditions[folder].healthy]
+        usable.sort(key=self._leaving)
         own = self._own.folder_id
         return usable.index(own) if own in usable else None
 
@@ -156,7 +177,7 @@
     """How a replica stands; `joined` has, for each member of the chain, the view that appended it."""
     return Condition(
         member=ping.member,
-        healthy=ping.disk_ok and not ping.leaving,
+        healthy=ping.disk_ok,
         complete=joined.get(ping.member.folder_id) in (FIRST_VIEW, ping.synced_since),
         steady=steady,
     )
