--- a/tests/control_plane/test_guards_peer_transport.py
+++ b/tests/control_plane/test_guards_peer_transport.py
@@ -81,3 +81,17 @@
         silent.close()
 
     two(scene)
+
+
+def test_who_connects_and_says_nothing_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "FIRST_MESSAGE_S", 0.1)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        silent = await open_channel(second.address)
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            async with asyncio.timeout(WAIT_S):
+                await silent.receive(Hello)
+        silent.close()
+
+    two(scene)
--- a/tests/control_plane/test_guards_register.py
+++ b/tests/control_plane/test_guards_register.py
@@ -22,6 +22,7 @@
 )
 
 FIRST, SECOND = entry(1), entry(2)
+NOW = 500.0
 
 
 def test_a_store_that_ends_after_a_snapshot_changes_nothing() -> None:
@@ -79,3 +80,38 @@
     replacing = Entry(1, VIEW_NUMBER, 11, b"another document")
     restored = restore([encode_record(EntryRecord(each)) for each in (FIRST, replacing)])
     assert restored.history.packed() == packed_history(replacing)
+
+
+def test_all_that_is_held_is_committed_until_now() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    replica.register.commit()
+    assert replica.register.committed_until(NOW) == NOW
+
+
+def test_what_is_held_and_not_known_to_be_committed_may_be_so_since_its_sync() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    replica.register.commit()
+    replica.register.append(SECOND, lambda synced: None)
+    assert replica.register.committed_until(NOW) == NOW, "nothing is committed before it is synced here"
+    synced_at = replica.outbox.now
+    replica.end_store()
+    assert replica.register.committed_until(synced_at + 1.0) == synced_at
+
+
+def test_of_what_was_held_at_the_start_it_is_not_known_when_it_was_committed() -> None:
+    replica = ChainReplica(MIDDLE, held=FIRST)
+    assert replica.register.committed_until(NOW) is None
+
+
+def test_while_a_state_is_adopted_and_after_it_nothing_is_known_of_commits() -> None:
+    replica = ChainReplica(MIDDLE)
+    replica.register.adopt(FIRST, packed_history(FIRST), VIEW_NUMBER, lambda synced: None)
+    assert replica.register.committed_until(NOW) is None
+    replica.end_store()
+    assert replica.register.committed_until(NOW) is None
+
+
+def test_while_an_empty_state_is_adopted_nothing_is_known_of_commits() -> None:
+    replica = ChainReplica(MIDDLE)
+    replica.register.adopt(None, b"", VIEW_NUMBER, lambda synced: None)
+    assert replica.register.committed_until(NOW) is None
