--- a/tests/lab_mutation/test_runner.py
+++ b/tests/lab_mutation/test_runner.py
@@ -50,6 +50,12 @@
 NO_MODULE = Mutant("no-module", "limits.py", "LIMIT = 3", "LIMIT = BOUND", ("tests",), "It can be imported.")
 
 
+@pytest.fixture(autouse=True)
+def pytest_without_plugins(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The tiny checkout needs none of the installed plugins, and to load them takes most of a run's time."""
+    monkeypatch.setenv("PYTEST_DISABLE_PLUGIN_AUTOLOAD", "1")
+
+
 @pytest.fixture
 def checkout(tmp_path: Path) -> Path:
     tree = tmp_path / "checkout"
