Tests of two guards of an exchange whose loss went unnoticed

Found by the mutation runner: connections to an instance that has been replaced are forgotten, and at the end of the process a request that a worker has is promised nothing.

--- a/tests/data_plane/test_guards_exchange.py
+++ b/tests/data_plane/test_guards_exchange.py
@@ -108,6 +108,7 @@
     def __init__(self) -> None:
         self.connecting: list[Callable[[ConnectResult], None]] = []
         self.given_back: list[str] = []
+        self.forgotten: list[str] = []
 
     def take_idle(self, instance_id: str) -> None:
         return None
@@ -116,7 +117,7 @@
         self.connecting.append(done)
 
     def forget(self, instance_id: str) -> None:
-        """There are no idle connections."""
+        self.forgotten.append(instance_id)
 
     def give_back(self, instance_id: str, connection: UpstreamConnection) -> None:
         self.given_back.append(instance_id)
@@ -200,6 +201,10 @@
     return scenes(Repeat.RESUMABLE)
 
 
+def _status(answer: WholeAnswer) -> int:
+    return int(answer.status_line.split()[1])
+
+
 def _error_code(answer: WholeAnswer) -> int:
     code = json.loads(answer.body)["error"]["code"]
     assert isinstance(code, int)
@@ -275,6 +280,25 @@
     assert scene.client.answers == []
     (evidence,) = scene.owner.ended
     assert cause_of(evidence) is Cause.WRONG_INSTANCE
+    assert scene.pool.forgotten == [FIRST.instance_id], "its idle connections lead to the other instance too"
+
+
+def test_an_error_of_a_worker_leaves_its_idle_connections(scene: Scene) -> None:
+    scene.worker_answers(500)
+    assert scene.pool.forgotten == []
+
+
+def test_at_the_end_of_the_process_a_request_that_a_worker_has_is_promised_nothing(scene: Scene) -> None:
+    scene.exchange.send(FIRST)
+    scene.connected()
+    scene.exchange.shut_down()
+    assert [may_pass(_status(answer)) for answer in scene.client.answers] == [True]
+
+
+def test_at_the_end_of_the_process_a_request_that_has_not_left_may_be_sent_again(scene: Scene) -> None:
+    scene.exchange.send(FIRST)
+    scene.exchange.shut_down()
+    assert [_status(answer) for answer in scene.client.answers] == [503]
 
 
 @pytest.mark.parametrize(("repeat", "passed_on"), [(Repeat.NEVER, True), (Repeat.IDEMPOTENT, False)])
