--- /dev/null
+++ b/tests/control_plane/test_guards_contact.py
@@ -0,0 +1,19 @@
+"""Guards of the contact with a majority of voters, one at a time."""
+
+from __future__ import annotations
+
+from reedspoke.control_plane.events import Member
+from reedspoke.control_plane.majority_contact import MajorityContact
+
+STARTED = 100.0
+VOTERS = tuple(Member(folder, f"at-{folder}") for folder in ("a", "b", "c"))
+
+
+def test_a_grant_in_the_view_before_makes_no_majority_with_one_in_this_view() -> None:
+    contact = MajorityContact(STARTED)
+    contact.granted("a", STARTED + 3.0, STARTED + 3.0)
+    contact.enter()
+    assert not contact.has_granted("a")
+    contact.granted("c", STARTED + 5.0, STARTED + 5.0)
+    contact.update(VOTERS, committed_until=STARTED + 5.0)
+    assert contact.majority_as_of is None
--- a/tests/data_plane/test_guards_pool.py
+++ b/tests/data_plane/test_guards_pool.py
@@ -10,6 +10,7 @@
 from reedspoke.data_plane.upstream_pool import UpstreamPool
 from tests.data_plane.virtual_loop import VirtualLoop
 from tests.data_plane.wire import TransportStandIn
+from tests.data_plane.world import ONCE, World
 
 INSTANCE = "i-1"
 
@@ -70,3 +71,11 @@
     connections.loop.run_for(connection.usable_until - connections.loop.time())
     assert pool.take_idle(INSTANCE) is None
     assert not connection.open
+
+
+def test_a_connection_that_its_worker_is_about_to_end_carries_no_further_request(world: World) -> None:
+    client = world.asked(ONCE)
+    arrival = world.arrival()
+    arrival.worker.say(arrival.whole(Connection="close"))
+    assert client.answer().status == 200
+    assert arrival.worker.over
