--- a/tests/control_plane/test_guards_agreement.py
+++ b/tests/control_plane/test_guards_agreement.py
@@ -156,6 +156,11 @@
     assert not Voter(STRANGER).agreement.may_grant(PRESENT.number)
 
 
+def test_a_stranger_confirms_no_view() -> None:
+    assert Voter(A).agreement.may_confirm(PRESENT.number)
+    assert not Voter(STRANGER).agreement.may_confirm(PRESENT.number)
+
+
 def test_a_resignation_from_another_view_is_passed_over() -> None:
     voter = Voter(A)
     voter.agreement.propose(OTHER_TAIL)
--- a/tests/control_plane/test_guards_chain.py
+++ b/tests/control_plane/test_guards_chain.py
@@ -166,3 +166,22 @@
     chain = view_of((HEAD, 1), (TAIL, 1))
     assert not ChainReplica(TAIL, chain, held=FIRST, tolerated=2).delivered
     assert ChainReplica(TAIL, chain, held=FIRST, tolerated=1).delivered
+
+
+def test_a_member_before_the_tail_commits_nothing_once_its_successor_has_told_its_state() -> None:
+    head = ChainReplica(HEAD)
+    head.chain.receive(ChainState(VIEW_NUMBER, MIDDLE.folder_id, 1, True, 0))
+    head.chain.append(FIRST.generation, FIRST.document, lambda stored: None)
+    head.end_store()
+    assert head.register.entry == FIRST
+    assert not head.delivered
+
+
+@pytest.mark.parametrize("view", [VIEW_NUMBER - 1, VIEW_NUMBER + 1])
+def test_an_entry_or_a_snapshot_of_another_view_is_not_stored(view: int) -> None:
+    complete, appended = ChainReplica(MIDDLE), ChainReplica(MIDDLE, JUST_APPENDED)
+    complete.chain.receive(Append(view, FIRST))
+    appended.chain.receive(Snapshot(view, VIEW_NUMBER, FIRST, packed_history(FIRST)))
+    for replica in (complete, appended):
+        replica.sent()
+        assert not replica.stores
--- a/tests/control_plane/test_guards_head.py
+++ b/tests/control_plane/test_guards_head.py
@@ -116,6 +116,16 @@
     assert not head.stores
 
 
+def test_a_head_of_too_short_a_chain_takes_nothing() -> None:
+    chain = view_of((HEAD, 1), (TAIL, 1))
+    for tolerated, taken in ((1, 1), (2, 0)):
+        head = ChainReplica(HEAD, chain, tolerated=tolerated)
+        head.chain.receive(ChainState(VIEW_NUMBER, TAIL.folder_id, 1, True, 0))
+        _receive(head, _request("r1", 0, 10))
+        head.sent()
+        assert len(head.stores) == taken
+
+
 def test_a_head_whose_disk_fails_takes_nothing() -> None:
     head = _head()
     head.outbox.disk_failed = True
