--- a/tests/control_plane/test_guards_agreement.py
+++ b/tests/control_plane/test_guards_agreement.py
@@ -9,13 +9,16 @@
     Accept,
     Accepted,
     Ballot,
+    Ping,
     Prepare,
     Promise,
     Rejected,
     Resigned,
+    ViewTold,
 )
 from reedspoke.control_plane.replica_outbox import Outbox
 from reedspoke.control_plane.replica_records import NO_BALLOT
+from reedspoke.control_plane.view_first import first_view
 from reedspoke.control_plane.view_lease import TailLease, VoterLease
 from reedspoke.control_plane.view_proposer import Proposer
 from tests.control_plane.test_view_agreement import MEMBERS, PRESENT, START, Voter
@@ -64,6 +67,37 @@
     assert _answers(voter) == []
 
 
+def test_a_stranger_has_no_vote() -> None:
+    stranger = Voter(STRANGER)
+    stranger.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    stranger.agreement.receive("at-b", Accept(2, Ballot(1, "b"), SAME_TAIL))
+    assert _answers(stranger) == []
+
+
+def test_who_has_heard_that_a_view_is_decided_tells_it_and_votes_no_more() -> None:
+    voter = Voter(A)
+    voter.agreement.learn(SAME_TAIL)
+    voter.agreement.receive("at-b", Prepare(2, Ballot(1, "b")))
+    assert _answers(voter) == [ViewTold]
+
+
+def test_a_view_that_the_disk_refused_does_not_take_effect() -> None:
+    voter = Voter(A)
+    voter.disk_works = False
+    voter.agreement.learn(SAME_TAIL)
+    voter.step()
+    assert voter.entered == []
+    assert voter.agreement.view == PRESENT
+
+
+def test_the_first_view_consists_of_folders_that_were_made_for_it() -> None:
+    founders = [Ping(member, 0, (), True, 0, 0, bootstrap=True) for member in (A, B)]
+    other = Ping(C, 0, (), True, 0, 0)
+    view = first_view(tuple(member.address for member in MEMBERS), [*founders, other], 2)
+    assert view is not None
+    assert view.voters == (A, B)
+
+
 # ---- the proposer ----
 
 
@@ -194,3 +228,12 @@
     assert lease.holds(MEMBERS, 20.1)
     lease.enter()
     assert not lease.holds(MEMBERS, 20.1)
+
+
+def test_a_lease_of_the_view_before_is_none_in_the_next_one() -> None:
+    lease = TailLease()
+    for member in MEMBERS:
+        lease.granted(member.folder_id, START)
+    assert lease.holds(MEMBERS, START)
+    lease.enter()
+    assert not lease.holds(MEMBERS, START)
--- a/tests/control_plane/test_guards_head.py
+++ b/tests/control_plane/test_guards_head.py
@@ -146,6 +146,16 @@
     assert len(head.stores) == 1
 
 
+def test_a_change_that_is_synced_and_not_committed_is_not_acknowledged_nor_built_upon() -> None:
+    head = _head()
+    _receive(head, _request("r1", 0, 10))
+    _receive(head, _request("r2", 10, 20))
+    head.end_store()
+    head.head.tick()
+    assert not _replies(head)
+    assert not head.stores
+
+
 def test_a_refusal_that_nobody_confirmed_is_not_final() -> None:
     head = _head()
     _receive(head, _request("r1", 0, 10))
@@ -224,3 +234,17 @@
     assert [answer.error for answer in outbox.take() if isinstance(answer, PutAnswer)] == [
         ErrorCode.WRITE_UNCLEAR
     ]
+
+
+def test_a_refusal_by_the_head_of_an_earlier_view_answers_nothing() -> None:
+    outbox = Outbox(MIDDLE.address, START, 0)
+    puts = PutForwarder("b:1", outbox, ANSWER_LIMIT_S)
+    puts.put(Put(1, 0, 10, b"document"), WHOLE, Contact.GRANTED)
+    following = view_of((HEAD, 1), (TAIL, 1), number=VIEW_NUMBER + 1)
+    puts.tick(following, Contact.GRANTED)
+    outbox.take()
+    refused = int(ErrorCode.CONFIGURATION_STALE_MATCH)
+    puts.reply(PutReply(VIEW_NUMBER, "b:1:1", refused))
+    assert not outbox.take()
+    puts.reply(PutReply(following.number, "b:1:1", refused))
+    assert len(outbox.take()) == 1
--- /dev/null
+++ b/tests/control_plane/test_guards_outbox.py
@@ -0,0 +1,44 @@
+"""Guards of the state of the disk, one at a time."""
+
+from __future__ import annotations
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.control_plane.events import Store, Stored
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_records import ProbeRecord
+from reedspoke.control_plane.replica_settings import DISK_PROBE_S
+
+START = 100.0
+
+
+def _store(outbox: Outbox) -> Store:
+    """The only store among the effects."""
+    (store,) = (effect for effect in outbox.take() if isinstance(effect, Store))
+    return store
+
+
+def _after_a_failed_store() -> Outbox:
+    outbox = Outbox("at-a", START, 0)
+    outbox.store([ProbeRecord()], lambda error: None)
+    outbox.stored(Stored(_store(outbox).token, ErrorCode.STORAGE_FAILED))
+    return outbox
+
+
+def test_a_disk_that_has_refused_a_write_counts_as_bad() -> None:
+    outbox = _after_a_failed_store()
+    assert outbox.disk_failed
+    assert not outbox.disk_ok
+
+
+def test_a_disk_counts_as_good_again_once_the_whole_log_has_been_rewritten() -> None:
+    outbox = _after_a_failed_store()
+    outbox.now = START + DISK_PROBE_S
+    outbox.tick()
+    probe = _store(outbox)
+    assert not probe.replace
+    outbox.stored(Stored(probe.token, None))
+    assert not outbox.disk_ok
+    rewriting = _store(outbox)
+    assert rewriting.replace
+    outbox.stored(Stored(rewriting.token, None))
+    assert outbox.disk_ok
