--- a/tests/control_plane/test_guards_choice.py
+++ b/tests/control_plane/test_guards_choice.py
@@ -5,6 +5,7 @@
 from msgspec import structs
 
 from reedspoke.control_plane.events import View
+from reedspoke.control_plane.largest_chain import largest_chain
 from reedspoke.control_plane.view_choice import Surroundings, choose_view
 from tests.control_plane.test_view_choice import _around, _chain, _member, _view, _voters
 
@@ -47,5 +48,25 @@
     assert _voters(following) == "abde"
 
 
+def test_no_vote_is_added_besides_a_voter_that_may_be_dead() -> None:
+    view = _view("abde", voters="abc")
+    assert choose_view(view, _around("abde", view)) == view
+    failing = _changed(_around("abcde", view), "c", healthy=False)
+    assert choose_view(view, failing) == view
+    assert _voters(choose_view(view, _around("abcde", view))) == "abcd"
+
+
+def test_a_member_that_is_needed_while_it_leaves_gets_no_vote() -> None:
+    view = _view("axb", voters="ab")
+    following = choose_view(view, _around("axb", view, incomplete="b", leaving="x"))
+    assert (_chain(following), _voters(following)) == ("axb", "ab")
+
+
+def test_a_preferred_tail_that_lacks_something_does_not_stand_alone() -> None:
+    head, tail = _view("ab").chain
+    found = largest_chain([head, tail], lambda one, other: False, lambda link: link is head, tail)
+    assert found == (head,)
+
+
 def _differing(one: View, other: View) -> int:
     return len(set(one.voters) ^ set(other.voters))
--- a/tests/control_plane/test_guards_log_file.py
+++ b/tests/control_plane/test_guards_log_file.py
@@ -11,7 +11,7 @@
 
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.control_plane.log_file import LOG_NAME, open_log, set_aside
-from reedspoke.control_plane.log_format import HEADER
+from reedspoke.control_plane.log_format import HEADER, SINGLE_COPY_HEADER, encode_batch, read_content
 
 FILE, DIRECTORY, REPLACED, REMOVED = "file synced", "directory synced", "name replaced", "name removed"
 
@@ -100,3 +100,29 @@
     with pytest.raises(FleetError) as raised:
         open_log(tmp_path)
     assert raised.value.code is ErrorCode.STORAGE_CORRUPT
+
+
+def _single_copy(*records: bytes) -> bytes:
+    doubled = encode_batch(records)
+    return doubled[: len(doubled) // 2]
+
+
+def test_a_bad_batch_before_good_ones_is_told_in_a_file_with_single_copies_too() -> None:
+    batches = [_single_copy(record) for record in (b"first", b"second", b"third")]
+    content = SINGLE_COPY_HEADER + b"".join(batches)
+    assert read_content(content).batches == [[b"first"], [b"second"], [b"third"]]
+    with pytest.raises(FleetError) as raised:
+        read_content(content.replace(b"second", b"secund"))
+    assert raised.value.code is ErrorCode.STORAGE_CORRUPT
+
+
+def test_of_two_slots_the_one_that_was_written_later_counts(tmp_path: Path) -> None:
+    opened = open_log(tmp_path)
+    opened.writer.append([b"old"])
+    old = (tmp_path / LOG_NAME).read_bytes()
+    opened.writer.rewrite([b"new"])
+    opened.writer.close()
+    (tmp_path / LOG_NAME).write_bytes(old)
+    again = open_log(tmp_path)
+    again.writer.close()
+    assert again.records == [b"new"]
