Mutation runner: the name of the failed test is read from pytest's summary alone

Cause: a log line that a test had printed began as a line of the summary does, and was told as its name. With it a test of a connection between schedulers that makes room once nobody uses it.

--- a/reedspoke/lab/mutation/pytest_run.py
+++ b/reedspoke/lab/mutation/pytest_run.py
@@ -16,6 +16,7 @@
 EXIT_PASSED = 0
 EXIT_TESTS_FAILED = 1
 FAILED_PREFIXES = ("FAILED ", "ERROR ")  # an error is that of a fixture
+SUMMARY_TITLE = "short test summary info"
 LAST_LINES = 5
 
 
@@ -66,7 +67,8 @@
 
 
 def _failed_test(output: str) -> str:
-    for line in output.splitlines():
+    _, _, summary = output.rpartition(SUMMARY_TITLE)  # what a test has logged may begin like its lines
+    for line in summary.splitlines():
         if line.startswith(FAILED_PREFIXES):
             return line.partition(" ")[2].partition(" - ")[0]
     return ""
--- a/tests/control_plane/test_guards_peer_transport.py
+++ b/tests/control_plane/test_guards_peer_transport.py
@@ -95,3 +95,17 @@
         silent.close()
 
     two(scene)
+
+
+def test_a_connection_that_nobody_uses_makes_room_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_transport, "MOST_LINKS", 1)
+    monkeypatch.setattr(peer_transport, "IDLE_LINK_S", -1.0)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+        first.transport.send("127.0.0.9:9", LeaseRelease(1))
+        first.transport.close_idle()
+        first.transport.send(second.address, LeaseRelease(2))
+        await second.until(lambda: second.terms == [2])
+
+    two(scene)
--- a/tests/lab_mutation/test_runner.py
+++ b/tests/lab_mutation/test_runner.py
@@ -204,6 +204,13 @@
     assert result.detail == "tests/test_limits.py::test_something"
 
 
+def test_what_a_test_has_printed_is_not_taken_for_its_name(checkout: Path) -> None:
+    printing = TESTS.replace("    assert allowed(3)", '    print("ERROR of the disk")\n    assert allowed(3)')
+    (checkout / "tests" / "test_limits.py").write_text(printing)
+    (result,) = _run(checkout, UPPER)
+    assert result.detail == "tests/test_limits.py::test_limit"
+
+
 def test_a_replacement_that_changes_nothing_is_outdated() -> None:
     same = Mutant("same", "limits.py", "LIMIT = 3", "LIMIT = 3", ("tests",), "Nothing.")
     with pytest.raises(OutdatedMutantError):
