--- a/tests/control_plane/test_guards_contact.py
+++ b/tests/control_plane/test_guards_contact.py
@@ -17,3 +17,12 @@
     contact.granted("c", STARTED + 5.0, STARTED + 5.0)
     contact.update(VOTERS, committed_until=STARTED + 5.0)
     assert contact.majority_as_of is None
+
+
+def test_what_was_confirmed_stays_so_after_what_says_less() -> None:
+    contact = MajorityContact(STARTED)
+    for folder_id in ("a", "b"):
+        contact.granted(folder_id, STARTED + 5.0, STARTED + 5.0)
+    contact.update(VOTERS, committed_until=STARTED + 5.0)
+    contact.update(VOTERS, committed_until=STARTED + 4.0)
+    assert contact.confirmed_as_of == STARTED + 5.0
