--- /dev/null
+++ b/reedspoke/cluster/figures.py
@@ -0,0 +1,59 @@
+"""Serves the figures of a process of the fleet, with those of its invariants."""
+
+from __future__ import annotations
+
+import asyncio
+
+from reedspoke.cluster.json_log import ERROR, WARNING, log
+from reedspoke.cluster.line_budget import LineBudget
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.telemetry.invariants import Invariant, Violation, monitor
+from reedspoke.telemetry.metrics import Registry
+from reedspoke.telemetry.metrics_server import MetricsServer
+
+VIOLATION_EVENT = "invariant violated"
+
+
+async def serve_figures(settings: NodeSettings, registry: Registry) -> MetricsServer | None:
+    """Log violations from now on, and listen where the settings say.
+
+    A port that is in use is logged, and the process goes on without.
+    """
+    add_invariants(registry)
+    log_violations(LineBudget(asyncio.get_running_loop().time))
+    port, slash, path = settings.metrics.partition("/")
+    if not port.isdigit():
+        return None
+    server = MetricsServer(slash + path, registry.text)
+    try:
+        await server.listen(settings.ip_address, int(port))
+    except OSError as error:
+        log(WARNING, "figures are not served", port=port, message=str(error))
+        return None
+    return server
+
+
+def add_invariants(registry: Registry) -> None:
+    """How often each invariant was evaluated, and violated."""
+    registry.by_label(
+        "reedspoke_invariant_evaluations_total",
+        "Evaluations of each invariant.",
+        "invariant",
+        lambda: {item.value: monitor.evaluated[item] for item in Invariant},
+    )
+    registry.by_label(
+        "reedspoke_invariant_violations_total",
+        "Evaluations that found the invariant broken.",
+        "invariant",
+        lambda: {item.value: monitor.violated[item] for item in Invariant},
+    )
+
+
+def log_violations(lines: LineBudget) -> None:
+    """Write each violation to the log from now on, as far as lines are allowed."""
+
+    def report(violation: Violation) -> None:
+        if lines.allows():
+            log(ERROR, VIOLATION_EVENT, invariant=violation.invariant.value, **violation.facts)
+
+    monitor.report_to(report)
--- a/reedspoke/cluster/node_settings.py
+++ b/reedspoke/cluster/node_settings.py
@@ -14,6 +14,7 @@
 SETTINGS_DEFAULT_PATH = "/etc/reedspoke/settings.json"
 WATCH_HOLD_OF_HEARTBEAT = 1 / 3
 WATCH_HOLD_OF_APPLY = 1 / 4
+METRICS = "9464/metrics"  # as `deploy/system.toml` has it for both roles
 
 
 class Limits(Struct, frozen=True):
@@ -91,6 +92,7 @@
     fault_tolerance: FaultTolerance = field(default_factory=FaultTolerance)
     bounds: Bounds = field(default_factory=Bounds)
     cloud_api: CloudApi = field(default_factory=CloudApi)
+    metrics: str = METRICS  # port and path of the process's figures, at `ip_address`; empty: none are served
 
     def watch_hold_s(self) -> float:
         """A control scheduler answers a `Watch` after this at the latest.
--- a/reedspoke/control_plane/chain.py
+++ b/reedspoke/control_plane/chain.py
@@ -21,6 +21,7 @@
     ReplicaSettings,
 )
 from reedspoke.control_plane.view_acceptor import FIRST_VIEW
+from reedspoke.telemetry.invariants import Invariant, check
 
 
 class PassedOn(Struct, frozen=True):
@@ -247,7 +248,13 @@
     def _may_commit(self) -> bool:
         return self.is_tail and self.complete and self.long_enough
 
+    def _check_synced(self) -> None:
+        """What this replica is about to claim, or to commit, is on its disk."""
+        claimed, synced = self._register.sequence if self.complete else 0, self._outbox.synced_sequence
+        check(Invariant.ACKNOWLEDGED_IS_SYNCED, claimed <= synced, claimed=claimed, synced=synced)
+
     def _commit(self) -> None:
+        self._check_synced()
         committed = self._register.commit()
         if committed is not None:
             self._on_committed(committed)
@@ -303,6 +310,7 @@
         predecessor = self._predecessor()
         if link is None or predecessor is None or self._view is None:
             return
+        self._check_synced()
         state = ChainState(
             self._view.number, self._own.folder_id, link.joined, self.complete, self._register.sequence
         )
--- a/reedspoke/control_plane/chain_register.py
+++ b/reedspoke/control_plane/chain_register.py
@@ -34,6 +34,7 @@
         self.synced_since = restored.synced_since
         self._synced_at: float | None = None  # of `entry`, where the one before it is known to be committed
         self._history = restored.history
+        outbox.synced_sequence = self.sequence
 
     @property
     def sequence(self) -> int:
@@ -112,7 +113,7 @@
                 self.synced_since = 0
             on_synced(error is None)
 
-        self._outbox.rewrite(on_end)
+        self._outbox.rewrite(on_end, self.sequence)
 
     def commit(self) -> Committed | None:
         """The newest synced entry is committed; it is returned where this is news."""
--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -39,6 +39,7 @@
 from reedspoke.control_plane.replica import Replica
 from reedspoke.control_plane.replica_messages import ReplicaMessage
 from reedspoke.control_plane.replica_settings import TICK_S, ReplicaSettings
+from reedspoke.telemetry.invariants import Invariant, check
 
 OPEN_RETRY_S = 0.5
 
@@ -102,7 +103,9 @@
         self._handling = True
         try:
             while self._events:
-                for effect in self._replica.handle(self._loop.time(), self._events.popleft()):
+                now = self._loop.time()
+                for effect in self._replica.handle(now, self._events.popleft()):
+                    self._check_grant(effect, now)
                     self._carry_out(effect)
         finally:
             self._handling = False
@@ -156,6 +159,11 @@
         """Calls without an answer."""
         return len(self._puts) + len(self._gets)
 
+    @property
+    def disk_works(self) -> bool:
+        """Whether the data folder is open and its disk answers."""
+        return self._replica is not None and self._replica.disk_works
+
     @property
     def others_stay(self) -> bool:
         """Whether a replica in reach is not about to leave."""
@@ -171,6 +179,11 @@
 
     # ---- effects ----
 
+    def _check_grant(self, effect: Effect, now: float) -> None:
+        if isinstance(effect, PutAnswer | GetAnswer) and effect.error is None:
+            granted = self._replica is not None and self._replica.holds_majority(now)
+            check(Invariant.READ_HAS_GRANT, granted, answer=type(effect).__name__)
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case SendTo():
--- a/reedspoke/control_plane/edge_sessions.py
+++ b/reedspoke/control_plane/edge_sessions.py
@@ -58,6 +58,11 @@
         self._sessions: dict[Channel, Session] = {}
         self._confirmed = False
 
+    @property
+    def count(self) -> int:
+        """Connections of data plane schedulers."""
+        return len(self._sessions)
+
     def received(self, channel: Channel, message: EdgeMessage) -> None:
         """A message of a data plane scheduler."""
         session = self._sessions.get(channel)
--- a/reedspoke/control_plane/operator_api.py
+++ b/reedspoke/control_plane/operator_api.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from zlib import crc32
 
 import msgspec
 from msgspec import Struct
@@ -100,6 +101,23 @@
         """The state of this scheduler."""
         raise NotImplementedError
 
+    def answered(self, call: AnsweredCall) -> None:
+        """A call has its answer."""
+
+
+class AnsweredCall(Struct, frozen=True):
+    """A call of an operator with its answer."""
+
+    method: str
+    path: str
+    status: int
+    code: ErrorCode | None  # None: a success
+    message: str
+    match: str  # of If-Match, as it was sent
+    size: int  # bytes of the document that was sent
+    checksum: str  # CRC-32 of it, in hexadecimal
+    took_s: float
+
 
 class Operation(Struct, frozen=True):
     """A method of a path, with the errors that it may answer."""
@@ -126,15 +144,21 @@
             return _method_not_allowed(methods)
         if self._waiting >= MOST_CALLS:
             return error_response(FleetError(ErrorCode.OVERLOADED, "too many calls are waiting"))
+        clock = asyncio.get_running_loop()
+        began = clock.time()
         self._waiting += 1
+        error: FleetError | None = None
         try:
             response = await operation.run(self, request)
-        except FleetError as error:
+        except FleetError as found:
+            error = found
             response = error_response(error)
         finally:
             self._waiting -= 1
         if operation.needs_majority and response.status != UNAVAILABLE and not self._calls.holds_majority():
-            return error_response(FleetError(ErrorCode.NO_QUORUM, "no majority stands behind this machine"))
+            error = FleetError(ErrorCode.NO_QUORUM, "no majority stands behind this machine")
+            response = error_response(error)
+        self._calls.answered(answered_call(request, response, error, clock.time() - began))
         return response
 
     async def put_configuration(self, request: Request) -> Response:
@@ -213,6 +237,23 @@
 }
 
 
+def answered_call(
+    request: Request, response: Response, error: FleetError | None, took_s: float
+) -> AnsweredCall:
+    """What the log and the figures tell of a call."""
+    return AnsweredCall(
+        method=request.method,
+        path=request.path,
+        status=response.status,
+        code=None if error is None else error.code,
+        message="" if error is None else error.message,
+        match=request.headers.get("if-match", ""),
+        size=len(request.body),
+        checksum=f"{crc32(request.body):08x}" if request.body else "",
+        took_s=took_s,
+    )
+
+
 def status_of(code: ErrorCode) -> int:
     """The HTTP status for an error."""
     return STATUS_OF.get(code, UNAVAILABLE)
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -11,7 +11,9 @@
 
 from reedspoke.cluster.configuration import Configuration
 from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import ERROR, INFO, WARNING, log
+from reedspoke.cluster.line_budget import LineBudget
 from reedspoke.cluster.messages import ControlMember, WorkerList, encode
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
 from reedspoke.control_plane.configuration_cache import ConfigurationCache, Prepared
@@ -19,15 +21,24 @@
 from reedspoke.control_plane.duty_lease import DutyLease, Outgoing
 from reedspoke.control_plane.edge_sessions import EdgeSessions
 from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer, SendTo, View
+from reedspoke.control_plane.figures import CallLog, add_process_figures
 from reedspoke.control_plane.http_server import HttpServer
 from reedspoke.control_plane.job_thread import JobThread
 from reedspoke.control_plane.list_duty import ListDuty
 from reedspoke.control_plane.membership import Membership
-from reedspoke.control_plane.operator_api import Calls, OperatorApi, StatusAnswer, http_error_body
+from reedspoke.control_plane.operator_api import (
+    AnsweredCall,
+    Calls,
+    OperatorApi,
+    StatusAnswer,
+    http_error_body,
+)
 from reedspoke.control_plane.peer_messages import LeaseAnswer, LeaseRelease, LeaseRequest, SessionTable
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
 from reedspoke.control_plane.published_state import PublishedState
-from reedspoke.control_plane.worker_list import WorkerBook
+from reedspoke.control_plane.worker_list import UNLEASED_TERM, WorkerBook
+from reedspoke.telemetry.invariants import Invariant, check
+from reedspoke.telemetry.metrics import Registry
 
 TABLE_INTERVAL_S = 0.4  # between two tables of sessions for the other control schedulers
 ARRIVALS_S = 0.1  # data plane schedulers that come or go within this time are told of together
@@ -88,6 +99,9 @@
             settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
         )
         self._driver = ReplicaDriver(settings, self._address, self)
+        self._registry = Registry()
+        add_process_figures(self._registry, self)
+        self._call_log = CallLog(self._registry, LineBudget(self._loop.time))
         self._api = HttpServer(OperatorApi(self).handle, http_error_body)
 
     async def run(self) -> None:
@@ -102,11 +116,14 @@
         duty = self._loop.create_task(self._duty.run())
         duty.add_done_callback(self._duty_ended)
         first_list = self._loop.create_task(self._duty.first_list())
+        figures = await serve_figures(self._settings, self._registry)
         log(INFO, "control plane up", node=self._settings.node_name, address=self._address)
         await self._ended.wait()
         await self._leave()
         duty.cancel()
         first_list.cancel()
+        if figures is not None:
+            figures.close()
         log(INFO, "control plane ends")
 
     # ---- what the driver asks ----
@@ -139,6 +156,7 @@
             return None
         if self._configuration.committed == self._newest_committed:
             self._published_as_of = as_of
+        check(Invariant.STATE_HAS_GRANT, self._driver.holds_majority(), as_of=as_of)
         return self._published_as_of  # while what is committed is parsed: of the time before it came
 
     def view_changed(self, view: View) -> None:
@@ -207,6 +225,24 @@
             holds_majority=self.holds_majority(),
         )
 
+    def answered(self, call: AnsweredCall) -> None:
+        """A call of an operator has its answer."""
+        self._call_log.answered(call)
+
+    # ---- what the figures are read from ----
+
+    def open_sessions(self) -> int:
+        """Connections of data plane schedulers."""
+        return self._sessions.count
+
+    def waiting_calls(self) -> int:
+        """Calls of operators without an answer."""
+        return self._driver.waiting_calls
+
+    def disk_works(self) -> bool:
+        """Whether the data folder is open and its disk answers."""
+        return self._driver.disk_works
+
     def _check_not_leaving(self) -> None:
         if self._leaving:
             raise FleetError(ErrorCode.SHUTTING_DOWN, "this scheduler is about to end")
@@ -244,7 +280,11 @@
             self._transport.send(outgoing.address, outgoing.message)
 
     def _publish_workers(self, workers: WorkerList) -> None:
-        payload = self._state.workers_frame(self._loop.time())
+        now = self._loop.time()
+        term = workers.version[0]
+        leased = self._lease.holds(now) and self._lease.term == term
+        check(Invariant.DUTY_HAS_LEASE, leased or term == UNLEASED_TERM, term=term, held=self._lease.term)
+        payload = self._state.workers_frame(now)
         log(INFO, "workers", version=workers.version, count=len(workers.workers))
         if payload is not None:
             self._tell_peers(payload)
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -35,6 +35,7 @@
 from reedspoke.control_plane.majority_contact import Contact, MajorityContact
 from reedspoke.control_plane.replica_gets import GetForwarder, TailReader
 from reedspoke.control_plane.replica_head import HeadQueue
+from reedspoke.control_plane.replica_invariants import ReplicaInvariants
 from reedspoke.control_plane.replica_messages import (
     ContactGrant,
     GetReply,
@@ -107,6 +108,7 @@
         self._contact_asked: set[str] = set()  # voters that were asked out of turn in this view
         self._reader = TailReader(self._outbox, self._chain, self._register, self._holds_lease)
         self._agreement = ViewAgreement(settings, name, self._outbox, restored, self._enter)
+        self._invariants = ReplicaInvariants()
         self._repair = Repair(settings, self._outbox, self._peers, self._agreement, self._own_ping)
         self._start(restored.view)
 
@@ -141,6 +143,11 @@
             return None
         return self._contact.confirmed_as_of
 
+    @property
+    def disk_works(self) -> bool:
+        """Whether the disk answers in time, and has kept what it had synced."""
+        return self._outbox.disk_ok
+
     @property
     def others_stay(self) -> bool:
         """Whether a replica in reach is not about to leave."""
@@ -168,6 +175,7 @@
         self._notice_gap(now)
         self._dispatch(event)
         self._receive_own_messages()
+        self._invariants.handled(self.view, self._register.committed, self._register.entry)
         return [self._checked(effect) for effect in self._outbox.take()]
 
     def _checked(self, effect: Effect) -> Effect:
--- /dev/null
+++ b/reedspoke/control_plane/replica_invariants.py
@@ -0,0 +1,46 @@
+"""Invariants of one life of a replica, evaluated after each event that it has handled."""
+
+from __future__ import annotations
+
+from reedspoke.control_plane.events import Committed, View
+from reedspoke.control_plane.replica_messages import Entry
+from reedspoke.telemetry.invariants import Invariant, check
+
+
+class ReplicaInvariants:
+    """Remembers what was seen last."""
+
+    def __init__(self) -> None:
+        self._view_number = 0
+        self._committed_sequence = 0
+        self._compared: Entry | None = None
+
+    def handled(self, view: View | None, committed: Committed | None, entry: Entry | None) -> None:
+        """The replica now acts in this view, knows this to be committed, and has synced this entry."""
+        self._check_view(0 if view is None else view.number)
+        self._check_sequence(0 if committed is None else committed.sequence)
+        if entry is not None and committed is not None and entry is not self._compared:
+            self._check_same(entry, committed)
+
+    def _check_view(self, number: int) -> None:
+        if number != self._view_number:
+            check(Invariant.VIEW_RISES, number > self._view_number, before=self._view_number, now=number)
+            self._view_number = number
+
+    def _check_sequence(self, sequence: int) -> None:
+        if sequence != self._committed_sequence:
+            before = self._committed_sequence
+            check(Invariant.SEQUENCE_RISES, sequence > before, before=before, now=sequence)
+            self._committed_sequence = sequence
+
+    def _check_same(self, entry: Entry, committed: Committed) -> None:
+        self._compared = entry
+        if entry.sequence == committed.sequence:
+            same = entry.generation == committed.generation and entry.document == committed.document
+            check(
+                Invariant.ONE_CHANGE_A_SEQUENCE,
+                same,
+                sequence=entry.sequence,
+                held=entry.generation,
+                committed=committed.generation,
+            )
--- a/reedspoke/control_plane/replica_outbox.py
+++ b/reedspoke/control_plane/replica_outbox.py
@@ -10,7 +10,7 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Effect, LogLine, SendTo, Store, Stored
 from reedspoke.control_plane.log_format import COPIES, encoded_size
-from reedspoke.control_plane.replica_records import ProbeRecord, encode_record
+from reedspoke.control_plane.replica_records import EntryRecord, ProbeRecord, encode_record
 from reedspoke.control_plane.replica_settings import (
     DISK_BYTES_PER_S,
     DISK_PROBE_S,
@@ -29,6 +29,7 @@
     size: int
     replace: bool
     on_end: StoreEnd
+    newest: int  # sequence of the newest entry in it, 0: none
 
 
 class Outbox:
@@ -43,6 +44,7 @@
         self.disk_failed = False
         self.copy_lost = False
         self.snapshot_records: SnapshotRecords = tuple
+        self.synced_sequence = 0  # of the newest entry whose store has ended well, of all since the start
         self._address = address
         self._effects: list[Effect] = []
         self._to_self: list[Struct] = []
@@ -86,11 +88,17 @@
 
     def store(self, records: Sequence[Struct], on_end: StoreEnd) -> None:
         """Append records; `on_end` is called with the result."""
-        self._store(tuple(map(encode_record, records)), on_end, replace=False)
+        newest = max(
+            (record.entry.sequence for record in records if isinstance(record, EntryRecord)), default=0
+        )
+        self._store(tuple(map(encode_record, records)), on_end, newest, replace=False)
 
-    def rewrite(self, on_end: StoreEnd) -> None:
-        """Replace the log by the snapshot of the present state."""
-        self._store(self.snapshot_records(), on_end, replace=True)
+    def rewrite(self, on_end: StoreEnd, newest: int = 0) -> None:
+        """Replace the log by the snapshot of the present state.
+
+        `newest` is the sequence of an entry in it that has not been stored before.
+        """
+        self._store(self.snapshot_records(), on_end, newest, replace=True)
 
     def stored(self, event: Stored) -> None:
         """A store has ended."""
@@ -98,6 +106,7 @@
         if pending is None:
             return
         if event.error is None:
+            self.synced_sequence = max(self.synced_sequence, pending.newest)
             self._count(pending)
         else:
             self._fail(event.error)
@@ -111,13 +120,13 @@
         self._probe_after = self.now + DISK_PROBE_S
         self.store([ProbeRecord()], self._probed)
 
-    def _store(self, records: tuple[bytes, ...], on_end: StoreEnd, replace: bool) -> None:
+    def _store(self, records: tuple[bytes, ...], on_end: StoreEnd, newest: int, replace: bool) -> None:
         token = self._next_token
         self._next_token += 1
         size = encoded_size(records)
         waiting = size + sum(store.size for store in self._pending.values())
         due = self.now + DISK_STALL_S + waiting / DISK_BYTES_PER_S
-        self._pending[token] = PendingStore(due, size, replace, on_end)
+        self._pending[token] = PendingStore(due, size, replace, on_end, newest)
         self._effects.append(Store(token, records, replace))
 
     def _count(self, pending: PendingStore) -> None:
--- a/reedspoke/data_plane/answers.py
+++ b/reedspoke/data_plane/answers.py
@@ -29,6 +29,11 @@
     return WholeAnswer(status_line(status), fields, body)
 
 
+def status_of(answer: WholeAnswer) -> int:
+    """The status of an answer."""
+    return int(answer.status_line[9:12])
+
+
 def format_seconds(seconds: float) -> bytes:
     """Seconds rounded up to hundredths."""
     return f"{math.ceil(seconds * 100) / 100:.2f}".encode()
--- a/reedspoke/data_plane/client_connection.py
+++ b/reedspoke/data_plane/client_connection.py
@@ -12,6 +12,7 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.data_plane.answers import WholeAnswer, own_answer
 from reedspoke.net.http import Buffer, Head, MalformedError, Requests
+from reedspoke.telemetry.invariants import Invariant, check
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
@@ -54,6 +55,8 @@
 
     def closed(self, connection: ClientConnection) -> None: ...
 
+    def unreadable(self, status: int, message: str, peer: str) -> None: ...
+
 
 class ClientConnection(asyncio.BufferedProtocol):
     """States: waiting for a request, reading one, answering one, and, where unread bytes are left behind the
@@ -69,6 +72,7 @@
         self._exchange: Exchange | None = None
         self._keep_alive = True
         self._chunked = False
+        self._streaming = False  # the head of a stream has been written, and its end has not
         self._answering = False
         self._older = False  # the request is of HTTP/1.0: its client knows no chunks
         self._head_only = False  # it is a HEAD: its answer has no body
@@ -185,12 +189,14 @@
         self._keep_alive = self._head_only = False
         too_large = error.status in (413, 431)
         code = ErrorCode.REQUEST_TOO_LARGE if too_large else ErrorCode.MALFORMED_REQUEST
+        self._frontend.unreadable(error.status, str(error), self._peer())
         self.answer_whole(own_answer(error.status, code, str(error)))
 
     # ---- answers ----
 
     def answer_whole(self, answer: WholeAnswer) -> None:
         """Write an answer with its whole body."""
+        self._check_answered_once("whole")
         fields, body = answer.fields, answer.body
         if self._head_only or answer.status_line[9:12] in WITHOUT_BODY:
             body = b""
@@ -201,6 +207,8 @@
 
     def begin_stream(self, status_line: bytes, fields: bytes, first: bytes) -> None:
         """Write the head of an answer whose body comes in pieces, with its first piece."""
+        self._check_answered_once("stream")
+        self._streaming = True
         self._chunked = not (self._older or self._head_only)
         if self._older:
             self._keep_alive = False  # its body ends with the connection
@@ -243,7 +251,17 @@
         self._keep_alive = False
         return b"Connection: close\r\n"
 
+    def _check_answered_once(self, form: str) -> None:
+        once = self._answering and not self._streaming
+        check(Invariant.ONE_FINAL_ANSWER, once, form=form, answering=self._answering)
+
+    def _peer(self) -> str:
+        """Address of the client, as far as it is known."""
+        found = None if self._transport is None else self._transport.get_extra_info("peername")
+        return "" if found is None else f"{found[0]}:{found[1]}"
+
     def _end_answer(self) -> None:
+        self._streaming = False
         self._exchange = None
         self._answering = False
         self._chunked = False
@@ -304,7 +322,9 @@
             return
         self._answering = self._refused = True
         self._keep_alive = False
-        self.answer_whole(own_answer(408, ErrorCode.MALFORMED_REQUEST, "the request came too slowly"))
+        message = "the request came too slowly"
+        self._frontend.unreadable(408, message, self._peer())
+        self.answer_whole(own_answer(408, ErrorCode.MALFORMED_REQUEST, message))
 
 
 def chunk(piece: bytes) -> bytes:
--- a/reedspoke/data_plane/event_stream.py
+++ b/reedspoke/data_plane/event_stream.py
@@ -53,6 +53,14 @@
         return bytes(self._pending)
 
 
+def first_event_id(events: bytes) -> str:
+    """The id of the first event that has one, else an empty text."""
+    for line in events.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            return line[len(ID_FIELD) :].strip().decode("latin-1")
+    return ""
+
+
 def last_event_id(events: bytes) -> str:
     """The id of the last event that has one, else an empty text."""
     found = events.rfind(b"\n" + ID_FIELD)
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -10,12 +10,29 @@
 from typing import Protocol
 
 from reedspoke.data_plane.answer_reader import SUCCESS_STATUS
-from reedspoke.data_plane.answers import WholeAnswer, expired, failed, process_ends, refused, worker_failed
+from reedspoke.data_plane.answers import (
+    WholeAnswer,
+    expired,
+    failed,
+    process_ends,
+    refused,
+    status_of,
+    worker_failed,
+)
 from reedspoke.data_plane.attempt import Attempt
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest
 from reedspoke.data_plane.client_response import ClientResponse
-from reedspoke.data_plane.event_stream import EventSplitter, EventTooLargeError, last_event_id
+from reedspoke.data_plane.event_stream import Events, EventSplitter, EventTooLargeError, last_event_id
+from reedspoke.data_plane.exchange_invariants import (
+    check_answer_head,
+    check_drain,
+    check_events,
+    check_final_answer,
+    check_send,
+    check_success,
+)
 from reedspoke.data_plane.headers import NOT_EXECUTED, RESPONSE_SEAL, forwarded_answer_fields, status_line
+from reedspoke.data_plane.request_trace import RequestOutcome, RequestTrace
 from reedspoke.data_plane.route_table import CompiledRoute
 from reedspoke.data_plane.upstream_connection import Failure, UpstreamConnection
 from reedspoke.data_plane.upstream_pool import ConnectFailure, ConnectResult, UpstreamPool
@@ -41,6 +58,8 @@
 
     def finished(self, exchange: Exchange) -> None: ...
 
+    def known_to_leave_since(self, instance_id: str) -> float | None: ...
+
     def called_off(self, exchange: Exchange) -> None: ...
 
 
@@ -56,6 +75,7 @@
         client: ClientConnection,
         route: CompiledRoute,
         job: Job,
+        trace: RequestTrace | None = None,
     ) -> None:
         self.job = job
         self.route = route
@@ -69,6 +89,7 @@
         self._answer: WholeAnswer | None = None  # a worker's error, kept while other workers are tried
         self._ran = False  # whether an attempt that has ended may have run
         self._client_full = False  # its end takes no more for now
+        self.trace = RequestTrace(self._request.attempt_id) if trace is None else trace
 
     # ---- what the dispatcher decides ----
 
@@ -76,10 +97,12 @@
         """Begin an attempt at a worker."""
         if not self._response.resumable:  # another run would begin at the first event again
             self._response.break_off()
+            self._ended(RequestOutcome.BROKEN_OFF, 0, "its events have no ids to go on behind")
             self._owner.called_off(self)
             return
         self._attempts += 1
         now = self._loop.time()
+        self.trace.began(worker.instance_id, worker.address, self._age_ms())
         self._attempt = Attempt(worker, self._attempts, urgency, self._request.version_asked, now, now)
         connection = self._pool.take_idle(worker.instance_id)
         if connection is not None:
@@ -90,16 +113,16 @@
 
     def refuse(self, decision: Refuse) -> None:
         """Give a final answer: not run, or harmless to repeat."""
-        self._end_with(self._answer or refused(decision))
+        self._end_with(self._answer or refused(decision), RequestOutcome.REFUSED, decision.reason.name)
 
     def fail(self, decision: Fail) -> None:
         """Give a final answer that promises nothing."""
-        self._end_with(self._answer or failed(decision))
+        self._end_with(self._answer or failed(decision), RequestOutcome.FAILED, decision.reason.name)
 
     def expire(self, decision: Expire) -> None:
         """The time for the request is over."""
         self._call_off()
-        self._end_with(expired(ran=decision.ran))
+        self._end_with(expired(ran=decision.ran), RequestOutcome.EXPIRED, "deadline")
 
     def give_up_attempt(self) -> None:
         """The worker is silent: call the attempt off, and say so."""
@@ -138,7 +161,8 @@
         """The process ends: a request without an answer gets one, a stream is broken off."""
         ran = self._may_have_run()
         self._call_off()
-        self._end_with(self._answer or process_ends(ran=ran))
+        answer = self._answer or process_ends(ran=ran)
+        self._end_with(answer, RequestOutcome.PROCESS_ENDED, "shutting down")
 
     def _may_have_run(self) -> bool:
         attempt = self._attempt
@@ -149,6 +173,7 @@
     def client_gone(self) -> None:
         self._response.client_gone()
         self._call_off()
+        self._ended(RequestOutcome.CLIENT_LEFT, 0, "")
         self._owner.called_off(self)
 
     def writable(self, on: bool) -> None:
@@ -182,8 +207,11 @@
     def _transmit(self, connection: UpstreamConnection) -> None:
         attempt = self._attempt
         assert attempt is not None
+        check_send(self.job, self.trace, attempt, ran=self._ran)
+        self._check_drain(attempt)
         attempt.connection = connection
         attempt.bytes_sent = True
+        self.trace.sent(self._age_ms())
         now = attempt.sent_at = attempt.heard_at = self._loop.time()
         left_ms = max(1, int((self.job.deadline - now) * 1000))
         instance_id, urgency = attempt.worker.instance_id, attempt.urgency
@@ -192,12 +220,19 @@
         if self._client_full:
             connection.pause()
 
+    def _check_drain(self, attempt: Attempt) -> None:
+        instance_id = attempt.worker.instance_id
+        since = self._owner.known_to_leave_since(instance_id)
+        known_s = 0.0 if since is None else self._loop.time() - since
+        check_drain(self._request.attempt_id, instance_id, known_s)
+
     # ---- the worker's answer ----
 
     def on_head(self, head: Head) -> None:
         attempt = self._attempt
         assert attempt is not None
         self._heard(attempt)
+        check_answer_head(self._request.attempt_id, head)
         attempt.status = head.status
         attempt.not_executed = head.get(NOT_EXECUTED) is not None
         attempt.fields = forwarded_answer_fields(head)
@@ -251,6 +286,7 @@
         attempt = self._attempt
         if attempt is not None and not attempt.started:
             attempt.started = True
+            self.trace.first_byte(self._age_ms())
             self._owner.first_event(self)
 
     def _pass_events(self, attempt: Attempt, splitter: EventSplitter, piece: memoryview) -> None:
@@ -260,9 +296,15 @@
             self._end_attempt(Ending.MALFORMED)
             return
         if events is not None:
+            self._check_events(attempt, events)
+            check_success(self._request.attempt_id, attempt.status, attempt.fields)
             self._response.pass_on(attempt.status, attempt.fields, events.data, events.last_id)
             self._started()
 
+    def _check_events(self, attempt: Attempt, events: Events) -> None:
+        check_events(self._request.attempt_id, self._response.last_event_id, events, goes_on=attempt.started)
+        self.trace.last_event_id = events.last_id
+
     def _end_of_events(self, attempt: Attempt, splitter: EventSplitter) -> None:
         rest = splitter.rest()
         if rest or not self._response.begun:
@@ -271,6 +313,7 @@
             self._started()
         self._response.end_stream()
         self._attempt_over(attempt.evidence(Ending.COMPLETE))
+        self._ended(RequestOutcome.SERVED, attempt.status, "")
         self._owner.finished(self)
 
     def _end_of_body(self, attempt: Attempt) -> None:
@@ -286,7 +329,14 @@
             self._attempt_over(Evidence(Ending.MALFORMED, True, attempt.status))
         else:
             self._attempt_over(Evidence(Ending.COMPLETE, True, attempt.status))
-            self._end_with(answer if use is AnswerUse.PASS_ON else worker_failed())
+            self._end_with_worker_s(answer, use)
+
+    def _end_with_worker_s(self, answer: WholeAnswer, use: AnswerUse) -> None:
+        if use is AnswerUse.PASS_ON:
+            check_success(self._request.attempt_id, status_of(answer), answer.fields)
+            self._end_with(answer, RequestOutcome.SERVED, "")
+        else:
+            self._end_with(worker_failed(), RequestOutcome.FAILED, "the worker's answer cannot be passed on")
 
     def _end_attempt(self, ending: Ending) -> None:
         attempt = self._attempt
@@ -297,21 +347,36 @@
 
     def _attempt_over(self, evidence: Evidence) -> None:
         self._attempt = None
+        self.trace.attempt_ended(evidence, self._age_ms())
         self._ran = self._ran or fate_of(evidence) is not Fate.NEVER_RAN
         self._owner.attempt_ended(self, evidence)
 
     def _call_off(self) -> None:
         attempt = self._attempt
         self._attempt = None
-        if attempt is not None and attempt.connection is not None:
+        if attempt is None:
+            return
+        self._ran = self._ran or attempt.bytes_sent
+        self.trace.attempt_ended(attempt.evidence(Ending.ABANDONED), self._age_ms())
+        if attempt.connection is not None:
             attempt.connection.close()
 
     # ---- the end ----
 
-    def _end_with(self, answer: WholeAnswer) -> None:
+    def _end_with(self, answer: WholeAnswer, outcome: RequestOutcome, reason: str) -> None:
         """This answer, unless a stream has begun: that is broken off."""
+        status = status_of(answer)
         if self._response.begun:
             self._response.break_off()
+            self._ended(RequestOutcome.BROKEN_OFF, 0, reason)
         else:
+            check_final_answer(self.job, self.trace, status, ran=self._ran)
             self._response.answer(answer)
+            self._ended(outcome, status, reason)
         self._owner.finished(self)
+
+    def _ended(self, outcome: RequestOutcome, status: int, reason: str) -> None:
+        self.trace.ended(outcome, status, reason, self._age_ms())
+
+    def _age_ms(self) -> float:
+        return round((self._loop.time() - self.job.arrived) * 1000, 1)
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -10,7 +10,10 @@
 from reedspoke.cluster.messages import WorkerList
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest
 from reedspoke.data_plane.exchange import Exchange
+from reedspoke.data_plane.forwarder_invariants import check_forgotten, check_idle
 from reedspoke.data_plane.job_builder import build_job
+from reedspoke.data_plane.request_log import OnEnded
+from reedspoke.data_plane.request_trace import RequestTrace
 from reedspoke.data_plane.route_table import CompiledRoute
 from reedspoke.data_plane.upstream_pool import MOST_IDLE, UpstreamPool
 from reedspoke.decision.attempt_fate import Evidence, cause_of, outcome_of
@@ -33,13 +36,22 @@
 
 WATCH_INTERVAL_S = 0.1  # between two looks for silent workers and deadlines
 DEFAULT_CAPACITY = 1
+LEAVING_KEPT_S = 30.0  # for which a worker that is gone is remembered
 
 
 class Forwarder:
     """All exchanges of this process."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, pool: UpstreamPool, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        pool: UpstreamPool,
+        dispatcher: Dispatcher,
+        on_ended: OnEnded = lambda trace: None,
+    ) -> None:
         self._loop = loop
+        self._on_ended = on_ended
+        self._leaving_since: dict[str, float] = {}  # workers that drain or are gone, by instance id
         self._pool = pool
         self._dispatcher = dispatcher
         self._exchanges: dict[int, Exchange] = {}
@@ -68,6 +80,7 @@
         """The list of workers has changed."""
         now = self._loop.time()
         entries = [_entry(worker, now) for worker in workers.workers]
+        self._note_leaving(entries, now)
         self._workers = {entry.instance_id: entry for entry in entries}
         self._pool.retain(frozenset(self._workers))
         self._share_connections()
@@ -75,6 +88,18 @@
         self._heard_from = {name: known[name] for name in self._workers if name in known}
         self._apply(self._dispatcher.workers_changed(entries, now))
 
+    def _note_leaving(self, entries: list[WorkerEntry], now: float) -> None:
+        draining = {entry.instance_id for entry in entries if entry.draining}
+        gone = self._workers.keys() - {entry.instance_id for entry in entries}
+        kept = {name: since for name, since in self._leaving_since.items() if now - since < LEAVING_KEPT_S}
+        listed = {entry.instance_id for entry in entries} - draining
+        leaving = (draining | gone | kept.keys()) - listed
+        self._leaving_since = {name: kept.get(name, now) for name in leaving}
+
+    def known_to_leave_since(self, instance_id: str) -> float | None:
+        """Since when the list has shown here that this worker drains or is gone; None: it does neither."""
+        return self._leaving_since.get(instance_id)
+
     def set_others_load(self, running: dict[str, tuple[int, int]]) -> None:
         """What all other schedulers hold at workers."""
         loads = {name: Load(requests, tokens) for name, (requests, tokens) in running.items()}
@@ -105,12 +130,18 @@
         return len(self._exchanges)
 
     def begin(
-        self, request: ClientRequest, client: ClientConnection, route: CompiledRoute, upstream: str
+        self,
+        request: ClientRequest,
+        client: ClientConnection,
+        route: CompiledRoute,
+        upstream: str,
+        trace: RequestTrace | None = None,
     ) -> Exchange:
-        """Take a request that has a route."""
+        """Take a request that has a route. `trace` has what is known of it by now."""
         self._next_job_id += 1
         job = build_job(self._next_job_id, request.head, route, upstream, self._loop.time())
-        exchange = Exchange(self, self._loop, self._pool, request, client, route, job)
+        exchange = Exchange(self, self._loop, self._pool, request, client, route, job, trace)
+        exchange.trace.taken(job)
         self._exchanges[job.job_id] = exchange
         self._watch_later()
         self._apply(self._dispatcher.job_arrived(job, self._loop.time()))
@@ -120,6 +151,7 @@
         """End what is left, for the end of the process: streams are seen to be incomplete."""
         for exchange in list(self._exchanges.values()):
             exchange.shut_down()
+            self._forget(exchange.job.job_id)
 
     # ---- what exchanges tell ----
 
@@ -144,13 +176,14 @@
         job_id = exchange.job.job_id
         if self._exchanges.pop(job_id, None) is None:
             return
-        now = self._loop.time()
-        self._apply(self._dispatcher.job_gone(job_id, now))
-        self._apply(self._dispatcher.attempt_ended(job_id, AttemptEnd(Outcome.CANCELLED), now))
+        self._forget(job_id)
+        check_forgotten(exchange.trace, job_id, self._dispatcher)
+        self._on_ended(exchange.trace)
 
     def finished(self, exchange: Exchange) -> None:
         """The answer has ended."""
-        self._exchanges.pop(exchange.job.job_id, None)
+        if self._exchanges.pop(exchange.job.job_id, None) is not None:
+            self._on_ended(exchange.trace)
 
     # ---- decisions ----
 
@@ -195,25 +228,30 @@
         now = self._loop.time()
         attempts = [attempt for item in self._exchanges.values() if (attempt := item.open_attempt())]
         for expired in overdue_ends(attempts, now):
-            self._end_overdue(expired, now)
+            self._end_overdue(expired)
         for job_id in attempts_to_give_up(attempts, self._heard_from, now):
             exchange = self._exchanges.get(job_id)
             if exchange is not None and self._gains_by_another(exchange, now):
                 exchange.give_up_attempt()
+        if not self._exchanges:
+            check_idle(self._dispatcher)
         self._watch_later()
 
     def _gains_by_another(self, exchange: Exchange, now: float) -> bool:
         """Silence alone is no reason to break a stream off: it goes to another worker or goes on waiting."""
         return not exchange.stream_begun or self._dispatcher.can_move(exchange.job.job_id, now)
 
-    def _end_overdue(self, expired: Expire, now: float) -> None:
+    def _end_overdue(self, expired: Expire) -> None:
         exchange = self._exchanges.get(expired.job_id)
-        if exchange is None:
-            return
-        exchange.expire(expired)
-        self._apply(self._dispatcher.job_gone(expired.job_id, now))
-        end = AttemptEnd(Outcome.CANCELLED)
-        self._apply(self._dispatcher.attempt_ended(expired.job_id, end, now))
+        if exchange is not None:
+            exchange.expire(expired)
+            self._forget(expired.job_id)
+
+    def _forget(self, job_id: int) -> None:
+        """A job has ended otherwise than was decided; an attempt that was out has been called off."""
+        now = self._loop.time()
+        self._apply(self._dispatcher.job_gone(job_id, now))
+        self._apply(self._dispatcher.attempt_ended(job_id, AttemptEnd(Outcome.CANCELLED), now))
 
 
 def _upstream(configured: ConfiguredUpstream) -> Upstream:
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -11,21 +11,28 @@
 
 from reedspoke.cluster.configuration import Configuration, RequestLimits
 from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import INFO, WARNING, log
-from reedspoke.cluster.messages import MemberList, Version, WorkerList
+from reedspoke.cluster.line_budget import LineBudget
+from reedspoke.cluster.messages import CONFIGURATION, NO_VERSION, WORKERS, MemberList, Version, WorkerList
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, split_address
-from reedspoke.data_plane.answers import WholeAnswer, own_answer
+from reedspoke.data_plane.answers import WholeAnswer, own_answer, status_of
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, Exchange
 from reedspoke.data_plane.confirmation import Confirmation
 from reedspoke.data_plane.control_session import ControlSessions
 from reedspoke.data_plane.conversation import OwnState, SessionPace
+from reedspoke.data_plane.figures import add_process_figures
 from reedspoke.data_plane.forwarder import Forwarder
 from reedspoke.data_plane.headers import ATTEMPT_ID, text_of
 from reedspoke.data_plane.readiness import ReadinessConnection
+from reedspoke.data_plane.request_log import RequestLog
+from reedspoke.data_plane.request_trace import RequestOutcome, RequestTrace
 from reedspoke.data_plane.route_table import RouteTable
 from reedspoke.data_plane.subscription import Listener, Subscription
 from reedspoke.data_plane.upstream_pool import UpstreamPool
 from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
+from reedspoke.telemetry.invariants import Invariant, check
+from reedspoke.telemetry.metrics import Registry
 
 BACKLOG = 1024
 LINGER_S = 2.3  # after SIGTERM new connections come until the platform has asked for readiness twice
@@ -55,6 +62,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._routes = RouteTable()
+        self._workers_version = NO_VERSION
         self._connections: set[ClientConnection] = set()
         self._closing = False
         self._ended = asyncio.Event()
@@ -63,7 +71,10 @@
         self._random = Random()
         self._dispatcher = self._make_dispatcher()
         self._pool = UpstreamPool(self._loop)
-        self._forwarder = Forwarder(self._loop, self._pool, self._dispatcher)
+        self._registry = Registry()
+        self._request_log = RequestLog(self._registry, LineBudget(self._loop.time))
+        add_process_figures(self._registry, self)
+        self._forwarder = Forwarder(self._loop, self._pool, self._dispatcher, self._request_log.ended)
         listener = Listener(
             on_configuration=self._on_configuration,
             on_workers=self._on_workers,
@@ -100,6 +111,7 @@
         )
         following = self._loop.create_task(self._sessions.run())
         reloading = self._loop.create_task(self._poll_settings())
+        figures = await serve_figures(self._settings, self._registry)
         log(INFO, "data plane up", node=self._settings.node_name)
         await self._first_state()
         frontend = await self._loop.create_server(  # without its own backlog it would set one of 100
@@ -110,6 +122,8 @@
         following.cancel()
         reloading.cancel()
         readiness.close()
+        if figures is not None:
+            figures.close()
 
     async def _first_state(self) -> None:
         """Requests that come before there is anything to serve them by wait unread, for a short time."""
@@ -171,12 +185,18 @@
     # ---- what the control plane tells ----
 
     def _on_configuration(self, configuration: Configuration, version: Version) -> None:
+        held = self._routes.version
+        check(Invariant.DELIVERY_RISES, version > held, source=CONFIGURATION, held=held, got=version)
         self._routes = RouteTable(configuration, version)
         self._forwarder.configure(configuration)
         self._look_whether_ready()
         log(INFO, "configuration in force", generation=configuration.generation)
 
     def _on_workers(self, workers: WorkerList) -> None:
+        held, self._workers_version = self._workers_version, workers.version
+        check(
+            Invariant.DELIVERY_RISES, workers.version > held, source=WORKERS, held=held, got=workers.version
+        )
         self._forwarder.set_workers(workers)
         self._look_whether_ready()
 
@@ -210,22 +230,69 @@
     def closed(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
 
+    def unreadable(self, status: int, message: str, peer: str) -> None:
+        self._request_log.unreadable(status, message, peer)
+
     def begin(self, request: ClientRequest, connection: ClientConnection) -> Exchange:
+        trace = self._trace(request)
         if self._routes.configuration is None:
             message = "no configuration has come yet"
-            connection.answer_whole(own_answer(503, ErrorCode.NOT_READY, message, NOT_READY_RETRY_S))
-            return NoExchange()
+            answer = own_answer(503, ErrorCode.NOT_READY, message, NOT_READY_RETRY_S)
+            return self._answer_unrouted(connection, answer, trace, message)
         host, path = place_of(request)
         route = self._routes.find(host, path)
         if route is None:
-            connection.answer_whole(self._no_route())
-            return NoExchange()
+            return self._answer_unrouted(connection, self._no_route(), trace, f"no route for {host}{path}")
         upstream = route.upstream_for(request.head.get(ATTEMPT_ID) or b"")
-        return self._forwarder.begin(request, connection, route, upstream)
+        return self._forwarder.begin(request, connection, route, upstream, trace)
+
+    def _trace(self, request: ClientRequest) -> RequestTrace:
+        return RequestTrace(
+            text_of(request.head, ATTEMPT_ID),
+            generation=self.generation(),
+            version=self._routes.version,
+            in_doubt=self.in_doubt(),
+        )
+
+    def _answer_unrouted(
+        self, connection: ClientConnection, answer: WholeAnswer, trace: RequestTrace, reason: str
+    ) -> Exchange:
+        connection.answer_whole(answer)
+        trace.ended(RequestOutcome.NOT_ROUTED, status_of(answer), reason, 0.0)
+        self._request_log.ended(trace)
+        return NoExchange()
+
+    # ---- what the figures are read from ----
+
+    def in_doubt(self) -> bool:
+        """Whether the configuration that is held may be an old one."""
+        return self._confirmation.in_doubt(self._loop.time())
+
+    def generation(self) -> int:
+        """Of the configuration in force; 0 before the first."""
+        configuration = self._routes.configuration
+        return 0 if configuration is None else configuration.generation
+
+    def open_connections(self) -> int:
+        """Connections of clients."""
+        return len(self._connections)
+
+    def open_requests(self) -> int:
+        """Requests without a whole answer."""
+        return self._forwarder.open_exchanges()
+
+    def sound_sessions(self) -> int:
+        """Sessions with control schedulers behind which a majority stands."""
+        return self._sessions.sessions()
+
+    def known_workers(self) -> int:
+        """Workers on the list."""
+        workers = self._subscription.state.workers
+        return 0 if workers is None else len(workers.workers)
 
     def _no_route(self) -> WholeAnswer:
         """Final only while it is certain that no route has come for the request."""
-        if self._confirmation.in_doubt(self._loop.time()):
+        if self.in_doubt():
             message = "the configuration that is held may be an old one"
             return own_answer(503, ErrorCode.CONFIGURATION_IN_DOUBT, message, IN_DOUBT_RETRY_S)
         return own_answer(404, ErrorCode.NO_ROUTE, "no route for this host and path")
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -23,7 +23,7 @@
     WorkerEntry,
 )
 from reedspoke.decision.retry_budget import RetryBudget
-from reedspoke.decision.service import Service
+from reedspoke.decision.service import NOTHING_LEFT, Residue, Service
 
 UNKNOWN_SERVICE_RETRY_S = 0.5  # Retry-After where a route's service is not known yet
 
@@ -128,6 +128,15 @@
         times = [at for service in self._services.values() if (at := service.wake_at(now)) is not None]
         return min(times, default=None)
 
+    def holds(self, job_id: int) -> bool:
+        """Whether the job waits or has an attempt out."""
+        return job_id in self._service_of or any(service.knows(job_id) for service in self._services.values())
+
+    def residue(self) -> dict[str, Residue]:
+        """What is held by each service for whom no job is known, where that is anything."""
+        idle = {name: service.residue() for name, service in self._services.items() if service.idle}
+        return {name: residue for name, residue in idle.items() if residue != NOTHING_LEFT}
+
     @property
     def jobs(self) -> int:
         """Jobs that wait or have an attempt out."""
--- a/reedspoke/decision/retry_budget.py
+++ b/reedspoke/decision/retry_budget.py
@@ -51,6 +51,11 @@
         self._sizes: deque[tuple[float, int]] = deque()  # (since, number of schedulers)
         self._reserved = 0
 
+    @property
+    def reserved(self) -> int:
+        """Repeats that are set aside and not used yet."""
+        return self._reserved
+
     def fleet_size(self, schedulers: int, now: float) -> None:
         """The number of schedulers known from now on, this one included; 0: unknown."""
         if not self._sizes or self._sizes[-1][1] != schedulers:
--- a/reedspoke/decision/service.py
+++ b/reedspoke/decision/service.py
@@ -55,6 +55,18 @@
     turn_cost: float  # what its subject was charged
 
 
+class Residue(Struct, frozen=True):
+    """What a service holds; all 0 while it has no job."""
+
+    waiting: int  # in the queues of its classes
+    out: int  # attempts that its classes count
+    running: int  # positions of its workers
+    reserved: int  # repeats set aside of the retry budget
+
+
+NOTHING_LEFT = Residue(0, 0, 0, 0)
+
+
 class Fit(Struct, eq=False):
     """A waiting job and the worker that it may go to now."""
 
@@ -337,6 +349,15 @@
         """Whether no job is known."""
         return not (self._jobs or self._out)
 
+    def residue(self) -> Residue:
+        """What is held now."""
+        return Residue(
+            waiting=sum(len(job_class.queue) for job_class in self._classes.values()),
+            out=sum(job_class.out for job_class in self._classes.values()),
+            running=self.pool.running,
+            reserved=self.budget.reserved,
+        )
+
     def accounts(self) -> list[JobClass]:
         """The clients of the fair queue."""
         return list(self._classes.values())
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -52,6 +52,11 @@
         """Workers that new requests may go to."""
         return self._usable
 
+    @property
+    def running(self) -> int:
+        """Positions that our requests hold, at all workers on the list."""
+        return sum(worker.used for worker in self._workers.values())
+
     def set_others(self, loads: Mapping[str, Load]) -> None:
         """What other schedulers hold; a worker that is not named has nothing of theirs."""
         for name, worker in self._workers.items():
--- a/tests/control_plane/hunt.py
+++ b/tests/control_plane/hunt.py
@@ -14,6 +14,7 @@
 import picologging
 
 from reedspoke.cluster.json_log import LOGGER_NAME
+from reedspoke.telemetry.invariants import Violation, monitor
 from tests.control_plane.random_schedule import Step, draw_steps, play_schedule
 
 STEPS_PER_SCHEDULE = 100
@@ -23,12 +24,18 @@
 
 
 def failure(seed: int, steps: Sequence[Step], machines: int, tolerated: int) -> Exception | None:
-    """What goes wrong in a schedule; None where it breaks no rule."""
+    """What goes wrong in a schedule; None where it breaks no rule and no invariant."""
+    monitor.forget()
     try:
         play_schedule(seed, steps, machines, tolerated)
     except Exception as error:  # whatever the program raises is a find as well
         return error
-    return None
+    return invariant_error(monitor.forget())
+
+
+def invariant_error(broken: list[Violation]) -> Exception | None:
+    """A find of the invariants in the code under test."""
+    return AssertionError(f"invariants were violated: {broken}") if broken else None
 
 
 def shorten(seed: int, steps: Sequence[Step], machines: int, tolerated: int) -> list[Step]:
@@ -54,6 +61,8 @@
     """The place where a rule was found broken: what a shorter schedule must have in common."""
     if error is None:
         return ""
+    if error.__traceback__ is None:
+        return "invariant"
     place = traceback.extract_tb(error.__traceback__)[-1]
     return f"{place.name}:{place.lineno}"
 
@@ -101,6 +110,8 @@
                 )
                 return EXIT_FOUND
         seed += 1
+    evaluated = {item.value: count for item, count in sorted(monitor.evaluated.items(), key=str)}
+    print(f"evaluations: {evaluated}")
     print(f"{done} steps in {seed - arguments.seed} schedules from seed {arguments.seed}: {found} finds")
     return EXIT_FOUND if found else 0
 
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -99,6 +99,11 @@
         replica = self._machine.replica
         return None if replica is None else replica.confirmed_as_of(self._loop.time())
 
+    def holds_majority(self) -> bool:
+        """As `ReplicaDriver.holds_majority`."""
+        replica = self._machine.replica
+        return replica is not None and replica.holds_majority(self._loop.time())
+
 
 class SimulatedListDuty(ListDuty):
     """The list duty with a client of the simulated platform."""
--- a/tests/control_plane/test_guards_process.py
+++ b/tests/control_plane/test_guards_process.py
@@ -47,6 +47,10 @@
         """As `ReplicaDriver.confirmed_as_of`."""
         return self.as_of
 
+    def holds_majority(self) -> bool:
+        """As `ReplicaDriver.holds_majority`."""
+        return self.as_of is not None
+
 
 class Sessions:
     """In place of the sessions with data plane schedulers."""
--- a/tests/data_plane/test_guards_exchange.py
+++ b/tests/data_plane/test_guards_exchange.py
@@ -82,6 +82,10 @@
     def called_off(self, exchange: Exchange) -> None:
         """The test sees it at the client."""
 
+    def known_to_leave_since(self, instance_id: str) -> float | None:
+        """No worker leaves."""
+        return None
+
 
 class ConnectionStandIn(UpstreamConnection):
     """A connection on which nothing has come; what is sent is kept."""
@@ -140,6 +144,7 @@
             repeat=repeat,
             aim_s=1.0,
             deadline=self.loop.time() + DEADLINE_S,
+            max_attempts=2,
             arrived=self.loop.time(),
         )
         self.exchange = Exchange(
@@ -176,7 +181,10 @@
         """A worker's first event reaches the client, then its connection is given up."""
         self.exchange.send(FIRST)
         self.connected()
-        sealed = [(b"reedspoke-response-seal", memoryview(b"seal"))]
+        sealed = [
+            (b"reedspoke-response-seal", memoryview(b"seal")),
+            (b"reedspoke-attempt-id", memoryview(b"a1")),
+        ]
         self.exchange.on_head(Head(1, status=200, fields=sealed))
         self.exchange.on_body(memoryview(b"id: 1\ndata: x\n\n"))
         self.exchange.give_up_attempt()
--- a/tests/data_plane/world.py
+++ b/tests/data_plane/world.py
@@ -196,6 +196,9 @@
     def closed(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
 
+    def unreadable(self, status: int, message: str, peer: str) -> None:
+        """The test sees it at the client."""
+
     def begin(self, request: ClientRequest, connection: ClientConnection) -> Exchange:
         self.requests.append(request)
         target = bytes(request.head.target).decode("latin-1")
