A client's socket that fails ends its own request alone; one LingeringClose

Cause: an OSError of one client's transport (ENOTCONN at write_eof) passed through Exchange into the loop over the dispatcher's decisions. Class: an error at one connection reaches the work for others. Two servers had the code. Change: cluster/lingering_close.py ends connections for both; each entry of an Exchange is isolated, so that an error ends this request, is logged with its frames and counted (unhandled errors); nothing is written to a transport that closes. asyncio's own messages and unhandled errors are JSON lines now. Looked for elsewhere: no other write_eof. Ruled out: catching OSError at each call of a transport, which leaves the loop open to any other error.

--- a/reedspoke/cluster/entry.py
+++ b/reedspoke/cluster/entry.py
@@ -10,6 +10,7 @@
 from reedspoke.cluster import json_log
 from reedspoke.cluster.errors import FleetError
 from reedspoke.cluster.node_settings import NodeSettings, load_settings
+from reedspoke.cluster.unhandled_errors import handle_all_errors
 
 SETTINGS_EXIT = 2
 GC_THRESHOLDS = (20000, 20, 20)  # fewer and longer intervals between collections than by default
@@ -29,10 +30,15 @@
         return SETTINGS_EXIT
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
-    asyncio.run(serve(settings))
+    asyncio.run(_serve(serve, settings))
     return 0
 
 
+async def _serve(serve: Serve, settings: NodeSettings) -> None:
+    handle_all_errors()
+    await serve(settings)
+
+
 def _log_unusable(error: FleetError) -> None:
     json_log.log(
         json_log.ERROR,
--- a/reedspoke/cluster/figures.py
+++ b/reedspoke/cluster/figures.py
@@ -7,6 +7,7 @@
 from reedspoke.cluster.json_log import ERROR, WARNING, log
 from reedspoke.cluster.line_budget import LineBudget
 from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.cluster.unhandled_errors import unhandled_errors
 from reedspoke.telemetry.invariants import Invariant, Violation, monitor
 from reedspoke.telemetry.metrics import Registry
 from reedspoke.telemetry.metrics_server import MetricsServer
@@ -20,6 +21,11 @@
     A port that is in use is logged, and the process goes on without.
     """
     add_invariants(registry)
+    registry.gauge(
+        "reedspoke_unhandled_errors_total",
+        "Errors that no code has handled.",
+        lambda: float(unhandled_errors.count),
+    )
     log_violations(LineBudget(asyncio.get_running_loop().time))
     port, slash, path = settings.metrics.partition("/")
     if not port.isdigit():
--- a/reedspoke/control_plane/http_server.py
+++ b/reedspoke/control_plane/http_server.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, field
 
 from reedspoke.cluster.json_log import ERROR, log
+from reedspoke.cluster.lingering_close import LingeringClose
 from reedspoke.cluster.node_settings import split_address
 from reedspoke.net.http import Buffer, Head, MalformedError, Requests
 
@@ -114,8 +115,7 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._loop = asyncio.get_running_loop()
-        self._discarding = False  # the last answer is written; what still comes is read and forgotten
-        self._discarded = 0  # bytes
+        self._closing: LingeringClose | None = None  # the last answer is written
         self._since = self._loop.time()  # of the request that is coming in, or of the last answer
 
     # ---- called by asyncio ----
@@ -129,8 +129,8 @@
         return self._buffer.room(min(self._requests.wanted(), MOST_ROOM))
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._discarding:
-            self._discard(nbytes)
+        if self._closing is not None:
+            self._closing.discard(nbytes)
             return
         if len(self._buffer) == 0 and self._head is None:
             self._since = self._loop.time()
@@ -162,7 +162,7 @@
     # ---- inside ----
 
     def _patience(self) -> float:
-        if self._discarding:
+        if self._closing is not None:
             return LINGER_S
         incomplete = self._head is not None or len(self._buffer) > 0
         return REQUEST_S if incomplete else IDLE_S
@@ -223,14 +223,8 @@
 
     def _end_writing(self, transport: asyncio.Transport) -> None:
         """The client ends the connection when it has read its answer."""
-        self._discarding = True
-        transport.write_eof()
-        transport.resume_reading()
-
-    def _discard(self, count: int) -> None:
-        self._discarded += count
-        if self._discarded > MOST_DISCARDED:
-            self.abort()
+        self._closing = LingeringClose(transport, MOST_DISCARDED)
+        self._closing.begin()
 
     def _refuse(self, error: MalformedError) -> None:
         self._write(Response(error.status, self._server.error_body(error.status, str(error))), keep=False)
--- a/reedspoke/data_plane/client_connection.py
+++ b/reedspoke/data_plane/client_connection.py
@@ -10,6 +10,7 @@
 
 from reedspoke.cluster.configuration import RequestLimits
 from reedspoke.cluster.errors import ErrorCode
+from reedspoke.cluster.lingering_close import LingeringClose
 from reedspoke.data_plane.answers import WholeAnswer, own_answer
 from reedspoke.net.http import Buffer, Head, MalformedError, Requests
 from reedspoke.telemetry.invariants import Invariant, check
@@ -78,8 +79,7 @@
         self._head_only = False  # it is a HEAD: its answer has no body
         self._head_begun = False  # the time limit for a head runs from its first bytes
         self._refused = False  # the rest of the request that was refused is still on its way
-        self._discarding = False
-        self._discarded = 0  # bytes
+        self._closing: LingeringClose | None = None  # the last answer is written
         self._timer: asyncio.TimerHandle | None = None
 
     # ---- asyncio ----
@@ -97,8 +97,8 @@
         return self._buffer.room()
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._discarding:
-            self._discard(nbytes)
+        if self._closing is not None:
+            self._closing.discard(nbytes)
             return
         self._buffer.filled(nbytes)
         if self._answering:
@@ -132,7 +132,7 @@
     def is_idle(self) -> bool:
         """Whether nothing of a request has been read."""
         reading = self._head is not None or len(self._buffer) > 0
-        return not (reading or self._answering or self._discarding)
+        return not (reading or self._answering or self._closing is not None)
 
     def _read(self) -> None:
         try:
@@ -242,7 +242,7 @@
             self._transport.close()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     def _connection_field(self) -> bytes:
@@ -282,15 +282,9 @@
         if not (self._refused or len(self._buffer)):
             self._transport.close()
             return
-        self._discarding = True
-        self._transport.write_eof()
-        self._transport.resume_reading()
         self._wait(LINGER_S)
-
-    def _discard(self, count: int) -> None:
-        self._discarded += count
-        if self._discarded > MOST_DISCARDED and self._transport is not None:
-            self._transport.abort()
+        self._closing = LingeringClose(self._transport, MOST_DISCARDED)
+        self._closing.begin()
 
     def _read_next(self) -> None:
         if self._transport is not None and not self._answering and self._head is None:
@@ -317,7 +311,7 @@
         self._timer = None
         if self._answering or self._transport is None:
             return
-        if self.is_idle() or self._discarding:
+        if self.is_idle() or self._closing is not None:
             self._transport.close()
             return
         self._answering = self._refused = True
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from collections.abc import Callable
+from functools import wraps
+from typing import Concatenate, ParamSpec, Protocol
 
+from reedspoke.cluster.unhandled_errors import unhandled_errors
 from reedspoke.data_plane.answer_reader import SUCCESS_STATUS
 from reedspoke.data_plane.answers import (
     WholeAnswer,
@@ -63,6 +66,24 @@
     def called_off(self, exchange: Exchange) -> None: ...
 
 
+Arguments = ParamSpec("Arguments")
+
+
+def isolated(
+    method: Callable[Concatenate[Exchange, Arguments], None],
+) -> Callable[Concatenate[Exchange, Arguments], None]:
+    """An error inside ends this request alone: not the work for others that its caller goes on with."""
+
+    @wraps(method)
+    def call(self: Exchange, /, *arguments: Arguments.args, **named: Arguments.kwargs) -> None:
+        try:
+            method(self, *arguments, **named)
+        except Exception as error:
+            self.end_broken(error)
+
+    return call
+
+
 class Exchange:
     """Listens to the worker's answer, and has the client's written."""
 
@@ -93,6 +114,7 @@
 
     # ---- what the dispatcher decides ----
 
+    @isolated
     def send(self, worker: WorkerEntry, urgency: int | None = None) -> None:
         """Begin an attempt at a worker."""
         if not self._response.resumable:  # another run would begin at the first event again
@@ -111,19 +133,23 @@
         number = self._attempts
         self._pool.connect(worker.address, lambda result: self._connected(number, worker, result))
 
+    @isolated
     def refuse(self, decision: Refuse) -> None:
         """Give a final answer: not run, or harmless to repeat."""
         self._end_with(self._answer or refused(decision), RequestOutcome.REFUSED, decision.reason.name)
 
+    @isolated
     def fail(self, decision: Fail) -> None:
         """Give a final answer that promises nothing."""
         self._end_with(self._answer or failed(decision), RequestOutcome.FAILED, decision.reason.name)
 
+    @isolated
     def expire(self, decision: Expire) -> None:
         """The time for the request is over."""
         self._call_off()
         self._end_with(expired(ran=decision.ran), RequestOutcome.EXPIRED, "deadline")
 
+    @isolated
     def give_up_attempt(self) -> None:
         """The worker is silent: call the attempt off, and say so."""
         if self._attempt is not None:
@@ -157,6 +183,7 @@
             may_have_run=self._may_have_run(),
         )
 
+    @isolated
     def shut_down(self) -> None:
         """The process ends: a request without an answer gets one, a stream is broken off."""
         ran = self._may_have_run()
@@ -170,12 +197,14 @@
 
     # ---- the client's connection ----
 
+    @isolated
     def client_gone(self) -> None:
         self._response.client_gone()
         self._call_off()
         self._ended(RequestOutcome.CLIENT_LEFT, 0, "")
         self._owner.called_off(self)
 
+    @isolated
     def writable(self, on: bool) -> None:
         self._client_full = not on
         attempt = self._attempt
@@ -189,6 +218,7 @@
 
     # ---- the attempt ----
 
+    @isolated
     def _connected(self, number: int, worker: WorkerEntry, result: ConnectResult) -> None:
         attempt = self._attempt
         if attempt is None or attempt.number != number:
@@ -228,6 +258,7 @@
 
     # ---- the worker's answer ----
 
+    @isolated
     def on_head(self, head: Head) -> None:
         attempt = self._attempt
         assert attempt is not None
@@ -246,6 +277,7 @@
         if head.status in SUCCESS_STATUS:
             self._started()
 
+    @isolated
     def on_body(self, piece: memoryview) -> None:
         attempt = self._attempt
         assert attempt is not None
@@ -258,6 +290,7 @@
         if len(attempt.body) > MOST_WHOLE_ANSWER:
             self._end_attempt(Ending.MALFORMED)
 
+    @isolated
     def on_end(self, *, framed: bool) -> None:
         attempt = self._attempt
         assert attempt is not None
@@ -271,6 +304,7 @@
         else:
             self._end_attempt(Ending.CLOSED)  # in the middle of an event
 
+    @isolated
     def on_failure(self, failure: Failure) -> None:
         attempt = self._attempt
         if attempt is None:
@@ -375,6 +409,14 @@
             self._ended(outcome, status, reason)
         self._owner.finished(self)
 
+    def end_broken(self, error: Exception) -> None:
+        """Something in here has failed: the client gets no answer, or no more of it."""
+        unhandled_errors.record("a request is given up", error, attempt_id=self._request.attempt_id)
+        self._call_off()
+        self._response.break_off()
+        self._ended(RequestOutcome.FAILED, 0, repr(error))
+        self._owner.called_off(self)
+
     def _ended(self, outcome: RequestOutcome, status: int, reason: str) -> None:
         self.trace.ended(outcome, status, reason, self._age_ms())
 
--- a/reedspoke/lab/fleet_soak/__main__.py
+++ b/reedspoke/lab/fleet_soak/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import shutil
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -67,7 +68,8 @@
     verdict = f"{len(report.problems)} PROBLEMS" if report.problems else "sound"
     return (
         f"seed {report.seed}: {report.seconds:g} s, {sum(report.played.values())} troubles "
-        f"({report.overlapping} overlapping); {orders}; requests: {requests}; well after {report.recovery_s:g} s: {verdict}"
+        f"({report.overlapping} overlapping); {orders}; requests: {requests}; "
+        f"well after {report.recovery_s:g} s: {verdict}"
     )
 
 
@@ -91,6 +93,7 @@
 
 def main(words: Sequence[str] | None = None) -> int:
     """The exit status."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the fleet's processes are ended
     arguments = build_parser().parse_args(words)
     reports = []
     for plan in plans_of(arguments):
--- a/reedspoke/lab/fleet_soak/findings.py
+++ b/reedspoke/lab/fleet_soak/findings.py
@@ -9,8 +9,17 @@
 import msgspec
 
 from reedspoke.cluster.figures import VIOLATION_EVENT
-
-SUSPECT_EVENTS = (VIOLATION_EVENT, "session given up", "entry does not follow", "list duty failed")
+from reedspoke.cluster.unhandled_errors import LIBRARY_EVENT, UNHANDLED_EVENT
+
+SUSPECT_EVENTS = (
+    VIOLATION_EVENT,
+    UNHANDLED_EVENT,
+    LIBRARY_EVENT,
+    "operator call failed",
+    "session given up",
+    "entry does not follow",
+    "list duty failed",
+)
 LONGEST_TOLD = 700  # characters of a line in a report
 
 
--- a/tests/data_plane/test_broken_transports.py
+++ b/tests/data_plane/test_broken_transports.py
@@ -53,3 +53,17 @@
         plane.loop.run_for(WAIT_S)
         assert [answer(other).status for other in others] == [503, 503, 503]
         assert plane.plane.open_requests() == 0
+
+
+def test_nothing_is_written_to_a_connection_that_is_being_closed() -> None:
+    with fresh_plane() as plane:
+        plane.learn()
+        client = plane.asked("/stream/")
+        worker = plane.arrival().worker
+        worker.say(plane.arrival().stream_head() + b"c\r\nid: 1\ndata\n\n\r\n")
+        writes: list[bytes] = []
+        client.write = writes.append  # type: ignore[assignment,method-assign]
+        client.is_closing = lambda: True  # type: ignore[method-assign]
+        worker.say(b"".join(b"c\r\nid: %d\ndata\n\n\r\n" % number for number in range(2, 8)))
+        assert writes == []
+        del client.write, client.is_closing
