Failing tests: a control scheduler that fails in one step lives on without work

Cause: found by reading, while listing the promises, and proven by an injected error. The driver asks for its next tick behind the work of this one, so one unexpected error ends all ticks: no pings, leases or repairs, and the process lives. A replica's error loses its effects, a store among them. A peer link's task ends and is not missed.

--- a/reedspoke/lab/fleet_soak/soak_fleet.py
+++ b/reedspoke/lab/fleet_soak/soak_fleet.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import structs
 
-from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.cluster.node_settings import FaultTolerance, NodeSettings
 from reedspoke.lab.fleet_emulator.ingress import EdgeAddress
 from reedspoke.lab.fleet_emulator.layout import Layout, control_settings, edge_settings
 from reedspoke.lab.fleet_emulator.process import CONTROL_PLANE, DATA_PLANE, FleetProcess
@@ -134,6 +134,7 @@
         self._folder = folder
         self._relay = relay
         self._next_control = control
+        self._tolerated = (control - 1) // 2
         self.control = [self._control(number, min(control, MOST_SEEDS)) for number in range(control)]
         self.edges = [
             SoakProcess(DATA_PLANE, edge_settings(layout, number, min(control, MOST_SEEDS)), folder, relay)
@@ -144,6 +145,7 @@
         data_dir = self._folder / f"disk-{number}"
         data_dir.mkdir()
         settings = control_settings(self.layout, number, seeds, str(data_dir))
+        settings = structs.replace(settings, fault_tolerance=FaultTolerance(machines=self._tolerated))
         return SoakProcess(CONTROL_PLANE, settings, self._folder, self._relay)
 
     @property
--- /dev/null
+++ b/tests/control_plane/test_unexpected_errors.py
@@ -0,0 +1,97 @@
+"""An unexpected error does not leave a control scheduler alive without doing its work."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.cluster.unhandled_errors import unhandled_errors
+from reedspoke.control_plane import driver as driver_module
+from reedspoke.control_plane import peer_transport
+from reedspoke.control_plane.driver import ReplicaDriver
+from reedspoke.control_plane.peer_messages import LeaseRelease
+from reedspoke.control_plane.replica import Replica
+from tests.control_plane.test_storage_driver import ADDRESS, Surroundings
+from tests.control_plane_process.test_peer_transport import Scheduler, two
+
+LIMIT_S = 5.0
+FAILING_TICK = 3
+TICKS = 10
+
+
+class FailingSurroundings(Surroundings):
+    """Fails at one tick."""
+
+    def __init__(self) -> None:
+        self.ticks = 0
+
+    def ticked(self) -> None:
+        self.ticks += 1
+        if self.ticks == FAILING_TICK:
+            raise ZeroDivisionError
+
+
+def drive(folder: Path, surroundings: Surroundings, until: Callable[[ReplicaDriver], bool]) -> None:
+    """Run a driver until the condition holds."""
+
+    async def run() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        settings = NodeSettings(
+            "core-1", "127.0.0.1", "z", seed_nodes=("127.0.0.1:8146",), bootstrap=True, data_dir=str(folder)
+        )
+        driver = ReplicaDriver(settings, ADDRESS, surroundings)
+        driver.start()
+        async with asyncio.timeout(LIMIT_S):
+            while not until(driver):
+                await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+def test_the_ticks_go_on_after_an_error_in_one_of_them(tmp_path: Path) -> None:
+    surroundings = FailingSurroundings()
+    before = unhandled_errors.count
+    drive(tmp_path, surroundings, lambda driver: surroundings.ticks >= TICKS)
+    assert unhandled_errors.count == before + 1
+
+
+def test_a_replica_that_fails_ends_its_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its state is no longer known to be right, and its effects are lost: it starts again from its disk."""
+    ended: list[int] = []
+    monkeypatch.setattr(driver_module, "end_process", ended.append, raising=False)
+
+    def fail(*_: Any) -> None:
+        raise ZeroDivisionError
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Replica, "handle", fail)
+        drive(tmp_path, Surroundings(), lambda driver: bool(ended))
+    assert ended[0] == driver_module.REPLICA_FAILED_EXIT
+
+
+def test_a_link_to_a_peer_goes_on_after_an_unexpected_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    opened = peer_transport.open_channel
+    failures = [ZeroDivisionError]
+
+    async def open_channel(address: str) -> Any:
+        if failures:
+            raise failures.pop()
+        return await opened(address)
+
+    monkeypatch.setattr(peer_transport, "open_channel", open_channel)
+
+    async def scene(first: Scheduler, second: Scheduler) -> None:
+        await second.transport.listen()
+
+        def has_come() -> bool:
+            first.transport.send(second.address, LeaseRelease(1))
+            return bool(second.terms)
+
+        await second.until(has_come)
+
+    two(scene)
