Work in the background outlives an unexpected error; a failed replica ends its process

Class: one step that fails ends the work. Change: cluster/background.py begins such work again, logged and counted; timers are set before the work that may fail; a connection that fails in any way is told as failed (the request went nowhere until its deadline before); each effect of a replica is carried out on its own. A replica's own error ends the process with 3: its state is not known to be right any more, and the platform starts it again from its disk. Looked for elsewhere: every create_task and call_later of the two programs.

--- a/reedspoke/cluster/transport.py
+++ b/reedspoke/cluster/transport.py
@@ -41,7 +41,12 @@
         self.send_encoded(encode(message))
 
     def send_encoded(self, payload: bytes) -> None:
-        """Queue a message that `encode` has made bytes of; one that many get is encoded once."""
+        """Queue a message that `encode` has made bytes of; one that many get is encoded once.
+
+        A connection that is over takes nothing more; its reader is told of the end.
+        """
+        if self._writer.is_closing():
+            return
         self._writer.write(LENGTH.pack(len(payload)) + payload)
 
     def waiting(self) -> int:
--- a/reedspoke/cluster/unhandled_errors.py
+++ b/reedspoke/cluster/unhandled_errors.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import os
+import sys
 import traceback
 from typing import Any
 
@@ -51,6 +53,12 @@
     return [f"{frame.filename.rpartition('/')[2]}:{frame.lineno} {frame.name}" for frame in frames]
 
 
+def end_process(status: int) -> None:
+    """End at once: the platform starts the process again."""
+    sys.stderr.flush()
+    os._exit(status)
+
+
 unhandled_errors = UnhandledErrors()  # of this process
 
 
--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -14,6 +14,7 @@
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.json_log import ERROR, INFO, log
 from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.cluster.unhandled_errors import end_process, unhandled_errors
 from reedspoke.control_plane.events import (
     Committed,
     Deliver,
@@ -42,6 +43,7 @@
 from reedspoke.telemetry.invariants import Invariant, check
 
 OPEN_RETRY_S = 0.5
+REPLICA_FAILED_EXIT = 3  # exit status
 
 Value = TypeVar("Value")
 
@@ -103,13 +105,26 @@
         self._handling = True
         try:
             while self._events:
-                now = self._loop.time()
-                for effect in self._replica.handle(now, self._events.popleft()):
-                    self._check_grant(effect, now)
-                    self._carry_out(effect)
+                self._handle_one(self._replica, self._events.popleft())
         finally:
             self._handling = False
 
+    def _handle_one(self, replica: Replica, event: Event) -> None:
+        now = self._loop.time()
+        try:
+            effects = replica.handle(now, event)
+        except Exception as error:
+            self._replica_failed(error)
+            return
+        for effect in effects:
+            self._check_grant(effect, now)
+            self._carry_out_isolated(effect)
+
+    def _replica_failed(self, error: Exception) -> None:
+        """Its state is not known to be right, and its effects are lost: it starts again from its disk."""
+        unhandled_errors.record("the replica has failed, and its process ends", error)
+        end_process(REPLICA_FAILED_EXIT)
+
     def received(self, sender: str, message: ReplicaMessage) -> None:
         """A message of another replica; there is none to take it before the data folder is open."""
         if self._replica is not None:
@@ -184,6 +199,13 @@
             granted = self._replica is not None and self._replica.holds_majority(now)
             check(Invariant.READ_HAS_GRANT, granted, answer=type(effect).__name__)
 
+    def _carry_out_isolated(self, effect: Effect) -> None:
+        """An error around the replica must not cost the effects behind this one, as a store."""
+        try:
+            self._carry_out(effect)
+        except Exception as error:
+            unhandled_errors.record("an effect has failed", error, effect=type(effect).__name__)
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case SendTo():
@@ -202,10 +224,13 @@
                 log(level, text, **fields)
 
     def _tick(self) -> None:
+        self._loop.call_later(TICK_S, self._tick)  # first: an error in this one must not be the end of all
         if self._replica is not None:
             self.handle(Tick())
-        self._surroundings.ticked()
-        self._loop.call_later(TICK_S, self._tick)
+        try:
+            self._surroundings.ticked()
+        except Exception as error:
+            unhandled_errors.record("a tick has failed", error)
 
     # ---- on the storage thread ----
 
--- a/reedspoke/control_plane/http_server.py
+++ b/reedspoke/control_plane/http_server.py
@@ -97,11 +97,11 @@
         self._connections.discard(connection)
 
     def _sweep(self) -> None:
+        self._next_sweep = self._loop.call_later(SWEEP_S, self._sweep)
         now = self._loop.time()
         for connection in list(self._connections):
             if connection.overdue(now):
                 connection.abort()
-        self._next_sweep = self._loop.call_later(SWEEP_S, self._sweep)
 
 
 class HttpConnection(asyncio.BufferedProtocol):
--- a/reedspoke/control_plane/peer_transport.py
+++ b/reedspoke/control_plane/peer_transport.py
@@ -14,6 +14,7 @@
 
 from msgspec import Struct
 
+from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.json_log import DEBUG, INFO, log
 from reedspoke.cluster.messages import EdgeMessage, Fetch, Watch, WorkerList, encode
 from reedspoke.cluster.node_settings import split_address
@@ -72,7 +73,7 @@
         self._queue: deque[Queued] = deque(maxlen=MOST_QUEUED)
         self._loop = asyncio.get_running_loop()
         self.used_at = self._loop.time()
-        self._task = self._loop.create_task(self._run())
+        self._task = self._loop.create_task(keep_running("a link to a peer", self._run))
 
     def send(self, payload: bytes) -> None:
         """Send or queue an encoded message, or drop it where the peer does not take any."""
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.configuration import Configuration
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.figures import serve_figures
@@ -16,6 +17,7 @@
 from reedspoke.cluster.line_budget import LineBudget
 from reedspoke.cluster.messages import ControlMember, WorkerList, encode
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
+from reedspoke.cluster.unhandled_errors import end_process
 from reedspoke.control_plane.configuration_cache import ConfigurationCache, Prepared
 from reedspoke.control_plane.driver import ReplicaDriver
 from reedspoke.control_plane.duty_lease import DutyLease, Outgoing
@@ -49,6 +51,7 @@
 LEAVE_MARGIN_S = 1.0  # the process ends that long before the settings' grace_s is over
 LEAVE_LOOK_S = 0.05
 LEAST_LEAVE_S = 0.3  # for the others to go on without this replica
+DUTY_FAILED_EXIT = 1  # exit status
 TOLD_S = 0.2  # so long after this replica has learned that it is out of the chain, the others know it too
 
 
@@ -115,7 +118,7 @@
         self._driver.start()
         duty = self._loop.create_task(self._duty.run())
         duty.add_done_callback(self._duty_ended)
-        first_list = self._loop.create_task(self._duty.first_list())
+        first_list = self._loop.create_task(keep_running("the first list", self._duty.first_list))
         figures = await serve_figures(self._settings, self._registry)
         log(INFO, "control plane up", node=self._settings.node_name, address=self._address)
         await self._ended.wait()
@@ -329,7 +332,7 @@
     def _duty_ended(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
             log(ERROR, "list duty failed", error=repr(task.exception()))
-            os._exit(1)
+            end_process(DUTY_FAILED_EXIT)
 
     async def _leave(self) -> None:
         self._leaving = True
--- a/reedspoke/data_plane/control_session.py
+++ b/reedspoke/data_plane/control_session.py
@@ -9,6 +9,7 @@
 
 from msgspec import Struct
 
+from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.json_log import INFO, WARNING, log
 from reedspoke.cluster.transport import CONNECTION_ENDED, Channel, open_channel
 from reedspoke.data_plane.conversation import Conversation, OwnState, SessionPace
@@ -54,9 +55,13 @@
         """Runs until it is cancelled."""
         loop = self._loop = asyncio.get_running_loop()
         own_zone = self._own_state().zone
-        try:
+
+        async def look_again_and_again() -> None:
             while True:
                 await self._look(loop.time(), own_zone)
+
+        try:
+            await keep_running("the choice of sessions", look_again_and_again)
         finally:
             for session in self._open_sessions.values():
                 session.task.cancel()
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -225,7 +225,12 @@
 
     def _look_after(self) -> None:
         self._watch = None
-        now = self._loop.time()
+        try:
+            self._end_what_is_late(self._loop.time())
+        finally:
+            self._watch_later()
+
+    def _end_what_is_late(self, now: float) -> None:
         attempts = [attempt for item in self._exchanges.values() if (attempt := item.open_attempt())]
         for expired in overdue_ends(attempts, now):
             self._end_overdue(expired)
@@ -235,7 +240,6 @@
                 exchange.give_up_attempt()
         if not self._exchanges:
             check_idle(self._dispatcher)
-        self._watch_later()
 
     def _gains_by_another(self, exchange: Exchange, now: float) -> bool:
         """Silence alone is no reason to break a stream off: it goes to another worker or goes on waiting."""
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from random import Random
 
+from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.configuration import Configuration, RequestLimits
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.figures import serve_figures
@@ -110,7 +111,7 @@
             backlog=BACKLOG,
         )
         following = self._loop.create_task(self._sessions.run())
-        reloading = self._loop.create_task(self._poll_settings())
+        reloading = self._loop.create_task(keep_running("settings", self._poll_settings))
         figures = await serve_figures(self._settings, self._registry)
         log(INFO, "data plane up", node=self._settings.node_name)
         await self._first_state()
--- a/reedspoke/data_plane/upstream_pool.py
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from reedspoke.cluster.node_settings import split_address
+from reedspoke.cluster.unhandled_errors import unhandled_errors
 from reedspoke.data_plane.upstream_connection import UpstreamConnection
 
 CONNECT_TIMEOUT_S = 0.8
@@ -51,12 +52,15 @@
         done(await self._open(address))
 
     async def _open(self, address: str) -> ConnectResult:
-        host, port = split_address(address)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(self._make, host, port)
         except OSError:  # TimeoutError is one
             return ConnectFailure()
+        except Exception as error:  # as an address that is none: the request that waits has to go elsewhere
+            unhandled_errors.record("a connection to a worker fails", error, address=address)
+            return ConnectFailure()
         return connection
 
     def _make(self) -> UpstreamConnection:
--- a/tests/control_plane/test_unexpected_errors.py
+++ b/tests/control_plane/test_unexpected_errors.py
@@ -10,6 +10,7 @@
 import pytest
 
 from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.cluster.transport import Channel, open_channel
 from reedspoke.cluster.unhandled_errors import unhandled_errors
 from reedspoke.control_plane import driver as driver_module
 from reedspoke.control_plane import peer_transport
@@ -75,15 +76,14 @@
 
 
 def test_a_link_to_a_peer_goes_on_after_an_unexpected_error(monkeypatch: pytest.MonkeyPatch) -> None:
-    opened = peer_transport.open_channel
     failures = [ZeroDivisionError]
 
-    async def open_channel(address: str) -> Any:
+    async def open_or_fail(address: str) -> Channel:
         if failures:
             raise failures.pop()
-        return await opened(address)
+        return await open_channel(address)
 
-    monkeypatch.setattr(peer_transport, "open_channel", open_channel)
+    monkeypatch.setattr(peer_transport, "open_channel", open_or_fail)
 
     async def scene(first: Scheduler, second: Scheduler) -> None:
         await second.transport.listen()
--- a/tests/data_plane/test_conversation.py
+++ b/tests/data_plane/test_conversation.py
@@ -257,6 +257,9 @@
         def get_extra_info(self, name: str) -> None:
             return None
 
+        def is_closing(self) -> bool:
+            return False
+
         def write(self, data: bytes) -> None:
             sent.append(data)
 
