--- /dev/null
+++ b/tests/control_plane/test_invariant_checks.py
@@ -0,0 +1,125 @@
+"""Each invariant of the control plane is seen to be broken where the guard before it is gone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from msgspec import structs
+
+from reedspoke.cluster.errors import ErrorCode
+from reedspoke.cluster.messages import WorkerList
+from reedspoke.cluster.node_settings import NodeSettings
+from reedspoke.control_plane.driver import ReplicaDriver
+from reedspoke.control_plane.duty_lease import DutyLease
+from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer, View
+from reedspoke.control_plane.replica_invariants import ReplicaInvariants
+from reedspoke.telemetry.invariants import Invariant, monitor
+from tests.control_plane.chain_replica import MIDDLE, ChainReplica, entry
+from tests.control_plane.test_guards_process import Process, play
+from tests.control_plane.test_storage_driver import ADDRESS, Surroundings
+
+
+def broken_by(doing: Callable[[], object]) -> set[Invariant]:
+    """The invariants that this violates."""
+    monitor.forget()
+    doing()
+    return {violation.invariant for violation in monitor.forget()}
+
+
+def view(number: int) -> View:
+    return View(number, (), ())
+
+
+def committed(sequence: int, document: bytes = b"{}") -> Committed:
+    return Committed(sequence, sequence, document, 1)
+
+
+def test_a_view_that_goes_back() -> None:
+    seen = ReplicaInvariants()
+    assert broken_by(lambda: seen.handled(view(4), None, None)) == set()
+    assert broken_by(lambda: seen.handled(view(3), None, None)) == {Invariant.VIEW_RISES}
+
+
+def test_a_sequence_that_goes_back() -> None:
+    seen = ReplicaInvariants()
+    assert broken_by(lambda: seen.handled(None, committed(4), None)) == set()
+    assert broken_by(lambda: seen.handled(None, committed(3), None)) == {Invariant.SEQUENCE_RISES}
+    assert broken_by(lambda: seen.handled(None, None, None)) == {Invariant.SEQUENCE_RISES}
+
+
+def test_two_changes_of_one_sequence() -> None:
+    held = entry(4)
+    same = Committed(4, held.generation, held.document, 1)
+    other = structs.replace(same, document=b"another")
+    assert broken_by(lambda: ReplicaInvariants().handled(None, same, held)) == set()
+    assert broken_by(lambda: ReplicaInvariants().handled(None, other, held)) == {
+        Invariant.ONE_CHANGE_A_SEQUENCE
+    }
+
+
+def test_an_acknowledgement_before_the_sync(monkeypatch: pytest.MonkeyPatch) -> None:
+    replica = ChainReplica(MIDDLE, held=entry(1))
+
+    def act() -> None:
+        replica.register.entry = entry(2)  # as if its store had ended
+        replica.chain._tell_state()
+
+    assert broken_by(act) == {Invariant.ACKNOWLEDGED_IS_SYNCED}
+
+
+class WithoutMajority:
+    """A replica behind which no majority stands."""
+
+    def holds_majority(self, now: float) -> bool:
+        return False
+
+
+def test_an_answer_without_a_grant(tmp_path: Path) -> None:
+    async def run() -> None:
+        settings = NodeSettings("core-1", "127.0.0.1", "z", data_dir=str(tmp_path))
+        driver: Any = ReplicaDriver(settings, ADDRESS, Surroundings())
+        driver._replica = WithoutMajority()
+        for answer in (PutAnswer(1, None), GetAnswer(1, committed(1))):
+            assert broken_by(lambda answer=answer: driver._check_grant(answer, 0.0)) == {  # type: ignore[misc]
+                Invariant.READ_HAS_GRANT
+            }
+        refused = PutAnswer(1, ErrorCode.NO_QUORUM, "")
+        assert broken_by(lambda: driver._check_grant(refused, 0.0)) == set()
+
+    asyncio.run(run())
+
+
+def test_state_that_is_told_without_a_grant() -> None:
+    async def scene(process: Process) -> None:
+        process.driver.as_of = 5.0
+        process.driver.holds_majority = lambda: False  # type: ignore[method-assign]
+        assert broken_by(process.confirmed_as_of) == {Invariant.STATE_HAS_GRANT}
+
+    play(scene)
+
+
+def test_a_list_that_is_published_without_the_lease() -> None:
+    async def scene(process: Process) -> None:
+        loop = asyncio.get_running_loop()
+        lease = DutyLease("127.0.0.1:1", loop.time(), fresh_fleet=True, identity=1)
+        published: Any = process
+        published._lease = lease
+        published._state = Silent()
+
+        def publish() -> None:
+            published._publish_workers(WorkerList((7, 1), ()))
+
+        assert broken_by(publish) == {Invariant.DUTY_HAS_LEASE}
+
+    play(scene)
+
+
+class Silent:
+    """Tells nothing to others."""
+
+    def workers_frame(self, now: float) -> None:
+        return None
