Soak: each failed try of a client has to be explained by a log line

Cause: the sight on failed requests was tested on requests that the tests knew of, not on those that a run happens to break. Change: the emulated clients note their failed tries; the soak looks for each attempt id in the logs.

--- a/reedspoke/lab/fleet_emulator/client.py
+++ b/reedspoke/lab/fleet_emulator/client.py
@@ -6,6 +6,8 @@
 import random
 import time
 
+from msgspec import Struct
+
 from reedspoke.lab.fleet_emulator import http_messages as http
 from reedspoke.lab.fleet_emulator.answer_check import MixedAnswerError
 from reedspoke.lab.fleet_emulator.client_pool import ClientPool
@@ -21,6 +23,16 @@
 FIRST_WAIT_S = 0.05
 
 
+class FailedTry(Struct, frozen=True):
+    """A try without a success: the address it was sent to, and times of the steady clock in s."""
+
+    attempt_id: str
+    address: str
+    cause: str
+    sent_at: float
+    ended_at: float
+
+
 class Client:
     """Sends requests and judges their answers."""
 
@@ -29,6 +41,7 @@
         self._ledger = ledger
         self._tally = tally
         self._random = random.Random(seed)
+        self.failed_tries: list[FailedTry] = []
 
     async def run(self, workload: Workload, seconds: float) -> None:
         """Send the requests of a workload at their times, and wait for all answers."""
@@ -61,6 +74,7 @@
         except (OSError, TimeoutError) as error:
             return TryResult(cause=f"connect: {type(error).__name__}", nothing_sent=True)
         attempt_id = f"{self._random.getrandbits(64):016x}"
+        sent_at = time.monotonic()
         connection.write(render_try(state, attempt_id, self._ledger))
         result = await self._read(connection, state, attempt_id)
         if result.head is None:
@@ -68,6 +82,10 @@
         else:
             self._pool.give_back(connection, state.address, result.head)
             self._record(attempt_id, result)
+        if not result.success:
+            cause = result.cause or f"status {result.status}"
+            failed = FailedTry(attempt_id, state.address, cause, sent_at, time.monotonic())
+            self.failed_tries.append(failed)
         return result
 
     async def _read(self, connection: HttpConnection, state: RequestState, attempt_id: str) -> TryResult:
--- a/reedspoke/lab/fleet_soak/findings.py
+++ b/reedspoke/lab/fleet_soak/findings.py
@@ -10,6 +10,7 @@
 
 from reedspoke.cluster.figures import VIOLATION_EVENT
 from reedspoke.cluster.unhandled_errors import LIBRARY_EVENT, UNHANDLED_EVENT
+from reedspoke.lab.fleet_emulator.client import FailedTry
 
 SUSPECT_EVENTS = (
     VIOLATION_EVENT,
@@ -20,6 +21,7 @@
     "entry does not follow",
     "list duty failed",
 )
+ENDING_S = 12.0  # from SIGTERM on until the process has ended and begun again
 LONGEST_TOLD = 700  # characters of a line in a report
 
 
@@ -58,6 +60,25 @@
     return counts
 
 
+def unexplained(folder: Path, tries: list[FailedTry], ends: dict[str, list[float]]) -> list[str]:
+    """Failed tries of clients of which no log tells.
+
+    `ends` has for each address when its process was killed or began to end: what it had not read, or did not
+    live to tell, is explained by that.
+    """
+    logs = "".join(log.read_text(errors="replace") for log in folder.glob("*.log"))
+    return [
+        f"no log tells of {one.attempt_id} at {one.address}, sent at {one.sent_at:.2f}: {one.cause}"
+        for one in tries
+        if one.attempt_id not in logs and not ended_near(one, ends.get(one.address, []))
+    ]
+
+
+def ended_near(one: FailedTry, ends: list[float]) -> bool:
+    """Whether the process that was asked ended at that time, or began to."""
+    return any(one.sent_at - ENDING_S <= end <= one.ended_at for end in ends)
+
+
 def find_request(folder: Path, attempt_id: str) -> list[str]:
     """All log lines on one attempt id: what explains a failed request afterwards."""
     return [
--- a/reedspoke/lab/fleet_soak/relay.py
+++ b/reedspoke/lab/fleet_soak/relay.py
@@ -92,6 +92,8 @@
             await self._carry(reader, writer)
         except (*ENDED, TimeoutError, ValueError):
             pass
+        except asyncio.CancelledError:
+            pass  # the run ends
         finally:
             self._tasks.discard(task)
             writer.transport.abort()
--- a/reedspoke/lab/fleet_soak/soak_fleet.py
+++ b/reedspoke/lab/fleet_soak/soak_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 from random import Random
 
@@ -36,6 +37,7 @@
         self.paused = 0
         self.wanted = False  # whether it is to run now
         self.starts = 0
+        self.ends: list[float] = []  # when it was killed, or got SIGTERM; seconds of the steady clock
         self._log_begin = 0  # bytes of the log that earlier lives wrote
         self._folder = folder
         self._words = [sys.executable, "-m", NODE_MODULE, module]
@@ -86,6 +88,7 @@
             self.send_signal(signal.SIGCONT)
 
     def kill(self) -> None:
+        self.ends.append(time.monotonic())
         self.wanted = False
         self.paused = 0
         super().kill()
@@ -107,6 +110,7 @@
 
         The time in which it stood still does not count.
         """
+        self.ends.append(time.monotonic())
         self.wanted = False
         self.terminate()
         status, left_s = None, GRACE_S + END_MARGIN_S
--- a/reedspoke/lab/fleet_soak/soak_run.py
+++ b/reedspoke/lab/fleet_soak/soak_run.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct
 
-from reedspoke.lab.fleet_emulator.client import Client
+from reedspoke.lab.fleet_emulator.client import Client, FailedTry
 from reedspoke.lab.fleet_emulator.client_pool import ClientPool
 from reedspoke.lab.fleet_emulator.ingress import Ingress, is_ready
 from reedspoke.lab.fleet_emulator.layout import (
@@ -26,7 +26,7 @@
 from reedspoke.lab.fleet_emulator.tally import Outcome, Tally
 from reedspoke.lab.fleet_emulator.workload import RequestKind, Workload
 from reedspoke.lab.fleet_soak.figures_reader import evaluations_in, figures_of, value_in
-from reedspoke.lab.fleet_soak.findings import suspect_lines
+from reedspoke.lab.fleet_soak.findings import suspect_lines, unexplained
 from reedspoke.lab.fleet_soak.history import History, Order, Verdict
 from reedspoke.lab.fleet_soak.nuisance_clients import NuisanceClient
 from reedspoke.lab.fleet_soak.operators import Operator
@@ -63,6 +63,7 @@
     carried: int
     nuisances: int
     recovery_s: float
+    failed_tries: int
 
 
 class SoakRun:
@@ -82,6 +83,7 @@
         self._workers = SoakWorkers(layout, plan.workers, plan.seed, self._ledger)
         self._begun = time.monotonic()
         self._recovery_s = 0.0
+        self._failed_tries: list[FailedTry] = []
 
     async def play(self) -> SoakReport:
         """Start, trouble, calm, stop, judge."""
@@ -143,7 +145,9 @@
         await ingress.look()
         pool = ClientPool(ingress)
         with background(ingress.run()):
-            await Client(pool, self._ledger, tally, seed).run(Workload(self._kinds, seed), seconds)
+            client = Client(pool, self._ledger, tally, seed)
+            await client.run(Workload(self._kinds, seed), seconds)
+        self._failed_tries += client.failed_tries
         pool.close()
 
     async def _watch_processes(self) -> None:
@@ -230,6 +234,8 @@
             self.problems.append(f"{served} of {asked} requests served after all troubles: {causes}")
         for log in sorted(self.folder.glob("*.log")):
             self.problems += [f"{log.stem}: {line}" for line in suspect_lines(log)]
+        ends = {edge.settings.bind.frontend: edge.ends for edge in self._fleet.edges}
+        self.problems += unexplained(self.folder, self._failed_tries, ends)
 
     def _report(self, troubles: Troubles, nuisances: int) -> SoakReport:
         outcomes = {outcome.value: self._tally.total(outcome) for outcome in Outcome}
@@ -246,6 +252,7 @@
             carried=self._relay.carried,
             nuisances=nuisances,
             recovery_s=round(self._recovery_s, 2),
+            failed_tries=len(self._failed_tries),
         )
 
 
--- a/tests/lab_soak/test_disk.py
+++ b/tests/lab_soak/test_disk.py
@@ -13,7 +13,6 @@
 from reedspoke.lab.fleet_soak.disk_layer import FULL, NONE, DiskLayer
 from reedspoke.lab.fleet_soak.power_loss import lose_disk, lose_power
 
-
 NOTHING_KEPT = 2  # a seed
 
 
--- a/tests/lab_soak/test_findings.py
+++ b/tests/lab_soak/test_findings.py
@@ -6,8 +6,15 @@
 
 import pytest
 
+from reedspoke.lab.fleet_emulator.client import FailedTry
 from reedspoke.lab.fleet_soak.figures_reader import evaluations_in, value_in
-from reedspoke.lab.fleet_soak.findings import events_in, find_request, is_suspect, suspect_lines
+from reedspoke.lab.fleet_soak.findings import (
+    events_in,
+    find_request,
+    is_suspect,
+    suspect_lines,
+    unexplained,
+)
 
 GOOD = '{"at":"t","level":"info","event":"leaving"}'
 BAD = '{"at":"t","level":"error","event":"invariant violated","attempt_id":"a7"}'
@@ -39,3 +46,13 @@
     assert evaluations_in(text) == {"view_rises": 12}
     assert value_in(text, "open") == 3
     assert value_in(text, "closed") is None
+
+
+def test_a_failed_try_is_explained_by_a_log_or_by_the_end_of_its_process(tmp_path: Path) -> None:
+    (tmp_path / "edge-0.log").write_text(f"{BAD}\n")
+    told = FailedTry("a7", "e0", "deadline", 5.0, 6.0)
+    killed = FailedTry("a8", "e1", "reset", 5.0, 6.0)
+    untold = FailedTry("a9", "e1", "reset", 40.0, 41.0)
+    found = unexplained(tmp_path, [told, killed, untold], {"e1": [5.5]})
+    assert len(found) == 1
+    assert "a9" in found[0]
