--- a/reedspoke/lab/fleet_soak/plan.py
+++ b/reedspoke/lab/fleet_soak/plan.py
@@ -13,7 +13,7 @@
 LEAST_S = 0.05  # the shortest trouble
 LONGEST_S = 7.0  # longer than every lease, session and time-out of the fleet
 FIRST_AT_S = 0.5
-APART_S = 1.5  # between two troubles that do not come together, on average
+APARTS_S = (0.8, 1.5, 4.0)  # between two troubles that do not come together: one of these averages a run
 TOGETHER = 0.6  # share of troubles that come within TOGETHER_S of the one before
 TOGETHER_S = 0.4
 
@@ -73,12 +73,13 @@
 def draw_plan(seed: int, seconds: float) -> Plan:
     """The plan of a seed."""
     random = Random(seed)
+    apart_s = random.choice(APARTS_S)
     troubles = []
     at = FIRST_AT_S
     while at < seconds:
         troubles.append(_draw_trouble(random, at))
         near = random.random() < TOGETHER
-        at += random.uniform(0, TOGETHER_S) if near else random.expovariate(1 / APART_S)
+        at += random.uniform(0, TOGETHER_S) if near else random.expovariate(1 / apart_s)
     return Plan(seed, seconds, tuple(troubles))
 
 
--- a/reedspoke/lab/fleet_soak/troubles.py
+++ b/reedspoke/lab/fleet_soak/troubles.py
@@ -17,7 +17,7 @@
 from reedspoke.lab.fleet_soak.soak_fleet import MOST_SEEDS, SoakFleet, SoakProcess
 from reedspoke.lab.fleet_soak.soak_workers import SoakWorkers
 
-CATCH_UP_S = 5.0  # after a disk was lost and all are back, before another may be lost
+CATCH_UP_S = 5.0  # without trouble at a control machine, after a disk was lost and before another may be
 WRONG_SEEDS_S = 3.0
 RESTART_S = 0.2
 
@@ -43,6 +43,7 @@
             time.monotonic()
         )  # the last moment at which a control machine was in trouble
         self._control_in_trouble = 0
+        self._disk_missing = False  # a disk was lost, and its successor may not have caught up
         self._busy: set[str] = set()  # processes that are being ended or started
 
     async def run(self) -> None:
@@ -156,8 +157,9 @@
 
     async def _lose_disk(self, trouble: Trouble, *, with_power: bool) -> bool:
         victim = self._control(trouble)
-        if not self._is_settled() or not self._take(victim):
+        if not self._may_lose_disk() or not self._take(victim):
             return False
+        self._disk_missing = True
         with self._unsettling(victim):
             self._log(f"disk of {victim.name} is lost{', all others lose power' if with_power else ''}")
             others = [process for process in self._fleet.control if process is not victim]
@@ -172,8 +174,9 @@
 
     async def _replace(self, trouble: Trouble, *, planned: bool) -> bool:
         victim = self._control(trouble)
-        if not self._is_settled() or not self._take(victim):
+        if not self._may_lose_disk() or not self._take(victim):
             return False
+        self._disk_missing = True
         with self._unsettling(victim):
             self._log(f"{victim.name} is replaced{', the new one first' if planned else ''}")
             if planned:
@@ -292,16 +295,22 @@
         self._busy.discard(Kind.PLATFORM_DOWN.value)
         return True
 
-    # ---- how many disks may be lost ----
+    # ---- how many disks may be lost at a time ----
 
-    def _is_settled(self) -> bool:
-        """No disk may be lost while another control machine is in trouble, or has not caught up."""
+    def _may_lose_disk(self) -> bool:
+        """One disk at a time, whatever else goes on: the next only after the last has surely caught up."""
+        self._note_calm()
+        return not self._disk_missing
+
+    def _note_calm(self) -> None:
         calm_s = time.monotonic() - self._control_unsettled_at
-        return self._control_in_trouble == 0 and calm_s >= CATCH_UP_S
+        if self._control_in_trouble == 0 and calm_s >= CATCH_UP_S:
+            self._disk_missing = False
 
     @contextmanager
     def _unsettling(self, *processes: SoakProcess) -> Iterator[None]:
         counts = any(process.is_control for process in processes)
+        self._note_calm()
         self._control_in_trouble += counts
         try:
             yield
--- a/tests/cluster/test_node_settings.py
+++ b/tests/cluster/test_node_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +11,7 @@
 
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.node_settings import (
+    METRICS,
     SETTINGS_VARIABLE,
     internal_address,
     load_settings,
@@ -106,3 +108,8 @@
 
 def test_an_address_is_split_into_host_and_port() -> None:
     assert split_address("10.1.0.12:8144") == ("10.1.0.12", 8144)
+
+
+def test_the_deploy_file_tells_where_the_figures_are() -> None:
+    deploy = tomllib.loads((Path(__file__).parents[2] / "deploy" / "system.toml").read_text())
+    assert [role["metrics"] for role in deploy["roles"].values()] == [METRICS, METRICS]
--- a/tests/control_plane_process/fleet.py
+++ b/tests/control_plane_process/fleet.py
@@ -12,12 +12,16 @@
 from pathlib import Path
 from typing import Any
 
+from reedspoke.cluster.figures import VIOLATION_EVENT
+from reedspoke.cluster.unhandled_errors import UNHANDLED_EVENT
+from reedspoke.lab.fleet_soak.findings import event_of
 from tests.control_plane_process.stand_ins import Platform, Reply, call, configuration, until
 
 ROOT = Path(__file__).resolve().parents[2]
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 UP_S = 6.0
 HEARTBEAT_MS = 1200
+DEFECT_EVENTS = (VIOLATION_EVENT, UNHANDLED_EVENT)
 
 
 def free_port(hosts: tuple[str, ...]) -> int:
@@ -35,6 +39,13 @@
         return port
 
 
+def defects_in(log_file: Path) -> list[str]:
+    """Log lines of violated invariants and unhandled errors."""
+    if not log_file.exists():
+        return []
+    return [line for line in log_file.read_text().splitlines() if event_of(line) in DEFECT_EVENTS]
+
+
 class Node:
     """One control scheduler."""
 
@@ -62,6 +73,7 @@
             "data_dir": str(self.folder),
             "heartbeat_ms": HEARTBEAT_MS,
             "cloud_api": {"address": self.fleet.platform.address, "rate_per_s": 40, "lag_ms": 100},
+            "metrics": f"{self.fleet.metrics_port}/metrics",
             "a_field_of_later_times": 1,
         }
 
@@ -111,6 +123,7 @@
         self.folder = folder
         self.internal_port = free_port(HOSTS)
         self.control_port = free_port(HOSTS)
+        self.metrics_port = free_port(HOSTS)
         self.platform = Platform("127.0.0.1")
         self.nodes = [Node(self, number, host) for number, host in enumerate(HOSTS)]
 
@@ -123,6 +136,7 @@
             if node.process is not None and node.process.poll() is None:
                 node.kill()
         self.platform.close()
+        assert [line for node in self.nodes for line in defects_in(node.log_file)] == []
 
     def put_until_taken(self, document: bytes, match: int, within: float) -> float:
         """As an operator does: the same call again, at the next scheduler, until it is taken."""
--- /dev/null
+++ b/tests/control_plane_process/test_figures.py
@@ -0,0 +1,51 @@
+"""What control schedulers tell of the operators' calls, and of themselves."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from reedspoke.control_plane.figures import CALL_EVENT
+from tests.control_plane_process.fleet import Fleet
+from tests.control_plane_process.stand_ins import call, configuration
+
+TAKEN_S = 6.0
+
+
+def operator_calls(fleet: Fleet) -> list[dict[str, Any]]:
+    """The lines on calls of operators, of all nodes."""
+    lines = [json.loads(line) for node in fleet.nodes for line in node.log_file.read_text().splitlines()]
+    return [line for line in lines if line["event"] == CALL_EVENT]
+
+
+def test_a_change_and_its_refusal_can_be_explained_afterwards(fleet: Fleet) -> None:
+    document = configuration(3)
+    fleet.put_until_taken(document, 0, TAKEN_S)
+    reply = fleet.nodes[0].put(configuration(9), "2")
+    assert reply is not None
+    assert reply.status == 412
+    calls = operator_calls(fleet)
+    (taken,) = [line for line in calls if line["status"] == 200]
+    assert (taken["method"], taken["match"], taken["size"]) == ("PUT", "0", len(document))
+    assert taken["took_ms"] > 0
+    (refused,) = [line for line in calls if line["status"] == 412]
+    assert refused["code"] > 0
+    assert refused["message"]
+    assert refused["checksum"] != taken["checksum"]
+
+
+def test_the_figures_of_a_node_tell_its_state(fleet: Fleet) -> None:
+    fleet.put_until_taken(configuration(3), 0, TAKEN_S)
+    node = fleet.nodes[0]
+    node.get()
+    reply = call(f"{node.host}:{fleet.metrics_port}", "GET", "/metrics")
+    assert reply is not None
+    text = reply.body.decode()
+    assert 'reedspoke_control_state{what="voters"} 3' in text
+    assert 'reedspoke_control_state{what="disk_works"} 1' in text
+    assert (
+        'reedspoke_operator_calls_total{method="GET",path="/reedspoke/configuration",status="200",code=""}'
+        in text
+    )
+    assert 'reedspoke_invariant_violations_total{invariant="read_has_grant"} 0' in text
+    assert "reedspoke_unhandled_errors_total 0" in text
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from tests.control_plane_process.fleet import free_port
+from tests.control_plane_process.fleet import defects_in, free_port
 from tests.control_plane_process.stand_ins import until
 from tests.data_plane.stand_ins import UP_S, Background, ControlStandIn, EdgeProcess, WorkerStandIn, call
 
@@ -77,3 +77,4 @@
         for control in controls:
             control.stop()
         background.close()
+    assert defects_in(edge.log_file) == []
