--- a/reedspoke/lab/fleet_soak/relay.py
+++ b/reedspoke/lab/fleet_soak/relay.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from reedspoke.lab.fleet_emulator.http_messages import NO_LINGER
+from reedspoke.lab.hosts import Peer
 
 UP, REFUSED = b"+", b"-"
 CHUNK = 64 * 1024
@@ -42,31 +43,15 @@
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
 
 
-class Relay:
+class Relay(Peer):
     """Listens on loopback; `cuts` are the ways that nothing crosses."""
 
     def __init__(self, machine_of: MachineOf) -> None:
+        super().__init__()
         self.cuts: dict[Way, int] = {}  # how many cuts there are
         self.carried = 0
-        self.address = ""
         self._machine_of = machine_of
         self._links: set[Link] = set()
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def open(self) -> None:
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0, backlog=512)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def close(self) -> None:
-        """End everything."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut(self, way: Way) -> None:
         """Let nothing cross this way until it is joined as often as it was cut."""
@@ -84,19 +69,10 @@
             for writer in link.writers:
                 reset(writer)
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry one connection until it is over at both ends."""
+        with suppress(TimeoutError, ValueError):  # a header that is none
             await self._carry(reader, writer)
-        except (*ENDED, TimeoutError, ValueError):
-            pass
-        except asyncio.CancelledError:
-            pass  # the run ends
-        finally:
-            self._tasks.discard(task)
-            writer.transport.abort()
 
     async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         async with asyncio.timeout(HEADER_S):
--- a/reedspoke/lab/fleet_soak/soak_run.py
+++ b/reedspoke/lab/fleet_soak/soak_run.py
@@ -92,7 +92,7 @@
             await self._relay.open()
             stack.push_async_callback(self._relay.close)
             self._fleet = SoakFleet(
-                self._layout, self.plan.control, self.plan.edges, self.folder, self._relay.address
+                self._layout, self.plan.control, self.plan.edges, self.folder, self._relay.endpoint
             )
             await self._workers.open()
             stack.push_async_callback(self._workers.close)
--- a/tests/lab_soak/test_relay.py
+++ b/tests/lab_soak/test_relay.py
@@ -29,7 +29,7 @@
         self.address = address
 
     async def connect(self, address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        host, _, port = self.relay.address.rpartition(":")
+        host, _, port = self.relay.endpoint.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(f"edge-0 {address}\n".encode())
         return reader, writer
