A client whose answer fails in an unexpected way is let go

Change: ClientResponse ends the connection of a client that could not be given the last of its answer.

--- a/reedspoke/data_plane/client_response.py
+++ b/reedspoke/data_plane/client_response.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from reedspoke.data_plane.answers import WholeAnswer
 from reedspoke.data_plane.client_connection import ClientConnection
 from reedspoke.data_plane.headers import status_line
@@ -36,27 +38,28 @@
 
     def end_stream(self) -> None:
         """The stream is whole."""
-        client = self._take_client()
-        if client is not None:
-            client.end_stream()
+        self._finish(lambda client: client.end_stream())
 
     def break_off(self) -> None:
         """The stream is not whole, and is seen to be so."""
-        client = self._take_client()
-        if client is not None:
-            client.abort()
+        self._finish(lambda client: client.abort())
 
     def answer(self, answer: WholeAnswer) -> None:
         """The whole answer."""
-        client = self._take_client()
-        if client is not None:
-            client.answer_whole(answer)
+        self._finish(lambda client: client.answer_whole(answer))
 
     def client_gone(self) -> None:
         """The client has left: nothing more is written."""
         self._client = None
 
-    def _take_client(self) -> ClientConnection | None:
+    def _finish(self, write: Callable[[ClientConnection], None]) -> None:
+        """Write the last of it. A client that could not be given it must not wait for it either."""
         client = self._client
         self._client = None
-        return client
+        if client is None:
+            return
+        try:
+            write(client)
+        except Exception:
+            client.abort()
+            raise
--- a/tests/data_plane/test_broken_transports.py
+++ b/tests/data_plane/test_broken_transports.py
@@ -4,8 +4,10 @@
 
 import errno
 import os
+from typing import NoReturn
 
 from reedspoke.cluster.messages import WorkerEntry
+from reedspoke.cluster.unhandled_errors import unhandled_errors
 from tests.data_plane.plane import Plane, answer, fresh_plane
 from tests.data_plane.wire import TransportStandIn
 from tests.data_plane.world import request_bytes
@@ -55,6 +57,26 @@
         assert plane.plane.open_requests() == 0
 
 
+def test_an_unexpected_error_inside_one_request_ends_that_one_alone() -> None:
+    with fresh_plane() as plane:
+        plane.learn((DRAINING,))
+        broken = plane.asked("/once/", "a1")
+        connection = next(iter(plane.plane._connections))
+        connection.answer_whole = fail  # type: ignore[assignment,method-assign]
+        others = [plane.asked("/once/", f"b{number}") for number in range(3)]
+        before = unhandled_errors.count
+        plane.loop.run_for(WAIT_S)
+        assert [answer(other).status for other in others] == [503, 503, 503]
+        assert broken.aborted
+        assert unhandled_errors.count == before + 1
+        assert plane.plane.open_requests() == 0
+
+
+def fail(*_: object) -> NoReturn:
+    """What nobody expected."""
+    raise ZeroDivisionError
+
+
 def test_nothing_is_written_to_a_connection_that_is_being_closed() -> None:
     with fresh_plane() as plane:
         plane.learn()
