--- a/reedspoke/cluster/configuration.py
+++ b/reedspoke/cluster/configuration.py
@@ -15,6 +15,7 @@
 
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.messages import ConfigurationDelta, Version
+from reedspoke.cluster.tenants import Tenant, tenants_fault
 
 
 class Split(TypedDict):
@@ -63,6 +64,7 @@
     max_attempts: NotRequired[int]
     session_affinity: NotRequired[bool]
     stream_resume: NotRequired[bool]
+    public: NotRequired[bool]  # its requests need no key
 
 
 class RequestLimits(TypedDict, total=False):
@@ -81,15 +83,17 @@
     routes: list[Route]
     upstreams: list[Upstream]
     limits: NotRequired[RequestLimits]
+    tenants: NotRequired[list[Tenant] | None]
 
 
 class Configuration(Struct, frozen=True):
-    """A checked configuration, its routes and services by name."""
+    """A checked configuration, its routes, services and tenants by name."""
 
     generation: int
     routes: dict[str, Route]
     upstreams: dict[str, Upstream]
     limits: RequestLimits
+    tenants: dict[str, Tenant] | None = None  # None: requests need no keys
 
 
 ROUTE_TYPES = frozenset(("idempotent", "non_idempotent", "streaming"))
@@ -97,7 +101,7 @@
 
 
 def parse_configuration(raw: bytes) -> Configuration:
-    """A checked configuration out of its JSON. Raises FleetError with a code from 201 to 206."""
+    """A checked configuration out of its JSON. Raises FleetError with a code from 201 to 206, 211 or 212."""
     match check_document(raw):
         case Result(tag="ok", ok=configuration):
             return configuration
@@ -122,7 +126,10 @@
 def _index(document: Document) -> Configuration:
     routes = {route["name"]: route for route in document["routes"]}
     upstreams = {upstream["name"]: upstream for upstream in document["upstreams"]}
-    return Configuration(document["generation"], routes, upstreams, document.get("limits", RequestLimits()))
+    listed = document.get("tenants")
+    tenants = None if listed is None else {tenant["name"]: tenant for tenant in listed}
+    limits = document.get("limits", RequestLimits())
+    return Configuration(document["generation"], routes, upstreams, limits, tenants)
 
 
 def _first_fault(document: Document) -> FleetError | None:
@@ -139,7 +146,7 @@
             return FleetError(ErrorCode.CONFIGURATION_DUPLICATE_ROUTE, text)
         places.add(place)
         route_names.add(route["name"])
-    return None
+    return tenants_fault(document.get("tenants") or ())
 
 
 def _route_fault(route: Route, upstreams: set[str]) -> FleetError | None:
@@ -187,6 +194,7 @@
 
 def difference(old: Configuration, new: Configuration, base: Version, version: Version) -> ConfigurationDelta:
     """What turns `old` into `new`."""
+    old_tenants, new_tenants = old.tenants or {}, new.tenants or {}
     return ConfigurationDelta(
         base=base,
         version=version,
@@ -196,6 +204,9 @@
         upstreams=msgspec.json.encode(_changed(old.upstreams, new.upstreams)),
         removed_upstreams=_removed(old.upstreams, new.upstreams),
         limits=b"" if old.limits == new.limits else msgspec.json.encode(new.limits),
+        keyed=new.tenants is not None,
+        tenants=msgspec.json.encode(_changed(old_tenants, new_tenants)),
+        removed_tenants=_removed(old_tenants, new_tenants),
     )
 
 
@@ -208,4 +219,14 @@
     for upstream in msgspec.json.decode(delta.upstreams, type=list[Upstream]):
         upstreams[upstream["name"]] = upstream
     limits = msgspec.json.decode(delta.limits, type=RequestLimits) if delta.limits else old.limits
-    return Configuration(delta.generation, routes, upstreams, limits)
+    return Configuration(delta.generation, routes, upstreams, limits, _tenants_of(old, delta))
+
+
+def _tenants_of(old: Configuration, delta: ConfigurationDelta) -> dict[str, Tenant] | None:
+    if not delta.keyed:
+        return None
+    known = old.tenants or {}
+    tenants = {name: tenant for name, tenant in known.items() if name not in delta.removed_tenants}
+    for tenant in msgspec.json.decode(delta.tenants, type=list[Tenant]):
+        tenants[tenant["name"]] = tenant
+    return tenants
--- a/reedspoke/cluster/messages.py
+++ b/reedspoke/cluster/messages.py
@@ -6,6 +6,8 @@
 a time on a session, and any number of `Fetch`. A control scheduler that no majority of voters stands behind
 answers `Unconfirmed` in place of `Versions`, as soon as that is so, and hands over no state.
 
+On the same session `QuotaAsk` is answered with `QuotaAnswer`, at any time and in any order.
+
 Sources, with their versions (compared as pairs, the larger is newer):
 - `configuration`: (view in which the chain's head took it, sequence on the chain)
 - `workers`: (term of the list duty's lease, count within the term)
@@ -14,6 +16,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Any
 
 import ormsgpack
@@ -123,7 +126,8 @@
 class ConfigurationDelta(Struct, tag="configuration_delta", array_like=True):
     """What turns the configuration `base` into `version`; routes are keyed by their name.
 
-    `routes`, `upstreams` and `limits` are JSON of the changed parts (`limits` empty: unchanged).
+    `routes`, `upstreams`, `limits` and `tenants` are JSON of the changed parts (`limits` empty: unchanged).
+    `keyed` is whether the new configuration has tenants at all, so that requests need keys.
     """
 
     base: Version
@@ -134,6 +138,33 @@
     upstreams: bytes
     removed_upstreams: tuple[str, ...]
     limits: bytes = b""
+    keyed: bool = False
+    tenants: bytes = b"[]"
+    removed_tenants: tuple[str, ...] = ()
+
+
+class QuotaAsk(Struct, tag="quota_ask", array_like=True, frozen=True):
+    """Data plane to control plane: may this tenant's request of so many units go to a worker?"""
+
+    request_id: int
+    tenant: str
+    units: float
+
+
+class QuotaVerdict(Enum):
+    """What a control scheduler says to a `QuotaAsk`."""
+
+    GRANTED = "granted"
+    SPENT = "spent"  # the tenant's quota, as far as this control scheduler could get at it
+    UNAVAILABLE = "unavailable"  # it has no part of the quota to grant from, or does not know the tenant
+
+
+class QuotaAnswer(Struct, tag="quota_answer", array_like=True, frozen=True):
+    """Control plane to data plane: the answer to a `QuotaAsk`. What is granted is spent at once or lost."""
+
+    request_id: int
+    verdict: QuotaVerdict
+    retry_after_s: float = 0.0  # where it is spent: when it may be worth to ask again
 
 
 class EdgeMember(Struct, array_like=True, frozen=True):
@@ -152,8 +183,16 @@
     edges: tuple[EdgeMember, ...]
 
 
-EdgeMessage = Watch | Fetch
-ControlMessage = Versions | Unconfirmed | WorkerList | ConfigurationSnapshot | ConfigurationDelta | MemberList
+EdgeMessage = Watch | Fetch | QuotaAsk
+ControlMessage = (
+    Versions
+    | Unconfirmed
+    | WorkerList
+    | ConfigurationSnapshot
+    | ConfigurationDelta
+    | MemberList
+    | QuotaAnswer
+)
 
 
 def encode(message: Struct) -> bytes:
--- a/reedspoke/cluster/node_settings.py
+++ b/reedspoke/cluster/node_settings.py
@@ -47,6 +47,11 @@
     retry_slack: float = 10
     recovery_s: float = 12
     pass_ms: float = 120
+    revoke_strict: bool = False  # `revoke_ms` binds machines out of touch too
+    revoke_ms: float = 5000  # a key that was taken away is not served any more after this
+    quota_window_s: float = 8
+    quota_excess: float = 0.0  # by which a tenant's quota may be exceeded in each window,
+    quota_slack: float = 0.0  # and the units beside it
 
 
 class FaultTolerance(Struct, frozen=True):
--- a/reedspoke/control_plane/driver.py
+++ b/reedspoke/control_plane/driver.py
@@ -165,6 +165,10 @@
         """Whether a majority of voters stands behind this replica at this instant."""
         return self._replica is not None and self._replica.holds_majority(self._loop.time())
 
+    def majority_as_of(self) -> float | None:
+        """The latest time as of which the view known here was certainly the newest; None: never yet."""
+        return None if self._replica is None else self._replica.majority_as_of
+
     def confirmed_as_of(self) -> float | None:
         """As `Replica.confirmed_as_of`, at this instant; None before the data folder is open."""
         return None if self._replica is None else self._replica.confirmed_as_of(self._loop.time())
--- a/reedspoke/control_plane/edge_sessions.py
+++ b/reedspoke/control_plane/edge_sessions.py
@@ -16,6 +16,7 @@
     WORKERS,
     EdgeMessage,
     Fetch,
+    QuotaAsk,
     Unconfirmed,
     Version,
     Versions,
@@ -29,6 +30,9 @@
 NO_REQUEST = 0  # in an answer that belongs to no `Watch`
 
 
+OnQuotaAsk = Callable[[Channel, QuotaAsk], None]
+
+
 class Session(Struct, eq=False):
     """One connection of a data plane scheduler."""
 
@@ -44,16 +48,22 @@
 class EdgeSessions:
     """All sessions with data plane schedulers.
 
-    `on_arrival` is called when a data plane scheduler is new or leaves.
+    `on_arrival` is called when a data plane scheduler is new or leaves, `on_quota` when one asks for quota.
     """
 
     def __init__(
-        self, node_name: str, state: PublishedState, heartbeat_s: float, on_arrival: Callable[[], None]
+        self,
+        node_name: str,
+        state: PublishedState,
+        heartbeat_s: float,
+        on_arrival: Callable[[], None],
+        on_quota: OnQuotaAsk = lambda channel, ask: None,
     ) -> None:
         self._node_name = node_name
         self._state = state
         self._heartbeat_s = heartbeat_s
         self._on_arrival = on_arrival
+        self._on_quota = on_quota
         self._loop = asyncio.get_running_loop()
         self._sessions: dict[Channel, Session] = {}
         self._confirmed = False
@@ -76,6 +86,8 @@
                 self._watched(session, message)
             case Fetch():
                 self._fetched(session, message)
+            case QuotaAsk():
+                self._on_quota(channel, message)
 
     def ended(self, channel: Channel) -> None:
         """The connection is over. Who did not say that it would leave is a member for a while still."""
--- a/reedspoke/control_plane/peer_messages.py
+++ b/reedspoke/control_plane/peer_messages.py
@@ -58,4 +58,19 @@
     term: int
 
 
+class QuotaLoanRequest(Struct, tag="quota_loan_request", array_like=True, frozen=True):
+    """Lend me up to so many units of this tenant's quota."""
+
+    tenant: str
+    units: float
+
+
+class QuotaLoan(Struct, tag="quota_loan", array_like=True, frozen=True):
+    """These units are the receiver's from now on, and not the sender's; answers a `QuotaLoanRequest`."""
+
+    tenant: str
+    units: float
+
+
+QuotaMessage = QuotaLoanRequest | QuotaLoan
 LeaseMessage = LeaseRequest | LeaseAnswer | LeaseRelease
--- a/reedspoke/control_plane/peer_transport.py
+++ b/reedspoke/control_plane/peer_transport.py
@@ -19,7 +19,15 @@
 from reedspoke.cluster.messages import EdgeMessage, Fetch, Watch, WorkerList, encode
 from reedspoke.cluster.node_settings import split_address
 from reedspoke.cluster.transport import CONNECTION_ENDED, Channel, open_channel
-from reedspoke.control_plane.peer_messages import Hello, LeaseAnswer, LeaseRelease, LeaseRequest, SessionTable
+from reedspoke.control_plane.peer_messages import (
+    Hello,
+    LeaseAnswer,
+    LeaseRelease,
+    LeaseRequest,
+    QuotaLoan,
+    QuotaLoanRequest,
+    SessionTable,
+)
 from reedspoke.control_plane.replica_messages import ReplicaMessage
 
 REDIAL_PAUSE_S = 0.15
@@ -33,7 +41,16 @@
 IDLE_LINK_S = 30.0
 SILENT_PEER_S = 10.0  # a connection that brings nothing for so long is over
 
-PeerMessage = ReplicaMessage | SessionTable | LeaseRequest | LeaseAnswer | LeaseRelease | WorkerList
+PeerMessage = (
+    ReplicaMessage
+    | SessionTable
+    | LeaseRequest
+    | LeaseAnswer
+    | LeaseRelease
+    | QuotaLoanRequest
+    | QuotaLoan
+    | WorkerList
+)
 FirstMessage = Hello | Watch | Fetch
 
 PeerHandler = Callable[[str, PeerMessage], None]
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -15,8 +15,10 @@
 from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import ERROR, INFO, WARNING, log
 from reedspoke.cluster.line_budget import LineBudget
-from reedspoke.cluster.messages import ControlMember, WorkerList, encode
+from reedspoke.cluster.messages import ControlMember, QuotaAsk, WorkerList, encode
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
+from reedspoke.cluster.quota_rule import QuotaRule
+from reedspoke.cluster.transport import Channel
 from reedspoke.cluster.unhandled_errors import end_process
 from reedspoke.control_plane.configuration_cache import ConfigurationCache, Prepared
 from reedspoke.control_plane.driver import ReplicaDriver
@@ -35,9 +37,18 @@
     StatusAnswer,
     http_error_body,
 )
-from reedspoke.control_plane.peer_messages import LeaseAnswer, LeaseRelease, LeaseRequest, SessionTable
+from reedspoke.control_plane.peer_messages import (
+    LeaseAnswer,
+    LeaseRelease,
+    LeaseRequest,
+    QuotaLoan,
+    QuotaLoanRequest,
+    SessionTable,
+)
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
 from reedspoke.control_plane.published_state import PublishedState
+from reedspoke.control_plane.quota_grants import AnswerTo, QuotaEffect, QuotaGrants
+from reedspoke.control_plane.quota_share import QuotaShare
 from reedspoke.control_plane.worker_list import UNLEASED_TERM, WorkerBook
 from reedspoke.telemetry.invariants import Invariant, check
 from reedspoke.telemetry.metrics import Registry
@@ -95,8 +106,14 @@
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
         self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap, identity=identity)
         self._sessions = EdgeSessions(
-            settings.node_name, self._state, settings.watch_hold_s(), self._sessions_changed
+            settings.node_name,
+            self._state,
+            settings.watch_hold_s(),
+            self._sessions_changed,
+            self._quota_asked,
         )
+        self._quota_share = QuotaShare(self._address, settings.fault_tolerance.machines, now)
+        self._quota = QuotaGrants(quota_rule(settings), self._quota_share, self._majority_as_of)
         self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
         self._duty = ListDuty(
             settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
@@ -150,6 +167,7 @@
         if self._configuration.install(prepared):
             committed = prepared.committed
             log(INFO, "configuration in force", generation=committed.generation, sequence=committed.sequence)
+            self._quota.configure(prepared.configuration.tenants or {}, self._loop.time())
             self._sessions.changed()
 
     def _confirmed_as_of(self) -> float | None:
@@ -169,7 +187,9 @@
         members = links | {voter.address: voter for voter in view.voters}
         self._peers = tuple(address for address in members if address != self._address)
         self._membership.set_view(tuple(members.values()))
-        self._lease.set_voters(tuple(voter.address for voter in view.voters))
+        voters = tuple(voter.address for voter in view.voters)
+        self._lease.set_voters(voters)
+        self._quota_share.voters_known(frozenset(voters), self._loop.time())
 
     def ticked(self) -> None:
         """A little time has passed."""
@@ -177,6 +197,7 @@
         self._send_lease(self._lease.tick(now))
         self._duty.look()
         self._sessions.look()
+        self._carry_out_quota(self._quota.tick(now))
         if now >= self._table_at:
             self._tell_sessions(now)
         if now >= self._settings_at:
@@ -261,6 +282,10 @@
             case LeaseRequest() | LeaseAnswer() | LeaseRelease():
                 self._send_lease(self._lease.received(sender, message, now))
                 self._duty.look()
+            case QuotaLoanRequest():
+                self._carry_out_quota(self._quota.loan_requested(sender, message, now))
+            case QuotaLoan():
+                self._carry_out_quota(self._quota.loan_came(message, now))
             case WorkerList():
                 self._lease.term_seen(message.version[0])
                 if self._book.adopt(message, now):
@@ -268,6 +293,19 @@
             case _:
                 self._driver.received(sender, message)
 
+    def _quota_asked(self, channel: Channel, ask: QuotaAsk) -> None:
+        self._carry_out_quota(self._quota.asked(channel, ask, self._loop.time()))
+
+    def _carry_out_quota(self, effects: list[QuotaEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, AnswerTo):
+                effect.asker.send(effect.answer)
+            else:
+                self._transport.send(effect.address, effect.message)
+
+    def _majority_as_of(self) -> float | None:
+        return self._driver.majority_as_of()
+
     def _heard_table(self, sender: str, table: SessionTable, now: float) -> None:
         self._membership.heard_table(sender, table, now)
         self._book.note_seen(table.workers_seen)
@@ -366,6 +404,12 @@
         return self._address in [link.member.address for link in chain]
 
 
+def quota_rule(settings: NodeSettings) -> QuotaRule:
+    """The deployment's bound on quotas."""
+    bounds = settings.bounds
+    return QuotaRule(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+
+
 def _stamp(path: Path) -> FileStamp | None:
     try:
         found = path.stat()
--- /dev/null
+++ b/reedspoke/control_plane/quota_grants.py
@@ -0,0 +1,203 @@
+"""Answers data plane schedulers' asks for quota, out of this control scheduler's share. No I/O, no clock.
+
+Where the share of a tenant's quota does not hold what a request costs, all other voters are asked for a loan
+at once. A loan leaves the lender's bucket before it reaches the borrower's, so that no unit counts twice; one
+that is lost on its way is lost for the quota. After a round of loans that brought too little, the tenant's
+asks are refused for a moment without another round.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from msgspec import Struct, field
+
+from reedspoke.cluster.messages import QuotaAnswer, QuotaAsk, QuotaVerdict
+from reedspoke.cluster.quota_rule import Allowance, QuotaRule, allowance
+from reedspoke.cluster.tenants import Tenant
+from reedspoke.control_plane.peer_messages import QuotaLoan, QuotaLoanRequest
+from reedspoke.control_plane.quota_bucket import QuotaBucket
+from reedspoke.control_plane.quota_share import QuotaShare
+from reedspoke.telemetry.invariants import Invariant, check
+
+ROUND_S = 0.06  # a round of loans is over after this
+ROUND_PAUSE_S = 0.1  # between two rounds of a tenant, where the first brought too little
+REFRESH_S = 0.5  # a share that has changed is known to all buckets after this
+MOST_WAITING = 64  # asks of a tenant during a round
+LOAN_EXCESS = 1.5  # what is asked for in all, against what is lacking: not all lend
+RETRY_LEAST_S = 0.05
+RETRY_MOST_S = 2.0
+
+Asker = Any  # whoever the answer goes to; handed back as it came
+MajorityAsOf = Callable[[], float | None]
+
+
+class AnswerTo(Struct, frozen=True):
+    """Send this answer to who asked."""
+
+    asker: Asker
+    answer: QuotaAnswer
+
+
+class LoanTo(Struct, frozen=True):
+    """Send this to another control scheduler."""
+
+    address: str
+    message: QuotaLoanRequest | QuotaLoan
+
+
+QuotaEffect = AnswerTo | LoanTo
+
+
+class WaitingAsk(Struct, frozen=True):
+    """An ask that waits for loans."""
+
+    asker: Asker
+    ask: QuotaAsk
+
+
+class TenantQuota(Struct, eq=False):
+    """One tenant's bucket here, and its round of loans."""
+
+    fleet: Allowance
+    bucket: QuotaBucket
+    waiting: list[WaitingAsk] = field(default_factory=list)
+    round_ends: float = 0.0
+    awaited: int = 0  # loans of the round that have not come
+    next_round: float = 0.0
+
+
+class QuotaGrants:
+    """All tenants' quotas at one control scheduler."""
+
+    def __init__(self, rule: QuotaRule, share: QuotaShare, majority_as_of: MajorityAsOf) -> None:
+        self._rule = rule
+        self._share = share
+        self._majority_as_of = majority_as_of
+        self._known: frozenset[str] = frozenset()  # names of all tenants
+        self._quotas: dict[str, TenantQuota] = {}
+        self._refresh_at = float("-inf")
+        self.granted = 0.0  # units, of all tenants
+        self.refused = 0  # asks
+
+    def configure(self, tenants: Mapping[str, Tenant], now: float) -> None:
+        """The newest committed configuration has these tenants."""
+        self._known = frozenset(tenants)
+        limited = {name: tenant for name, tenant in tenants.items() if tenant.get("rate_per_s")}
+        self._quotas = {
+            name: self._quota(name, tenant.get("rate_per_s") or 0.0, tenant.get("burst") or 0.0, now)
+            for name, tenant in limited.items()
+        }
+
+    def _quota(self, name: str, rate: float, burst: float, now: float) -> TenantQuota:
+        fleet = allowance(rate, burst, self._rule)
+        quota = self._quotas.get(name)
+        if quota is None:
+            return TenantQuota(fleet, QuotaBucket(now))
+        quota.fleet = fleet
+        return quota
+
+    def asked(self, asker: Asker, ask: QuotaAsk, now: float) -> list[QuotaEffect]:
+        """A data plane scheduler asks; it is answered now or after a round of loans."""
+        quota = self._quotas.get(ask.tenant)
+        share = self._share.share(now, self._majority_as_of())
+        if quota is None or not share:
+            unlimited = quota is None and ask.tenant in self._known
+            verdict = QuotaVerdict.GRANTED if unlimited else QuotaVerdict.UNAVAILABLE
+            return [AnswerTo(asker, QuotaAnswer(ask.request_id, verdict))]
+        self._bring_up(quota, share, now)
+        if not quota.waiting and self._grant(quota, ask):
+            return [AnswerTo(asker, QuotaAnswer(ask.request_id, QuotaVerdict.GRANTED))]
+        if len(quota.waiting) >= MOST_WAITING or now < quota.next_round or not self._share.others:
+            return [self._refusal(quota, WaitingAsk(asker, ask))]
+        quota.waiting.append(WaitingAsk(asker, ask))
+        return [] if quota.awaited else self._begin_round(ask.tenant, quota, now)
+
+    def loan_requested(self, sender: str, request: QuotaLoanRequest, now: float) -> list[QuotaEffect]:
+        """Another control scheduler lacks units of a tenant's quota."""
+        quota = self._quotas.get(request.tenant)
+        share = self._share.share(now, self._majority_as_of())
+        units = 0.0
+        if quota is not None and share and not quota.waiting:
+            self._bring_up(quota, share, now)
+            units = quota.bucket.lend(request.units)
+            self._check(quota, request.tenant)
+        return [LoanTo(sender, QuotaLoan(request.tenant, units))]
+
+    def loan_came(self, loan: QuotaLoan, now: float) -> list[QuotaEffect]:
+        """A loan, or word that there is none."""
+        quota = self._quotas.get(loan.tenant)
+        share = self._share.share(now, self._majority_as_of())
+        if quota is None or not share:
+            return []
+        self._bring_up(quota, share, now)
+        quota.bucket.receive(loan.units)
+        quota.awaited = max(0, quota.awaited - 1)
+        effects = self._serve_waiting(quota)
+        if not quota.awaited or not quota.waiting:
+            effects += self._end_round(quota, now)
+        return effects
+
+    def tick(self, now: float) -> list[QuotaEffect]:
+        """Time has passed: rounds end, and all buckets follow this control scheduler's share."""
+        effects: list[QuotaEffect] = []
+        if now >= self._refresh_at:
+            self._refresh_at = now + REFRESH_S
+            share = self._share.share(now, self._majority_as_of())
+            for quota in self._quotas.values():
+                self._bring_up(quota, share, now)
+        for quota in self._quotas.values():
+            if quota.waiting and now >= quota.round_ends:
+                effects += self._end_round(quota, now)
+        return effects
+
+    # ---- inside ----
+
+    def _bring_up(self, quota: TenantQuota, share: float, now: float) -> None:
+        quota.bucket.set_part(quota.fleet, share, now)
+
+    def _grant(self, quota: TenantQuota, ask: QuotaAsk) -> bool:
+        granted = quota.bucket.grant(ask.units)
+        if granted:
+            self.granted += ask.units
+            self._check(quota, ask.tenant)
+        return granted
+
+    def _check(self, quota: TenantQuota, tenant: str) -> None:
+        bucket = quota.bucket
+        check(Invariant.QUOTA_IS_CONSERVED, bucket.is_conserved, tenant=tenant, level=bucket.level)
+
+    def _begin_round(self, tenant: str, quota: TenantQuota, now: float) -> list[QuotaEffect]:
+        others = self._share.others
+        wanted = sum(waiting.ask.units for waiting in quota.waiting)
+        lacking = max(quota.bucket.needed(wanted), wanted) - quota.bucket.level
+        quota.round_ends = now + ROUND_S
+        quota.awaited = len(others)
+        request = QuotaLoanRequest(tenant, max(0.0, lacking) * LOAN_EXCESS / len(others))
+        return [LoanTo(address, request) for address in others]
+
+    def _serve_waiting(self, quota: TenantQuota) -> list[QuotaEffect]:
+        """In their order, as far as the bucket holds it."""
+        effects: list[QuotaEffect] = []
+        while quota.waiting and self._grant(quota, quota.waiting[0].ask):
+            first = quota.waiting.pop(0)
+            answer = QuotaAnswer(first.ask.request_id, QuotaVerdict.GRANTED)
+            effects.append(AnswerTo(first.asker, answer))
+        return effects
+
+    def _end_round(self, quota: TenantQuota, now: float) -> list[QuotaEffect]:
+        if quota.waiting:
+            quota.next_round = now + ROUND_PAUSE_S
+        effects: list[QuotaEffect] = [self._refusal(quota, waiting) for waiting in quota.waiting]
+        quota.waiting.clear()
+        quota.awaited = 0
+        quota.bucket.settle()
+        return effects
+
+    def _refusal(self, quota: TenantQuota, waiting: WaitingAsk) -> AnswerTo:
+        self.refused += 1
+        wait_s = quota.bucket.seconds_until(waiting.ask.units)
+        retry_after_s = min(RETRY_MOST_S, max(RETRY_LEAST_S, wait_s))
+        answer = QuotaAnswer(waiting.ask.request_id, QuotaVerdict.SPENT, retry_after_s)
+        return AnswerTo(waiting.asker, answer)
--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -133,6 +133,11 @@
         """Whether a majority of voters has lately granted that this replica acts in the newest view."""
         return self.view is not None and self._contact.holds(now)
 
+    @property
+    def majority_as_of(self) -> float | None:
+        """The latest time as of which the view of this replica was certainly the newest."""
+        return self._contact.majority_as_of
+
     def confirmed_as_of(self, now: float) -> float | None:
         """The time as of which the configuration known here to be committed was certainly the newest.
 
--- a/reedspoke/data_plane/answers.py
+++ b/reedspoke/data_plane/answers.py
@@ -11,6 +11,8 @@
 from reedspoke.data_plane.headers import status_line
 from reedspoke.decision.messages import Fail, FailReason, Refuse
 
+KEY_IN_DOUBT_RETRY_S = 0.3
+
 
 class WholeAnswer(Struct, frozen=True):
     """An answer with its whole body; `fields` are header lines, each with its line end."""
@@ -66,6 +68,12 @@
     return own_answer(503, ErrorCode.DEADLINE, "no worker in time", 0.0)
 
 
+def key_in_doubt() -> WholeAnswer:
+    """Its key may have been taken away; it has not run."""
+    message = "whether the key still counts is not certain"
+    return own_answer(503, ErrorCode.KEY_IN_DOUBT, message, KEY_IN_DOUBT_RETRY_S)
+
+
 def process_ends(*, ran: bool) -> WholeAnswer:
     """This process ends first."""
     if ran:
--- a/reedspoke/data_plane/control_session.py
+++ b/reedspoke/data_plane/control_session.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from random import Random
 
@@ -11,14 +11,19 @@
 
 from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.json_log import INFO, WARNING, log
+from reedspoke.cluster.messages import QuotaAnswer, QuotaAsk
 from reedspoke.cluster.transport import CONNECTION_ENDED, Channel, open_channel
-from reedspoke.data_plane.conversation import Conversation, OwnState, SessionPace
+from reedspoke.data_plane.conversation import Conversation, OnQuota, OwnState, SessionPace
 from reedspoke.data_plane.session_choice import SessionChoice
 from reedspoke.data_plane.subscription import Subscription
 
 DEFAULT_PACE = SessionPace()
 
 
+def no_quota(answer: QuotaAnswer) -> None:
+    """Where nobody has asked for any."""
+
+
 class OpenSession(Struct, eq=False):
     """A session that is up or coming up."""
 
@@ -36,11 +41,13 @@
         seeds: Callable[[], tuple[str, ...]],
         random: Random,
         pace: SessionPace = DEFAULT_PACE,
+        on_quota: OnQuota = no_quota,
     ) -> None:
         self._subscription = subscription
         self._own_state = own_state
         self._seeds = seeds
         self._pace = pace
+        self._on_quota = on_quota
         self._choice = SessionChoice(random, pace.quiet_s)
         self._open_sessions: dict[str, OpenSession] = {}
         self._news = asyncio.Event()
@@ -51,6 +58,21 @@
         """Sessions with control schedulers behind which a majority stands."""
         return 0 if self._loop is None else len(self._choice.sound(self._loop.time()))
 
+    def ask_quota(self, ask: QuotaAsk, tried: Collection[str]) -> str | None:
+        """Ask on a session that was not tried yet, one with a majority and in the own zone if there is any.
+        Its address; None where there is none left."""
+        open_now = {
+            address: session.conversation
+            for address, session in self._open_sessions.items()
+            if session.conversation is not None and address not in tried
+        }
+        if not open_now or self._loop is None:
+            return None
+        sound = self._choice.sound(self._loop.time())
+        address = min(open_now, key=lambda other: (other not in sound, not self._choice.is_near(other)))
+        open_now[address].ask_quota(ask)
+        return address
+
     async def run(self) -> None:
         """Runs until it is cancelled."""
         loop = self._loop = asyncio.get_running_loop()
@@ -130,6 +152,7 @@
             self._choice,
             self._pace,
             on_change=self._news.set,
+            on_quota=self._on_quota,
         )
         try:
             await session.conversation.run()
--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -18,6 +18,8 @@
     ControlMessage,
     Fetch,
     MemberList,
+    QuotaAnswer,
+    QuotaAsk,
     Unconfirmed,
     Version,
     Versions,
@@ -33,6 +35,9 @@
 QUIET_MARGIN_S = 0.4
 
 
+OnQuota = Callable[[QuotaAnswer], None]
+
+
 class SessionPace(Struct, frozen=True):
     """Time limits of a session; `watch_hold_s` is when a `Watch` is answered at the latest."""
 
@@ -74,6 +79,7 @@
         choice: SessionChoice,
         pace: SessionPace,
         on_change: Callable[[], None],
+        on_quota: OnQuota = lambda answer: None,
     ) -> None:
         self._channel = channel
         channel.silence_s = pace.silence_s
@@ -82,6 +88,7 @@
         self._own_state = own_state
         self._choice = choice
         self._on_change = on_change
+        self._on_quota = on_quota
         self._loop = asyncio.get_running_loop()
         self._request_id = 0
         self._watch_sent_at: float | None = None  # None: no `Watch` is out
@@ -106,9 +113,15 @@
                 self._take_versions(message)
             case Unconfirmed():
                 self._take_unconfirmed(message)
+            case QuotaAnswer():
+                self._on_quota(message)
             case _:
                 self._take_state(message)
 
+    def ask_quota(self, ask: QuotaAsk) -> None:
+        """Ask for what a request costs of its tenant's quota."""
+        self._channel.send(ask)
+
     def look(self) -> None:
         """Some time has passed. After `Unconfirmed` the next `Watch` is sent from here, which is called about
         each tenth of a second then; so is the one that finds out why a fetch stays unanswered.
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -17,6 +17,7 @@
     WholeAnswer,
     expired,
     failed,
+    key_in_doubt,
     process_ends,
     refused,
     status_of,
@@ -33,8 +34,10 @@
     check_final_answer,
     check_send,
     check_success,
+    check_tenant,
 )
 from reedspoke.data_plane.headers import NOT_EXECUTED, RESPONSE_SEAL, forwarded_answer_fields, status_line
+from reedspoke.data_plane.permit import Permit
 from reedspoke.data_plane.request_trace import RequestOutcome, RequestTrace
 from reedspoke.data_plane.route_table import CompiledRoute
 from reedspoke.data_plane.upstream_connection import Failure, UpstreamConnection
@@ -48,6 +51,7 @@
 
 MOST_WHOLE_ANSWER = 8 * 1024 * 1024  # bytes of an answer that is read whole before it is passed on
 SUCCESS = 200
+KEY_IN_DOUBT = "key in doubt"
 
 
 class Owner(Protocol):
@@ -97,13 +101,15 @@
         route: CompiledRoute,
         job: Job,
         trace: RequestTrace | None = None,
+        permit: Permit | None = None,
     ) -> None:
         self.job = job
         self.route = route
         self._owner = owner
         self._loop = loop
         self._pool = pool
-        self._request = UpstreamRequest(request)
+        self._permit = Permit(job.arrived) if permit is None else permit
+        self._request = UpstreamRequest(request, self._permit.tenant)
         self._response = ClientResponse(client, self._request.last_event_id)
         self._attempt: Attempt | None = None
         self._attempts = 0
@@ -237,6 +243,11 @@
     def _transmit(self, connection: UpstreamConnection) -> None:
         attempt = self._attempt
         assert attempt is not None
+        if not self._permit.still_holds():
+            self._pool.give_back(attempt.worker.instance_id, connection)
+            self._withdraw()
+            return
+        check_tenant(self._request, self._permit.tenant)
         check_send(self.job, self.trace, attempt, ran=self._ran)
         self._check_drain(attempt)
         attempt.connection = connection
@@ -250,6 +261,20 @@
         if self._client_full:
             connection.pause()
 
+    def _withdraw(self) -> None:
+        """The request's key has been taken away, or may have been, since it came."""
+        ran = self._may_have_run()
+        self._call_off()
+        answer = worker_failed() if ran else key_in_doubt()
+        if self._response.begun:
+            self._response.break_off()
+            self._ended(RequestOutcome.BROKEN_OFF, 0, KEY_IN_DOUBT)
+        else:
+            check_final_answer(self.job, self.trace, status_of(answer), ran=self._ran)
+            self._response.answer(answer)
+            self._ended(RequestOutcome.REFUSED, status_of(answer), KEY_IN_DOUBT)
+        self._owner.called_off(self)
+
     def _check_drain(self, attempt: Attempt) -> None:
         instance_id = attempt.worker.instance_id
         since = self._owner.known_to_leave_since(instance_id)
--- a/reedspoke/data_plane/exchange_invariants.py
+++ b/reedspoke/data_plane/exchange_invariants.py
@@ -4,8 +4,9 @@
 
 from reedspoke.data_plane.attempt import Attempt
 from reedspoke.data_plane.event_stream import Events, first_event_id
-from reedspoke.data_plane.headers import ATTEMPT_ID, RESPONSE_SEAL, text_of
+from reedspoke.data_plane.headers import API_KEY, ATTEMPT_ID, RESPONSE_SEAL, TENANT_NAME, text_of
 from reedspoke.data_plane.request_trace import RequestTrace
+from reedspoke.data_plane.upstream_request import UpstreamRequest
 from reedspoke.decision.attempt_fate import PROMISES, Fate
 from reedspoke.decision.messages import Job, Repeat
 from reedspoke.net.http import Head
@@ -14,6 +15,7 @@
 LEAVING_BOUND_S = 1.0  # a connection that was being opened as the worker left may still come up
 NEVER_RAN = Fate.NEVER_RAN.name.lower()
 SUCCESS_STATUS = range(200, 300)
+KEY_FIELDS = (API_KEY, TENANT_NAME)
 
 
 def may_have_run(trace: RequestTrace) -> bool:
@@ -40,6 +42,13 @@
     )
 
 
+def check_tenant(request: UpstreamRequest, tenant: str) -> None:
+    """A request is about to be sent for this tenant (empty: for none)."""
+    lines = [line for line in request.fields.lower().split(b"\r\n") if line.startswith(KEY_FIELDS)]
+    named = [b"%b: %b" % (TENANT_NAME, tenant.lower().encode())] if tenant else []
+    check(Invariant.TENANT_IS_KEY_HOLDER, lines == named, attempt_id=request.attempt_id, tenant=tenant)
+
+
 def check_drain(attempt_id: str, instance_id: str, known_s: float) -> None:
     """A request is about to be sent to a worker that is known to leave since `known_s` seconds (0: not)."""
     check(
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -12,6 +12,7 @@
 from reedspoke.data_plane.exchange import Exchange
 from reedspoke.data_plane.forwarder_invariants import check_forgotten, check_idle
 from reedspoke.data_plane.job_builder import build_job
+from reedspoke.data_plane.permit import Permit
 from reedspoke.data_plane.request_log import OnEnded
 from reedspoke.data_plane.request_trace import RequestTrace
 from reedspoke.data_plane.route_table import CompiledRoute
@@ -136,11 +137,13 @@
         route: CompiledRoute,
         upstream: str,
         trace: RequestTrace | None = None,
+        permit: Permit | None = None,
     ) -> Exchange:
         """Take a request that has a route. `trace` has what is known of it by now."""
+        permit = Permit(self._loop.time()) if permit is None else permit
         self._next_job_id += 1
-        job = build_job(self._next_job_id, request.head, route, upstream, self._loop.time())
-        exchange = Exchange(self, self._loop, self._pool, request, client, route, job, trace)
+        job = build_job(self._next_job_id, request.head, route, upstream, permit)
+        exchange = Exchange(self, self._loop, self._pool, request, client, route, job, trace, permit)
         exchange.trace.taken(job)
         self._exchanges[job.job_id] = exchange
         self._watch_later()
--- a/reedspoke/data_plane/headers.py
+++ b/reedspoke/data_plane/headers.py
@@ -15,6 +15,8 @@
 INSTANCE_ID = b"reedspoke-instance-id"
 RESPONSE_SEAL = b"reedspoke-response-seal"
 NOT_EXECUTED = b"reedspoke-not-executed"
+API_KEY = b"reedspoke-key"
+TENANT_NAME = b"reedspoke-tenant-name"
 LAST_EVENT_ID = b"last-event-id"
 EXPECT_VERSION = b"expect-version"
 PRIORITY = b"priority"
@@ -26,12 +28,13 @@
         b"te", b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect",
     )
 )  # fmt: skip
-REPLACED = frozenset((DEADLINE_MS, TARGET_INSTANCE, LAST_EVENT_ID, PRIORITY))
+REPLACED = frozenset((DEADLINE_MS, TARGET_INSTANCE, LAST_EVENT_ID, PRIORITY, TENANT_NAME))
+WITHHELD = frozenset((API_KEY,))  # from workers
 
 
 def forwarded_request_fields(head: Head) -> bytes:
     """The fields of a client's request that go to the worker unchanged, each with its line end."""
-    dropped = HOP_BY_HOP | REPLACED | frozenset(head.tokens(b"connection"))
+    dropped = HOP_BY_HOP | REPLACED | WITHHELD | frozenset(head.tokens(b"connection"))
     lines = [b"%b: %b\r\n" % (name, bytes(value)) for name, value in head.fields if name not in dropped]
     return b"".join(lines)
 
--- a/reedspoke/data_plane/job_builder.py
+++ b/reedspoke/data_plane/job_builder.py
@@ -13,6 +13,7 @@
     number_of,
     text_of,
 )
+from reedspoke.data_plane.permit import Permit
 from reedspoke.data_plane.route_table import CompiledRoute
 from reedspoke.decision.messages import Job, Part, Repeat
 from reedspoke.net.http import Head
@@ -58,8 +59,9 @@
     return min(route.timeout, max(0.0, told / 1000))
 
 
-def build_job(job_id: int, head: Head, route: CompiledRoute, upstream: str, now: float) -> Job:
+def build_job(job_id: int, head: Head, route: CompiledRoute, upstream: str, permit: Permit) -> Job:
     """The request as decisions see it."""
+    arrived = permit.arrived
     parts = parse_parts(text_of(head, PROMPT_PREFIX))
     tokens_in, tokens_out = parse_token_count(text_of(head, TOKEN_COUNT))
     return Job(
@@ -67,6 +69,8 @@
         route=route.name,
         upstream=upstream,
         priority=route.priority,
+        tenant=permit.tenant,
+        tenant_priority=permit.priority,
         repeat=repeat_of(route),
         streaming=route.streaming,
         model=text_of(head, MODEL_NAME),
@@ -74,7 +78,7 @@
         prompt_tokens=tokens_in or sum(part.tokens for part in parts),
         output_tokens=tokens_out,
         aim_s=route.target,
-        deadline=now + time_limit(head, route),
+        deadline=arrived + time_limit(head, route),
         max_attempts=route.max_attempts,
-        arrived=now,
+        arrived=arrived,
     )
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -11,24 +11,22 @@
 
 from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.configuration import Configuration, RequestLimits
-from reedspoke.cluster.errors import ErrorCode, FleetError
+from reedspoke.cluster.errors import FleetError
 from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import INFO, WARNING, log
 from reedspoke.cluster.line_budget import LineBudget
 from reedspoke.cluster.messages import CONFIGURATION, NO_VERSION, WORKERS, MemberList, Version, WorkerList
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, split_address
-from reedspoke.data_plane.answers import WholeAnswer, own_answer, status_of
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, Exchange
 from reedspoke.data_plane.confirmation import Confirmation
 from reedspoke.data_plane.control_session import ControlSessions
 from reedspoke.data_plane.conversation import OwnState, SessionPace
 from reedspoke.data_plane.figures import add_process_figures
 from reedspoke.data_plane.forwarder import Forwarder
-from reedspoke.data_plane.headers import ATTEMPT_ID, text_of
+from reedspoke.data_plane.quota_client import QuotaClient
 from reedspoke.data_plane.readiness import ReadinessConnection
+from reedspoke.data_plane.request_entry import RequestEntry
 from reedspoke.data_plane.request_log import RequestLog
-from reedspoke.data_plane.request_trace import RequestOutcome, RequestTrace
-from reedspoke.data_plane.route_table import RouteTable
 from reedspoke.data_plane.subscription import Listener, Subscription
 from reedspoke.data_plane.upstream_pool import UpstreamPool
 from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
@@ -41,28 +39,15 @@
 LOOK_S = 0.05
 MOST_START_S = 2.0  # connections are accepted after that, even if there is no configuration yet
 SETTINGS_INTERVAL_S = 2.0
-NOT_READY_RETRY_S = 0.3
-IN_DOUBT_RETRY_S = 0.3
 EMPTY_LIMITS = RequestLimits()
 
 
-class NoExchange:
-    """Stands for a request that was answered at once."""
-
-    def client_gone(self) -> None:
-        """Nothing is left to do."""
-
-    def writable(self, on: bool) -> None:
-        """Nothing is being written."""
-
-
 class DataPlane:
     """One data plane scheduler."""
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
-        self._routes = RouteTable()
         self._workers_version = NO_VERSION
         self._connections: set[ClientConnection] = set()
         self._closing = False
@@ -84,12 +69,22 @@
         )
         self._confirmation = Confirmation(settings.bounds.apply_ms / 1000, started=self._loop.time())
         self._subscription = Subscription(listener, self._confirmation)
+        self._quota = QuotaClient(self._loop, lambda ask, tried: self._sessions.ask_quota(ask, tried))
+        self._entry = RequestEntry(
+            self._loop,
+            self._forwarder,
+            self._request_log,
+            self._confirmation,
+            self._quota,
+            settings.bounds,
+        )
         self._sessions = ControlSessions(
             self._subscription,
             self._own_state,
             self._seeds,
             self._random,
             SessionPace(settings.watch_hold_s()),
+            self._quota.answered,
         )
 
     def _make_dispatcher(self) -> Dispatcher:
@@ -138,7 +133,7 @@
     async def _finish(self, frontend: asyncio.Server) -> None:
         """Take nothing new that can go elsewhere, finish what was read, break off what is late."""
         self._closing = True
-        log(INFO, "leaving", open_requests=self._forwarder.open_exchanges())
+        log(INFO, "leaving", open_requests=self._entry.open_requests())
         began = self._loop.time()
         last = began + self._settings.bounds.grace_s - END_MARGIN_S
         self._close_idle()
@@ -150,7 +145,7 @@
             if lingered and not self._connections:
                 break
             await asyncio.sleep(LOOK_S)
-        self._forwarder.break_off_all()
+        self._entry.break_off_all()
         log(INFO, "data plane ends", after_s=round(self._loop.time() - began, 2))
 
     def _close_idle(self) -> None:
@@ -186,10 +181,9 @@
     # ---- what the control plane tells ----
 
     def _on_configuration(self, configuration: Configuration, version: Version) -> None:
-        held = self._routes.version
+        held = self._entry.routes.version
         check(Invariant.DELIVERY_RISES, version > held, source=CONFIGURATION, held=held, got=version)
-        self._routes = RouteTable(configuration, version)
-        self._forwarder.configure(configuration)
+        self._entry.configure(configuration, version)
         self._look_whether_ready()
         log(INFO, "configuration in force", generation=configuration.generation)
 
@@ -219,7 +213,7 @@
     # ---- what client connections ask ----
 
     def limits(self) -> RequestLimits:
-        configuration = self._routes.configuration
+        configuration = self._entry.routes.configuration
         return EMPTY_LIMITS if configuration is None else configuration.limits
 
     def closing(self) -> bool:
@@ -235,43 +229,17 @@
         self._request_log.unreadable(status, message, peer)
 
     def begin(self, request: ClientRequest, connection: ClientConnection) -> Exchange:
-        trace = self._trace(request)
-        if self._routes.configuration is None:
-            message = "no configuration has come yet"
-            answer = own_answer(503, ErrorCode.NOT_READY, message, NOT_READY_RETRY_S)
-            return self._answer_unrouted(connection, answer, trace, message)
-        host, path = place_of(request)
-        route = self._routes.find(host, path)
-        if route is None:
-            return self._answer_unrouted(connection, self._no_route(), trace, f"no route for {host}{path}")
-        upstream = route.upstream_for(request.head.get(ATTEMPT_ID) or b"")
-        return self._forwarder.begin(request, connection, route, upstream, trace)
-
-    def _trace(self, request: ClientRequest) -> RequestTrace:
-        return RequestTrace(
-            text_of(request.head, ATTEMPT_ID),
-            generation=self.generation(),
-            version=self._routes.version,
-            in_doubt=self.in_doubt(),
-        )
-
-    def _answer_unrouted(
-        self, connection: ClientConnection, answer: WholeAnswer, trace: RequestTrace, reason: str
-    ) -> Exchange:
-        connection.answer_whole(answer)
-        trace.ended(RequestOutcome.NOT_ROUTED, status_of(answer), reason, 0.0)
-        self._request_log.ended(trace)
-        return NoExchange()
+        return self._entry.begin(request, connection)
 
     # ---- what the figures are read from ----
 
     def in_doubt(self) -> bool:
         """Whether the configuration that is held may be an old one."""
-        return self._confirmation.in_doubt(self._loop.time())
+        return self._entry.in_doubt()
 
     def generation(self) -> int:
         """Of the configuration in force; 0 before the first."""
-        configuration = self._routes.configuration
+        configuration = self._entry.routes.configuration
         return 0 if configuration is None else configuration.generation
 
     def open_connections(self) -> int:
@@ -280,7 +248,7 @@
 
     def open_requests(self) -> int:
         """Requests without a whole answer."""
-        return self._forwarder.open_exchanges()
+        return self._entry.open_requests()
 
     def sound_sessions(self) -> int:
         """Sessions with control schedulers behind which a majority stands."""
@@ -291,22 +259,6 @@
         workers = self._subscription.state.workers
         return 0 if workers is None else len(workers.workers)
 
-    def _no_route(self) -> WholeAnswer:
-        """Final only while it is certain that no route has come for the request."""
-        if self.in_doubt():
-            message = "the configuration that is held may be an old one"
-            return own_answer(503, ErrorCode.CONFIGURATION_IN_DOUBT, message, IN_DOUBT_RETRY_S)
-        return own_answer(404, ErrorCode.NO_ROUTE, "no route for this host and path")
-
-
-def place_of(request: ClientRequest) -> tuple[str, str]:
-    """Host and path; a target that names its host goes before the field."""
-    target = bytes(request.head.target).decode("latin-1")
-    if not target.lower().startswith("http://"):
-        return text_of(request.head, b"host"), target
-    host, slash, path = target[len("http://") :].partition("/")
-    return host, slash + path
-
 
 def listen(address: str) -> socket.socket:
     """A listening socket at `ip:port`; connections come up before anybody accepts them."""
--- a/reedspoke/data_plane/request_trace.py
+++ b/reedspoke/data_plane/request_trace.py
@@ -25,7 +25,7 @@
     BROKEN_OFF = "broken_off"  # inside a stream
     CLIENT_LEFT = "client_left"
     PROCESS_ENDED = "process_ended"  # 502 or 503, or broken off, as this process ends
-    NOT_ROUTED = "not_routed"  # 404, or 503 while there is no certain configuration
+    NOT_ROUTED = "not_routed"  # 404, 401 or 429, or 503 where there is no certain configuration or quota
 
 
 class AttemptTrace(Struct, omit_defaults=True):
@@ -54,6 +54,8 @@
     version: Version = NO_VERSION
     in_doubt: bool = False  # whether that configuration may have been an old one
     deadline_ms: float = 0.0
+    tenant: str = ""
+    units: float = 0.0  # of the tenant's quota; 0: it has none
     attempts: list[AttemptTrace] = field(default_factory=list)
     last_event_id: str = ""  # of the newest event that was passed on
     outcome: str = ""
@@ -66,6 +68,7 @@
         self.route = job.route
         self.upstream = job.upstream
         self.repeat = job.repeat.name.lower()
+        self.tenant = job.tenant
         self.deadline_ms = round((job.deadline - job.arrived) * 1000, 1)
 
     def began(self, worker: str, address: str, at_ms: float) -> None:
--- a/reedspoke/data_plane/route_table.py
+++ b/reedspoke/data_plane/route_table.py
@@ -37,6 +37,7 @@
     max_attempts: int
     session_affinity: bool
     targets: tuple[Target, ...]
+    public: bool = False  # its requests need no key
     pause: float = 0.0  # the longest one between events that is in time; 0: unknown
 
     def upstream_for(self, key: bytes) -> str:
@@ -99,6 +100,7 @@
         timeout=route.get("timeout_ms", DEFAULT_TIMEOUT_MS) / 1000,
         target=route.get("target_ms", DEFAULT_TARGET_MS) / 1000,
         pause=route.get("gap_aim_ms", 0.0) / 1000,
+        public=route.get("public", False),
         priority=route.get("priority", DEFAULT_PRIORITY),
         max_attempts=max(1, route.get("max_attempts", DEFAULT_ATTEMPTS)),
         session_affinity=route.get("session_affinity", False),
--- a/reedspoke/data_plane/session_choice.py
+++ b/reedspoke/data_plane/session_choice.py
@@ -167,6 +167,10 @@
         """Addresses of the sessions behind whose control schedulers a majority stands."""
         return [session.address for session in self._sessions.values() if self._is_sound(session, now)]
 
+    def is_near(self, address: str) -> bool:
+        """Whether this control scheduler is in the own zone."""
+        return self._zone(address) == self._own_zone
+
     def next_look_s(self, now: float) -> float:
         """How long the caller may wait with its next look, if nothing happens in between."""
         if self._in_doubt or len(self._sessions) != SESSIONS or len(self.sound(now)) != SESSIONS:
--- a/reedspoke/data_plane/upstream_request.py
+++ b/reedspoke/data_plane/upstream_request.py
@@ -17,13 +17,20 @@
 class UpstreamRequest:
     """What all attempts of one request have in common."""
 
-    def __init__(self, request: ClientRequest) -> None:
+    def __init__(self, request: ClientRequest, tenant: str = "") -> None:
         self.attempt_id = text_of(request.head, ATTEMPT_ID)
         self.last_event_id = text_of(request.head, LAST_EVENT_ID)
         self.head_only = request.head.method == b"HEAD"
         self.version_asked = request.head.get(EXPECT_VERSION) is not None
         self._request = request
         self._fields = forwarded_request_fields(request.head)
+        if tenant:
+            self._fields += b"Reedspoke-Tenant-Name: %b\r\n" % tenant.encode()
+
+    @property
+    def fields(self) -> bytes:
+        """The header lines that all attempts share."""
+        return self._fields
 
     def render(self, instance_id: str, left_ms: int, last_event_id: str, urgency: int | None) -> bytes:
         """The bytes for one worker."""
--- a/reedspoke/decision/messages.py
+++ b/reedspoke/decision/messages.py
@@ -54,6 +54,8 @@
     route: str
     upstream: str
     priority: int  # of its route, 0 is the most urgent
+    tenant: str = ""  # empty: it carries no key
+    tenant_priority: int | None = None  # goes before that of the route
     repeat: Repeat
     streaming: bool = False
     model: str = ""
--- a/reedspoke/telemetry/invariants.py
+++ b/reedspoke/telemetry/invariants.py
@@ -30,6 +30,8 @@
     GONE_CLIENT_HOLDS_NOTHING = "gone_client_holds_nothing"  # no job is left of a client that has left
     IDLE_HOLDS_NOTHING = "idle_holds_nothing"  # without requests nothing is held
     DELIVERY_RISES = "delivery_rises"  # configuration and workers never go back in one life
+    TENANT_IS_KEY_HOLDER = "tenant_is_key_holder"  # workers are told the holder of the key, never the key
+    KEY_IS_CERTAIN = "key_is_certain"  # no key is served past the bound on its being taken away
     ATTEMPTS_BOUNDED = "attempts_bounded"  # no more attempts reach workers than the route allows
 
     # control plane
@@ -39,6 +41,7 @@
     ACKNOWLEDGED_IS_SYNCED = "acknowledged_is_synced"  # a member acknowledges only what is on its disk
     ONE_CHANGE_A_SEQUENCE = "one_change_a_sequence"  # what is committed at a sequence stays the same
     DUTY_HAS_LEASE = "duty_has_lease"  # a list is published only under the lease
+    QUOTA_IS_CONSERVED = "quota_is_conserved"  # grants never exceed what a part of a quota was refilled with
     STATE_HAS_GRANT = "state_has_grant"  # sessions are told versions only with a majority's grant
 
 
--- /dev/null
+++ b/tests/control_plane_process/quota_simulation.py
@@ -0,0 +1,315 @@
+"""Plays quotas of one tenant over many schedulers, and judges every sliding window.
+
+Real `QuotaGrants` and `QuotaShare` of each control scheduler; data plane schedulers are reduced to what they
+ask. Control schedulers are killed and start anew, are cut off from each other, leave the view and come back;
+messages take time and are lost at cuts. Run it for long with
+
+    python -m tests.control_plane_process.quota_simulation --runs 10000
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import sys
+from collections import deque
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from msgspec import Struct, field
+
+from reedspoke.cluster.messages import QuotaAsk, QuotaVerdict
+from reedspoke.cluster.quota_rule import LAG_S, QuotaRule, bound
+from reedspoke.cluster.tenants import Tenant
+from reedspoke.control_plane.peer_messages import QuotaLoanRequest
+from reedspoke.control_plane.quota_grants import AnswerTo, QuotaEffect, QuotaGrants
+from reedspoke.control_plane.quota_share import QuotaShare
+
+TENANT = "t"
+TICK_S = 0.05
+REPAIR_S = 1.2  # until the view goes on without one that is lost
+VIEW_LAG_S = 0.05  # until a member of a new view has learnt of it
+CONTACT_S = 0.05  # how old the newest contact with a majority is
+WARM_UP_S = 8.0
+MOST_LOST = 2  # control schedulers at once
+
+
+class Draw(Struct, frozen=True):
+    """What one run plays."""
+
+    controls: int
+    edges: int
+    rate: float
+    burst: float
+    slack: float
+    mean_units: float
+    demand: float  # in multiples of the rate, outside of the surge
+    surge: float
+    skew: float  # 0: all edges ask alike; towards 1: a few ask nearly all
+    troubles: int
+    seconds: float = 30.0
+
+    def rule(self) -> QuotaRule:
+        """As deployments have it."""
+        return QuotaRule(8.0, 0.1, self.slack)
+
+
+def drawn(random: Random) -> Draw:
+    """A deployment with troubles."""
+    rate = random.choice((20.0, 300.0, 30_000.0, 280_000.0))
+    return Draw(
+        controls=random.choice((3, 5, 8)),
+        edges=random.choice((6, 30, 85)),
+        rate=rate,
+        burst=rate * random.choice((0.0, 0.3, 1.0)),
+        slack=rate * random.choice((0.0, 0.4, 3.0)),
+        mean_units=rate * random.choice((0.01, 0.05, 0.15)),
+        demand=random.choice((0.5, 0.77, 0.95)),
+        surge=random.choice((1.0, 3.0, 8.0)),
+        skew=random.choice((0.0, 0.5, 0.9)),
+        troubles=random.choice((0, 2, 5)),
+    )
+
+
+class Control(Struct, eq=False):
+    """One control scheduler."""
+
+    address: str
+    grants: QuotaGrants
+    share: QuotaShare
+    majority_as_of: float | None = None
+    is_up: bool = True
+    is_cut: bool = False  # from the other control schedulers
+
+
+class Arrival(Struct, frozen=True):
+    """A granted request at its worker."""
+
+    at: float
+    units: float
+
+
+class Outcome(Struct):
+    """What was seen in one run."""
+
+    bound: float
+    arrivals: list[Arrival] = field(default_factory=list)
+    asked: float = 0.0  # units, after the warm-up
+    granted: float = 0.0
+
+    def worst_window(self, window_s: float) -> float:
+        """The most units that arrived within any window."""
+        inside: deque[Arrival] = deque()
+        total = worst = 0.0
+        for arrival in sorted(self.arrivals, key=lambda item: item.at):
+            inside.append(arrival)
+            total += arrival.units
+            while inside[0].at <= arrival.at - window_s:
+                total -= inside.popleft().units
+            worst = max(worst, total)
+        return worst
+
+
+class Simulation:
+    """One run, by its seed."""
+
+    def __init__(self, draw: Draw, seed: int) -> None:
+        self.draw = draw
+        self.random = Random(seed)
+        self.now = 0.0
+        self.outcome = Outcome(bound(draw.rate, draw.burst, draw.rule()))
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+        self._view = [f"c{number}" for number in range(draw.controls)]
+        self._controls = {address: self._fresh(address) for address in self._view}
+        self._requests: dict[int, tuple[float, list[str]]] = {}
+        for control in self._controls.values():
+            control.share.voters_known(frozenset(self._view), 0.0)
+        self._weights = [(1 - draw.skew) ** number + 0.02 for number in range(draw.edges)]
+        self._sessions = [self.random.sample(self._view, min(2, len(self._view))) for _ in range(draw.edges)]
+
+    def run(self) -> Outcome:
+        """Play it to its end."""
+        self._tick()
+        self._next_request()
+        for _ in range(self.draw.troubles):
+            at = self.random.uniform(WARM_UP_S, self.draw.seconds)
+            self._at(at, self._trouble)
+        while self._queue and self._queue[0][0] <= self.draw.seconds:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        return self.outcome
+
+    # ---- time and messages ----
+
+    def _at(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (at, next(self._numbers), action))
+
+    def _later(self, action: Callable[[], None]) -> None:
+        self._at(self.now + self.random.uniform(0.0005, 0.006), action)
+
+    def _tick(self) -> None:
+        reached = [item for item in self._controls.values() if item.is_up and not item.is_cut]
+        for control in reached:
+            if control.address in self._view and len(reached) > len(self._view) // 2:
+                control.majority_as_of = self.now - CONTACT_S
+        for control in self._controls.values():
+            if control.is_up:
+                self._carry_out(control, control.grants.tick(self.now))
+        self._at(self.now + TICK_S, self._tick)
+
+    def _carry_out(self, control: Control, effects: list[QuotaEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, AnswerTo):
+                answer = effect.answer
+                self._later(lambda answer=answer: self._answered(answer.request_id, answer.verdict))  # type: ignore[misc]
+                continue
+            receiver, message = self._controls[effect.address], effect.message
+            if control.is_cut or receiver.is_cut:
+                continue
+            if isinstance(message, QuotaLoanRequest):
+                self._later(lambda to=receiver, sent=message: self._loan_requested(control, to, sent))  # type: ignore[misc]
+            else:
+                self._later(lambda to=receiver, sent=message: self._loan_came(to, sent))  # type: ignore[misc]
+
+    def _loan_requested(self, sender: Control, receiver: Control, message: QuotaLoanRequest) -> None:
+        if receiver.is_up:
+            effects = receiver.grants.loan_requested(sender.address, message, self.now)
+            self._carry_out(receiver, effects)
+
+    def _loan_came(self, receiver: Control, message: object) -> None:
+        if receiver.is_up:
+            self._carry_out(receiver, receiver.grants.loan_came(message, self.now))  # type: ignore[arg-type]
+
+    # ---- requests ----
+
+    def _demand(self) -> float:
+        surges = 12.0 <= self.now < 22.0
+        return self.draw.rate * (self.draw.surge if surges else self.draw.demand)
+
+    def _next_request(self) -> None:
+        pause = self.random.expovariate(self._demand() / self.draw.mean_units)
+        self._at(self.now + pause, self._request)
+
+    def _request(self) -> None:
+        self._next_request()
+        units = self.draw.mean_units * self.random.lognormvariate(-0.3, 0.77)
+        edge = self.random.choices(range(self.draw.edges), self._weights)[0]
+        number = next(self._numbers)
+        self._requests[number] = (units, list(self._sessions[edge]))
+        if self.now >= WARM_UP_S:
+            self.outcome.asked += units
+        self._ask(number)
+
+    def _ask(self, number: int) -> None:
+        units, sessions = self._requests[number]
+        if not sessions:
+            del self._requests[number]
+            return
+        control = self._controls[sessions.pop(0)]
+        ask = QuotaAsk(number, TENANT, units)
+        if control.is_up:
+            self._later(lambda: self._asked(control, ask))
+        else:
+            self._ask(number)
+
+    def _asked(self, control: Control, ask: QuotaAsk) -> None:
+        if control.is_up:
+            self._carry_out(control, control.grants.asked(None, ask, self.now))
+
+    def _answered(self, number: int, verdict: QuotaVerdict) -> None:
+        if number not in self._requests:
+            return
+        if verdict is not QuotaVerdict.GRANTED:
+            self._ask(number)
+            return
+        units, _ = self._requests.pop(number)
+        self.outcome.arrivals.append(Arrival(self.now + self.random.uniform(0, LAG_S - 0.01), units))
+        if self.now >= WARM_UP_S:
+            self.outcome.granted += units
+
+    # ---- troubles ----
+
+    def _fresh(self, address: str) -> Control:
+        share = QuotaShare(address, MOST_LOST, self.now)
+        made: list[Control] = []
+        grants = QuotaGrants(self.draw.rule(), share, lambda: made[0].majority_as_of)
+        tenant = Tenant(name=TENANT, rate_per_s=self.draw.rate, burst=self.draw.burst)
+        grants.configure({TENANT: tenant}, self.now)
+        made.append(Control(address, grants, share))
+        return made[0]
+
+    def _lost(self) -> int:
+        return sum(not item.is_up or item.is_cut for item in self._controls.values())
+
+    def _trouble(self) -> None:
+        if self._lost() >= min(MOST_LOST, (self.draw.controls - 1) // 2):
+            return
+        address = self.random.choice([name for name, item in self._controls.items() if item.is_up])
+        for_s = self.random.uniform(0.2, 9.0)
+        if self.random.random() < 0.5:
+            self._controls[address].is_up = False
+            self._at(self.now + for_s, lambda: self._start_again(address))
+        else:
+            self._controls[address].is_cut = True
+            self._at(self.now + for_s, lambda: self._heal(address))
+        self._at(self.now + REPAIR_S, lambda: self._leave_view(address))
+
+    def _start_again(self, address: str) -> None:
+        self._controls[address] = self._fresh(address)
+        self._join(address)
+
+    def _heal(self, address: str) -> None:
+        self._controls[address].is_cut = False
+        self._join(address)
+
+    def _leave_view(self, address: str) -> None:
+        control = self._controls[address]
+        if address in self._view and (not control.is_up or control.is_cut):
+            self._view = [name for name in self._view if name != address]
+            self._tell_view()
+
+    def _join(self, address: str) -> None:
+        if address not in self._view:
+            self._view = sorted([*self._view, address])
+        self._tell_view()
+
+    def _tell_view(self) -> None:
+        voters = frozenset(self._view)
+        for address in self._controls:
+            delay = self.random.uniform(0, VIEW_LAG_S)
+            self._at(self.now + delay, lambda name=address: self._learn(name, voters))  # type: ignore[misc]
+
+    def _learn(self, address: str, voters: frozenset[str]) -> None:
+        control = self._controls[address]
+        if control.is_up and not control.is_cut and voters == frozenset(self._view):
+            control.share.voters_known(voters, self.now)
+
+
+def broken(seed: int) -> tuple[Draw, float]:
+    """The run of a seed, and its worst window against the bound: above 1 the rule is broken."""
+    draw = drawn(Random(seed))
+    outcome = Simulation(draw, seed).run()
+    return draw, outcome.worst_window(draw.rule().window_s) / outcome.bound
+
+
+def main() -> int:
+    """Play many runs and tell which broke the rule; exit status 1 if any did."""
+    parser = argparse.ArgumentParser(description="Plays quotas and judges every sliding window.")
+    parser.add_argument("--runs", type=int, default=1000)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    worst, failed = 0.0, 0
+    for seed in range(options.seed, options.seed + options.runs):
+        draw, used = broken(seed)
+        worst = max(worst, used)
+        if used > 1:
+            failed += 1
+            print(f"seed {seed}: {used:.3f} of the bound, {draw}")
+    print(f"{options.runs} runs, {failed} over the bound, worst window {worst:.3f} of the bound")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/control_plane_process/test_quota_share.py
@@ -0,0 +1,63 @@
+"""The shares of control schedulers in quotas, over changes of the view."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.control_plane.quota_share import LEASE_MARGIN_S, LEASE_S, QuotaShare
+
+ALL = frozenset("abcd")
+LEAST_S = LEASE_S - LEASE_MARGIN_S
+
+
+def settled(own: str = "a", voters: frozenset[str] = ALL) -> QuotaShare:
+    made = QuotaShare(own, tolerated=1, started=0.0)
+    made.voters_known(voters, 0.0)
+    return made
+
+
+def test_voters_share_evenly() -> None:
+    assert settled().share(100.0, 100.0) == 0.25
+
+
+def test_a_fresh_process_counts_voters_that_it_may_not_know() -> None:
+    assert settled().share(1.0, 1.0) == 0.2
+    assert settled().share(LEASE_S, LEASE_S) == 0.25
+
+
+@pytest.mark.parametrize(
+    ("age_s", "share"), [(0.0, 0.25), (LEAST_S - 0.01, 0.25), (LEAST_S, 0.0), (99.0, 0.0)]
+)
+def test_without_a_majority_the_lease_ends(age_s: float, share: float) -> None:
+    assert settled().share(200.0, 200.0 - age_s) == share
+
+
+def test_without_any_contact_or_view_there_is_none() -> None:
+    assert settled().share(200.0, None) == 0.0
+    assert QuotaShare("a", 1, 0.0).share(200.0, 200.0) == 0.0
+
+
+def test_the_share_of_one_that_left_is_taken_over_after_its_lease() -> None:
+    made = settled()
+    made.voters_known(frozenset("abc"), 100.0)
+    assert made.share(100.0 + LEASE_S - 0.1, 105.0) == 0.25
+    assert made.share(100.0 + LEASE_S, 106.0) == pytest.approx(1 / 3)
+
+
+def test_a_new_voter_waits_until_all_others_know_of_it() -> None:
+    made = settled("d", frozenset("abc"))
+    made.voters_known(ALL, 100.0)
+    assert made.share(100.0 + LEASE_S - 0.1, 105.0) == 0.0
+    assert made.share(100.0 + LEASE_S, 106.0) == 0.25
+
+
+def test_one_that_left_has_none() -> None:
+    made = settled()
+    made.voters_known(frozenset("bcd"), 100.0)
+    assert made.share(100.1, 100.1) == 0.0
+
+
+def test_a_larger_view_counts_at_once() -> None:
+    made = settled("a", frozenset("abc"))
+    made.voters_known(ALL, 100.0)
+    assert made.share(100.0, 100.0) == 0.25
--- a/tests/data_plane/test_job_builder.py
+++ b/tests/data_plane/test_job_builder.py
@@ -10,6 +10,7 @@
 
 from reedspoke.cluster.messages import Watch, encode
 from reedspoke.data_plane.job_builder import build_job, parse_parts, parse_token_count, repeat_of, time_limit
+from reedspoke.data_plane.permit import Permit
 from reedspoke.data_plane.route_table import CompiledRoute, Target
 from reedspoke.decision.messages import Job, Part, Repeat
 from tests.data_plane.test_headers import request
@@ -38,7 +39,7 @@
 
 
 def job_of(*fields: bytes) -> Job:
-    return build_job(7, request(*fields), route(), "u1", 100.0)
+    return build_job(7, request(*fields), route(), "u1", Permit(100.0))
 
 
 def test_a_job_holds_what_the_request_tells() -> None:
--- /dev/null
+++ b/tests/data_plane/test_quota_client.py
@@ -0,0 +1,149 @@
+"""How a data plane scheduler asks for quota, at the edge of each time limit."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+
+import pytest
+
+from reedspoke.cluster.messages import QuotaAnswer, QuotaAsk, QuotaVerdict
+from reedspoke.cluster.quota_rule import CREDIT_S
+from reedspoke.data_plane.quota_client import (
+    SECOND_ASK_S,
+    UNAVAILABLE_RETRY_S,
+    QuotaClient,
+    QuotaDecision,
+)
+from tests.data_plane.virtual_loop import VirtualLoop
+
+WAIT_S = 0.1
+YES, NO, NOBODY = QuotaVerdict.GRANTED, QuotaVerdict.SPENT, QuotaVerdict.UNAVAILABLE
+
+
+class Scene:
+    """A client with sessions at these addresses."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.addresses = ["c1", "c2"]
+        self.asked: list[tuple[str, QuotaAsk]] = []
+        self.decisions: list[QuotaDecision] = []
+        self.client = QuotaClient(loop, self._send)
+
+    def _send(self, ask: QuotaAsk, tried: Collection[str]) -> str | None:
+        address = next((item for item in self.addresses if item not in tried), None)
+        if address is not None:
+            self.asked.append((address, ask))
+        return address
+
+    def ask(self, units: float = 10.0) -> int | None:
+        return self.client.ask("t", units, WAIT_S, self.decisions.append)
+
+    def answer(self, verdict: QuotaVerdict, index: int = -1, retry_after_s: float = 0.0) -> None:
+        self.client.answered(QuotaAnswer(self.asked[index][1].request_id, verdict, retry_after_s))
+
+    def to(self) -> list[str]:
+        return [address for address, _ in self.asked]
+
+
+@pytest.fixture
+def scene() -> Iterator[Scene]:
+    loop = VirtualLoop()
+    yield Scene(loop)
+    loop.run_for(1)
+    loop.close()
+
+
+def test_a_grant_decides(scene: Scene) -> None:
+    scene.ask()
+    assert scene.decisions == []
+    scene.answer(YES)
+    assert [item.granted for item in scene.decisions] == [True]
+    assert scene.client.waiting == 0
+
+
+@pytest.mark.parametrize("verdict", [NO, NOBODY])
+def test_a_refusal_is_taken_to_the_next_control_scheduler(scene: Scene, verdict: QuotaVerdict) -> None:
+    scene.ask()
+    scene.answer(verdict)
+    assert scene.to() == ["c1", "c2"]
+    scene.answer(YES)
+    assert [item.granted for item in scene.decisions] == [True]
+
+
+def test_where_all_refuse_the_longest_pause_is_told(scene: Scene) -> None:
+    scene.ask()
+    scene.answer(NO, retry_after_s=0.7)
+    scene.answer(NO, retry_after_s=0.3)
+    assert scene.decisions == [QuotaDecision(False, True, 0.7)]
+
+
+def test_where_nobody_knows_it_is_not_the_quota_that_is_spent(scene: Scene) -> None:
+    scene.ask()
+    scene.answer(NOBODY)
+    scene.answer(NOBODY)
+    assert scene.decisions == [QuotaDecision(False, False, UNAVAILABLE_RETRY_S)]
+
+
+def test_without_any_session_it_is_refused_at_once(scene: Scene) -> None:
+    scene.addresses = []
+    assert scene.ask() is None
+    assert scene.decisions == [QuotaDecision(False, False, UNAVAILABLE_RETRY_S)]
+
+
+def test_after_a_silence_another_one_is_asked(scene: Scene) -> None:
+    scene.ask()
+    scene.loop.run_for(SECOND_ASK_S * 0.9)
+    assert scene.to() == ["c1"]
+    scene.loop.run_for(SECOND_ASK_S * 0.2)
+    assert scene.to() == ["c1", "c2"]
+    scene.answer(YES, index=0)
+    assert [item.granted for item in scene.decisions] == [True]
+
+
+def test_silence_of_all_ends_at_the_deadline(scene: Scene) -> None:
+    scene.ask()
+    scene.loop.run_for(WAIT_S * 0.95)
+    assert scene.decisions == []
+    scene.loop.run_for(WAIT_S * 0.1)
+    assert scene.decisions == [QuotaDecision(False, False, UNAVAILABLE_RETRY_S)]
+
+
+def test_a_second_grant_serves_the_next_request(scene: Scene) -> None:
+    scene.ask()
+    scene.loop.run_for(SECOND_ASK_S * 1.1)
+    scene.answer(YES, index=0)
+    scene.answer(YES, index=1)
+    assert scene.ask(9.0) is None
+    assert len(scene.asked) == 2
+    assert [item.granted for item in scene.decisions] == [True, True]
+
+
+def test_a_grant_that_comes_too_late_is_kept_for_a_moment_only(scene: Scene) -> None:
+    scene.ask()
+    scene.loop.run_for(WAIT_S * 1.05)
+    scene.answer(YES, index=0)
+    scene.loop.run_for(CREDIT_S * 1.01)
+    assert scene.ask() is not None
+
+
+def test_a_credit_is_used_once(scene: Scene) -> None:
+    scene.client.give_back("t", 10.0)
+    assert scene.ask(6.0) is None
+    assert scene.ask(6.0) is not None
+    assert scene.client.ask("other", 1.0, WAIT_S, scene.decisions.append) is not None
+
+
+def test_a_client_that_leaves_takes_its_ask_along(scene: Scene) -> None:
+    number = scene.ask()
+    assert number is not None
+    scene.client.cancel(number)
+    scene.answer(YES)
+    assert scene.decisions == []
+    assert scene.client.waiting == 0
+    assert scene.ask() is None  # what was granted serves the next one
+
+
+def test_an_answer_to_nobody_is_of_no_account(scene: Scene) -> None:
+    scene.client.answered(QuotaAnswer(77, YES))
+    assert scene.ask() is not None
--- a/tests/data_plane/world.py
+++ b/tests/data_plane/world.py
@@ -17,7 +17,7 @@
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, Exchange
 from reedspoke.data_plane.forwarder import Forwarder
 from reedspoke.data_plane.headers import ATTEMPT_ID, text_of
-from reedspoke.data_plane.process import NoExchange
+from reedspoke.data_plane.request_entry import NoExchange
 from reedspoke.data_plane.route_table import RouteTable
 from reedspoke.data_plane.upstream_pool import UpstreamPool
 from reedspoke.decision.dispatcher import BudgetRule, Dispatcher
