Signals during the start are remembered; SIGHUP no longer ends a program

Ruled out: ignoring the signals until the loop runs, an end would be lost. Change: both programs remember signals at their very entry and obey them once there is a loop; the soak excuses only what ends the interpreter before any code of ours has run. The program in service sets its own handlers and was not changed.

--- a/reedspoke/control_plane/__main__.py
+++ b/reedspoke/control_plane/__main__.py
@@ -4,22 +4,16 @@
 
 import sys
 
-from reedspoke.cluster.entry import run
-from reedspoke.cluster.errors import ErrorCode, FleetError
-from reedspoke.cluster.node_settings import NodeSettings
-from reedspoke.control_plane.process import serve
+from reedspoke.cluster.early_signals import remember_signals
 
 
-def check_settings(settings: NodeSettings) -> None:
-    """Raises FleetError where the file lacks what this role needs."""
-    if not settings.data_dir:
-        raise FleetError(ErrorCode.SETTINGS_INVALID, "data_dir: a control scheduler needs a folder on a disk")
+def run() -> int:
+    """Exit status, as `program.main` has it. The program is imported once signals are remembered."""
+    remember_signals()
+    from reedspoke.control_plane.program import main
 
-
-def main() -> int:
-    """Exit status: 0 after SIGTERM, 2 where the settings cannot be used."""
-    return run(serve, check_settings)
+    return main()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run())
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import os
-import signal
 from pathlib import Path
 
 from msgspec import Struct
 
 from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.configuration import Configuration
+from reedspoke.cluster.early_signals import handle_signals
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import ERROR, INFO, WARNING, log
@@ -126,9 +126,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
-        self._loop.add_signal_handler(signal.SIGTERM, self._ended.set)
-        self._loop.add_signal_handler(signal.SIGINT, self._ended.set)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        handle_signals(self._loop, on_end=self._ended.set, on_reload=self._reload_settings)
         await self._transport.listen()
         if self._settings.bind.control_plane:
             await self._api.listen(self._settings.bind.control_plane)
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import os
-import signal
 import socket
 from contextlib import suppress
 from random import Random
 
 from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.configuration import Configuration, RequestLimits
+from reedspoke.cluster.early_signals import handle_signals
 from reedspoke.cluster.errors import FleetError
 from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import INFO, WARNING, log
@@ -96,9 +96,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what was taken."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._end)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        handle_signals(self._loop, on_end=self._end, on_reload=self._reload_settings)
         front = listen(self._settings.bind.frontend)
         readiness = await self._loop.create_server(
             lambda: ReadinessConnection(self.is_ready),
--- a/reedspoke/lab/fleet_soak/soak_fleet.py
+++ b/reedspoke/lab/fleet_soak/soak_fleet.py
@@ -17,7 +17,8 @@
 from reedspoke.lab.fleet_emulator.layout import Layout, control_settings, edge_settings
 from reedspoke.lab.fleet_emulator.process import CONTROL_PLANE, DATA_PLANE, FleetProcess
 from reedspoke.lab.fleet_soak.disk_layer import NONE
-from reedspoke.lab.fleet_soak.node import NODE_VARIABLE, NodeFile
+from reedspoke.lab.fleet_soak.node import ENTERED_LINE
+from reedspoke.lab.fleet_soak.node_run import NODE_VARIABLE, NodeFile
 from reedspoke.lab.fleet_soak.power_loss import lose_disk, lose_power
 
 NODE_MODULE = "reedspoke.lab.fleet_soak.node"
@@ -25,7 +26,6 @@
 GRACE_S = 8.0  # as the settings have it
 END_MARGIN_S = 1.5  # beyond it, for a process that was paused meanwhile
 LOOK_S = 0.05
-UP_EVENT = b' plane up"'
 
 
 class SoakProcess(FleetProcess):
@@ -123,10 +123,10 @@
         self.paused = 0
         return status
 
-    def is_up(self) -> bool:
-        """Whether this life of it has said that it listens; before that SIGTERM just ends it."""
+    def has_entered(self) -> bool:
+        """Whether this life of it runs code of its own: before that any signal just ends the interpreter."""
         begun = self.log_path.read_bytes()[self._log_begin :] if self.log_path.exists() else b""
-        return UP_EVENT in begun
+        return ENTERED_LINE in begun
 
     def exit_status(self) -> int | None:
         """None while it runs."""
--- a/reedspoke/lab/fleet_soak/troubles.py
+++ b/reedspoke/lab/fleet_soak/troubles.py
@@ -136,9 +136,9 @@
             return False
         with self._unsettling(process):
             self._log(f"SIGTERM {process.name}")
-            was_up = process.is_up()
+            has_entered = process.has_entered()
             status = await process.end()
-            if status != 0 and (was_up or status != -signal.SIGTERM):
+            if status != 0 and (has_entered or status != -signal.SIGTERM):
                 self.unclean_ends.append(f"{process.name} ended with {status} after SIGTERM")
             await self._start_again(process, min(trouble.for_s, 1.0))
         return True
@@ -199,17 +199,17 @@
         wrong = tuple(seed.rpartition(":")[0] + ":9" for seed in seeds)
         process.change_settings(seed_nodes=wrong if trouble.pick % 3 == 0 else seeds[:1])
         self._log(f"SIGHUP {process.name} with seeds {process.settings.seed_nodes}")
-        process.send_signal(signal.SIGHUP)
+        reload_settings(process)
         await asyncio.sleep(WRONG_SEEDS_S)
         process.change_settings(seed_nodes=self._fleet.seeds[:MOST_SEEDS])
-        process.send_signal(signal.SIGHUP)
+        reload_settings(process)
         return True
 
     def _tell_seeds(self, by_signal: bool) -> None:
         for process in self._fleet.processes:
             process.change_settings(seed_nodes=self._fleet.seeds[:MOST_SEEDS])
             if by_signal:
-                process.send_signal(signal.SIGHUP)
+                reload_settings(process)
 
     def _take(self, process: SoakProcess) -> bool:
         """Whether the process may be ended now; whoever takes it starts it again or removes it."""
@@ -323,3 +323,9 @@
 def picked(things: list[Thing], trouble: Trouble) -> Thing:
     """The one that the plan chose."""
     return things[trouble.pick % len(things)]
+
+
+def reload_settings(process: SoakProcess) -> None:
+    """SIGHUP; a process that has no code of its own yet reads its settings soon anyway."""
+    if process.has_entered():
+        process.send_signal(signal.SIGHUP)
--- a/tests/cluster/test_entry.py
+++ b/tests/cluster/test_entry.py
@@ -14,8 +14,8 @@
 from reedspoke.cluster.entry import SETTINGS_EXIT, run
 from reedspoke.cluster.errors import ErrorCode, FleetError
 from reedspoke.cluster.node_settings import SETTINGS_VARIABLE, NodeSettings, parse_settings
-from reedspoke.control_plane.__main__ import check_settings as check_control_plane
-from reedspoke.data_plane.__main__ import check_settings as check_data_plane
+from reedspoke.control_plane.program import check_settings as check_control_plane
+from reedspoke.data_plane.program import check_settings as check_data_plane
 from tests.cluster.test_node_settings import FILE
 
 
--- a/tests/data_plane/test_request_keys.py
+++ b/tests/data_plane/test_request_keys.py
@@ -22,7 +22,7 @@
     "edge-1", "127.0.0.1", "za", bounds=Bounds(revoke_strict=True, revoke_ms=REVOKE_S * 1000)
 )
 SERVED_S = REVOKE_S - MARGIN_S  # after the last confirmation
-TENANTS = [
+TENANTS: list[dict[str, object]] = [
     {"name": "first", "api_keys": ["k1", "k2"]},
     {"name": "limited", "api_keys": ["k3"], "rate_per_s": 100, "unit": "token_count", "plain_tokens": 200},
 ]
@@ -58,7 +58,7 @@
 
 def ask(plane: Plane, path: str = ONCE, attempt_id: str = "a1", **fields: str) -> TransportStandIn:
     transport = plane.connect()
-    transport.arrive(request_bytes(path, attempt_id, **fields))
+    transport.arrive(request_bytes(path, attempt_id, b"the question", **fields))
     plane.loop.settle()
     return transport
 
