Quota: loans only from control schedulers that are heard, rounds of 20 ms by a timer

Change: who was not heard of late is not asked; the round ends by a timer; refused requests log their tenant.

--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -113,7 +113,10 @@
             self._quota_asked,
         )
         self._quota_share = QuotaShare(self._address, settings.fault_tolerance.machines, now)
-        self._quota = QuotaGrants(quota_rule(settings), self._quota_share, self._majority_as_of)
+        self._quota = QuotaGrants(
+            quota_rule(settings), self._quota_share, self._majority_as_of, self._reached
+        )
+        self._quota_timer: asyncio.TimerHandle | None = None
         self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
         self._duty = ListDuty(
             settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
@@ -300,6 +303,16 @@
                 effect.asker.send(effect.answer)
             else:
                 self._transport.send(effect.address, effect.message)
+        wake_at = self._quota.wake_at()
+        if wake_at is not None and self._quota_timer is None:
+            self._quota_timer = self._loop.call_at(wake_at, self._quota_round_ends)
+
+    def _quota_round_ends(self) -> None:
+        self._quota_timer = None
+        self._carry_out_quota(self._quota.tick(self._loop.time()))
+
+    def _reached(self) -> tuple[str, ...]:
+        return self._membership.peers_heard(self._loop.time())
 
     def _majority_as_of(self) -> float | None:
         return self._driver.majority_as_of()
--- a/reedspoke/control_plane/quota_grants.py
+++ b/reedspoke/control_plane/quota_grants.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any
 
 from msgspec import Struct, field
@@ -21,7 +21,7 @@
 from reedspoke.control_plane.quota_share import QuotaShare
 from reedspoke.telemetry.invariants import Invariant, check
 
-ROUND_S = 0.06  # a round of loans is over after this
+ROUND_S = 0.02  # a round of loans is over after this
 ROUND_PAUSE_S = 0.1  # between two rounds of a tenant, where the first brought too little
 REFRESH_S = 0.5  # a share that has changed is known to all buckets after this
 MOST_WAITING = 64  # asks of a tenant during a round
@@ -31,6 +31,7 @@
 
 Asker = Any  # whoever the answer goes to; handed back as it came
 MajorityAsOf = Callable[[], float | None]
+Reached = Callable[[], Collection[str]]  # addresses of control schedulers that were heard of late
 
 
 class AnswerTo(Struct, frozen=True):
@@ -71,13 +72,17 @@
 class QuotaGrants:
     """All tenants' quotas at one control scheduler."""
 
-    def __init__(self, rule: QuotaRule, share: QuotaShare, majority_as_of: MajorityAsOf) -> None:
+    def __init__(
+        self, rule: QuotaRule, share: QuotaShare, majority_as_of: MajorityAsOf, reached: Reached
+    ) -> None:
         self._rule = rule
         self._share = share
         self._majority_as_of = majority_as_of
+        self._reached = reached
         self._known: frozenset[str] = frozenset()  # names of all tenants
         self._quotas: dict[str, TenantQuota] = {}
         self._refresh_at = float("-inf")
+        self._in_round: list[TenantQuota] = []
         self.granted = 0.0  # units, of all tenants
         self.refused = 0  # asks
 
@@ -109,10 +114,11 @@
         self._bring_up(quota, share, now)
         if not quota.waiting and self._grant(quota, ask):
             return [AnswerTo(asker, QuotaAnswer(ask.request_id, QuotaVerdict.GRANTED))]
-        if len(quota.waiting) >= MOST_WAITING or now < quota.next_round or not self._share.others:
+        lenders = self._lenders()
+        if len(quota.waiting) >= MOST_WAITING or now < quota.next_round or not lenders:
             return [self._refusal(quota, WaitingAsk(asker, ask))]
         quota.waiting.append(WaitingAsk(asker, ask))
-        return [] if quota.awaited else self._begin_round(ask.tenant, quota, now)
+        return [] if quota in self._in_round else self._begin_round(ask.tenant, quota, lenders, now)
 
     def loan_requested(self, sender: str, request: QuotaLoanRequest, now: float) -> list[QuotaEffect]:
         """Another control scheduler lacks units of a tenant's quota."""
@@ -135,23 +141,26 @@
         quota.bucket.receive(loan.units)
         quota.awaited = max(0, quota.awaited - 1)
         effects = self._serve_waiting(quota)
-        if not quota.awaited or not quota.waiting:
+        if quota in self._in_round and not (quota.awaited and quota.waiting):
             effects += self._end_round(quota, now)
         return effects
 
     def tick(self, now: float) -> list[QuotaEffect]:
         """Time has passed: rounds end, and all buckets follow this control scheduler's share."""
-        effects: list[QuotaEffect] = []
         if now >= self._refresh_at:
             self._refresh_at = now + REFRESH_S
             share = self._share.share(now, self._majority_as_of())
             for quota in self._quotas.values():
                 self._bring_up(quota, share, now)
-        for quota in self._quotas.values():
-            if quota.waiting and now >= quota.round_ends:
-                effects += self._end_round(quota, now)
+        effects: list[QuotaEffect] = []
+        for quota in [quota for quota in self._in_round if now >= quota.round_ends]:
+            effects += self._end_round(quota, now)
         return effects
 
+    def wake_at(self) -> float | None:
+        """When `tick` is to be called for the end of a round; None: for none."""
+        return min((quota.round_ends for quota in self._in_round), default=None)
+
     # ---- inside ----
 
     def _bring_up(self, quota: TenantQuota, share: float, now: float) -> None:
@@ -168,14 +177,20 @@
         bucket = quota.bucket
         check(Invariant.QUOTA_IS_CONSERVED, bucket.is_conserved, tenant=tenant, level=bucket.level)
 
-    def _begin_round(self, tenant: str, quota: TenantQuota, now: float) -> list[QuotaEffect]:
-        others = self._share.others
+    def _lenders(self) -> list[str]:
+        reached = self._reached()
+        return [address for address in self._share.others if address in reached]
+
+    def _begin_round(
+        self, tenant: str, quota: TenantQuota, lenders: list[str], now: float
+    ) -> list[QuotaEffect]:
         wanted = sum(waiting.ask.units for waiting in quota.waiting)
         lacking = max(quota.bucket.needed(wanted), wanted) - quota.bucket.level
         quota.round_ends = now + ROUND_S
-        quota.awaited = len(others)
-        request = QuotaLoanRequest(tenant, max(0.0, lacking) * LOAN_EXCESS / len(others))
-        return [LoanTo(address, request) for address in others]
+        self._in_round.append(quota)
+        quota.awaited = len(lenders)
+        request = QuotaLoanRequest(tenant, max(0.0, lacking) * LOAN_EXCESS / len(lenders))
+        return [LoanTo(address, request) for address in lenders]
 
     def _serve_waiting(self, quota: TenantQuota) -> list[QuotaEffect]:
         """In their order, as far as the bucket holds it."""
@@ -192,6 +207,8 @@
         effects: list[QuotaEffect] = [self._refusal(quota, waiting) for waiting in quota.waiting]
         quota.waiting.clear()
         quota.awaited = 0
+        if quota in self._in_round:
+            self._in_round.remove(quota)
         quota.bucket.settle()
         return effects
 
--- a/reedspoke/data_plane/request_entry.py
+++ b/reedspoke/data_plane/request_entry.py
@@ -173,7 +173,7 @@
         if holder is None or holder.quota is None:
             return begin()
         units = holder.quota.units(sum(parse_token_count(text_of(request.head, TOKEN_COUNT))))
-        trace.units = units
+        trace.tenant, trace.units = holder.name, units
         return self._wait_for_quota(holder.name, units, route.target, connection, trace, begin)
 
     def _wait_for_quota(
--- a/tests/control_plane_process/quota_simulation.py
+++ b/tests/control_plane_process/quota_simulation.py
@@ -159,7 +159,18 @@
                 self._carry_out(control, control.grants.tick(self.now))
         self._at(self.now + TICK_S, self._tick)
 
+    def _end_round_later(self, control: Control) -> None:
+        wake_at = control.grants.wake_at()
+        if wake_at is not None:
+            self._at(wake_at, lambda: self._end_round(control))
+
+    def _end_round(self, control: Control) -> None:
+        if control.is_up and self._controls[control.address] is control:
+            self._carry_out(control, control.grants.tick(self.now))
+
     def _carry_out(self, control: Control, effects: list[QuotaEffect]) -> None:
+        if any(not isinstance(effect, AnswerTo) for effect in effects):
+            self._end_round_later(control)
         for effect in effects:
             if isinstance(effect, AnswerTo):
                 answer = effect.answer
@@ -234,12 +245,15 @@
     def _fresh(self, address: str) -> Control:
         share = QuotaShare(address, MOST_LOST, self.now)
         made: list[Control] = []
-        grants = QuotaGrants(self.draw.rule(), share, lambda: made[0].majority_as_of)
+        grants = QuotaGrants(self.draw.rule(), share, lambda: made[0].majority_as_of, self._reached)
         tenant = Tenant(name=TENANT, rate_per_s=self.draw.rate, burst=self.draw.burst)
         grants.configure({TENANT: tenant}, self.now)
         made.append(Control(address, grants, share))
         return made[0]
 
+    def _reached(self) -> list[str]:
+        return [name for name, item in self._controls.items() if item.is_up and not item.is_cut]
+
     def _lost(self) -> int:
         return sum(not item.is_up or item.is_cut for item in self._controls.values())
 
--- a/tests/control_plane_process/test_quota_grants.py
+++ b/tests/control_plane_process/test_quota_grants.py
@@ -33,9 +33,10 @@
 
     def __init__(self) -> None:
         self.majority_as_of: float | None = START - 1.0
+        self.reached = {"b", "c"}
         share = QuotaShare("a", tolerated=1, started=0.0)
         share.voters_known(frozenset("abc"), 0.0)
-        self.grants = QuotaGrants(RULE, share, lambda: self.majority_as_of)
+        self.grants = QuotaGrants(RULE, share, lambda: self.majority_as_of, lambda: self.reached)
         self.configure()
         self.now = START
         for second in range(60):
@@ -88,6 +89,17 @@
     assert answers(scene.grants.loan_came(QuotaLoan("limited", 12.0), START)) == [QuotaVerdict.GRANTED]
 
 
+def test_who_is_not_heard_is_not_asked(scene: Scene) -> None:
+    scene.reached = {"c"}
+    effects = scene.ask(FULL + 10)
+    assert [effect.address for effect in effects if isinstance(effect, LoanTo)] == ["c"]
+
+
+def test_where_nobody_is_heard_it_is_refused_at_once(scene: Scene) -> None:
+    scene.reached = set()
+    assert answers(scene.ask(FULL + 10)) == [QuotaVerdict.SPENT]
+
+
 def test_a_round_without_success_ends_in_a_refusal_and_a_pause(scene: Scene) -> None:
     scene.ask(FULL + 10)
     scene.grants.loan_came(QuotaLoan("limited", 0.0), START)
