--- a/reedspoke/decision/job_class.py
+++ b/reedspoke/decision/job_class.py
@@ -4,8 +4,9 @@
 requests of one size band. Weighed: a client for each (route, subject) has so few requests at one scheduler
 that nearly all are fresh, their start tag the clock, and the smallest job goes first for ever; a client for
 each route lets small jobs pass for large ones in L_max. Classes last, so their tags bind, and what must not
-starve (kinds of requests, their largest tenth, the fifth below it) has an account of its own. Subjects take
-turns inside a class.
+starve (kinds of requests, their largest tenth, the fifth below it) has an account of its own. Tenants, or
+subjects where requests carry no keys, take turns inside a class: by tenant and class there would again be so
+few requests of each that nearly all are fresh.
 
 A class's share is the work that it offers, a little more for urgent routes. So in a shortage all classes
 have about the same part of their requests served, the more urgent ones a little more.
@@ -71,9 +72,9 @@
         self._total = 0.0
         self._at = 0.0
 
-    def offer(self, job_class: JobClass, cost: float, priority: int, now: float) -> None:
-        """A job of that cost arrives: the share of its class follows."""
-        work = cost * job_class.cost_ratio * URGENCY ** -min(max(priority, 0), URGENCY_RANKS)
+    def offer(self, job_class: JobClass, cost: float, rank: float, now: float) -> None:
+        """A job of that cost and urgency (as `rank_of` has it) arrives: the share of its class follows."""
+        work = cost * job_class.cost_ratio * URGENCY**-rank
         self._total = self._total * decay(self._at, now) + work
         job_class.offered = job_class.offered * decay(job_class.offered_at, now) + work
         self._at = job_class.offered_at = now
@@ -85,6 +86,19 @@
     return math.exp(min(0.0, since - now) / OFFERED_MEMORY_S)
 
 
+def rank_of(job: Job) -> float:
+    """The urgency of a job, 0 the most: that of its tenant, and that of its route among the tenant's jobs."""
+    route = float(min(max(job.priority, 0), URGENCY_RANKS))
+    if job.tenant_priority is None:
+        return route
+    return min(max(job.tenant_priority, 0), URGENCY_RANKS) + route / (URGENCY_RANKS + 1)
+
+
+def turn_of(job: Job) -> str:
+    """Who takes turns inside a class: tenants where requests carry keys, else subjects."""
+    return f"tenant {job.tenant}" if job.tenant else job.subject
+
+
 def key_of(job: Job) -> str:
     """The job key of L_max: models differ in speed."""
     return job.model
--- a/reedspoke/decision/service.py
+++ b/reedspoke/decision/service.py
@@ -9,7 +9,7 @@
 
 from reedspoke.decision.attempt_fate import Another, Fate, FinalStatus, another_attempt, final_status
 from reedspoke.decision.fair_queue import Charge, FairQueue, finish_tag
-from reedspoke.decision.job_class import JobClass, JobState, Shares, head_key, key_of
+from reedspoke.decision.job_class import JobClass, JobState, Shares, head_key, key_of, rank_of, turn_of
 from reedspoke.decision.messages import (
     AttemptEnd,
     Cause,
@@ -106,7 +106,7 @@
             self.decisions.append(Refuse(job.job_id, after, RefuseReason.OVERLOAD))
             return
         job_class, cost = self._class_of(job), self.pool.expected_cost(job)
-        self._shares.offer(job_class, cost, job.priority, now)
+        self._shares.offer(job_class, cost, rank_of(job), now)
         self._queue.seed(job_class, key_of(job), self._largest_seen(job, cost))
         state = JobState(job, job_class, cost, min(job.arrived + HOLD_PART * job.aim_s, job.deadline))
         self._jobs[job.job_id] = state
@@ -142,7 +142,7 @@
         out.state.arrivals += end.cause is not Cause.CONNECT_FAILED
         if end.outcome is Outcome.NOT_EXECUTED:
             self._queue.reverse(out.state.job_class, out.charge)
-            out.state.job_class.queue.refund(out.state.job.subject, out.turn_cost)
+            out.state.job_class.queue.refund(turn_of(out.state.job), out.turn_cost)
         else:
             out.state.ran = True
             out.state.passed |= out.state.job.streaming and out.running.first_event > 0
@@ -259,7 +259,7 @@
     def _send(self, state: JobState, placed: Placed, now: float) -> None:
         job_class = state.job_class
         turn_cost = job_class.largest[key_of(state.job)]
-        job_class.queue.take(state.job.subject, state, turn_cost)
+        job_class.queue.take(turn_of(state.job), state, turn_cost)
         state.waiting = False
         if state.arrivals:
             self.budget.use(now)
@@ -336,7 +336,7 @@
 
     def _close(self, state: JobState) -> None:
         if state.waiting:
-            state.job_class.queue.remove(state.job.subject, state)
+            state.job_class.queue.remove(turn_of(state.job), state)
             state.waiting = False
             if state.arrivals:
                 self.budget.give_back()
@@ -376,9 +376,9 @@
             self._queue.activate(job_class, key_of(state.job), CREDIT_JOBS)
         state.waiting = True
         if head:
-            job_class.queue.push_head(state.job.subject, state)
+            job_class.queue.push_head(turn_of(state.job), state)
         else:
-            job_class.queue.push(state.job.subject, state)
+            job_class.queue.push(turn_of(state.job), state)
 
     def _hold(self, state: JobState) -> None:
         if state.waiting:
--- /dev/null
+++ b/tests/decision/test_tenant_turns.py
@@ -0,0 +1,78 @@
+"""Tenants in the queue: a tenant that asks for much does not hold up the others."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import structs
+
+from reedspoke.decision.job_class import URGENCY, JobClass, JobState, Shares, rank_of, turn_of
+from reedspoke.decision.messages import Job, Part, Repeat
+from reedspoke.decision.size_bands import Band
+from reedspoke.decision.subject_queue import SubjectQueue
+
+JOB = Job(
+    job_id=1,
+    route="r",
+    upstream="u",
+    priority=1,
+    repeat=Repeat.NEVER,
+    parts=(Part("shared", 10), Part("own", 5)),
+    aim_s=1.0,
+    deadline=5.0,
+    arrived=0.0,
+)
+
+
+def job(**changes: object) -> Job:
+    return structs.replace(JOB, **changes)
+
+
+def test_who_takes_turns() -> None:
+    assert turn_of(job()) == "shared"
+    assert turn_of(job(tenant="a")) == turn_of(job(tenant="a", parts=()))
+    assert turn_of(job(tenant="a")) != turn_of(job(tenant="b"))
+
+
+@pytest.mark.parametrize(
+    ("route", "tenant", "rank"),
+    [
+        (0, None, 0),
+        (1, None, 1),
+        (9, None, 3),
+        (-1, None, 0),
+        (0, 0, 0),
+        (3, 0, 0.75),
+        (0, 1, 1),
+        (9, 9, 3.75),
+    ],
+)
+def test_a_tenant_s_urgency_goes_before_that_of_the_route(
+    route: int, tenant: int | None, rank: float
+) -> None:
+    assert rank_of(job(priority=route, tenant="a", tenant_priority=tenant)) == rank
+
+
+def test_a_less_urgent_tenant_s_class_has_the_smaller_share() -> None:
+    shares = Shares()
+    urgent, other = JobClass("r1", Band.REST), JobClass("r2", Band.REST)
+    shares.offer(urgent, 1.0, rank_of(job(tenant="a", tenant_priority=0)), 0.0)
+    shares.offer(other, 1.0, rank_of(job(tenant="b", tenant_priority=1)), 0.0)
+    shares.offer(urgent, 1.0, rank_of(job(tenant="a", tenant_priority=0)), 0.0)
+    shares.offer(other, 1.0, rank_of(job(tenant="b", tenant_priority=1)), 0.0)
+    assert urgent.offered / other.offered == pytest.approx(URGENCY)
+
+
+def test_a_tenant_with_one_job_waits_for_one_job_of_the_tenant_with_many() -> None:
+    queue: SubjectQueue[JobState] = SubjectQueue()
+    states = []
+    for number in range(20):
+        waiting = job(job_id=number, tenant="many" if number < 19 else "one")
+        state = JobState(waiting, JobClass("r", Band.REST), 1.0, 1.0)
+        states.append(state)
+        queue.push(turn_of(waiting), state)
+    served = []
+    while queue:
+        head = queue.head()
+        queue.take(turn_of(head.job), head, 1.0)
+        served.append(head.job.tenant)
+    assert served.index("one") <= 1
