--- a/reedspoke/lab/fleet_emulator/exchange.py
+++ b/reedspoke/lab/fleet_emulator/exchange.py
@@ -70,12 +70,16 @@
     target = f"{kind.path_prefix}{attempt_id[:4]}"
     body = request_body(attempt_id, kind.body_bytes)
     digest = request_digest(METHOD, target, body)
-    ledger.record_sent(SentRequest(attempt_id, kind.upstreams, kind.repeatable, digest))
+    use = planned.key_use
+    sent = SentRequest(attempt_id, kind.upstreams, kind.repeatable, digest, use.tenants, use.key)
+    ledger.record_sent(sent)
     fields = {
         "Host": kind.hostname,
         http.ATTEMPT_ID: attempt_id,
         http.DEADLINE_MS: str(int(1000 * state.left)),
     }
+    if use.key:
+        fields[http.API_KEY] = use.key
     if kind.stream is not None:
         state.stream.attempts.add(attempt_id)
         fields |= stream_fields(planned, state.stream.last_id)
--- a/reedspoke/lab/fleet_emulator/http_messages.py
+++ b/reedspoke/lab/fleet_emulator/http_messages.py
@@ -14,6 +14,8 @@
 CHUNK = 1 << 16
 NO_LINGER = struct.pack("ii", 1, 0)
 
+API_KEY = "Reedspoke-Key"
+TENANT_NAME = "Reedspoke-Tenant-Name"
 ATTEMPT_ID = "Reedspoke-Attempt-Id"
 DEADLINE_MS = "Reedspoke-Deadline-Ms"
 INSTANCE_ID = "Reedspoke-Instance-Id"
--- a/reedspoke/lab/fleet_emulator/ledger.py
+++ b/reedspoke/lab/fleet_emulator/ledger.py
@@ -14,6 +14,8 @@
     upstreams: frozenset[str]
     repeatable: bool
     digest: int
+    tenants: frozenset[str] = frozenset()  # for which it may run; empty with a key: for none
+    key: str = ""
 
 
 class Run(Struct, frozen=True):
@@ -23,6 +25,8 @@
     upstream: str
     instance_id: str
     digest: int
+    tenant: str = ""  # as the worker was told
+    at: float = 0.0  # of the steady clock
 
 
 class Findings(Struct):
@@ -34,6 +38,7 @@
     doubled: list[str] = []
     refused_but_ran: list[str] = []
     invented: list[str] = []
+    wrong_tenant: list[str] = []
 
     def counts(self) -> dict[str, int]:
         return {name: len(getattr(self, name)) for name in self.__struct_fields__}
@@ -93,9 +98,16 @@
             return
         if any(run.digest != sent.digest for run in runs):
             found.changed.append(attempt_id)
+        if any(not may_name(sent, run.tenant) for run in runs):
+            found.wrong_tenant.append(attempt_id)
         if any(run.upstream not in sent.upstreams for run in runs):
             found.misrouted.append(attempt_id)
         if len(runs) > 1 and not sent.repeatable:
             found.doubled.append(attempt_id)
         if attempt_id in self.promised_unrun and not sent.repeatable:
             found.refused_but_ran.append(attempt_id)
+
+
+def may_name(sent: SentRequest, tenant: str) -> bool:
+    """Whether a worker may be told this tenant of an attempt."""
+    return tenant in sent.tenants if sent.key else not tenant
--- a/reedspoke/lab/fleet_emulator/worker.py
+++ b/reedspoke/lab/fleet_emulator/worker.py
@@ -204,7 +204,10 @@
         """The work on this request has begun."""
         digest = request_digest(request.method, request.target, request.body)
         attempt_id = request.get(http.ATTEMPT_ID)
-        self.ledger.record_run(Run(attempt_id, self.profile.upstream, self.profile.instance_id, digest))
+        tenant = request.get(http.TENANT_NAME)
+        upstream, instance_id = self.profile.upstream, self.profile.instance_id
+        run = Run(attempt_id, upstream, instance_id, digest, tenant, time.monotonic())
+        self.ledger.record_run(run)
 
 
 def deadline_s(request: Request) -> float:
--- a/reedspoke/lab/fleet_emulator/workload.py
+++ b/reedspoke/lab/fleet_emulator/workload.py
@@ -58,6 +58,17 @@
     tokens: int
 
 
+class KeyUse(Struct, frozen=True):
+    """An API key, the tenants for which its requests may run, and its share of all requests."""
+
+    key: str
+    tenants: frozenset[str]
+    weight: float
+
+
+NO_KEY = KeyUse("", frozenset(), 1.0)
+
+
 class PlannedRequest(Struct, frozen=True):
     """One request of a client, before its first try."""
 
@@ -65,6 +76,7 @@
     at_s: float
     chain: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
+    key_use: KeyUse = NO_KEY
 
     @property
     def prompt_tokens(self) -> int:
@@ -74,8 +86,11 @@
 class Workload:
     """Open-loop arrivals of all kinds together, by lot."""
 
-    def __init__(self, kinds: tuple[RequestKind, ...], seed: int) -> None:
+    def __init__(
+        self, kinds: tuple[RequestKind, ...], seed: int, keys: tuple[KeyUse, ...] = (NO_KEY,)
+    ) -> None:
         self.kinds = kinds
+        self._keys = keys
         self._random = random.Random(seed)
         self._sessions: dict[str, list[Session]] = {kind.name: [] for kind in kinds}
 
@@ -89,14 +104,15 @@
             at += self._random.expovariate(sum(rates))
 
     def _plan(self, kind: RequestKind, at: float) -> PlannedRequest:
+        (key_use,) = self._random.choices(self._keys, [use.weight for use in self._keys])
         if kind.stream is None:
-            return PlannedRequest(kind, at)
+            return PlannedRequest(kind, at, key_use=key_use)
         session = self._session(kind, kind.stream)
         chain = (session.shared, PromptPart(session.part_id, session.tokens))
         session.tokens += LATER_PROMPT_TOKENS
         session.part_id = f"{self._random.getrandbits(32):08x}"
         output = max(1, round(kind.stream.output_tokens * self._random.uniform(0.4, 1.6)))
-        return PlannedRequest(kind, at, chain, output)
+        return PlannedRequest(kind, at, chain, output, key_use)
 
     def _session(self, kind: RequestKind, shape: StreamShape) -> Session:
         sessions = self._sessions[kind.name]
--- a/reedspoke/lab/fleet_soak/soak_fleet.py
+++ b/reedspoke/lab/fleet_soak/soak_fleet.py
@@ -20,6 +20,7 @@
 from reedspoke.lab.fleet_soak.node import ENTERED_LINE
 from reedspoke.lab.fleet_soak.node_run import NODE_VARIABLE, NodeFile
 from reedspoke.lab.fleet_soak.power_loss import lose_disk, lose_power
+from reedspoke.lab.fleet_soak.soak_tenants import BOUNDS
 
 NODE_MODULE = "reedspoke.lab.fleet_soak.node"
 MOST_SEEDS = 3
@@ -148,16 +149,18 @@
         self._next_control = control
         self._tolerated = (control - 1) // 2
         self.control = [self._control(number, min(control, MOST_SEEDS)) for number in range(control)]
-        self.edges = [
-            SoakProcess(DATA_PLANE, edge_settings(layout, number, min(control, MOST_SEEDS)), folder, relay)
-            for number in range(edges)
-        ]
+        self.edges = [self._edge(number, min(control, MOST_SEEDS)) for number in range(edges)]
+
+    def _edge(self, number: int, seeds: int) -> SoakProcess:
+        settings = structs.replace(edge_settings(self.layout, number, seeds), bounds=BOUNDS)
+        return SoakProcess(DATA_PLANE, settings, self._folder, self._relay)
 
     def _control(self, number: int, seeds: int) -> SoakProcess:
         data_dir = self._folder / f"disk-{number}"
         data_dir.mkdir()
         settings = control_settings(self.layout, number, seeds, str(data_dir))
-        settings = structs.replace(settings, fault_tolerance=FaultTolerance(machines=self._tolerated))
+        tolerance = FaultTolerance(machines=self._tolerated)
+        settings = structs.replace(settings, fault_tolerance=tolerance, bounds=BOUNDS)
         return SoakProcess(CONTROL_PLANE, settings, self._folder, self._relay)
 
     @property
--- a/reedspoke/lab/fleet_soak/soak_run.py
+++ b/reedspoke/lab/fleet_soak/soak_run.py
@@ -24,7 +24,7 @@
 )
 from reedspoke.lab.fleet_emulator.ledger import Ledger
 from reedspoke.lab.fleet_emulator.tally import Outcome, Tally
-from reedspoke.lab.fleet_emulator.workload import RequestKind, Workload
+from reedspoke.lab.fleet_emulator.workload import KeyUse, RequestKind, Workload
 from reedspoke.lab.fleet_soak.figures_reader import evaluations_in, figures_of, value_in
 from reedspoke.lab.fleet_soak.findings import suspect_lines, unexplained
 from reedspoke.lab.fleet_soak.history import History, Order, Verdict
@@ -33,6 +33,7 @@
 from reedspoke.lab.fleet_soak.plan import Plan, overlapping, write_plan
 from reedspoke.lab.fleet_soak.relay import Relay
 from reedspoke.lab.fleet_soak.soak_fleet import SoakFleet, SoakProcess
+from reedspoke.lab.fleet_soak.soak_tenants import CALM_KEYS, TROUBLED_KEYS, quota_problems, tenants
 from reedspoke.lab.fleet_soak.soak_workers import SoakWorkers
 from reedspoke.lab.fleet_soak.troubles import Troubles
 
@@ -127,26 +128,28 @@
         """Load, nuisances, operators and troubles at once. The number of connections of nuisances."""
         nuisance = NuisanceClient(
             lambda: tuple(edge.frontend for edge in self._fleet.edge_addresses),
-            Workload(self._kinds, self.plan.seed + 1),
+            Workload(self._kinds, self.plan.seed + 1, TROUBLED_KEYS),
             self._ledger,
             self.plan.seed + NUISANCE_SEED,
         )
         seeds = [self.plan.seed * 10 + number for number in range(OPERATORS)]
         beside = [self._operator(f"operator-{seed}", seed).run() for seed in seeds]
         with background(nuisance.run(), *beside, self._watch_processes()):
-            load = asyncio.create_task(self._load(self._tally, self.plan.seed, self.plan.seconds))
+            load = asyncio.create_task(
+                self._load(self._tally, self.plan.seed, self.plan.seconds, TROUBLED_KEYS)
+            )
             await troubles.run()
             await self._until_well()
             await load
         return nuisance.connections
 
-    async def _load(self, tally: Tally, seed: int, seconds: float) -> None:
+    async def _load(self, tally: Tally, seed: int, seconds: float, keys: tuple[KeyUse, ...]) -> None:
         ingress = Ingress(self._fleet.edge_addresses, seed)
         await ingress.look()
         pool = ClientPool(ingress)
         with background(ingress.run()):
             client = Client(pool, self._ledger, tally, seed)
-            await client.run(Workload(self._kinds, seed), seconds)
+            await client.run(Workload(self._kinds, seed, keys), seconds)
         self._failed_tries += client.failed_tries
         pool.close()
 
@@ -188,7 +191,7 @@
 
     async def _calm(self) -> None:
         """Load without troubles, then every machine is read, and then nothing may be held any more."""
-        await self._load(self._calm_tally, self.plan.seed + CALM_SEED, CALM_S)
+        await self._load(self._calm_tally, self.plan.seed + CALM_SEED, CALM_S, CALM_KEYS)
         reader = self._operator("reader", FIRST)
         until = time.monotonic() + READS_S
         while time.monotonic() < until:
@@ -216,6 +219,7 @@
         made = configuration(self._kinds, generation)
         marker = RequestKind("marker", "marker.example", f"/{text}/", "idempotent", PLAIN, 0.0)
         made["routes"].append(route_for(marker, 0))
+        made["tenants"] = tenants(generation)
         return encode_configuration(made)
 
     # ---- judgement ----
@@ -227,6 +231,7 @@
                 self.problems.append(f"{name}: {count}, {getattr(findings, name)[:5]}")
         self.problems += [f"mixed: {text}" for text in self._tally.mixed + self._calm_tally.mixed]
         self.problems += self._history.problems() + troubles.unclean_ends
+        self.problems += quota_problems(self._ledger)
         asked = self._calm_tally.requests
         served = self._calm_tally.total(Outcome.SERVED) + self._calm_tally.total(Outcome.LATE)
         if asked and served < LEAST_SERVED * asked:
