Quota: schedulers go on for a short time while no control scheduler answers

Ruled out: a reserve of the bound at each edge (smaller than a request), persisted grants (edges are killed too where buckets matter). Change: a scheduler with an answer of late goes on, a tenant at a time, with one request and a quarter of what it was granted in the window, unless that tenant's quota was spent here; a control scheduler's empty bucket just after its start says unavailable, not spent.

--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -114,7 +114,7 @@
         )
         self._quota_share = QuotaShare(self._address, settings.fault_tolerance.machines, now)
         self._quota = QuotaGrants(
-            quota_rule(settings), self._quota_share, self._majority_as_of, self._reached
+            quota_rule(settings), self._quota_share, self._majority_as_of, self._reached, now
         )
         self._quota_timer: asyncio.TimerHandle | None = None
         self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
--- a/reedspoke/control_plane/quota_grants.py
+++ b/reedspoke/control_plane/quota_grants.py
@@ -23,6 +23,7 @@
 
 ROUND_S = 0.02  # a round of loans is over after this
 ROUND_PAUSE_S = 0.1  # between two rounds of a tenant, where the first brought too little
+FRESH_S = 1.5  # after its start a bucket is empty for want of time, not of quota
 SHORT_S = 0.2  # for so long after a refusal a tenant counts as short of units here
 REFRESH_S = 0.5  # a share that has changed is known to all buckets after this
 MOST_WAITING = 64  # asks of a tenant during a round
@@ -79,8 +80,14 @@
     """All tenants' quotas at one control scheduler."""
 
     def __init__(
-        self, rule: QuotaRule, share: QuotaShare, majority_as_of: MajorityAsOf, reached: Reached
+        self,
+        rule: QuotaRule,
+        share: QuotaShare,
+        majority_as_of: MajorityAsOf,
+        reached: Reached,
+        started: float,
     ) -> None:
+        self._started = started
         self._rule = rule
         self._share = share
         self._majority_as_of = majority_as_of
@@ -231,5 +238,7 @@
         quota.refused_at = now
         wait_s = quota.bucket.seconds_until(waiting.ask.units)
         retry_after_s = min(RETRY_MOST_S, max(RETRY_LEAST_S, wait_s))
-        answer = QuotaAnswer(waiting.ask.request_id, QuotaVerdict.SPENT, retry_after_s)
+        is_fresh = now - self._started < FRESH_S
+        verdict = QuotaVerdict.UNAVAILABLE if is_fresh else QuotaVerdict.SPENT
+        answer = QuotaAnswer(waiting.ask.request_id, verdict, retry_after_s)
         return AnswerTo(waiting.asker, answer)
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -69,7 +69,11 @@
         )
         self._confirmation = Confirmation(settings.bounds.apply_ms / 1000, started=self._loop.time())
         self._subscription = Subscription(listener, self._confirmation)
-        self._quota = QuotaClient(self._loop, lambda ask, tried: self._sessions.ask_quota(ask, tried))
+        self._quota = QuotaClient(
+            self._loop,
+            lambda ask, tried: self._sessions.ask_quota(ask, tried),
+            settings.bounds.quota_window_s,
+        )
         self._entry = RequestEntry(
             self._loop,
             self._forwarder,
--- a/reedspoke/data_plane/quota_client.py
+++ b/reedspoke/data_plane/quota_client.py
@@ -2,7 +2,8 @@
 
 Each request is asked for before it goes to a worker, at one control scheduler first and at another one where
 the first says no or says nothing for a moment. What was granted and not used in the end is kept for a short
-time for the tenant's next request; the parts of control schedulers count on that time (`quota_rule`).
+time for the tenant's next request; the parts of control schedulers count on that time (`quota_rule`). While
+nobody answers, `quota_outage` says what may go all the same.
 """
 
 from __future__ import annotations
@@ -14,10 +15,12 @@
 
 from reedspoke.cluster.messages import QuotaAnswer, QuotaAsk, QuotaVerdict
 from reedspoke.cluster.quota_rule import CREDIT_S
+from reedspoke.data_plane.quota_outage import OutageAllowance
 
 SECOND_ASK_S = 0.012  # without an answer from the first control scheduler
 UNAVAILABLE_RETRY_S = 0.2
 MOST_CREDITS = 256  # of one tenant
+FORGET_EVERY = 256  # asks between looks for what is old
 
 
 class QuotaDecision(Struct, frozen=True):
@@ -56,13 +59,15 @@
 class QuotaClient:
     """All asks of this data plane scheduler; times are those of the loop's steady clock."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, send: SendAsk) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, send: SendAsk, window_s: float) -> None:
         self._loop = loop
         self._send = send
         self._pending: dict[int, Pending] = {}
         self._credits: dict[str, list[Credit]] = {}
+        self.went_on = 0  # requests that were sent without an answer
         self._late: dict[int, QuotaAsk] = {}  # decided, and not all answers are in
         self._next_id = 0
+        self._outage = OutageAllowance(window_s)
 
     @property
     def waiting(self) -> int:
@@ -76,6 +81,8 @@
             on_decision(GRANTED)
             return None
         self._next_id += 1
+        if self._next_id % FORGET_EVERY == 0:
+            self._outage.forget_old(self._loop.time())
         ask = QuotaAsk(self._next_id, tenant, units)
         pending = Pending(ask, self._loop.time() + wait_s, on_decision)
         self._pending[ask.request_id] = pending
@@ -101,10 +108,13 @@
             self._answered_late(answer)
             return
         pending.unanswered -= 1
+        ask = pending.ask
         if answer.verdict is QuotaVerdict.GRANTED:
+            self._outage.granted(ask.tenant, ask.units, self._loop.time())
             self._decide(pending, GRANTED)
             return
         if answer.verdict is QuotaVerdict.SPENT:
+            self._outage.spent(ask.tenant, self._loop.time())
             pending.retry_after_s = max(pending.retry_after_s, answer.retry_after_s)
             pending.spent = True
         self._ask_next(pending)
@@ -132,6 +142,11 @@
         pending.timer = self._loop.call_at(at, self._ask_next, pending)
 
     def _refuse(self, pending: Pending) -> None:
+        ask = pending.ask
+        if not pending.spent and self._outage.go_on(ask.tenant, ask.units, self._loop.time()):
+            self.went_on += 1
+            self._decide(pending, GRANTED)
+            return
         retry_after_s = pending.retry_after_s if pending.spent else UNAVAILABLE_RETRY_S
         self._decide(pending, QuotaDecision(False, pending.spent, retry_after_s))
 
--- a/tests/control_plane_process/quota_simulation.py
+++ b/tests/control_plane_process/quota_simulation.py
@@ -25,6 +25,7 @@
 from reedspoke.control_plane.peer_messages import QuotaLoanRequest
 from reedspoke.control_plane.quota_grants import AnswerTo, QuotaEffect, QuotaGrants
 from reedspoke.control_plane.quota_share import QuotaShare
+from reedspoke.data_plane.quota_outage import OutageAllowance
 
 TENANT = "t"
 TICK_S = 0.05
@@ -32,6 +33,7 @@
 VIEW_LAG_S = 0.05  # until a member of a new view has learnt of it
 CONTACT_S = 0.05  # how old the newest contact with a majority is
 WARM_UP_S = 8.0
+OUTAGES = 0.5  # share of the runs in which all control schedulers are lost at once
 MOST_LOST = 2  # control schedulers at once
 
 
@@ -126,6 +128,8 @@
         self._requests: dict[int, tuple[float, list[str]]] = {}
         for control in self._controls.values():
             control.share.voters_known(frozenset(self._view), 0.0)
+        self._edge_of: dict[int, tuple[int, bool]] = {}  # and whether its quota was said to be spent
+        self._outages = [OutageAllowance(draw.rule().window_s) for _ in range(draw.edges)]
         self._weights = [(1 - draw.skew) ** number + 0.02 for number in range(draw.edges)]
         self._sessions = [self.random.sample(self._view, min(2, len(self._view))) for _ in range(draw.edges)]
 
@@ -133,6 +137,8 @@
         """Play it to its end."""
         self._tick()
         self._next_request()
+        if self.random.random() < OUTAGES:
+            self._at(self.random.uniform(WARM_UP_S, self.draw.seconds - 3), self._lose_all)
         for _ in range(self.draw.troubles):
             at = self.random.uniform(WARM_UP_S, self.draw.seconds)
             self._at(at, self._trouble)
@@ -209,6 +215,7 @@
         edge = self.random.choices(range(self.draw.edges), self._weights)[0]
         number = next(self._numbers)
         self._requests[number] = (units, list(self._sessions[edge]))
+        self._edge_of[number] = (edge, False)
         if self.now >= WARM_UP_S:
             self.outcome.asked += units
         self._ask(number)
@@ -216,7 +223,7 @@
     def _ask(self, number: int) -> None:
         units, sessions = self._requests[number]
         if not sessions:
-            del self._requests[number]
+            self._go_on(number)
             return
         control = self._controls[sessions.pop(0)]
         ask = QuotaAsk(number, TENANT, units)
@@ -225,6 +232,18 @@
         else:
             self._ask(number)
 
+    def _go_on(self, number: int) -> None:
+        """Nobody has granted it: it goes all the same, or is refused."""
+        units, _ = self._requests.pop(number)
+        edge, was_spent = self._edge_of.pop(number)
+        if not was_spent and self._outages[edge].go_on(TENANT, units, self.now):
+            self._arrive(units)
+
+    def _arrive(self, units: float) -> None:
+        self.outcome.arrivals.append(Arrival(self.now + self.random.uniform(0, LAG_S - 0.01), units))
+        if self.now >= WARM_UP_S:
+            self.outcome.granted += units
+
     def _asked(self, control: Control, ask: QuotaAsk) -> None:
         if control.is_up:
             self._carry_out(control, control.grants.asked(None, ask, self.now))
@@ -232,20 +251,24 @@
     def _answered(self, number: int, verdict: QuotaVerdict) -> None:
         if number not in self._requests:
             return
+        edge, _ = self._edge_of[number]
+        if verdict is QuotaVerdict.SPENT:
+            self._outages[edge].spent(TENANT, self.now)
+            self._edge_of[number] = (edge, True)
         if verdict is not QuotaVerdict.GRANTED:
             self._ask(number)
             return
         units, _ = self._requests.pop(number)
-        self.outcome.arrivals.append(Arrival(self.now + self.random.uniform(0, LAG_S - 0.01), units))
-        if self.now >= WARM_UP_S:
-            self.outcome.granted += units
+        del self._edge_of[number]
+        self._outages[edge].granted(TENANT, units, self.now)
+        self._arrive(units)
 
     # ---- troubles ----
 
     def _fresh(self, address: str) -> Control:
         share = QuotaShare(address, MOST_LOST, self.now)
         made: list[Control] = []
-        grants = QuotaGrants(self.draw.rule(), share, lambda: made[0].majority_as_of, self._reached)
+        grants = QuotaGrants(self.draw.rule(), share, lambda: made[0].majority_as_of, self._reached, self.now)
         tenant = Tenant(name=TENANT, rate_per_s=self.draw.rate, burst=self.draw.burst)
         grants.configure({TENANT: tenant}, self.now)
         made.append(Control(address, grants, share))
@@ -270,6 +293,12 @@
             self._at(self.now + for_s, lambda: self._heal(address))
         self._at(self.now + REPAIR_S, lambda: self._leave_view(address))
 
+    def _lose_all(self) -> None:
+        """All control schedulers are killed at one moment and come back one after the other."""
+        for address, control in self._controls.items():
+            control.is_up = False
+            self._at(self.now + self.random.uniform(0.5, 1.6), lambda name=address: self._start_again(name))  # type: ignore[misc]
+
     def _start_again(self, address: str) -> None:
         self._controls[address] = self._fresh(address)
         self._join(address)
--- a/tests/control_plane_process/test_quota_grants.py
+++ b/tests/control_plane_process/test_quota_grants.py
@@ -10,6 +10,7 @@
 from reedspoke.control_plane.peer_messages import QuotaLoan, QuotaLoanRequest
 from reedspoke.control_plane.quota_bucket import LOAN_SHARE
 from reedspoke.control_plane.quota_grants import (
+    FRESH_S,
     MOST_WAITING,
     RETRY_LEAST_S,
     RETRY_MOST_S,
@@ -37,7 +38,7 @@
         self.reached = {"b", "c"}
         share = QuotaShare("a", tolerated=1, started=0.0)
         share.voters_known(frozenset("abc"), 0.0)
-        self.grants = QuotaGrants(RULE, share, lambda: self.majority_as_of, lambda: self.reached)
+        self.grants = QuotaGrants(RULE, share, lambda: self.majority_as_of, lambda: self.reached, 0.0)
         self.configure()
         self.now = START
         for second in range(60):
@@ -64,6 +65,16 @@
     assert scene.ask(FULL) == [AnswerTo("edge", QuotaAnswer(1, QuotaVerdict.GRANTED))]
 
 
+def test_a_fresh_control_scheduler_does_not_call_a_quota_spent() -> None:
+    scene = Scene()
+    scene.grants = QuotaGrants(RULE, scene.grants._share, lambda: START, lambda: (), START)
+    scene.configure()
+    assert answers(scene.ask(1.0)) == [QuotaVerdict.UNAVAILABLE]
+    scene.now = scene.majority_as_of = START + FRESH_S
+    scene.grants._majority_as_of = lambda: START + FRESH_S
+    assert answers(scene.ask(1e9)) == [QuotaVerdict.SPENT]
+
+
 def test_a_tenant_without_limit_is_granted_all(scene: Scene) -> None:
     assert answers(scene.ask(1e9, "free")) == [QuotaVerdict.GRANTED]
 
--- a/tests/data_plane/test_quota_client.py
+++ b/tests/data_plane/test_quota_client.py
@@ -14,9 +14,11 @@
     QuotaClient,
     QuotaDecision,
 )
+from reedspoke.data_plane.quota_outage import LONGEST_S, OutageAllowance
 from tests.data_plane.virtual_loop import VirtualLoop
 
 WAIT_S = 0.1
+WINDOW_S = 8.0
 YES, NO, NOBODY = QuotaVerdict.GRANTED, QuotaVerdict.SPENT, QuotaVerdict.UNAVAILABLE
 
 
@@ -28,7 +30,7 @@
         self.addresses = ["c1", "c2"]
         self.asked: list[tuple[str, QuotaAsk]] = []
         self.decisions: list[QuotaDecision] = []
-        self.client = QuotaClient(loop, self._send)
+        self.client = QuotaClient(loop, self._send, WINDOW_S)
 
     def _send(self, ask: QuotaAsk, tried: Collection[str]) -> str | None:
         address = next((item for item in self.addresses if item not in tried), None)
@@ -147,3 +149,81 @@
 def test_an_answer_to_nobody_is_of_no_account(scene: Scene) -> None:
     scene.client.answered(QuotaAnswer(77, YES))
     assert scene.ask() is not None
+
+
+def granted_once(scene: Scene, units: float = 10.0) -> None:
+    scene.ask(units)
+    scene.answer(YES)
+    scene.decisions.clear()
+
+
+def test_in_an_outage_one_request_of_a_tenant_goes(scene: Scene) -> None:
+    granted_once(scene)
+    scene.addresses = []
+    for _ in range(2):
+        scene.ask()
+    assert [item.granted for item in scene.decisions] == [True, False]
+    assert scene.client.went_on == 1
+
+
+def test_silence_and_ignorance_are_outages_too(scene: Scene) -> None:
+    granted_once(scene)
+    scene.ask()
+    scene.answer(NOBODY)
+    scene.loop.run_for(WAIT_S * 1.1)
+    assert [item.granted for item in scene.decisions] == [True]
+
+
+def test_it_goes_on_with_a_part_of_what_it_was_granted(scene: Scene) -> None:
+    for _ in range(8):
+        granted_once(scene)
+    scene.addresses = []
+    for _ in range(4):
+        scene.ask()
+    assert [item.granted for item in scene.decisions] == [True, True, False, False]
+
+
+def test_a_tenant_whose_quota_is_spent_waits(scene: Scene) -> None:
+    granted_once(scene)
+    scene.ask()
+    scene.answer(NO)
+    scene.answer(NO)
+    scene.decisions.clear()
+    scene.addresses = []
+    scene.ask()
+    assert [item.granted for item in scene.decisions] == [False]
+    assert scene.client.ask("other", 1.0, WAIT_S, scene.decisions.append) is None
+    assert [item.granted for item in scene.decisions] == [False, True]
+
+
+def test_one_control_scheduler_s_word_that_it_is_spent_is_enough(scene: Scene) -> None:
+    granted_once(scene)
+    scene.ask()
+    scene.answer(NO)
+    scene.loop.run_for(WAIT_S * 1.1)  # the other one is silent
+    assert [item.granted for item in scene.decisions] == [False]
+
+
+@pytest.mark.parametrize(("since_s", "goes"), [(LONGEST_S - 0.05, True), (LONGEST_S + 0.05, False)])
+def test_a_long_outage_ends_it(scene: Scene, since_s: float, goes: bool) -> None:
+    granted_once(scene)
+    scene.loop.run_for(since_s)
+    scene.addresses = []
+    scene.ask()
+    assert [item.granted for item in scene.decisions] == [goes]
+
+
+def test_who_never_had_an_answer_sends_nothing(scene: Scene) -> None:
+    scene.addresses = []
+    scene.ask()
+    assert [item.granted for item in scene.decisions] == [False]
+
+
+def test_tenants_of_which_nothing_is_left_are_forgotten() -> None:
+    allowance = OutageAllowance(WINDOW_S)
+    allowance.granted("a", 1.0, 100.0)
+    allowance.spent("b", 104.0)
+    allowance.forget_old(100.0 + WINDOW_S)
+    assert list(allowance._tenants) == ["b"]
+    allowance.forget_old(104.0 + WINDOW_S)
+    assert list(allowance._tenants) == []
