--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -112,11 +112,7 @@
             self._sessions_changed,
             self._quota_asked,
         )
-        self._quota_share = QuotaShare(self._address, settings.fault_tolerance.machines, now)
-        self._quota = QuotaGrants(
-            quota_rule(settings), self._quota_share, self._majority_as_of, self._reached, now
-        )
-        self._quota_timer: asyncio.TimerHandle | None = None
+        self._build_quota(settings, now)
         self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
         self._duty = ListDuty(
             settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
@@ -127,6 +123,13 @@
         self._call_log = CallLog(self._registry, LineBudget(self._loop.time))
         self._api = HttpServer(OperatorApi(self).handle, http_error_body)
 
+    def _build_quota(self, settings: NodeSettings, now: float) -> None:
+        self._quota_share = QuotaShare(self._address, settings.fault_tolerance.machines, now)
+        self._quota = QuotaGrants(
+            quota_rule(settings), self._quota_share, self._majority_as_of, self._reached, now
+        )
+        self._quota_timer: asyncio.TimerHandle | None = None
+
     async def run(self) -> None:
         """Serve until SIGTERM."""
         handle_signals(self._loop, on_end=self._ended.set, on_reload=self._reload_settings)
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -266,13 +266,7 @@
         ran = self._may_have_run()
         self._call_off()
         answer = worker_failed() if ran else key_in_doubt()
-        if self._response.begun:
-            self._response.break_off()
-            self._ended(RequestOutcome.BROKEN_OFF, 0, KEY_IN_DOUBT)
-        else:
-            check_final_answer(self.job, self.trace, status_of(answer), ran=self._ran)
-            self._response.answer(answer)
-            self._ended(RequestOutcome.REFUSED, status_of(answer), KEY_IN_DOUBT)
+        self._conclude(answer, RequestOutcome.REFUSED, KEY_IN_DOUBT)
         self._owner.called_off(self)
 
     def _check_drain(self, attempt: Attempt) -> None:
@@ -423,6 +417,11 @@
     # ---- the end ----
 
     def _end_with(self, answer: WholeAnswer, outcome: RequestOutcome, reason: str) -> None:
+        """This answer, and the end of the request."""
+        self._conclude(answer, outcome, reason)
+        self._owner.finished(self)
+
+    def _conclude(self, answer: WholeAnswer, outcome: RequestOutcome, reason: str) -> None:
         """This answer, unless a stream has begun: that is broken off."""
         status = status_of(answer)
         if self._response.begun:
@@ -432,7 +431,6 @@
             check_final_answer(self.job, self.trace, status, ran=self._ran)
             self._response.answer(answer)
             self._ended(outcome, status, reason)
-        self._owner.finished(self)
 
     def end_broken(self, error: Exception) -> None:
         """Something in here has failed: the client gets no answer, or no more of it."""
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -94,6 +94,11 @@
         self._machine = machine
         self._loop = loop
 
+    def majority_as_of(self) -> float | None:
+        """As `ReplicaDriver.majority_as_of`."""
+        replica = self._machine.replica
+        return None if replica is None else replica.majority_as_of
+
     def confirmed_as_of(self) -> float | None:
         """As `ReplicaDriver.confirmed_as_of`."""
         replica = self._machine.replica
@@ -151,8 +156,13 @@
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
         self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap, identity=identity)
         self._sessions = EdgeSessions(
-            settings.node_name, self._state, settings.watch_hold_s(), self._sessions_changed
+            settings.node_name,
+            self._state,
+            settings.watch_hold_s(),
+            self._sessions_changed,
+            self._quota_asked,
         )
+        self._build_quota(settings, now)
         self._transport: Any = PeerLinks(self._simulation, self._address)
         self._driver: Any = ReplicaView(self._machine, self.loop)
         duty = SimulatedListDuty(
