A certificate found with the lock is not ordered again

Ruled out: the lock itself (held until the certificate is in the store), the test's authority. Change: the claim tells the certificate that stands in the store; one that is newer than what was seen and not due ends the turn, and the record on disk stays the other process's. Tests: two red before (engine, driver), two more for a missing name and an operator's renewal.

--- a/reedspoke/acme/driver.py
+++ b/reedspoke/acme/driver.py
@@ -143,7 +143,18 @@
         if (old := self._locks.get(name)) is not None:
             os.close(old)
         self._locks[name] = fd
-        return words.Claimed(True)
+        return words.Claimed(True, self._held(name))
+
+    def _held(self, name: str) -> words.Installed | None:
+        """The certificate in the store, as another process may have left it; None where it is unusable."""
+        try:
+            found = self.store.load(name)
+            if found is None:
+                return None
+            fit(found, (), self.now(), AHEAD)
+        except (UnfitError, OSError):
+            return None
+        return words.Installed(found.begins, found.ends, found.serial, found.hosts)
 
     def _outcome(self, step: words.Wait | words.Claim, outcome: words.Outcome) -> None:
         self.do(self.engine.outcome(step.name, step, outcome, self.now()))
--- a/reedspoke/acme/renewal.py
+++ b/reedspoke/acme/renewal.py
@@ -124,7 +124,7 @@
             return self._leave(now)
         match self.state, outcome:
             case State.CLAIMING, words.Claimed():
-                return self._claimed(outcome.got, now)
+                return self._claimed(outcome, now)
             case State.ASKING, words.Window():
                 return self._windowed(outcome, now)
             case State.ENROLLING, words.Enrolled():
@@ -168,11 +168,20 @@
 
     # ---- the way of an order ----
 
-    def _claimed(self, got: bool, now: int) -> list[words.Step]:
-        if not got:  # another process is at it: what it installs is seen in the store
+    def _claimed(self, claimed: words.Claimed, now: int) -> list[words.Step]:
+        if not claimed.got:  # another process is at it: what it installs is seen in the store
             self.state = State.RESTING
             self.record.pause.begin(now, max(SECOND // 2, self.settings.first_backoff // 2))
             return []
+        if self._is_installed_by_another(claimed.held):
+            assert claimed.held is not None
+            self.held(claimed.held)
+            if now < self.due():
+                self.state = State.RESTING  # nothing is kept: the record on disk is the other process's
+                return [
+                    words.Tell(f"acme: {self.name}: another process installed it"),
+                    words.Release(self.name),
+                ]
         authority = self.authority(now)
         if authority is None or self._stale:
             return self._leave(now)
@@ -189,6 +198,10 @@
         self.state, self.polls = State.ENROLLING, 0
         return [*told, *self._call(words.Enrol(self.name, authority.name), now, 6)]
 
+    def _is_installed_by_another(self, found: words.Installed | None) -> bool:
+        """The certificate found with the lock is newer than what this process last saw in the store."""
+        return found is not None and (self.life is None or found.serial != self.life.serial)
+
     def _enrolled(self, now: int) -> list[words.Step]:
         if self.record.order:
             return [words.Tell(f"acme: {self.name}: the order goes on"), *self._check(now)]
--- a/reedspoke/acme/words.py
+++ b/reedspoke/acme/words.py
@@ -166,11 +166,6 @@
 # ---- outcomes of steps ----
 
 
-@dataclass(slots=True, frozen=True)
-class Claimed:
-    got: bool
-
-
 @dataclass(slots=True, frozen=True)
 class Enrolled:
     pass
@@ -224,6 +219,14 @@
     hosts: tuple[str, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class Claimed:
+    """Of a claim. `held`: the certificate in the store as the lock was got, None where there is none."""
+
+    got: bool
+    held: Installed | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Window:
     """`begins` 0: the authority names none."""
--- a/tests/acme/desk.py
+++ b/tests/acme/desk.py
@@ -125,7 +125,7 @@
             case words.Claim(name):
                 got = name not in self.locked
                 self.locked.add(name)
-                return words.Claimed(got)
+                return words.Claimed(got, self.installed.get(name) if got else None)
             case words.Withdraw(_, _, host, token, challenge):
                 self.findable.discard((host, token, challenge))
             case words.Enrol():
--- a/tests/acme/test_engine.py
+++ b/tests/acme/test_engine.py
@@ -242,6 +242,36 @@
     assert other.counts["Begin"] == 0
 
 
+def test_a_certificate_that_is_found_with_the_lock_is_not_ordered_again() -> None:
+    """The claim comes between the other process's release and the next look into the store."""
+    one, other = Desk(), Desk()
+    one.run(MINUTE)
+    other.installed.update(one.installed)
+    other.run(HOUR)
+    assert other.counts["Claim"] == 1
+    assert other.counts["Begin"] == 0
+    settled(other)
+
+
+def test_a_certificate_that_is_found_with_the_lock_and_lacks_a_name_is_ordered() -> None:
+    one = Desk()
+    one.run(MINUTE)
+    hosts = ("api.example.org", "pay.example.org")
+    other = Desk(wants=(wanted("api", hosts=hosts),))
+    other.installed.update(one.installed)
+    other.run(HOUR)
+    assert other.counts["Begin"] == 1
+    assert other.installed["api"].hosts == hosts
+
+
+def test_an_operator_s_renewal_is_ordered_although_a_certificate_is_found_with_the_lock() -> None:
+    desk = Desk()
+    desk.run(MINUTE)
+    desk.do(desk.engine.force("api", desk.now))
+    desk.run(MINUTE)
+    assert desk.counts["issued"] == 2
+
+
 def test_names_that_are_removed_and_added_in_the_middle_of_an_order() -> None:
     desk = Desk(wants=(wanted("api"), wanted("shop", hosts=("shop.example.org",))))
     perform = desk.perform
--- a/tests/acme/test_parts.py
+++ b/tests/acme/test_parts.py
@@ -137,6 +137,24 @@
     assert found.serial == old.serial
 
 
+def test_a_claim_tells_what_another_process_has_installed_meanwhile(tmp_path: Path) -> None:
+    """Guards against a second order where the lock is got between a release and the next look."""
+    store = Store(tmp_path / "store")
+    driver = Driver(Engine(), store, Meters(), lambda *_: None)
+    assert driver._claim("api") == words.Claimed(True)
+    installed = made(Issuer("first"), ["api.example.org"])
+    store.install("api", installed)
+    found = words.Installed(installed.begins, installed.ends, installed.serial, installed.hosts)
+    driver.close()
+    assert Driver(Engine(), store, Meters(), lambda *_: None)._claim("api") == words.Claimed(True, found)
+
+
+def test_a_claim_passes_over_a_broken_certificate(tmp_path: Path) -> None:
+    store = Store(tmp_path / "store")
+    store.write("api.pem", b"-----BEGIN CERTIFICATE-----\n")
+    assert Driver(Engine(), store, Meters(), lambda *_: None)._claim("api") == words.Claimed(True)
+
+
 def test_what_cannot_be_written_is_not_built_upon(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against orders that are forgotten: the state could not be kept, so nothing is begun."""
 
