Schedulers tell each other which workers have lately failed their requests

Change: each names in its heartbeat the workers that failed it within 3 s; a worker that two suspect costs an aim in the placement, so it is avoided while others have room. Own suspects beyond half of a service's workers are not told: the fault is then more likely the scheduler's own.

--- a/reedspoke/cluster/messages.py
+++ b/reedspoke/cluster/messages.py
@@ -34,7 +34,7 @@
     """Data plane to control plane: what I hold; also the heartbeat and my own load.
 
     `running` has for each worker's instance id the requests and the prompt tokens that I have there now.
-    `draining` is true from SIGTERM on.
+    `draining` is true from SIGTERM on. `suspects` are workers that have lately failed requests of mine.
     """
 
     request_id: int
@@ -44,6 +44,7 @@
     versions: dict[str, Version]
     running: dict[str, tuple[int, int]] = field(default_factory=dict)
     draining: bool = False
+    suspects: tuple[str, ...] = ()
 
 
 class Versions(Struct, tag="versions", array_like=True):
@@ -53,14 +54,18 @@
     answer the configuration told here was certainly the newest, by the grants of a majority of voters. Both
     are seconds of the sender's steady clock. So the receiver knows that it was the newest when it sent the
     `Watch`, plus `held_s`, minus `confirmed_ago_s`, on its own clock.
+
+    `running` and `suspects` are of all data plane schedulers but the asker: what they hold at each worker, and
+    how many of them suspect a worker.
     """
 
     request_id: int
     node_name: str
     versions: dict[str, Version]
-    running: dict[str, tuple[int, int]] = field(default_factory=dict)  # sum of all schedulers but the asker
+    running: dict[str, tuple[int, int]] = field(default_factory=dict)
     held_s: float = 0.0
     confirmed_ago_s: float = 0.0
+    suspects: dict[str, int] = field(default_factory=dict)
 
 
 class ControlMember(Struct, array_like=True, frozen=True):
--- a/reedspoke/control_plane/edge_sessions.py
+++ b/reedspoke/control_plane/edge_sessions.py
@@ -163,11 +163,14 @@
             self._tell_unconfirmed(session, watch.request_id)
             return
         running = self._state.membership.running_except(watch.node_name)
+        suspects = self._state.membership.suspects_except(watch.node_name)
         session.told = self._state.versions()
         session.told_unconfirmed = False
         held_s = now - session.watched_at
         session.channel.send(
-            Versions(watch.request_id, self._node_name, session.told, running, held_s, confirmed_ago_s)
+            Versions(
+                watch.request_id, self._node_name, session.told, running, held_s, confirmed_ago_s, suspects
+            )
         )
 
     def _tell_unconfirmed(self, session: Session, request_id: int) -> None:
--- a/reedspoke/control_plane/membership.py
+++ b/reedspoke/control_plane/membership.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from msgspec import Struct
 
 from reedspoke.cluster.messages import (
@@ -33,6 +35,14 @@
     zone: str
     heard_at: float
     running: Running
+    suspects: tuple[str, ...]
+
+    def entry(self, now: float) -> SessionEntry:
+        """What other control schedulers are told of it."""
+        silent_s = now - self.heard_at
+        return SessionEntry(
+            self.node_name, self.incarnation, self.zone, silent_s, self.running, self.suspects
+        )
 
 
 class PeerTable(Struct):
@@ -60,6 +70,8 @@
         self._members = MemberList((identity, 0), (own,), ())
         self._running: Running = {}
         self._running_of: dict[str, Running] = {}
+        self._suspects: Counter[str] = Counter()
+        self._suspects_of: dict[str, tuple[str, ...]] = {}
 
     # ---- what is asked ----
 
@@ -82,13 +94,15 @@
                 del others[instance]
         return others
 
+    def suspects_except(self, node_name: str) -> dict[str, int]:
+        """How many data plane schedulers, without this one, suspect each worker."""
+        own = self._suspects_of.get(node_name)
+        return dict(self._suspects - Counter(own) if own else self._suspects)
+
     def table(self, now: float, workers: Version, workers_seen: Version) -> SessionTable:
         """What the other control schedulers are told."""
-        entries = [
-            SessionEntry(edge.node_name, edge.incarnation, edge.zone, now - edge.heard_at, edge.running)
-            for edge in self._edges.values()
-        ]
-        return SessionTable(tuple(entries), workers, workers_seen)
+        entries = tuple(edge.entry(now) for edge in self._edges.values())
+        return SessionTable(entries, workers, workers_seen)
 
     def peer_workers(self, address: str) -> Version:
         """The version of the list of workers that another control scheduler said it has."""
@@ -113,8 +127,9 @@
         known = self._edges.get(watch.node_name)
         if known is None and len(self._edges) >= MOST_EDGES:
             return False
-        running = dict(watch.running)
-        self._edges[watch.node_name] = Edge(watch.node_name, watch.incarnation, watch.zone, now, running)
+        self._edges[watch.node_name] = Edge(
+            watch.node_name, watch.incarnation, watch.zone, now, dict(watch.running), watch.suspects
+        )
         return known is None or known.incarnation != watch.incarnation
 
     def left(self, node_name: str, incarnation: str) -> None:
@@ -152,7 +167,7 @@
         return True
 
     def add_up(self, now: float) -> None:
-        """Add up anew what runs at each worker."""
+        """Add up anew what runs at each worker, and by how many it is suspected."""
         total: Running = {}
         newest = self._newest_entries(now)
         for entry in newest.values():
@@ -161,6 +176,8 @@
                 total[instance] = (all_requests + requests, all_tokens + tokens)
         self._running = total
         self._running_of = {name: entry.running for name, entry in newest.items()}
+        self._suspects = Counter(worker for entry in newest.values() for worker in entry.suspects)
+        self._suspects_of = {name: entry.suspects for name, entry in newest.items() if entry.suspects}
 
     # ---- inside ----
 
@@ -177,12 +194,7 @@
 
     def _newest_entries(self, now: float) -> dict[str, SessionEntry]:
         """The latest word of each data plane scheduler, which may have sessions with several of us."""
-        newest = {
-            edge.node_name: SessionEntry(
-                edge.node_name, edge.incarnation, edge.zone, now - edge.heard_at, edge.running
-            )
-            for edge in self._edges.values()
-        }
+        newest = {edge.node_name: edge.entry(now) for edge in self._edges.values()}
         silent = {name: entry.silent_s for name, entry in newest.items()}
         for told in self._tables.values():
             age = now - told.heard_at
--- a/reedspoke/control_plane/peer_messages.py
+++ b/reedspoke/control_plane/peer_messages.py
@@ -22,6 +22,7 @@
     zone: str
     silent_s: float  # since its last word, when the table was sent
     running: dict[str, tuple[int, int]]
+    suspects: tuple[str, ...] = ()  # workers that have lately failed its requests
 
 
 class SessionTable(Struct, tag="sessions", array_like=True):
--- a/reedspoke/data_plane/conversation.py
+++ b/reedspoke/data_plane/conversation.py
@@ -62,6 +62,7 @@
     zone: str
     draining: bool
     running: dict[str, tuple[int, int]]
+    suspects: tuple[str, ...] = ()  # workers that have lately failed its requests
 
 
 class Conversation:
@@ -153,6 +154,7 @@
                 versions,
                 own.running,
                 own.draining,
+                own.suspects,
             )
         )
 
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -106,6 +106,14 @@
         loads = {name: Load(requests, tokens) for name, (requests, tokens) in running.items()}
         self._apply(self._dispatcher.others_load(loads, self._loop.time()))
 
+    def set_others_suspects(self, suspects: dict[str, int]) -> None:
+        """How many other schedulers suspect each worker."""
+        self._dispatcher.others_suspect(suspects)
+
+    def own_suspects(self) -> tuple[str, ...]:
+        """The workers that this scheduler suspects, for the others."""
+        return self._dispatcher.own_suspects(self._loop.time())
+
     def set_fleet_size(self, schedulers: int) -> None:
         """How many schedulers there are, this one included."""
         self._schedulers = max(1, schedulers)
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -66,6 +66,7 @@
             on_workers=self._on_workers,
             on_members=self._on_members,
             on_running=self._forwarder.set_others_load,
+            on_suspects=self._forwarder.set_others_suspects,
         )
         self._confirmation = Confirmation(settings.bounds.apply_ms / 1000, started=self._loop.time())
         self._subscription = Subscription(listener, self._confirmation)
@@ -178,6 +179,7 @@
             self._settings.zone,
             self._closing,
             self._forwarder.own_load(),
+            self._forwarder.own_suspects(),
         )
 
     # ---- what the control plane tells ----
--- a/reedspoke/data_plane/subscription.py
+++ b/reedspoke/data_plane/subscription.py
@@ -55,6 +55,7 @@
     on_workers: Callable[[WorkerList], None]
     on_members: Callable[[MemberList], None]
     on_running: Callable[[dict[str, tuple[int, int]]], None]
+    on_suspects: Callable[[dict[str, int]], None]
 
 
 class Subscription:
@@ -119,6 +120,7 @@
                 self._listener.on_members(message)
             case Versions():
                 self._listener.on_running(message.running)
+                self._listener.on_suspects(message.suspects)
         return True
 
     def _take_snapshot(self, message: ConfigurationSnapshot) -> bool:
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -76,6 +76,11 @@
             service.set_others(loads, now)
         return self._decided()
 
+    def others_suspect(self, suspects: Mapping[str, int]) -> None:
+        """How many other schedulers suspect each worker, by instance id; one not named is suspected by none."""
+        for service in self._services.values():
+            service.pool.set_others_suspects(suspects)
+
     def fleet_size(self, schedulers: int, now: float) -> None:
         """The number of schedulers known, this one included; 0: unknown."""
         self._schedulers = schedulers
@@ -154,6 +159,10 @@
             loads.update(service.pool.own_load())
         return loads
 
+    def own_suspects(self, now: float) -> tuple[str, ...]:
+        """The workers that this scheduler suspects, to be told to the others."""
+        return tuple(name for service in self._services.values() for name in service.pool.own_suspects(now))
+
     def _add(self, upstream: Upstream, now: float) -> None:
         budget = self._budgets.setdefault(upstream.name, self._budget(now))
         service = Service(upstream, self._zone, budget)
--- a/reedspoke/decision/placement.py
+++ b/reedspoke/decision/placement.py
@@ -24,6 +24,7 @@
 LATE_FROM = 0.85  # of the aim: an expected first event beyond it costs more
 LATE_WEIGHT = 10.0  # price of an expected first event beyond what is late, in times of that delay
 CROSS_ZONE = 0.01  # of the aim: what another zone costs
+SUSPECTED = 1.0  # of the aim: what a worker costs that several schedulers suspect
 BUSY_FROM = 0.7  # share of positions or memory above which load costs more
 BUSY_S = 1.0  # cost of a load, for each unit of share above that
 LOAD_S = 0.05  # cost of a load, for each unit of share
@@ -118,7 +119,7 @@
         near = start  # workers before and with this one that don't rest
         unread, expected_s = 0, 0.0
         for place, worker in enumerate(workers, start):
-            near += worker.rested(ask.now)
+            near += worker.rested(ask.now) and not worker.suspicion.is_shared(ask.now)
             if not self._may_take(ask, worker):
                 continue
             cached = worker.cache.cached_tokens(ask.chain, ask.job.parts) if self.engine else 0
@@ -174,6 +175,8 @@
         cost = worker.excess(ask.now) + self._load_cost(ask.job, worker)
         if worker.entry.zone != self._zone:
             cost += CROSS_ZONE * ask.job.aim_s
+        if worker.suspicion.is_shared(ask.now):
+            cost += SUSPECTED * ask.job.aim_s
         if self.engine and ask.shared_tokens > cached:
             told = TOLD_BY_ORDER[place] if place < len(TOLD_BY_ORDER) else 0.0
             again = (ask.shared_tokens - cached) * self._speed.token_read_s
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -11,6 +11,8 @@
 from reedspoke.decision.urgency import urgency_of
 from reedspoke.decision.worker_state import Running, WorkerState
 
+MOST_SUSPECTS = 0.5  # of a service's workers that one scheduler names
+
 
 class WorkerPool:
     """The workers of one upstream as this scheduler sees them."""
@@ -67,6 +69,17 @@
         busy = ((name, worker) for name, worker in self._workers.items() if worker.running)
         return {name: Load(worker.used, worker.kept_tokens) for name, worker in busy}
 
+    def set_others_suspects(self, suspects: Mapping[str, int]) -> None:
+        """How many other schedulers suspect each worker."""
+        for name, worker in self._workers.items():
+            worker.suspicion.others = suspects.get(name, 0)
+
+    def own_suspects(self, now: float) -> list[str]:
+        """The workers that have lately failed our requests; none where most have, as the fault is then more
+        likely to be on our side."""
+        names = [name for name, worker in self._workers.items() if worker.suspicion.is_own(now)]
+        return names if len(names) <= MOST_SUSPECTS * len(self._workers) else []
+
     def has_room(self, now: float) -> bool:
         """Whether any worker could take a request now."""
         return any(worker.room() > 0 and worker.rested(now) for worker in self._usable)
--- a/reedspoke/decision/worker_state.py
+++ b/reedspoke/decision/worker_state.py
@@ -8,6 +8,7 @@
 
 from reedspoke.decision.messages import Cause, Engine, Load, Outcome, WorkerEntry
 from reedspoke.decision.prefix_cache import PrefixCache
+from reedspoke.decision.suspicion import Suspicion
 
 CAP_CUT = 0.7  # what a late first event or a 'full' answer leaves of a cap
 CAP_GAIN = 0.5  # positions that a prompt first event at a full cap adds
@@ -57,6 +58,7 @@
     excess_at: float = 0.0
     cut_at: float = 0.0  # when the cap was lowered last
     gone: bool = False  # another one answers at its address
+    suspicion: Suspicion = field(default_factory=Suspicion)
 
     @staticmethod
     def of(entry: WorkerEntry, engine: Engine | None) -> WorkerState:
@@ -152,6 +154,7 @@
 
     def judge(self, outcome: Outcome, cause: Cause, sent: float, now: float) -> None:
         """Learn from the end of an attempt that was sent then."""
+        self.suspicion.judge(outcome, cause, now)
         if cause is Cause.FULL:
             self._full(sent, now)
         elif cause is Cause.WRONG_INSTANCE:
--- a/tests/control_plane_process/stand_ins.py
+++ b/tests/control_plane_process/stand_ins.py
@@ -124,19 +124,36 @@
         self._request_id = 0
         self._socket = socket.create_connection(split_address(address), timeout=3.0)
 
-    def watch(self, *, draining: bool = False, running: dict[str, tuple[int, int]] | None = None) -> Versions:
+    def watch(
+        self,
+        *,
+        draining: bool = False,
+        running: dict[str, tuple[int, int]] | None = None,
+        suspects: tuple[str, ...] = (),
+    ) -> Versions:
         """The versions, as soon as a majority stands behind the control scheduler."""
         while True:
-            answer = self.watch_once(draining=draining, running=running)
+            answer = self.watch_once(draining=draining, running=running, suspects=suspects)
             if isinstance(answer, Versions):
                 return answer
 
     def watch_once(
-        self, *, draining: bool = False, running: dict[str, tuple[int, int]] | None = None
+        self,
+        *,
+        draining: bool = False,
+        running: dict[str, tuple[int, int]] | None = None,
+        suspects: tuple[str, ...] = (),
     ) -> Versions | Unconfirmed:
         self._request_id += 1
         asked = Watch(
-            self._request_id, self.node_name, self.incarnation, "za", self.versions, running or {}, draining
+            self._request_id,
+            self.node_name,
+            self.incarnation,
+            "za",
+            self.versions,
+            running or {},
+            draining,
+            suspects,
         )
         self._send(asked)
         answer = self.receive()
--- a/tests/control_plane_process/test_membership.py
+++ b/tests/control_plane_process/test_membership.py
@@ -15,8 +15,10 @@
 NONE = (0, 0)
 
 
-def watch(name: str, incarnation: str = "1", running: Running | None = None) -> Watch:
-    return Watch(1, name, incarnation, "zx", {}, running or {})
+def watch(
+    name: str, incarnation: str = "1", running: Running | None = None, suspects: tuple[str, ...] = ()
+) -> Watch:
+    return Watch(1, name, incarnation, "zx", {}, running or {}, suspects=suspects)
 
 
 def table(*entries: SessionEntry) -> SessionTable:
@@ -97,6 +99,34 @@
     assert members.running_except("other") == {"i": (2, 20)}
 
 
+def test_suspicions_are_counted_over_all_edges_but_the_asker() -> None:
+    members = membership()
+    members.watched(watch("e1", suspects=("i", "j")), 0.0)
+    members.watched(watch("e2", suspects=("i",)), 0.0)
+    members.heard_table("p", table(SessionEntry("e3", "1", "zx", 0.0, {}, ("i", "k"))), 0.0)
+    members.add_up(0.0)
+    assert members.suspects_except("e4") == {"i": 3, "j": 1, "k": 1}
+    assert members.suspects_except("e1") == {"i": 2, "k": 1}
+    members.watched(watch("e1"), 0.5)
+    members.add_up(0.5)
+    assert members.suspects_except("e4") == {"i": 2, "k": 1}
+
+
+def test_suspicions_are_told_to_other_control_schedulers() -> None:
+    members = membership()
+    members.watched(watch("e1", suspects=("i",)), 0.0)
+    (told,) = members.table(0.0, NONE, NONE).entries
+    assert told.suspects == ("i",)
+
+
+def test_suspicions_end_with_the_word_of_their_edge() -> None:
+    members = membership()
+    members.watched(watch("e1", suspects=("i",)), 0.0)
+    members.refresh(EDGE_LIFE_S + 0.1)
+    members.add_up(EDGE_LIFE_S + 0.1)
+    assert members.suspects_except("e2") == {}
+
+
 def test_a_new_life_elsewhere_replaces_the_old_one_here() -> None:
     members = membership()
     members.watched(watch("e1", "old"), 0.0)
--- a/tests/control_plane_process/test_process_data_plane.py
+++ b/tests/control_plane_process/test_process_data_plane.py
@@ -116,6 +116,12 @@
 
     until(load_of_the_other, 4.0, "the load of the other is told")
 
+    def suspects_of_the_other() -> bool:
+        first.watch(suspects=("i-7",))
+        return second.watch(suspects=("i-8",)).suspects == {"i-7": 1}
+
+    until(suspects_of_the_other, 4.0, "what the other suspects is told")
+
     def members() -> list[str]:
         answer = EdgeClient(fleet.nodes[2].internal, "edge-3").fetch("members")
         assert isinstance(answer, MemberList)
--- a/tests/data_plane/test_subscription.py
+++ b/tests/data_plane/test_subscription.py
@@ -36,6 +36,7 @@
     workers: list[Version] = field(default_factory=list)
     members: list[Version] = field(default_factory=list)
     running: list[Running] = field(default_factory=list)
+    suspects: list[dict[str, int]] = field(default_factory=list)
 
 
 def subscription(apply_s: float = 2.0) -> tuple[Subscription, Heard]:
@@ -49,6 +50,7 @@
         on_workers=lambda workers: heard.workers.append(workers.version),
         on_members=lambda members: heard.members.append(members.version),
         on_running=heard.running.append,
+        on_suspects=heard.suspects.append,
     )
     return Subscription(listener, Confirmation(apply_s, started=STARTED_AT)), heard
 
@@ -179,7 +181,8 @@
     made, heard = subscription()
     made.take(MemberList((0, 7), (), ()))
     made.take(MemberList((0, 2), (), ()))
-    made.take(Versions(1, "core-1", {}, {"i-1": (1, 20)}))
+    made.take(Versions(1, "core-1", {}, {"i-1": (1, 20)}, suspects={"i-2": 3}))
+    assert heard.suspects == [{"i-2": 3}]
     assert heard.members == [(0, 7), (0, 2)]
     assert heard.running == [{"i-1": (1, 20)}]
 
--- /dev/null
+++ b/tests/decision/test_suspicion.py
@@ -0,0 +1,120 @@
+"""Suspicions of workers: this scheduler's own, those of others, and what they change."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from reedspoke.decision import placement
+from reedspoke.decision.dispatcher import Dispatcher
+from reedspoke.decision.messages import AttemptEnd, Cause, Job, Load, Outcome, Repeat
+from reedspoke.decision.suspicion import KEPT_S, Suspicion
+from tests.decision.facts import OK, dispatcher, entry, job, plain
+from tests.decision.test_placement import sent_to
+
+FOUR = [entry(f"w{index}") for index in range(4)]
+RESET = AttemptEnd(Outcome.FAILED, Cause.RESET)
+
+
+def suspicion(*, own: bool, others: int) -> Suspicion:
+    made = Suspicion(others=others)
+    if own:
+        made.judge(Outcome.FAILED, Cause.RESET, 0.0)
+    return made
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "shared"),
+    [(False, 0, False), (True, 0, False), (False, 1, False), (True, 1, True), (False, 2, True)],
+)
+def test_two_schedulers_make_a_suspicion_count(own: bool, others: int, shared: bool) -> None:
+    assert suspicion(own=own, others=others).is_shared(0.5) is shared
+
+
+@pytest.mark.parametrize(
+    ("cause", "suspected"),
+    [(Cause.RESET, True), (Cause.SILENT, True), (Cause.CONNECT_FAILED, True), (Cause.WRONG_INSTANCE, True)]
+    + [(Cause.FULL, False), (Cause.BAD_ANSWER, False), (Cause.DEADLINE, False), (Cause.NONE, False)],
+)
+def test_what_raises_a_suspicion(cause: Cause, suspected: bool) -> None:
+    made = Suspicion()
+    made.judge(Outcome.FAILED, cause, 1.0)
+    assert made.is_own(1.1) is suspected
+
+
+def test_a_suspicion_ends_with_time_and_with_a_whole_answer() -> None:
+    made = suspicion(own=True, others=0)
+    assert made.is_own(KEPT_S - 0.01)
+    assert not made.is_own(KEPT_S)
+    made.judge(Outcome.FAILED, Cause.RESET, 10.0)
+    made.judge(Outcome.OK, Cause.NONE, 10.1)
+    assert not made.is_own(10.2)
+
+
+def failed_at(scheduler: Dispatcher, count: int) -> list[str]:
+    """Workers that have failed one request each."""
+    failed: list[str] = []
+    for number in range(1000):
+        where = sent_to(scheduler, job(number, subject=f"s{number}", repeat=Repeat.NEVER), 0.0)
+        assert where is not None
+        if where not in failed and len(failed) < count:
+            failed.append(where)
+            scheduler.attempt_ended(number, RESET, 0.01)
+        else:
+            scheduler.attempt_started(number, 0.01)
+            scheduler.attempt_ended(number, AttemptEnd(Outcome.CANCELLED), 0.01)
+        if len(failed) == count:
+            break
+    return failed
+
+
+def test_own_suspects_are_told_while_they_are_few() -> None:
+    scheduler = dispatcher(FOUR)
+    assert scheduler.own_suspects(0.0) == ()
+    failed = failed_at(scheduler, 2)
+    assert sorted(scheduler.own_suspects(0.1)) == sorted(failed)
+    assert scheduler.own_suspects(KEPT_S + 0.1) == ()
+
+
+def test_who_suspects_most_workers_suspects_itself() -> None:
+    scheduler = dispatcher(FOUR)
+    failed_at(scheduler, 3)
+    assert scheduler.own_suspects(0.1) == ()
+
+
+@pytest.mark.parametrize(("make", "upstream"), [(job, "llm"), (plain, "svc")])
+def test_a_suspected_worker_is_avoided_while_others_have_room(
+    make: Callable[[int], Job], upstream: str
+) -> None:
+    scheduler = dispatcher([entry(f"w{index}", upstream=upstream) for index in range(4)])
+    home = sent_to(scheduler, make(1), 0.0)
+    scheduler.attempt_started(1, 0.01)
+    scheduler.attempt_ended(1, OK, 0.02)
+    assert home is not None
+    scheduler.others_suspect({home: 2})
+    assert all(sent_to(scheduler, make(number), 0.1) != home for number in range(2, 20))
+
+
+def test_a_suspected_worker_is_used_where_the_others_are_full() -> None:
+    scheduler = dispatcher(FOUR)
+    scheduler.others_suspect({"w0": 9})
+    full = {worker.instance_id: Load(worker.capacity, 0) for worker in FOUR[1:]}
+    scheduler.others_load(full, 0.0)
+    assert sent_to(scheduler, job(1), 0.1) == "w0"
+
+
+def test_all_suspected_is_as_none_suspected() -> None:
+    suspected, plain_one = dispatcher(FOUR), dispatcher(FOUR)
+    suspected.others_suspect({worker.instance_id: 5 for worker in FOUR})
+    for number in range(30):
+        request = job(number, subject=f"s{number % 7}")
+        assert sent_to(suspected, request) == sent_to(plain_one, request)
+
+
+def test_one_scheduler_s_word_moves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(placement, "SUSPECTED", 1000.0)
+    suspected, plain_one = dispatcher(FOUR), dispatcher(FOUR)
+    suspected.others_suspect({"w0": 1, "w1": 1})
+    for number in range(30):
+        assert sent_to(suspected, job(number)) == sent_to(plain_one, job(number))
