--- a/reedspoke/cluster/messages.py
+++ b/reedspoke/cluster/messages.py
@@ -55,8 +55,8 @@
     are seconds of the sender's steady clock. So the receiver knows that it was the newest when it sent the
     `Watch`, plus `held_s`, minus `confirmed_ago_s`, on its own clock.
 
-    `running` and `suspects` are of all data plane schedulers but the asker: what they hold at each worker, and
-    how many of them suspect a worker.
+    `running` and `suspects` are of all data plane schedulers but the asker: what they hold at each worker,
+    and how many of them suspect a worker.
     """
 
     request_id: int
--- a/reedspoke/control_plane/quota_grants.py
+++ b/reedspoke/control_plane/quota_grants.py
@@ -226,8 +226,8 @@
         return effects + self._return_excess(tenant, quota)
 
     def _return_excess(self, tenant: str, quota: TenantQuota) -> list[QuotaEffect]:
-        """What was borrowed and not used goes back to the owners in equal parts: given to one of them alone, it
-        would fill that one's bucket and so waste its refill."""
+        """What was borrowed and not used goes back to the owners in equal parts: given to one of them alone,
+        it would fill that one's bucket and so waste its refill."""
         lenders = self._lenders(tenant)
         excess = quota.bucket.settle()
         if not lenders or not excess:
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -77,7 +77,7 @@
         return self._decided()
 
     def others_suspect(self, suspects: Mapping[str, int]) -> None:
-        """How many other schedulers suspect each worker, by instance id; one not named is suspected by none."""
+        """How many other schedulers suspect each worker, by instance id; who is not named is not suspected."""
         for service in self._services.values():
             service.pool.set_others_suspects(suspects)
 
