Trust in a worker comes back with time

Cause (by reading, while the failures of one plain service were looked at): two resets took a worker's soundness under the trust that a request which must not be repeated needs; only a whole answer raised it, and where a service has no other requests none could come, so that a scheduler lost the worker for good, and each worker in turn. Change: what is missing of the soundness halves every 10 s. Test: red before (the worker is trusted after 20 s and not after 2 s).

--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -77,7 +77,7 @@
         return self._decided()
 
     def others_suspect(self, suspects: Mapping[str, int]) -> None:
-        """How many other schedulers suspect each worker, by instance id; who is not named is not suspected."""
+        """How many other schedulers suspect each worker, by instance id; none where it is not named."""
         for service in self._services.values():
             service.pool.set_others_suspects(suspects)
 
--- a/reedspoke/decision/placement.py
+++ b/reedspoke/decision/placement.py
@@ -226,5 +226,5 @@
     return (
         has_place(job, worker, excluded)
         and worker.rested(now)
-        and worker.trusted(job.repeat is not Repeat.NEVER)
+        and worker.trusted(job.repeat is not Repeat.NEVER, now)
     )
--- a/reedspoke/decision/worker_state.py
+++ b/reedspoke/decision/worker_state.py
@@ -8,6 +8,7 @@
 
 from reedspoke.decision.messages import Cause, Engine, Load, Outcome, WorkerEntry
 from reedspoke.decision.prefix_cache import PrefixCache
+from reedspoke.decision.soundness import Soundness
 from reedspoke.decision.suspicion import Suspicion
 
 CAP_CUT = 0.7  # what a late first event or a 'full' answer leaves of a cap
@@ -52,7 +53,7 @@
     others: Load = Load()
     rest_until: float = 0.0
     silent: int = 0  # failed connections and silences since the last sign of life
-    sound: float = 1.0  # share of its answers that were whole, the latest count most
+    sound: Soundness = field(default_factory=Soundness)
     pace: float = 1.0  # its time to a first event against the usual one's
     excess_s: float = 0.0  # delay of first events beyond their expectation, at `excess_at`
     excess_at: float = 0.0
@@ -110,11 +111,12 @@
         """The part of its memory that running requests are known to keep."""
         return (self.kept_tokens + self.others.tokens) / max(1, self.kv_tokens)
 
-    def trusted(self, repeatable: bool) -> bool:
+    def trusted(self, repeatable: bool, now: float) -> bool:
         """Whether its last answers let a request go there; repeatable ones try it out one at a time."""
-        if self.sound >= TRUST:
+        sound = self.sound.at(now)
+        if sound >= TRUST:
             return True
-        return repeatable and (self.sound >= TRIAL or not self.running)
+        return repeatable and (sound >= TRIAL or not self.running)
 
     def excess(self, now: float) -> float:
         """Seconds beyond the expectation that a first event is likely to take now."""
@@ -164,17 +166,15 @@
         if cause in (Cause.SILENT, Cause.RESET, Cause.BAD_ANSWER):
             self._unsound(now)
         elif outcome is Outcome.OK:
-            self._sound()
-
-    def _sound(self) -> None:
-        self.heard()
-        self.sound += LEARN * (1 - self.sound)
+            self.heard()
+            self.sound.whole(now)
 
     def _unsound(self, now: float) -> None:
         """Guards requests against a worker that fails them at once: always free, it would draw the most."""
-        self.sound -= LEARN * self.sound
-        if self.sound < TRUST:
-            rest = min(REST_MOST_S, REST_FIRST_S / self.sound)
+        self.sound.failed(now)
+        sound = self.sound.at(now)
+        if sound < TRUST:
+            rest = min(REST_MOST_S, REST_FIRST_S / sound)
             self.rest_until = max(self.rest_until, now + rest)
 
     def _cut(self, sent: float, now: float, least: float = CAP_LEAST) -> None:
--- a/tests/control_plane/simulated_data_plane.py
+++ b/tests/control_plane/simulated_data_plane.py
@@ -63,7 +63,9 @@
         self.seeds = seeds
         self._world = world
         self._node = node
-        listener = Listener(self._configured, self._listed, self._members_told, self._running_told)
+        listener = Listener(
+            self._configured, self._listed, self._members_told, self._running_told, self._suspects_told
+        )
         subscription = Subscription(listener, self.confirmation)
         sessions = SimulatedSessions(
             subscription, self._own_state, lambda: self.seeds, Random(f"{node.name} {node.life}")
@@ -94,6 +96,9 @@
     def _running_told(self, running: dict[str, tuple[int, int]]) -> None:
         """Nor what others run."""
 
+    def _suspects_told(self, suspects: dict[str, int]) -> None:
+        """Nor what they suspect."""
+
 
 class DataPlane:
     """All data plane schedulers, named `e1`, `e2`, …"""
--- a/tests/decision/test_worker_state.py
+++ b/tests/decision/test_worker_state.py
@@ -6,6 +6,7 @@
 
 from reedspoke.decision import worker_state
 from reedspoke.decision.messages import Cause, Load, Outcome
+from reedspoke.decision.soundness import RECOVERY_HALF_LIFE_S
 from reedspoke.decision.worker_state import Running, WorkerState
 from tests.decision.facts import ENGINE, entry
 
@@ -56,7 +57,7 @@
     assert state.cap < cut
     assert not state.rested(2.1)
     assert state.rested(2.1 + worker_state.FULL_REST_S)
-    assert state.sound == 1.0
+    assert state.sound.at(2.1) == 1.0
 
 
 def test_the_cap_never_falls_below_one() -> None:
@@ -127,24 +128,35 @@
 def test_a_worker_that_fails_in_a_row_loses_trust_and_wins_it_back() -> None:
     state = worker()
     state.judge(Outcome.FAILED, Cause.RESET, 0.0, 1.0)
-    assert state.trusted(repeatable=False)
+    assert state.trusted(repeatable=False, now=1.0)
     for _ in range(4):
         state.judge(Outcome.FAILED, Cause.BAD_ANSWER, 0.0, 1.0)
-    assert not state.trusted(repeatable=False)
-    assert state.trusted(repeatable=True)
+    assert not state.trusted(repeatable=False, now=1.0)
+    assert state.trusted(repeatable=True, now=1.0)
     state.start(1, running())
-    assert not state.trusted(repeatable=True)
+    assert not state.trusted(repeatable=True, now=1.0)
     assert not state.rested(1.0)
     for _ in range(10):
         state.judge(Outcome.OK, Cause.NONE, 0.0, 2.0)
-    assert state.trusted(repeatable=False)
+    assert state.trusted(repeatable=False, now=2.0)
+
+
+def test_trust_comes_back_with_time_where_no_request_can_win_it_back() -> None:
+    """A service whose requests must not be repeated would lose the worker for good."""
+    state = worker()
+    for _ in range(5):
+        state.judge(Outcome.FAILED, Cause.RESET, 0.0, 1.0)
+    assert not state.trusted(repeatable=False, now=3.0)
+    assert state.trusted(repeatable=False, now=1.0 + 2 * RECOVERY_HALF_LIFE_S)
+    state.judge(Outcome.FAILED, Cause.RESET, 0.0, 1.0 + 2 * RECOVERY_HALF_LIFE_S)
+    assert not state.trusted(repeatable=False, now=1.0 + 2 * RECOVERY_HALF_LIFE_S)
 
 
 def test_its_own_error_answer_costs_trust_though_it_is_whole() -> None:
     state = worker()
     for _ in range(5):
         state.judge(Outcome.OK, Cause.BAD_ANSWER, 0.0, 1.0)
-    assert not state.trusted(repeatable=False)
+    assert not state.trusted(repeatable=False, now=1.0)
 
 
 def test_another_instance_at_its_address_ends_its_use() -> None:
