--- a/reedspoke/data_plane/upstream_pool.py
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -9,11 +9,11 @@
 
 from reedspoke.cluster.node_settings import split_address
 from reedspoke.cluster.unhandled_errors import unhandled_errors
-from reedspoke.data_plane.connect_patience import ConnectPatience
 from reedspoke.data_plane.upstream_connection import UpstreamConnection
 
 PASSES_WHEN_LATE = 8  # of the event loop, for a connection that came up while the process stood still
 MOST_IDLE = 16  # kept for one worker
+CONNECT_TIMEOUT_S = 0.8  # an opening packet that was dropped is sent again after a second
 
 
 class ConnectFailure(Struct, frozen=True):
@@ -31,7 +31,6 @@
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._listed: frozenset[str] | None = None  # workers on the list; None: no list has come yet
         self.most_idle: dict[str, int] = {}  # by instance id, where it is less than MOST_IDLE
-        self._patience = ConnectPatience()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def take_idle(self, instance_id: str) -> UpstreamConnection | None:
@@ -54,10 +53,9 @@
         done(await self._open(address))
 
     async def _open(self, address: str) -> ConnectResult:
-        began = self._loop.time()
         opening = self._loop.create_task(self._create(address))
         try:
-            await asyncio.wait({opening}, timeout=self._patience.limit_s)
+            await asyncio.wait({opening}, timeout=CONNECT_TIMEOUT_S)
             for _ in range(PASSES_WHEN_LATE):
                 if opening.done():
                     break
@@ -65,10 +63,7 @@
         finally:
             if not (opening.done() or self._loop.is_closed()):
                 opening.cancel()
-        result = opening.result() if opening.done() else ConnectFailure()
-        if isinstance(result, UpstreamConnection):
-            self._patience.learn(self._loop.time() - began)
-        return result
+        return opening.result() if opening.done() else ConnectFailure()
 
     async def _create(self, address: str) -> ConnectResult:
         try:
--- a/tests/data_plane/test_attempts_table.py
+++ b/tests/data_plane/test_attempts_table.py
@@ -10,7 +10,7 @@
 import pytest
 from msgspec import Struct
 
-from reedspoke.data_plane import connect_patience
+from reedspoke.data_plane import upstream_pool
 from reedspoke.decision import silence
 from tests.data_plane.loopback import LAST_EVENT, DeafListener, Loopback, Script, WorkerSide, start
 from tests.data_plane.wire import SeenAnswer, chunked, event, events
@@ -188,7 +188,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_times(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(connect_patience, "MOST_S", CONNECT_TIMEOUT_S)
+    monkeypatch.setattr(upstream_pool, "CONNECT_TIMEOUT_S", CONNECT_TIMEOUT_S)
     monkeypatch.setattr(silence, "LEAST_SILENCE_S", LEAST_SILENCE_S)
 
 
