--- a/reedspoke/cluster/quota_rule.py
+++ b/reedspoke/cluster/quota_rule.py
@@ -14,7 +14,7 @@
 CREDIT_S = 0.3  # for which a data plane scheduler keeps what it has not used
 LAG_S = 0.7  # from a grant until its request reaches a worker: credit, queue, connection
 COUNTED_SHARE = 0.97  # of the bound: a request that is sent again counts again
-LEAST_CAPACITY = 0.15  # of a bucket's part of the bound: what may be granted at one instant,
+LEAST_CAPACITY = 0.1  # of a bucket's part of the bound: what may be granted at one instant,
 MOST_CAPACITY = 0.3  # where large requests need more than the least
 
 
--- a/reedspoke/control_plane/quota_bucket.py
+++ b/reedspoke/control_plane/quota_bucket.py
@@ -16,6 +16,7 @@
 
 RESERVE_DECAY = 0.98  # of the largest request seen, with each further one
 MOST_RESERVE = 0.9  # of the capacity
+LOAN_SHARE = 0.9  # of the level that is lent at once
 ROUNDING = 1e-6
 
 
@@ -69,7 +70,7 @@
     def lend(self, wanted: float, *, is_short: bool) -> float:
         """Give up to so many units to another control scheduler; while it is short of them itself, only what
         exceeds the reserve."""
-        free = self.level - self.reserve if is_short else self.level
+        free = self.level - self.reserve if is_short else LOAN_SHARE * self.level
         units = max(0.0, min(wanted, free))
         self._remove(units)
         return units
--- a/reedspoke/control_plane/quota_grants.py
+++ b/reedspoke/control_plane/quota_grants.py
@@ -22,7 +22,7 @@
 from reedspoke.telemetry.invariants import Invariant, check
 
 ROUND_S = 0.02  # a round of loans is over after this
-ROUND_PAUSE_S = 0.03  # between two rounds of a tenant, where the first brought too little
+ROUND_PAUSE_S = 0.1  # between two rounds of a tenant, where the first brought too little
 FRESH_S = 1.5  # after its start a bucket is empty for want of time, not of quota
 SHORT_S = 0.2  # for so long after a refusal a tenant counts as short of units here
 REFRESH_S = 0.5  # a share that has changed is known to all buckets after this
@@ -226,13 +226,12 @@
         return effects + self._return_excess(tenant, quota)
 
     def _return_excess(self, tenant: str, quota: TenantQuota) -> list[QuotaEffect]:
-        """What was borrowed and not used goes back to the owners in equal parts: given to one of them alone,
-        it would fill that one's bucket and so waste its refill."""
+        """What was borrowed and not used goes to an owner."""
         lenders = self._lenders(tenant)
         excess = quota.bucket.settle()
         if not lenders or not excess:
             return []
-        return [LoanTo(address, QuotaLoan(tenant, excess / len(lenders))) for address in lenders]
+        return [LoanTo(lenders[0], QuotaLoan(tenant, excess))]
 
     def _refusal(self, quota: TenantQuota, waiting: WaitingAsk, now: float) -> AnswerTo:
         self.refused += 1
