What others suspect of a worker fades at a scheduler that is cut off; a figure of it

Cause (by reading the whole change): a scheduler keeps the word of others until a newer one comes; cut off from control, or frozen, it would avoid a worker as long as that lasts. Ruled out: that it sends or grants anything by it: a suspicion only adds a cost, and others who are full make way.

--- a/reedspoke/data_plane/figures.py
+++ b/reedspoke/data_plane/figures.py
@@ -24,6 +24,8 @@
 
     def known_workers(self) -> int: ...
 
+    def avoided_workers(self) -> int: ...
+
 
 def add_process_figures(registry: Registry, told: Told) -> None:
     """Gauges of the process's state."""
@@ -35,6 +37,7 @@
         ("open_requests", "Requests without a whole answer.", told.open_requests),
         ("control_sessions", "Sessions with control schedulers with a majority.", told.sound_sessions),
         ("workers", "Workers on the list.", told.known_workers),
+        ("avoided_workers", "Workers that several schedulers suspect.", told.avoided_workers),
     )
     for name, help_text, read in gauges:
         registry.gauge(f"reedspoke_{name}", help_text, lambda read=read: float(read()))  # type: ignore[misc]
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -108,12 +108,16 @@
 
     def set_others_suspects(self, suspects: dict[str, int]) -> None:
         """How many other schedulers suspect each worker."""
-        self._dispatcher.others_suspect(suspects)
+        self._dispatcher.others_suspect(suspects, self._loop.time())
 
     def own_suspects(self) -> tuple[str, ...]:
         """The workers that this scheduler suspects, for the others."""
         return self._dispatcher.own_suspects(self._loop.time())
 
+    def avoided_workers(self) -> int:
+        """Workers that requests avoid, as several schedulers suspect them."""
+        return self._dispatcher.avoided_workers(self._loop.time())
+
     def set_fleet_size(self, schedulers: int) -> None:
         """How many schedulers there are, this one included."""
         self._schedulers = max(1, schedulers)
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -263,6 +263,10 @@
         workers = self._subscription.state.workers
         return 0 if workers is None else len(workers.workers)
 
+    def avoided_workers(self) -> int:
+        """Workers that several schedulers suspect."""
+        return self._forwarder.avoided_workers()
+
 
 def listen(address: str) -> socket.socket:
     """A listening socket at `ip:port`; connections come up before anybody accepts them."""
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -76,10 +76,10 @@
             service.set_others(loads, now)
         return self._decided()
 
-    def others_suspect(self, suspects: Mapping[str, int]) -> None:
+    def others_suspect(self, suspects: Mapping[str, int], now: float) -> None:
         """How many other schedulers suspect each worker, by instance id; none where it is not named."""
         for service in self._services.values():
-            service.pool.set_others_suspects(suspects)
+            service.pool.set_others_suspects(suspects, now)
 
     def fleet_size(self, schedulers: int, now: float) -> None:
         """The number of schedulers known, this one included; 0: unknown."""
@@ -163,6 +163,10 @@
         """The workers that this scheduler suspects, to be told to the others."""
         return tuple(name for service in self._services.values() for name in service.pool.own_suspects(now))
 
+    def avoided_workers(self, now: float) -> int:
+        """Workers that requests avoid, as several schedulers suspect them."""
+        return sum(service.pool.avoided(now) for service in self._services.values())
+
     def _add(self, upstream: Upstream, now: float) -> None:
         budget = self._budgets.setdefault(upstream.name, self._budget(now))
         service = Service(upstream, self._zone, budget)
--- a/reedspoke/decision/suspicion.py
+++ b/reedspoke/decision/suspicion.py
@@ -26,7 +26,8 @@
     """Of one worker; times are those of this scheduler's steady clock."""
 
     until: float = 0.0  # this scheduler's own
-    others: int = 0  # other schedulers that suspect it
+    others: int = 0  # other schedulers that suspect it,
+    others_until: float = 0.0  # as long as their word counts
 
     def judge(self, outcome: Outcome, cause: Cause, now: float) -> None:
         """An attempt there has ended."""
@@ -35,10 +36,17 @@
         elif outcome is Outcome.OK:
             self.until = 0.0
 
+    def tell(self, others: int, now: float) -> None:
+        """So many other schedulers suspect it. Their word fades where no newer one comes, as to a scheduler
+        that is cut off."""
+        self.others = others
+        self.others_until = now + KEPT_S
+
     def is_own(self, now: float) -> bool:
         """Whether this scheduler suspects the worker."""
         return now < self.until
 
     def is_shared(self, now: float) -> bool:
         """Whether enough schedulers suspect it."""
-        return self.others + self.is_own(now) >= LEAST_SCHEDULERS
+        others = self.others if now < self.others_until else 0
+        return others + self.is_own(now) >= LEAST_SCHEDULERS
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -69,10 +69,14 @@
         busy = ((name, worker) for name, worker in self._workers.items() if worker.running)
         return {name: Load(worker.used, worker.kept_tokens) for name, worker in busy}
 
-    def set_others_suspects(self, suspects: Mapping[str, int]) -> None:
+    def set_others_suspects(self, suspects: Mapping[str, int], now: float) -> None:
         """How many other schedulers suspect each worker."""
         for name, worker in self._workers.items():
-            worker.suspicion.others = suspects.get(name, 0)
+            worker.suspicion.tell(suspects.get(name, 0), now)
+
+    def avoided(self, now: float) -> int:
+        """Workers that enough schedulers suspect."""
+        return sum(worker.suspicion.is_shared(now) for worker in self._workers.values())
 
     def own_suspects(self, now: float) -> list[str]:
         """The workers that have lately failed our requests; none where most have, as the fault is then more
--- a/tests/decision/test_suspicion.py
+++ b/tests/decision/test_suspicion.py
@@ -18,7 +18,8 @@
 
 
 def suspicion(*, own: bool, others: int) -> Suspicion:
-    made = Suspicion(others=others)
+    made = Suspicion()
+    made.tell(others, 0.0)
     if own:
         made.judge(Outcome.FAILED, Cause.RESET, 0.0)
     return made
@@ -52,6 +53,16 @@
     assert not made.is_own(10.2)
 
 
+def test_the_word_of_others_fades_where_no_newer_one_comes() -> None:
+    """A scheduler that is cut off, or was frozen, must not avoid a worker for as long as that lasts."""
+    made = suspicion(own=False, others=5)
+    assert made.is_shared(KEPT_S - 0.01)
+    assert not made.is_shared(KEPT_S)
+    made.tell(5, 10.0)
+    made.tell(0, 10.1)
+    assert not made.is_shared(10.2)
+
+
 def failed_at(scheduler: Dispatcher, count: int) -> list[str]:
     """Workers that have failed one request each."""
     failed: list[str] = []
@@ -92,13 +103,14 @@
     scheduler.attempt_started(1, 0.01)
     scheduler.attempt_ended(1, OK, 0.02)
     assert home is not None
-    scheduler.others_suspect({home: 2})
+    scheduler.others_suspect({home: 2}, 0.05)
+    assert scheduler.avoided_workers(0.1) == 1
     assert all(sent_to(scheduler, make(number), 0.1) != home for number in range(2, 20))
 
 
 def test_a_suspected_worker_is_used_where_the_others_are_full() -> None:
     scheduler = dispatcher(FOUR)
-    scheduler.others_suspect({"w0": 9})
+    scheduler.others_suspect({"w0": 9}, 0.0)
     full = {worker.instance_id: Load(worker.capacity, 0) for worker in FOUR[1:]}
     scheduler.others_load(full, 0.0)
     assert sent_to(scheduler, job(1), 0.1) == "w0"
@@ -106,7 +118,7 @@
 
 def test_all_suspected_is_as_none_suspected() -> None:
     suspected, plain_one = dispatcher(FOUR), dispatcher(FOUR)
-    suspected.others_suspect({worker.instance_id: 5 for worker in FOUR})
+    suspected.others_suspect({worker.instance_id: 5 for worker in FOUR}, 0.0)
     for number in range(30):
         request = job(number, subject=f"s{number % 7}")
         assert sent_to(suspected, request) == sent_to(plain_one, request)
@@ -115,6 +127,6 @@
 def test_one_scheduler_s_word_moves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(placement, "SUSPECTED", 1000.0)
     suspected, plain_one = dispatcher(FOUR), dispatcher(FOUR)
-    suspected.others_suspect({"w0": 1, "w1": 1})
+    suspected.others_suspect({"w0": 1, "w1": 1}, 0.0)
     for number in range(30):
         assert sent_to(suspected, job(number)) == sent_to(plain_one, job(number))
