The lab's watcher counts two holders of a duty only where two hold

It took a span to begin with the last accept of a majority, also one that came behind the end of the round (a granter that was stopped answers late), to end `end` after the proposal was seen (a process that stood still in between, or a slow relay), took the asker's own granter to accept also while it is silent after a start, and missed releases that the weather lost. Change: a span begins as its asker tells that it holds, and ends `end` after a majority of promises had passed, or with a release that was sent. The relay tells its observer what comes and what goes on. Overlaps are printed.

--- a/reedspoke/lab/duties.py
+++ b/reedspoke/lab/duties.py
@@ -273,6 +273,7 @@
     result = Result({
         "processes": rig.size, "seconds": round(took, 1), "faults": sum(faults.begun.values()),
         "handovers": rig.watcher.handovers(), "two_holders": rig.watcher.two_holders,
+        "overlaps": [repr(overlap) for overlap in rig.watcher.overlaps],
         "acts": len(registry.acts), "holders_at_the_registry": registry.holders(),
         "stale_accepted": registry.stale_accepted(), "stale_refused": registry.stale_refused(),
         "longest_gap_s": round(health.longest, 2), "longest_gap": health.told, "gap_bound_s": round(bound, 2),
--- a/reedspoke/lab/leaseplay.py
+++ b/reedspoke/lab/leaseplay.py
@@ -93,9 +93,7 @@
             return
         for effect in self.members[number].handle(event, self.clock(number)):
             if isinstance(effect, Tell):
-                self.sent += 1
-                if (number, effect.to) not in self.cuts:
-                    self.flying.append((number, effect.to, effect.message))
+                self.send(number, effect)
             elif isinstance(effect, Begun):
                 if self.tokens and effect.token <= self.tokens[-1] and self.rates is EVEN:
                     raise TokenError(f"{effect.token} behind {self.tokens[-1]}")
@@ -105,6 +103,12 @@
                 self.ended.append(effect.why)
         self.check()
 
+    def send(self, number: int, effect: Tell) -> None:
+        """A member sends a message; it arrives as the play says."""
+        self.sent += 1
+        if (number, effect.to) not in self.cuts:
+            self.flying.append((number, effect.to, effect.message))
+
     def holders(self) -> list[int]:
         """Those who would act now if asked."""
         return [n for n, member in enumerate(self.members) if member.holds(self.clock(n))]
--- a/reedspoke/lab/relay.py
+++ b/reedspoke/lab/relay.py
@@ -13,11 +13,19 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from reedspoke.lab.hosts import Peer
 
 CHUNK = 1 << 16
-Seen = Callable[[int, int, bytes, float, bool], None]  # sender, receiver, body, when, arrived
+
+
+class Observer(Protocol):
+    """Is told of each datagram; times are those of the steady clock."""
+
+    def came(self, sender: int, body: bytes, when: float) -> None: ...
+
+    def passed_on(self, sender: int, to: int, body: bytes, when: float) -> None: ...
 
 
 @dataclass(slots=True)
@@ -40,8 +48,8 @@
 class Datagrams:
     """`doors[n]` is scheduler n as the others see it; `listens[n]` is where it really listens."""
 
-    def __init__(self, listens: list[int], seed: int, seen: Seen | None = None) -> None:
-        self.listens, self.seen = listens, seen
+    def __init__(self, listens: list[int], seed: int, observer: Observer | None = None) -> None:
+        self.listens, self.observer = listens, observer
         self.weather = Weather()
         self.weathers: dict[int, Weather] = {}  # of what these send, in place of the common one
         self.cuts: set[tuple[int, int]] = set()  # one way
@@ -70,6 +78,8 @@
         kept = self.kept.setdefault(sender, [])
         if len(kept) < 64:
             kept.append(body)
+        if self.observer is not None:
+            self.observer.came(sender, body, time.monotonic())
         weather = self.weathers.get(sender, self.weather)
         for _ in range(1 + (self._random.random() < weather.twice)):
             if self._random.random() < weather.loss:
@@ -81,10 +91,9 @@
                 self.pass_on(sender, to, body)
 
     def pass_on(self, sender: int, to: int, body: bytes) -> None:
-        arrives = (sender, to) not in self.cuts
-        if self.seen is not None:
-            self.seen(sender, to, body, time.monotonic(), arrives)
-        if arrives:
+        if (sender, to) not in self.cuts:
+            if self.observer is not None:
+                self.observer.passed_on(sender, to, body, time.monotonic())
             self._doors[sender].sendto(body, ("127.0.0.1", self.listens[to]))
         else:
             self.lost += 1
--- a/reedspoke/lab/rig.py
+++ b/reedspoke/lab/rig.py
@@ -166,7 +166,7 @@
         self.fleet = Fleet(HOSTS, seed, PUSHED.work(), PUSHED.of("side_effect"), deployment=PUSHED)
         self.registry = Registry()
         self.watcher = Watcher(self.granters, term * (1 - drift) / (1 + drift), load(self.keys))
-        self.relay = Datagrams([free_port() for _ in range(size)], seed, self.watcher.seen)
+        self.relay = Datagrams([free_port() for _ in range(size)], seed, self.watcher)
         self.schedulers: list[Scheduler] = []
         self.tally, self.excused = Tally(), 0
         self.random = random.Random(seed)
--- a/reedspoke/lab/watcher.py
+++ b/reedspoke/lab/watcher.py
@@ -1,27 +1,34 @@
-"""Who can hold a duty, by what crosses the relay: majorities of grants, told by nobody but the datagrams.
+"""Who holds a duty, by what crosses the relay between the processes.
 
-A holder's time begins no earlier than a majority of accepts has reached it, and ends at the latest `end`
-after its question left it: both are seen here, by one clock. Two such spans of two askers that overlap are
-two holders, whatever the processes say.
+A span is a time at which its asker certainly holds, so two spans of two askers overlap only where two held at
+once. What is seen late, by a slow relay or of a process that stood still, makes a span shorter and no longer:
+
+- It begins as its asker tells that it holds (`Holder`), whoever has granted that.
+- It ends `end` after a majority of promises had passed the relay, at the latest: the asker proposes behind
+  those, and counts its time from before it proposes. When the proposal itself is seen says nothing.
+- It ends as a release comes to the relay, whether that is passed on, delayed or lost.
 """
 
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from reedspoke.fleet.frames import Accept, FrameError, Leased, Propose, Release, read
+from reedspoke.fleet.frames import Accept, FrameError, Holder, Leased, Message, Promise, Release, read
 from reedspoke.fleet.lease import asker_of, member_of
 from reedspoke.fleet.seal import Keys
 
+MOST_OVERLAPS_TOLD = 8
+
 
 @dataclass(slots=True)
-class Grant:
-    """Times in s."""
+class Round:
+    """One round of an asker. Times in s."""
 
     ballot: int
-    asked: float
-    accepts: set[int] = field(default_factory=set)
+    begun_at: float  # the first sign of it
+    promises: set[int]
+    proposed_after: float | None = None  # no proposal was made before; None: no promise has passed
 
 
 @dataclass(slots=True)
@@ -32,52 +39,121 @@
     end: float
 
 
+@dataclass(slots=True, frozen=True)
+class Overlap:
+    """Two that held one duty at one time."""
+
+    duty: int
+    earlier: Span
+    later: Span
+
+
 class Watcher:
-    """`end`: s that a holder's lease lasts from its question on, by any clock at the most."""
+    """`end`: s that a holder's lease lasts from its question on, by any clock at the most. `keys`: of sealed
+    frames; None where no frames are read."""
 
-    def __init__(self, granters: tuple[int, ...], end: float, keys: Keys) -> None:
+    def __init__(self, granters: tuple[int, ...], end: float, keys: Keys | None = None) -> None:
         self.granters, self.end, self.keys = granters, end, keys
         self.spans: defaultdict[int, list[Span]] = defaultdict(list)  # by duty
         self.two_holders = 0
-        self._grants: dict[tuple[int, int], Grant] = {}
+        self.overlaps: list[Overlap] = []  # the first ones
+        self._rounds: dict[tuple[int, int], Round] = {}
+        self._granted: dict[tuple[int, int], Round] = {}  # the last one that was accepted, by duty and asker
+
+    # ---- what crosses the relay ----
+
+    def came(self, sender: int, body: bytes, when: float) -> None:
+        """A datagram has come to the relay, whatever becomes of it."""
+        for matter in self._matters(sender, body):
+            if isinstance(matter, Holder):
+                self.told(sender, matter.duty, matter.token, when)
+            else:
+                self.sent(sender, matter.duty, matter.message, when)
+
+    def passed_on(self, sender: int, to: int, body: bytes, when: float) -> None:
+        """A datagram goes on to its receiver."""
+        for matter in self._matters(sender, body):
+            if isinstance(matter, Leased):
+                self.received(sender, to, matter.duty, matter.message, when)
 
-    def seen(self, sender: int, to: int, body: bytes, when: float, arrived: bool) -> None:
-        opened = self.keys.open(body)
+    def _matters(self, sender: int, body: bytes) -> list[Leased | Holder]:
+        opened = body if self.keys is None else self.keys.open(body)
         try:
             frame = read(opened or b"")
         except FrameError:
-            return
+            return []
         if frame.sender != sender:
+            return []
+        return [matter for matter in frame.matters if isinstance(matter, Leased | Holder)]
+
+    def told(self, sender: int, duty: int, token: int, when: float) -> None:
+        """A member tells that it holds the duty: its last round was granted."""
+        found = self._granted.get((duty, asker_of(token)))
+        if member_of(token) != sender or found is None or found.proposed_after is None:
             return
-        for matter in frame.matters:
-            if isinstance(matter, Leased):
-                self._leased(matter, sender, to, when, arrived)
-
-    def _leased(self, matter: Leased, sender: int, to: int, when: float, arrived: bool) -> None:
-        key = matter.duty, matter.message.ballot
-        match matter.message:
-            case Propose(ballot) if member_of(ballot) == sender and key not in self._grants:
-                grant = self._grants[key] = Grant(ballot, when)
-                if sender in self.granters:
-                    grant.accepts.add(sender)
-                for old in [at for at, one in self._grants.items() if when - one.asked > 4 * self.end]:
-                    del self._grants[old]
-            case Accept(ballot) if arrived and sender in self.granters and member_of(ballot) == to:
-                if (found := self._grants.get(key)) is None or sender in found.accepts:
-                    return
-                found.accepts.add(sender)
-                if len(found.accepts) == len(self.granters) // 2 + 1:
-                    self._held(matter.duty, ballot, when, found.asked + self.end)
-            case Release(ballot) if member_of(ballot) == sender:
-                self._over(matter.duty, asker_of(ballot), when)
+        end = found.proposed_after + self.end
+        if when < end:
+            self._held(duty, found.ballot, when, end)
+
+    def sent(self, sender: int, duty: int, message: Message, when: float) -> None:
+        """A member has sent a message on a duty."""
+        if isinstance(message, Release) and member_of(message.ballot) == sender:
+            self._over(duty, asker_of(message.ballot), when)
+
+    def received(self, sender: int, to: int, duty: int, message: Message, when: float) -> None:
+        """A message on a duty is about to reach a member."""
+        if sender not in self.granters or member_of(message.ballot) != to:
+            return
+        match message:
+            case Promise(ballot, held) if not held or asker_of(held) == asker_of(ballot):
+                self._promise(self._round(duty, ballot, when), sender, when)
+            case Accept(ballot):
+                self._accept(self._round(duty, ballot, when), duty)
+            case _:
+                pass
+
+    # ---- rounds ----
+
+    def _round(self, duty: int, ballot: int, when: float) -> Round:
+        """The asker's own granter is taken to promise at once."""
+        key = duty, ballot
+        if key not in self._rounds:
+            for old in [at for at, item in self._rounds.items() if when - item.begun_at > 4 * self.end]:
+                del self._rounds[old]
+            self._rounds[key] = Round(ballot, when, {member_of(ballot)} & set(self.granters))
+        return self._rounds[key]
+
+    def _promise(self, found: Round, sender: int, when: float) -> None:
+        """The last promise that a majority needs is the latest that is known to come before the proposal."""
+        if sender in found.promises:
+            return
+        found.promises.add(sender)
+        if found.proposed_after is None or len(found.promises) <= len(self.granters) // 2 + 1:
+            found.proposed_after = when
+
+    def _accept(self, found: Round, duty: int) -> None:
+        key = duty, asker_of(found.ballot)
+        before = self._granted.get(key)
+        if before is None or before.ballot < found.ballot:
+            self._granted[key] = found
+
+    # ---- spans ----
 
     def _held(self, duty: int, ballot: int, begin: float, end: float) -> None:
         spans, asker = self.spans[duty], asker_of(ballot)
         if spans and spans[-1].asker == asker and begin <= spans[-1].end:
             spans[-1].end = max(end, spans[-1].end)
             return
-        self.two_holders += sum(one.asker != asker and begin < one.end for one in spans[-8:])
-        spans.append(Span(asker, ballot, begin, end))
+        span = Span(asker, ballot, begin, end)
+        for other in spans[-8:]:
+            if other.asker != asker and begin < other.end:
+                self._overlapped(Overlap(duty, other, span))
+        spans.append(span)
+
+    def _overlapped(self, overlap: Overlap) -> None:
+        self.two_holders += 1
+        if len(self.overlaps) < MOST_OVERLAPS_TOLD:
+            self.overlaps.append(overlap)
 
     def _over(self, duty: int, asker: int, when: float) -> None:
         for span in self.spans[duty][-8:]:
