Processors shared by quota: stalls of 90 ms are played, and answers heard before their limits

A process that wakes finds an answer and the end of its time limit in one pass of the loop, and the timer came first: asks on the quota of a tenant were refused though the grant lay in the socket, and rounds of loans (20 ms) ended without their loans. Change: `PatientTimer`: a timer that rings late lets in what came meanwhile first; the quota client and the rounds of loans use it, the pool of connections shares its constant. Ticks end no rounds. The simulation hands over a tick that was due as a process goes on.

--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -17,6 +17,7 @@
 from reedspoke.cluster.line_budget import LineBudget
 from reedspoke.cluster.messages import ControlMember, QuotaAsk, WorkerList, encode
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
+from reedspoke.cluster.patient_timer import PatientTimer
 from reedspoke.cluster.quota_rule import QuotaRule
 from reedspoke.cluster.transport import Channel
 from reedspoke.cluster.unhandled_errors import end_process
@@ -128,7 +129,7 @@
         self._quota = QuotaGrants(
             quota_rule(settings), self._quota_share, self._majority_as_of, self._reached, now
         )
-        self._quota_timer: asyncio.TimerHandle | None = None
+        self._quota_timer: PatientTimer | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -201,7 +202,7 @@
         self._send_lease(self._lease.tick(now))
         self._duty.look()
         self._sessions.look()
-        self._carry_out_quota(self._quota.tick(now))
+        self._quota.refresh(now)
         if now >= self._table_at:
             self._tell_sessions(now)
         if now >= self._settings_at:
@@ -308,11 +309,11 @@
                 self._transport.send(effect.address, effect.message)
         wake_at = self._quota.wake_at()
         if wake_at is not None and self._quota_timer is None:
-            self._quota_timer = self._loop.call_at(wake_at, self._quota_round_ends)
+            self._quota_timer = PatientTimer(self._loop, wake_at, self._quota_round_ends)
 
     def _quota_round_ends(self) -> None:
         self._quota_timer = None
-        self._carry_out_quota(self._quota.tick(self._loop.time()))
+        self._carry_out_quota(self._quota.end_rounds(self._loop.time()))
 
     def _reached(self) -> tuple[str, ...]:
         return self._membership.peers_heard(self._loop.time())
--- a/reedspoke/control_plane/quota_grants.py
+++ b/reedspoke/control_plane/quota_grants.py
@@ -156,12 +156,15 @@
             effects += self._end_round(loan.tenant, quota, now)
         return effects
 
-    def tick(self, now: float) -> list[QuotaEffect]:
-        """Time has passed: rounds end, and all buckets follow this control scheduler's share."""
+    def refresh(self, now: float) -> None:
+        """Time has passed: all buckets follow this control scheduler's share."""
         if now >= self._refresh_at:
             self._refresh_at = now + REFRESH_S
             for tenant, quota in self._quotas.items():
                 self._bring_up(tenant, quota, now)
+
+    def end_rounds(self, now: float) -> list[QuotaEffect]:
+        """The rounds of loans whose time is over end."""
         effects: list[QuotaEffect] = []
         for tenant, quota in list(self._in_round.items()):
             if now >= quota.round_ends:
@@ -169,7 +172,7 @@
         return effects
 
     def wake_at(self) -> float | None:
-        """When `tick` is to be called for the end of a round; None: for none."""
+        """When `end_rounds` is to be called; None: there is no round."""
         return min((quota.round_ends for quota in self._in_round.values()), default=None)
 
     # ---- inside ----
--- a/reedspoke/data_plane/quota_client.py
+++ b/reedspoke/data_plane/quota_client.py
@@ -10,10 +10,12 @@
 
 import asyncio
 from collections.abc import Callable, Collection
+from functools import partial
 
 from msgspec import Struct, field
 
 from reedspoke.cluster.messages import QuotaAnswer, QuotaAsk, QuotaVerdict
+from reedspoke.cluster.patient_timer import PatientTimer
 from reedspoke.cluster.quota_rule import CREDIT_S
 from reedspoke.data_plane.quota_outage import OutageAllowance
 
@@ -53,7 +55,7 @@
     unanswered: int = 0
     spent: bool = False
     retry_after_s: float = 0.0
-    timer: asyncio.TimerHandle | None = None
+    timer: PatientTimer | None = None
 
 
 class QuotaClient:
@@ -139,7 +141,7 @@
     def _look_later(self, pending: Pending, at: float) -> None:
         if pending.timer is not None:
             pending.timer.cancel()
-        pending.timer = self._loop.call_at(at, self._ask_next, pending)
+        pending.timer = PatientTimer(self._loop, at, partial(self._ask_next, pending))
 
     def _refuse(self, pending: Pending) -> None:
         ask = pending.ask
--- a/reedspoke/data_plane/upstream_pool.py
+++ b/reedspoke/data_plane/upstream_pool.py
@@ -8,10 +8,10 @@
 from msgspec import Struct
 
 from reedspoke.cluster.node_settings import split_address
+from reedspoke.cluster.patient_timer import PASSES_WHEN_LATE
 from reedspoke.cluster.unhandled_errors import unhandled_errors
 from reedspoke.data_plane.upstream_connection import UpstreamConnection
 
-PASSES_WHEN_LATE = 8  # of the event loop, for a connection that came up while the process stood still
 MOST_IDLE = 16  # kept for one worker
 CONNECT_TIMEOUT_S = 0.8  # an opening packet that was dropped is sent again after a second
 
@@ -56,7 +56,7 @@
         opening = self._loop.create_task(self._create(address))
         try:
             await asyncio.wait({opening}, timeout=CONNECT_TIMEOUT_S)
-            for _ in range(PASSES_WHEN_LATE):
+            for _ in range(PASSES_WHEN_LATE):  # it may have come up while the process stood still
                 if opening.done():
                     break
                 await asyncio.sleep(0)
--- /dev/null
+++ b/tests/cluster/test_patient_timer.py
@@ -0,0 +1,69 @@
+"""Time limits of a process that stands still now and then."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from reedspoke.cluster.patient_timer import LATE_S, PASSES_WHEN_LATE, PatientTimer
+from tests.data_plane.virtual_loop import VirtualLoop
+
+LIMIT_S = 0.02
+STALL_S = 0.09
+
+
+@pytest.fixture
+def loop() -> Iterator[VirtualLoop]:
+    loop = VirtualLoop()
+    yield loop
+    loop.close()
+
+
+def after_passes(loop: VirtualLoop, passes: int, order: list[str]) -> None:
+    """Note an answer after so many passes of the loop."""
+    if passes:
+        loop.call_soon(after_passes, loop, passes - 1, order)
+    else:
+        order.append("answer")
+
+
+def test_it_rings_at_its_time(loop: VirtualLoop) -> None:
+    rang: list[float] = []
+    began = loop.time()
+    PatientTimer(loop, began + LIMIT_S, lambda: rang.append(loop.time()))
+    loop.run_for(LIMIT_S / 2)
+    assert rang == []
+    loop.run_for(LIMIT_S)
+    assert rang == [pytest.approx(began + LIMIT_S, abs=LATE_S)]
+
+
+@pytest.mark.parametrize("passes", range(1, PASSES_WHEN_LATE - 1))
+def test_what_came_while_the_process_stood_still_is_heard_first(loop: VirtualLoop, passes: int) -> None:
+    order: list[str] = []
+    PatientTimer(loop, loop.time() + LIMIT_S, lambda: order.append("limit"))
+    loop._virtual.now += STALL_S
+    after_passes(loop, passes, order)
+    loop.settle()
+    assert order == ["answer", "limit"]
+
+
+def test_on_time_it_waits_for_nothing(loop: VirtualLoop) -> None:
+    order: list[str] = []
+    PatientTimer(loop, loop.time() + LIMIT_S, lambda: order.append("limit"))
+    loop.call_at(loop.time() + LIMIT_S, after_passes, loop, 4, order)
+    loop.run_for(2 * LIMIT_S)
+    assert order == ["limit", "answer"]
+
+
+@pytest.mark.parametrize("stalled", [False, True])
+def test_once_cancelled_it_does_not_ring(loop: VirtualLoop, stalled: bool) -> None:
+    rang: list[bool] = []
+    timer = PatientTimer(loop, loop.time() + LIMIT_S, lambda: rang.append(True))
+    if stalled:
+        loop._virtual.now += STALL_S
+        loop.call_soon(loop.call_soon, timer.cancel)
+    else:
+        timer.cancel()
+    loop.run_for(1.0)
+    assert rang == []
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -176,6 +176,10 @@
         self.loop.create_task(self._duty.run())
         self.loop.create_task(self._duty.first_list())
 
+    def term_held(self) -> int | None:
+        """The term under which it holds the list duty; None: it does not hold it."""
+        return self._lease.term if self._lease.holds(self.loop.time()) else None
+
     def begin_leave(self) -> None:
         """What SIGTERM changes here."""
         self._leaving = True
--- a/tests/control_plane/simulated_core.py
+++ b/tests/control_plane/simulated_core.py
@@ -112,6 +112,7 @@
         machine.frozen = False
         machine.leaving = False
         machine.missed = []
+        machine.tick_is_due = False
         machine.calls = {}
         self.calm.disturbed(self.now, address)
         self.judge.started(address)
@@ -152,12 +153,18 @@
         machine = self.machines.get(address)
         if machine is None or machine.life != life:
             return
-        if not machine.frozen:
-            self._handle(address, Tick())
-            for component in self.components:
-                component.ticked(machine)
+        if machine.frozen:
+            machine.tick_is_due = True
+        else:
+            self._ticked(machine)
         self.at(self.now + TICK_S, lambda: self._tick(address, life))
 
+    def _ticked(self, machine: Machine) -> None:
+        machine.tick_is_due = False
+        self._handle(machine.address, Tick())
+        for component in self.components:
+            component.ticked(machine)
+
     def _handle(self, address: str, event: Event) -> None:
         machine = self.machines[address]
         if machine.replica is None:
--- a/tests/control_plane/simulated_data_plane.py
+++ b/tests/control_plane/simulated_data_plane.py
@@ -153,18 +153,27 @@
         self._simulation.at(self._simulation.now + restart_after, lambda: self.start(name))
 
     def freeze(self, name: str) -> None:
-        """The process stands still."""
-        node = self.nodes[name]
+        """The process is stopped."""
         self._note(name)
+        self.stand_still(name)
+
+    def thaw(self, name: str) -> None:
+        """The process goes on."""
+        if self.nodes[name].frozen:
+            self._note(name)
+            self.go_on(name)
+
+    def stand_still(self, name: str) -> None:
+        """The process gets no processor time for now, which is no trouble of its machine."""
+        node = self.nodes[name]
         if node.scheduler is not None:
             node.frozen = True
             node.scheduler.loop.freeze()
 
-    def thaw(self, name: str) -> None:
-        """The process goes on."""
+    def go_on(self, name: str) -> None:
+        """The process gets processor time again."""
         node = self.nodes[name]
         if node.frozen and node.scheduler is not None:
-            self._note(name)
             node.frozen = False
             node.scheduler.loop.thaw()
 
--- a/tests/control_plane/simulated_parts.py
+++ b/tests/control_plane/simulated_parts.py
@@ -59,6 +59,7 @@
     leaving: bool = False
     gone: bool = False  # for good: it is not started again
     life: int = 0
+    tick_is_due: bool = False  # it came while the process stood still
     missed: list[Event] = field(default_factory=list)
     calls: dict[int, int] = field(default_factory=dict)  # of operators, by their number in this process
 
--- a/tests/control_plane/simulation.py
+++ b/tests/control_plane/simulation.py
@@ -141,14 +141,22 @@
     def freeze(self, address: str) -> None:
         """The process is stopped; its clock goes on."""
         self.calm.disturbed(self.now, address)
+        self.stand_still(address)
+
+    def thaw(self, address: str) -> None:
+        """The process goes on, and finds what came meanwhile."""
+        self.calm.disturbed(self.now, address)
+        self.go_on(address)
+
+    def stand_still(self, address: str) -> None:
+        """The process gets no processor time for now, which is no trouble of its machine."""
         machine = self.machines[address]
         machine.frozen = True
         for component in self.components:
             component.frozen(machine)
 
-    def thaw(self, address: str) -> None:
-        """The process goes on, and finds what came meanwhile."""
-        self.calm.disturbed(self.now, address)
+    def go_on(self, address: str) -> None:
+        """The process gets processor time again, and finds what came meanwhile."""
         machine = self.machines[address]
         machine.frozen = False
         for component in self.components:
@@ -156,6 +164,8 @@
         missed, machine.missed = machine.missed, []
         for event in missed:
             self._handle(address, event)
+        if machine.tick_is_due and not machine.frozen:
+            self._ticked(machine)
 
     def leave(self, address: str, gone_after: float = 0.5) -> None:
         """SIGTERM: the process says so, and ends for good a little later."""
--- a/tests/control_plane_process/quota_simulation.py
+++ b/tests/control_plane_process/quota_simulation.py
@@ -162,7 +162,8 @@
                 control.majority_as_of = self.now - CONTACT_S
         for control in self._controls.values():
             if control.is_up:
-                self._carry_out(control, control.grants.tick(self.now))
+                control.grants.refresh(self.now)
+                self._carry_out(control, control.grants.end_rounds(self.now))
         self._at(self.now + TICK_S, self._tick)
 
     def _end_round_later(self, control: Control) -> None:
@@ -172,7 +173,7 @@
 
     def _end_round(self, control: Control) -> None:
         if control.is_up and self._controls[control.address] is control:
-            self._carry_out(control, control.grants.tick(self.now))
+            self._carry_out(control, control.grants.end_rounds(self.now))
 
     def _carry_out(self, control: Control, effects: list[QuotaEffect]) -> None:
         if any(not isinstance(effect, AnswerTo) for effect in effects):
--- a/tests/control_plane_process/test_quota_grants.py
+++ b/tests/control_plane_process/test_quota_grants.py
@@ -42,7 +42,7 @@
         self.configure()
         self.now = START
         for second in range(60):
-            self.grants.tick(START - 60 + second)
+            self.grants.refresh(START - 60 + second)
 
     def configure(self, rate: float = RATE) -> None:
         limited = Tenant(name="limited", rate_per_s=rate, burst=BURST)
@@ -126,9 +126,9 @@
 
 def test_a_round_whose_loans_are_lost_ends_by_time(scene: Scene) -> None:
     scene.ask(FULL + 10)
-    assert scene.grants.tick(START + ROUND_S - 0.01) == []
-    assert answers(scene.grants.tick(START + ROUND_S)) == [QuotaVerdict.SPENT]
-    assert scene.grants.tick(START + 60) == []
+    assert scene.grants.end_rounds(START + ROUND_S - 0.01) == []
+    assert answers(scene.grants.end_rounds(START + ROUND_S)) == [QuotaVerdict.SPENT]
+    assert scene.grants.end_rounds(START + 60) == []
 
 
 def test_asks_during_a_round_wait_in_their_order(scene: Scene) -> None:
@@ -157,7 +157,7 @@
 def test_a_tenant_that_is_dropped_during_a_round_is_forgotten(scene: Scene) -> None:
     scene.ask(FULL + 10)
     scene.grants.configure({}, START)
-    assert scene.grants.tick(START + 1.0) == []
+    assert scene.grants.end_rounds(START + 1.0) == []
     assert scene.grants.wake_at() is None
 
 
--- a/tests/data_plane/test_quota_client.py
+++ b/tests/data_plane/test_quota_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 import pytest
 
@@ -227,3 +227,39 @@
     assert list(allowance._tenants) == ["b"]
     allowance.forget_old(104.0 + WINDOW_S)
     assert list(allowance._tenants) == []
+
+
+class Passes:
+    """Calls something after so many passes of the event loop, as bytes of a connection do."""
+
+    def __init__(self, loop: VirtualLoop, passes: int, callback: Callable[[], None]) -> None:
+        self._loop = loop
+        self._left = passes
+        self._callback = callback
+        self._next()
+
+    def _next(self) -> None:
+        if self._left:
+            self._left -= 1
+            self._loop.call_soon(self._next)
+        else:
+            self._callback()
+
+
+def test_an_answer_that_came_while_the_process_stood_still_counts(scene: Scene) -> None:
+    """Else a process whose share of a processor is spent for 90 ms refuses what was granted to it."""
+    scene.addresses = ["c1"]
+    scene.ask()
+    scene.loop.run_for(WAIT_S / 2)
+    scene.loop._virtual.now += WAIT_S
+    Passes(scene.loop, 4, lambda: scene.answer(YES))
+    scene.loop.settle()
+    assert [item.granted for item in scene.decisions] == [True]
+
+
+def test_no_answer_behind_a_pause_is_still_a_refusal(scene: Scene) -> None:
+    scene.addresses = ["c1"]
+    scene.ask()
+    scene.loop._virtual.now += 2 * WAIT_S
+    scene.loop.settle()
+    assert [item.granted for item in scene.decisions] == [False]
--- a/tests/fleet_days/make_days.py
+++ b/tests/fleet_days/make_days.py
@@ -26,6 +26,11 @@
 DRAWN_MOMENTS_S = (4.0, 28.0)
 DRAWN_CHANGE_GAPS_S = (0.25, 0.5, 0.9)
 CHANGES_END_S = 32.0
+STALLS_BEGIN_S = 8.0
+STALLS_END_S = 24.0
+STALL_PERIOD_S = 0.1  # as where the share of a core is a quota
+STALL_S = 0.09
+STALLED_CLASSES = ("front", "core")
 KINDS_OF_PLANNED_WORK = frozenset(
     {"config_race", "config_storm", "bad_config", "big_config", "roll_term", "seed_turnover", "hup"}
 )
@@ -135,6 +140,18 @@
         yield Day(f"long-{course.name}-{lost}", (changes, *troubles))
 
 
+def stall_days() -> Iterator[Day]:
+    """Machines of one class stand still for most of each tenth of a second, again and again."""
+    steps = int((STALLS_END_S - STALLS_BEGIN_S) / STALL_PERIOD_S)
+    for machine_class in STALLED_CLASSES:
+        fields: dict[str, Value] = {"on": machine_class, "share": 1.0, "for_s": STALL_S}
+        stalls = (
+            Entry(round(STALLS_BEGIN_S + step * STALL_PERIOD_S, 2), "node_freeze", fields)
+            for step in range(steps)
+        )
+        yield Day(f"stalls-{machine_class}", (changes_all_day(), *stalls))
+
+
 def drawn_day(seed: int) -> Day:
     """Ways drawn by lot at moments drawn by lot, so that several meet; the same seed gives the same day."""
     lot = random.Random(seed)
@@ -162,7 +179,7 @@
     )
     arguments = parser.parse_args()
     arguments.folder.mkdir(parents=True, exist_ok=True)
-    days: Iterator[Day] = itertools.chain(single_days(), pair_days(), course_days())
+    days: Iterator[Day] = itertools.chain(single_days(), pair_days(), course_days(), stall_days())
     if arguments.drawn is not None:
         first, count = arguments.drawn
         days = (drawn_day(seed) for seed in range(first, first + count))
