Time limits of requests run from their first byte, not from when they were read whole

Cause: the deadline of a request was counted from the end of its body, so a client that sends its body slowly, or whose request waits behind another one on its connection, was handed on to workers with time that it no longer had, and was answered late by as much. Ruled out: queued, connecting, sent, answered in part, streaming, resumed, repeated: with a body that comes at once each is answered within 0.5 s of the client's deadline and of the route's limit, repeats and resumptions are handed what is left, and 0.5 s after a client has left nothing is at work. Change: `ClientRequest.began`; the wait for a quota is bounded by what is left too.

--- a/reedspoke/data_plane/client_connection.py
+++ b/reedspoke/data_plane/client_connection.py
@@ -33,6 +33,7 @@
 
     head: Head
     body: bytes
+    began: float  # when its first bytes came, on the loop's clock: its time limits run from there
 
 
 class Exchange(Protocol):
@@ -77,6 +78,7 @@
         self._answering = False
         self._older = False  # the request is of HTTP/1.0: its client knows no chunks
         self._head_only = False  # it is a HEAD: its answer has no body
+        self._first_byte_at = loop.time()  # of the request that is read, or that waits behind an answer
         self._head_begun = False  # the time limit for a head runs from its first bytes
         self._refused = False  # the rest of the request that was refused is still on its way
         self._closing: LingeringClose | None = None  # the last answer is written
@@ -100,6 +102,8 @@
         if self._closing is not None:
             self._closing.discard(nbytes)
             return
+        if self._head is None and not len(self._buffer):
+            self._first_byte_at = self._loop.time()
         self._buffer.filled(nbytes)
         if self._answering:
             if len(self._buffer) > MOST_UNREAD_BEHIND and self._transport is not None:
@@ -148,7 +152,8 @@
         body = self._requests.body()
         if body is None:
             return
-        request = ClientRequest(self._head, bytes(body))
+        request = ClientRequest(self._head, bytes(body), self._first_byte_at)
+        self._first_byte_at = self._loop.time()  # what is left in the buffer came just now
         self._stop_timer()
         self._head = None
         self._answering = True
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -152,7 +152,7 @@
         permit: Permit | None = None,
     ) -> Exchange:
         """Take a request that has a route. `trace` has what is known of it by now."""
-        permit = Permit(self._loop.time()) if permit is None else permit
+        permit = Permit(request.began) if permit is None else permit
         self._next_job_id += 1
         job = build_job(self._next_job_id, request.head, route, upstream, permit)
         exchange = Exchange(self, self._loop, self._pool, request, client, route, job, trace, permit)
--- a/reedspoke/data_plane/permit.py
+++ b/reedspoke/data_plane/permit.py
@@ -15,7 +15,7 @@
 class Permit(Struct, frozen=True):
     """`still_holds` is asked each time that the request is about to be sent to a worker."""
 
-    arrived: float  # when the request was read, on the loop's clock
+    arrived: float  # when the first bytes of the request came, on the loop's clock
     tenant: str = ""  # empty: the request has no key
     priority: int | None = None  # of the tenant; None: that of the route counts
     still_holds: Callable[[], bool] = always
--- a/reedspoke/data_plane/request_entry.py
+++ b/reedspoke/data_plane/request_entry.py
@@ -15,7 +15,7 @@
 from reedspoke.data_plane.confirmation import Confirmation
 from reedspoke.data_plane.forwarder import Forwarder
 from reedspoke.data_plane.headers import API_KEY, ATTEMPT_ID, TOKEN_COUNT, text_of
-from reedspoke.data_plane.job_builder import parse_token_count
+from reedspoke.data_plane.job_builder import parse_token_count, time_limit
 from reedspoke.data_plane.key_check import Certainty, KeyCheck, KeyVerdict, check_key, most_age_s
 from reedspoke.data_plane.permit import Permit
 from reedspoke.data_plane.quota_client import QuotaClient, QuotaDecision
@@ -164,7 +164,7 @@
         trace: RequestTrace,
     ) -> Exchange:
         upstream = route.upstream_for(request.head.get(ATTEMPT_ID) or b"")
-        permit = self._permit(request.head, route, holder, self._loop.time())
+        permit = self._permit(request.head, route, holder, request.began)
         self._check_certain(holder, trace)
 
         def begin() -> Exchange:
@@ -174,13 +174,15 @@
             return begin()
         units = holder.quota.units(sum(parse_token_count(text_of(request.head, TOKEN_COUNT))))
         trace.tenant, trace.units = holder.name, units
-        return self._wait_for_quota(holder.name, units, route.target, connection, trace, begin)
+        left_s = permit.arrived + time_limit(request.head, route) - self._loop.time()
+        wait_s = max(0.0, min(MOST_QUOTA_WAIT_S, QUOTA_WAIT_PART * route.target, left_s))
+        return self._wait_for_quota(holder.name, units, wait_s, connection, trace, begin)
 
     def _wait_for_quota(
         self,
         tenant: str,
         units: float,
-        aim_s: float,
+        wait_s: float,
         connection: ClientConnection,
         trace: RequestTrace,
         begin: Callable[[], Exchange],
@@ -203,7 +205,7 @@
 
         wait = QuotaWait(self._quota, begin_granted, refuse, gone)
         self._waits.add(wait)
-        wait.start(tenant, units, min(MOST_QUOTA_WAIT_S, QUOTA_WAIT_PART * aim_s))
+        wait.start(tenant, units, wait_s)
         return wait
 
     # ---- answers ----
--- /dev/null
+++ b/tests/data_plane/test_deadlines.py
@@ -0,0 +1,205 @@
+"""The time limits of requests: what workers are handed, and when clients have their final answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.data_plane.world import (
+    AGAIN,
+    ONCE,
+    RESUME,
+    STREAM,
+    TIMEOUT_S,
+    Arrival,
+    Client,
+    World,
+    fresh_world,
+    request_bytes,
+)
+
+LATE_S = 0.5  # allowed by the rules beyond a time limit
+DEADLINE_S = 4.0
+SLOW_BODY_S = 1.5
+PAUSE_S = 0.9
+BODY = b"the question"
+PATHS = (ONCE, AGAIN, STREAM, RESUME)
+
+Stage = Callable[[World, Client], None]
+
+
+def ends_at(world: World, arrival: Arrival) -> float:
+    """When the worker's time is over, if the request has just come to it."""
+    told = arrival.request.get("reedspoke-deadline-ms")
+    assert told is not None
+    return world.loop.time() + int(told) / 1000
+
+
+def until_arrivals(world: World, count: int) -> None:
+    """Let time pass until so many attempts have come to workers."""
+    for _ in range(1000):
+        if len(world.arrivals) >= count:
+            return
+        world.run_for(0.001)
+    pytest.fail("no further attempt")
+
+
+def asked_slowly(world: World, path: str, **more: str) -> Client:
+    """A client whose body comes SLOW_BODY_S behind its head."""
+    client = world.client()
+    raw = request_bytes(path, "a1", BODY, **more)
+    client.say(raw[: -len(BODY)])
+    world.run_for(SLOW_BODY_S)
+    client.say(raw[-len(BODY) :])
+    return client
+
+
+# ---- what workers are handed ----
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_the_time_that_a_body_took_is_not_handed_on(path: str) -> None:
+    with fresh_world() as world:
+        began = world.loop.time()
+        asked_slowly(world, path, Reedspoke_Deadline_Ms=str(int(1000 * DEADLINE_S)))
+        assert ends_at(world, world.arrival()) <= began + DEADLINE_S + 0.01
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_without_a_deadline_the_time_limit_of_the_route_runs_from_the_first_byte(path: str) -> None:
+    with fresh_world() as world:
+        began = world.loop.time()
+        asked_slowly(world, path)
+        assert ends_at(world, world.arrival()) <= began + TIMEOUT_S + 0.01
+
+
+def test_a_request_that_waited_behind_another_has_waited() -> None:
+    """It came while the answer before it was on its way."""
+    with fresh_world() as world:
+        client = world.asked(AGAIN, "a1")
+        first = world.arrival()
+        world.run_for(PAUSE_S)
+        came = world.loop.time()
+        client.say(request_bytes(AGAIN, "a2", Reedspoke_Deadline_Ms=str(int(1000 * DEADLINE_S))))
+        world.run_for(PAUSE_S)
+        first.worker.say(first.whole())
+        second = world.arrival()
+        assert second.attempt_id == "a2"
+        assert ends_at(world, second) == pytest.approx(came + DEADLINE_S, abs=0.01)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_repeat_is_handed_what_is_left(path: str) -> None:
+    with fresh_world() as world:
+        began = world.loop.time()
+        world.asked(path, Reedspoke_Deadline_Ms=str(int(1000 * DEADLINE_S)))
+        first = world.arrival()
+        world.run_for(PAUSE_S)
+        first.worker.say(first.full())
+        until_arrivals(world, 2)
+        assert ends_at(world, world.arrival()) <= began + DEADLINE_S + 0.01
+
+
+def test_a_resumed_stream_is_handed_what_is_left() -> None:
+    with fresh_world() as world:
+        began = world.loop.time()
+        world.asked(RESUME, Reedspoke_Deadline_Ms=str(int(1000 * DEADLINE_S)))
+        first = world.arrival()
+        event = b"id: 1\ndata: x\n\n"
+        first.worker.say(first.stream_head() + b"%x\r\n%b\r\n" % (len(event), event))
+        world.run_for(PAUSE_S)
+        first.worker.reset()
+        until_arrivals(world, 2)
+        assert world.arrival().request.get("last-event-id") == "1"
+        assert ends_at(world, world.arrival()) <= began + DEADLINE_S + 0.01
+
+
+# ---- when clients have their final answers ----
+
+
+def is_queued(world: World, client: Client) -> None:
+    assert world.arrivals == []
+
+
+def is_connecting(world: World, client: Client) -> None:
+    assert world.arrivals == []
+
+
+def is_sent(world: World, client: Client) -> None:
+    assert len(world.arrivals) == 1
+
+
+def is_answered_in_part(world: World, client: Client) -> None:
+    whole = world.arrival().whole()
+    world.arrival().worker.say(whole[:-4])
+
+
+def is_streaming(world: World, client: Client) -> None:
+    event = b"id: 1\ndata: x\n\n"
+    arrival = world.arrival()
+    arrival.worker.say(arrival.stream_head() + b"%x\r\n%b\r\n" % (len(event), event))
+
+
+def is_resumed(world: World, client: Client) -> None:
+    is_streaming(world, client)
+    world.arrival().worker.reset()
+    until_arrivals(world, 2)
+
+
+def is_repeated(world: World, client: Client) -> None:
+    world.arrival().worker.say(world.arrival().full())
+    until_arrivals(world, 2)
+
+
+STAGES: dict[str, tuple[str, int, list[str], Stage]] = {
+    "queued": (AGAIN, 0, [], is_queued),
+    "connecting": (AGAIN, 3, ["hang"] * 50, is_connecting),
+    "sent, never repeated": (ONCE, 3, [], is_sent),
+    "sent": (AGAIN, 3, [], is_sent),
+    "answered in part": (AGAIN, 3, [], is_answered_in_part),
+    "streaming": (STREAM, 3, [], is_streaming),
+    "streaming, resumable": (RESUME, 3, [], is_streaming),
+    "resumed": (RESUME, 3, [], is_resumed),
+    "repeated": (AGAIN, 3, [], is_repeated),
+}
+
+
+@pytest.mark.parametrize("slowly", [False, True], ids=["at once", "slow body"])
+@pytest.mark.parametrize("stage", STAGES)
+@pytest.mark.parametrize("deadline", [None, DEADLINE_S], ids=["route", "client"])
+def test_the_client_has_its_final_answer_in_time(stage: str, deadline: float | None, slowly: bool) -> None:
+    path, workers, plan, play = STAGES[stage]
+    with fresh_world(workers=max(1, workers)) as world:
+        if not workers:
+            world.set_workers([])
+        world.network.plan = list(plan)
+        more: Any = {} if deadline is None else {"Reedspoke_Deadline_Ms": str(int(1000 * deadline))}
+        began = world.loop.time()
+        client = asked_slowly(world, path, **more) if slowly else world.asked(path, **more)
+        play(world, client)
+        limit = TIMEOUT_S if deadline is None else deadline
+        world.run_for(began + limit + LATE_S - world.loop.time())
+        assert client.broken_off or any(found.whole for found in client.answers())
+        world.run_for(1.0)
+        assert world.settled()
+        assert all(arrival.worker.over for arrival in world.arrivals[-1:])
+
+
+# ---- what is left behind by clients that go ----
+
+
+@pytest.mark.parametrize("stage", [name for name in STAGES if name != "queued"])
+def test_nothing_is_at_work_for_a_client_that_has_left(stage: str) -> None:
+    path, workers, plan, play = STAGES[stage]
+    with fresh_world(workers=workers) as world:
+        world.network.plan = list(plan)
+        client = world.asked(path)
+        play(world, client)
+        before = len(world.arrivals)
+        client.leave()
+        world.run_for(LATE_S)
+        assert all(arrival.worker.over for arrival in world.arrivals[-1:])
+        assert len(world.arrivals) == before
+        assert world.settled()
--- a/tests/data_plane/test_guards_exchange.py
+++ b/tests/data_plane/test_guards_exchange.py
@@ -151,7 +151,7 @@
             self.owner,
             self.loop,
             self.pool,  # type: ignore[arg-type]
-            ClientRequest(head, b"question"),
+            ClientRequest(head, b"question", self.loop.time()),
             self.client,  # type: ignore[arg-type]
             ROUTE,
             job,
