The holder of the list duty ends at once as it learns of a list under a higher term

The term of the list duty is the fence that travels in this fleet; a holder that learned of a list under a higher term went on calling the platform until its lease was renewed under a higher one or ran out, and asked for the remaining pages of a list after its lease had ended. Ruled out: publishing: `WorkerBook` and `duty_has_lease` kept an old term from every reader before. Change: `DutyLease.term_seen` ends the hold and asks again under a higher term at once; between two pages the lease is looked at.

--- a/reedspoke/control_plane/duty_lease.py
+++ b/reedspoke/control_plane/duty_lease.py
@@ -7,9 +7,10 @@
 - A holder counts from before it asked, and stops MARGIN_S early.
 - Sets of voters differ by one member from view to view, so their majorities meet.
 
-Each grant has a term. Terms only rise, also past those that other processes know of; a list published under a
-higher term replaces one under a lower term. No input or output and no clock here: `now` is seconds of a clock
-that goes on while the process is stopped.
+Each grant has a term, which is the fence of this duty: it goes with each list of workers. Terms only rise,
+also past those that other processes know of; a list published under a higher term replaces one under a lower
+term, and a holder that learns of one ends at once. No I/O and no clock here: `now` is seconds of a
+clock that goes on while the process is stopped.
 """
 
 from __future__ import annotations
@@ -122,9 +123,13 @@
             self._round = None
 
     def term_seen(self, term: int) -> None:
-        """Somebody knows of a list of workers under this term."""
+        """Somebody knows of a list of workers under this term. A holder under a lower one ends at once,
+        whatever its lease says, and may hold again under a higher one only."""
         if term != self._term:  # somebody else's, or that of an earlier life: never used again
             self._least_term = max(self._least_term, term + 1)
+        if term > self._term and self._until:
+            self._until = 0.0
+            self._ask_at = self._paused_until
 
     def need_higher_term(self, above: int, now: float) -> None:
         """Lists under our term are not the newest: renew under one above `above`, at once."""
--- a/reedspoke/control_plane/list_duty.py
+++ b/reedspoke/control_plane/list_duty.py
@@ -28,6 +28,10 @@
 Send = Callable[[list[Outgoing]], None]
 
 
+class LeaseLostError(Exception):
+    """The lease ended between two calls of one list."""
+
+
 class ListDuty:
     """Runs for the life of the process; does something only while the lease is held."""
 
@@ -79,7 +83,7 @@
         client = PlatformClient(self._cloud_api.address)
         while self._book.current is None:
             try:
-                pages = await self._pages(client)
+                pages = await self._pages(client, None)
             except (PlatformRateError, PlatformError):
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -91,7 +95,9 @@
     async def _call(self) -> float:
         """One call of the whole list; the time from its start to the next one."""
         try:
-            pages = await self._pages(self._client)
+            pages = await self._pages(self._client, self._lease.term)
+        except LeaseLostError:
+            return 0.0
         except PlatformRateError:
             return LIST_INTERVAL_S
         except PlatformError as error:
@@ -102,15 +108,21 @@
         self._answered(merge_pages(pages))
         return max(LIST_INTERVAL_S, len(pages) * self._call_gap())
 
-    async def _pages(self, client: PlatformClient) -> list[PlatformPage]:
+    async def _pages(self, client: PlatformClient, term: int | None) -> list[PlatformPage]:
+        """All pages, called under this term of the lease; None: without the lease."""
         pages = [await client.page(None)]
         while pages[-1].next_token is not None:
             if len(pages) >= MOST_PAGES:
                 raise PlatformError("the list has too many pages")
             await asyncio.sleep(self._call_gap())
+            if term is not None and not self._holds(term):
+                raise LeaseLostError
             pages.append(await client.page(pages[-1].next_token))
         return pages
 
+    def _holds(self, term: int) -> bool:
+        return self._lease.holds(self._loop.time()) and self._lease.term == term
+
     def _call_gap(self) -> float:
         """Between two calls that keep the platform's rate."""
         return 1.0 / max(0.1, self._cloud_api.rate_per_s * RATE_SHARE)
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -115,8 +115,8 @@
 
     platform_client: PlatformClient
 
-    async def _pages(self, client: PlatformClient) -> list[PlatformPage]:
-        return await super()._pages(self.platform_client)
+    async def _pages(self, client: PlatformClient, term: int | None) -> list[PlatformPage]:
+        return await super()._pages(self.platform_client, term)
 
 
 class ControlScheduler(ControlProcess):
--- a/tests/control_plane_process/test_duty_lease.py
+++ b/tests/control_plane_process/test_duty_lease.py
@@ -212,6 +212,45 @@
     assert network.leases["a"].term > 40
 
 
+def test_a_holder_that_learns_of_a_higher_term_ends_at_once() -> None:
+    network = Network()
+    network.until_held()
+    network.run(1.0)
+    fenced = network.leases["a"].term
+    network.leases["a"].term_seen(fenced + 40)
+    assert network.holders() == []
+    assert network.until_held(by="a") <= 3 * STEP_S
+    assert network.leases["a"].term > fenced + 40
+
+
+def test_its_own_term_and_lower_ones_do_not_end_a_hold() -> None:
+    network = Network()
+    network.until_held()
+    term = network.leases["a"].term
+    for seen in (term, term - 1, 0):
+        network.leases["a"].term_seen(seen)
+        assert network.holders() == ["a"]
+
+
+@pytest.mark.parametrize("how", ["stopped", "cut"])
+def test_who_comes_back_and_learns_of_a_later_holder_never_uses_its_old_term(how: str) -> None:
+    """A holder that was paused or cut off while another one took the duty."""
+    network = Network()
+    network.until_held()
+    old = network.leases["a"].term
+    getattr(network, how).add("a")
+    network.run(3.0)
+    (later,) = network.holders()
+    getattr(network, how).clear()
+    network.leases["a"].term_seen(network.leases[later].term)
+    assert not network.leases["a"].holds(network.now)
+    before = set(network.terms)
+    network.stopped.add(later)
+    network.run(2.0)
+    network.until_held()
+    assert min(set(network.terms) - before) > network.leases[later].term > old
+
+
 def test_a_new_holder_has_a_higher_term() -> None:
     network = Network()
     network.until_held()
--- a/tests/control_plane_process/test_list_duty.py
+++ b/tests/control_plane_process/test_list_duty.py
@@ -172,6 +172,22 @@
     play(platform, scene)
 
 
+def test_a_holder_that_is_fenced_between_two_pages_does_not_call_again(platform: Platform) -> None:
+    """Some other one has published under a higher term: the rest of the list is not asked for."""
+
+    async def scene(duty: Duty) -> None:
+        duty.take()
+        await duty.until(lambda: platform.calls == 1)
+        duty.lease.set_voters(("another", "third"))  # it gets no further lease
+        duty.lease.term_seen(duty.lease.term + 5)
+        duty.duty.look()
+        await duty.play(0.6)
+        assert platform.calls == 1
+        assert duty.published == []
+
+    play(platform, scene, rate_per_s=10.0)
+
+
 def test_a_call_goes_over_one_connection_until_it_ends(platform: Platform) -> None:
     async def run() -> None:
         client = PlatformClient(platform.address)
