--- a/tests/acme/test_parts.py
+++ b/tests/acme/test_parts.py
@@ -26,7 +26,7 @@
 from reedspoke.tls.meters import Meters
 from reedspoke.tls.store import Store
 from tests.acme.desk import NOW, RULES, wanted
-from tests.peers import free_port
+from tests.ports import free_port
 from tests.tls.test_certificate import made
 
 
--- a/tests/acme/test_process.py
+++ b/tests/acme/test_process.py
@@ -16,7 +16,8 @@
 
 from reedspoke.tls.store import Store
 from tests.acme.world import API, SHOP, World
-from tests.peers import ROOT, WAIT, Node, Start, Wire, ask, free_port
+from tests.peers import ROOT, WAIT, Node, Start, Wire, ask
+from tests.ports import free_port
 
 
 def certs(node: Node, *words: str) -> subprocess.CompletedProcess[str]:
--- a/tests/acme/world.py
+++ b/tests/acme/world.py
@@ -16,7 +16,8 @@
 from cryptography import x509
 
 from reedspoke.lab.authority import Authority
-from tests.peers import WAIT, Node, Wire, free_port
+from tests.peers import WAIT, Node, Wire
+from tests.ports import free_port
 
 API = "api.example.org"
 SHOP = "shop.example.org"
--- a/tests/booking/test_part.py
+++ b/tests/booking/test_part.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from tests.peers import WAIT, Message, Node, Start, free_port
+from tests.peers import WAIT, Message, Node, Start
+from tests.ports import free_port
 
 BOOKINGS = {"zones": [{"name": "north", "cap": 6}], "teams": [{"tenant": "small", "most": 2}], "step": "1m"}
 
--- a/tests/cluster/test_early_signals.py
+++ b/tests/cluster/test_early_signals.py
@@ -4,7 +4,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -12,6 +11,8 @@
 import msgspec
 import pytest
 
+from tests.ports import free_port
+
 ROOT = Path(__file__).resolve().parents[2]
 DEADLINE_S = 30.0
 POINTS = ("asyncio", "msgspec", "ormsgpack", "picologging", "reedspoke.cluster.entry")
@@ -29,13 +30,6 @@
 """
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def settings_file(folder: Path) -> Path:
     addresses = {name: f"127.0.0.1:{free_port()}" for name in ("frontend", "readiness", "control_plane")}
     made = {
--- a/tests/control_plane_process/fleet.py
+++ b/tests/control_plane_process/fleet.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,6 +15,7 @@
 from reedspoke.cluster.unhandled_errors import UNHANDLED_EVENT
 from reedspoke.lab.fleet_soak.findings import event_of
 from tests.control_plane_process.stand_ins import Platform, Reply, call, configuration, until
+from tests.ports import free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
@@ -24,21 +24,6 @@
 DEFECT_EVENTS = (VIOLATION_EVENT, UNHANDLED_EVENT)
 
 
-def free_port(hosts: tuple[str, ...]) -> int:
-    """A port that is free at all of these addresses."""
-    while True:
-        with socket.socket() as first:
-            first.bind((hosts[0], 0))
-            port = int(first.getsockname()[1])
-        try:
-            for host in hosts:
-                with socket.socket() as probe:
-                    probe.bind((host, port))
-        except OSError:
-            continue
-        return port
-
-
 def defects_in(log_file: Path) -> list[str]:
     """Log lines of violated invariants and unhandled errors."""
     if not log_file.exists():
--- a/tests/control_plane_process/test_edge_sessions.py
+++ b/tests/control_plane_process/test_edge_sessions.py
@@ -30,8 +30,8 @@
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
 from reedspoke.control_plane.published_state import PublishedState
 from reedspoke.control_plane.worker_list import WorkerBook
-from tests.control_plane_process.fleet import free_port
 from tests.control_plane_process.stand_ins import Answer, configuration
+from tests.ports import free_port
 
 HOST = "127.0.0.1"
 HEARTBEAT_S = 0.3
--- a/tests/control_plane_process/test_http_server.py
+++ b/tests/control_plane_process/test_http_server.py
@@ -11,7 +11,7 @@
 from reedspoke.control_plane import http_server
 from reedspoke.control_plane.http_server import HttpServer, Request, Response
 from reedspoke.control_plane.operator_api import http_error_body
-from tests.control_plane_process.fleet import free_port
+from tests.ports import free_port
 
 HOST = "127.0.0.1"
 Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/control_plane_process/test_peer_connections.py
+++ b/tests/control_plane_process/test_peer_connections.py
@@ -15,7 +15,7 @@
 from reedspoke.cluster.transport import CONNECTION_ENDED, LENGTH, MOST_FRAME, Channel, FramingError
 from reedspoke.control_plane.peer_messages import Hello, LeaseRelease
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
-from tests.control_plane_process.fleet import free_port
+from tests.ports import free_port
 
 HOST = "127.0.0.1"
 PEER = "127.0.0.7:1"
--- a/tests/control_plane_process/test_peer_transport.py
+++ b/tests/control_plane_process/test_peer_transport.py
@@ -13,7 +13,7 @@
 from reedspoke.control_plane import peer_transport
 from reedspoke.control_plane.peer_messages import LeaseRelease
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
-from tests.control_plane_process.fleet import free_port
+from tests.ports import free_port
 
 HOST = "127.0.0.1"
 
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -9,9 +9,10 @@
 
 from msgspec import Struct
 
-from tests.control_plane_process.fleet import defects_in, free_port
+from tests.control_plane_process.fleet import defects_in
 from tests.control_plane_process.stand_ins import until
 from tests.data_plane.stand_ins import UP_S, Background, ControlStandIn, EdgeProcess, WorkerStandIn, call
+from tests.ports import free_port
 
 HOSTS = ("127.0.0.1", "127.0.0.2")
 HOST = "a.example"
--- a/tests/data_plane/test_attempts_process.py
+++ b/tests/data_plane/test_attempts_process.py
@@ -15,7 +15,6 @@
 from msgspec import Struct
 
 from reedspoke.cluster.messages import WorkerEntry
-from tests.control_plane_process.fleet import free_port
 from tests.control_plane_process.stand_ins import until
 from tests.data_plane.stand_ins import (
     CALL_S,
@@ -28,6 +27,7 @@
     call,
 )
 from tests.data_plane.wire import SeenRequest
+from tests.ports import free_port
 
 HOSTS = ("127.0.0.1",)
 HOST = "a.example"
--- a/tests/operator_cli/test_commands.py
+++ b/tests/operator_cli/test_commands.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from pathlib import Path
 
 import msgspec
@@ -11,6 +10,7 @@
 from reedspoke.operator_cli.__main__ import main
 from reedspoke.operator_cli.errors import ExitCode
 from tests.operator_cli.stub_server import ScriptedAnswer, stub_server
+from tests.ports import free_port
 
 DOCUMENT = msgspec.json.encode(
     {
@@ -41,9 +41,7 @@
 
 
 def unused_address() -> str:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{free.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 @pytest.fixture
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,7 +4,6 @@
 
 import json
 import os
-import random
 import select
 import signal
 import socket
@@ -13,14 +12,15 @@
 import sys
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from dataclasses import dataclass
-from itertools import count
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from tests.ports import free_port
+
 WAIT = 8.0  # s after which a peer gives up: far more than anything here takes
 ROOT = Path(__file__).parent.parent
 
@@ -167,19 +167,6 @@
     ).encode() + body
 
 
-PORTS = count(random.randrange(1500))
-
-
-def free_port() -> int:
-    """From below those that the system hands out, or a connection made meanwhile could take it. None comes
-    twice within 1500, and each of the processes that share the tests has a range of its own."""
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % 5
-    while True:
-        with socket.socket() as free, suppress(OSError):
-            free.bind(("127.0.0.1", 20_000 + worker * 1500 + next(PORTS) % 1500))
-            return int(free.getsockname()[1])
-
-
 class Node:
     """The program, started as the platform does."""
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -8,6 +8,7 @@
 import shutil
 import subprocess
 import sys
+import threading
 import time
 import tomllib
 from contextlib import suppress
@@ -185,16 +186,28 @@
     assert client.message().status == 200
 
 
+def serve_all(host: Peer, result: str) -> None:
+    """A host that takes every connection, and answers each job as it comes, until its listener is closed."""
+
+    def serve(wire: Wire) -> None:
+        with suppress(OSError, EOFError):  # the program has ended the connection
+            while True:
+                wire.serve(result=result)
+
+    def accept() -> None:
+        with suppress(OSError):
+            while True:
+                threading.Thread(target=serve, args=(host.accept(),), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+
+
 def test_memory_stays_bounded_under_large_authorisations(start: Start) -> None:
     """Guards the limit of 192 MB: many clients at once, each with the largest body and a large answer."""
     node = start(hosts=1, sockets=256)
-    body, result = b"x" * 65536, "y" * 65000
-    clients = [node.client(ask(f"{n}", body=body)) for n in range(60)]
-    wires: list[Wire] = []
-    for _ in clients:
-        wires.append(node.leg(*wires))
-        wires[-1].serve(result=result)
-        wires = list(dict.fromkeys(wires))
+    serve_all(node.hosts[0], result="y" * 65000)
+    body = b"x" * 65536
+    clients = [node.client(ask(f"{n}", body=body, deadline=30.0)) for n in range(60)]
     assert sum(client.message().status == 200 for client in clients) == 60
     status = Path(f"/proc/{node.process.pid}/status").read_text()
     peak = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -13,7 +13,8 @@
 
 from reedspoke.net.config import load
 from reedspoke.net.node import Node
-from tests.peers import SETTINGS, Peer, ask, free_port
+from tests.peers import SETTINGS, Peer, ask
+from tests.ports import free_port
 
 READY = b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"
 MANNERS = {
