--- a/reedspoke/control_plane/replica.py
+++ b/reedspoke/control_plane/replica.py
@@ -310,7 +310,7 @@
         self._contact_asked.clear()
         self._head.enter(view)
         self._chain.enter(view)
-        self._repair.entered()
+        self._repair.entered(view)
         self._ping_all()
         self._tick_calls()
 
@@ -336,6 +336,7 @@
             bootstrap=bool(self._first_seeds),
             undecided=self._agreement.undecided,
             sent=self._outbox.now,
+            starts_new=view is None and self._settings.bootstrap and not self._first_seeds,
         )
 
     def _ping_all(self) -> None:
--- a/reedspoke/control_plane/replica_messages.py
+++ b/reedspoke/control_plane/replica_messages.py
@@ -30,7 +30,8 @@
     Each ping asks for a `ContactGrant`; `sent` is its time on the sender's steady clock.
 
     `synced_since` is the view since whose appending the sender holds what its predecessor held; `undecided`
-    is set where it has accepted a next view that it does not know to be decided.
+    is set where it has accepted a next view that it does not know to be decided. `bootstrap` is set by a seed
+    whose folder is one of the first start, `starts_new` by any other replica of it that has no view.
     """
 
     member: Member
@@ -44,6 +45,7 @@
     undecided: bool = False
     lease_sent: float | None = None
     sent: float = 0.0
+    starts_new: bool = False
 
 
 class ContactGrant(Struct, tag="contact_grant", array_like=True, frozen=True):
--- a/reedspoke/control_plane/replica_repair.py
+++ b/reedspoke/control_plane/replica_repair.py
@@ -22,7 +22,9 @@
 from reedspoke.control_plane.view_lease import majority
 
 SEED_STARTS_WITHIN_S = 1.0  # a seed that is heard for longer and has no part in the first start gets none
-SEED_COMES_WITHIN_S = 5.0  # a seed that is not heard by then is not waited for at the first start
+SEED_COMES_WITHIN_S = 2.4  # a seed that is not heard by then is lost: the first start goes on without it
+
+GATHER_S = 0.8  # after its start a seed proposes no first view with fewer voters than there should be
 
 OwnPing = Callable[[], Ping]
 
@@ -53,9 +55,12 @@
         self._judge_from = self._outbox.now + HEARD_S
         self._in_sight_since = None
 
-    def entered(self) -> None:
-        """A newer view is in force: what is better than it has to be in sight anew."""
+    def entered(self, view: View) -> None:
+        """A newer view is in force: what is better than it has to be in sight anew. Members of the first one
+        may not have heard of each other yet."""
         self._in_sight_since = None
+        if view.number == FIRST_VIEW:
+            self._judge_from = max(self._judge_from, self._outbox.now + HEARD_S)
 
     def majority_reached(self) -> bool:
         """Whether this replica and a majority of the voters hear each other."""
@@ -77,17 +82,31 @@
 
     def propose_first(self, seeds: tuple[str, ...]) -> None:
         """At the first start: propose the first view, of all seeds or a majority where some are given up."""
-        members = [self._own, *self._peers.members(self._outbox.now)]
-        pings = [ping for member in members if (ping := self._ping_of(member.folder_id)) is not None]
+        pings = self._pings_in_reach(seeds)
         starting = {ping.member.address for ping in pings if ping.bootstrap}
         missing = set(seeds) - starting
         given_up = all(self._given_up(seed) for seed in missing)
         least = majority(len(set(seeds))) if given_up else len(set(seeds))
-        view = first_view(seeds, pings, least)
-        if view is not None:
+        view = first_view(seeds, pings, least, self._settings.voters_target)
+        if view is not None and self._has_gathered(view):
             rank = sorted(seeds).index(self._own.address)
             self._propose_in_time(view, rank)
 
+    def _pings_in_reach(self, seeds: tuple[str, ...]) -> list[Ping]:
+        """Of this replica, of the seeds that were heard, and of whoever else hears this replica too."""
+        members = [
+            member
+            for member in self._peers.members(self._outbox.now)
+            if member.address in seeds or self.reachable(member.folder_id)
+        ]
+        pings = (self._ping_of(member.folder_id) for member in [self._own, *members])
+        return [ping for ping in pings if ping is not None]
+
+    def _has_gathered(self, view: View) -> bool:
+        """Whether the first view has the voters that it should have, or was held back for long enough."""
+        enough = len(view.voters) >= self._settings.voters_target
+        return enough or self._outbox.now - self._started >= GATHER_S
+
     def _given_up(self, seed: str) -> bool:
         """Whether this seed has no part in the first start, as its disk was lost, or has not come."""
         now = self._outbox.now
--- a/tests/control_plane_process/fleet.py
+++ b/tests/control_plane_process/fleet.py
@@ -94,6 +94,10 @@
         found: dict[str, Any] = json.loads(reply.body)
         return found
 
+    def votes_among(self, voters: int) -> bool:
+        """Whether it is up, in a view of so many voters: on a busy machine one of them may come late."""
+        return len(self.status().get("voters", ())) == voters
+
     def put(self, document: bytes, match: str | None, *, in_chunks: bool = False) -> Reply | None:
         return call(self.control, "PUT", "/reedspoke/configuration", document, match, in_chunks=in_chunks)
 
