The memory test's clients ask again where their jobs are declined

Change: a client whose job is declined asks again until it is served, for 20 s at most; 60 of 60 are to be served and the peak is to stay under 96 MB, as before.

--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from tests.peers import ROOT, SETTINGS, Peer, Start, Wire, ask, took
+from tests.peers import ROOT, SETTINGS, Node, Peer, Start, Wire, ask, took
 
 READY = b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n"
 
@@ -202,13 +202,23 @@
     threading.Thread(target=accept, daemon=True).start()
 
 
+def until_served(node: Node, client: Wire, asked: bytes) -> bool:
+    """On a busy machine jobs that would wait for long are declined: their clients ask again, as they may."""
+    end = time.monotonic() + 20.0
+    while (answer := client.message()).status == 503 and time.monotonic() < end:
+        time.sleep(0.05)
+        client = node.client(asked)
+    return answer.status == 200
+
+
 def test_memory_stays_bounded_under_large_authorisations(start: Start) -> None:
     """Guards the limit of 192 MB: many clients at once, each with the largest body and a large answer."""
     node = start(hosts=1, sockets=256)
     serve_all(node.hosts[0], result="y" * 65000)
     body = b"x" * 65536
-    clients = [node.client(ask(f"{n}", body=body, deadline=30.0)) for n in range(60)]
-    assert sum(client.message().status == 200 for client in clients) == 60
+    asked = {f"{n}": ask(f"{n}", body=body, deadline=30.0) for n in range(60)}
+    clients = {name: node.client(data) for name, data in asked.items()}
+    assert sum(until_served(node, clients[name], data) for name, data in asked.items()) == 60
     status = Path(f"/proc/{node.process.pid}/status").read_text()
     peak = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
     assert peak < 96 * 1024, "half of what there is"
