--- a/reedspoke/cluster/configuration.py
+++ b/reedspoke/cluster/configuration.py
@@ -109,18 +109,33 @@
             raise error
 
 
+def read_checked(raw: bytes) -> Configuration:
+    """A configuration that a control scheduler has checked: its types are checked again, and nothing else, as
+    that takes several times as long. Raises FleetError with code 201 or 202."""
+    match _decode(raw):
+        case Result(tag="ok", ok=document):
+            return _index(document)
+        case Result(error=error):
+            raise error
+
+
 def check_document(raw: bytes) -> Result[Configuration, FleetError]:
     """The configuration, or the first fault found in it."""
+    return _decode(raw).bind(_check)
+
+
+def _decode(raw: bytes) -> Result[Document, FleetError]:
     try:
-        document = _DECODER.decode(raw)
+        return Ok(_DECODER.decode(raw))
     except msgspec.ValidationError as error:
         return Error(FleetError(ErrorCode.CONFIGURATION_FIELD, str(error)))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Error(FleetError(ErrorCode.CONFIGURATION_UNREADABLE, str(error)))
+
+
+def _check(document: Document) -> Result[Configuration, FleetError]:
     fault = _first_fault(document)
-    if fault is not None:
-        return Error(fault)
-    return Ok(_index(document))
+    return Ok(_index(document)) if fault is None else Error(fault)
 
 
 def _index(document: Document) -> Configuration:
--- a/reedspoke/control_plane/membership.py
+++ b/reedspoke/control_plane/membership.py
@@ -46,10 +46,20 @@
 
 
 class PeerTable(Struct):
-    """What another control scheduler told last."""
+    """What another control scheduler told last; `former_life`: that of its process before."""
 
     table: SessionTable
     heard_at: float
+    former_life: int | None = None
+
+    def is_followed_by(self, table: SessionTable) -> bool:
+        """Whether a table that has come is newer than this one, and not a late one of another connection.
+        Processes of older versions number none."""
+        if not table.number:
+            return True
+        if table.life == self.table.life:
+            return table.number > self.table.number
+        return table.life != self.former_life
 
 
 class Membership:
@@ -63,6 +73,7 @@
         self._edge_life_s = edge_life_s
         self._identity = identity
         self._count = 0
+        self._tables_told = 0
         self._edges: dict[str, Edge] = {}
         self._tables: dict[str, PeerTable] = {}
         self._heard: dict[str, float] = {}
@@ -102,7 +113,8 @@
     def table(self, now: float, workers: Version, workers_seen: Version) -> SessionTable:
         """What the other control schedulers are told."""
         entries = tuple(edge.entry(now) for edge in self._edges.values())
-        return SessionTable(entries, workers, workers_seen)
+        self._tables_told += 1
+        return SessionTable(entries, workers, workers_seen, self._identity, self._tables_told)
 
     def peer_workers(self, address: str) -> Version:
         """The version of the list of workers that another control scheduler said it has."""
@@ -143,10 +155,18 @@
         if address in self._heard or len(self._heard) < MOST_TABLES:
             self._heard[address] = now
 
-    def heard_table(self, address: str, table: SessionTable, now: float) -> None:
-        """The sessions of another control scheduler."""
-        if address in self._tables or len(self._tables) < MOST_TABLES:
-            self._tables[address] = PeerTable(table, now)
+    def heard_table(self, address: str, table: SessionTable, now: float) -> bool:
+        """The sessions of another control scheduler. False where a newer table has come before."""
+        known = self._tables.get(address)
+        if known is None:
+            if len(self._tables) < MOST_TABLES:
+                self._tables[address] = PeerTable(table, now)
+            return True
+        if not known.is_followed_by(table):
+            return False
+        former = known.former_life if table.life == known.table.life else known.table.life
+        self._tables[address] = PeerTable(table, now, former)
+        return True
 
     def set_view(self, members: tuple[Member, ...]) -> None:
         """The control schedulers of the newest view."""
--- a/reedspoke/control_plane/peer_messages.py
+++ b/reedspoke/control_plane/peer_messages.py
@@ -29,12 +29,15 @@
     """All sessions of the sender with data plane schedulers; also its sign of life.
 
     `workers` is the version of the list of workers that the sender holds, `workers_seen` the highest one that
-    it or one of its data plane schedulers knows of.
+    it or one of its data plane schedulers knows of. `life` tells the sender's processes apart, and `number`
+    rises with each table of one: tables on two connections may pass each other.
     """
 
     entries: tuple[SessionEntry, ...]
     workers: Version
     workers_seen: Version
+    life: int = 0
+    number: int = 0
 
 
 class LeaseRequest(Struct, tag="lease_request", array_like=True):
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -322,7 +322,8 @@
         return self._driver.majority_as_of()
 
     def _heard_table(self, sender: str, table: SessionTable, now: float) -> None:
-        self._membership.heard_table(sender, table, now)
+        if not self._membership.heard_table(sender, table, now):
+            return
         self._book.note_seen(table.workers_seen)
         self._lease.term_seen(self._book.seen[0])
         if self._book.sends_to(table.workers, self._lease.holds(now), now):
--- a/reedspoke/control_plane/replica_head.py
+++ b/reedspoke/control_plane/replica_head.py
@@ -22,6 +22,9 @@
 from reedspoke.control_plane.view_lease import tail_of
 
 REPLIES_KEPT = 512
+MOST_WAITING_BYTES = (
+    24 * 1024 * 1024
+)  # of documents: six of the largest; askers send again what got no clear answer
 WAIT_SHARE = 0.9  # of the asker's own limit
 
 
@@ -69,6 +72,9 @@
         if not majority_reached:
             self._expire(waiting)
             return
+        if self._is_full(request):
+            self._reply(waiting, ErrorCode.WRITE_UNCLEAR, "Too many changes wait.")
+            return
         self._waiting.append(waiting)
         self.advance()
 
@@ -134,6 +140,11 @@
 
         self.refusals.add(waiting.request.request, waiting.deadline, on_end)
 
+    def _is_full(self, request: PutRequest) -> bool:
+        """Whether the documents that wait would take too much memory with this one; one alone never does."""
+        waiting = sum(len(other.request.document) for other in self._waiting)
+        return waiting > 0 and waiting + len(request.document) > MOST_WAITING_BYTES
+
     def _is_waiting(self, request: str) -> bool:
         queued = any(waiting.request.request == request for waiting in self._waiting)
         return queued or self.refusals.has(request)
--- a/reedspoke/data_plane/route_table.py
+++ b/reedspoke/data_plane/route_table.py
@@ -52,16 +52,17 @@
 
 
 class RouteTable:
-    """All routes of one version of the configuration."""
+    """All routes of one version of the configuration; each is compiled when a request first takes it, so that
+    a change of thousands of routes does not hold up the requests of that moment."""
 
     def __init__(self, configuration: Configuration | None = None, version: Version = NO_VERSION) -> None:
         self.version = version
         self.configuration = configuration
-        self._hosts: dict[str, dict[str, CompiledRoute]] = {}
-        if configuration is not None:
-            for route in configuration.routes.values():
-                compiled = compile_route(route)
-                self._hosts.setdefault(route["hostname"].lower(), {})[compiled.prefix] = compiled
+        self._hosts: dict[str, dict[str, Route]] = {}
+        self._compiled: dict[str, CompiledRoute] = {}
+        routes = () if configuration is None else configuration.routes.values()
+        for route in routes:
+            self._hosts.setdefault(route["hostname"].lower(), {})[route["path_prefix"]] = route
 
     def find(self, host: str, path: str) -> CompiledRoute | None:
         """The route with the longest prefix of `path` at `host`."""
@@ -72,10 +73,16 @@
         while end >= 0:
             route = prefixes.get(path[: end + 1])
             if route is not None:
-                return route
+                return self._compile(route)
             end = path.rfind("/", 0, end)
         return None
 
+    def _compile(self, route: Route) -> CompiledRoute:
+        name = route["name"]
+        if name not in self._compiled:
+            self._compiled[name] = compile_route(route)
+        return self._compiled[name]
+
 
 def _path_end(path: str) -> int:
     query = path.find("?")
--- a/reedspoke/data_plane/subscription.py
+++ b/reedspoke/data_plane/subscription.py
@@ -12,7 +12,7 @@
 from reedspoke.cluster.configuration import (
     Configuration,
     apply_difference,
-    parse_configuration,
+    read_checked,
 )
 from reedspoke.cluster.messages import (
     CONFIGURATION,
@@ -126,7 +126,7 @@
     def _take_snapshot(self, message: ConfigurationSnapshot) -> bool:
         if message.version <= self.version(CONFIGURATION):
             return False
-        self._set_configuration(parse_configuration(message.document), message.version)
+        self._set_configuration(read_checked(message.document), message.version)
         return True
 
     def _take_delta(self, message: ConfigurationDelta) -> bool:
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -14,6 +14,7 @@
     apply_difference,
     difference,
     parse_configuration,
+    read_checked,
     targets,
 )
 from reedspoke.cluster.errors import ErrorCode, FleetError
@@ -251,3 +252,18 @@
     many[7] = many[7] | {"timeout_ms": 1}
     delta = difference(old, parse(document(*many)), (1, 0), (2, 0))
     assert [changed["name"] for changed in json.loads(delta.routes)] == ["r7"]
+
+
+def test_a_checked_document_is_read_as_it_was_checked() -> None:
+    raw = json.dumps(document(route(), split(1, 3) | {"name": "r2", "path_prefix": "/q/"})).encode()
+    assert read_checked(raw) == parse_configuration(raw)
+
+
+@pytest.mark.parametrize(
+    ("raw", "code"),
+    [(b"{", ErrorCode.CONFIGURATION_UNREADABLE), (b'{"generation": "x"}', ErrorCode.CONFIGURATION_FIELD)],
+)
+def test_bytes_that_are_no_document_are_not_read(raw: bytes, code: ErrorCode) -> None:
+    with pytest.raises(FleetError) as found:
+        read_checked(raw)
+    assert found.value.code is code
--- a/tests/control_plane/test_guards_head.py
+++ b/tests/control_plane/test_guards_head.py
@@ -7,7 +7,7 @@
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.events import Member, Put, PutAnswer, View
 from reedspoke.control_plane.majority_contact import Contact
-from reedspoke.control_plane.replica_head import WAIT_SHARE
+from reedspoke.control_plane.replica_head import MOST_WAITING_BYTES, WAIT_SHARE
 from reedspoke.control_plane.replica_messages import (
     ChainState,
     Commit,
@@ -248,3 +248,22 @@
     assert not outbox.take()
     puts.reply(PutReply(following.number, "b:1:1", refused))
     assert len(outbox.take()) == 1
+
+
+def test_documents_that_wait_have_a_bound_in_bytes() -> None:
+    """The one beyond it gets no clear answer at once, and is no break of any promise if it is sent again."""
+    replica = _head()
+    half = b"d" * (MOST_WAITING_BYTES // 2)
+    for number in range(2):  # they build on a generation that has not come, and are held
+        _receive(replica, PutRequest(VIEW_NUMBER, f"r{number}", 50, 60 + number, half))
+    assert _replies(replica) == []
+    _receive(replica, PutRequest(VIEW_NUMBER, "beyond", 50, 70, b"d"))
+    (reply,) = _replies(replica)
+    assert (reply.request, reply.error) == ("beyond", ErrorCode.WRITE_UNCLEAR)
+    assert "Too many changes wait" in reply.message
+
+
+def test_one_document_alone_is_taken_whatever_its_size() -> None:
+    replica = _head()
+    _receive(replica, PutRequest(VIEW_NUMBER, "large", 50, 60, b"d" * (MOST_WAITING_BYTES + 1)))
+    assert _replies(replica) == []
--- a/tests/control_plane_process/test_http_server_edges.py
+++ b/tests/control_plane_process/test_http_server_edges.py
@@ -221,3 +221,30 @@
     with_server(scene)
     gc.collect()
     assert errors == []
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"GET /\xc3\xa9 HTTP/1.1",
+        b"GET /\xff HTTP/1.1",
+        b"GET /a\x00 HTTP/1.1",
+        b"G\xcbT / HTTP/1.1",
+        b"GET http://\xe9/ HTTP/1.1",
+    ],
+)
+def test_a_target_that_is_not_ascii_is_refused_and_runs_nothing(line: bytes) -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        answer = await asyncio.to_thread(exchange, address, line + b"\r\nHost: h\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 400 ")
+
+    assert with_server(scene).paths == []
+
+
+def test_a_field_that_is_not_ascii_is_no_error() -> None:
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        raw = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Name: \xe9\xff\r\nConnection: close\r\n\r\n"
+        answer = await asyncio.to_thread(exchange, address, raw)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+    assert with_server(scene).paths == ["/a"]
--- a/tests/control_plane_process/test_membership.py
+++ b/tests/control_plane_process/test_membership.py
@@ -12,6 +12,7 @@
 
 OWN = ControlMember("10.0.0.1:1", "za")
 EDGE_LIFE_S = 3.0
+IDENTITY = 77
 NONE = (0, 0)
 
 
@@ -30,7 +31,7 @@
 
 
 def membership() -> Membership:
-    return Membership(OWN, EDGE_LIFE_S, 77)
+    return Membership(OWN, EDGE_LIFE_S, IDENTITY)
 
 
 def names(members: Membership) -> list[str]:
@@ -180,4 +181,48 @@
     members = membership()
     members.watched(watch("e1", running={"i": (1, 2)}), 1.0)
     told = members.table(1.5, (1, 1), (2, 2))
-    assert told == SessionTable((SessionEntry("e1", "1", "zx", 0.5, {"i": (1, 2)}),), (1, 1), (2, 2))
+    entries = (SessionEntry("e1", "1", "zx", 0.5, {"i": (1, 2)}),)
+    assert told == SessionTable(entries, (1, 1), (2, 2), IDENTITY, number=1)
+
+
+def numbered(name: str, life: int, number: int) -> SessionTable:
+    """A table of one session, as the `number`th of a process."""
+    return SessionTable((entry(name),), (1, 2), (3, 4), life, number)
+
+
+def edges_known(members: Membership) -> list[str]:
+    members.refresh(0.0)
+    return [edge.node_name for edge in members.members.edges]
+
+
+def test_a_table_that_comes_late_on_an_older_connection_replaces_none() -> None:
+    members = membership()
+    assert members.heard_table("p", numbered("new", 7, 2), 0.0)
+    assert not members.heard_table("p", numbered("old", 7, 1), 0.0)
+    assert not members.heard_table("p", numbered("again", 7, 2), 0.0)
+    assert edges_known(members) == ["new"]
+    assert members.heard_table("p", numbered("newer", 7, 3), 0.0)
+    assert edges_known(members) == ["newer"]
+
+
+def test_a_table_of_the_process_before_replaces_none_of_the_one_that_followed() -> None:
+    members = membership()
+    members.heard_table("p", numbered("former", 7, 90), 0.0)
+    assert members.heard_table("p", numbered("present", 8, 1), 0.0)
+    assert not members.heard_table("p", numbered("former", 7, 91), 0.0)
+    assert members.heard_table("p", numbered("present", 8, 2), 0.0)
+    assert edges_known(members) == ["present"]
+
+
+def test_tables_without_numbers_replace_each_other() -> None:
+    members = membership()
+    for name in ("one", "two"):
+        assert members.heard_table("p", table(entry(name)), 0.0)
+    assert edges_known(members) == ["two"]
+
+
+def test_the_own_tables_are_numbered() -> None:
+    members = membership()
+    first, second = (members.table(0.0, (1, 1), (2, 2)) for _ in range(2))
+    assert (first.life, second.life) == (IDENTITY, IDENTITY)
+    assert second.number == first.number + 1
--- a/tests/data_plane/test_route_table.py
+++ b/tests/data_plane/test_route_table.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from reedspoke.cluster.configuration import parse_configuration
+from reedspoke.cluster.configuration import Route, parse_configuration
+from reedspoke.data_plane import route_table
 from reedspoke.data_plane.route_table import CompiledRoute, RouteTable
 
 
@@ -149,3 +150,18 @@
 def test_times_are_seconds_and_a_request_has_an_attempt() -> None:
     route = only(timeout_ms=1500, target_ms=250, max_attempts=0)
     assert (route.timeout, route.target, route.max_attempts) == (1.5, 0.25, 1)
+
+
+def test_a_route_is_compiled_by_its_first_request_and_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    compiled: list[str] = []
+    compile_route = route_table.compile_route
+
+    def counted(route: Route) -> CompiledRoute:
+        compiled.append(route["name"])
+        return compile_route(route)
+
+    monkeypatch.setattr(route_table, "compile_route", counted)
+    made = table({"path_prefix": "/a/"}, {"path_prefix": "/b/"})
+    assert compiled == []
+    assert made.find("a.example", "/b/x") is made.find("a.example", "/b/")
+    assert compiled == ["r1"]
