What an opening returns is on the disk, also where a sync failed before

Ruled out: the writer's own failures: it cuts back and syncs, or writes a fresh file, before anything else. Change: an opening writes the last batch again before it syncs; earlier ones were synced before the next was appended.

--- a/reedspoke/control_plane/log_file.py
+++ b/reedspoke/control_plane/log_file.py
@@ -136,6 +136,8 @@
     rewriting: int
     records: list[bytes]
     good_length: int
+    last_start: int
+    last_batch: bytes  # from `last_start` on
     torn: bool
     damaged: bool
 
@@ -188,6 +190,9 @@
     try:
         if slot.torn:
             os.ftruncate(descriptor, slot.good_length)
+        # A sync that failed before, here or in an earlier process, may have left these bytes in memory alone:
+        # the next one says nothing of them unless they are written again.
+        _write_at(descriptor, slot.last_batch, slot.last_start)
         os.fsync(descriptor)
         _sync_directory(slot.path.parent)
         if slot.damaged:
@@ -208,7 +213,10 @@
         return None
     folder_id, rewriting, records = _parts(read)
     torn = read.good_length < len(content)
-    return _Slot(path, folder_id, rewriting, records, read.good_length, torn, read.damaged)
+    last_batch = content[read.last_start : read.good_length]
+    return _Slot(
+        path, folder_id, rewriting, records, read.good_length, read.last_start, last_batch, torn, read.damaged
+    )
 
 
 def _parts(read: LogContent) -> tuple[str, int, list[bytes]]:
--- a/reedspoke/control_plane/log_format.py
+++ b/reedspoke/control_plane/log_format.py
@@ -29,14 +29,16 @@
 class LogContent(Struct):
     """What a file holds.
 
-    `good_length` is where its good part ends. `damaged` tells that the header is bad, or that a batch does
-    not stand twice; with `single_copies` none does.
+    `good_length` is where its good part ends, `last_start` where its last batch begins, or 0 where there is no
+    other one. `damaged` tells that the header is bad, or that a batch does not stand twice; with
+    `single_copies` none does.
     """
 
     batches: list[list[bytes]]
     good_length: int
     damaged: bool = False
     single_copies: bool = False
+    last_start: int = 0
 
 
 class _Copy(Struct):
@@ -84,6 +86,7 @@
         found = first or _second_copy(content, read.good_length)
         if found is None:
             return read
+        read.last_start = read.good_length if read.batches else 0
         read.batches.append(_records_of(content, found))
         read.damaged |= found is not first or not _followed_by_equal(content, found)
         end = found.end if first is None else found.end + found.size
--- a/tests/control_plane/simulated_files.py
+++ b/tests/control_plane/simulated_files.py
@@ -73,6 +73,10 @@
         self.synced = bytearray(content)
         self.content = bytearray(content)
         self.changes: list[Change] = []
+        self.since: list[
+            tuple[Change, bool]
+        ] = []  # from the first change on that a failed sync has forgotten;
+        # those that it forgot (False) are on the disk or not, readers see them, and no later sync writes them
 
     def change(self, change: Change) -> None:
         """Write or truncate, unsynced."""
@@ -82,12 +86,23 @@
     def sync(self) -> None:
         """What a reader sees outlasts a loss of power."""
         for change in self.changes:
-            _apply(self.synced, change)
+            if self.since:
+                self.since.append((change, True))
+            else:
+                _apply(self.synced, change)
+        self.changes.clear()
+
+    def sync_failed(self) -> None:
+        """The system takes what was to be written for written."""
+        self.since += [(change, False) for change in self.changes]
         self.changes.clear()
 
     def after_power_loss(self, torn_parts: int) -> set[bytes]:
         """Each content that a loss of power may leave."""
-        kept = itertools.product(*(change.outcomes(torn_parts) for change in self.changes))
+        since: list[list[list[Change]]] = [
+            [[change]] if synced else [[change], []] for change, synced in self.since
+        ]
+        kept = itertools.product(*since, *(change.outcomes(torn_parts) for change in self.changes))
         return {self._synced_with(itertools.chain(*choice)) for choice in kept}
 
     def _synced_with(self, changes: Iterable[Change]) -> bytes:
@@ -194,8 +209,13 @@
 
     def fsync(self, descriptor: int) -> None:
         """Sync a file or the folder; a refused sync has synced nothing."""
-        self._count()
         inode = self._descriptors[descriptor].inode
+        try:
+            self._count()
+        except OSError:
+            if inode is not None:
+                inode.sync_failed()
+            raise
         if inode is None:
             self.synced_names = dict(self.names)
         else:
