Suspicions of workers: weighed by the size of the fleet, bounded, and told in the request's log line

Change: three in a hundred schedulers, two at least, have to suspect a worker; where more than half of a service's workers would be avoided none is, and the invariant most_workers_are_used holds that; each attempt in a request's log line names the workers that it avoided.

--- a/reedspoke/control_plane/log_format.py
+++ b/reedspoke/control_plane/log_format.py
@@ -29,7 +29,7 @@
 class LogContent(Struct):
     """What a file holds.
 
-    `good_length` is where its good part ends, `last_start` where its last batch begins, or 0 where there is no
+    `good_length` is where its good part ends, `last_start` where its last batch begins, 0 where there is no
     other one. `damaged` tells that the header is bad, or that a batch does not stand twice; with
     `single_copies` none does.
     """
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -121,8 +121,8 @@
     # ---- what the dispatcher decides ----
 
     @isolated
-    def send(self, worker: WorkerEntry, urgency: int | None = None) -> None:
-        """Begin an attempt at a worker."""
+    def send(self, worker: WorkerEntry, urgency: int | None = None, avoided: tuple[str, ...] = ()) -> None:
+        """Begin an attempt at a worker, chosen while these others were avoided."""
         if not self._response.resumable:  # another run would begin at the first event again
             self._response.break_off()
             self._ended(RequestOutcome.BROKEN_OFF, 0, "its events have no ids to go on behind")
@@ -130,7 +130,7 @@
             return
         self._attempts += 1
         now = self._loop.time()
-        self.trace.began(worker.instance_id, worker.address, self._age_ms())
+        self.trace.began(worker.instance_id, worker.address, self._age_ms(), avoided)
         self._attempt = Attempt(worker, self._attempts, urgency, self._request.version_asked, now, now)
         connection = self._pool.take_idle(worker.instance_id)
         if connection is not None:
--- a/reedspoke/data_plane/forwarder.py
+++ b/reedspoke/data_plane/forwarder.py
@@ -35,6 +35,7 @@
 from reedspoke.decision.overdue import overdue_ends
 from reedspoke.decision.silence import attempts_to_give_up
 
+MOST_AVOIDED_TOLD = 8  # workers, in the log line of a request
 WATCH_INTERVAL_S = 0.1  # between two looks for silent workers and deadlines
 DEFAULT_CAPACITY = 1
 LEAVING_KEPT_S = 30.0  # for which a worker that is gone is remembered
@@ -212,7 +213,8 @@
     def _carry_out(self, exchange: Exchange, decision: Decision) -> None:
         match decision:
             case Send(instance_id=instance_id, urgency=urgency):
-                exchange.send(self._workers[instance_id], urgency)
+                avoided = self._dispatcher.avoided_by(decision.job_id, self._loop.time())
+                exchange.send(self._workers[instance_id], urgency, avoided[:MOST_AVOIDED_TOLD])
             case Refuse():
                 exchange.refuse(decision)
             case Fail():
--- a/reedspoke/data_plane/request_trace.py
+++ b/reedspoke/data_plane/request_trace.py
@@ -41,6 +41,7 @@
     status: int = 0
     not_executed: bool = False
     fate: str = ""
+    avoided: tuple[str, ...] = ()  # workers that several schedulers suspected as this one was chosen
 
 
 class RequestTrace(Struct, omit_defaults=True):
@@ -71,9 +72,9 @@
         self.tenant = job.tenant
         self.deadline_ms = round((job.deadline - job.arrived) * 1000, 1)
 
-    def began(self, worker: str, address: str, at_ms: float) -> None:
-        """An attempt was decided on."""
-        self.attempts.append(AttemptTrace(worker, address, at_ms))
+    def began(self, worker: str, address: str, at_ms: float, avoided: tuple[str, ...] = ()) -> None:
+        """An attempt was decided on, while these workers were avoided."""
+        self.attempts.append(AttemptTrace(worker, address, at_ms, avoided=avoided))
 
     def sent(self, at_ms: float) -> None:
         """The attempt's request was handed to a connection."""
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -79,7 +79,7 @@
     def others_suspect(self, suspects: Mapping[str, int], now: float) -> None:
         """How many other schedulers suspect each worker, by instance id; none where it is not named."""
         for service in self._services.values():
-            service.pool.set_others_suspects(suspects, now)
+            service.pool.set_others_suspects(suspects, now, self._schedulers)
 
     def fleet_size(self, schedulers: int, now: float) -> None:
         """The number of schedulers known, this one included; 0: unknown."""
@@ -165,7 +165,12 @@
 
     def avoided_workers(self, now: float) -> int:
         """Workers that requests avoid, as several schedulers suspect them."""
-        return sum(service.pool.avoided(now) for service in self._services.values())
+        return sum(len(service.pool.avoided(now)) for service in self._services.values())
+
+    def avoided_by(self, job_id: int, now: float) -> tuple[str, ...]:
+        """The workers that this job avoids, as several schedulers suspect them."""
+        service = self._service_of.get(job_id)
+        return () if service is None else tuple(service.pool.avoided(now))
 
     def _add(self, upstream: Upstream, now: float) -> None:
         budget = self._budgets.setdefault(upstream.name, self._budget(now))
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -8,10 +8,13 @@
 from reedspoke.decision.messages import AttemptEnd, Cause, Job, Load, Outcome, Upstream, WorkerEntry
 from reedspoke.decision.placement import Placed, Placement
 from reedspoke.decision.prefix_cache import chain_of
+from reedspoke.decision.suspicion import enough_schedulers
 from reedspoke.decision.urgency import urgency_of
 from reedspoke.decision.worker_state import Running, WorkerState
+from reedspoke.telemetry.invariants import Invariant, check
 
 MOST_SUSPECTS = 0.5  # of a service's workers that one scheduler names
+MOST_AVOIDED = 0.5  # of a service's workers
 
 
 class WorkerPool:
@@ -69,14 +72,22 @@
         busy = ((name, worker) for name, worker in self._workers.items() if worker.running)
         return {name: Load(worker.used, worker.kept_tokens) for name, worker in busy}
 
-    def set_others_suspects(self, suspects: Mapping[str, int], now: float) -> None:
-        """How many other schedulers suspect each worker."""
+    def set_others_suspects(self, suspects: Mapping[str, int], now: float, schedulers: int) -> None:
+        """How many other schedulers suspect each worker, of all that there are."""
+        enough = enough_schedulers(schedulers)
         for name, worker in self._workers.items():
-            worker.suspicion.tell(suspects.get(name, 0), now)
+            worker.suspicion.tell(suspects.get(name, 0), now, enough)
+        if self._avoids_too_many(now):
+            for worker in self._workers.values():
+                worker.suspicion.tell(0, now, enough)
+        check(Invariant.MOST_WORKERS_ARE_USED, not self._avoids_too_many(now), avoided=self.avoided(now))
 
-    def avoided(self, now: float) -> int:
+    def _avoids_too_many(self, now: float) -> bool:
+        return len(self.avoided(now)) > MOST_AVOIDED * len(self._workers)
+
+    def avoided(self, now: float) -> list[str]:
         """Workers that enough schedulers suspect."""
-        return sum(worker.suspicion.is_shared(now) for worker in self._workers.values())
+        return [name for name, worker in self._workers.items() if worker.suspicion.is_shared(now)]
 
     def own_suspects(self, now: float) -> list[str]:
         """The workers that have lately failed our requests; none where most have, as the fault is then more
--- a/reedspoke/telemetry/invariants.py
+++ b/reedspoke/telemetry/invariants.py
@@ -33,6 +33,7 @@
     TENANT_IS_KEY_HOLDER = "tenant_is_key_holder"  # workers are told the holder of the key, never the key
     KEY_IS_CERTAIN = "key_is_certain"  # no key is served past the bound on its being taken away
     ATTEMPTS_BOUNDED = "attempts_bounded"  # no more attempts reach workers than the route allows
+    MOST_WORKERS_ARE_USED = "most_workers_are_used"  # suspicions leave at least half of a service's workers
 
     # control plane
     READ_HAS_GRANT = "read_has_grant"  # operators are answered only with a majority's grant
--- a/tests/decision/test_suspicion.py
+++ b/tests/decision/test_suspicion.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from reedspoke.decision import placement
+from reedspoke.decision import placement, worker_pool
 from reedspoke.decision.dispatcher import Dispatcher
 from reedspoke.decision.messages import AttemptEnd, Cause, Job, Load, Outcome, Repeat
-from reedspoke.decision.suspicion import KEPT_S, Suspicion
+from reedspoke.decision.suspicion import KEPT_S, Suspicion, enough_schedulers
+from reedspoke.telemetry.invariants import Invariant, monitor
 from tests.decision.facts import OK, dispatcher, entry, job, plain
 from tests.decision.test_placement import sent_to
 
@@ -130,3 +131,45 @@
     suspected.others_suspect({"w0": 1, "w1": 1}, 0.0)
     for number in range(30):
         assert sent_to(suspected, job(number)) == sent_to(plain_one, job(number))
+
+
+@pytest.mark.parametrize(
+    ("schedulers", "enough"), [(0, 2), (1, 2), (16, 2), (66, 2), (67, 3), (85, 3), (200, 6), (400, 12)]
+)
+def test_the_more_schedulers_the_more_have_to_suspect_a_worker(schedulers: int, enough: int) -> None:
+    assert enough_schedulers(schedulers) == enough
+
+
+def test_in_a_large_fleet_two_words_move_nothing() -> None:
+    scheduler = dispatcher(FOUR)
+    scheduler.fleet_size(200, 0.0)
+    scheduler.others_suspect({"w0": 5}, 0.0)
+    assert scheduler.avoided_workers(0.1) == 0
+    scheduler.others_suspect({"w0": 6}, 0.0)
+    assert scheduler.avoided_workers(0.1) == 1
+
+
+def test_where_most_would_be_avoided_none_is() -> None:
+    scheduler = dispatcher(FOUR)
+    scheduler.others_suspect({"w0": 9, "w1": 9}, 0.0)
+    assert scheduler.avoided_workers(0.1) == 2
+    scheduler.others_suspect({"w0": 9, "w1": 9, "w2": 2}, 0.2)
+    assert scheduler.avoided_workers(0.3) == 0
+
+
+def test_a_job_knows_whom_it_avoids() -> None:
+    scheduler = dispatcher(FOUR)
+    scheduler.others_suspect({"w2": 2}, 0.0)
+    assert sent_to(scheduler, job(1), 0.1) is not None
+    assert scheduler.avoided_by(1, 0.1) == ("w2",)
+    assert scheduler.avoided_by(99, 0.1) == ()
+
+
+def test_too_many_avoided_workers_violate_the_invariant(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(worker_pool, "MOST_AVOIDED", 0.0)
+    scheduler = dispatcher(FOUR)
+    scheduler.others_suspect({"w0": 2}, 0.0)
+    assert scheduler.avoided_workers(0.1) == 0
+    monkeypatch.setattr(worker_pool.WorkerPool, "_avoids_too_many", lambda self, now: True)
+    scheduler.others_suspect({"w0": 2}, 0.0)
+    assert {item.invariant for item in monitor.forget()} == {Invariant.MOST_WORKERS_ARE_USED}
