--- a/reedspoke/lab/duties.py
+++ b/reedspoke/lab/duties.py
@@ -36,7 +36,7 @@
         self.longest = 0.0
         self.on: Counter[str] = Counter()  # faults that are on
         self.told: dict[str, Any] = {}  # of the longest gap: what was on, and who held the duty
-        self._acted = time.monotonic()
+        self.began = self._acted = time.monotonic()
         self._seen = 0
 
     def look(self) -> None:
@@ -52,7 +52,14 @@
         gap = now - max(self._acted, min(self.since.values()))
         if gap > self.longest:
             self.longest, holder = gap, rig.holder()
-            self.told = {"on": sorted(+self.on), "holder": holder.number if holder else None}
+            self.told = {
+                "on": sorted(+self.on),
+                "holder": holder.number if holder else None,
+                "ends_at_s": round(now - self.began, 2),
+                "without_a_holder": holder is None,
+                "stopped": [one.number for one in rig.schedulers if one.stopped],
+                "cuts": sorted(rig.relay.cuts),
+            }
 
     def _able(self, one: Scheduler, now: float) -> bool:
         return (
@@ -281,7 +288,8 @@
         "failed": tally.failed, "lost": tally.lost + tally.wrong, "excused": rig.excused,
         "twice": ledger.unsafe_twice, "bytes_per_try": round(rig.relay.bytes / max(1, ledger.legs), 1),
         "largest_datagram": rig.relay.largest, "serving_at_the_end": serving,
-        "defects_logged": rig.faults_told(), "rig_lag_s": round(lag, 3),
+        "defects_logged": rig.faults_told(), "defects": rig.defects(),
+        "rig_lag_s": round(lag, 3),
         "by_kind": dict(sorted(faults.begun.items())), "why": dict(tally.why),
     }, broken)  # fmt: skip
     result.hold("never two holders", rig.watcher.two_holders == 0)
--- a/reedspoke/lab/program.py
+++ b/reedspoke/lab/program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import re
 import random
 import socket
 import subprocess
@@ -43,6 +44,10 @@
             return int(free.getsockname()[1])
 
 
+STAMPED = re.compile(r"\d\d:\d\d:\d\d")  # a line of the log with its time
+MOST_DEFECT = 3000  # characters of one that are told
+
+
 class Program:
     """`operator`: the operator file's text as an object, None: the platform's program."""
 
@@ -161,7 +166,20 @@
 
     def faults(self) -> int:
         """Lines of its log that tell a defect."""
-        return sum(" fault: " in line or "Traceback" in line for line in self.log.read_text().splitlines())
+        return len(self.defects())
+
+    def defects(self) -> list[str]:
+        """The same lines, each with those that follow it up to the next line with a time."""
+        found: list[str] = []
+        inside = False
+        for line in self.log.read_text().splitlines():
+            begins = " fault: " in line or "Traceback" in line
+            if begins:
+                found.append(line)
+            elif inside and not STAMPED.match(line):
+                found[-1] += f" | {line.strip()}"
+            inside = begins or inside and not STAMPED.match(line)
+        return [text[:MOST_DEFECT] for text in found]
 
     async def stop(self) -> int:
         """As planned; its exit status."""
--- a/reedspoke/lab/rig.py
+++ b/reedspoke/lab/rig.py
@@ -334,4 +334,8 @@
 
     def faults_told(self) -> int:
         """Defects that the processes' own logs tell."""
-        return sum(one.program.faults() for one in self.schedulers)
+        return len(self.defects())
+
+    def defects(self) -> list[str]:
+        """The same, each with the number of its scheduler."""
+        return [f"n{one.number}: {text}" for one in self.schedulers for text in one.program.defects()]
