--- a/reedspoke/lab/program.py
+++ b/reedspoke/lab/program.py
@@ -5,8 +5,8 @@
 import asyncio
 import json
 import os
-import re
 import random
+import re
 import socket
 import subprocess
 import sys
