--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -6,8 +6,6 @@
 import os
 from pathlib import Path
 
-from msgspec import Struct
-
 from reedspoke.cluster.background import keep_running
 from reedspoke.cluster.configuration import Configuration
 from reedspoke.cluster.early_signals import handle_signals
@@ -15,11 +13,8 @@
 from reedspoke.cluster.figures import serve_figures
 from reedspoke.cluster.json_log import ERROR, INFO, WARNING, log
 from reedspoke.cluster.line_budget import LineBudget
-from reedspoke.cluster.messages import ControlMember, QuotaAsk, WorkerList, encode
+from reedspoke.cluster.messages import ControlMember, WorkerList, encode
 from reedspoke.cluster.node_settings import NodeSettings, load_settings, settings_path
-from reedspoke.cluster.patient_timer import PatientTimer
-from reedspoke.cluster.quota_rule import QuotaRule
-from reedspoke.cluster.transport import Channel
 from reedspoke.cluster.unhandled_errors import end_process
 from reedspoke.control_plane.configuration_cache import ConfigurationCache, Prepared
 from reedspoke.control_plane.driver import ReplicaDriver
@@ -27,6 +22,7 @@
 from reedspoke.control_plane.edge_sessions import EdgeSessions
 from reedspoke.control_plane.events import Committed, GetAnswer, PutAnswer, SendTo, View
 from reedspoke.control_plane.figures import CallLog, add_process_figures
+from reedspoke.control_plane.file_stamp import stamp_of
 from reedspoke.control_plane.http_server import HttpServer
 from reedspoke.control_plane.job_thread import JobThread
 from reedspoke.control_plane.list_duty import ListDuty
@@ -48,8 +44,7 @@
 )
 from reedspoke.control_plane.peer_transport import PeerMessage, PeerTransport
 from reedspoke.control_plane.published_state import PublishedState
-from reedspoke.control_plane.quota_grants import AnswerTo, QuotaEffect, QuotaGrants
-from reedspoke.control_plane.quota_share import QuotaShare
+from reedspoke.control_plane.quota_service import QuotaService
 from reedspoke.control_plane.worker_list import UNLEASED_TERM, WorkerBook
 from reedspoke.telemetry.invariants import Invariant, check
 from reedspoke.telemetry.metrics import Registry
@@ -67,21 +62,13 @@
 TOLD_S = 0.2  # so long after this replica has learned that it is out of the chain, the others know it too
 
 
-class FileStamp(Struct, frozen=True):
-    """What tells that a file has changed."""
-
-    modified_ns: int
-    size: int
-    inode: int
-
-
 class ControlProcess(Calls):
     """One control scheduler."""
 
     def __init__(self, settings: NodeSettings, path: Path) -> None:
         self._settings = settings
         self._path = path
-        self._stamp = _stamp(path)
+        self._stamp = stamp_of(path)
         self._loop = asyncio.get_running_loop()
         self._address = f"{settings.ip_address}:{settings.internal_ports[0]}"
         self._view: View | None = None
@@ -106,14 +93,14 @@
         self._book = WorkerBook()
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
         self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap, identity=identity)
+        self._build_quota(settings)
         self._sessions = EdgeSessions(
             settings.node_name,
             self._state,
             settings.watch_hold_s(),
             self._sessions_changed,
-            self._quota_asked,
+            self._quota.asked,
         )
-        self._build_quota(settings, now)
         self._transport = PeerTransport(self._address, settings.zone, self._peer_message, self._sessions)
         self._duty = ListDuty(
             settings.cloud_api, self._lease, self._book, self._publish_workers, self._send_lease
@@ -124,12 +111,14 @@
         self._call_log = CallLog(self._registry, LineBudget(self._loop.time))
         self._api = HttpServer(OperatorApi(self).handle, http_error_body)
 
-    def _build_quota(self, settings: NodeSettings, now: float) -> None:
-        self._quota_share = QuotaShare(self._address, settings.fault_tolerance.machines, now)
-        self._quota = QuotaGrants(
-            quota_rule(settings), self._quota_share, self._majority_as_of, self._reached, now
+    def _build_quota(self, settings: NodeSettings) -> None:
+        self._quota = QuotaService(
+            self._address,
+            settings,
+            lambda: self._driver.majority_as_of(),
+            lambda: self._membership.peers_heard(self._loop.time()),
+            lambda address, message: self._transport.send(address, message),
         )
-        self._quota_timer: PatientTimer | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -172,7 +161,7 @@
         if self._configuration.install(prepared):
             committed = prepared.committed
             log(INFO, "configuration in force", generation=committed.generation, sequence=committed.sequence)
-            self._quota.configure(prepared.configuration.tenants or {}, self._loop.time())
+            self._quota.configure(prepared.configuration.tenants or {})
             self._sessions.changed()
 
     def _confirmed_as_of(self) -> float | None:
@@ -194,7 +183,7 @@
         self._membership.set_view(tuple(members.values()))
         voters = tuple(voter.address for voter in view.voters)
         self._lease.set_voters(voters)
-        self._quota_share.voters_known(frozenset(voters), self._loop.time())
+        self._quota.voters_known(frozenset(voters))
 
     def ticked(self) -> None:
         """A little time has passed."""
@@ -202,12 +191,12 @@
         self._send_lease(self._lease.tick(now))
         self._duty.look()
         self._sessions.look()
-        self._quota.refresh(now)
+        self._quota.ticked()
         if now >= self._table_at:
             self._tell_sessions(now)
         if now >= self._settings_at:
             self._settings_at = now + SETTINGS_INTERVAL_S
-            if self._stamp != _stamp(self._path):
+            if self._stamp != stamp_of(self._path):
                 self._reload_settings()
         if now >= self._maintenance_at:
             self._maintenance_at = now + MAINTENANCE_INTERVAL_S
@@ -288,9 +277,9 @@
                 self._send_lease(self._lease.received(sender, message, now))
                 self._duty.look()
             case QuotaLoanRequest():
-                self._carry_out_quota(self._quota.loan_requested(sender, message, now))
+                self._quota.loan_requested(sender, message)
             case QuotaLoan():
-                self._carry_out_quota(self._quota.loan_came(message, now))
+                self._quota.loan_came(message)
             case WorkerList():
                 self._lease.term_seen(message.version[0])
                 if self._book.adopt(message, now):
@@ -298,29 +287,6 @@
             case _:
                 self._driver.received(sender, message)
 
-    def _quota_asked(self, channel: Channel, ask: QuotaAsk) -> None:
-        self._carry_out_quota(self._quota.asked(channel, ask, self._loop.time()))
-
-    def _carry_out_quota(self, effects: list[QuotaEffect]) -> None:
-        for effect in effects:
-            if isinstance(effect, AnswerTo):
-                effect.asker.send(effect.answer)
-            else:
-                self._transport.send(effect.address, effect.message)
-        wake_at = self._quota.wake_at()
-        if wake_at is not None and self._quota_timer is None:
-            self._quota_timer = PatientTimer(self._loop, wake_at, self._quota_round_ends)
-
-    def _quota_round_ends(self) -> None:
-        self._quota_timer = None
-        self._carry_out_quota(self._quota.end_rounds(self._loop.time()))
-
-    def _reached(self) -> tuple[str, ...]:
-        return self._membership.peers_heard(self._loop.time())
-
-    def _majority_as_of(self) -> float | None:
-        return self._driver.majority_as_of()
-
     def _heard_table(self, sender: str, table: SessionTable, now: float) -> None:
         if not self._membership.heard_table(sender, table, now):
             return
@@ -371,7 +337,7 @@
     # ---- settings and end ----
 
     def _reload_settings(self) -> None:
-        self._stamp = _stamp(self._path)
+        self._stamp = stamp_of(self._path)
         try:
             settings = load_settings(self._path)
         except FleetError as error:
@@ -420,20 +386,6 @@
         return self._address in [link.member.address for link in chain]
 
 
-def quota_rule(settings: NodeSettings) -> QuotaRule:
-    """The deployment's bound on quotas."""
-    bounds = settings.bounds
-    return QuotaRule(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
-
-
-def _stamp(path: Path) -> FileStamp | None:
-    try:
-        found = path.stat()
-    except OSError:
-        return None
-    return FileStamp(found.st_mtime_ns, found.st_size, found.st_ino)
-
-
 async def serve(settings: NodeSettings) -> None:
     """Run a control scheduler until it is told to end."""
     await ControlProcess(settings, settings_path()).run()
--- /dev/null
+++ b/reedspoke/control_plane/replica_forwarding.py
@@ -0,0 +1,71 @@
+"""Calls of operators that another replica answers: sent on, sent again, and ended within a bound."""
+
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+from msgspec import Struct
+
+from reedspoke.control_plane.events import View
+from reedspoke.control_plane.majority_contact import Contact
+from reedspoke.control_plane.replica_outbox import Outbox
+from reedspoke.control_plane.replica_settings import CONTACT_WAIT_S
+
+
+class Outstanding(Struct, kw_only=True):
+    """A call without answer; `sent_view` is the view whose member got it last, 0 before it was sent."""
+
+    came_at: float
+    sent_view: int = 0
+
+
+Call = TypeVar("Call", bound=Outstanding)
+
+
+class Forwarder(Generic[Call]):
+    """Calls by the name of their request. Each is sent once a majority of voters has granted."""
+
+    def __init__(self, name: str, outbox: Outbox, answer_limit_s: float) -> None:
+        self._name = name
+        self._outbox = outbox
+        self._limit = answer_limit_s
+        self._outstanding: dict[str, Call] = {}
+        self._count = 0
+
+    def tick(self, view: View | None, contact: Contact) -> None:
+        """Send again what may have been lost; end what has waited too long."""
+        for request in list(self._outstanding):
+            self._advance(request, view, contact)
+
+    def _begin(self, call: Call, view: View | None, contact: Contact) -> None:
+        self._count += 1
+        request = f"{self._name}:{self._count}"
+        self._outstanding[request] = call
+        self._advance(request, view, contact)
+
+    def _advance(self, request: str, view: View | None, contact: Contact) -> None:
+        call = self._outstanding[request]
+        waited = self._outbox.now - call.came_at
+        if waited >= self._limit:
+            self._expire(self._outstanding.pop(request))
+        elif view is not None and contact is Contact.GRANTED:
+            if call.sent_view != view.number or self._is_due(call):
+                call.sent_view = view.number
+                self._send(request, call, view)
+        elif not call.sent_view and (contact is Contact.NONE or waited >= CONTACT_WAIT_S):
+            self._turn_away(self._outstanding.pop(request))
+
+    def _is_due(self, call: Call) -> bool:
+        """Whether to send it again to the same member."""
+        raise NotImplementedError
+
+    def _send(self, request: str, call: Call, view: View) -> None:
+        raise NotImplementedError
+
+    def _expire(self, call: Call) -> None:
+        """No answer has come in time."""
+        raise NotImplementedError
+
+    def _turn_away(self, call: Call) -> None:
+        """This machine reaches no majority, and nothing was sent."""
+        raise NotImplementedError
--- a/reedspoke/control_plane/replica_gets.py
+++ b/reedspoke/control_plane/replica_gets.py
@@ -4,62 +4,36 @@
 
 from collections.abc import Callable
 
-from msgspec import Struct
-
 from reedspoke.cluster.errors import ErrorCode
 from reedspoke.control_plane.chain import Chain
 from reedspoke.control_plane.chain_register import Register, committed_of
 from reedspoke.control_plane.events import Committed, Get, GetAnswer, View
 from reedspoke.control_plane.majority_contact import Contact
+from reedspoke.control_plane.replica_forwarding import Forwarder, Outstanding
 from reedspoke.control_plane.replica_messages import GetReply, GetRequest
 from reedspoke.control_plane.replica_outbox import Outbox
-from reedspoke.control_plane.replica_settings import CONTACT_WAIT_S, GET_RETRY_S, RESEND_S
+from reedspoke.control_plane.replica_settings import GET_RETRY_S, RESEND_S
 from reedspoke.control_plane.view_lease import tail_of
 
 
-class OutstandingGet(Struct):
+class OutstandingGet(Outstanding):
     """A read without answer; `held` is what this replica knew to be committed when it asked."""
 
     get: Get
-    came_at: float
     held: Committed | None = None
-    sent_view: int = 0  # 0: not sent yet
     ask_again_at: float = float("-inf")
 
 
-class GetForwarder:
+class GetForwarder(Forwarder[OutstandingGet]):
     """Asks the tail until it answers or the bound is reached."""
 
     def __init__(self, name: str, outbox: Outbox, register: Register, answer_limit_s: float) -> None:
-        self._name = name
-        self._outbox = outbox
+        super().__init__(name, outbox, answer_limit_s)
         self._register = register
-        self._limit = answer_limit_s
-        self._outstanding: dict[str, OutstandingGet] = {}
-        self._count = 0
 
     def get(self, get: Get, view: View | None, contact: Contact) -> None:
-        """An operator's read; it is sent once a majority of voters has granted."""
-        self._count += 1
-        request = f"{self._name}:{self._count}"
-        self._outstanding[request] = OutstandingGet(get, self._outbox.now)
-        self._advance(request, view, contact)
-
-    def tick(self, view: View | None, contact: Contact) -> None:
-        """Ask again where the tail was not ready or the message may have been lost."""
-        for request in list(self._outstanding):
-            self._advance(request, view, contact)
-
-    def _advance(self, request: str, view: View | None, contact: Contact) -> None:
-        outstanding = self._outstanding[request]
-        waited = self._outbox.now - outstanding.came_at
-        if waited >= self._limit:
-            self._refuse(request, "The newest configuration can't be told for certain.")
-        elif view is not None and contact is Contact.GRANTED:
-            if self._due(outstanding, view):
-                self._send(request, view)
-        elif not outstanding.sent_view and (contact is Contact.NONE or waited >= CONTACT_WAIT_S):
-            self._refuse(request, "This machine reaches no majority.")
+        """An operator's read."""
+        self._begin(OutstandingGet(get, came_at=self._outbox.now), view, contact)
 
     def reply(self, reply: GetReply) -> None:
         """The tail's answer."""
@@ -72,20 +46,23 @@
         del self._outstanding[reply.request]
         self._outbox.emit(_answer(outstanding, reply))
 
-    def _due(self, outstanding: OutstandingGet, view: View) -> bool:
-        return outstanding.sent_view != view.number or self._outbox.now >= outstanding.ask_again_at
+    def _is_due(self, call: OutstandingGet) -> bool:
+        return self._outbox.now >= call.ask_again_at
 
-    def _send(self, request: str, view: View) -> None:
-        outstanding = self._outstanding[request]
-        outstanding.sent_view = view.number
-        outstanding.ask_again_at = self._outbox.now + RESEND_S
-        outstanding.held = self._register.committed
-        have = outstanding.held.sequence if outstanding.held else 0
+    def _send(self, request: str, call: OutstandingGet, view: View) -> None:
+        call.ask_again_at = self._outbox.now + RESEND_S
+        call.held = self._register.committed
+        have = call.held.sequence if call.held else 0
         self._outbox.send(tail_of(view).address, GetRequest(view.number, request, have))
 
-    def _refuse(self, request: str, message: str) -> None:
-        get = self._outstanding.pop(request).get
-        self._outbox.emit(GetAnswer(get.request_id, None, ErrorCode.NO_QUORUM, message))
+    def _expire(self, call: OutstandingGet) -> None:
+        self._refuse(call, "The newest configuration can't be told for certain.")
+
+    def _turn_away(self, call: OutstandingGet) -> None:
+        self._refuse(call, "This machine reaches no majority.")
+
+    def _refuse(self, call: OutstandingGet, message: str) -> None:
+        self._outbox.emit(GetAnswer(call.get.request_id, None, ErrorCode.NO_QUORUM, message))
 
 
 class TailReader:
--- a/reedspoke/data_plane/exchange.py
+++ b/reedspoke/data_plane/exchange.py
@@ -7,9 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from functools import wraps
-from typing import Concatenate, ParamSpec, Protocol
 
 from reedspoke.cluster.unhandled_errors import unhandled_errors
 from reedspoke.data_plane.answer_reader import SUCCESS_STATUS
@@ -36,6 +33,7 @@
     check_success,
     check_tenant,
 )
+from reedspoke.data_plane.exchange_owner import Owner, isolated
 from reedspoke.data_plane.headers import NOT_EXECUTED, RESPONSE_SEAL, forwarded_answer_fields, status_line
 from reedspoke.data_plane.permit import Permit
 from reedspoke.data_plane.request_trace import RequestOutcome, RequestTrace
@@ -54,40 +52,6 @@
 KEY_IN_DOUBT = "key in doubt"
 
 
-class Owner(Protocol):
-    """Who holds the exchanges and asks the dispatcher."""
-
-    def progress(self, exchange: Exchange) -> None: ...
-
-    def first_event(self, exchange: Exchange) -> None: ...
-
-    def attempt_ended(self, exchange: Exchange, evidence: Evidence) -> None: ...
-
-    def finished(self, exchange: Exchange) -> None: ...
-
-    def known_to_leave_since(self, instance_id: str) -> float | None: ...
-
-    def called_off(self, exchange: Exchange) -> None: ...
-
-
-Arguments = ParamSpec("Arguments")
-
-
-def isolated(
-    method: Callable[Concatenate[Exchange, Arguments], None],
-) -> Callable[Concatenate[Exchange, Arguments], None]:
-    """An error inside ends this request alone: not the work for others that its caller goes on with."""
-
-    @wraps(method)
-    def call(self: Exchange, /, *arguments: Arguments.args, **named: Arguments.kwargs) -> None:
-        try:
-            method(self, *arguments, **named)
-        except Exception as error:
-            self.end_broken(error)
-
-    return call
-
-
 class Exchange:
     """Listens to the worker's answer, and has the client's written."""
 
@@ -175,19 +139,8 @@
         attempt = self._attempt
         if attempt is None:
             return None
-        return OpenAttempt(
-            job_id=self.job.job_id,
-            instance_id=attempt.worker.instance_id,
-            repeat=self.job.repeat,
-            streaming=self.job.streaming,
-            aim_s=self.job.aim_s,
-            pause_s=self.route.pause,
-            sent_at=attempt.sent_at,
-            heard_at=self._loop.time() if self._client_full else attempt.heard_at,
-            deadline=self.job.deadline,
-            connected=attempt.bytes_sent,
-            may_have_run=self._may_have_run(),
-        )
+        heard_at = self._loop.time() if self._client_full else attempt.heard_at
+        return attempt.open(self.job, self.route.pause, heard_at, may_have_run=self._may_have_run())
 
     @isolated
     def shut_down(self) -> None:
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -155,14 +155,14 @@
         self._book = WorkerBook()
         self._state = PublishedState(self._configuration, self._book, self._membership, self._confirmed_as_of)
         self._lease = DutyLease(self._address, now, fresh_fleet=settings.bootstrap, identity=identity)
+        self._build_quota(settings)
         self._sessions = EdgeSessions(
             settings.node_name,
             self._state,
             settings.watch_hold_s(),
             self._sessions_changed,
-            self._quota_asked,
+            self._quota.asked,
         )
-        self._build_quota(settings, now)
         self._transport: Any = PeerLinks(self._simulation, self._address)
         self._driver: Any = ReplicaView(self._machine, self.loop)
         duty = SimulatedListDuty(
