A closed stream is not quiet; a calmer patient timer; the threshold of suspicions as it was

Timers count as late from 20 ms on: a loop that is only busy asked the second control scheduler later than before. The bound of half a service, its invariant and the log field stay.

--- a/reedspoke/cluster/patient_timer.py
+++ b/reedspoke/cluster/patient_timer.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 PASSES_WHEN_LATE = 8  # of the event loop: from bytes on a connection to the task that waits for them
-LATE_S = 0.005  # a loop that is busy, and has not stood still, runs its timers sooner than this
+LATE_S = 0.02  # a loop that is busy, and has not stood still, runs its timers sooner than this
 
 
 class PatientTimer:
--- a/reedspoke/decision/dispatcher.py
+++ b/reedspoke/decision/dispatcher.py
@@ -79,7 +79,7 @@
     def others_suspect(self, suspects: Mapping[str, int], now: float) -> None:
         """How many other schedulers suspect each worker, by instance id; none where it is not named."""
         for service in self._services.values():
-            service.pool.set_others_suspects(suspects, now, self._schedulers)
+            service.pool.set_others_suspects(suspects, now)
 
     def fleet_size(self, schedulers: int, now: float) -> None:
         """The number of schedulers known, this one included; 0: unknown."""
--- a/reedspoke/decision/suspicion.py
+++ b/reedspoke/decision/suspicion.py
@@ -2,10 +2,10 @@
 
 One scheduler sees a small part of a worker's requests: where each had to learn by itself that a worker fails
 them, a worker would fail a few requests of each. So schedulers tell each other which workers have lately
-failed theirs. What one of them says alone counts for nothing, as the fault may be its own link's; of many
-schedulers, more have such a link at any time, so a share of them has to say it. A worker that enough suspect
-is avoided while others have room; it is never left out, so a false suspicion costs little. Where most workers
-of a service would be avoided, none is: the fault is then more likely to lie between them and the schedulers.
+failed theirs. What one of them says alone counts for nothing, as the fault may be its own link's. A worker
+that two suspect is avoided while others have room; it is never left out, so a false suspicion costs little.
+Where most workers of a service would be avoided, none is: the fault is then more likely to lie between them
+and the schedulers.
 
 An error that a worker answers is no sign: some requests fail on every worker.
 
@@ -15,30 +15,21 @@
 
 from __future__ import annotations
 
-import math
-
 from msgspec import Struct
 
 from reedspoke.decision.messages import Cause, Outcome
 
 KEPT_S = 3.0  # after the last failure
-LEAST_SCHEDULERS = 2  # that suspect a worker, this one included, for it to be avoided,
-LEAST_SHARE = 0.03  # and this part of all schedulers
+LEAST_SCHEDULERS = 2  # that suspect a worker, this one included, for it to be avoided
 FAILURES = frozenset({Cause.CONNECT_FAILED, Cause.RESET, Cause.SILENT, Cause.WRONG_INSTANCE})
 
 
-def enough_schedulers(schedulers: int) -> int:
-    """How many of so many schedulers have to suspect a worker."""
-    return max(LEAST_SCHEDULERS, math.ceil(LEAST_SHARE * schedulers))
-
-
 class Suspicion(Struct, eq=False):
     """Of one worker; times are those of this scheduler's steady clock."""
 
     until: float = 0.0  # this scheduler's own
     others: int = 0  # other schedulers that suspect it,
     others_until: float = 0.0  # as long as their word counts
-    enough: int = LEAST_SCHEDULERS
 
     def judge(self, outcome: Outcome, cause: Cause, now: float) -> None:
         """An attempt there has ended."""
@@ -47,11 +38,10 @@
         elif outcome is Outcome.OK:
             self.until = 0.0
 
-    def tell(self, others: int, now: float, enough: int = LEAST_SCHEDULERS) -> None:
-        """So many other schedulers suspect it, and so many have to. Their word fades where no newer one
-        comes, as to a scheduler that is cut off."""
+    def tell(self, others: int, now: float) -> None:
+        """So many other schedulers suspect it. Their word fades where no newer one comes, as to a scheduler
+        that is cut off."""
         self.others = others
-        self.enough = enough
         self.others_until = now + KEPT_S
 
     def is_own(self, now: float) -> bool:
@@ -61,4 +51,4 @@
     def is_shared(self, now: float) -> bool:
         """Whether enough schedulers suspect it."""
         others = self.others if now < self.others_until else 0
-        return others + self.is_own(now) >= self.enough
+        return others + self.is_own(now) >= LEAST_SCHEDULERS
--- a/reedspoke/decision/worker_pool.py
+++ b/reedspoke/decision/worker_pool.py
@@ -8,7 +8,6 @@
 from reedspoke.decision.messages import AttemptEnd, Cause, Job, Load, Outcome, Upstream, WorkerEntry
 from reedspoke.decision.placement import Placed, Placement
 from reedspoke.decision.prefix_cache import chain_of
-from reedspoke.decision.suspicion import enough_schedulers
 from reedspoke.decision.urgency import urgency_of
 from reedspoke.decision.worker_state import Running, WorkerState
 from reedspoke.telemetry.invariants import Invariant, check
@@ -25,6 +24,7 @@
         self._speed = EngineSpeed()
         self._workers: dict[str, WorkerState] = {}
         self._usable: list[WorkerState] = []
+        self._told_of: list[str] = []  # workers that other schedulers suspect
         self.placement = Placement(zone, upstream.engine is not None, self._speed)
 
     def set_upstream(self, upstream: Upstream) -> None:
@@ -72,22 +72,23 @@
         busy = ((name, worker) for name, worker in self._workers.items() if worker.running)
         return {name: Load(worker.used, worker.kept_tokens) for name, worker in busy}
 
-    def set_others_suspects(self, suspects: Mapping[str, int], now: float, schedulers: int) -> None:
-        """How many other schedulers suspect each worker, of all that there are."""
-        enough = enough_schedulers(schedulers)
+    def set_others_suspects(self, suspects: Mapping[str, int], now: float) -> None:
+        """How many other schedulers suspect each worker."""
+        self._told_of = [name for name in self._workers if suspects.get(name)]
         for name, worker in self._workers.items():
-            worker.suspicion.tell(suspects.get(name, 0), now, enough)
+            worker.suspicion.tell(suspects.get(name, 0), now)
         if self._avoids_too_many(now):
-            for worker in self._workers.values():
-                worker.suspicion.tell(0, now, enough)
+            for name in self._told_of:
+                self._workers[name].suspicion.tell(0, now)
         check(Invariant.MOST_WORKERS_ARE_USED, not self._avoids_too_many(now), avoided=self.avoided(now))
 
     def _avoids_too_many(self, now: float) -> bool:
         return len(self.avoided(now)) > MOST_AVOIDED * len(self._workers)
 
     def avoided(self, now: float) -> list[str]:
-        """Workers that enough schedulers suspect."""
-        return [name for name, worker in self._workers.items() if worker.suspicion.is_shared(now)]
+        """Workers that enough schedulers suspect; this one alone is never enough."""
+        told_of = ((name, self._workers.get(name)) for name in self._told_of)
+        return [name for name, worker in told_of if worker is not None and worker.suspicion.is_shared(now)]
 
     def own_suspects(self, now: float) -> list[str]:
         """The workers that have lately failed our requests; none where most have, as the fault is then more
--- a/reedspoke/net/streams.py
+++ b/reedspoke/net/streams.py
@@ -95,13 +95,16 @@
 
 
 def is_quiet(source: IOStream) -> bool:
-    """Whether nothing has come, no byte and no end, that is still unread."""
+    """Whether nothing has come, no byte and no end, that is still unread. A stream that has closed, as at a
+    reset whose end has not been told yet, has no socket left."""
+    if source.closed():
+        return False
     try:
         socket.socket.recv(source.socket, 1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
-        return not source.closed()
+        return True
     except OSError:
-        pass
+        return False
     return False
 
 
