--- a/reedspoke/control_plane/list_duty.py
+++ b/reedspoke/control_plane/list_duty.py
@@ -28,10 +28,6 @@
 Send = Callable[[list[Outgoing]], None]
 
 
-class LeaseLostError(Exception):
-    """The lease ended between two calls of one list."""
-
-
 class ListDuty:
     """Runs for the life of the process; does something only while the lease is held."""
 
@@ -87,6 +83,7 @@
             except (PlatformRateError, PlatformError):
                 await asyncio.sleep(RETRY_S)
                 continue
+            assert pages is not None
             workers = WorkerList(UNLEASED_VERSION, merge_pages(pages))
             if self._book.adopt(workers, self._loop.time()):
                 self._publish(workers)
@@ -96,27 +93,28 @@
         """One call of the whole list; the time from its start to the next one."""
         try:
             pages = await self._pages(self._client, self._lease.term)
-        except LeaseLostError:
-            return 0.0
         except PlatformRateError:
             return LIST_INTERVAL_S
         except PlatformError as error:
             return self._failed(str(error))
+        if pages is None:
+            return 0.0
         if self._failing_since is not None:
             log(INFO, "platform list answers again")
             self._failing_since = None
         self._answered(merge_pages(pages))
         return max(LIST_INTERVAL_S, len(pages) * self._call_gap())
 
-    async def _pages(self, client: PlatformClient, term: int | None) -> list[PlatformPage]:
-        """All pages, called under this term of the lease; None: without the lease."""
+    async def _pages(self, client: PlatformClient, term: int | None) -> list[PlatformPage] | None:
+        """All pages, called under this term of the lease; None: without the lease. The result is None where
+        the lease has ended between two of them."""
         pages = [await client.page(None)]
         while pages[-1].next_token is not None:
             if len(pages) >= MOST_PAGES:
                 raise PlatformError("the list has too many pages")
             await asyncio.sleep(self._call_gap())
             if term is not None and not self._holds(term):
-                raise LeaseLostError
+                return None
             pages.append(await client.page(pages[-1].next_token))
         return pages
 
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -115,7 +115,7 @@
 
     platform_client: PlatformClient
 
-    async def _pages(self, client: PlatformClient, term: int | None) -> list[PlatformPage]:
+    async def _pages(self, client: PlatformClient, term: int | None) -> list[PlatformPage] | None:
         return await super()._pages(self.platform_client, term)
 
 
