--- a/reedspoke/control_plane/api/call_log.py
+++ b/reedspoke/control_plane/api/call_log.py
@@ -13,14 +13,22 @@
 from reedspoke.telemetry.metrics import Registry
 
 CALL_EVENT = "operator call"
+CONNECTION_REFUSED_EVENT = "operator connection refused"
+MALFORMED_EVENT = "operator request malformed"
+UNKNOWN_PATH = "unknown"  # label of a path that nothing serves: callers must not be able to add labels
+CLIENT_GONE = 499  # status of a call whose caller has closed the connection before its response
 DURATION_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0)
 SUCCESS = 200
 
 
 class CompletedCall(Struct, frozen=True):
-    """A call of an operator with its response; `error` is None for a success."""
+    """A call of an operator with its response; `error` is None for a success.
+
+    `path` is the served path as the API describes it, or UNKNOWN_PATH.
+    """
 
     request: Request
+    path: str
     status: int
     error: FleetError | None
     duration_s: float
@@ -42,16 +50,36 @@
         self._durations = registry.histogram(
             "reedspoke_operator_call_seconds", "Time until a call was answered.", DURATION_BUCKETS_S
         )
+        self._refused = registry.counter(
+            "reedspoke_operator_connections_refused_total", "Connections of operators beyond the limit."
+        )
+        self._malformed = registry.counter(
+            "reedspoke_operator_requests_malformed_total",
+            "Requests of operators that are no HTTP.",
+            ("status",),
+        )
 
     def call_completed(self, call: CompletedCall) -> None:
         """Count a call, and log it where it was a change or failed."""
         request = call.request
         code = "" if call.code is None else str(int(call.code))
-        self._calls.add(request.method, request.path, str(call.status), code)
+        self._calls.add(request.method, call.path, str(call.status), code)
         self._durations.observe(call.duration_s)
         if request.method == "PUT" or call.status != SUCCESS:
             self._log(call)
 
+    def connection_refused(self, open_connections: int) -> None:
+        """Count and log a connection that was closed unread, as too many are open."""
+        self._refused.add()
+        if self._rate_limiter.allows():
+            log(WARNING, CONNECTION_REFUSED_EVENT, open=open_connections)
+
+    def request_malformed(self, status: int, message: str) -> None:
+        """Count and log a request that could not be read, with the status that it was answered."""
+        self._malformed.add(str(status))
+        if self._rate_limiter.allows():
+            log(WARNING, MALFORMED_EVENT, status=status, message=message)
+
     def _log(self, call: CompletedCall) -> None:
         if not self._rate_limiter.allows():
             return
--- a/reedspoke/control_plane/api/error_responses.py
+++ b/reedspoke/control_plane/api/error_responses.py
@@ -10,6 +10,7 @@
 
 UNAVAILABLE = 503
 RETRY_AFTER_S = "0.1"
+UNKNOWN_METHOD = "unknown method for this path"
 
 STATUS_BY_CODE = {
     ErrorCode.CONFIGURATION_UNREADABLE: 400,
@@ -53,7 +54,7 @@
 
 def method_not_allowed(allowed: list[str]) -> Response:
     """The response to a method that the path does not have."""
-    response = Response(405, _error_body(ErrorCode.MALFORMED_REQUEST, "unknown method for this path"))
+    response = Response(405, _error_body(ErrorCode.MALFORMED_REQUEST, UNKNOWN_METHOD))
     response.headers["Allow"] = ", ".join(allowed)
     return response
 
--- a/reedspoke/control_plane/api/http_connection.py
+++ b/reedspoke/control_plane/api/http_connection.py
@@ -37,6 +37,9 @@
     def connection_opened(self, connection: HttpConnection) -> bool:
         """Register a connection; False where there are too many."""
 
+    def request_malformed(self, status: int, message: str) -> None:
+        """Take note of a request that is no proper HTTP, and of its status."""
+
     def connection_closed(self, connection: HttpConnection) -> None:
         """Remove a connection that is over."""
 
@@ -171,5 +174,6 @@
         self._lingering.begin()
 
     def _reject(self, error: MalformedError) -> None:
+        self._server.request_malformed(error.status, str(error))
         response = Response(error.status, self._server.error_body(error.status, str(error)))
         self._write(response, keep_alive=False)
--- a/reedspoke/control_plane/api/http_server.py
+++ b/reedspoke/control_plane/api/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 
 from reedspoke.common.node_settings import split_address
 from reedspoke.control_plane.api.http_connection import ErrorBody, Handler, HttpConnection
@@ -11,15 +12,28 @@
 SWEEP_INTERVAL_S = 2.0  # between two searches for connections that are overdue
 
 
+class RefusalObserver(Protocol):
+    """Is told of what ends before it reaches the handler."""
+
+    def connection_refused(self, open_connections: int) -> None:
+        """A connection beyond the limit was closed unread."""
+
+    def request_malformed(self, status: int, message: str) -> None:
+        """A request that is no proper HTTP was answered with this status."""
+
+
 class HttpServer:
     """Listens, and passes complete requests to the handler.
 
     `error_body` makes the body of the response to a request that is no proper HTTP.
     """
 
-    def __init__(self, handler: Handler, error_body: ErrorBody) -> None:
+    def __init__(
+        self, handler: Handler, error_body: ErrorBody, observer: RefusalObserver | None = None
+    ) -> None:
         self.handler = handler
         self.error_body = error_body
+        self.observer = observer
         self.closing = False  # every response ends its connection
         self._connections: set[HttpConnection] = set()
         self._server: asyncio.Server | None = None
@@ -44,10 +58,17 @@
     def connection_opened(self, connection: HttpConnection) -> bool:
         """Register a connection; False where there are too many."""
         if len(self._connections) >= MAX_CONNECTIONS:
+            if self.observer is not None:
+                self.observer.connection_refused(len(self._connections))
             return False
         self._connections.add(connection)
         return True
 
+    def request_malformed(self, status: int, message: str) -> None:
+        """Pass on that a request is no proper HTTP."""
+        if self.observer is not None:
+            self.observer.request_malformed(status, message)
+
     def connection_closed(self, connection: HttpConnection) -> None:
         """Remove a connection that is over."""
         self._connections.discard(connection)
--- a/reedspoke/control_plane/api/operator_api.py
+++ b/reedspoke/control_plane/api/operator_api.py
@@ -10,8 +10,13 @@
 
 from reedspoke.common.errors import ErrorCode, FleetError
 from reedspoke.control_plane.api.backend import OperatorBackend
-from reedspoke.control_plane.api.call_log import CompletedCall
-from reedspoke.control_plane.api.error_responses import UNAVAILABLE, error_response, method_not_allowed
+from reedspoke.control_plane.api.call_log import CLIENT_GONE, UNKNOWN_PATH, CompletedCall
+from reedspoke.control_plane.api.error_responses import (
+    UNAVAILABLE,
+    UNKNOWN_METHOD,
+    error_response,
+    method_not_allowed,
+)
 from reedspoke.control_plane.api.http_messages import Request, Response
 from reedspoke.control_plane.api.schemas import Accepted
 
@@ -45,14 +50,22 @@
         """Answer one request, within RESPONSE_TIMEOUT_S."""
         methods = OPERATIONS.get(request.path)
         if methods is None:
-            return error_response(FleetError(ErrorCode.NO_ROUTE, f"unknown path {request.path}"))
+            error = FleetError(ErrorCode.NO_ROUTE, f"unknown path {request.path}")
+            return self._turned_away(request, UNKNOWN_PATH, error, error_response(error))
         operation = methods.get(request.method)
         if operation is None:
-            return method_not_allowed(list(methods))
+            error = FleetError(ErrorCode.MALFORMED_REQUEST, UNKNOWN_METHOD)
+            return self._turned_away(request, request.path, error, method_not_allowed(list(methods)))
         if self._pending >= MAX_PENDING_CALLS:
-            return error_response(FleetError(ErrorCode.OVERLOADED, "too many calls are waiting"))
+            error = FleetError(ErrorCode.OVERLOADED, "too many calls are waiting")
+            return self._turned_away(request, request.path, error, error_response(error))
         return await self._run(operation, request)
 
+    def _turned_away(self, request: Request, path: str, error: FleetError, response: Response) -> Response:
+        """A call that no operation takes is counted and logged like any other."""
+        self._backend.call_completed(CompletedCall(request, path, response.status, error, 0.0))
+        return response
+
     async def _run(self, operation: Operation, request: Request) -> Response:
         clock = asyncio.get_running_loop()
         started_at = clock.time()
@@ -63,6 +76,10 @@
         except FleetError as raised:
             error = raised
             response = error_response(error)
+        except asyncio.CancelledError:
+            duration_s = clock.time() - started_at
+            self._backend.call_completed(CompletedCall(request, request.path, CLIENT_GONE, None, duration_s))
+            raise
         finally:
             self._pending -= 1
         # The majority may have been lost while the call was pending: then no definite answer may leave.
@@ -71,7 +88,7 @@
             error = FleetError(ErrorCode.NO_QUORUM, "no majority stands behind this machine")
             response = error_response(error)
         duration_s = clock.time() - started_at
-        self._backend.call_completed(CompletedCall(request, response.status, error, duration_s))
+        self._backend.call_completed(CompletedCall(request, request.path, response.status, error, duration_s))
         return response
 
     async def put_configuration(self, request: Request) -> Response:
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -113,6 +113,7 @@
 
     def _build_endpoints(self, settings: NodeSettings) -> None:
         self._registry = Registry()
+        call_log = OperatorCallLog(self._registry, LogRateLimiter(self._loop.time))
         self._backend = NodeBackend(
             node_name=settings.node_name,
             address=self._address,
@@ -122,10 +123,10 @@
             published=self._published,
             publisher=self._publisher,
             sessions=self._sessions,
-            call_log=OperatorCallLog(self._registry, LogRateLimiter(self._loop.time)),
+            call_log=call_log,
         )
         add_state_metrics(self._registry, self._backend)
-        self._api = HttpServer(OperatorApi(self._backend).handle, malformed_request_body)
+        self._api = HttpServer(OperatorApi(self._backend).handle, malformed_request_body, call_log)
 
     def _make_address(self, settings: NodeSettings) -> str:
         return f"{settings.ip_address}:{settings.internal_ports[0]}"
--- a/tests/control_plane_process/test_http_server_edges.py
+++ b/tests/control_plane_process/test_http_server_edges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import socket
 import struct
@@ -249,3 +250,42 @@
         assert answer.startswith(b"HTTP/1.1 200 ")
 
     assert with_server(scene).paths == ["/a"]
+
+
+class Refusals:
+    """What a server passes on of what never reached its handler."""
+
+    def __init__(self) -> None:
+        self.connections: list[int] = []
+        self.malformed: list[int] = []
+
+    def connection_refused(self, open_connections: int) -> None:
+        self.connections.append(open_connections)
+
+    def request_malformed(self, status: int, message: str) -> None:
+        assert message
+        self.malformed.append(status)
+
+
+def test_what_never_reaches_the_handler_is_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 1)
+    refusals = Refusals()
+
+    async def run() -> None:
+        server = HttpServer(Operators().answer, malformed_request_body, refusals)
+        address = f"{HOST}:{free_port((HOST,))}"
+        await server.listen(address)
+        try:
+            async with asyncio.timeout(8):
+                reader, writer = await asyncio.open_connection(*split_address(address))
+                second, _ = await asyncio.open_connection(*split_address(address))
+                with contextlib.suppress(ConnectionError):
+                    await second.read()
+                writer.write(b"nonsense\r\n\r\n")
+                await reader.readline()
+                writer.close()
+        finally:
+            server.close()
+
+    asyncio.run(run())
+    assert (refusals.connections, refusals.malformed) == ([1], [400])
--- a/tests/control_plane_process/test_metrics.py
+++ b/tests/control_plane_process/test_metrics.py
@@ -49,3 +49,16 @@
     )
     assert 'reedspoke_invariant_violations_total{invariant="read_has_grant"} 0' in text
     assert "reedspoke_unhandled_errors_total 0" in text
+
+
+def test_a_call_that_nothing_serves_is_logged_and_counted(fleet: Fleet) -> None:
+    node = fleet.nodes[0]
+    reply = call(node.control, "POST", "/reedspoke/nothing/here", b"{}")
+    assert reply is not None
+    assert reply.status == 404
+    (line,) = [line for line in operator_calls(fleet) if line["status"] == 404]
+    assert (line["level"], line["path"], line["code"]) == ("warning", "/reedspoke/nothing/here", 501)
+    metrics = call(f"{node.host}:{fleet.metrics_port}", "GET", "/metrics")
+    assert metrics is not None
+    counted = 'reedspoke_operator_calls_total{method="POST",path="unknown",status="404",code="501"} 1'
+    assert counted in metrics.body.decode()
--- a/tests/control_plane_process/test_operator_api.py
+++ b/tests/control_plane_process/test_operator_api.py
@@ -12,7 +12,7 @@
 from reedspoke.common.configuration_parsing import parse_configuration
 from reedspoke.common.errors import ErrorCode, FleetError
 from reedspoke.control_plane.api import operator_api
-from reedspoke.control_plane.api.call_log import CompletedCall
+from reedspoke.control_plane.api.call_log import CLIENT_GONE, UNKNOWN_PATH, CompletedCall
 from reedspoke.control_plane.api.error_responses import status_of
 from reedspoke.control_plane.api.http_messages import Request, Response
 from reedspoke.control_plane.api.operator_api import OPERATIONS, OperatorApi
@@ -212,3 +212,40 @@
 
     _, second = asyncio.run(two_calls())
     assert (second.status, error_code(second)) == (503, ErrorCode.OVERLOADED)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "label", "status", "code"),
+    [
+        ("POST", "/reedspoke/nothing/here", UNKNOWN_PATH, 404, ErrorCode.NO_ROUTE),
+        ("PATCH", PATH, PATH, 405, ErrorCode.MALFORMED_REQUEST),
+    ],
+)
+def test_a_call_that_nothing_serves_is_noted(
+    method: str, path: str, label: str, status: int, code: ErrorCode
+) -> None:
+    backend = FakeBackend()
+    assert answered(backend, method, path).status == status
+    (call,) = backend.completed
+    assert (call.request.path, call.path, call.status, call.code) == (path, label, status, code)
+
+
+def test_a_call_beyond_the_limit_is_noted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "MAX_PENDING_CALLS", 0)
+    backend = FakeBackend()
+    assert answered(backend, "GET").status == 503
+    assert [(call.status, call.code) for call in backend.completed] == [(503, ErrorCode.OVERLOADED)]
+
+
+def test_a_call_whose_caller_leaves_is_noted() -> None:
+    backend = FakeBackend()
+    backend.get_answer = None
+
+    async def leave() -> None:
+        call = asyncio.ensure_future(OperatorApi(backend).handle(Request("GET", PATH, {}, b"")))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+
+    asyncio.run(leave())
+    assert [call.status for call in backend.completed] == [CLIENT_GONE]
