--- a/reedspoke/common/errors.py
+++ b/reedspoke/common/errors.py
@@ -36,6 +36,9 @@
     PLATFORM_FAILED = 306
     PLATFORM_RATE = 307
     FRAME_MALFORMED = 308
+    TALLY_UNCLEAR = 309
+    TALLIES_FULL = 310
+    TALLIES_BEHIND = 311
 
     STORAGE_CORRUPT = 401
     STORAGE_FULL = 402
@@ -56,6 +59,7 @@
     KEY_IN_DOUBT = 513
     QUOTA_SPENT = 514
     QUOTA_UNAVAILABLE = 515
+    TALLY_MALFORMED = 516
 
 
 class NumberedError(Exception):
--- a/reedspoke/control_plane/api/backend.py
+++ b/reedspoke/control_plane/api/backend.py
@@ -9,6 +9,7 @@
 from reedspoke.control_plane.api.call_log import CompletedCall
 from reedspoke.control_plane.api.schemas import StatusAnswer
 from reedspoke.control_plane.replication.effects import GetCompleted, PutCompleted
+from reedspoke.control_plane.tallies.messages import TallyAdd
 
 
 class OperatorBackend(Protocol):
@@ -26,6 +27,15 @@
     def get(self) -> Awaitable[GetCompleted]:
         """Read the newest configuration. Raises FleetError where that cannot be tried."""
 
+    def add_to_tally(self, add: TallyAdd) -> Awaitable[None]:
+        """Count an add once, at this node and those it can reach.
+
+        Raises FleetError: TALLY_UNCLEAR where it may have counted, any other where nothing was done.
+        """
+
+    def tally_total(self, tally: str) -> int:
+        """The sum of a tally's adds, as far as this node knows them. Raises FleetError while it is behind."""
+
     def holds_majority(self) -> bool:
         """Whether a majority of voters stands behind this node at this instant."""
 
--- a/reedspoke/control_plane/api/error_responses.py
+++ b/reedspoke/control_plane/api/error_responses.py
@@ -9,6 +9,8 @@
 from reedspoke.control_plane.api.schemas import ErrorAnswer, ErrorDetail
 
 UNAVAILABLE = 503
+UNCLEAR = 504  # the call may have taken effect, or may yet
+TOO_MANY = 429  # nothing was done, and nothing will be until there is room
 RETRY_AFTER_S = "0.1"
 UNKNOWN_METHOD = "unknown method for this path"
 
@@ -28,6 +30,9 @@
     ErrorCode.NO_CONFIGURATION: 404,
     ErrorCode.NO_ROUTE: 404,
     ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.TALLY_MALFORMED: 400,
+    ErrorCode.TALLY_UNCLEAR: UNCLEAR,
+    ErrorCode.TALLIES_FULL: TOO_MANY,
 }
 
 
@@ -37,10 +42,10 @@
 
 
 def error_response(error: FleetError) -> Response:
-    """The response for an error; a 503 has Retry-After."""
+    """The response for an error; one that promises that nothing was done has Retry-After."""
     status = status_of(error.code)
     response = Response(status, _error_body(error.code, error.message))
-    if status == UNAVAILABLE:
+    if status in (UNAVAILABLE, TOO_MANY):
         response.headers["Retry-After"] = RETRY_AFTER_S
     return response
 
--- a/reedspoke/control_plane/api/http_messages.py
+++ b/reedspoke/control_plane/api/http_messages.py
@@ -13,10 +13,12 @@
     405: "Method Not Allowed",
     412: "Precondition Failed",
     413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     501: "Not Implemented",
     503: "Service Unavailable",
+    504: "Gateway Timeout",
     505: "HTTP Version Not Supported",
 }
 
--- a/reedspoke/control_plane/api/http_server.py
+++ b/reedspoke/control_plane/api/http_server.py
@@ -8,7 +8,7 @@
 from reedspoke.common.node_settings import split_address
 from reedspoke.control_plane.api.http_connection import ErrorBody, Handler, HttpConnection
 
-MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 256
 SWEEP_INTERVAL_S = 2.0  # between two searches for connections that are overdue
 
 
--- a/reedspoke/control_plane/api/operator_api.py
+++ b/reedspoke/control_plane/api/operator_api.py
@@ -1,8 +1,11 @@
-"""The operators' calls: put, get and status. `openapi/operator.json` describes them."""
+"""The calls of operators and applications: configuration, status, tallies. `openapi/operator.json` describes
+them.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -18,12 +21,14 @@
     method_not_allowed,
 )
 from reedspoke.control_plane.api.http_messages import Request, Response
-from reedspoke.control_plane.api.schemas import Accepted
+from reedspoke.control_plane.api.schemas import Accepted, TallyTotal
+from reedspoke.control_plane.api.tally_calls import TALLY_PATH, TALLY_PREFIX, add_of, tally_name
 
 CONFIGURATION_PATH = "/reedspoke/configuration"
 STATUS_PATH = "/reedspoke/status"
 RESPONSE_TIMEOUT_S = 0.94  # callers go to another node after a second without a response
 MAX_PENDING_CALLS = 64
+MAX_PENDING_TALLY_CALLS = 256  # counted apart: applications must not keep operators out
 MAX_GENERATION = 2**63 - 1
 MAX_MATCH_DIGITS = 18
 
@@ -36,40 +41,51 @@
     needs_majority: bool = True  # at the instant at which the response is given
 
 
+def served_path(path: str) -> str:
+    """The path of OPERATIONS under which a request's path is served; itself where there is none."""
+    is_tally = path.startswith(TALLY_PREFIX) and path != TALLY_PREFIX and "/" not in path[len(TALLY_PREFIX) :]
+    return TALLY_PATH if is_tally else path
+
+
 class OperatorApi:
     """Turns requests into calls of the backend, and their results into responses.
 
-    It owns the number of pending calls, which is bounded.
+    It owns the numbers of pending calls, which are bounded.
     """
 
     def __init__(self, backend: OperatorBackend) -> None:
         self._backend = backend
-        self._pending = 0
+        self._pending: Counter[bool] = Counter()  # by whether the calls are for tallies
 
     async def handle(self, request: Request) -> Response:
         """Answer one request, within RESPONSE_TIMEOUT_S."""
-        methods = OPERATIONS.get(request.path)
+        path = served_path(request.path)
+        methods = OPERATIONS.get(path)
         if methods is None:
             error = FleetError(ErrorCode.NO_ROUTE, f"unknown path {request.path}")
             return self._turned_away(request, UNKNOWN_PATH, error, error_response(error))
         operation = methods.get(request.method)
         if operation is None:
             error = FleetError(ErrorCode.MALFORMED_REQUEST, UNKNOWN_METHOD)
-            return self._turned_away(request, request.path, error, method_not_allowed(list(methods)))
-        if self._pending >= MAX_PENDING_CALLS:
+            return self._turned_away(request, path, error, method_not_allowed(list(methods)))
+        is_tally = path == TALLY_PATH
+        if self._pending[is_tally] >= (MAX_PENDING_TALLY_CALLS if is_tally else MAX_PENDING_CALLS):
             error = FleetError(ErrorCode.OVERLOADED, "too many calls are waiting")
-            return self._turned_away(request, request.path, error, error_response(error))
-        return await self._run(operation, request)
+            return self._turned_away(request, path, error, error_response(error))
+        self._pending[is_tally] += 1
+        try:
+            return await self._run(operation, request, path)
+        finally:
+            self._pending[is_tally] -= 1
 
     def _turned_away(self, request: Request, path: str, error: FleetError, response: Response) -> Response:
         """A call that no operation takes is counted and logged like any other."""
         self._backend.call_completed(CompletedCall(request, path, response.status, error, 0.0))
         return response
 
-    async def _run(self, operation: Operation, request: Request) -> Response:
+    async def _run(self, operation: Operation, request: Request, path: str) -> Response:
         clock = asyncio.get_running_loop()
         started_at = clock.time()
-        self._pending += 1
         error: FleetError | None = None
         try:
             response = await operation.run(self, request)
@@ -78,17 +94,15 @@
             response = error_response(error)
         except asyncio.CancelledError:
             duration_s = clock.time() - started_at
-            self._backend.call_completed(CompletedCall(request, request.path, CLIENT_GONE, None, duration_s))
+            self._backend.call_completed(CompletedCall(request, path, CLIENT_GONE, None, duration_s))
             raise
-        finally:
-            self._pending -= 1
         # The majority may have been lost while the call was pending: then no definite answer may leave.
         definite = response.status != UNAVAILABLE
         if operation.needs_majority and definite and not self._backend.holds_majority():
             error = FleetError(ErrorCode.NO_QUORUM, "no majority stands behind this machine")
             response = error_response(error)
         duration_s = clock.time() - started_at
-        self._backend.call_completed(CompletedCall(request, request.path, response.status, error, duration_s))
+        self._backend.call_completed(CompletedCall(request, path, response.status, error, duration_s))
         return response
 
     async def put_configuration(self, request: Request) -> Response:
@@ -120,6 +134,24 @@
         headers = {"Content-Type": "application/json", "ETag": f'"{answer.committed.generation}"'}
         return Response(200, answer.committed.document, headers)
 
+    async def add_to_tally(self, request: Request) -> Response:
+        """Count an add once, on either side of a partition.
+
+        Raises FleetError: TALLY_UNCLEAR where it may have counted, any other where nothing was done.
+        """
+        add = add_of(request)
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                await self._backend.add_to_tally(add)
+        except TimeoutError:
+            raise FleetError(ErrorCode.TALLY_UNCLEAR, "not on enough disks yet; send it again") from None
+        return Response(200, b"{}")
+
+    async def get_tally(self, request: Request) -> Response:
+        """The total of a tally; 0 for a new name. Raises FleetError while this node is behind."""
+        total = self._backend.tally_total(tally_name(request.path))
+        return Response(200, msgspec.json.encode(TallyTotal(total)))
+
     async def get_status(self, request: Request) -> Response:
         """The state of this node; it is answered without a majority too."""
         return Response(200, msgspec.json.encode(self._backend.status()))
@@ -153,6 +185,16 @@
 }
 STATUS_ERRORS = frozenset((ErrorCode.OVERLOADED, ErrorCode.MALFORMED_REQUEST))
 GET_ERRORS = UNAVAILABLE_ERRORS | {ErrorCode.NO_CONFIGURATION, ErrorCode.MALFORMED_REQUEST}
+TALLY_ERRORS = frozenset(
+    (
+        ErrorCode.TALLY_MALFORMED,
+        ErrorCode.TALLIES_BEHIND,
+        ErrorCode.SHUTTING_DOWN,
+        ErrorCode.OVERLOADED,
+        ErrorCode.MALFORMED_REQUEST,
+    )
+)
+ADD_ERRORS = TALLY_ERRORS | {ErrorCode.TALLY_UNCLEAR, ErrorCode.TALLIES_FULL, ErrorCode.STORAGE_FAILED}
 
 OPERATIONS: dict[str, dict[str, Operation]] = {
     CONFIGURATION_PATH: {
@@ -166,6 +208,12 @@
             needs_majority=False,
         )
     },
+    # A path that is missing here is answered 404, however well it is described elsewhere. Tallies count on
+    # either side of a partition, so they need no majority.
+    TALLY_PATH: {
+        "GET": Operation(OperatorApi.get_tally, TALLY_ERRORS, needs_majority=False),
+        "POST": Operation(OperatorApi.add_to_tally, ADD_ERRORS, needs_majority=False),
+    },
 }
 
 
--- a/reedspoke/control_plane/api/schemas.py
+++ b/reedspoke/control_plane/api/schemas.py
@@ -29,6 +29,19 @@
     error: ErrorDetail
 
 
+class TallyChange(Struct):
+    """Body of an add to a tally: how much, and an id under which it counts once."""
+
+    instance_id: str
+    held_by: int
+
+
+class TallyTotal(Struct):
+    """Body of the answer to a read of a tally."""
+
+    total: int
+
+
 class StatusAnswer(Struct):
     """The state of this scheduler, for the command line."""
 
--- /dev/null
+++ b/reedspoke/control_plane/api/tally_calls.py
@@ -0,0 +1,51 @@
+"""The applications' calls for tallies: what their paths and bodies say."""
+
+from __future__ import annotations
+
+import re
+from hashlib import blake2b
+
+import msgspec
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.control_plane.api.http_messages import Request
+from reedspoke.control_plane.api.schemas import TallyChange
+from reedspoke.control_plane.tallies.messages import TallyAdd
+
+TALLY_PREFIX = "/reedspoke/tallies/"
+TALLY_PATH = "/reedspoke/tallies/{tally}"
+MAX_NAME_LENGTH = 128
+MAX_AMOUNT = 2**53  # beyond it, JSON numbers are not exact everywhere
+ID_BYTES = 8
+PLAIN_ID = re.compile("[0-9a-f]{16}")  # such an id is its own number, without a hash
+
+
+def tally_name(path: str) -> str:
+    """The tally that a path names. Raises FleetError for a name that is too long."""
+    name = path.removeprefix(TALLY_PREFIX)
+    if len(name) > MAX_NAME_LENGTH:
+        raise FleetError(
+            ErrorCode.TALLY_MALFORMED, f"a tally's name has {MAX_NAME_LENGTH} characters at most"
+        )
+    return name
+
+
+def add_of(request: Request) -> TallyAdd:
+    """The add that a request asks for. Raises FleetError where its body is not one."""
+    name = tally_name(request.path)
+    try:
+        change = msgspec.json.decode(request.body, type=TallyChange)
+    except msgspec.DecodeError as error:
+        raise FleetError(ErrorCode.TALLY_MALFORMED, str(error)) from error
+    if not change.instance_id:
+        raise FleetError(ErrorCode.TALLY_MALFORMED, "instance_id is empty")
+    if abs(change.held_by) > MAX_AMOUNT:
+        raise FleetError(ErrorCode.TALLY_MALFORMED, f"held_by {change.held_by} is out of range")
+    return TallyAdd(name, id_number(change.instance_id), change.held_by)
+
+
+def id_number(instance_id: str) -> int:
+    """The 64-bit number of an id: that which 16 hexadecimal digits write, else a BLAKE2b hash."""
+    if PLAIN_ID.fullmatch(instance_id):
+        return int(instance_id, 16)
+    return int.from_bytes(blake2b(instance_id.encode(), digest_size=ID_BYTES).digest(), "big")
--- a/reedspoke/control_plane/metrics.py
+++ b/reedspoke/control_plane/metrics.py
@@ -23,6 +23,9 @@
     def disk_works(self) -> bool:
         """Whether the data folder is open and its disk answers."""
 
+    def tally_figures(self) -> dict[str, float]:
+        """Numbers of the tallies here."""
+
 
 def add_state_metrics(registry: Registry, source: MetricsSource) -> None:
     """Add a gauge for each number of the node's state."""
@@ -46,3 +49,6 @@
         }
 
     registry.labelled_gauge("reedspoke_control_state", "State of this control scheduler.", "what", values)
+    registry.labelled_gauge(
+        "reedspoke_tally_state", "State of the tallies here.", "what", source.tally_figures
+    )
--- a/reedspoke/control_plane/node_backend.py
+++ b/reedspoke/control_plane/node_backend.py
@@ -14,6 +14,8 @@
 from reedspoke.control_plane.peer_exchange import PeerExchange
 from reedspoke.control_plane.replication.driver import ReplicaDriver
 from reedspoke.control_plane.replication.effects import GetCompleted, PutCompleted
+from reedspoke.control_plane.tallies.messages import TallyAdd
+from reedspoke.control_plane.tallies.service import TallyService
 from reedspoke.control_plane.workers.discovery_lease import DiscoveryLease
 
 
@@ -34,6 +36,7 @@
         published: PublishedState,
         publisher: ConfigurationPublisher,
         sessions: EdgeSessions,
+        tallies: TallyService,
         call_log: OperatorCallLog,
     ) -> None:
         self.node_name = node_name
@@ -45,6 +48,7 @@
         self._published = published
         self._publisher = publisher
         self._sessions = sessions
+        self._tallies = tallies
         self._call_log = call_log
         self._loop = asyncio.get_running_loop()
 
@@ -67,6 +71,15 @@
         self._check_not_shutting_down()
         return self._driver.get()
 
+    async def add_to_tally(self, add: TallyAdd) -> None:
+        """Count an add once. Raises FleetError: with TALLY_UNCLEAR it may have counted."""
+        self._check_not_shutting_down()
+        await self._tallies.add(add)
+
+    def tally_total(self, tally: str) -> int:
+        """The sum of a tally's adds. Raises FleetError while this node is behind."""
+        return self._tallies.total(tally)
+
     def holds_majority(self) -> bool:
         """Whether a majority of voters stands behind this node at this instant."""
         return self._driver.holds_majority()
@@ -115,3 +128,7 @@
     def disk_works(self) -> bool:
         """Whether the data folder is open and its disk answers."""
         return self._driver.disk_works
+
+    def tally_figures(self) -> dict[str, float]:
+        """Numbers of the tallies here."""
+        return self._tallies.figures()
--- a/reedspoke/control_plane/peer_exchange.py
+++ b/reedspoke/control_plane/peer_exchange.py
@@ -161,9 +161,12 @@
         table = self._membership.next_table(now, self._workers.version, self._workers.highest_seen)
         self._broadcast(encode(table))
 
+    def peers(self) -> frozenset[str]:
+        """The members of the view, and other nodes that were heard from of late."""
+        return frozenset((*self._peers, *self._membership.live_peers(self._loop.time())))
+
     def _broadcast(self, payload: bytes) -> None:
-        """Send to the members of the view, and to other nodes that were heard from of late."""
-        for address in {*self._peers, *self._membership.live_peers(self._loop.time())}:
+        for address in self.peers():
             self._transport.send_encoded(address, payload)
 
     def _refresh_members(self, now: float) -> None:
--- a/reedspoke/control_plane/peers/link.py
+++ b/reedspoke/control_plane/peers/link.py
@@ -30,7 +30,7 @@
     order.
     """
 
-    def __init__(self, address: str, hello: PeerHello) -> None:
+    def __init__(self, address: str, hello: Struct) -> None:
         self.address = address
         self._hello = hello
         self._channel: Channel | None = None
--- a/reedspoke/control_plane/peers/transport.py
+++ b/reedspoke/control_plane/peers/transport.py
@@ -1,14 +1,16 @@
 """Connections between control plane nodes, and the port to which they and data plane nodes connect.
 
 Each node sends over connections that it opened itself, and reads from those that others opened: one to each
-peer for small messages, and one, opened when it is needed, for large ones, so that a document on a slow link
-does not delay heartbeats. Messages may be lost; on one connection they keep their order.
+peer for small messages, one, opened when it is needed, for large ones, so that a document on a slow link does
+not delay heartbeats, and one for tallies, which nodes of an earlier version refuse by its first message and
+lose nothing else. Messages may be lost; on one connection they keep their order.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 from msgspec import Struct
@@ -18,6 +20,7 @@
 from reedspoke.common.transport import CONNECTION_ENDED, Channel
 from reedspoke.control_plane.peers.link import PeerLink
 from reedspoke.control_plane.peers.messages import PeerHello, PeerMessage
+from reedspoke.control_plane.tallies.messages import TallyHello, TallyMessage
 
 MAX_LINKS = 128
 LARGE_BYTES = 64 * 1024  # a message of more goes over the connection for large ones
@@ -26,9 +29,10 @@
 LINK_IDLE_TIMEOUT_S = 30.0  # an outgoing connection that is not used for so long is closed
 PEER_IDLE_TIMEOUT_S = 10.0  # an incoming connection that brings nothing for so long is closed
 
-FirstMessage = PeerHello | WatchRequest | FetchRequest
+FirstMessage = PeerHello | TallyHello | WatchRequest | FetchRequest
 
 PeerMessageHandler = Callable[[str, PeerMessage], None]  # with the sender's address
+TallyMessageHandler = Callable[[str, TallyMessage], None]  # as well
 
 
 class SessionHandler(Protocol):
@@ -41,11 +45,19 @@
         """The connection is over; called for those of control plane nodes too."""
 
 
+class LinkKind(Enum):
+    """What a connection to a peer is for."""
+
+    SMALL = "small"
+    LARGE = "large"
+    TALLIES = "tallies"
+
+
 class LinkKey(Struct, frozen=True):
-    """Which of the connections to a peer: that for large messages or that for all others."""
+    """Which of the connections to a peer."""
 
     address: str
-    for_large: bool
+    kind: LinkKind
 
 
 class IncomingConnection(Struct):
@@ -59,11 +71,18 @@
     """Owns all connections to and from other control plane nodes, and those from data plane nodes."""
 
     def __init__(
-        self, own_address: str, zone: str, on_peer_message: PeerMessageHandler, sessions: SessionHandler
+        self,
+        own_address: str,
+        zone: str,
+        on_peer_message: PeerMessageHandler,
+        on_tally_message: TallyMessageHandler,
+        sessions: SessionHandler,
     ) -> None:
         self._own_address = own_address
         self._hello = PeerHello(own_address, zone)
+        self._tally_hello = TallyHello(own_address, zone)
         self._on_peer_message = on_peer_message
+        self._on_tally_message = on_tally_message
         self._sessions = sessions
         self._links: dict[LinkKey, PeerLink] = {}
         self._incoming: dict[asyncio.Task[None], IncomingConnection] = {}
@@ -81,12 +100,20 @@
 
     def send_encoded(self, address: str, payload: bytes) -> None:
         """Send a message that `encode` has encoded."""
-        key = LinkKey(address, len(payload) > LARGE_BYTES)
+        kind = LinkKind.LARGE if len(payload) > LARGE_BYTES else LinkKind.SMALL
+        self._send(LinkKey(address, kind), payload)
+
+    def send_tally(self, address: str, message: Struct) -> None:
+        """Send a message about tallies; it may be lost."""
+        self._send(LinkKey(address, LinkKind.TALLIES), encode(message))
+
+    def _send(self, key: LinkKey, payload: bytes) -> None:
         link = self._links.get(key)
         if link is None:
-            if address == self._own_address or len(self._links) >= MAX_LINKS:
+            if key.address == self._own_address or len(self._links) >= MAX_LINKS:
                 return
-            link = self._links[key] = PeerLink(address, self._hello)
+            hello = self._tally_hello if key.kind is LinkKind.TALLIES else self._hello
+            link = self._links[key] = PeerLink(key.address, hello)
         link.send(payload)
 
     def close_idle(self) -> None:
@@ -130,16 +157,24 @@
     async def _receive(self, connection: IncomingConnection) -> None:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             first = await connection.channel.receive(FirstMessage)
-        if isinstance(first, PeerHello):
-            await self._receive_from_peer(connection, first.address)
-        else:
-            await self._receive_session(connection, first)
+        match first:
+            case PeerHello():
+                await self._receive_from_peer(connection, first.address)
+            case TallyHello():
+                await self._receive_tallies(connection, first.address)
+            case _:
+                await self._receive_session(connection, first)
 
     async def _receive_from_peer(self, connection: IncomingConnection, sender: str) -> None:
         while True:
             self._on_peer_message(sender, await connection.channel.receive(PeerMessage))
             connection.received_at = self._loop.time()
 
+    async def _receive_tallies(self, connection: IncomingConnection, sender: str) -> None:
+        while True:
+            self._on_tally_message(sender, await connection.channel.receive(TallyMessage))
+            connection.received_at = self._loop.time()
+
     async def _receive_session(self, connection: IncomingConnection, first: EdgeMessage) -> None:
         message = first
         while True:
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+from functools import partial
 from pathlib import Path
 
 from reedspoke.common.background import keep_running
@@ -40,6 +41,8 @@
 from reedspoke.control_plane.replication.view import View
 from reedspoke.control_plane.settings_watcher import SettingsWatcher
 from reedspoke.control_plane.storage.job_thread import JobThread
+from reedspoke.control_plane.tallies.service import TallyService
+from reedspoke.control_plane.tallies.storage import TallyStorage
 from reedspoke.control_plane.workers.discovery import WorkerDiscovery
 from reedspoke.control_plane.workers.discovery_lease import DiscoveryLease
 from reedspoke.control_plane.workers.worker_list import WorkerListState
@@ -47,6 +50,7 @@
 
 MAINTENANCE_INTERVAL_S = 5.0
 EDGE_TTL_HEARTBEATS = 3.0
+TALLY_DRAIN_S = 1.0  # a node that shuts down waits for so long for others to have its tallies
 DISCOVERY_FAILED_EXIT_STATUS = 1
 
 
@@ -62,7 +66,7 @@
         incarnation = self._make_incarnation()
         self._driver = self._make_driver(settings)
         self._build_state(settings, incarnation)
-        self._build_exchange(settings)
+        self._build_exchange(settings, incarnation)
         self._build_endpoints(settings)
 
     # ---- assembly ----
@@ -83,7 +87,7 @@
             self._configuration, self._workers, self._membership, self._publisher.confirmed_as_of
         )
 
-    def _build_exchange(self, settings: NodeSettings) -> None:
+    def _build_exchange(self, settings: NodeSettings, incarnation: int) -> None:
         self._quota = QuotaService(
             self._address,
             settings,
@@ -98,6 +102,7 @@
             lambda: self._exchange.send_table_soon(),
             self._quota.handle_request,
         )
+        self._tallies = self._make_tallies(settings, incarnation)
         self._transport = self._make_transport(settings)
         self._exchange = PeerExchange(
             own_address=self._address,
@@ -123,6 +128,7 @@
             published=self._published,
             publisher=self._publisher,
             sessions=self._sessions,
+            tallies=self._tallies,
             call_log=call_log,
         )
         add_state_metrics(self._registry, self._backend)
@@ -141,11 +147,19 @@
     def _make_document_thread(self) -> JobThread:
         return JobThread("documents")
 
+    def _make_tallies(self, settings: NodeSettings, incarnation: int) -> TallyService:
+        return TallyService(
+            partial(TallyStorage, settings, incarnation),
+            lambda: self._exchange.peers(),
+            lambda address, message: self._transport.send_tally(address, message),
+        )
+
     def _make_transport(self, settings: NodeSettings) -> PeerTransport:
         return PeerTransport(
             self._address,
             settings.zone,
             lambda sender, message: self._exchange.handle(sender, message),
+            self._tallies.received,
             self._sessions,
         )
 
@@ -168,6 +182,7 @@
         if settings.bind.control_plane:
             await self._api.listen(settings.bind.control_plane)
         self._driver.start()
+        self._tallies.start()
         discovery = self._loop.create_task(self._discovery.run())
         discovery.add_done_callback(self._discovery_ended)
         first_list = self._loop.create_task(
@@ -189,6 +204,7 @@
         log(INFO, "shutting down")
         self._exchange.release_lease()
         self._driver.start_shutdown()
+        await self._tallies.drain(TALLY_DRAIN_S)
         await GracefulShutdown(self._driver, self._exchange.is_in_chain, self._grace_s).wait()
         self._sessions.close()
         self._api.close()
@@ -233,6 +249,7 @@
         self._exchange.renew_lease(now)
         self._sessions.check_majority()
         self._quota.tick()
+        self._tallies.tick()
         self._exchange.send_table_when_due(now)
         self._settings.check(now)
         if now >= self._next_maintenance_at:
--- a/reedspoke/control_plane/storage/log_opening.py
+++ b/reedspoke/control_plane/storage/log_opening.py
@@ -16,15 +16,15 @@
 from reedspoke.common.errors import FleetError
 from reedspoke.control_plane.storage.log_format import read_content
 from reedspoke.control_plane.storage.log_slots import (
-    CORRUPT_LOG_NAME,
+    CORRUPT_SUFFIX,
     FIRST_REWRITE_NUMBER,
     FOLDER_ID_BYTES,
     LOG_NAME,
-    OLD_TEMPORARY_NAME,
-    SLOT_NAMES,
+    OLD_TEMPORARY_SUFFIX,
     SlotContent,
     parse_slot,
     slot_content,
+    slot_names,
 )
 from reedspoke.control_plane.storage.log_writer import LogWriter
 from reedspoke.control_plane.storage.synced_files import (
@@ -62,46 +62,46 @@
     damaged: bool
 
 
-def open_log(directory: Path) -> OpenedLog:
-    """Open or make the log of a data folder; all that it returns is synced, and stands twice.
+def open_log(directory: Path, name: str = LOG_NAME) -> OpenedLog:
+    """Open or make a log of a data folder; all that it returns is synced, and stands twice.
 
     What was never synced is cut back to the last batch. Raises FleetError STORAGE_CORRUPT where a good batch
     follows a bad one or the header is wrong, and STORAGE_FULL or STORAGE_FAILED where the disk refuses.
     """
     try:
-        return _open_or_create(directory)
+        return _open_or_create(directory, name)
     except OSError as error:
         raise storage_error(error) from error
 
 
-def quarantine_log(directory: Path) -> Path:
+def quarantine_log(directory: Path, name: str = LOG_NAME) -> Path:
     """Rename a corrupt log so that the folder starts anew; only the newest such file is kept."""
-    corrupt = directory / CORRUPT_LOG_NAME
-    for name in SLOT_NAMES:
-        if os.path.exists(directory / name):
-            os.replace(directory / name, corrupt)
+    corrupt = directory / (name + CORRUPT_SUFFIX)
+    for slot in slot_names(name):
+        if os.path.exists(directory / slot):
+            os.replace(directory / slot, corrupt)
     sync_directory(directory)
     return corrupt
 
 
-def _open_or_create(directory: Path) -> OpenedLog:
+def _open_or_create(directory: Path, name: str) -> OpenedLog:
     os.makedirs(directory, exist_ok=True)
-    succeeds_corrupt = os.path.exists(directory / CORRUPT_LOG_NAME)
-    slots = [slot for name in SLOT_NAMES if (slot := _read_slot(directory / name)) is not None]
+    succeeds_corrupt = os.path.exists(directory / (name + CORRUPT_SUFFIX))
+    slots = [slot for one in slot_names(name) if (slot := _read_slot(directory / one)) is not None]
     if not slots:
-        slots = _old_temporary(directory)
+        slots = _old_temporary(directory, name)
     if not slots:
-        return _create_log(directory, succeeds_corrupt)
+        return _create_log(directory, name, succeeds_corrupt)
     newest = max(slots, key=lambda slot: slot.content.rewrite_number)
-    _remove_others(directory, newest.path)
+    _remove_others(directory, name, newest.path)
     writer = _writer_of(newest)
     content = newest.content
     return OpenedLog(content.folder_id, content.records, writer, False, succeeds_corrupt)
 
 
-def _old_temporary(directory: Path) -> list[_Slot]:
+def _old_temporary(directory: Path, name: str) -> list[_Slot]:
     """A complete rewritten file of the old format whose rename was kept only in part by a loss of power."""
-    slot = _read_slot(directory / OLD_TEMPORARY_NAME)
+    slot = _read_slot(directory / (name + OLD_TEMPORARY_SUFFIX))
     return [] if slot is None else [slot]
 
 
@@ -144,19 +144,19 @@
     )
 
 
-def _create_log(directory: Path, succeeds_corrupt: bool) -> OpenedLog:
-    _remove_others(directory, None)
+def _create_log(directory: Path, name: str, succeeds_corrupt: bool) -> OpenedLog:
+    _remove_others(directory, name, None)
     folder_id = secrets.token_hex(FOLDER_ID_BYTES)
     data = slot_content(folder_id, FIRST_REWRITE_NUMBER, ())
-    path = directory / LOG_NAME
+    path = directory / name
     descriptor = create_file(path, data)
     writer = LogWriter(path, folder_id, FIRST_REWRITE_NUMBER, descriptor, len(data))
     return OpenedLog(folder_id, [], writer, True, succeeds_corrupt)
 
 
-def _remove_others(directory: Path, except_path: Path | None) -> None:
+def _remove_others(directory: Path, name: str, except_path: Path | None) -> None:
     """Remove every file of the log but one, for good."""
-    for name in (*SLOT_NAMES, OLD_TEMPORARY_NAME):
-        path = directory / name
+    for file_name in (*slot_names(name), name + OLD_TEMPORARY_SUFFIX):
+        path = directory / file_name
         if path != except_path and os.path.exists(path):
             remove_file(path)
--- a/reedspoke/control_plane/storage/log_slots.py
+++ b/reedspoke/control_plane/storage/log_slots.py
@@ -11,10 +11,13 @@
 from reedspoke.control_plane.storage.log_format import HEADER, LogContent, encode_batch
 
 LOG_NAME = "control.log"
-OTHER_SLOT_NAME = "control.log.2"
+OTHER_SLOT_SUFFIX = ".2"
+OLD_TEMPORARY_SUFFIX = ".new"  # left by rewrites of files with single copies
+CORRUPT_SUFFIX = ".corrupt"
+OTHER_SLOT_NAME = LOG_NAME + OTHER_SLOT_SUFFIX
 SLOT_NAMES = (LOG_NAME, OTHER_SLOT_NAME)
-OLD_TEMPORARY_NAME = "control.log.new"  # left by rewrites of files with single copies
-CORRUPT_LOG_NAME = "control.log.corrupt"
+OLD_TEMPORARY_NAME = LOG_NAME + OLD_TEMPORARY_SUFFIX
+CORRUPT_LOG_NAME = LOG_NAME + CORRUPT_SUFFIX
 FOLDER_ID_BYTES = 8
 FIRST_REWRITE_NUMBER = 1
 SINGLE_COPY_REWRITE_NUMBER = 0  # files with single copies have none: any rewrite is newer
@@ -61,6 +64,14 @@
         raise FleetError(ErrorCode.STORAGE_CORRUPT, "The log does not tell its rewriting.") from error
 
 
+def slot_names(log_name: str) -> tuple[str, str]:
+    """The two slots of a log."""
+    return log_name, log_name + OTHER_SLOT_SUFFIX
+
+
 def other_slot(path: Path) -> Path:
     """The slot that is not this one."""
-    return path.with_name(LOG_NAME if path.name == OTHER_SLOT_NAME else OTHER_SLOT_NAME)
+    name = path.name
+    if name.endswith(OTHER_SLOT_SUFFIX):
+        return path.with_name(name.removesuffix(OTHER_SLOT_SUFFIX))
+    return path.with_name(name + OTHER_SLOT_SUFFIX)
--- /dev/null
+++ b/reedspoke/control_plane/tallies/counts.py
@@ -0,0 +1,90 @@
+"""The state that is replicated: all tallies with their adds. Two states are joined item by item."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from msgspec import Struct
+
+from reedspoke.control_plane.tallies.amounts_by_id import AmountsById
+from reedspoke.control_plane.tallies.messages import TallyAdd, TallyCursor, TallyItems
+from reedspoke.control_plane.tallies.packed_items import (
+    pack_amounts,
+    pack_ids,
+    unpack_amounts,
+    unpack_ids,
+)
+
+START = TallyCursor()
+
+
+class StatePart(Struct, frozen=True):
+    """A part of the state, and where it ends; `next` is None at the end of the state."""
+
+    items: tuple[TallyItems, ...]
+    next: TallyCursor | None
+
+
+class TallyCounts:
+    """Owns the adds of all tallies."""
+
+    def __init__(self) -> None:
+        self.id_count = 0
+        self._tallies: dict[str, AmountsById] = {}
+        self._audits: Iterator[str] = iter(())
+
+    def total(self, tally: str) -> int:
+        """The sum of a tally's adds; 0 for one without any."""
+        amounts = self._tallies.get(tally)
+        return 0 if amounts is None else amounts.total
+
+    def contains(self, tally: str, add_id: int) -> bool:
+        """Whether this add has counted."""
+        amounts = self._tallies.get(tally)
+        return amounts is not None and add_id in amounts
+
+    def is_known(self, tally: str) -> bool:
+        """Whether a tally has any adds."""
+        return tally in self._tallies
+
+    @property
+    def tally_count(self) -> int:
+        """How many tallies there are."""
+        return len(self._tallies)
+
+    def put(self, add: TallyAdd) -> None:
+        """Join one add."""
+        amounts = self._tallies.setdefault(add.tally, AmountsById())
+        self.id_count += amounts.put(add.add_id, add.amount)
+
+    def join(self, items: TallyItems) -> None:
+        """Join a part of another state. Raises ValueError where it is not packed as it should be."""
+        ids = unpack_ids(items.ids)
+        for add_id, amount in zip(ids, unpack_amounts(items.amounts, len(ids)), strict=True):
+            self.put(TallyAdd(items.tally, add_id, amount))
+
+    def part_after(self, cursor: TallyCursor, limit: int) -> StatePart:
+        """Up to `limit` ids behind a place, in the order of tally and id."""
+        parts: list[TallyItems] = []
+        taken = 0
+        for tally in sorted(name for name in self._tallies if name >= cursor.tally):
+            above = cursor.add_id if tally == cursor.tally else START.add_id
+            found = self._tallies[tally].ids_after(above, limit - taken)
+            if not found.ids:
+                continue
+            parts.append(TallyItems(tally, pack_ids(found.ids), pack_amounts(found.amounts)))
+            taken += len(found.ids)
+            if taken >= limit:
+                return StatePart(tuple(parts), TallyCursor(tally, found.ids[-1]))
+        return StatePart(tuple(parts), None)
+
+    def audit_next(self) -> tuple[str, bool] | None:
+        """Sum one tally anew, each in its turn: its name, and whether its total is right; None: no tally."""
+        tally = next(self._audits, None)
+        if tally is None:
+            self._audits = iter(sorted(self._tallies))
+            tally = next(self._audits, None)
+        if tally is None:
+            return None
+        amounts = self._tallies[tally]
+        return tally, amounts.summed() == amounts.total
--- /dev/null
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -0,0 +1,415 @@
+"""The state machine of one node's tallies: events in, effects out, without I/O, clocks or threads."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+from msgspec import Struct
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.control_plane.tallies.catch_up import CatchUp, StateTransfer
+from reedspoke.control_plane.tallies.counts import START, StatePart
+from reedspoke.control_plane.tallies.events import (
+    AddCompleted,
+    AddSubmitted,
+    Effect,
+    Event,
+    LogEvent,
+    MessageReceived,
+    SendMessage,
+    StoreCompleted,
+    StoreRecords,
+    Tick,
+)
+from reedspoke.control_plane.tallies.messages import (
+    TallyCursor,
+    TallyDigest,
+    TallyEntries,
+    TallyMessage,
+    TallyPull,
+    TallyStateChunk,
+    TallyStateRequest,
+    Vector,
+)
+from reedspoke.control_plane.tallies.peer_contacts import PeerContacts
+from reedspoke.control_plane.tallies.records import (
+    ItemsRecord,
+    VectorRecord,
+    complete_records,
+    encode_record,
+    entries_record,
+    restore,
+)
+from reedspoke.control_plane.tallies.settings import (
+    DIGEST_INTERVAL_S,
+    ENTRIES_A_PULL,
+    IDS_A_CHUNK,
+    MAX_QUEUED_ADDS,
+    MAX_RETAINED_ENTRIES,
+    MAX_TALLIES,
+    MIN_REWRITE_BYTES,
+    PROCESS_STOP_GAP_S,
+    REWRITE_GROWTH,
+    TallySettings,
+)
+from reedspoke.control_plane.tallies.store_queue import Batch, ReceivedItems, StoreQueue
+from reedspoke.control_plane.tallies.version_vectors import covers, met
+from reedspoke.telemetry.invariants import Invariant, check
+
+AUDIT_INTERVAL_S = 2.0
+NOT_CAUGHT_UP = "this node has not caught up with the others yet"
+
+
+class WaitingAdd(Struct, frozen=True):
+    """An add that is synced here and waits for other disks; `required` is what they must have."""
+
+    required: Vector
+    call_ids: tuple[int, ...]
+    tally: str
+    add_id: int
+
+
+class TallyReplica:
+    """Owns the counts, their log, the contacts with peers and what is to be stored.
+
+    `records` are those of the folder's log. Raises FleetError STORAGE_CORRUPT where they cannot be read.
+    """
+
+    def __init__(self, settings: TallySettings, records: Sequence[bytes], now: float) -> None:
+        self._settings = settings
+        self._state = restore(records)
+        self._contacts = PeerContacts(settings.incarnation, now)
+        self._queue = StoreQueue(self._state.log.vector)
+        self._catch_up = CatchUp(now, waits_for_peer=settings.created and not settings.bootstrap)
+        self._waiting: list[WaitingAdd] = []
+        self._effects: list[Effect] = []
+        self._ticked_at = now
+        self._digests_at = now
+        self._audit_at = now
+        self._log_bytes = sum(map(len, records))
+        self._rewritten_bytes = 0
+
+    # ---- events ----
+
+    def handle(self, now: float, event: Event) -> list[Effect]:
+        """Handle one event; what follows from it, in order."""
+        self._effects = []
+        self._detect_process_stop(now)
+        match event:
+            case AddSubmitted():
+                self._submit(now, event)
+            case StoreCompleted():
+                self._stored(now, event)
+            case MessageReceived(sender, message):
+                self._receive(now, sender, message)
+            case Tick(peers):
+                self._tick(now, peers)
+        self._store_when_due(now)
+        return self._effects
+
+    # ---- adds ----
+
+    def _submit(self, now: float, event: AddSubmitted) -> None:
+        add = event.add
+        key = (add.tally, add.add_id)
+        if not self._catch_up.has_caught_up:
+            # An acknowledged add must be read here at once, and this node may not be read yet.
+            self._effects.append(AddCompleted(event.call_id, ErrorCode.TALLIES_BEHIND, NOT_CAUGHT_UP))
+            return
+        if self._state.counts.contains(*key):
+            # It has counted, here or at a peer: what this node has now includes it.
+            self._wait(WaitingAdd(dict(self._state.log.vector), (event.call_id,), *key))
+            self._complete_waiting(now)
+            return
+        pending = self._queue.pending_add(key)
+        if pending is not None:
+            pending.call_ids.append(event.call_id)
+            return
+        error = self._rejection(now, add.tally)
+        if error is not None:
+            self._effects.append(AddCompleted(event.call_id, error.code, error.message))
+            return
+        self._queue.put_own(key, event.call_id, add)
+
+    def _rejection(self, now: float, tally: str) -> FleetError | None:
+        """Why an add is rejected before anything is done, if it is."""
+        counts = self._state.counts
+        if not self._queue.disk_works(now):
+            return FleetError(ErrorCode.STORAGE_FAILED, "the disk does not answer")
+        if len(self._queue.waiting.own) >= MAX_QUEUED_ADDS:
+            return FleetError(ErrorCode.OVERLOADED, "too many adds are waiting")
+        if counts.id_count + len(self._queue.waiting.own) >= self._settings.max_ids:
+            return FleetError(ErrorCode.TALLIES_FULL, "no room for another add")
+        if not counts.is_known(tally) and counts.tally_count >= MAX_TALLIES:
+            return FleetError(ErrorCode.TALLIES_FULL, "no room for another tally")
+        return None
+
+    def _wait(self, waiting: WaitingAdd) -> None:
+        self._waiting.append(waiting)
+
+    def _complete_waiting(self, now: float) -> None:
+        """Acknowledge the adds that are on enough disks."""
+        needed = self._contacts.copies_needed(self._settings.copies, now)
+        still: list[WaitingAdd] = []
+        for waiting in self._waiting:
+            copies = 1 + self._contacts.copies_of(waiting.required)
+            if copies < needed:
+                still.append(waiting)
+            else:
+                self._acknowledge(waiting, copies, needed)
+        self._waiting = still
+
+    def _acknowledge(self, waiting: WaitingAdd, copies: int, needed: int) -> None:
+        counted = self._state.counts.contains(waiting.tally, waiting.add_id)
+        synced = covers(self._state.log.vector, waiting.required)
+        check(
+            Invariant.TALLY_ACKNOWLEDGED_IS_COUNTED,
+            counted and synced and copies >= needed,
+            tally=waiting.tally,
+            copies=copies,
+            needed=needed,
+        )
+        self._effects += [AddCompleted(call_id, None) for call_id in waiting.call_ids]
+
+    # ---- the disk ----
+
+    def _store_when_due(self, now: float) -> None:
+        if not self._queue.is_due(now):
+            return
+        batch = self._queue.begin(now)
+        records = tuple(self._records_of(batch))
+        self._log_bytes += sum(map(len, records))
+        if self._log_bytes > MIN_REWRITE_BYTES + self._rewritten_bytes * (1 + REWRITE_GROWTH):
+            self._rewrite(records)
+        else:
+            self._effects.append(StoreRecords(self._queue.token, records))
+
+    def _rewrite(self, records: tuple[bytes, ...]) -> None:
+        rewritten = (*complete_records(self._state), *records)
+        self._rewritten_bytes = self._log_bytes = sum(map(len, rewritten))
+        self._effects.append(StoreRecords(self._queue.token, rewritten, replace=True))
+
+    def _records_of(self, batch: Batch) -> list[bytes]:
+        records = []
+        if batch.own:
+            records.append(entries_record(self._own_entries(batch)))
+        records += [entries_record(received.entries) for received in batch.entries]
+        for received in batch.items:
+            records += [encode_record(ItemsRecord(items)) for items in received.items]
+            if received.next is None:
+                records.append(encode_record(VectorRecord(received.transfer.vector)))
+        # An empty batch tries a disk that has failed.
+        return records or [encode_record(VectorRecord({}))]
+
+    def _own_entries(self, batch: Batch) -> TallyEntries:
+        """The adds of a batch with their numbers: they follow the newest that is synced."""
+        number = self._state.log.vector.get(self._settings.folder_id, 0)
+        adds = tuple(own.add for own in batch.own.values())
+        return TallyEntries(self._settings.folder_id, number + 1, adds)
+
+    def _stored(self, now: float, event: StoreCompleted) -> None:
+        if event.token != self._queue.token or self._queue.in_flight is None:
+            return
+        if event.error is not None:
+            self._store_failed(now, event.error)
+            return
+        batch = self._queue.succeeded()
+        self._apply_own(batch)
+        for received in batch.entries:
+            self._state.apply_entries(received.entries)
+        for items in batch.items:
+            self._apply_items(now, items)
+        for sender in sorted({received.sender for received in batch.entries}):
+            self._send_digest(now, sender)
+        self._state.log.drop_oldest(MAX_RETAINED_ENTRIES)
+        self._complete_waiting(now)
+
+    def _store_failed(self, now: float, error: ErrorCode) -> None:
+        lost = self._queue.failed(self._state.log.vector, now)
+        self._catch_up.transfer = None
+        # The disk may have kept some of what it refused: whether these adds count is not known.
+        for own in lost.own.values():
+            for call_id in own.call_ids:
+                self._effects.append(AddCompleted(call_id, ErrorCode.TALLY_UNCLEAR, "the disk refuses"))
+        self._effects.append(LogEvent(logging.WARNING, "tallies cannot be stored", {"code": int(error)}))
+
+    def _apply_own(self, batch: Batch) -> None:
+        if not batch.own:
+            return
+        entries = self._own_entries(batch)
+        self._state.apply_entries(entries)
+        self._queue.expected[entries.origin] = self._state.log.vector[entries.origin]
+        number = entries.first
+        for own in batch.own.values():
+            required = {entries.origin: number}
+            self._wait(WaitingAdd(required, tuple(own.call_ids), own.add.tally, own.add.add_id))
+            number += 1
+        for address in self._contacts.addresses:
+            self._effects.append(SendMessage(address, entries))
+
+    # ---- messages ----
+
+    def _receive(self, now: float, sender: str, message: TallyMessage) -> None:
+        match message:
+            case TallyDigest():
+                self._receive_digest(now, sender, message)
+            case TallyEntries():
+                self._catch_up.pull_answered(sender)
+                if not self._queue.put_entries(sender, message):
+                    # What is missing was lost with a connection: the next digest would tell it later.
+                    self._pull(now, self._catch_up.pull_after_gap(sender, now))
+            case TallyPull(vector):
+                self._answer_pull(sender, vector)
+            case TallyStateRequest(after):
+                self._send_chunk(sender, after)
+            case TallyStateChunk():
+                self._receive_chunk(sender, message)
+
+    def _receive_digest(self, now: float, sender: str, digest: TallyDigest) -> None:
+        is_new_process = digest.incarnation != self._contacts.peer(sender).incarnation
+        if not self._contacts.digest_received(sender, digest, now):
+            return
+        if is_new_process:
+            self._send_digest(now, sender)  # its echo tells that process that it is in contact
+        self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
+        self._complete_waiting(now)
+
+    def _answer_pull(self, sender: str, vector: Vector) -> None:
+        budget = ENTRIES_A_PULL
+        answers: list[Effect] = []
+        for origin, number in self._state.log.vector.items():
+            known = vector.get(origin, 0)
+            if number <= known or budget <= 0:
+                continue
+            entries = self._state.log.entries_after(origin, known, budget)
+            if entries is None:
+                self._send_chunk(sender, START)
+                return
+            budget -= len(entries.entries)
+            answers.append(SendMessage(sender, entries))
+        self._effects += answers
+
+    def _send_chunk(self, sender: str, after: TallyCursor) -> None:
+        part: StatePart = self._state.counts.part_after(after, IDS_A_CHUNK)
+        vector = dict(self._state.log.vector)
+        chunk = TallyStateChunk(self._settings.incarnation, after, part.next, vector, part.items)
+        self._effects.append(SendMessage(sender, chunk))
+
+    def _receive_chunk(self, sender: str, chunk: TallyStateChunk) -> None:
+        self._catch_up.pull_answered(sender)
+        if not self._catch_up.takes_chunk(sender, chunk):
+            return
+        transfer = self._catch_up.transfer
+        assert transfer is not None
+        self._queue.put_items(ReceivedItems(transfer, chunk.items, chunk.next))
+
+    def _apply_items(self, now: float, received: ReceivedItems) -> None:
+        for items in received.items:
+            self._state.counts.join(items)
+        if received.next is not None:
+            self._request_chunk(now, received.transfer, received.next)
+            return
+        self._state.log.advance(received.transfer.vector)
+        for origin, number in self._state.log.vector.items():
+            self._queue.expected[origin] = max(number, self._queue.expected.get(origin, 0))
+        if self._catch_up.transfer is received.transfer:
+            self._catch_up.transfer = None
+
+    def _request_chunk(self, now: float, transfer: StateTransfer, after: TallyCursor) -> None:
+        # A transfer that was begun again has another vector: chunks of the earlier one do not count for it.
+        if self._catch_up.transfer is not transfer:
+            return
+        transfer.after = after
+        self._catch_up.pull_sent(transfer.source, now)
+        self._effects.append(SendMessage(transfer.source, TallyStateRequest(after)))
+
+    # ---- time ----
+
+    def _detect_process_stop(self, now: float) -> None:
+        """A process that was stopped finds its peers silent, and any event may come before the first tick."""
+        if now - self._ticked_at > PROCESS_STOP_GAP_S:
+            self._contacts.listen_anew(now)
+            self._ticked_at = now
+
+    def _tick(self, now: float, peers: frozenset[str]) -> None:
+        self._ticked_at = now
+        self._contacts.set_members(peers, now)
+        self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
+        self._complete_waiting(now)
+        if now >= self._digests_at:
+            self._digests_at = now + DIGEST_INTERVAL_S
+            self._drop_what_all_have(peers)
+            for address in self._contacts.addresses:
+                self._send_digest(now, address)
+        if now >= self._audit_at:
+            self._audit_at = now + AUDIT_INTERVAL_S
+            self._audit()
+        self._pull_when_due(now)
+
+    def _pull_when_due(self, now: float) -> None:
+        self._pull(now, self._catch_up.next_pull(self._contacts, self._queue.expected, now))
+
+    def _pull(self, now: float, address: str | None) -> None:
+        if address is None or not self._queue.disk_works(now):
+            return
+        self._catch_up.pull_sent(address, now)
+        self._effects.append(SendMessage(address, TallyPull(dict(self._queue.expected))))
+
+    def _drop_what_all_have(self, peers: frozenset[str]) -> None:
+        """Nobody pulls entries that every peer has; who comes later takes in the whole state."""
+        common = self._state.log.vector
+        for address in peers:
+            common = met(common, self._contacts.peer(address).vector)
+        self._state.log.drop_through(common)
+
+    def _send_digest(self, now: float, address: str) -> None:
+        peer = self._contacts.peer(address)
+        digest = TallyDigest(
+            folder_id=self._settings.folder_id,
+            incarnation=self._settings.incarnation,
+            sequence=self._contacts.digest_sent(address, now),
+            echo_incarnation=peer.incarnation,
+            echo=peer.received_sequence,
+            writable=self._queue.disk_works(now),
+            vector=dict(self._state.log.vector),
+        )
+        self._effects.append(SendMessage(address, digest))
+
+    def _audit(self) -> None:
+        audited = self._state.counts.audit_next()
+        if audited is not None:
+            tally, is_right = audited
+            check(Invariant.TALLY_COUNTS_ONCE, is_right, tally=tally)
+
+    # ---- queries ----
+
+    def total(self, tally: str, now: float) -> int:
+        """The sum of a tally's adds. Raises FleetError TALLIES_BEHIND before this node has caught up."""
+        if not self._catch_up.has_caught_up:
+            raise FleetError(ErrorCode.TALLIES_BEHIND, NOT_CAUGHT_UP)
+        if self._queue.in_flight is not None and not self._queue.disk_works(now):
+            raise FleetError(ErrorCode.TALLIES_BEHIND, "the disk does not answer, so others may have more")
+        return self._state.counts.total(tally)
+
+    def is_replicated(self, now: float) -> bool:
+        """Whether every peer in contact has on its disk what this node has."""
+        if self._waiting or self._queue.waiting or self._queue.in_flight is not None:
+            return False
+        vector = self._state.log.vector
+        return all(covers(peer.vector, vector) for peer in self._contacts.in_contact(now))
+
+    def figures(self, now: float) -> dict[str, float]:
+        """Numbers for the metrics."""
+        return {
+            "tallies": self._state.counts.tally_count,
+            "ids": self._state.counts.id_count,
+            "max_ids": self._settings.max_ids,
+            "entries_retained": self._state.log.retained_count,
+            "origins": len(self._state.log.vector),
+            "waiting_adds": len(self._waiting),
+            "peers_in_contact": len(self._contacts.in_contact(now)),
+            "copies_needed": self._contacts.copies_needed(self._settings.copies, now),
+            "caught_up": self._catch_up.has_caught_up,
+            "disk_works": self._queue.disk_works(now),
+        }
--- /dev/null
+++ b/reedspoke/control_plane/tallies/service.py
@@ -0,0 +1,178 @@
+"""Tallies at a control plane node: joins the replica to its file, to peers, to calls and to the clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Collection
+from typing import Protocol
+
+from msgspec import Struct
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.common.json_log import log
+from reedspoke.common.unhandled_errors import end_process, unhandled_errors
+from reedspoke.control_plane.tallies.events import (
+    AddCompleted,
+    AddSubmitted,
+    Effect,
+    Event,
+    LogEvent,
+    MessageReceived,
+    SendMessage,
+    StoreCompleted,
+    StoreRecords,
+    Tick,
+)
+from reedspoke.control_plane.tallies.messages import TallyAdd, TallyMessage
+from reedspoke.control_plane.tallies.replica import TallyReplica
+
+DRAIN_INTERVAL_S = 0.02
+TALLIES_FAILED_EXIT = 4  # exit status
+
+
+class Storage(Protocol):
+    """Where the log is."""
+
+    def open(self) -> None:
+        """Open the log."""
+
+    def store(self, effect: StoreRecords) -> None:
+        """Write to the log."""
+
+
+StorageMaker = Callable[[Callable[[TallyReplica], None], Callable[[StoreCompleted], None]], Storage]
+
+
+class TallyService:
+    """Owns the calls that wait, and the replica once its log is open.
+
+    `peers` returns the addresses of the other control plane nodes; `send` sends them a message, or loses it.
+    """
+
+    def __init__(
+        self,
+        make_storage: StorageMaker,
+        peers: Callable[[], Collection[str]],
+        send: Callable[[str, Struct], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._peers = peers
+        self._send = send
+        self._storage = make_storage(self._opened, self._handle)
+        self._replica: TallyReplica | None = None
+        self._events: deque[Event] = deque()
+        self._handling = False
+        self._calls: dict[int, asyncio.Future[None]] = {}
+        self._call_id = 0
+
+    # ---- life ----
+
+    def start(self) -> None:
+        """Open the log."""
+        self._storage.open()
+
+    def tick(self) -> None:
+        """A little time has passed."""
+        if self._replica is not None:
+            self._handle(Tick(frozenset(self._peers())))
+
+    async def drain(self, limit_s: float) -> None:
+        """Wait until the peers in contact have everything, for so long at the most."""
+        deadline = self._loop.time() + limit_s
+        while self._loop.time() < deadline and not self._is_replicated():
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+
+    def _is_replicated(self) -> bool:
+        return self._replica is None or self._replica.is_replicated(self._loop.time())
+
+    # ---- calls ----
+
+    async def add(self, add: TallyAdd) -> None:
+        """Count an add once.
+
+        Raises FleetError: TALLY_UNCLEAR where it may have counted, any other where nothing was done.
+        """
+        if self._replica is None:
+            raise FleetError(ErrorCode.TALLIES_BEHIND, "the tallies are not open yet")
+        self._call_id += 1
+        call_id = self._call_id
+        future = self._calls[call_id] = self._loop.create_future()
+        try:
+            self._handle(AddSubmitted(call_id, add))
+            await future
+        finally:
+            del self._calls[call_id]
+
+    def total(self, tally: str) -> int:
+        """The sum of a tally's adds. Raises FleetError TALLIES_BEHIND where this node may not be read now."""
+        if self._replica is None:
+            raise FleetError(ErrorCode.TALLIES_BEHIND, "the tallies are not open yet")
+        return self._replica.total(tally, self._loop.time())
+
+    # ---- peers ----
+
+    def received(self, sender: str, message: TallyMessage) -> None:
+        """A message of another node."""
+        if self._replica is not None:
+            self._handle(MessageReceived(sender, message))
+
+    # ---- inside ----
+
+    def _opened(self, replica: TallyReplica) -> None:
+        self._replica = replica
+        self.tick()
+
+    def _handle(self, event: Event) -> None:
+        """Handle events one after the other: an effect may lead to the next at once."""
+        self._events.append(event)
+        if self._handling or self._replica is None:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                for effect in self._effects_of(self._replica, self._events.popleft()):
+                    self._carry_out_isolated(effect)
+        finally:
+            self._handling = False
+
+    def _effects_of(self, replica: TallyReplica, event: Event) -> list[Effect]:
+        try:
+            return replica.handle(self._loop.time(), event)
+        except Exception as error:
+            # Its state is not known to be right any more: the process starts again from its disk.
+            unhandled_errors.record("the tallies have failed, and their process ends", error)
+            end_process(TALLIES_FAILED_EXIT)
+            return []
+
+    def _carry_out_isolated(self, effect: Effect) -> None:
+        try:
+            self._carry_out(effect)
+        except Exception as error:
+            unhandled_errors.record(
+                "an effect of the tallies has failed", error, effect=type(effect).__name__
+            )
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case SendMessage(address, message):
+                self._send(address, message)
+            case StoreRecords():
+                self._storage.store(effect)
+            case AddCompleted():
+                self._complete(effect)
+            case LogEvent(level, text, fields):
+                log(level, text, **fields)
+
+    def _complete(self, completed: AddCompleted) -> None:
+        future = self._calls.get(completed.call_id)
+        if future is None or future.done():
+            return
+        if completed.error is None:
+            future.set_result(None)
+        else:
+            future.set_exception(FleetError(completed.error, completed.message))
+
+    def figures(self) -> dict[str, float]:
+        """Numbers for the metrics; none before the log is open."""
+        return {} if self._replica is None else self._replica.figures(self._loop.time())
--- a/reedspoke/telemetry/invariants.py
+++ b/reedspoke/telemetry/invariants.py
@@ -44,6 +44,10 @@
     ONE_CHANGE_A_SEQUENCE = "one_change_a_sequence"  # what is committed at a sequence stays the same
     DUTY_HAS_LEASE = "duty_has_lease"  # a list is published only under the lease
     QUOTA_IS_CONSERVED = "quota_is_conserved"  # grants never exceed what a share of a quota was refilled with
+    TALLY_COUNTS_ONCE = "tally_counts_once"  # a tally's total is the sum over its distinct ids
+    TALLY_ACKNOWLEDGED_IS_COUNTED = (
+        "tally_acknowledged_is_counted"  # an acknowledged add is read here, and safe
+    )
     STATE_HAS_GRANT = "state_has_grant"  # sessions receive versions only with a majority's grant
 
 
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -106,6 +106,13 @@
         return replica is not None and replica.holds_majority(self._loop.time())
 
 
+class NoTallies:
+    """In place of the tallies, which share nothing with the rest and have a model of their own."""
+
+    def tick(self) -> None:
+        """Nothing is due."""
+
+
 class SimulatedWorkerDiscovery(WorkerDiscovery):
     """Worker discovery with a client of the simulated platform."""
 
@@ -149,6 +156,9 @@
     def _make_document_thread(self) -> Any:
         return DocumentsThread(self.loop, self._simulation.random, self._prepare_s)
 
+    def _make_tallies(self, settings: NodeSettings, incarnation: int) -> Any:
+        return NoTallies()
+
     def _make_transport(self, settings: NodeSettings) -> Any:
         return PeerLinks(self._simulation, self._address)
 
--- /dev/null
+++ b/tests/control_plane/tallies/replica_steps.py
@@ -0,0 +1,99 @@
+"""Drives one replica by hand: what it sends, stores and answers is kept."""
+
+from __future__ import annotations
+
+from reedspoke.common.errors import ErrorCode
+from reedspoke.control_plane.tallies.events import (
+    AddCompleted,
+    AddSubmitted,
+    Event,
+    MessageReceived,
+    SendMessage,
+    StoreCompleted,
+    StoreRecords,
+    Tick,
+)
+from reedspoke.control_plane.tallies.messages import TallyAdd, TallyDigest, TallyMessage, Vector
+from reedspoke.control_plane.tallies.replica import TallyReplica
+from reedspoke.control_plane.tallies.settings import TallySettings
+
+OWN = "f-own"
+PEERS = ("p1", "p2", "p3", "p4")
+
+
+class Steps:
+    """One replica of five with its file, at a time that the test moves on."""
+
+    def __init__(
+        self, *, records: tuple[bytes, ...] = (), created: bool = False, max_ids: int = 1000
+    ) -> None:
+        self.now = 100.0
+        self.answers: dict[int, ErrorCode | None] = {}
+        self.sent: list[SendMessage] = []
+        self.stores: list[StoreRecords] = []
+        self.records = list(records)
+        self._calls = 0
+        self._sequences: dict[str, int] = {}
+        settings = TallySettings(OWN, 7, created, False, 2, max_ids)
+        self.replica = TallyReplica(settings, self.records, self.now)
+        self.tick()
+
+    def handle(self, event: Event) -> None:
+        """Give it an event."""
+        for effect in self.replica.handle(self.now, event):
+            match effect:
+                case SendMessage():
+                    self.sent.append(effect)
+                case StoreRecords():
+                    self.stores.append(effect)
+                case AddCompleted(call_id, error):
+                    self.answers[call_id] = error
+
+    def tick(self, seconds: float = 0.0) -> None:
+        """Let time pass in steps of a tick."""
+        end = self.now + seconds
+        while self.now + 0.05 < end:
+            self.now += 0.05
+            self.handle(Tick(frozenset(PEERS)))
+        self.now = end
+        self.handle(Tick(frozenset(PEERS)))
+
+    def stored(self, error: ErrorCode | None = None) -> None:
+        """The store under way ends."""
+        store = self.stores[-1]
+        if error is None:
+            self.records = list(store.records) if store.replace else [*self.records, *store.records]
+        self.handle(StoreCompleted(store.token, error))
+
+    def receive(self, sender: str, message: TallyMessage) -> None:
+        """A message comes."""
+        self.handle(MessageReceived(sender, message))
+
+    def last_digest(self, address: str) -> TallyDigest:
+        """The newest digest sent to a peer."""
+        return [m.message for m in self.sent if m.address == address and isinstance(m.message, TallyDigest)][
+            -1
+        ]
+
+    def digest(
+        self, sender: str, vector: Vector, *, echoes: bool = True, writable: bool = True, incarnation: int = 1
+    ) -> None:
+        """A peer's digest; it echoes the newest that it was sent, or none."""
+        sequence = self._sequences[sender] = self._sequences.get(sender, 0) + 1
+        echo = self.last_digest(sender).sequence if echoes else 0
+        self.receive(sender, TallyDigest(f"f-{sender}", incarnation, sequence, 7, echo, writable, vector))
+
+    def in_touch(self, *addresses: str, vector: Vector | None = None) -> None:
+        """These peers answer."""
+        for address in addresses:
+            self.digest(address, dict(vector or {}))
+
+    def add(self, add_id: int, amount: int = 1, tally: str = "t") -> int:
+        """An application's call; its number."""
+        self._calls += 1
+        self.handle(AddSubmitted(self._calls, TallyAdd(tally, add_id, amount)))
+        return self._calls
+
+    def sent_to(self, address: str, kind: type) -> list[TallyMessage]:
+        """Messages of one kind sent to a peer."""
+        return [m.message for m in self.sent if m.address == address and isinstance(m.message, kind)]  # type: ignore[misc]
--- /dev/null
+++ b/tests/control_plane/tallies/simulated_tallies.py
@@ -0,0 +1,341 @@
+"""Several nodes' tallies in virtual time, with a network, disks and callers that fail as a seed decides, and
+a judge of what callers were promised. Only sockets, threads and the HTTP API are replaced.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from random import Random
+
+from msgspec import Struct, field
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.control_plane.tallies.events import (
+    AddCompleted,
+    AddSubmitted,
+    Effect,
+    Event,
+    MessageReceived,
+    SendMessage,
+    StoreCompleted,
+    StoreRecords,
+    Tick,
+)
+from reedspoke.control_plane.tallies.messages import TallyAdd, TallyMessage
+from reedspoke.control_plane.tallies.replica import TallyReplica
+from reedspoke.control_plane.tallies.settings import TallySettings
+
+TICK_S = 0.05
+MERGE_S = 3.0
+CALLER_TIMEOUT_S = 1.0
+SETTLED_S = 0.5  # in calm times an acknowledged add is read everywhere after this
+DELAY_S = (0.0005, 0.004)
+SLOW_DELAY_S = (0.0005, 0.2)
+SYNC_S = (0.001, 0.006)
+ANSWERED_S = 0.3  # in calm times a call is answered within this
+
+
+class Disk(Struct):
+    """A log on disk: synced records, and what a refused write may have left behind them."""
+
+    folder_id: str
+    records: list[bytes] = field(default_factory=list)
+    refused: list[bytes] = field(default_factory=list)
+    is_failing: bool = False
+    is_stalled: bool = False
+
+
+class Promise(Struct):
+    """One add as its caller knows it."""
+
+    add: TallyAdd
+    acknowledged: dict[tuple[str, int], float] = field(default_factory=dict)  # node and life: when
+    in_partition: set[str] = field(default_factory=set)  # nodes that acknowledged it while links were cut
+    owed: bool = False
+
+
+class Node:
+    """One machine: its disk, and its process while that runs."""
+
+    def __init__(self, name: str, disk: Disk) -> None:
+        self.name = name
+        self.disk = disk
+        self.life = 0
+        self.replica: TallyReplica | None = None
+        self.frozen_events: list[Event] | None = None  # while it stands still
+        self.created = True
+        self.bootstrap = True
+
+
+class Simulation:
+    """Owns the clock, the nodes, the links that are cut, and what callers were promised."""
+
+    def __init__(self, seed: int, count: int = 5, tolerated: int = 2, max_ids: int = 1_000_000) -> None:
+        self.random = Random(seed)
+        self.now = 0.0
+        self.tolerated = tolerated
+        self.max_ids = max_ids
+        self.problems: list[str] = []
+        self.promises: dict[tuple[str, int], Promise] = {}
+        self.cut: set[tuple[str, str]] = set()  # directed
+        self.disturbed_at = 0.0
+        self.healed_at = 0.0
+        self.reads = 0
+        self.delay_s = DELAY_S
+        self.on_acknowledged: Callable[[Node], None] | None = None  # called once, at the next one
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._calls: dict[int, Callable[[ErrorCode | None], None]] = {}
+        self._call_ids = itertools.count(1)
+        self._folders = itertools.count(1)
+        self.nodes = {name: Node(name, self._new_disk()) for name in (f"n{i}" for i in range(count))}
+        for node in self.nodes.values():
+            self.start(node)
+
+    # ---- time ----
+
+    def at(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        heapq.heappush(self._queue, (self.now + delay, next(self._order), action))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    # ---- machines ----
+
+    def _new_disk(self) -> Disk:
+        return Disk(f"f{next(self._folders)}")
+
+    def is_calm_since(self, at: float) -> bool:
+        """Whether nothing has gone wrong since then."""
+        if self.cut or self.delay_s != DELAY_S or self.disturbed_at > at:
+            return False
+        if any(node.replica is None for node in self.nodes.values()):
+            return False
+        disks = [node.disk for node in self.nodes.values()]
+        frozen = any(node.frozen_events is not None for node in self.nodes.values())
+        return not frozen and not any(disk.is_failing or disk.is_stalled for disk in disks)
+
+    def disturbed(self) -> None:
+        """Something went wrong, or was put right, at this moment."""
+        self.disturbed_at = self.now
+
+    def start(self, node: Node) -> None:
+        """Start the process of a machine that is down."""
+        if node.replica is not None:
+            return
+        settings = TallySettings(
+            folder_id=node.disk.folder_id,
+            incarnation=self.random.getrandbits(31),
+            created=node.created,
+            bootstrap=node.bootstrap,
+            machines_tolerated=self.tolerated,
+            max_ids=self.max_ids,
+        )
+        node.replica = TallyReplica(settings, list(node.disk.records), self.now)
+        node.created = node.bootstrap = False
+        node.disk.is_failing = node.disk.is_stalled = False
+        self.disturbed()
+        self._tick(node, node.life)
+
+    def kill(self, node: Node) -> None:
+        """End a process; what its disk had refused may turn up again."""
+        if node.replica is None:
+            return
+        if node.disk.refused and self.random.random() < 0.5:
+            node.disk.records += node.disk.refused
+        node.disk.refused = []
+        node.replica = None
+        node.life += 1
+        node.frozen_events = None
+        self.disturbed()
+
+    def lose_disk(self, node: Node) -> None:
+        """End a process and empty its machine's disk."""
+        self.kill(node)
+        node.disk = self._new_disk()
+        node.created = True
+        for promise in self.promises.values():
+            # Acknowledged here while links were cut, and not merged since: not owed any more.
+            if node.name in promise.in_partition and self.now < self.healed_at + MERGE_S:
+                promise.owed = False
+        self.disturbed()
+
+    def freeze(self, node: Node) -> None:
+        """A process stands still; what comes meanwhile waits."""
+        if node.replica is not None and node.frozen_events is None:
+            node.frozen_events = []
+            self.disturbed()
+
+    def thaw(self, node: Node) -> None:
+        """A process goes on."""
+        events, node.frozen_events = node.frozen_events, None
+        if node.replica is not None and events is not None:
+            self.disturbed()
+            # The timer is due as well as all that has come; either may run first.
+            self.random.shuffle(events)
+            for event in events:
+                self.handle(node, event)
+
+    # ---- links ----
+
+    def set_cut(self, links: set[tuple[str, str]]) -> None:
+        """These directed links bring nothing from now on, all others do."""
+        if self.cut and not links:
+            self.healed_at = self.now
+        elif links:
+            self.healed_at = float("inf")
+        self.cut = set(links)
+        self.disturbed()
+
+    def _send(self, sender: str, life: int, effect: SendMessage) -> None:
+        link = (sender, effect.address)
+        if link in self.cut or effect.address not in self.nodes:
+            return
+        message = effect.message
+        assert isinstance(message, TallyMessage)
+        node = self.nodes[effect.address]
+
+        def arrive() -> None:
+            lost_power = self.nodes[sender].life != life  # what was on its way is lost with its sender
+            if link not in self.cut and not lost_power:
+                self.handle(node, MessageReceived(sender, message))
+
+        self.at(self.random.uniform(*self.delay_s), arrive)
+
+    # ---- processes ----
+
+    def _tick(self, node: Node, life: int) -> None:
+        if node.life != life or node.replica is None:
+            return
+        peers = frozenset(self.nodes) - {node.name}
+        if node.frozen_events is None:
+            self.handle(node, Tick(peers))
+        self.at(TICK_S, lambda: self._tick(node, life))
+
+    def handle(self, node: Node, event: Event) -> None:
+        """Give a process an event, and carry out what follows."""
+        if node.replica is None:
+            return
+        if node.frozen_events is not None:
+            node.frozen_events.append(event)
+            return
+        for effect in node.replica.handle(self.now, event):
+            self._carry_out(node, effect)
+
+    def _carry_out(self, node: Node, effect: Effect) -> None:
+        match effect:
+            case SendMessage():
+                self._send(node.name, node.life, effect)
+            case StoreRecords():
+                self._store(node, node.life, effect)
+            case AddCompleted(call_id, error):
+                answer = self._calls.pop(call_id, None)
+                if answer is not None:
+                    answer(error)
+
+    def _store(self, node: Node, life: int, effect: StoreRecords) -> None:
+        disk = node.disk
+
+        def end() -> None:
+            if node.life != life or node.replica is None or node.disk is not disk:
+                return
+            if disk.is_stalled:
+                self.at(0.1, end)
+                return
+            error = self._write(disk, effect)
+            self.handle(node, StoreCompleted(effect.token, error))
+
+        self.at(self.random.uniform(*SYNC_S), end)
+
+    def _write(self, disk: Disk, effect: StoreRecords) -> ErrorCode | None:
+        if disk.is_failing:
+            disk.refused = [] if effect.replace else list(effect.records)
+            return ErrorCode.STORAGE_FULL
+        disk.refused = []
+        disk.records = list(effect.records) if effect.replace else [*disk.records, *effect.records]
+        return None
+
+    # ---- callers ----
+
+    def add(self, node: Node, add: TallyAdd) -> None:
+        """An application's call at one node."""
+        promise = self.promises.setdefault((add.tally, add.add_id), Promise(add))
+        if node.replica is None:
+            return
+        call_id = next(self._call_ids)
+        life = node.life
+        asked_at = self.now
+
+        def answered(error: ErrorCode | None) -> None:
+            if error is None and self.now - asked_at < CALLER_TIMEOUT_S:
+                promise.acknowledged.setdefault((node.name, life), self.now)
+                promise.owed = True
+                if self.now < self.healed_at:
+                    promise.in_partition.add(node.name)
+                action, self.on_acknowledged = self.on_acknowledged, None
+                if action is not None:
+                    action(node)
+            was_calm = self.is_calm_since(asked_at - MERGE_S)
+            if was_calm and (error is not None or self.now - asked_at > ANSWERED_S):
+                self._problem(f"SLOW: {add} at {node.name}: {error} after {self.now - asked_at:.3f} s")
+
+        self._calls[call_id] = answered
+        self.handle(node, AddSubmitted(call_id, add))
+
+    def read(self, node: Node, tally: str) -> int | None:
+        """What a node reads, judged; None where it rejects the read."""
+        if node.replica is None or node.frozen_events is not None:
+            return None
+        try:
+            total = node.replica.total(tally, self.now)
+        except FleetError:
+            return None
+        self.reads += 1
+        promises = [promise for promise in self.promises.values() if promise.add.tally == tally]
+        self._judge(node, tally, total, promises)
+        return total
+
+    def _judge(self, node: Node, tally: str, total: int, promises: list[Promise]) -> None:
+        if total > sum(promise.add.amount for promise in promises):
+            self._problem(f"TWICE: {tally} at {node.name} is {total}")
+        own = sum(p.add.amount for p in promises if (node.name, node.life) in p.acknowledged)
+        if total < own:
+            self._problem(f"STALE: {tally} at {node.name} is {total}, it acknowledged {own}")
+        if self.is_calm_since(self.now - MERGE_S):
+            owed = sum(
+                promise.add.amount
+                for promise in promises
+                if promise.owed and min(promise.acknowledged.values()) < self.now - SETTLED_S
+            )
+            if total < owed:
+                self._problem(f"STALE: {tally} at {node.name} is {total} after a calm time, {owed} are owed")
+
+    def _problem(self, text: str) -> None:
+        self.problems.append(f"{self.now:.3f} {text}")
+
+    # ---- the end ----
+
+    def settle(self) -> None:
+        """Put everything right, and judge what is left after MERGE_S."""
+        self.set_cut(set())
+        self.delay_s = DELAY_S
+        self.on_acknowledged = None
+        for node in self.nodes.values():
+            node.disk.is_failing = node.disk.is_stalled = False
+            self.thaw(node)
+            self.start(node)
+        self.disturbed()
+        self.run(MERGE_S + SETTLED_S)
+        tallies = {tally for tally, _ in self.promises}
+        for tally in sorted(tallies):
+            totals = {name: self.read(node, tally) for name, node in self.nodes.items()}
+            if len(set(totals.values())) != 1 or None in totals.values():
+                self._problem(f"LOST: {tally} is read as {totals}")
--- /dev/null
+++ b/tests/control_plane/tallies/test_replica.py
@@ -0,0 +1,392 @@
+"""One replica of the tallies, step by step: when it acknowledges, what it refuses, what it pulls."""
+
+from __future__ import annotations
+
+import pytest
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.control_plane.tallies import replica as replica_module
+from reedspoke.control_plane.tallies.counts import START
+from reedspoke.control_plane.tallies.messages import (
+    TallyAdd,
+    TallyCursor,
+    TallyDigest,
+    TallyEntries,
+    TallyItems,
+    TallyPull,
+    TallyStateChunk,
+    TallyStateRequest,
+)
+from reedspoke.control_plane.tallies.packed_items import pack_amounts, pack_ids
+from reedspoke.control_plane.tallies.records import entries_record
+from reedspoke.control_plane.tallies.settings import (
+    APART_AFTER_S,
+    DISK_PROBE_S,
+    DISK_STALL_S,
+    FRESH_FOLDER_WAIT_S,
+    max_ids,
+)
+from tests.control_plane.tallies.replica_steps import OWN, PEERS, Steps
+
+WAITING = "waiting"
+
+
+@pytest.fixture
+def steps() -> Steps:
+    """A replica in touch with all its peers."""
+    made = Steps()
+    made.in_touch(*PEERS)
+    return made
+
+
+def answer(steps: Steps, call: int) -> object:
+    """The outcome of a call: None for an acknowledgement."""
+    return steps.answers.get(call, WAITING)
+
+
+# ---- when an add is acknowledged ----
+
+
+def test_an_add_is_acknowledged_once_it_is_on_three_disks(steps: Steps) -> None:
+    call = steps.add(1, 4)
+    assert not steps.sent_to("p1", TallyEntries)  # nothing leaves before it is synced here
+    steps.stored()
+    assert steps.sent_to("p1", TallyEntries) == [TallyEntries(OWN, 1, (TallyAdd("t", 1, 4),))]
+    assert answer(steps, call) == WAITING
+    steps.digest("p1", {OWN: 1})
+    assert answer(steps, call) == WAITING
+    steps.digest("p1", {OWN: 1})  # the same disk once more
+    assert answer(steps, call) == WAITING
+    steps.digest("p2", {OWN: 1})
+    assert answer(steps, call) is None
+    assert steps.replica.total("t", steps.now) == 4
+
+
+def test_adds_that_come_during_a_sync_share_the_next_one(steps: Steps) -> None:
+    steps.add(1)
+    steps.add(2)
+    steps.add(3)
+    assert len(steps.stores) == 1
+    steps.stored()
+    assert len(steps.stores) == 2
+    steps.stored()
+    assert steps.sent_to("p1", TallyEntries)[-1] == TallyEntries(
+        OWN, 2, (TallyAdd("t", 2, 1), TallyAdd("t", 3, 1))
+    )
+
+
+def test_a_repeated_id_waits_for_the_disks_as_the_first_does(steps: Steps) -> None:
+    first = steps.add(1, 4)
+    again = steps.add(1, 4)
+    steps.stored()
+    later = steps.add(1, 4)
+    assert [answer(steps, call) for call in (first, again, later)] == [WAITING] * 3
+    steps.in_touch("p1", "p2", vector={OWN: 1})
+    assert [answer(steps, call) for call in (first, again, later)] == [None] * 3
+    assert steps.replica.total("t", steps.now) == 4
+    assert len(steps.stores) == 1
+
+
+def test_an_id_that_a_peer_has_counted_is_not_counted_again(steps: Steps) -> None:
+    steps.receive("p1", TallyEntries("f-p1", 1, (TallyAdd("t", 1, 4),)))
+    steps.stored()
+    call = steps.add(1, 4)
+    assert answer(steps, call) == WAITING
+    steps.in_touch("p1", "p2", vector={"f-p1": 1})
+    assert answer(steps, call) is None
+    assert steps.replica.total("t", steps.now) == 4
+
+
+def test_the_smaller_side_of_a_partition_goes_on_with_the_disks_it_has(steps: Steps) -> None:
+    steps.add(1)
+    steps.stored()
+    call = steps.add(2)
+    steps.stored()
+    steps.digest("p1", {OWN: 2})
+    for _ in range(int(APART_AFTER_S / 0.2) + 1):
+        assert answer(steps, call) == WAITING
+        steps.tick(0.2)
+        steps.digest("p1", {OWN: 2})
+    assert answer(steps, call) is None
+
+
+def test_a_peer_that_is_heard_but_does_not_hear_is_not_waited_for(steps: Steps) -> None:
+    call = steps.add(1)
+    steps.stored()
+    for _ in range(int(APART_AFTER_S / 0.2) + 2):
+        steps.tick(0.2)
+        for peer in PEERS:
+            steps.digest(peer, {}, echoes=False)
+    assert answer(steps, call) is None
+
+
+def test_a_peer_whose_disk_refuses_is_not_waited_for(steps: Steps) -> None:
+    for peer in PEERS:
+        steps.digest(peer, {}, writable=False)
+    call = steps.add(1)
+    steps.stored()
+    assert answer(steps, call) is None
+
+
+def test_a_process_that_was_stopped_waits_for_its_peers(steps: Steps) -> None:
+    call = steps.add(1)
+    steps.now += 60.0
+    steps.stored()  # before the first tick
+    assert answer(steps, call) == WAITING
+    steps.tick()
+    assert answer(steps, call) == WAITING
+
+
+def test_what_a_lost_disk_had_does_not_count(steps: Steps) -> None:
+    call = steps.add(1)
+    steps.stored()
+    steps.digest("p1", {OWN: 1})
+    steps.digest("p1", {}, incarnation=2)
+    steps.digest("p2", {OWN: 1})
+    assert answer(steps, call) == WAITING
+
+
+# ---- what is refused ----
+
+
+def test_an_add_that_the_disk_refused_is_unclear_and_its_number_is_used_again(steps: Steps) -> None:
+    call = steps.add(1)
+    waiting = steps.add(2)
+    steps.stored(ErrorCode.STORAGE_FULL)
+    assert answer(steps, call) is ErrorCode.TALLY_UNCLEAR
+    assert answer(steps, waiting) is ErrorCode.TALLY_UNCLEAR
+    assert steps.replica.total("t", steps.now) == 0
+    assert answer(steps, steps.add(3)) is ErrorCode.STORAGE_FAILED
+    steps.tick(DISK_PROBE_S + 0.1)
+    steps.stored()
+    steps.add(4)
+    steps.stored()
+    assert steps.sent_to("p1", TallyEntries) == [TallyEntries(OWN, 1, (TallyAdd("t", 4, 1),))]
+
+
+def test_a_disk_that_does_not_answer_refuses_adds_and_reads(steps: Steps) -> None:
+    steps.add(1)
+    steps.tick(DISK_STALL_S + 0.1)
+    assert answer(steps, steps.add(2)) is ErrorCode.STORAGE_FAILED
+    assert not steps.last_digest("p1").writable
+    with pytest.raises(FleetError) as raised:
+        steps.replica.total("t", steps.now)
+    assert raised.value.code is ErrorCode.TALLIES_BEHIND
+
+
+def test_no_more_ids_than_there_is_room_for() -> None:
+    steps = Steps(max_ids=2)
+    steps.in_touch(*PEERS)
+    steps.add(1)
+    steps.add(2)
+    steps.stored()
+    steps.stored()
+    assert answer(steps, steps.add(3)) is ErrorCode.TALLIES_FULL
+    steps.in_touch("p1", "p2", vector={OWN: 2})
+    assert answer(steps, steps.add(1)) is None  # one that is there already
+
+
+def test_no_more_tallies_than_there_is_room_for(steps: Steps, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(replica_module, "MAX_TALLIES", 1)
+    steps.add(1)
+    steps.stored()
+    assert answer(steps, steps.add(2, tally="u")) is ErrorCode.TALLIES_FULL
+    assert answer(steps, steps.add(2)) == WAITING
+
+
+def test_capacity_follows_memory_and_disk() -> None:
+    assert max_ids(256, 128) < max_ids(256, 1024) == max_ids(256, 0)
+    assert max_ids(256, 128) > 1_000_000
+    assert max_ids(0, 0) > 0
+
+
+# ---- reads after a start ----
+
+
+def test_reads_and_adds_wait_until_the_node_has_caught_up() -> None:
+    steps = Steps()
+    assert answer(steps, steps.add(1)) is ErrorCode.TALLIES_BEHIND
+    steps.in_touch("p1", "p2", "p3")
+    with pytest.raises(FleetError):
+        steps.replica.total("t", steps.now)
+    steps.digest("p4", {"f-p4": 1})  # has what this node lacks
+    with pytest.raises(FleetError):
+        steps.replica.total("t", steps.now)
+    steps.receive("p4", TallyEntries("f-p4", 1, (TallyAdd("t", 1, 4),)))
+    steps.stored()
+    steps.tick()
+    assert steps.replica.total("t", steps.now) == 4
+
+
+def test_a_node_that_reaches_nobody_serves_what_it_has() -> None:
+    steps = Steps(records=(entries_record(TallyEntries(OWN, 1, (TallyAdd("t", 1, 4),))),))
+    steps.tick(APART_AFTER_S - 0.2)
+    with pytest.raises(FleetError):
+        steps.replica.total("t", steps.now)
+    steps.tick(0.3)
+    assert steps.replica.total("t", steps.now) == 4
+
+
+def test_an_empty_folder_waits_longer_for_somebody_to_learn_from() -> None:
+    steps = Steps(created=True)
+    steps.tick(APART_AFTER_S + 0.3)
+    with pytest.raises(FleetError):
+        steps.replica.total("t", steps.now)
+    steps.tick(FRESH_FOLDER_WAIT_S)
+    assert steps.replica.total("t", steps.now) == 0
+
+
+# ---- differences ----
+
+
+def test_what_a_digest_shows_to_be_missing_is_pulled(steps: Steps) -> None:
+    steps.digest("p1", {"f-p1": 2})
+    assert not steps.sent_to("p1", TallyPull)  # it is usually on its way
+    steps.tick(0.2)
+    assert steps.sent_to("p1", TallyPull) == [TallyPull({})]
+    steps.tick(0.2)
+    assert len(steps.sent_to("p1", TallyPull)) == 1
+
+
+def test_a_pull_without_an_answer_goes_to_another_peer(steps: Steps) -> None:
+    for peer in ("p1", "p2"):
+        steps.digest(peer, {"f-p1": 2})
+    for _ in range(6):
+        steps.tick(0.2)
+        for peer in ("p1", "p2"):
+            steps.digest(peer, {"f-p1": 2})
+    assert steps.sent_to("p1", TallyPull)
+    assert steps.sent_to("p2", TallyPull)
+
+
+def test_a_gap_is_pulled_at_once(steps: Steps) -> None:
+    steps.receive("p1", TallyEntries("f-p1", 3, (TallyAdd("t", 3, 1),)))
+    assert steps.sent_to("p1", TallyPull) == [TallyPull({})]
+    assert not steps.stores
+
+
+def test_a_pull_is_answered_with_what_is_missing(steps: Steps) -> None:
+    for number in (1, 2, 3):
+        steps.add(number)
+        steps.stored()
+    steps.sent.clear()
+    steps.receive("p1", TallyPull({OWN: 1}))
+    assert steps.sent_to("p1", TallyEntries) == [
+        TallyEntries(OWN, 2, (TallyAdd("t", 2, 1), TallyAdd("t", 3, 1)))
+    ]
+
+
+def test_entries_that_all_have_are_dropped_and_the_state_is_sent_instead(steps: Steps) -> None:
+    steps.add(1, 4)
+    steps.stored()
+    steps.in_touch(*PEERS, vector={OWN: 1})
+    steps.tick(0.3)
+    assert steps.replica.figures(steps.now)["entries_retained"] == 0
+    steps.receive("p1", TallyPull({}))
+    (chunk,) = steps.sent_to("p1", TallyStateChunk)
+    assert chunk == TallyStateChunk(
+        7, START, None, {OWN: 1}, (TallyItems("t", pack_ids([1]), pack_amounts([4])),)
+    )
+
+
+def test_entries_stay_while_one_peer_lacks_them(steps: Steps) -> None:
+    steps.add(1)
+    steps.stored()
+    steps.in_touch("p1", "p2", "p3", vector={OWN: 1})
+    steps.tick(0.3)
+    assert steps.replica.figures(steps.now)["entries_retained"] == 1
+
+
+# ---- the whole state ----
+
+NEXT = TallyCursor("t", 1)
+
+
+def chunk(
+    after: TallyCursor, ids: list[int], to: TallyCursor | None, number: int, life: int = 1
+) -> TallyStateChunk:
+    """A chunk of p1's state, as of its add `number`."""
+    items = TallyItems("t", pack_ids(ids), pack_amounts([1] * len(ids)))
+    return TallyStateChunk(life, after, to, {"f-p1": number}, (items,))
+
+
+def test_a_state_counts_as_whole_with_its_last_chunk_as_of_its_first(steps: Steps) -> None:
+    steps.receive("p1", chunk(START, [1], NEXT, 2))
+    steps.stored()
+    assert steps.sent_to("p1", TallyStateRequest) == [TallyStateRequest(NEXT)]
+    assert steps.replica.total("t", steps.now) == 1
+    steps.tick(0.3)
+    assert steps.last_digest("p1").vector == {}
+    steps.receive("p1", chunk(NEXT, [2], None, 9))
+    steps.stored()
+    steps.tick(0.3)
+    assert steps.last_digest("p1").vector == {"f-p1": 2}
+    assert steps.replica.total("t", steps.now) == 2
+
+
+def test_chunks_of_a_source_that_has_started_again_are_not_taken(steps: Steps) -> None:
+    steps.receive("p1", chunk(START, [1], NEXT, 2))
+    steps.stored()
+    steps.receive("p1", chunk(NEXT, [], None, 0, life=2))
+    assert len(steps.stores) == 1
+
+
+def test_an_earlier_transfer_does_not_move_a_later_one_on(steps: Steps) -> None:
+    far = TallyCursor("t", 50)
+    steps.receive("p1", chunk(START, [1, 50], far, 2))
+    steps.receive("p1", chunk(START, [1, 30], TallyCursor("t", 30), 3))  # 30 has come since
+    steps.stored()
+    steps.stored()
+    assert steps.sent_to("p1", TallyStateRequest) == [TallyStateRequest(TallyCursor("t", 30))]
+
+
+def test_a_chunk_that_the_disk_refused_ends_the_transfer(steps: Steps) -> None:
+    steps.receive("p1", chunk(START, [1], NEXT, 2))
+    steps.stored(ErrorCode.STORAGE_FULL)
+    steps.receive("p1", chunk(NEXT, [2], None, 2))
+    assert len(steps.stores) == 1
+
+
+# ---- the file ----
+
+
+def test_everything_is_there_after_a_restart(steps: Steps) -> None:
+    steps.add(1, 4)
+    steps.stored()
+    steps.receive("p1", TallyEntries("f-p1", 1, (TallyAdd("u", 9, 5),)))
+    steps.stored()
+    again = Steps(records=tuple(steps.records))
+    again.in_touch(*PEERS)
+    assert (again.replica.total("t", again.now), again.replica.total("u", again.now)) == (4, 5)
+    again.add(2)
+    again.stored()
+    assert again.sent_to("p1", TallyEntries) == [TallyEntries(OWN, 2, (TallyAdd("t", 2, 1),))]
+
+
+def test_a_long_file_is_rewritten(steps: Steps, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(replica_module, "MIN_REWRITE_BYTES", 300)
+    for number in range(1, 20):
+        steps.add(number)
+        steps.stored()
+    assert any(store.replace for store in steps.stores)
+    again = Steps(records=tuple(steps.records))
+    again.in_touch(*PEERS)
+    assert again.replica.total("t", again.now) == 19
+
+
+def test_all_that_waits_is_replicated_before_the_node_leaves(steps: Steps) -> None:
+    assert steps.replica.is_replicated(steps.now)
+    steps.add(1)
+    assert not steps.replica.is_replicated(steps.now)
+    steps.stored()
+    steps.in_touch("p1", "p2", "p3", vector={OWN: 1})
+    assert not steps.replica.is_replicated(steps.now)
+    steps.digest("p4", {OWN: 1})
+    assert steps.replica.is_replicated(steps.now)
+
+
+def test_a_late_digest_of_the_process_before_is_ignored(steps: Steps) -> None:
+    steps.digest("p1", {OWN: 5}, incarnation=2)
+    late = TallyDigest("f-old", 1, 99, 7, 0, True, {OWN: 9})
+    steps.receive("p1", late)
+    assert steps.replica._contacts.peer("p1").vector == {OWN: 5}
--- /dev/null
+++ b/tests/control_plane/tallies/test_store_queue.py
@@ -0,0 +1,60 @@
+"""What waits for the disk, and what a refused batch leaves behind."""
+
+from __future__ import annotations
+
+from reedspoke.control_plane.tallies.messages import TallyAdd, TallyEntries
+from reedspoke.control_plane.tallies.settings import DISK_PROBE_S, DISK_STALL_S
+from reedspoke.control_plane.tallies.store_queue import StoreQueue
+
+NOW = 64.0
+LATER = NOW + DISK_PROBE_S + 0.01
+
+
+def entries(first: int, count: int) -> TallyEntries:
+    """Adds of one origin."""
+    return TallyEntries("a", first, tuple(TallyAdd("t", n, 1) for n in range(first, first + count)))
+
+
+def test_only_what_is_new_is_stored() -> None:
+    queue = StoreQueue({"a": 2})
+    assert queue.put_entries("p", entries(1, 4))
+    assert [received.entries for received in queue.waiting.entries] == [entries(3, 2)]
+    assert queue.put_entries("q", entries(3, 2))
+    assert len(queue.waiting.entries) == 1
+    assert not queue.put_entries("p", entries(6, 1))
+    assert queue.expected == {"a": 4}
+
+
+def test_a_refused_batch_is_expected_no_more() -> None:
+    queue = StoreQueue({"a": 2})
+    queue.put_entries("p", entries(3, 1))
+    queue.begin(NOW)
+    queue.put_entries("p", entries(4, 1))
+    queue.put_own(("t", 9), 1, TallyAdd("t", 9, 1))
+    lost = queue.failed({"a": 2}, NOW)
+    assert queue.expected == {"a": 2}
+    assert not queue.waiting
+    assert list(lost.own) == [("t", 9)]
+    assert queue.put_entries("p", entries(3, 2))
+
+
+def test_a_failed_disk_is_tried_again_with_nothing_to_store() -> None:
+    queue = StoreQueue({})
+    queue.put_own(("t", 9), 1, TallyAdd("t", 9, 1))
+    assert queue.is_due(NOW)
+    queue.begin(NOW)
+    assert not queue.is_due(NOW)
+    queue.failed({}, NOW)
+    assert not queue.disk_works(NOW)
+    assert not queue.is_due(NOW + DISK_PROBE_S / 2)
+    assert queue.is_due(LATER)
+    assert not queue.begin(LATER)
+    queue.succeeded()
+    assert queue.disk_works(LATER)
+
+
+def test_a_store_that_takes_too_long_is_a_disk_that_does_not_work() -> None:
+    queue = StoreQueue({})
+    queue.begin(NOW)
+    assert queue.disk_works(NOW + DISK_STALL_S / 2)
+    assert not queue.disk_works(NOW + DISK_STALL_S)
--- a/tests/control_plane/test_puts_invalid.py
+++ b/tests/control_plane/test_puts_invalid.py
@@ -18,6 +18,7 @@
 from reedspoke.control_plane.api.schemas import StatusAnswer
 from reedspoke.control_plane.replication.effects import GetCompleted, PutCompleted
 from reedspoke.control_plane.replication.log_records import EntryRecord, decode_record
+from reedspoke.control_plane.tallies.messages import TallyAdd
 from tests.control_plane.direct_core import DirectCore
 from tests.control_plane_process.stand_ins import configuration
 
@@ -64,6 +65,14 @@
         """Not used here."""
         raise NotImplementedError
 
+    async def add_to_tally(self, add: TallyAdd) -> None:
+        """Not used here."""
+        raise NotImplementedError
+
+    def tally_total(self, tally: str) -> int:
+        """Not used here."""
+        raise NotImplementedError
+
     def call_completed(self, call: CompletedCall) -> None:
         """Nothing is recorded."""
 
--- a/tests/control_plane_process/test_edge_sessions.py
+++ b/tests/control_plane_process/test_edge_sessions.py
@@ -30,6 +30,7 @@
 from reedspoke.control_plane.peers.transport import PeerTransport
 from reedspoke.control_plane.replication.entry import CommittedConfiguration
 from reedspoke.control_plane.replication.view import Member
+from reedspoke.control_plane.tallies.messages import TallyMessage
 from reedspoke.control_plane.workers.worker_list import WorkerListState
 from tests.control_plane_process.stand_ins import Answer, configuration
 from tests.ports import free_port
@@ -56,7 +57,12 @@
         self.state = PublishedState(self.cache, self.workers, self.membership, self.confirmed_as_of)
         self.sessions = EdgeSessions("core", self.state, HEARTBEAT_S, self.membership_changed)
         self.peer_messages: list[tuple[str, PeerMessage]] = []
-        self.transport = PeerTransport(self.address, "za", self.peer_message, self.sessions)
+        self.transport = PeerTransport(
+            self.address, "za", self.peer_message, self.tally_message, self.sessions
+        )
+
+    def tally_message(self, sender: str, message: TallyMessage) -> None:
+        raise AssertionError(message)
 
     def confirmed_as_of(self) -> float | None:
         return asyncio.get_running_loop().time() - self.confirmed_ago_s if self.confirmed else None
--- a/tests/control_plane_process/test_openapi.py
+++ b/tests/control_plane_process/test_openapi.py
@@ -15,7 +15,13 @@
 from reedspoke.control_plane.api.error_responses import error_response, malformed_request_body, status_of
 from reedspoke.control_plane.api.http_messages import Request
 from reedspoke.control_plane.api.operator_api import OPERATIONS
-from reedspoke.control_plane.api.schemas import Accepted, ErrorAnswer, StatusAnswer
+from reedspoke.control_plane.api.schemas import (
+    Accepted,
+    ErrorAnswer,
+    StatusAnswer,
+    TallyChange,
+    TallyTotal,
+)
 from reedspoke.control_plane.workers.platform_client import LIST_PATH, PAGE_PARAMETER
 from reedspoke.control_plane.workers.platform_messages import PlatformPage, parse_page
 from tests.control_plane_process.stand_ins import configuration, instance
@@ -51,7 +57,9 @@
 
 
 def test_the_operator_file_has_the_fields_of_the_code() -> None:
-    assert OPERATOR["components"]["schemas"] == components(Accepted, ErrorAnswer, StatusAnswer, Document)
+    assert OPERATOR["components"]["schemas"] == components(
+        Accepted, ErrorAnswer, StatusAnswer, TallyChange, TallyTotal, Document
+    )
 
 
 def test_every_answer_with_an_error_has_the_described_body() -> None:
--- a/tests/control_plane_process/test_operator_api.py
+++ b/tests/control_plane_process/test_operator_api.py
@@ -17,8 +17,10 @@
 from reedspoke.control_plane.api.http_messages import Request, Response
 from reedspoke.control_plane.api.operator_api import OPERATIONS, OperatorApi
 from reedspoke.control_plane.api.schemas import StatusAnswer
+from reedspoke.control_plane.api.tally_calls import TALLY_PATH
 from reedspoke.control_plane.replication.effects import GetCompleted, PutCompleted
 from reedspoke.control_plane.replication.entry import CommittedConfiguration
+from reedspoke.control_plane.tallies.messages import TallyAdd
 from tests.control_plane_process.stand_ins import configuration
 
 PATH = "/reedspoke/configuration"
@@ -34,6 +36,7 @@
         self.majority = True
         self.loses_majority = False  # while a call waits
         self.puts: list[tuple[int, int]] = []
+        self.adds: list[TallyAdd] = []
         self.completed: list[CompletedCall] = []
 
     async def validate(self, document: bytes) -> Configuration:
@@ -56,6 +59,16 @@
         assert self.get_answer is not None
         return self.get_answer
 
+    async def add_to_tally(self, add: TallyAdd) -> None:
+        self.adds.append(add)
+        self._raise()
+        if self.get_answer is None:
+            await asyncio.Event().wait()
+
+    def tally_total(self, tally: str) -> int:
+        self._raise()
+        return sum(add.amount for add in self.adds if add.tally == tally)
+
     def _raise(self) -> None:
         if self.raises is not None:
             raise self.raises
@@ -249,3 +262,76 @@
 
     asyncio.run(leave())
     assert [call.status for call in backend.completed] == [CLIENT_GONE]
+
+
+TALLY = "/reedspoke/tallies/t3"
+ADD = b'{"instance_id":"5c0e7a21d94b36f8","held_by":4}'
+
+
+def test_an_add_and_a_read_of_a_tally() -> None:
+    backend = FakeBackend()
+    backend.majority = False  # either side of a partition counts
+    assert answered(backend, "POST", TALLY, ADD).status == 200
+    assert backend.adds == [TallyAdd("t3", 0x5C0E7A21D94B36F8, 4)]
+    read = answered(backend, "GET", TALLY)
+    assert (read.status, json.loads(read.body)) == (200, {"total": 4})
+    assert json.loads(answered(backend, "GET", TALLY + "x").body) == {"total": 0}
+
+
+def test_ids_of_any_form_are_told_apart() -> None:
+    backend = FakeBackend()
+    ids = ["5c0e7a21d94b36f8", "5C0E7A21D94B36F8", "a", "b", "\u00fc", "0" * 17]
+    for one in ids:
+        answered(backend, "POST", TALLY, json.dumps({"instance_id": one, "held_by": 1}).encode())
+    assert len({add.add_id for add in backend.adds}) == len(ids)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{}",
+        b"[1]",
+        b'{"instance_id":"a"}',
+        b'{"held_by":1}',
+        b'{"instance_id":"","held_by":1}',
+        b'{"instance_id":7,"held_by":1}',
+        b'{"instance_id":"a","held_by":1.5}',
+        b'{"instance_id":"a","held_by":9007199254740993}',
+    ],
+)
+def test_a_body_that_is_no_add(body: bytes) -> None:
+    backend = FakeBackend()
+    response = answered(backend, "POST", TALLY, body)
+    assert (response.status, error_code(response)) == (400, ErrorCode.TALLY_MALFORMED)
+    assert backend.adds == []
+
+
+@pytest.mark.parametrize("path", ["/reedspoke/tallies/", "/reedspoke/tallies/a/b", "/reedspoke/tallies"])
+def test_a_path_that_names_no_tally(path: str) -> None:
+    assert answered(FakeBackend(), "GET", path).status == 404
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_each_error_of_a_tally_has_its_status(method: str) -> None:
+    for code in OPERATIONS[TALLY_PATH][method].errors:
+        backend = FakeBackend()
+        backend.raises = FleetError(code, "text")
+        response = answered(backend, method, TALLY, ADD)
+        assert (response.status, error_code(response)) == (status_of(code), code)
+        assert ("Retry-After" in response.headers) == (response.status in (429, 503))
+
+
+def test_an_add_without_an_answer_in_time_is_not_said_to_be_undone(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "RESPONSE_TIMEOUT_S", 0.05)
+    backend = FakeBackend()
+    backend.get_answer = None
+    response = answered(backend, "POST", TALLY, ADD)
+    assert (response.status, error_code(response)) == (504, ErrorCode.TALLY_UNCLEAR)
+    assert backend.adds
+
+
+def test_calls_for_tallies_leave_operators_their_places(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "MAX_PENDING_TALLY_CALLS", 0)
+    assert answered(FakeBackend(), "POST", TALLY, ADD).status == 503
+    assert answered(FakeBackend(), "GET").status == 200
--- a/tests/control_plane_process/test_peer_connections.py
+++ b/tests/control_plane_process/test_peer_connections.py
@@ -15,6 +15,7 @@
 from reedspoke.common.transport import CONNECTION_ENDED, LENGTH, MAX_FRAME_BYTES, Channel, FramingError
 from reedspoke.control_plane.peers.messages import DiscoveryLeaseRelease, PeerHello, PeerMessage
 from reedspoke.control_plane.peers.transport import PeerTransport
+from reedspoke.control_plane.tallies.messages import TallyMessage
 from tests.ports import free_port
 
 HOST = "127.0.0.1"
@@ -23,6 +24,10 @@
 LIMIT_S = 5.0
 
 
+def no_tallies(sender: str, message: TallyMessage) -> None:
+    raise AssertionError(message)
+
+
 class NoEdges:
     """No data plane scheduler comes here."""
 
@@ -39,7 +44,7 @@
     def __init__(self) -> None:
         self.address = f"{HOST}:{free_port((HOST,))}"
         self.came: list[tuple[str, int]] = []
-        self.transport = PeerTransport(self.address, "za", self.received, NoEdges())
+        self.transport = PeerTransport(self.address, "za", self.received, no_tallies, NoEdges())
 
     def received(self, sender: str, message: PeerMessage) -> None:
         assert isinstance(message, DiscoveryLeaseRelease)
--- a/tests/control_plane_process/test_peer_transport.py
+++ b/tests/control_plane_process/test_peer_transport.py
@@ -14,11 +14,16 @@
 from reedspoke.control_plane.peers import transport as peer_transport
 from reedspoke.control_plane.peers.messages import DiscoveryLeaseRelease, PeerMessage
 from reedspoke.control_plane.peers.transport import PeerTransport
+from reedspoke.control_plane.tallies.messages import TallyMessage
 from tests.ports import free_port
 
 HOST = "127.0.0.1"
 
 
+def no_tallies(sender: str, message: TallyMessage) -> None:
+    raise AssertionError(message)
+
+
 class NoEdges:
     """No data plane scheduler comes here."""
 
@@ -35,7 +40,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.terms: list[int] = []
-        self.transport = PeerTransport(address, "za", self.received, NoEdges())
+        self.transport = PeerTransport(address, "za", self.received, no_tallies, NoEdges())
 
     def received(self, sender: str, message: PeerMessage) -> None:
         assert isinstance(message, DiscoveryLeaseRelease)
--- a/tests/control_plane_process/test_tallies.py
+++ b/tests/control_plane_process/test_tallies.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 
 from tests.control_plane_process.fleet import Fleet, Node
 from tests.control_plane_process.stand_ins import call, until
@@ -36,6 +37,11 @@
     return found
 
 
+def reads(node: Node, expected: int) -> bool:
+    """Whether a node reads this total."""
+    return total(node) == expected
+
+
 def test_an_acknowledged_add_is_read_everywhere_once_and_after_all_were_killed(fleet: Fleet) -> None:
     first, second, _ = fleet.nodes
     until(lambda: add(first, "5c0e7a21d94b36f8", 4) == 200, COUNTED_S, "an add is acknowledged")
@@ -43,10 +49,10 @@
     until(lambda: add(second, "5c0e7a21d94b36f8", 4) == 200, COUNTED_S, "the same add, at another node")
     until(lambda: add(second, "0000000000000001", 9) == 200, COUNTED_S, "an add at another node")
     for node in fleet.nodes:
-        until(lambda at=node: total(at) == 13, MERGED_S, "each node reads the same")
+        until(partial(reads, node, 13), MERGED_S, "each node reads the same")
     for node in fleet.nodes:
         node.kill()
     for node in fleet.nodes:
         node.start()
     for node in fleet.nodes:
-        until(lambda at=node: total(at) == 13, COUNTED_S, "it is there after all were killed")
+        until(partial(reads, node, 13), COUNTED_S, "it is there after all were killed")
