Soak: applications add to tallies on kept connections, signals and restarts in series

Cause: the soak knew neither tallies nor series of signals, and no caller that keeps its connection until the process is gone.

--- a/reedspoke/lab/fleet_soak/__main__.py
+++ b/reedspoke/lab/fleet_soak/__main__.py
@@ -32,6 +32,8 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="of troubles in each run (%(default)s)")
     parser.add_argument("--control", type=int, default=3, help="control machines (%(default)s)")
     parser.add_argument("--edges", type=int, default=2, help="edge machines (%(default)s)")
+    parser.add_argument("--series", action="store_true", help="signals and restarts also come in series")
+    parser.add_argument("--per-s", type=float, default=30.0, help="requests a second (%(default)s)")
     parser.add_argument("--plan", type=Path, help="play the plan in this file instead")
     parser.add_argument("--keep", type=Path, help="keep what runs with problems wrote in this folder")
     return parser
@@ -43,8 +45,10 @@
         return [read_plan(arguments.plan)]
     if not 0 < arguments.seconds <= MOST_SECONDS or not 0 < arguments.count <= MOST_SEEDS:
         raise ValueError(f"at most {MOST_SECONDS:g} seconds and {MOST_SEEDS} seeds")
-    drawn = [draw_plan(arguments.seed + number, arguments.seconds) for number in range(arguments.count)]
-    return [msgspec.structs.replace(plan, control=arguments.control, edges=arguments.edges) for plan in drawn]
+    seeds = range(arguments.seed, arguments.seed + arguments.count)
+    drawn = [draw_plan(seed, arguments.seconds, series=arguments.series) for seed in seeds]
+    sizes = {"control": arguments.control, "edges": arguments.edges, "per_s": arguments.per_s}
+    return [msgspec.structs.replace(plan, **sizes) for plan in drawn]
 
 
 def play(plan: Plan, keep: Path | None) -> SoakReport:
@@ -65,10 +69,11 @@
     """One run in a line."""
     orders = ", ".join(f"{count} {name}" for name, count in report.operators.items())
     requests = ", ".join(f"{count} {name}" for name, count in report.outcomes.items())
+    tallies = ", ".join(f"{count} {name}" for name, count in report.tallies.items())
     verdict = f"{len(report.problems)} PROBLEMS" if report.problems else "sound"
     return (
         f"seed {report.seed}: {report.seconds:g} s, {sum(report.played.values())} troubles "
-        f"({report.overlapping} overlapping); {orders}; requests: {requests}; "
+        f"({report.overlapping} overlapping); {orders}; requests: {requests}; tallies: {tallies}; "
         f"well after {report.recovery_s:g} s: {verdict}"
     )
 
--- a/reedspoke/lab/fleet_soak/plan.py
+++ b/reedspoke/lab/fleet_soak/plan.py
@@ -47,6 +47,16 @@
     WORKER_CRASH = "worker_crash"  # reset; another incarnation at the same address later
     WORKER_DRAIN = "worker_drain"  # planned: drains, then another incarnation
     PLATFORM_DOWN = "platform_down"  # the list of workers does not answer
+    TERM_ROLL = "term_roll"  # SIGTERM to each control machine in turn, and then to each edge machine
+    HUP_SERIES = "hup_series"  # several SIGHUP to one process in quick succession, a SIGTERM among them
+    KILL_ALL = "kill_all"  # every process of both planes at the same moment, their disks stay
+    CUT_LONG = "cut_long"  # the control machines into two parts, and twice in a row
+
+
+FIRST_SERIES = list(Kind).index(Kind.TERM_ROLL)
+SINGLE_KINDS = list(Kind)[:FIRST_SERIES]
+SERIES_KINDS = list(Kind)[FIRST_SERIES:]
+SERIES_SHARE = 0.2  # of the troubles, in a plan that has series
 
 
 class Trouble(Struct, frozen=True):
@@ -68,24 +78,26 @@
     edges: int = 2
     workers: int = 4
     per_s: float = 30.0
+    applications: int = 4  # that add to tallies
 
 
-def draw_plan(seed: int, seconds: float) -> Plan:
-    """The plan of a seed."""
+def draw_plan(seed: int, seconds: float, *, series: bool = False) -> Plan:
+    """The plan of a seed; with `series`, signals and restarts also come in series."""
     random = Random(seed)
     apart_s = random.choice(APARTS_S)
     troubles = []
     at = FIRST_AT_S
     while at < seconds:
-        troubles.append(_draw_trouble(random, at))
+        troubles.append(_draw_trouble(random, at, series))
         near = random.random() < TOGETHER
         at += random.uniform(0, TOGETHER_S) if near else random.expovariate(1 / apart_s)
     return Plan(seed, seconds, tuple(troubles))
 
 
-def _draw_trouble(random: Random, at: float) -> Trouble:
+def _draw_trouble(random: Random, at: float, series: bool) -> Trouble:
     lasting = math.exp(random.uniform(math.log(LEAST_S), math.log(LONGEST_S)))
-    kind = random.choice(list(Kind))
+    in_series = series and random.random() < SERIES_SHARE
+    kind = random.choice(SERIES_KINDS if in_series else SINGLE_KINDS)
     return Trouble(kind, round(at, 3), round(lasting, 3), random.randrange(1 << 16))
 
 
--- a/reedspoke/lab/fleet_soak/soak_fleet.py
+++ b/reedspoke/lab/fleet_soak/soak_fleet.py
@@ -195,6 +195,13 @@
         self.control.remove(process)
         self.gone.append(process)
 
+    def life_of(self, address: str) -> int:
+        """Which life the process that serves control at an address is in."""
+        for process in self.control:
+            if process.settings.bind.control_plane == address:
+                return process.starts
+        return 0
+
     def machine_of(self, address: str) -> str:
         """The machine that listens at an address; others are named by the address itself."""
         host = address.rpartition(":")[0]
--- a/reedspoke/lab/fleet_soak/soak_run.py
+++ b/reedspoke/lab/fleet_soak/soak_run.py
@@ -25,6 +25,7 @@
 from reedspoke.lab.fleet_emulator.ledger import Ledger
 from reedspoke.lab.fleet_emulator.tally import Outcome, Tally
 from reedspoke.lab.fleet_emulator.workload import KeyUse, RequestKind, Workload
+from reedspoke.lab.fleet_soak.applications import TALLIES, Application
 from reedspoke.lab.fleet_soak.figures_reader import evaluations_in, figures_of, value_in
 from reedspoke.lab.fleet_soak.findings import suspect_lines, unexplained
 from reedspoke.lab.fleet_soak.history import History, Order, Verdict
@@ -35,6 +36,7 @@
 from reedspoke.lab.fleet_soak.soak_fleet import SoakFleet, SoakProcess
 from reedspoke.lab.fleet_soak.soak_tenants import CALM_KEYS, TROUBLED_KEYS, quota_problems, tenants
 from reedspoke.lab.fleet_soak.soak_workers import SoakWorkers
+from reedspoke.lab.fleet_soak.tally_history import TallyHistory
 from reedspoke.lab.fleet_soak.troubles import Troubles
 
 OPERATORS = 2
@@ -65,6 +67,7 @@
     nuisances: int
     recovery_s: float
     failed_tries: int
+    tallies: dict[str, int]
 
 
 class SoakRun:
@@ -77,6 +80,7 @@
         self._kinds = request_kinds(plan.per_s)
         self._ledger, self._tally, self._calm_tally = Ledger(), Tally(), Tally()
         self._history = History()
+        self._tallies = TallyHistory()
         self._evaluations: Counter[str] = Counter()
         layout = draw_layout()
         self._relay = Relay(lambda address: self._fleet.machine_of(address))
@@ -100,7 +104,12 @@
             stack.push_async_callback(self._fleet.stop)
             with (self.folder / "troubles.txt").open("w") as told:
                 troubles = Troubles(
-                    self.plan, self._fleet, self._workers, self._relay, lambda text: self._tell(told, text)
+                    self.plan,
+                    self._fleet,
+                    self._workers,
+                    self._relay,
+                    self._tallies,
+                    lambda text: self._tell(told, text),
                 )
                 await self._start()
                 nuisances = await self._troubled(troubles)
@@ -134,7 +143,8 @@
         )
         seeds = [self.plan.seed * 10 + number for number in range(OPERATORS)]
         beside = [self._operator(f"operator-{seed}", seed).run() for seed in seeds]
-        with background(nuisance.run(), *beside, self._watch_processes()):
+        applications = [self._application(number).run() for number in range(self.plan.applications)]
+        with background(nuisance.run(), *beside, *applications, self._watch_processes()):
             load = asyncio.create_task(
                 self._load(self._tally, self.plan.seed, self.plan.seconds, TROUBLED_KEYS)
             )
@@ -198,11 +208,25 @@
             for address in self._fleet.seeds:
                 await reader.read(address)
             await asyncio.sleep(PAUSE_S)
+        await self._read_tallies()
         for edge in self._fleet.edges:
             await self._until_idle(edge)
         for process in self._fleet.processes:
             self._evaluations += evaluations_in(await figures_of(process))
 
+    def _application(self, number: int) -> Application:
+        seed = self.plan.seed * 100 + number
+        return Application(self._tallies, lambda: self._fleet.seeds, self._fleet.life_of, seed)
+
+    async def _read_tallies(self) -> None:
+        """Every machine reads every tally; by now nothing has been wrong for longer than merging takes."""
+        reader = self._application(self.plan.applications)
+        totals: dict[str, dict[str, int | None]] = {
+            tally: {address: await reader.read_at(address, tally) for address in self._fleet.seeds}
+            for tally in TALLIES
+        }
+        self.problems += self._tallies.problems_at_the_end(totals)
+
     async def _until_idle(self, edge: SoakProcess) -> None:
         until = time.monotonic() + IDLE_S
         while (held := value_in(await figures_of(edge), "reedspoke_open_requests")) != 0:
@@ -230,7 +254,7 @@
             if count:
                 self.problems.append(f"{name}: {count}, {getattr(findings, name)[:5]}")
         self.problems += [f"mixed: {text}" for text in self._tally.mixed + self._calm_tally.mixed]
-        self.problems += self._history.problems() + troubles.unclean_ends
+        self.problems += self._history.problems() + troubles.unclean_ends + self._tallies.problems()
         self.problems += quota_problems(self._ledger)
         asked = self._calm_tally.requests
         served = self._calm_tally.total(Outcome.SERVED) + self._calm_tally.total(Outcome.LATE)
@@ -258,6 +282,7 @@
             nuisances=nuisances,
             recovery_s=round(self._recovery_s, 2),
             failed_tries=len(self._failed_tries),
+            tallies=self._tallies.counts(),
         )
 
 
--- a/reedspoke/lab/fleet_soak/troubles.py
+++ b/reedspoke/lab/fleet_soak/troubles.py
@@ -16,10 +16,13 @@
 from reedspoke.lab.fleet_soak.relay import Relay, Way
 from reedspoke.lab.fleet_soak.soak_fleet import MOST_SEEDS, SoakFleet, SoakProcess
 from reedspoke.lab.fleet_soak.soak_workers import SoakWorkers
+from reedspoke.lab.fleet_soak.tally_history import DiskLoss, TallyHistory, Unsettled
 
 CATCH_UP_S = 5.0  # without trouble at a control machine, after a disk was lost and before another may be
 WRONG_SEEDS_S = 3.0
 RESTART_S = 0.2
+HUP_COUNT = 5
+BETWEEN_CUTS_S = 0.3
 
 Thing = TypeVar("Thing")
 
@@ -28,11 +31,18 @@
     """Carries a plan out. `log` is told what is done."""
 
     def __init__(
-        self, plan: Plan, fleet: SoakFleet, workers: SoakWorkers, relay: Relay, log: Callable[[str], None]
+        self,
+        plan: Plan,
+        fleet: SoakFleet,
+        workers: SoakWorkers,
+        relay: Relay,
+        tallies: TallyHistory,
+        log: Callable[[str], None],
     ) -> None:
         self.played: Counter[str] = Counter()
         self.skipped: Counter[str] = Counter()
         self.unclean_ends: list[str] = []
+        self._tallies = tallies
         self._plan = plan
         self._fleet = fleet
         self._workers = workers
@@ -95,6 +105,10 @@
                 self._workers.replace(self._place(trouble)), trouble
             ),
             Kind.PLATFORM_DOWN: self._stop_platform,
+            Kind.TERM_ROLL: self._roll,
+            Kind.HUP_SERIES: self._hang_up_in_series,
+            Kind.KILL_ALL: self._kill_all,
+            Kind.CUT_LONG: self._cut_twice,
         }
 
     # ---- whom it befalls ----
@@ -143,6 +157,36 @@
             await self._start_again(process, min(trouble.for_s, 1.0))
         return True
 
+    async def _roll(self, trouble: Trouble) -> bool:
+        """Each machine after the other, without waiting until the one before has caught up."""
+        processes = list(self._fleet.processes)
+        results = [await self._terminate(process, trouble) for process in processes]
+        return any(results)
+
+    async def _hang_up_in_series(self, trouble: Trouble) -> bool:
+        process = picked(self._fleet.processes, trouble)
+        self._log(f"{HUP_COUNT} SIGHUP to {process.name}, then SIGTERM")
+        for _ in range(HUP_COUNT):
+            reload_settings(process)
+            await asyncio.sleep(trouble.for_s / HUP_COUNT / 10)
+        return await self._terminate(process, trouble)
+
+    async def _kill_all(self, trouble: Trouble) -> bool:
+        taken = [process for process in self._fleet.processes if self._take(process)]
+        self._log(f"kill {len(taken)} processes at once")
+        with self._unsettling(*taken):
+            for process in taken:
+                process.send_signal(signal.SIGSTOP)  # all at one moment
+            await asyncio.gather(*(asyncio.to_thread(process.kill) for process in taken))
+            await asyncio.gather(*(self._start_again(process, min(trouble.for_s, 1.0)) for process in taken))
+        return bool(taken)
+
+    async def _cut_twice(self, trouble: Trouble) -> bool:
+        count = max(1, len(self._fleet.control) // 2)
+        await self._cut_control(trouble, count, both=True)
+        await asyncio.sleep(BETWEEN_CUTS_S)
+        return await self._cut_control(trouble, count, both=True)
+
     async def _lose_power(self, processes: list[SoakProcess], trouble: Trouble) -> bool:
         taken = [process for process in processes if self._take(process)]
         with self._unsettling(*taken):
@@ -166,6 +210,7 @@
             if with_power:
                 for process in (victim, *others):
                     process.send_signal(signal.SIGSTOP)
+            self._disk_is_lost(victim)
             await asyncio.to_thread(victim.lose_disk)
             if with_power:
                 await self._lose_power(others, trouble)
@@ -179,9 +224,12 @@
         self._disk_missing = True
         with self._unsettling(victim):
             self._log(f"{victim.name} is replaced{', the new one first' if planned else ''}")
+            if not planned:
+                self._disk_is_lost(victim)
             if planned:
                 self._fleet.add_control().start()
                 await asyncio.sleep(1.0 + trouble.for_s)
+                self._disk_is_lost(victim)
                 if await victim.end() != 0:
                     self.unclean_ends.append(f"{victim.name} had to be killed as it was replaced")
                 self._fleet.remove_control(victim)
@@ -193,6 +241,10 @@
             self._tell_seeds(self._random.random() < 0.5)
         return True
 
+    def _disk_is_lost(self, victim: SoakProcess) -> None:
+        address = victim.settings.bind.control_plane
+        self._tallies.disk_losses.append(DiskLoss(address, time.monotonic()))
+
     async def _hang_up(self, trouble: Trouble) -> bool:
         process = picked(self._fleet.processes, trouble)
         seeds = self._fleet.seeds[:MOST_SEEDS]
@@ -312,9 +364,13 @@
         counts = any(process.is_control for process in processes)
         self._note_calm()
         self._control_in_trouble += counts
+        unsettled = Unsettled(time.monotonic())
+        if counts:
+            self._tallies.unsettled.append(unsettled)
         try:
             yield
         finally:
+            unsettled.until = time.monotonic()
             self._control_in_trouble -= counts
             if counts:
                 self._control_unsettled_at = time.monotonic()
--- a/tests/lab_fleet/test_soak.py
+++ b/tests/lab_fleet/test_soak.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 
 import pytest
+from msgspec import structs
 
-from reedspoke.lab.fleet_soak.plan import Kind, Plan, Trouble
+from reedspoke.lab.fleet_soak.plan import Kind, Plan, Trouble, draw_plan
 from reedspoke.lab.fleet_soak.soak_run import SoakRun
 from reedspoke.telemetry.invariants import Invariant
 
@@ -29,6 +30,7 @@
     Trouble(Kind.PLATFORM_DOWN, 2.0, 1.0, 0),
 )
 SECONDS = 4.0
+SERIES_S = 8.0
 
 
 @pytest.mark.parametrize("troubles", [CONTROL_PLANE_TROUBLES, DATA_PLANE_TROUBLES], ids=["control", "data"])
@@ -40,3 +42,14 @@
     assert report.outcomes["served"] > 0
     never = {item.value for item in Invariant if not report.evaluations.get(item.value)}
     assert never == set()
+
+
+@pytest.mark.parametrize(("seed", "control"), [(101, 3), (102, 5)])
+def test_promises_hold_under_drawn_series_of_signals_restarts_and_changes(
+    seed: int, control: int, tmp_path: Path
+) -> None:
+    plan = structs.replace(draw_plan(seed, SERIES_S, series=True), control=control)
+    report = asyncio.run(SoakRun(plan, tmp_path).play())
+    assert report.problems == []
+    assert report.tallies["acknowledged"] > 0
+    assert report.tallies["reads"] > 0
