--- a/reedspoke/common/errors.py
+++ b/reedspoke/common/errors.py
@@ -60,6 +60,7 @@
     QUOTA_SPENT = 514
     QUOTA_UNAVAILABLE = 515
     TALLY_MALFORMED = 516
+    UNKNOWN_ZONE = 517
 
 
 class NumberedError(Exception):
--- a/reedspoke/control_plane/__init__.py
+++ b/reedspoke/control_plane/__init__.py
@@ -7,6 +7,7 @@
 - `peers`: connections and messages between control plane nodes.
 - `workers`: the list of workers, and the lease of the node that polls the platform for it.
 - `tallies`: counts of applications, merged between nodes without a majority.
+- `evacuation`: operators' orders on zones, as adds to tallies of their own.
 - `quota`: what is granted of tenants' quotas.
 - `delivery`: sessions with data plane nodes, what is published to them, and the membership.
 - `api`: the operators' HTTP API.
--- a/reedspoke/control_plane/api/backend.py
+++ b/reedspoke/control_plane/api/backend.py
@@ -36,6 +36,12 @@
     def tally_total(self, tally: str) -> int:
         """The sum of a tally's adds, as far as this node knows them. Raises FleetError while it is behind."""
 
+    def order_evacuation(self, zone: str, evacuated: bool) -> Awaitable[None]:
+        """Evacuate a zone, or withdraw that; done again, it changes nothing.
+
+        Raises FleetError: TALLY_UNCLEAR where the order may be in force, any other where nothing was done.
+        """
+
     def holds_majority(self) -> bool:
         """Whether a majority of voters stands behind this node at this instant."""
 
--- a/reedspoke/control_plane/api/call_log.py
+++ b/reedspoke/control_plane/api/call_log.py
@@ -10,6 +10,7 @@
 from reedspoke.common.json_log import INFO, WARNING, log
 from reedspoke.common.log_rate_limit import LogRateLimiter
 from reedspoke.control_plane.api.http_messages import Request
+from reedspoke.control_plane.api.tally_calls import TALLY_PATH
 from reedspoke.telemetry.metrics import Registry
 
 CALL_EVENT = "operator call"
@@ -65,7 +66,8 @@
         code = "" if call.code is None else str(int(call.code))
         self._calls.add(request.method, call.path, str(call.status), code)
         self._durations.observe(call.duration_s)
-        if request.method == "PUT" or call.status != SUCCESS:
+        is_routine = request.method == "GET" or call.path == TALLY_PATH
+        if not is_routine or call.status != SUCCESS:
             self._log(call)
 
     def connection_refused(self, open_connections: int) -> None:
--- a/reedspoke/control_plane/api/error_responses.py
+++ b/reedspoke/control_plane/api/error_responses.py
@@ -31,6 +31,7 @@
     ErrorCode.NO_ROUTE: 404,
     ErrorCode.MALFORMED_REQUEST: 400,
     ErrorCode.TALLY_MALFORMED: 400,
+    ErrorCode.UNKNOWN_ZONE: 400,
     ErrorCode.TALLY_UNCLEAR: UNCLEAR,
     ErrorCode.TALLIES_FULL: TOO_MANY,
 }
--- a/reedspoke/control_plane/api/operator_api.py
+++ b/reedspoke/control_plane/api/operator_api.py
@@ -29,6 +29,8 @@
 RESPONSE_TIMEOUT_S = 0.94  # callers go to another node after a second without a response
 MAX_PENDING_CALLS = 64
 MAX_PENDING_TALLY_CALLS = 256  # counted apart: applications must not keep operators out
+EVACUATION_PREFIX = "/reedspoke/evacuation/"
+EVACUATION_PATH = "/reedspoke/evacuation/{zone}"
 MAX_GENERATION = 2**63 - 1
 MAX_MATCH_DIGITS = 18
 
@@ -41,10 +43,13 @@
     needs_majority: bool = True  # at the instant at which the response is given
 
 
+TEMPLATES = {TALLY_PREFIX: TALLY_PATH, EVACUATION_PREFIX: EVACUATION_PATH}
+
+
 def served_path(path: str) -> str:
     """The path of OPERATIONS under which a request's path is served; itself where there is none."""
-    is_tally = path.startswith(TALLY_PREFIX) and path != TALLY_PREFIX and "/" not in path[len(TALLY_PREFIX) :]
-    return TALLY_PATH if is_tally else path
+    prefix, _, name = path.rpartition("/")
+    return TEMPLATES.get(prefix + "/", path) if name else path
 
 
 class OperatorApi:
@@ -152,6 +157,23 @@
         total = self._backend.tally_total(tally_name(request.path))
         return Response(200, msgspec.json.encode(TallyTotal(total)))
 
+    async def evacuate(self, request: Request) -> Response:
+        """Send nothing more to the workers of a zone. Raises FleetError where that is not acknowledged."""
+        return await self._order_evacuation(request, evacuated=True)
+
+    async def withdraw_evacuation(self, request: Request) -> Response:
+        """The workers of a zone may be used again. Raises FleetError where that is not acknowledged."""
+        return await self._order_evacuation(request, evacuated=False)
+
+    async def _order_evacuation(self, request: Request, evacuated: bool) -> Response:
+        zone = request.path.removeprefix(EVACUATION_PREFIX)
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                await self._backend.order_evacuation(zone, evacuated)
+        except TimeoutError:
+            raise FleetError(ErrorCode.TALLY_UNCLEAR, "not on enough disks yet; send it again") from None
+        return Response(200, b"{}")
+
     async def get_status(self, request: Request) -> Response:
         """The state of this node; it is answered without a majority too."""
         return Response(200, msgspec.json.encode(self._backend.status()))
@@ -195,6 +217,13 @@
     )
 )
 ADD_ERRORS = TALLY_ERRORS | {ErrorCode.TALLY_UNCLEAR, ErrorCode.TALLIES_FULL, ErrorCode.STORAGE_FAILED}
+EVACUATION_ERRORS = UNAVAILABLE_ERRORS | {
+    ErrorCode.MALFORMED_REQUEST,
+    ErrorCode.STORAGE_FAILED,
+    ErrorCode.TALLIES_BEHIND,
+    ErrorCode.TALLY_UNCLEAR,
+    ErrorCode.UNKNOWN_ZONE,
+}
 
 OPERATIONS: dict[str, dict[str, Operation]] = {
     CONFIGURATION_PATH: {
@@ -214,6 +243,10 @@
         "GET": Operation(OperatorApi.get_tally, TALLY_ERRORS, needs_majority=False),
         "POST": Operation(OperatorApi.add_to_tally, ADD_ERRORS, needs_majority=False),
     },
+    EVACUATION_PATH: {
+        "POST": Operation(OperatorApi.evacuate, EVACUATION_ERRORS),
+        "DELETE": Operation(OperatorApi.withdraw_evacuation, EVACUATION_ERRORS),
+    },
 }
 
 
--- a/reedspoke/control_plane/api/schemas.py
+++ b/reedspoke/control_plane/api/schemas.py
@@ -58,3 +58,4 @@
     workers_version: tuple[int, int]
     holds_list_duty: bool
     holds_majority: bool = False
+    evacuated: list[str] = []
--- /dev/null
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -0,0 +1,61 @@
+"""Carries out operators' orders on zones, and marks the workers of evacuated zones."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.common.json_log import INFO, log
+from reedspoke.common.messages import WorkerEntry
+from reedspoke.control_plane.evacuation.order_log import (
+    ZONE_PREFIX,
+    drain_zones,
+    evacuated_zones,
+    next_order,
+    tally_of,
+)
+from reedspoke.control_plane.tallies.service import TallyService
+
+NUMBER_WITHIN_S = 0.9  # callers go elsewhere after a second
+
+
+class EvacuationService:
+    """Joins the orders to the tallies. `zones` are those of the deployment; none: any name is taken."""
+
+    def __init__(self, tallies: TallyService, zones: Collection[str]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._tallies = tallies
+        self._zones = frozenset(zones)
+        self._logged: frozenset[str] = frozenset()
+
+    async def order(self, zone: str, evacuated: bool) -> None:
+        """Evacuate a zone, or withdraw that; done again, it changes nothing.
+
+        Raises FleetError: UNKNOWN_ZONE; NO_QUORUM where too few nodes are in reach; TALLY_UNCLEAR where the
+        order may be in force.
+        """
+        if self._zones and zone not in self._zones:
+            raise FleetError(ErrorCode.UNKNOWN_ZONE, f"there is no zone {zone}")
+        deadline = self._loop.time() + NUMBER_WITHIN_S
+        await self._tallies.synchronize()
+        if self._loop.time() > deadline:
+            # A process that was stopped meanwhile: its caller may have gone on with a later order elsewhere.
+            raise FleetError(ErrorCode.NO_QUORUM, "the other nodes did not answer in time")
+        order = next_order(zone, self._tallies.newest(tally_of(zone)), evacuated)
+        if order is not None:
+            await self._tallies.add(order)
+
+    def zones(self) -> frozenset[str]:
+        """The zones that are evacuated, as far as this node knows."""
+        zones = evacuated_zones(self._tallies.newest_of_all(ZONE_PREFIX))
+        if zones != self._logged:
+            log(INFO, "evacuated zones", zones=sorted(zones))
+            self._logged = zones
+        return zones
+
+    def mark_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
+        """The list with the workers of evacuated zones as draining; None while the orders are not known."""
+        if not self._tallies.knows_what_it_acknowledged():
+            return None
+        return drain_zones(entries, self.zones())
--- a/reedspoke/control_plane/node_backend.py
+++ b/reedspoke/control_plane/node_backend.py
@@ -11,6 +11,7 @@
 from reedspoke.control_plane.delivery.configuration_publisher import ConfigurationPublisher
 from reedspoke.control_plane.delivery.edge_sessions import EdgeSessions
 from reedspoke.control_plane.delivery.published_state import PublishedState
+from reedspoke.control_plane.evacuation.service import EvacuationService
 from reedspoke.control_plane.peer_exchange import PeerExchange
 from reedspoke.control_plane.replication.driver import ReplicaDriver
 from reedspoke.control_plane.replication.effects import GetCompleted, PutCompleted
@@ -37,6 +38,7 @@
         publisher: ConfigurationPublisher,
         sessions: EdgeSessions,
         tallies: TallyService,
+        evacuations: EvacuationService,
         call_log: OperatorCallLog,
     ) -> None:
         self.node_name = node_name
@@ -49,6 +51,7 @@
         self._publisher = publisher
         self._sessions = sessions
         self._tallies = tallies
+        self._evacuations = evacuations
         self._call_log = call_log
         self._loop = asyncio.get_running_loop()
 
@@ -80,6 +83,13 @@
         """The sum of a tally's adds. Raises FleetError while this node is behind."""
         return self._tallies.total(tally)
 
+    async def order_evacuation(self, zone: str, evacuated: bool) -> None:
+        """Evacuate a zone, or withdraw that. Raises FleetError: with TALLY_UNCLEAR it may be in force."""
+        self._check_not_shutting_down()
+        if not self.holds_majority():
+            raise FleetError(ErrorCode.NO_QUORUM, "no majority stands behind this machine")
+        await self._evacuations.order(zone, evacuated)
+
     def holds_majority(self) -> bool:
         """Whether a majority of voters stands behind this node at this instant."""
         return self._driver.holds_majority()
@@ -115,6 +125,7 @@
             workers_version=workers.version,
             holds_list_duty=self._lease.is_held(now),
             holds_majority=self.holds_majority(),
+            evacuated=sorted(self._evacuations.zones()),
         )
 
     def open_sessions(self) -> int:
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -29,6 +29,7 @@
 from reedspoke.control_plane.delivery.edge_sessions import EdgeSessions
 from reedspoke.control_plane.delivery.membership import Membership
 from reedspoke.control_plane.delivery.published_state import PublishedState
+from reedspoke.control_plane.evacuation.service import EvacuationService
 from reedspoke.control_plane.graceful_shutdown import GracefulShutdown
 from reedspoke.control_plane.metrics import add_state_metrics
 from reedspoke.control_plane.node_backend import NodeBackend
@@ -50,6 +51,7 @@
 
 MAINTENANCE_INTERVAL_S = 5.0
 EDGE_TTL_HEARTBEATS = 3.0
+TALLY_OPEN_S = 0.5  # the control log is not held up for longer
 TALLY_DRAIN_S = 1.0  # a node that shuts down waits for so long for others to have its tallies
 DISCOVERY_FAILED_EXIT_STATUS = 1
 
@@ -114,6 +116,7 @@
             replica=self._driver,
             on_lease_update=lambda: self._discovery.check_lease(),
         )
+        self._evacuations = EvacuationService(self._tallies, settings.zones)
         self._discovery = self._make_discovery(settings)
 
     def _build_endpoints(self, settings: NodeSettings) -> None:
@@ -129,6 +132,7 @@
             publisher=self._publisher,
             sessions=self._sessions,
             tallies=self._tallies,
+            evacuations=self._evacuations,
             call_log=call_log,
         )
         add_state_metrics(self._registry, self._backend)
@@ -170,6 +174,7 @@
             self._workers,
             self._exchange.publish_workers,
             self._exchange.send_all,
+            self._evacuations.mark_workers,
         )
 
     # ---- run ----
@@ -181,8 +186,10 @@
         await self._transport.listen()
         if settings.bind.control_plane:
             await self._api.listen(settings.bind.control_plane)
-        self._driver.start()
         self._tallies.start()
+        # The control log is made after that of the tallies: one without the other is of an earlier version.
+        await self._tallies.wait_until_open(TALLY_OPEN_S)
+        self._driver.start()
         discovery = self._loop.create_task(self._discovery.run())
         discovery.add_done_callback(self._discovery_ended)
         first_list = self._loop.create_task(
--- a/reedspoke/control_plane/tallies/amounts_by_id.py
+++ b/reedspoke/control_plane/tallies/amounts_by_id.py
@@ -77,6 +77,17 @@
                 break
         return found
 
+    def highest_id(self) -> int | None:
+        """The highest id; None where there is none."""
+        if not self._buckets:
+            return None
+        return self._buckets[max(self._buckets)].ids[-1]
+
+    def amount_of(self, add_id: int) -> int:
+        """The amount of an id that is there."""
+        bucket = self._buckets[add_id >> BUCKET_SHIFT]
+        return bucket.amounts[bisect_left(bucket.ids, add_id)]
+
     def summed(self) -> int:
         """The sum of all amounts, made anew; it takes time in proportion to the ids."""
         return sum(sum(bucket.amounts) for bucket in self._buckets.values())
--- a/reedspoke/control_plane/tallies/counts.py
+++ b/reedspoke/control_plane/tallies/counts.py
@@ -43,6 +43,18 @@
         amounts = self._tallies.get(tally)
         return amounts is not None and add_id in amounts
 
+    def newest(self, tally: str) -> TallyAdd | None:
+        """The add with the highest id; None where there is none."""
+        amounts = self._tallies.get(tally)
+        highest = None if amounts is None else amounts.highest_id()
+        if amounts is None or highest is None:
+            return None
+        return TallyAdd(tally, highest, amounts.amount_of(highest))
+
+    def names(self, prefix: str) -> list[str]:
+        """The tallies whose names begin so."""
+        return sorted(name for name in self._tallies if name.startswith(prefix))
+
     def is_known(self, tally: str) -> bool:
         """Whether a tally has any adds."""
         return tally in self._tallies
--- a/reedspoke/control_plane/tallies/events.py
+++ b/reedspoke/control_plane/tallies/events.py
@@ -9,12 +9,18 @@
 
 
 class AddSubmitted(Struct, frozen=True):
-    """An application adds to a tally; answered by `AddCompleted` with the same call id."""
+    """An application adds to a tally; answered by `CallCompleted` with the same call id."""
 
     call_id: int
     add: TallyAdd
 
 
+class SyncSubmitted(Struct, frozen=True):
+    """Learn what was acknowledged anywhere until now; answered by `CallCompleted` with the same call id."""
+
+    call_id: int
+
+
 class StoreCompleted(Struct, frozen=True):
     """The end of a `StoreRecords`: the records are synced, or the disk refused."""
 
@@ -35,7 +41,7 @@
     peers: frozenset[str]
 
 
-Event = AddSubmitted | StoreCompleted | MessageReceived | Tick
+Event = AddSubmitted | SyncSubmitted | StoreCompleted | MessageReceived | Tick
 
 
 class SendMessage(Struct, frozen=True):
@@ -53,8 +59,8 @@
     replace: bool = False
 
 
-class AddCompleted(Struct, frozen=True):
-    """The outcome of an add: acknowledged where `error` is None."""
+class CallCompleted(Struct, frozen=True):
+    """The outcome of a call: an add is acknowledged where `error` is None."""
 
     call_id: int
     error: ErrorCode | None
@@ -69,4 +75,4 @@
     fields: dict[str, object]
 
 
-Effect = SendMessage | StoreRecords | AddCompleted | LogEvent
+Effect = SendMessage | StoreRecords | CallCompleted | LogEvent
--- a/reedspoke/control_plane/tallies/messages.py
+++ b/reedspoke/control_plane/tallies/messages.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+INTERNAL_PREFIX = "/"  # of tallies that the API cannot name: orders of operators
 Vector = dict[str, int]  # by origin: all of its adds up to this number
 
 
@@ -38,7 +39,7 @@
 
     `sequence` rises with each digest of one incarnation to one receiver, `echo` is the highest that the
     sender has received from the receiver's incarnation `echo_incarnation`. `writable` is whether its disk
-    works.
+    works, `recovered` whether its folder has what any folder before it on that machine acknowledged.
     """
 
     folder_id: str
@@ -47,6 +48,7 @@
     echo_incarnation: int
     echo: int
     writable: bool
+    recovered: bool
     vector: Vector
 
 
--- a/reedspoke/control_plane/tallies/peer_contacts.py
+++ b/reedspoke/control_plane/tallies/peer_contacts.py
@@ -38,6 +38,7 @@
     sent: deque[SentDigest] = field(default_factory=lambda: deque(maxlen=REMEMBERED_DIGESTS))
     vector: Vector = field(default_factory=dict)
     writable: bool = True
+    recovered: bool = False
     contact_as_of: float = NEVER
     heard_at: float = NEVER
     is_member: bool = True
@@ -92,6 +93,7 @@
         peer.folder_id = digest.folder_id
         peer.vector = digest.vector
         peer.writable = digest.writable
+        peer.recovered = digest.recovered
         peer.heard_at = now
         if digest.echo_incarnation == self._incarnation:
             self._echoed(peer, digest.echo)
@@ -129,11 +131,24 @@
         return [peer for peer in self._peers.values() if now - peer.contact_as_of < APART_AFTER_S]
 
     def copies_needed(self, copies: int, now: float) -> int:
-        """Disks, with this one, that have to have an add: `copies`, or as many as are there."""
-        # A peer whose disk refuses can't be waited for; one that is only late must be, or a lost disk would
-        # take the add with it.
-        waited_for = sum(peer.writable for peer in self.expected(now))
-        return min(copies, 1 + waited_for)
+        """Disks, with this one, that have to have an add: `copies`, or as many as are in reach.
+
+        Only beside a partition is a disk that refuses not waited for: without one, an add on fewer disks
+        could be lost with them.
+        """
+        expected = self.expected(now)
+        is_complete = all(peer in expected for peer in self._peers.values() if peer.is_member)
+        waited_for = [peer for peer in expected if is_complete or peer.writable]
+        return min(copies, 1 + len(waited_for))
+
+    def recovered_since(self, since: float) -> list[Peer]:
+        """The recovered peers that have echoed a digest which was sent then or later."""
+        return [peer for peer in self._peers.values() if peer.recovered and peer.contact_as_of >= since]
+
+    def quorum(self, copies: int) -> int:
+        """So many recovered nodes that one of them has each add that `copies` disks ever had."""
+        nodes = 1 + sum(peer.is_member for peer in self._peers.values())
+        return max(nodes - copies + 1, copies)
 
     def copies_of(self, required: Mapping[str, int]) -> int:
         """Disks of peers that have everything up to `required`."""
--- a/reedspoke/control_plane/tallies/records.py
+++ b/reedspoke/control_plane/tallies/records.py
@@ -36,7 +36,11 @@
     vector: Vector
 
 
-Record = EntriesRecord | ItemsRecord | VectorRecord
+class RecoveredRecord(Struct, tag="recovered", array_like=True, frozen=True):
+    """This folder was made at the first start, or has taken in what a quorum had after it was made."""
+
+
+Record = EntriesRecord | ItemsRecord | VectorRecord | RecoveredRecord
 
 
 class TallyState(Struct):
@@ -44,6 +48,7 @@
 
     counts: TallyCounts
     log: OriginLog
+    recovered: bool = False
 
     def apply_entries(self, entries: TallyEntries) -> None:
         """Take in adds that follow those that are there, but for some that are there already."""
@@ -91,6 +96,8 @@
             break
         part = state.counts.part_after(part.next, ITEMS_A_RECORD)
     yield encode_record(VectorRecord(state.log.horizon()))
+    if state.recovered:
+        yield encode_record(RecoveredRecord())
     for entries in state.log.all_retained(ENTRIES_A_RECORD):
         yield entries_record(entries)
 
@@ -105,3 +112,5 @@
             state.counts.join(items)
         case VectorRecord(vector=vector):
             state.log.advance(vector)
+        case RecoveredRecord():
+            state.recovered = True
--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -11,8 +11,8 @@
 from reedspoke.control_plane.tallies.catch_up import CatchUp, StateTransfer
 from reedspoke.control_plane.tallies.counts import START, StatePart
 from reedspoke.control_plane.tallies.events import (
-    AddCompleted,
     AddSubmitted,
+    CallCompleted,
     Effect,
     Event,
     LogEvent,
@@ -20,9 +20,12 @@
     SendMessage,
     StoreCompleted,
     StoreRecords,
+    SyncSubmitted,
     Tick,
 )
 from reedspoke.control_plane.tallies.messages import (
+    INTERNAL_PREFIX,
+    TallyAdd,
     TallyCursor,
     TallyDigest,
     TallyEntries,
@@ -35,6 +38,7 @@
 from reedspoke.control_plane.tallies.peer_contacts import PeerContacts
 from reedspoke.control_plane.tallies.records import (
     ItemsRecord,
+    RecoveredRecord,
     VectorRecord,
     complete_records,
     encode_record,
@@ -70,6 +74,13 @@
     add_id: int
 
 
+class WaitingSync(Struct, frozen=True):
+    """A call that waits until this node knows what was acknowledged before `since`."""
+
+    call_id: int
+    since: float
+
+
 class TallyReplica:
     """Owns the counts, their log, the contacts with peers and what is to be stored.
 
@@ -83,6 +94,7 @@
         self._queue = StoreQueue(self._state.log.vector)
         self._catch_up = CatchUp(now, waits_for_peer=settings.created and not settings.bootstrap)
         self._waiting: list[WaitingAdd] = []
+        self._syncs: list[WaitingSync] = []
         self._effects: list[Effect] = []
         self._ticked_at = now
         self._digests_at = now
@@ -99,6 +111,8 @@
         match event:
             case AddSubmitted():
                 self._submit(now, event)
+            case SyncSubmitted(call_id):
+                self._submit_sync(now, call_id)
             case StoreCompleted():
                 self._stored(now, event)
             case MessageReceived(sender, message):
@@ -115,7 +129,7 @@
         key = (add.tally, add.add_id)
         if not self._catch_up.has_caught_up:
             # An acknowledged add must be read here at once, and this node may not be read yet.
-            self._effects.append(AddCompleted(event.call_id, ErrorCode.TALLIES_BEHIND, NOT_CAUGHT_UP))
+            self._effects.append(CallCompleted(event.call_id, ErrorCode.TALLIES_BEHIND, NOT_CAUGHT_UP))
             return
         if self._state.counts.contains(*key):
             # It has counted, here or at a peer: what this node has now includes it.
@@ -128,7 +142,7 @@
             return
         error = self._rejection(now, add.tally)
         if error is not None:
-            self._effects.append(AddCompleted(event.call_id, error.code, error.message))
+            self._effects.append(CallCompleted(event.call_id, error.code, error.message))
             return
         self._queue.put_own(key, event.call_id, add)
 
@@ -137,6 +151,8 @@
         counts = self._state.counts
         if not self._queue.disk_works(now):
             return FleetError(ErrorCode.STORAGE_FAILED, "the disk does not answer")
+        if tally.startswith(INTERNAL_PREFIX):
+            return None
         if len(self._queue.waiting.own) >= MAX_QUEUED_ADDS:
             return FleetError(ErrorCode.OVERLOADED, "too many adds are waiting")
         if counts.id_count + len(self._queue.waiting.own) >= self._settings.max_ids:
@@ -154,7 +170,9 @@
         still: list[WaitingAdd] = []
         for waiting in self._waiting:
             copies = 1 + self._contacts.copies_of(waiting.required)
-            if copies < needed:
+            # An order that fewer disks have could be missed by the quorum that the next one asks.
+            is_order = waiting.tally.startswith(INTERNAL_PREFIX)
+            if copies < (self._settings.copies if is_order else needed):
                 still.append(waiting)
             else:
                 self._acknowledge(waiting, copies, needed)
@@ -170,7 +188,43 @@
             copies=copies,
             needed=needed,
         )
-        self._effects += [AddCompleted(call_id, None) for call_id in waiting.call_ids]
+        self._effects += [CallCompleted(call_id, None) for call_id in waiting.call_ids]
+
+    # ---- reads that nothing acknowledged before may escape ----
+
+    def _submit_sync(self, now: float, call_id: int) -> None:
+        if self._contacts.copies_needed(self._settings.copies, now) < self._settings.copies:
+            message = "too few nodes are in reach"
+            self._effects.append(CallCompleted(call_id, ErrorCode.NO_QUORUM, message))
+            return
+        self._syncs.append(WaitingSync(call_id, now))
+        for address in self._contacts.addresses:
+            self._send_digest(now, address)
+
+    def _complete_syncs(self) -> None:
+        self._syncs = [waiting for waiting in self._syncs if not self._complete_sync(waiting)]
+
+    def _complete_sync(self, waiting: WaitingSync) -> bool:
+        """Complete a sync once so many nodes have been heard that one of them has each acknowledged add."""
+        if not self._state.recovered or not self._has_what_a_quorum_has(waiting.since, own=1):
+            return False
+        self._effects.append(CallCompleted(waiting.call_id, None))
+        return True
+
+    def _has_what_a_quorum_has(self, since: float, own: int) -> bool:
+        """Whether this node has what a quorum of recovered nodes had then; `own` is 1 where it is of them."""
+        vector = self._state.log.vector
+        heard = self._contacts.recovered_since(since)
+        current = sum(covers(vector, peer.vector) for peer in heard)
+        return own + current >= self._contacts.quorum(self._settings.copies)
+
+    def _recover(self) -> None:
+        """A folder that was made later counts in a quorum once it has what a quorum has."""
+        if self._state.recovered or self._queue.waiting.recovered:
+            return
+        is_first = self._settings.created and self._settings.bootstrap
+        if is_first or self._has_what_a_quorum_has(self._contacts.listening_since, own=0):
+            self._queue.waiting.recovered = True
 
     # ---- the disk ----
 
@@ -199,6 +253,8 @@
             records += [encode_record(ItemsRecord(items)) for items in received.items]
             if received.next is None:
                 records.append(encode_record(VectorRecord(received.transfer.vector)))
+        if batch.recovered:
+            records.append(encode_record(RecoveredRecord()))
         # An empty batch tries a disk that has failed.
         return records or [encode_record(VectorRecord({}))]
 
@@ -220,10 +276,12 @@
             self._state.apply_entries(received.entries)
         for items in batch.items:
             self._apply_items(now, items)
+        self._state.recovered |= batch.recovered
         for sender in sorted({received.sender for received in batch.entries}):
             self._send_digest(now, sender)
         self._state.log.drop_oldest(MAX_RETAINED_ENTRIES)
         self._complete_waiting(now)
+        self._complete_syncs()
 
     def _store_failed(self, now: float, error: ErrorCode) -> None:
         lost = self._queue.failed(self._state.log.vector, now)
@@ -231,7 +289,7 @@
         # The disk may have kept some of what it refused: whether these adds count is not known.
         for own in lost.own.values():
             for call_id in own.call_ids:
-                self._effects.append(AddCompleted(call_id, ErrorCode.TALLY_UNCLEAR, "the disk refuses"))
+                self._effects.append(CallCompleted(call_id, ErrorCode.TALLY_UNCLEAR, "the disk refuses"))
         self._effects.append(LogEvent(logging.WARNING, "tallies cannot be stored", {"code": int(error)}))
 
     def _apply_own(self, batch: Batch) -> None:
@@ -274,6 +332,7 @@
             self._send_digest(now, sender)  # its echo tells that process that it is in contact
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
         self._complete_waiting(now)
+        self._complete_syncs()
 
     def _answer_pull(self, sender: str, vector: Vector) -> None:
         budget = ENTRIES_A_PULL
@@ -336,6 +395,7 @@
         self._ticked_at = now
         self._contacts.set_members(peers, now)
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
+        self._recover()
         self._complete_waiting(now)
         if now >= self._digests_at:
             self._digests_at = now + DIGEST_INTERVAL_S
@@ -372,6 +432,7 @@
             echo_incarnation=peer.incarnation,
             echo=peer.received_sequence,
             writable=self._queue.disk_works(now),
+            recovered=self._state.recovered,
             vector=dict(self._state.log.vector),
         )
         self._effects.append(SendMessage(address, digest))
@@ -392,6 +453,19 @@
             raise FleetError(ErrorCode.TALLIES_BEHIND, "the disk does not answer, so others may have more")
         return self._state.counts.total(tally)
 
+    def newest(self, tally: str) -> TallyAdd | None:
+        """The add of a tally with the highest id; None where there is none."""
+        return self._state.counts.newest(tally)
+
+    def newest_of_all(self, prefix: str) -> list[TallyAdd]:
+        """The newest adds of the tallies whose names begin so."""
+        found = [self._state.counts.newest(name) for name in self._state.counts.names(prefix)]
+        return [add for add in found if add is not None]
+
+    def knows_what_it_acknowledged(self) -> bool:
+        """Whether this node has what its machine ever acknowledged: a lost disk has to be filled first."""
+        return self._state.recovered or self._catch_up.has_caught_up
+
     def is_replicated(self, now: float) -> bool:
         """Whether every peer in contact has on its disk what this node has."""
         if self._waiting or self._queue.waiting or self._queue.in_flight is not None:
@@ -411,5 +485,6 @@
             "peers_in_contact": len(self._contacts.in_contact(now)),
             "copies_needed": self._contacts.copies_needed(self._settings.copies, now),
             "caught_up": self._catch_up.has_caught_up,
+            "recovered": self._state.recovered,
             "disk_works": self._queue.disk_works(now),
         }
--- a/reedspoke/control_plane/tallies/service.py
+++ b/reedspoke/control_plane/tallies/service.py
@@ -13,8 +13,8 @@
 from reedspoke.common.json_log import log
 from reedspoke.common.unhandled_errors import end_process, unhandled_errors
 from reedspoke.control_plane.tallies.events import (
-    AddCompleted,
     AddSubmitted,
+    CallCompleted,
     Effect,
     Event,
     LogEvent,
@@ -22,12 +22,14 @@
     SendMessage,
     StoreCompleted,
     StoreRecords,
+    SyncSubmitted,
     Tick,
 )
 from reedspoke.control_plane.tallies.messages import TallyAdd, TallyMessage
 from reedspoke.control_plane.tallies.replica import TallyReplica
 
 DRAIN_INTERVAL_S = 0.02
+OPEN_POLL_S = 0.002
 TALLIES_FAILED_EXIT = 4  # exit status
 
 
@@ -72,6 +74,12 @@
         """Open the log."""
         self._storage.open()
 
+    async def wait_until_open(self, limit_s: float) -> None:
+        """Return once the log is open, or after so long."""
+        deadline = self._loop.time() + limit_s
+        while self._replica is None and self._loop.time() < deadline:
+            await asyncio.sleep(OPEN_POLL_S)
+
     def tick(self) -> None:
         """A little time has passed."""
         if self._replica is not None:
@@ -93,17 +101,39 @@
 
         Raises FleetError: TALLY_UNCLEAR where it may have counted, any other where nothing was done.
         """
+        await self._call(lambda call_id: AddSubmitted(call_id, add))
+
+    async def synchronize(self) -> None:
+        """Learn every add that was acknowledged before this call.
+
+        Raises FleetError NO_QUORUM where too few nodes are in reach.
+        """
+        await self._call(SyncSubmitted)
+
+    async def _call(self, make_event: Callable[[int], Event]) -> None:
         if self._replica is None:
             raise FleetError(ErrorCode.TALLIES_BEHIND, "the tallies are not open yet")
         self._call_id += 1
         call_id = self._call_id
         future = self._calls[call_id] = self._loop.create_future()
         try:
-            self._handle(AddSubmitted(call_id, add))
+            self._handle(make_event(call_id))
             await future
         finally:
             del self._calls[call_id]
 
+    def newest(self, tally: str) -> TallyAdd | None:
+        """The add of a tally with the highest id, as far as this node knows; None where there is none."""
+        return None if self._replica is None else self._replica.newest(tally)
+
+    def newest_of_all(self, prefix: str) -> list[TallyAdd]:
+        """The newest adds of the tallies whose names begin so."""
+        return [] if self._replica is None else self._replica.newest_of_all(prefix)
+
+    def knows_what_it_acknowledged(self) -> bool:
+        """Whether this node has what its folder ever acknowledged."""
+        return self._replica is not None and self._replica.knows_what_it_acknowledged()
+
     def total(self, tally: str) -> int:
         """The sum of a tally's adds. Raises FleetError TALLIES_BEHIND where this node may not be read now."""
         if self._replica is None:
@@ -159,12 +189,12 @@
                 self._send(address, message)
             case StoreRecords():
                 self._storage.store(effect)
-            case AddCompleted():
+            case CallCompleted():
                 self._complete(effect)
             case LogEvent(level, text, fields):
                 log(level, text, **fields)
 
-    def _complete(self, completed: AddCompleted) -> None:
+    def _complete(self, completed: CallCompleted) -> None:
         future = self._calls.get(completed.call_id)
         if future is None or future.done():
             return
--- a/reedspoke/control_plane/tallies/settings.py
+++ b/reedspoke/control_plane/tallies/settings.py
@@ -48,7 +48,8 @@
 class TallySettings(Struct, frozen=True):
     """Who this replica is, and what the fleet must bear.
 
-    `created` is whether the folder was empty, `bootstrap` whether the whole system starts for the first time.
+    `created` is whether the log was made just now; `bootstrap` is whether nothing had been acknowledged on
+    this machine before: the whole system starts for the first time, or for the first time with tallies.
     """
 
     folder_id: str
--- a/reedspoke/control_plane/tallies/storage.py
+++ b/reedspoke/control_plane/tallies/storage.py
@@ -12,6 +12,8 @@
 from reedspoke.control_plane.storage.durable_log import DurableLog
 from reedspoke.control_plane.storage.job_thread import JobThread
 from reedspoke.control_plane.storage.log_opening import OpenedLog
+from reedspoke.control_plane.storage.log_slots import LOG_NAME as CONTROL_LOG_NAME
+from reedspoke.control_plane.storage.log_slots import slot_names
 from reedspoke.control_plane.tallies.events import StoreCompleted, StoreRecords
 from reedspoke.control_plane.tallies.replica import TallyReplica
 from reedspoke.control_plane.tallies.settings import TallySettings, max_ids
@@ -34,8 +36,11 @@
         self._on_opened = on_opened
         self._on_stored = on_stored
         self._loop = asyncio.get_running_loop()
+        directory = Path(settings.data_dir or "")
+        # A machine that has a control log has not lost its disk: a version without tallies ran on it before.
+        self._is_upgrade = any((directory / name).exists() for name in slot_names(CONTROL_LOG_NAME))
         self._log: DurableLog[TallyReplica] = DurableLog(
-            Path(settings.data_dir or ""), LOG_NAME, JobThread("tallies"), self._thread_restore, self._opened
+            directory, LOG_NAME, JobThread("tallies"), self._thread_restore, self._opened
         )
 
     def open(self) -> None:
@@ -53,11 +58,12 @@
     def _thread_restore(self, opened: OpenedLog) -> TallyReplica:
         """Replay the records; called on the storage thread."""
         limits = self._settings.limits
+        lost_state = opened.succeeds_corrupt or self._log.was_corrupt
         settings = TallySettings(
             folder_id=opened.folder_id,
             incarnation=self._incarnation,
             created=opened.created,
-            bootstrap=self._settings.bootstrap,
+            bootstrap=(self._settings.bootstrap or self._is_upgrade) and not lost_state,
             machines_tolerated=self._settings.fault_tolerance.machines,
             max_ids=max_ids(limits.memory_mb, limits.disk_mb),
         )
--- a/reedspoke/control_plane/tallies/store_queue.py
+++ b/reedspoke/control_plane/tallies/store_queue.py
@@ -45,9 +45,10 @@
     own: dict[AddKey, OwnAdd] = field(default_factory=dict)
     entries: list[ReceivedEntries] = field(default_factory=list)
     items: list[ReceivedItems] = field(default_factory=list)
+    recovered: bool = False  # this folder has recovered
 
     def __bool__(self) -> bool:
-        return bool(self.own or self.entries or self.items)
+        return bool(self.own or self.entries or self.items or self.recovered)
 
 
 class StoreQueue:
--- a/tests/control_plane/tallies/random_days.py
+++ b/tests/control_plane/tallies/random_days.py
@@ -13,12 +13,14 @@
 from reedspoke.control_plane.tallies import replica
 from reedspoke.control_plane.tallies.messages import TallyAdd
 from reedspoke.telemetry.invariants import monitor
-from tests.control_plane.tallies.simulated_tallies import DELAY_S, SLOW_DELAY_S, Node, Simulation
+from tests.control_plane.tallies.simulated_tallies import DELAY_S, SLOW_DELAY_S, Node, OrderRecord, Simulation
 
 TALLIES = ("t1", "t2", "t3")
 STEP_S = (0.005, 0.12)
 FAULTS_EVERY = 25  # steps
 CALLS_PER_STEP = 2
+ORDERS_A_STEP = 0.15
+NEXT_ORDER = 0.3  # chance of another order once the last one is acknowledged
 FAULT_S = (0.2, 6.0)
 CALM_S = 12.0
 RECOVERY_S = 6.0  # a machine counts as lost for so long after it is back
@@ -43,6 +45,8 @@
             simulation.run(self.random.uniform(*STEP_S))
             for _ in range(CALLS_PER_STEP):
                 self._call()
+            if self.random.random() < ORDERS_A_STEP:
+                self._order()
             if step % FAULTS_EVERY == FAULTS_EVERY - 1:
                 self._fault()
         simulation.settle()
@@ -64,6 +68,16 @@
             self._recent = [*self._recent[-30:], add]
             self.simulation.add(node, add)
 
+    def _order(self) -> None:
+        orders = self.simulation.orders
+        if not orders:
+            orders.append(OrderRecord(evacuated=True))
+        if orders[-1].acknowledged:
+            if self.random.random() > NEXT_ORDER:
+                return
+            orders.append(OrderRecord(evacuated=not orders[-1].evacuated))
+        self.simulation.order(self.random.choice(list(self.simulation.nodes.values())), orders[-1])
+
     # ---- faults ----
 
     def _fault(self) -> None:
--- a/tests/control_plane/tallies/replica_steps.py
+++ b/tests/control_plane/tallies/replica_steps.py
@@ -4,8 +4,8 @@
 
 from reedspoke.common.errors import ErrorCode
 from reedspoke.control_plane.tallies.events import (
-    AddCompleted,
     AddSubmitted,
+    CallCompleted,
     Event,
     MessageReceived,
     SendMessage,
@@ -14,6 +14,7 @@
     Tick,
 )
 from reedspoke.control_plane.tallies.messages import TallyAdd, TallyDigest, TallyMessage, Vector
+from reedspoke.control_plane.tallies.records import RecoveredRecord, encode_record
 from reedspoke.control_plane.tallies.replica import TallyReplica
 from reedspoke.control_plane.tallies.settings import TallySettings
 
@@ -22,16 +23,20 @@
 
 
 class Steps:
-    """One replica of five with its file, at a time that the test moves on."""
+    """One replica of five with its file, at a time that the test moves on.
+
+    Without `records` it is of a folder that has recovered, or has just been made.
+    """
 
     def __init__(
-        self, *, records: tuple[bytes, ...] = (), created: bool = False, max_ids: int = 1000
+        self, *, records: tuple[bytes, ...] | None = None, created: bool = False, max_ids: int = 1000
     ) -> None:
         self.now = 100.0
         self.answers: dict[int, ErrorCode | None] = {}
         self.sent: list[SendMessage] = []
         self.stores: list[StoreRecords] = []
-        self.records = list(records)
+        recovered = [] if created else [encode_record(RecoveredRecord())]
+        self.records = recovered if records is None else list(records)
         self._calls = 0
         self._sequences: dict[str, int] = {}
         settings = TallySettings(OWN, 7, created, False, 2, max_ids)
@@ -46,7 +51,7 @@
                     self.sent.append(effect)
                 case StoreRecords():
                     self.stores.append(effect)
-                case AddCompleted(call_id, error):
+                case CallCompleted(call_id, error):
                     self.answers[call_id] = error
 
     def tick(self, seconds: float = 0.0) -> None:
@@ -76,12 +81,21 @@
         ]
 
     def digest(
-        self, sender: str, vector: Vector, *, echoes: bool = True, writable: bool = True, incarnation: int = 1
+        self,
+        sender: str,
+        vector: Vector,
+        *,
+        echoes: bool = True,
+        writable: bool = True,
+        recovered: bool = True,
+        incarnation: int = 1,
     ) -> None:
         """A peer's digest; it echoes the newest that it was sent, or none."""
         sequence = self._sequences[sender] = self._sequences.get(sender, 0) + 1
         echo = self.last_digest(sender).sequence if echoes else 0
-        self.receive(sender, TallyDigest(f"f-{sender}", incarnation, sequence, 7, echo, writable, vector))
+        self.receive(
+            sender, TallyDigest(f"f-{sender}", incarnation, sequence, 7, echo, writable, recovered, vector)
+        )
 
     def in_touch(self, *addresses: str, vector: Vector | None = None) -> None:
         """These peers answer."""
--- a/tests/control_plane/tallies/simulated_tallies.py
+++ b/tests/control_plane/tallies/simulated_tallies.py
@@ -12,15 +12,17 @@
 from msgspec import Struct, field
 
 from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.control_plane.evacuation.order_log import is_evacuated, next_order, tally_of
 from reedspoke.control_plane.tallies.events import (
-    AddCompleted,
     AddSubmitted,
+    CallCompleted,
     Effect,
     Event,
     MessageReceived,
     SendMessage,
     StoreCompleted,
     StoreRecords,
+    SyncSubmitted,
     Tick,
 )
 from reedspoke.control_plane.tallies.messages import TallyAdd, TallyMessage
@@ -28,6 +30,7 @@
 from reedspoke.control_plane.tallies.settings import TallySettings
 
 TICK_S = 0.05
+ZONE = "zone-a"
 MERGE_S = 3.0
 CALLER_TIMEOUT_S = 1.0
 SETTLED_S = 0.5  # in calm times an acknowledged add is read everywhere after this
@@ -56,6 +59,14 @@
     owed: bool = False
 
 
+class OrderRecord(Struct):
+    """An operator's order on a zone, and what came of it."""
+
+    evacuated: bool
+    number: int = 0
+    acknowledged: bool = False
+
+
 class Node:
     """One machine: its disk, and its process while that runs."""
 
@@ -83,6 +94,8 @@
         self.disturbed_at = 0.0
         self.healed_at = 0.0
         self.reads = 0
+        self.orders: list[OrderRecord] = []
+        self._operator_waits_until = 0.0
         self.delay_s = DELAY_S
         self.on_acknowledged: Callable[[Node], None] | None = None  # called once, at the next one
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -236,7 +249,7 @@
                 self._send(node.name, node.life, effect)
             case StoreRecords():
                 self._store(node, node.life, effect)
-            case AddCompleted(call_id, error):
+            case CallCompleted(call_id, error):
                 answer = self._calls.pop(call_id, None)
                 if answer is not None:
                     answer(error)
@@ -321,6 +334,50 @@
     def _problem(self, text: str) -> None:
         self.problems.append(f"{self.now:.3f} {text}")
 
+    # ---- an operator, who orders one thing at a time and sends it until it is acknowledged ----
+
+    def order(self, node: Node, order: OrderRecord) -> None:
+        """Send an order to a node."""
+        if node.replica is None or self.now < self._operator_waits_until:
+            return
+        self._operator_waits_until = self.now + CALLER_TIMEOUT_S
+        sync_id = next(self._call_ids)
+        asked_at = self.now
+
+        def synchronized(error: ErrorCode | None) -> None:
+            if error is None and self.now - asked_at < CALLER_TIMEOUT_S:
+                self._number_order(node, order)
+
+        self._calls[sync_id] = synchronized
+        self.handle(node, SyncSubmitted(sync_id))
+
+    def _number_order(self, node: Node, order: OrderRecord) -> None:
+        assert node.replica is not None
+        add = next_order(ZONE, node.replica.newest(tally_of(ZONE)), order.evacuated)
+        if add is None:
+            self._order_acknowledged(order, 0)
+            return
+        call_id = next(self._call_ids)
+        asked_at = self.now
+
+        def answered(error: ErrorCode | None) -> None:
+            if error is None and self.now - asked_at < CALLER_TIMEOUT_S:
+                self._order_acknowledged(order, add.add_id)
+
+        self._calls[call_id] = answered
+        # Not within the event that is being handled.
+        self.at(0.0, lambda: self.handle(node, AddSubmitted(call_id, add)))
+
+    def _order_acknowledged(self, order: OrderRecord, number: int) -> None:
+        if order.acknowledged:
+            return
+        order.acknowledged = True
+        self._operator_waits_until = self.now
+        order.number = number
+        before = [one.number for one in self.orders if one.acknowledged and one is not order]
+        if number < max(before, default=0):
+            self._problem(f"ORDER: {order} after {max(before)}")
+
     # ---- the end ----
 
     def settle(self) -> None:
@@ -335,7 +392,21 @@
         self.disturbed()
         self.run(MERGE_S + SETTLED_S)
         tallies = {tally for tally, _ in self.promises}
+        if self.orders:
+            self._judge_orders()
         for tally in sorted(tallies):
             totals = {name: self.read(node, tally) for name, node in self.nodes.items()}
             if len(set(totals.values())) != 1 or None in totals.values():
                 self._problem(f"LOST: {tally} is read as {totals}")
+
+    def _judge_orders(self) -> None:
+        """All nodes know the last order, or the one that was under way behind it."""
+        acknowledged = [order for order in self.orders if order.acknowledged]
+        possible = {acknowledged[-1].evacuated} if acknowledged else {False}
+        if not self.orders[-1].acknowledged:
+            possible.add(self.orders[-1].evacuated)
+        for node in self.nodes.values():
+            assert node.replica is not None
+            found = is_evacuated(node.replica.newest(tally_of(ZONE)))
+            if found not in possible:
+                self._problem(f"LOST: evacuated is {found} at {node.name}, after {self.orders[-2:]}")
--- /dev/null
+++ b/tests/control_plane/tallies/test_orders.py
@@ -0,0 +1,241 @@
+"""Operators' orders on zones: numbers, quorums, and what is published of them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.common.messages import WorkerEntry
+from reedspoke.control_plane.evacuation import service as service_module
+from reedspoke.control_plane.evacuation.order_log import (
+    EVACUATED,
+    WITHDRAWN,
+    drain_zones,
+    evacuated_zones,
+    is_evacuated,
+    next_order,
+    tally_of,
+)
+from reedspoke.control_plane.evacuation.service import EvacuationService
+from reedspoke.control_plane.tallies.events import SyncSubmitted
+from reedspoke.control_plane.tallies.messages import TallyAdd, TallyEntries
+from reedspoke.control_plane.tallies.records import RecoveredRecord, encode_record
+from reedspoke.control_plane.tallies.service import TallyService
+from tests.control_plane.tallies.replica_steps import OWN, PEERS, Steps
+
+ZONE = "zone-a"
+RECOVERED = (encode_record(RecoveredRecord()),)
+WAITING = "waiting"
+CALL = 999
+
+
+def recovered_steps() -> Steps:
+    """A replica in touch with all its peers, whose folder has everything."""
+    made = Steps(records=RECOVERED)
+    made.in_touch(*PEERS)
+    return made
+
+
+def synchronize(steps: Steps) -> object:
+    """Begin a sync; its outcome so far."""
+    steps.handle(SyncSubmitted(CALL))
+    return steps.answers.get(CALL, WAITING)
+
+
+# ---- numbers ----
+
+
+@given(st.lists(st.booleans(), max_size=20))
+def test_the_newest_number_says_what_was_ordered_last(orders: list[bool]) -> None:
+    newest: TallyAdd | None = None
+    for evacuated in orders:
+        order = next_order(ZONE, newest, evacuated)
+        if order is not None:
+            assert newest is None or order.add_id >= newest.add_id
+            newest = order
+        assert is_evacuated(newest) == evacuated
+
+
+def test_an_order_that_is_in_force_is_the_same_order() -> None:
+    first = next_order(ZONE, None, evacuated=True)
+    assert first == TallyAdd(tally_of(ZONE), 1, EVACUATED)
+    assert next_order(ZONE, first, evacuated=True) == first
+    assert next_order(ZONE, first, evacuated=False) == TallyAdd(tally_of(ZONE), 2, WITHDRAWN)
+    assert next_order(ZONE, None, evacuated=False) is None
+
+
+def test_of_two_orders_under_one_number_the_evacuation_counts() -> None:
+    assert EVACUATED < WITHDRAWN
+
+
+def worker(name: str, zone: str) -> WorkerEntry:
+    return WorkerEntry(name, "u", "a:1", zone, "v1", 8, False)
+
+
+def test_the_workers_of_evacuated_zones_drain() -> None:
+    orders = [TallyAdd(tally_of("za"), 3, EVACUATED), TallyAdd(tally_of("zb"), 4, WITHDRAWN)]
+    zones = evacuated_zones(orders)
+    assert zones == {"za"}
+    entries = (worker("1", "za"), worker("2", "zb"))
+    assert [entry.draining for entry in drain_zones(entries, zones)] == [True, False]
+    assert drain_zones(entries, frozenset()) is entries
+
+
+# ---- quorums ----
+
+
+def test_a_sync_waits_for_a_quorum_that_has_answered_since() -> None:
+    steps = recovered_steps()
+    steps.tick(0.01)
+    assert synchronize(steps) == WAITING
+    steps.digest("p1", {})
+    assert steps.answers.get(CALL, WAITING) == WAITING
+    steps.digest("p2", {})
+    assert steps.answers[CALL] is None
+
+
+def test_a_sync_takes_in_what_the_quorum_has() -> None:
+    steps = recovered_steps()
+    steps.tick(0.01)
+    synchronize(steps)
+    for peer in ("p1", "p2"):
+        steps.digest(peer, {"f-p1": 1})
+    assert steps.answers.get(CALL, WAITING) == WAITING
+    steps.receive("p1", TallyEntries("f-p1", 1, (TallyAdd(tally_of(ZONE), 1, EVACUATED),)))
+    steps.stored()
+    assert steps.answers[CALL] is None
+    assert is_evacuated(steps.replica.newest(tally_of(ZONE)))
+    assert len(steps.replica.newest_of_all("/evacuation/")) == 1
+
+
+def test_a_lost_disk_is_no_part_of_a_quorum() -> None:
+    steps = recovered_steps()
+    steps.tick(0.01)
+    synchronize(steps)
+    for peer in PEERS:
+        steps.digest(peer, {}, recovered=False)
+    assert steps.answers.get(CALL, WAITING) == WAITING
+    steps.digest("p1", {})
+    steps.digest("p2", {})
+    assert steps.answers[CALL] is None
+
+
+def test_a_folder_made_later_recovers_by_a_quorum_and_remembers_it() -> None:
+    steps = Steps(created=True)
+    steps.in_touch(*PEERS[:3], vector={"f-p1": 1})
+    steps.tick(0.05)
+    assert not steps.replica.figures(steps.now)["recovered"]
+    steps.receive("p1", TallyEntries("f-p1", 1, (TallyAdd("t", 1, 1),)))
+    steps.stored()
+    steps.tick(0.05)
+    steps.stored()
+    assert steps.replica.figures(steps.now)["recovered"]
+    again = Steps(records=tuple(steps.records))
+    assert again.replica.figures(again.now)["recovered"]
+
+
+def test_too_few_nodes_in_reach_take_no_order() -> None:
+    steps = Steps(records=RECOVERED)
+    for _ in range(10):
+        steps.tick(0.2)
+        steps.digest("p1", {})
+    assert synchronize(steps) is ErrorCode.NO_QUORUM
+
+
+def test_an_order_is_never_on_fewer_disks() -> None:
+    steps = recovered_steps()
+    call = steps.add(1, EVACUATED, tally=tally_of(ZONE))
+    steps.stored()
+    for _ in range(10):
+        steps.tick(0.2)
+        steps.digest("p1", {OWN: 1})
+    assert steps.answers.get(call, WAITING) == WAITING
+    steps.digest("p2", {OWN: 1})
+    assert steps.answers[call] is None
+
+
+def test_an_order_is_taken_where_there_is_no_room_for_adds() -> None:
+    steps = Steps(records=RECOVERED, max_ids=0)
+    steps.in_touch(*PEERS)
+    assert steps.answers.get(steps.add(1), WAITING) is ErrorCode.TALLIES_FULL
+    steps.add(1, EVACUATED, tally=tally_of(ZONE))
+    assert len(steps.stores) == 1
+
+
+# ---- the service ----
+
+
+class FakeTallies:
+    """Tallies that take time to synchronize."""
+
+    def __init__(self) -> None:
+        self.adds: list[TallyAdd] = []
+        self.sync_s = 0.0
+        self.known = True
+
+    async def synchronize(self) -> None:
+        await asyncio.sleep(self.sync_s)
+
+    async def add(self, add: TallyAdd) -> None:
+        self.adds.append(add)
+
+    def newest(self, tally: str) -> TallyAdd | None:
+        return max((add for add in self.adds if add.tally == tally), key=lambda add: add.add_id, default=None)
+
+    def newest_of_all(self, prefix: str) -> list[TallyAdd]:
+        found = {add.tally: self.newest(add.tally) for add in self.adds}
+        return [add for add in found.values() if add is not None]
+
+    def knows_what_it_acknowledged(self) -> bool:
+        return self.known
+
+
+def ordered(tallies: FakeTallies, *orders: tuple[str, bool]) -> EvacuationService:
+    """A service that has carried these out."""
+
+    async def run() -> EvacuationService:
+        service = EvacuationService(cast(TallyService, tallies), ("za", "zb"))
+        for zone, evacuated in orders:
+            await service.order(zone, evacuated)
+        return service
+
+    return asyncio.run(run())
+
+
+def test_orders_and_repeated_orders() -> None:
+    tallies = FakeTallies()
+    service = ordered(tallies, ("za", True), ("za", True), ("zb", False))
+    assert service.zones() == {"za"}
+    assert {add.add_id for add in tallies.adds} == {1}
+    assert ordered(tallies, ("za", False)).zones() == frozenset()
+
+
+def test_an_unknown_zone_is_refused() -> None:
+    with pytest.raises(FleetError) as raised:
+        ordered(FakeTallies(), ("zx", True))
+    assert raised.value.code is ErrorCode.UNKNOWN_ZONE
+
+
+def test_an_order_that_waited_too_long_gets_no_number(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service_module, "NUMBER_WITHIN_S", 0.0)
+    tallies = FakeTallies()
+    tallies.sync_s = 0.02
+    with pytest.raises(FleetError):
+        ordered(tallies, ("za", True))
+    assert tallies.adds == []
+
+
+def test_no_list_is_published_while_the_orders_are_not_known() -> None:
+    tallies = FakeTallies()
+    service = ordered(tallies, ("za", True))
+    entries = (worker("1", "za"), worker("2", "zb"))
+    marked = service.mark_workers(entries)
+    assert marked is not None
+    assert [entry.draining for entry in marked] == [True, False]
+    tallies.known = False
+    assert service.mark_workers(entries) is None
--- a/tests/control_plane/tallies/test_replica.py
+++ b/tests/control_plane/tallies/test_replica.py
@@ -120,11 +120,18 @@
     assert answer(steps, call) is None
 
 
-def test_a_peer_whose_disk_refuses_is_not_waited_for(steps: Steps) -> None:
-    for peer in PEERS:
-        steps.digest(peer, {}, writable=False)
+def test_a_peer_whose_disk_refuses_is_waited_for_but_beside_a_partition(steps: Steps) -> None:
     call = steps.add(1)
     steps.stored()
+    for _ in range(int(APART_AFTER_S / 0.2) + 2):
+        steps.tick(0.2)
+        for peer in PEERS:
+            steps.digest(peer, {}, writable=False)
+    assert answer(steps, call) == WAITING
+    for _ in range(int(APART_AFTER_S / 0.2) + 2):
+        steps.tick(0.2)
+        for peer in PEERS[1:]:
+            steps.digest(peer, {}, writable=False)
     assert answer(steps, call) is None
 
 
@@ -387,6 +394,6 @@
 
 def test_a_late_digest_of_the_process_before_is_ignored(steps: Steps) -> None:
     steps.digest("p1", {OWN: 5}, incarnation=2)
-    late = TallyDigest("f-old", 1, 99, 7, 0, True, {OWN: 9})
+    late = TallyDigest("f-old", 1, 99, 7, 0, True, True, {OWN: 9})
     steps.receive("p1", late)
     assert steps.replica._contacts.peer("p1").vector == {OWN: 5}
--- a/tests/control_plane/test_puts_invalid.py
+++ b/tests/control_plane/test_puts_invalid.py
@@ -69,6 +69,10 @@
         """Not used here."""
         raise NotImplementedError
 
+    async def order_evacuation(self, zone: str, evacuated: bool) -> None:
+        """Not used here."""
+        raise NotImplementedError
+
     def tally_total(self, tally: str) -> int:
         """Not used here."""
         raise NotImplementedError
--- a/tests/control_plane_process/test_operator_api.py
+++ b/tests/control_plane_process/test_operator_api.py
@@ -15,7 +15,7 @@
 from reedspoke.control_plane.api.call_log import CLIENT_GONE, UNKNOWN_PATH, CompletedCall
 from reedspoke.control_plane.api.error_responses import status_of
 from reedspoke.control_plane.api.http_messages import Request, Response
-from reedspoke.control_plane.api.operator_api import OPERATIONS, OperatorApi
+from reedspoke.control_plane.api.operator_api import EVACUATION_PATH, OPERATIONS, OperatorApi
 from reedspoke.control_plane.api.schemas import StatusAnswer
 from reedspoke.control_plane.api.tally_calls import TALLY_PATH
 from reedspoke.control_plane.replication.effects import GetCompleted, PutCompleted
@@ -37,6 +37,7 @@
         self.loses_majority = False  # while a call waits
         self.puts: list[tuple[int, int]] = []
         self.adds: list[TallyAdd] = []
+        self.orders: list[tuple[str, bool]] = []
         self.completed: list[CompletedCall] = []
 
     async def validate(self, document: bytes) -> Configuration:
@@ -65,6 +66,12 @@
         if self.get_answer is None:
             await asyncio.Event().wait()
 
+    async def order_evacuation(self, zone: str, evacuated: bool) -> None:
+        self._raise()
+        self.orders.append((zone, evacuated))
+        if self.get_answer is None:
+            await asyncio.Event().wait()
+
     def tally_total(self, tally: str) -> int:
         self._raise()
         return sum(add.amount for add in self.adds if add.tally == tally)
@@ -335,3 +342,36 @@
     monkeypatch.setattr(operator_api, "MAX_PENDING_TALLY_CALLS", 0)
     assert answered(FakeBackend(), "POST", TALLY, ADD).status == 503
     assert answered(FakeBackend(), "GET").status == 200
+
+
+ZONE = "/reedspoke/evacuation/zone-a"
+
+
+def test_a_zone_is_evacuated_and_that_is_withdrawn() -> None:
+    backend = FakeBackend()
+    assert answered(backend, "POST", ZONE).status == 200
+    assert answered(backend, "DELETE", ZONE).status == 200
+    assert backend.orders == [("zone-a", True), ("zone-a", False)]
+    assert answered(backend, "POST", "/reedspoke/evacuation/").status == 404
+
+
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+def test_each_error_of_an_evacuation_has_its_status(method: str) -> None:
+    for code in OPERATIONS[EVACUATION_PATH][method].errors:
+        backend = FakeBackend()
+        backend.raises = FleetError(code, "text")
+        response = answered(backend, method, ZONE)
+        assert (response.status, error_code(response)) == (status_of(code), code)
+
+
+def test_no_evacuation_is_acknowledged_without_a_majority() -> None:
+    backend = FakeBackend()
+    backend.majority = False
+    assert answered(backend, "POST", ZONE).status == 503
+
+
+def test_an_evacuation_without_an_answer_in_time_is_unclear(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "RESPONSE_TIMEOUT_S", 0.05)
+    backend = FakeBackend()
+    backend.get_answer = None
+    assert answered(backend, "POST", ZONE).status == 504
--- a/tests/control_plane_process/test_worker_discovery.py
+++ b/tests/control_plane_process/test_worker_discovery.py
@@ -6,8 +6,9 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
+from msgspec import structs
 
-from reedspoke.common.messages import WorkerList
+from reedspoke.common.messages import WorkerEntry, WorkerList
 from reedspoke.common.node_settings import CloudApi
 from reedspoke.control_plane.workers import discovery, platform_client
 from reedspoke.control_plane.workers.discovery import WorkerDiscovery
@@ -42,12 +43,24 @@
         self.lease = DiscoveryLease(OWN, self.loop.time(), fresh_fleet=True)
         self.worker_list = WorkerListState()
         self.published: list[WorkerList] = []
+        self.drained = False
+        self.known = True
         self.sent: list[OutgoingMessage] = []
         self.cloud_api = CloudApi(platform.address, rate_per_s)
         self.discovery = WorkerDiscovery(
-            self.cloud_api, self.lease, self.worker_list, self.published.append, self.sent.extend
+            self.cloud_api,
+            self.lease,
+            self.worker_list,
+            self.published.append,
+            self.sent.extend,
+            self.mark_workers,
         )
 
+    def mark_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
+        if not self.known:
+            return None
+        return tuple(structs.replace(entry, draining=entry.draining or self.drained) for entry in entries)
+
     def acquire_lease(self) -> None:
         self.lease.set_voters((OWN,))
 
@@ -285,3 +298,31 @@
         await reading
 
     run_scenario(platform, scenario)
+
+
+def test_a_new_mark_is_published_without_the_platform(platform: Platform) -> None:
+    async def scenario(harness: DiscoveryHarness) -> None:
+        harness.acquire_lease()
+        await harness.until(lambda: harness.published)
+        platform.status = 500
+        await harness.run_for(0.2)
+        harness.drained = True
+        count = len(harness.published)
+        await harness.until(lambda: len(harness.published) > count)
+        assert all(worker.draining for worker in harness.published[-1].workers)
+
+    run_scenario(platform, scenario)
+
+
+def test_nothing_is_published_while_the_marks_are_not_known(platform: Platform) -> None:
+    async def scenario(harness: DiscoveryHarness) -> None:
+        harness.known = False
+        task = asyncio.create_task(harness.discovery.discover_without_lease())
+        harness.acquire_lease()
+        await harness.run_for(0.3)
+        assert harness.published == []
+        harness.known = True
+        await harness.until(lambda: harness.published)
+        await asyncio.wait_for(task, 5)
+
+    run_scenario(platform, scenario)
--- a/tests/golden/tally_examples.py
+++ b/tests/golden/tally_examples.py
@@ -16,7 +16,7 @@
     TallyStateRequest,
 )
 from reedspoke.control_plane.tallies.packed_items import pack_amounts, pack_ids
-from reedspoke.control_plane.tallies.records import EntriesRecord, ItemsRecord, VectorRecord
+from reedspoke.control_plane.tallies.records import EntriesRecord, ItemsRecord, RecoveredRecord, VectorRecord
 
 ADDS = (
     TallyAdd(tally="text1", add_id=2**64 - 2, amount=3),
@@ -35,6 +35,7 @@
         echo_incarnation=4,
         echo=5,
         writable=True,
+        recovered=False,
         vector={"text6": 7},
     ),
     "pull": TallyPull(vector={"text1": 2}),
@@ -47,4 +48,5 @@
     "entries": EntriesRecord(origin="text1", first=2, entries=ADDS),
     "items": ItemsRecord(items=ITEMS),
     "vector": VectorRecord(vector={"text1": 2}),
+    "recovered": RecoveredRecord(),
 }
