--- a/reedspoke/control_plane/tallies/__init__.py
+++ b/reedspoke/control_plane/tallies/__init__.py
@@ -31,10 +31,9 @@
     * Part of a transferred state is taken for all of it. The vector that came with the first chunk is adopted
       only when the last one is synced, and all came from one process: a source that was started again may
       have lost its disk in between (`StateTransfer`, `CatchUp.takes_chunk`).
-
-    * Orders of operators (`control_plane.evacuation`) need more than a join: the next one has to know the last.
-      They are on f + 1 disks without exception, and a quorum of nodes that have lost nothing is asked before
-      (`TallyReplica._complete_sync`).
+    * Orders of operators (`control_plane.evacuation`) need more than a join: the next one has to know the
+      last. They are on f + 1 disks without exception, and a quorum of nodes that have lost nothing is asked
+      before (`TallyReplica._complete_sync`).
 
 Bounds
     Ids are kept for good, as a repeated add has no age limit: some 18 bytes each in memory and 10 on disk.
