--- a/reedspoke/control_plane/evacuation/__init__.py
+++ b/reedspoke/control_plane/evacuation/__init__.py
@@ -9,6 +9,6 @@
 The holder of the discovery lease publishes the workers of an evacuated zone as draining, so that the order
 takes the way on which data plane nodes obey a drain: queued, retried and resumed requests included.
 
-`order_log` numbers orders and reads them; `service` carries them out. The package owns no state: it is in the
-tallies. It may import `common`, `control_plane.tallies`.
+`order_log` numbers orders and reads them; `service` carries them out. The package owns no state but a cache:
+orders are in the tallies. It may import `common`, `control_plane.tallies`.
 """
--- a/reedspoke/control_plane/evacuation/service.py
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Collection
 
+from msgspec import Struct
+
 from reedspoke.common.errors import ErrorCode, FleetError
 from reedspoke.common.json_log import INFO, log
 from reedspoke.common.messages import WorkerEntry
@@ -20,14 +22,26 @@
 NUMBER_WITHIN_S = 0.9  # callers go elsewhere after a second
 
 
+class MarkedWorkers(Struct, frozen=True):
+    """The last list that was marked, as it is asked for again at each tick."""
+
+    entries: tuple[WorkerEntry, ...]
+    zones: frozenset[str]
+    marked: tuple[WorkerEntry, ...]
+
+
 class EvacuationService:
-    """Joins the orders to the tallies. `zones` are those of the deployment; none: any name is taken."""
+    """Joins the orders to the tallies. `zones` are those of the deployment; none: any name is taken.
+
+    It owns the last list that was marked.
+    """
 
     def __init__(self, tallies: TallyService, zones: Collection[str]) -> None:
         self._loop = asyncio.get_running_loop()
         self._tallies = tallies
         self._zones = frozenset(zones)
         self._logged: frozenset[str] = frozenset()
+        self._marked: MarkedWorkers | None = None
 
     async def order(self, zone: str, evacuated: bool) -> None:
         """Evacuate a zone, or withdraw that; done again, it changes nothing.
@@ -58,4 +72,7 @@
         """The list with the workers of evacuated zones as draining; None while the orders are not known."""
         if not self._tallies.knows_what_it_acknowledged():
             return None
-        return drain_zones(entries, self.zones())
+        zones = self.zones()
+        if self._marked is None or self._marked.zones != zones or self._marked.entries is not entries:
+            self._marked = MarkedWorkers(entries, zones, drain_zones(entries, zones))
+        return self._marked.marked
--- a/reedspoke/control_plane/tallies/__init__.py
+++ b/reedspoke/control_plane/tallies/__init__.py
@@ -33,7 +33,8 @@
       have lost its disk in between (`StateTransfer`, `CatchUp.takes_chunk`).
     * Orders of operators (`control_plane.evacuation`) need more than a join: the next one has to know the
       last. They are on f + 1 disks without exception, and a quorum of nodes that have lost nothing is asked
-      before (`TallyReplica._complete_sync`).
+      before
+      (`Acknowledgements.has_what_a_quorum_has`).
 
 Bounds
     Ids are kept for good, as a repeated add has no age limit: some 18 bytes each in memory and 10 on disk.
--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -5,11 +5,9 @@
 import logging
 from collections.abc import Sequence
 
-from msgspec import Struct
-
 from reedspoke.common.errors import ErrorCode, FleetError
+from reedspoke.control_plane.tallies.acknowledgements import Acknowledgements, WaitingAdd, WaitingSync
 from reedspoke.control_plane.tallies.catch_up import CatchUp, StateTransfer
-from reedspoke.control_plane.tallies.counts import START, StatePart
 from reedspoke.control_plane.tallies.events import (
     AddSubmitted,
     CallCompleted,
@@ -57,6 +55,7 @@
     REWRITE_GROWTH,
     TallySettings,
 )
+from reedspoke.control_plane.tallies.state_exchange import answer_pull, state_chunk
 from reedspoke.control_plane.tallies.store_queue import Batch, ReceivedItems, StoreQueue
 from reedspoke.control_plane.tallies.version_vectors import covers, met
 from reedspoke.telemetry.invariants import Invariant, check
@@ -65,22 +64,6 @@
 NOT_CAUGHT_UP = "this node has not caught up with the others yet"
 
 
-class WaitingAdd(Struct, frozen=True):
-    """An add that is synced here and waits for other disks; `required` is what they must have."""
-
-    required: Vector
-    call_ids: tuple[int, ...]
-    tally: str
-    add_id: int
-
-
-class WaitingSync(Struct, frozen=True):
-    """A call that waits until this node knows what was acknowledged before `since`."""
-
-    call_id: int
-    since: float
-
-
 class TallyReplica:
     """Owns the counts, their log, the contacts with peers and what is to be stored.
 
@@ -93,8 +76,7 @@
         self._contacts = PeerContacts(settings.incarnation, now)
         self._queue = StoreQueue(self._state.log.vector)
         self._catch_up = CatchUp(now, waits_for_peer=settings.created and not settings.bootstrap)
-        self._waiting: list[WaitingAdd] = []
-        self._syncs: list[WaitingSync] = []
+        self._acknowledgements = Acknowledgements(settings.copies, self._state, self._contacts)
         self._effects: list[Effect] = []
         self._ticked_at = now
         self._digests_at = now
@@ -133,8 +115,9 @@
             return
         if self._state.counts.contains(*key):
             # It has counted, here or at a peer: what this node has now includes it.
-            self._wait(WaitingAdd(dict(self._state.log.vector), (event.call_id,), *key))
-            self._complete_waiting(now)
+            waiting = WaitingAdd(dict(self._state.log.vector), (event.call_id,), *key, now)
+            self._acknowledgements.wait_for_disks(waiting)
+            self._complete_calls(now)
             return
         pending = self._queue.pending_add(key)
         if pending is not None:
@@ -153,7 +136,7 @@
             return FleetError(ErrorCode.STORAGE_FAILED, "the disk does not answer")
         if tally.startswith(INTERNAL_PREFIX):
             return None
-        if len(self._queue.waiting.own) >= MAX_QUEUED_ADDS:
+        if self._acknowledgements.waiting_adds + len(self._queue.waiting.own) >= MAX_QUEUED_ADDS:
             return FleetError(ErrorCode.OVERLOADED, "too many adds are waiting")
         if counts.id_count + len(self._queue.waiting.own) >= self._settings.max_ids:
             return FleetError(ErrorCode.TALLIES_FULL, "no room for another add")
@@ -161,69 +144,26 @@
             return FleetError(ErrorCode.TALLIES_FULL, "no room for another tally")
         return None
 
-    def _wait(self, waiting: WaitingAdd) -> None:
-        self._waiting.append(waiting)
-
-    def _complete_waiting(self, now: float) -> None:
-        """Acknowledge the adds that are on enough disks."""
-        needed = self._contacts.copies_needed(self._settings.copies, now)
-        still: list[WaitingAdd] = []
-        for waiting in self._waiting:
-            copies = 1 + self._contacts.copies_of(waiting.required)
-            # An order that fewer disks have could be missed by the quorum that the next one asks.
-            is_order = waiting.tally.startswith(INTERNAL_PREFIX)
-            if copies < (self._settings.copies if is_order else needed):
-                still.append(waiting)
-            else:
-                self._acknowledge(waiting, copies, needed)
-        self._waiting = still
-
-    def _acknowledge(self, waiting: WaitingAdd, copies: int, needed: int) -> None:
-        counted = self._state.counts.contains(waiting.tally, waiting.add_id)
-        synced = covers(self._state.log.vector, waiting.required)
-        check(
-            Invariant.TALLY_ACKNOWLEDGED_IS_COUNTED,
-            counted and synced and copies >= needed,
-            tally=waiting.tally,
-            copies=copies,
-            needed=needed,
-        )
-        self._effects += [CallCompleted(call_id, None) for call_id in waiting.call_ids]
+    def _complete_calls(self, now: float) -> None:
+        self._effects += self._acknowledgements.completed(now)
 
     # ---- reads that nothing acknowledged before may escape ----
 
     def _submit_sync(self, now: float, call_id: int) -> None:
-        if self._contacts.copies_needed(self._settings.copies, now) < self._settings.copies:
+        if not self._acknowledgements.may_reach_quorum(now):
             message = "too few nodes are in reach"
             self._effects.append(CallCompleted(call_id, ErrorCode.NO_QUORUM, message))
             return
-        self._syncs.append(WaitingSync(call_id, now))
+        self._acknowledgements.wait_for_quorum(WaitingSync(call_id, now))
         for address in self._contacts.addresses:
             self._send_digest(now, address)
 
-    def _complete_syncs(self) -> None:
-        self._syncs = [waiting for waiting in self._syncs if not self._complete_sync(waiting)]
-
-    def _complete_sync(self, waiting: WaitingSync) -> bool:
-        """Complete a sync once so many nodes have been heard that one of them has each acknowledged add."""
-        if not self._state.recovered or not self._has_what_a_quorum_has(waiting.since, own=1):
-            return False
-        self._effects.append(CallCompleted(waiting.call_id, None))
-        return True
-
-    def _has_what_a_quorum_has(self, since: float, own: int) -> bool:
-        """Whether this node has what a quorum of recovered nodes had then; `own` is 1 where it is of them."""
-        vector = self._state.log.vector
-        heard = self._contacts.recovered_since(since)
-        current = sum(covers(vector, peer.vector) for peer in heard)
-        return own + current >= self._contacts.quorum(self._settings.copies)
-
     def _recover(self) -> None:
         """A folder that was made later counts in a quorum once it has what a quorum has."""
         if self._state.recovered or self._queue.waiting.recovered:
             return
         is_first = self._settings.created and self._settings.bootstrap
-        if is_first or self._has_what_a_quorum_has(self._contacts.listening_since, own=0):
+        if is_first or self._acknowledgements.has_what_a_quorum_has(self._contacts.listening_since, own=0):
             self._queue.waiting.recovered = True
 
     # ---- the disk ----
@@ -271,7 +211,7 @@
             self._store_failed(now, event.error)
             return
         batch = self._queue.succeeded()
-        self._apply_own(batch)
+        self._apply_own(now, batch)
         for received in batch.entries:
             self._state.apply_entries(received.entries)
         for items in batch.items:
@@ -280,8 +220,7 @@
         for sender in sorted({received.sender for received in batch.entries}):
             self._send_digest(now, sender)
         self._state.log.drop_oldest(MAX_RETAINED_ENTRIES)
-        self._complete_waiting(now)
-        self._complete_syncs()
+        self._complete_calls(now)
 
     def _store_failed(self, now: float, error: ErrorCode) -> None:
         lost = self._queue.failed(self._state.log.vector, now)
@@ -292,7 +231,7 @@
                 self._effects.append(CallCompleted(call_id, ErrorCode.TALLY_UNCLEAR, "the disk refuses"))
         self._effects.append(LogEvent(logging.WARNING, "tallies cannot be stored", {"code": int(error)}))
 
-    def _apply_own(self, batch: Batch) -> None:
+    def _apply_own(self, now: float, batch: Batch) -> None:
         if not batch.own:
             return
         entries = self._own_entries(batch)
@@ -301,7 +240,8 @@
         number = entries.first
         for own in batch.own.values():
             required = {entries.origin: number}
-            self._wait(WaitingAdd(required, tuple(own.call_ids), own.add.tally, own.add.add_id))
+            waiting = WaitingAdd(required, tuple(own.call_ids), own.add.tally, own.add.add_id, now)
+            self._acknowledgements.wait_for_disks(waiting)
             number += 1
         for address in self._contacts.addresses:
             self._effects.append(SendMessage(address, entries))
@@ -331,28 +271,15 @@
         if is_new_process:
             self._send_digest(now, sender)  # its echo tells that process that it is in contact
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
-        self._complete_waiting(now)
-        self._complete_syncs()
+        self._complete_calls(now)
 
     def _answer_pull(self, sender: str, vector: Vector) -> None:
-        budget = ENTRIES_A_PULL
-        answers: list[Effect] = []
-        for origin, number in self._state.log.vector.items():
-            known = vector.get(origin, 0)
-            if number <= known or budget <= 0:
-                continue
-            entries = self._state.log.entries_after(origin, known, budget)
-            if entries is None:
-                self._send_chunk(sender, START)
-                return
-            budget -= len(entries.entries)
-            answers.append(SendMessage(sender, entries))
-        self._effects += answers
+        incarnation = self._settings.incarnation
+        for answer in answer_pull(self._state, vector, incarnation, ENTRIES_A_PULL, IDS_A_CHUNK):
+            self._effects.append(SendMessage(sender, answer))
 
     def _send_chunk(self, sender: str, after: TallyCursor) -> None:
-        part: StatePart = self._state.counts.part_after(after, IDS_A_CHUNK)
-        vector = dict(self._state.log.vector)
-        chunk = TallyStateChunk(self._settings.incarnation, after, part.next, vector, part.items)
+        chunk = state_chunk(self._state, after, self._settings.incarnation, IDS_A_CHUNK)
         self._effects.append(SendMessage(sender, chunk))
 
     def _receive_chunk(self, sender: str, chunk: TallyStateChunk) -> None:
@@ -396,7 +323,7 @@
         self._contacts.set_members(peers, now)
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
         self._recover()
-        self._complete_waiting(now)
+        self._complete_calls(now)
         if now >= self._digests_at:
             self._digests_at = now + DIGEST_INTERVAL_S
             self._drop_what_all_have(peers)
@@ -468,7 +395,7 @@
 
     def is_replicated(self, now: float) -> bool:
         """Whether every peer in contact has on its disk what this node has."""
-        if self._waiting or self._queue.waiting or self._queue.in_flight is not None:
+        if self._acknowledgements.waiting_adds or self._queue.waiting or self._queue.in_flight is not None:
             return False
         vector = self._state.log.vector
         return all(covers(peer.vector, vector) for peer in self._contacts.in_contact(now))
@@ -481,7 +408,7 @@
             "max_ids": self._settings.max_ids,
             "entries_retained": self._state.log.retained_count,
             "origins": len(self._state.log.vector),
-            "waiting_adds": len(self._waiting),
+            "waiting_adds": self._acknowledgements.waiting_adds,
             "peers_in_contact": len(self._contacts.in_contact(now)),
             "copies_needed": self._contacts.copies_needed(self._settings.copies, now),
             "caught_up": self._catch_up.has_caught_up,
--- a/reedspoke/control_plane/tallies/settings.py
+++ b/reedspoke/control_plane/tallies/settings.py
@@ -32,6 +32,7 @@
 # ---- calls ----
 
 MAX_QUEUED_ADDS = 2048
+CALL_LIMIT_S = 2.0  # a caller is answered within a second, or has gone
 FRESH_FOLDER_WAIT_S = 3.0  # an empty folder of a fleet that runs waits for so long for a peer to learn from
 
 # ---- capacity ----
