--- a/reedspoke/control_plane/peers/link.py
+++ b/reedspoke/control_plane/peers/link.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from collections import deque
+from itertools import cycle
 
 from msgspec import Struct
 
 from reedspoke.common.background import keep_running
 from reedspoke.common.json_log import DEBUG, INFO, log
-from reedspoke.common.transport import CONNECTION_ENDED, Channel, open_channel
+from reedspoke.common.transport import CONNECT_TIMEOUT_S, CONNECTION_ENDED, Channel, open_channel
 from reedspoke.control_plane.peers.messages import PeerHello
 
 RECONNECT_BACKOFF_S = 0.15
@@ -27,12 +28,15 @@
 
 class PeerLink:
     """Owns the connection and the queue of messages for one peer. Messages may be lost; they keep their
-    order.
+    order. `connect_timeouts_s` are the limits of the attempts to connect, in turn.
     """
 
-    def __init__(self, address: str, hello: Struct) -> None:
+    def __init__(
+        self, address: str, hello: Struct, connect_timeouts_s: tuple[float, ...] = (CONNECT_TIMEOUT_S,)
+    ) -> None:
         self.address = address
         self._hello = hello
+        self._timeouts_s = cycle(connect_timeouts_s)
         self._channel: Channel | None = None
         self._queue: deque[QueuedMessage] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._loop = asyncio.get_running_loop()
@@ -66,7 +70,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                channel = await open_channel(self.address)
+                channel = await open_channel(self.address, next(self._timeouts_s))
             except CONNECTION_ENDED:
                 self._queue.clear()
                 await asyncio.sleep(RECONNECT_BACKOFF_S)
--- a/reedspoke/control_plane/peers/transport.py
+++ b/reedspoke/control_plane/peers/transport.py
@@ -24,6 +24,9 @@
 
 MAX_LINKS = 128
 LARGE_BYTES = 64 * 1024  # a message of more goes over the connection for large ones
+# An attempt that a partition has swallowed is given up soon, so that its healing is noticed; slow links have
+# the last one.
+TALLY_CONNECT_TIMEOUTS_S = (0.25, 0.25, 0.9)
 MAX_INCOMING = 2048  # connections that others opened
 HANDSHAKE_TIMEOUT_S = 2.0  # for the first message of a connection
 LINK_IDLE_TIMEOUT_S = 30.0  # an outgoing connection that is not used for so long is closed
@@ -112,10 +115,14 @@
         if link is None:
             if key.address == self._own_address or len(self._links) >= MAX_LINKS:
                 return
-            hello = self._tally_hello if key.kind is LinkKind.TALLIES else self._hello
-            link = self._links[key] = PeerLink(key.address, hello)
+            link = self._links[key] = self._make_link(key)
         link.send(payload)
 
+    def _make_link(self, key: LinkKey) -> PeerLink:
+        if key.kind is LinkKind.TALLIES:
+            return PeerLink(key.address, self._tally_hello, TALLY_CONNECT_TIMEOUTS_S)
+        return PeerLink(key.address, self._hello)
+
     def close_idle(self) -> None:
         """Close outgoing connections that nobody uses, and incoming ones that bring nothing."""
         now = self._loop.time()
--- a/reedspoke/control_plane/tallies/catch_up.py
+++ b/reedspoke/control_plane/tallies/catch_up.py
@@ -24,6 +24,7 @@
     source: str
     incarnation: int
     vector: Vector
+    active_at: float
     after: TallyCursor = START
 
 
@@ -67,14 +68,19 @@
         """The address of a peer to pull from now; `expected` is what this node has or is storing."""
         lacking = [peer for peer in contacts.in_contact(now) if not covers(expected, peer.vector)]
         self._lacking_since = {peer.address: self._lacking_since.get(peer.address, now) for peer in lacking}
-        if now - self._pulled_at < PULL_TIMEOUT_S:
+        if self._is_under_way(now):
             return None
         due = [peer for peer in lacking if now - self._lacking_since[peer.address] >= PULL_DELAY_S]
         return self._choose(due)
 
     def pull_after_gap(self, address: str, now: float) -> str | None:
         """The peer that has sent adds behind a gap, unless a pull is under way."""
-        return address if now - self._pulled_at >= PULL_TIMEOUT_S else None
+        return None if self._is_under_way(now) else address
+
+    def _is_under_way(self, now: float) -> bool:
+        """Whether a pull or a transfer is waited for: another pull would begin the transfer again."""
+        transfer_at = NEVER if self.transfer is None else self.transfer.active_at
+        return now - max(self._pulled_at, transfer_at) < PULL_TIMEOUT_S
 
     def _choose(self, due: list[Peer]) -> str | None:
         if not due:
@@ -96,13 +102,15 @@
 
     # ---- transfer of the whole state ----
 
-    def takes_chunk(self, sender: str, chunk: TallyStateChunk) -> bool:
+    def takes_chunk(self, sender: str, chunk: TallyStateChunk, now: float) -> bool:
         """Whether this chunk begins a transfer or is the next one of that under way."""
+        transfer = self.transfer
         if chunk.after == START:
+            if transfer is not None and now - transfer.active_at < PULL_TIMEOUT_S:
+                return False
             # Only the first chunk's vector is sure to be included in all that follow it.
-            self.transfer = StateTransfer(sender, chunk.incarnation, chunk.vector)
+            self.transfer = StateTransfer(sender, chunk.incarnation, chunk.vector, now)
             return True
-        transfer = self.transfer
         if transfer is None or (transfer.source, transfer.after) != (sender, chunk.after):
             return False
         # A source that has started again may have lost its disk, and with it what stood behind this place.
--- a/reedspoke/control_plane/tallies/peer_contacts.py
+++ b/reedspoke/control_plane/tallies/peer_contacts.py
@@ -12,7 +12,7 @@
 from msgspec import Struct, field
 
 from reedspoke.control_plane.tallies.messages import TallyDigest, Vector
-from reedspoke.control_plane.tallies.settings import APART_AFTER_S, FORGET_PEER_S
+from reedspoke.control_plane.tallies.settings import APART_AFTER_S, FORGET_PEER_S, FRESH_CONTACT_S
 from reedspoke.control_plane.tallies.version_vectors import covers
 
 REMEMBERED_DIGESTS = 32
@@ -126,6 +126,16 @@
             if peer.is_member and now - max(peer.contact_as_of, self.listening_since) < APART_AFTER_S
         ]
 
+    def is_fresh(self, peer: Peer, now: float) -> bool:
+        """Whether a round trip with a peer has succeeded as lately as digests are exchanged."""
+        return now - peer.contact_as_of < FRESH_CONTACT_S
+
+    def silent_addresses(self, now: float) -> list[str]:
+        """The members with which no round trip succeeds at present."""
+        return [
+            peer.address for peer in self._peers.values() if peer.is_member and not self.is_fresh(peer, now)
+        ]
+
     def in_contact(self, now: float) -> list[Peer]:
         """The peers with which a round trip has succeeded of late."""
         return [peer for peer in self._peers.values() if now - peer.contact_as_of < APART_AFTER_S]
--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -262,13 +262,14 @@
             case TallyStateRequest(after):
                 self._send_chunk(sender, after)
             case TallyStateChunk():
-                self._receive_chunk(sender, message)
+                self._receive_chunk(now, sender, message)
 
     def _receive_digest(self, now: float, sender: str, digest: TallyDigest) -> None:
-        is_new_process = digest.incarnation != self._contacts.peer(sender).incarnation
+        peer = self._contacts.peer(sender)
+        is_news = digest.incarnation != peer.incarnation or not self._contacts.is_fresh(peer, now)
         if not self._contacts.digest_received(sender, digest, now):
             return
-        if is_new_process:
+        if is_news:
             self._send_digest(now, sender)  # its echo tells that process that it is in contact
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
         self._complete_calls(now)
@@ -282,9 +283,9 @@
         chunk = state_chunk(self._state, after, self._settings.incarnation, IDS_A_CHUNK)
         self._effects.append(SendMessage(sender, chunk))
 
-    def _receive_chunk(self, sender: str, chunk: TallyStateChunk) -> None:
+    def _receive_chunk(self, now: float, sender: str, chunk: TallyStateChunk) -> None:
         self._catch_up.pull_answered(sender)
-        if not self._catch_up.takes_chunk(sender, chunk):
+        if not self._catch_up.takes_chunk(sender, chunk, now):
             return
         transfer = self._catch_up.transfer
         assert transfer is not None
@@ -307,6 +308,7 @@
         if self._catch_up.transfer is not transfer:
             return
         transfer.after = after
+        transfer.active_at = now
         self._catch_up.pull_sent(transfer.source, now)
         self._effects.append(SendMessage(transfer.source, TallyStateRequest(after)))
 
@@ -329,6 +331,9 @@
             self._drop_what_all_have(peers)
             for address in self._contacts.addresses:
                 self._send_digest(now, address)
+        else:
+            for address in self._contacts.silent_addresses(now):
+                self._send_digest(now, address)  # a link that has healed is to be noticed at once
         if now >= self._audit_at:
             self._audit_at = now + AUDIT_INTERVAL_S
             self._audit()
--- a/reedspoke/control_plane/tallies/settings.py
+++ b/reedspoke/control_plane/tallies/settings.py
@@ -11,6 +11,7 @@
 # intervals and a round trip at the most: a slow link is not taken for a cut one. Callers wait for one second,
 # so that the smaller side of a partition turns callers away for a moment longer than that.
 APART_AFTER_S = 1.2
+FRESH_CONTACT_S = 0.8  # without a round trip for longer, digests are sent at each tick
 PROCESS_STOP_GAP_S = 0.35  # a longer gap between two ticks means that this process was stopped
 FORGET_PEER_S = 30.0  # a peer that is no member and not heard for so long
 
--- a/reedspoke/lab/fleet_soak/troubles.py
+++ b/reedspoke/lab/fleet_soak/troubles.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from random import Random
 from typing import TypeVar
 
@@ -383,5 +383,7 @@
 
 def reload_settings(process: SoakProcess) -> None:
     """SIGHUP; a process that has no code of its own yet reads its settings soon anyway."""
-    if process.has_entered():
+    if not process.running() or not process.has_entered():
+        return
+    with suppress(ProcessLookupError):  # another trouble may end it at this moment
         process.send_signal(signal.SIGHUP)
--- a/tests/control_plane/tallies/test_replica.py
+++ b/tests/control_plane/tallies/test_replica.py
@@ -25,6 +25,7 @@
     DISK_PROBE_S,
     DISK_STALL_S,
     FRESH_FOLDER_WAIT_S,
+    PULL_TIMEOUT_S,
     max_ids,
 )
 from tests.control_plane.tallies.replica_steps import OWN, PEERS, Steps
@@ -345,6 +346,32 @@
     assert steps.replica.total("t", steps.now) == 2
 
 
+def test_pushes_do_not_begin_a_transfer_again(steps: Steps) -> None:
+    steps.digest("p1", {"f-p1": 9})
+    steps.tick(0.2)
+    steps.receive("p1", chunk(START, [1], NEXT, 2))
+    steps.stored()
+    for number in range(20, 24):
+        steps.receive("p1", TallyEntries("f-p1", number, (TallyAdd("t", number, 1),)))
+        steps.tick(0.1)
+    assert len(steps.sent_to("p1", TallyPull)) == 1
+    steps.receive("p1", chunk(START, [1], NEXT, 5))
+    assert len(steps.stores) == 1
+    steps.receive("p1", chunk(NEXT, [2], None, 9))
+    steps.stored()
+    assert steps.replica.total("t", steps.now) == 2
+
+
+def test_a_transfer_that_stands_still_is_begun_again(steps: Steps) -> None:
+    steps.receive("p1", chunk(START, [1], NEXT, 2))
+    steps.stored()
+    steps.tick(PULL_TIMEOUT_S + 0.1)
+    steps.receive("p2", chunk(START, [1], None, 2))
+    steps.stored()
+    steps.tick(0.3)
+    assert steps.last_digest("p1").vector == {"f-p1": 2}
+
+
 def test_chunks_of_a_source_that_has_started_again_are_not_taken(steps: Steps) -> None:
     steps.receive("p1", chunk(START, [1], NEXT, 2))
     steps.stored()
@@ -355,6 +382,7 @@
 def test_an_earlier_transfer_does_not_move_a_later_one_on(steps: Steps) -> None:
     far = TallyCursor("t", 50)
     steps.receive("p1", chunk(START, [1, 50], far, 2))
+    steps.tick(PULL_TIMEOUT_S + 0.1)
     steps.receive("p1", chunk(START, [1, 30], TallyCursor("t", 30), 3))  # 30 has come since
     steps.stored()
     steps.stored()
