--- a/reedspoke/control_plane/evacuation/service.py
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -1,4 +1,4 @@
-"""Carries out operators' orders on zones, and marks the workers of evacuated zones."""
+"""Carries out operators' orders on zones, and adjusts the list of workers to them."""
 
 from __future__ import annotations
 
@@ -22,18 +22,18 @@
 NUMBER_WITHIN_S = 0.9  # callers go elsewhere after a second
 
 
-class MarkedWorkers(Struct, frozen=True):
-    """The last list that was marked, as it is asked for again at each tick."""
+class AdjustedWorkers(Struct, frozen=True):
+    """The last list that was adjusted, as it is asked for again at each tick."""
 
     entries: tuple[WorkerEntry, ...]
     zones: frozenset[str]
-    marked: tuple[WorkerEntry, ...]
+    adjusted: tuple[WorkerEntry, ...]
 
 
 class EvacuationService:
     """Joins the orders to the tallies. `zones` are those of the deployment; none: any name is taken.
 
-    It owns the last list that was marked.
+    It owns the last list that was adjusted.
     """
 
     def __init__(self, tallies: TallyService, zones: Collection[str]) -> None:
@@ -41,7 +41,7 @@
         self._tallies = tallies
         self._zones = frozenset(zones)
         self._logged: frozenset[str] = frozenset()
-        self._marked: MarkedWorkers | None = None
+        self._adjusted: AdjustedWorkers | None = None
 
     async def order(self, zone: str, evacuated: bool) -> None:
         """Evacuate a zone, or withdraw that; done again, it changes nothing.
@@ -68,11 +68,11 @@
             self._logged = zones
         return zones
 
-    def mark_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
+    def adjust_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
         """The list with the workers of evacuated zones as draining; None while the orders are not known."""
         if not self._tallies.knows_what_it_acknowledged():
             return None
         zones = self.zones()
-        if self._marked is None or self._marked.zones != zones or self._marked.entries is not entries:
-            self._marked = MarkedWorkers(entries, zones, drain_zones(entries, zones))
-        return self._marked.marked
+        if self._adjusted is None or self._adjusted.zones != zones or self._adjusted.entries is not entries:
+            self._adjusted = AdjustedWorkers(entries, zones, drain_zones(entries, zones))
+        return self._adjusted.adjusted
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -174,7 +174,7 @@
             self._workers,
             self._exchange.publish_workers,
             self._exchange.send_all,
-            self._evacuations.mark_workers,
+            self._evacuations.adjust_workers,
         )
 
     # ---- run ----
--- a/reedspoke/control_plane/tallies/counts.py
+++ b/reedspoke/control_plane/tallies/counts.py
@@ -18,7 +18,7 @@
 START = TallyCursor()
 
 
-class StatePart(Struct, frozen=True):
+class StateSlice(Struct, frozen=True):
     """A part of the state, and where it ends; `next` is None at the end of the state."""
 
     items: tuple[TallyItems, ...]
@@ -75,7 +75,7 @@
         for add_id, amount in zip(ids, unpack_amounts(items.amounts, len(ids)), strict=True):
             self.put(TallyAdd(items.tally, add_id, amount))
 
-    def part_after(self, cursor: TallyCursor, limit: int) -> StatePart:
+    def slice_after(self, cursor: TallyCursor, limit: int) -> StateSlice:
         """Up to `limit` ids behind a place, in the order of tally and id."""
         parts: list[TallyItems] = []
         taken = 0
@@ -87,8 +87,8 @@
             parts.append(TallyItems(tally, pack_ids(found.ids), pack_amounts(found.amounts)))
             taken += len(found.ids)
             if taken >= limit:
-                return StatePart(tuple(parts), TallyCursor(tally, found.ids[-1]))
-        return StatePart(tuple(parts), None)
+                return StateSlice(tuple(parts), TallyCursor(tally, found.ids[-1]))
+        return StateSlice(tuple(parts), None)
 
     def audit_next(self) -> tuple[str, bool] | None:
         """Sum one tally anew, each in its turn: its name, and whether its total is right; None: no tally."""
--- a/reedspoke/control_plane/tallies/peer_contacts.py
+++ b/reedspoke/control_plane/tallies/peer_contacts.py
@@ -130,7 +130,7 @@
         """Whether a round trip with a peer has succeeded as lately as digests are exchanged."""
         return now - peer.contact_as_of < FRESH_CONTACT_S
 
-    def silent_addresses(self, now: float) -> list[str]:
+    def unreachable_addresses(self, now: float) -> list[str]:
         """The members with which no round trip succeeds at present."""
         return [
             peer.address for peer in self._peers.values() if peer.is_member and not self.is_fresh(peer, now)
--- a/reedspoke/control_plane/tallies/records.py
+++ b/reedspoke/control_plane/tallies/records.py
@@ -88,13 +88,13 @@
 
 def complete_records(state: TallyState) -> Iterator[bytes]:
     """Records that yield this state, for a log that holds nothing else."""
-    part = state.counts.part_after(START, ITEMS_A_RECORD)
+    part = state.counts.slice_after(START, ITEMS_A_RECORD)
     while True:
         for items in part.items:
             yield encode_record(ItemsRecord(items))
         if part.next is None:
             break
-        part = state.counts.part_after(part.next, ITEMS_A_RECORD)
+        part = state.counts.slice_after(part.next, ITEMS_A_RECORD)
     yield encode_record(VectorRecord(state.log.horizon()))
     if state.recovered:
         yield encode_record(RecoveredRecord())
--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -35,12 +35,7 @@
 )
 from reedspoke.control_plane.tallies.peer_contacts import PeerContacts
 from reedspoke.control_plane.tallies.records import (
-    ItemsRecord,
-    RecoveredRecord,
-    VectorRecord,
     complete_records,
-    encode_record,
-    entries_record,
     restore,
 )
 from reedspoke.control_plane.tallies.settings import (
@@ -56,7 +51,7 @@
     TallySettings,
 )
 from reedspoke.control_plane.tallies.state_exchange import answer_pull, state_chunk
-from reedspoke.control_plane.tallies.store_queue import Batch, ReceivedItems, StoreQueue
+from reedspoke.control_plane.tallies.store_queue import Batch, ReceivedItems, StoreQueue, batch_records
 from reedspoke.control_plane.tallies.version_vectors import covers, met
 from reedspoke.telemetry.invariants import Invariant, check
 
@@ -172,7 +167,7 @@
         if not self._queue.is_due(now):
             return
         batch = self._queue.begin(now)
-        records = tuple(self._records_of(batch))
+        records = tuple(batch_records(batch, self._own_entries(batch)))
         self._log_bytes += sum(map(len, records))
         if self._log_bytes > MIN_REWRITE_BYTES + self._rewritten_bytes * (1 + REWRITE_GROWTH):
             self._rewrite(records)
@@ -184,20 +179,6 @@
         self._rewritten_bytes = self._log_bytes = sum(map(len, rewritten))
         self._effects.append(StoreRecords(self._queue.token, rewritten, replace=True))
 
-    def _records_of(self, batch: Batch) -> list[bytes]:
-        records = []
-        if batch.own:
-            records.append(entries_record(self._own_entries(batch)))
-        records += [entries_record(received.entries) for received in batch.entries]
-        for received in batch.items:
-            records += [encode_record(ItemsRecord(items)) for items in received.items]
-            if received.next is None:
-                records.append(encode_record(VectorRecord(received.transfer.vector)))
-        if batch.recovered:
-            records.append(encode_record(RecoveredRecord()))
-        # An empty batch tries a disk that has failed.
-        return records or [encode_record(VectorRecord({}))]
-
     def _own_entries(self, batch: Batch) -> TallyEntries:
         """The adds of a batch with their numbers: they follow the newest that is synced."""
         number = self._state.log.vector.get(self._settings.folder_id, 0)
@@ -266,10 +247,10 @@
 
     def _receive_digest(self, now: float, sender: str, digest: TallyDigest) -> None:
         peer = self._contacts.peer(sender)
-        is_news = digest.incarnation != peer.incarnation or not self._contacts.is_fresh(peer, now)
+        needs_reply = digest.incarnation != peer.incarnation or not self._contacts.is_fresh(peer, now)
         if not self._contacts.digest_received(sender, digest, now):
             return
-        if is_news:
+        if needs_reply:
             self._send_digest(now, sender)  # its echo tells that process that it is in contact
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
         self._complete_calls(now)
@@ -332,7 +313,7 @@
             for address in self._contacts.addresses:
                 self._send_digest(now, address)
         else:
-            for address in self._contacts.silent_addresses(now):
+            for address in self._contacts.unreachable_addresses(now):
                 self._send_digest(now, address)  # a link that has healed is to be noticed at once
         if now >= self._audit_at:
             self._audit_at = now + AUDIT_INTERVAL_S
--- a/reedspoke/control_plane/tallies/state_exchange.py
+++ b/reedspoke/control_plane/tallies/state_exchange.py
@@ -27,5 +27,5 @@
 
 def state_chunk(state: TallyState, after: TallyCursor, incarnation: int, id_limit: int) -> TallyStateChunk:
     """The state behind a place, up to `id_limit` ids."""
-    part = state.counts.part_after(after, id_limit)
+    part = state.counts.slice_after(after, id_limit)
     return TallyStateChunk(incarnation, after, part.next, dict(state.log.vector), part.items)
--- a/reedspoke/control_plane/tallies/store_queue.py
+++ b/reedspoke/control_plane/tallies/store_queue.py
@@ -12,6 +12,13 @@
     TallyItems,
     Vector,
 )
+from reedspoke.control_plane.tallies.records import (
+    ItemsRecord,
+    RecoveredRecord,
+    VectorRecord,
+    encode_record,
+    entries_record,
+)
 from reedspoke.control_plane.tallies.settings import DISK_PROBE_S, DISK_STALL_S
 
 AddKey = tuple[str, int]  # tally and id
@@ -141,3 +148,19 @@
         if self._failed_at is not None:
             return False
         return self.in_flight is None or now - self._started_at < DISK_STALL_S
+
+
+def batch_records(batch: Batch, own: TallyEntries) -> list[bytes]:
+    """The records of a batch; `own` are the adds of this node with their numbers."""
+    records = []
+    if own.entries:
+        records.append(entries_record(own))
+    records += [entries_record(received.entries) for received in batch.entries]
+    for received in batch.items:
+        records += [encode_record(ItemsRecord(items)) for items in received.items]
+        if received.next is None:
+            records.append(encode_record(VectorRecord(received.transfer.vector)))
+    if batch.recovered:
+        records.append(encode_record(RecoveredRecord()))
+    # An empty batch tries a disk that has failed.
+    return records or [encode_record(VectorRecord({}))]
--- a/reedspoke/control_plane/workers/discovery.py
+++ b/reedspoke/control_plane/workers/discovery.py
@@ -28,7 +28,7 @@
 
 Publish = Callable[[WorkerList], None]
 # What is published of the platform's answer; None: that is not known yet.
-MarkWorkers = Callable[[tuple[WorkerEntry, ...]], tuple[WorkerEntry, ...] | None]
+AdjustWorkers = Callable[[tuple[WorkerEntry, ...]], tuple[WorkerEntry, ...] | None]
 Send = Callable[[list[OutgoingMessage]], None]
 
 
@@ -36,7 +36,7 @@
     """Polls while the lease is held; a task of the process runs it from start to end.
 
     Owns the connection to the platform and the newest answer under the present lease. `worker_list` is the
-    state that the process shares with the delivery to data plane nodes. `mark_workers` turns the platform's
+    state that the process shares with the delivery to data plane nodes. `adjust_workers` turns the platform's
     answer into what is published.
     """
 
@@ -47,18 +47,18 @@
         worker_list: WorkerListState,
         publish: Publish,
         send: Send,
-        mark_workers: MarkWorkers = lambda entries: entries,
+        adjust_workers: AdjustWorkers = lambda entries: entries,
     ) -> None:
         self._lease = lease
         self._worker_list = worker_list
         self._publish = publish
         self._send = send
-        self._mark_workers = mark_workers
+        self._adjust_workers = adjust_workers
         self._loop = asyncio.get_running_loop()
         self._failing_since: float | None = None
         self._lease_held = asyncio.Event()
         self._latest: tuple[WorkerEntry, ...] | None = None  # from the platform, under this lease
-        self._marked: tuple[WorkerEntry, ...] | None = None  # what is published of it
+        self._adjusted: tuple[WorkerEntry, ...] | None = None  # what is published of it
         self._cloud_api = cloud_api
         self._client = PlatformClient(cloud_api.address)
 
@@ -72,7 +72,7 @@
     def check_lease(self) -> None:
         """Time has passed, or the lease has a new state: begin, end or go on accordingly.
 
-        Where another process is known to hold a newer list, or workers are marked otherwise now, what the
+        Where another process is known to hold a newer list, or workers are adjusted otherwise now, what the
         platform answered last is published anew, without waiting for the next poll.
         """
         if not self._lease.is_held(self._loop.time()):
@@ -82,7 +82,7 @@
         self._lease_held.set()
         if self._latest is None:
             return
-        if self._worker_list.is_behind() or self._mark_workers(self._latest) != self._marked:
+        if self._worker_list.is_behind() or self._adjust_workers(self._latest) != self._adjusted:
             self._take_answer(self._latest)
 
     async def run(self) -> None:
@@ -107,11 +107,11 @@
                 await asyncio.sleep(RETRY_BACKOFF_S)
                 continue
             assert pages is not None
-            marked = self._mark_workers(merge_pages(pages))
-            if marked is None:
+            adjusted = self._adjust_workers(merge_pages(pages))
+            if adjusted is None:
                 await asyncio.sleep(RETRY_BACKOFF_S)
                 continue
-            workers = WorkerList(UNLEASED_VERSION, marked)
+            workers = WorkerList(UNLEASED_VERSION, adjusted)
             if self._worker_list.adopt(workers, self._loop.time()):
                 self._publish(workers)
         client.close()
@@ -161,14 +161,14 @@
         if not self._lease.is_held(now):
             return
         self._latest = entries
-        self._marked = self._mark_workers(entries)
-        if self._marked is None:
+        self._adjusted = self._adjust_workers(entries)
+        if self._adjusted is None:
             return
         term_to_exceed = self._worker_list.term_to_exceed(self._lease.term)
         if term_to_exceed is not None:
             self._lease.require_term_above(term_to_exceed, now)
             return
-        published = self._worker_list.update_from_platform(self._lease.term, self._marked, now)
+        published = self._worker_list.update_from_platform(self._lease.term, self._adjusted, now)
         if published is not None:
             self._publish(published)
 
--- a/tests/control_plane/tallies/test_counts.py
+++ b/tests/control_plane/tallies/test_counts.py
@@ -45,7 +45,7 @@
     found: dict[tuple[str, int], int] = {}
     cursor = START
     while True:
-        part = counts.part_after(cursor, limit)
+        part = counts.slice_after(cursor, limit)
         for items in part.items:
             ids = unpack_ids(items.ids)
             for add_id, amount in zip(ids, unpack_amounts(items.amounts, len(ids)), strict=True):
@@ -75,7 +75,7 @@
     for target, source in ((one, other), (other, one), (one, other)):  # and again, which changes nothing
         cursor = START
         while True:
-            part = source.part_after(cursor, size)
+            part = source.slice_after(cursor, size)
             for items in part.items:
                 target.join(items)
             if part.next is None:
--- a/tests/control_plane/tallies/test_orders.py
+++ b/tests/control_plane/tallies/test_orders.py
@@ -234,8 +234,8 @@
     tallies = FakeTallies()
     service = ordered(tallies, ("za", True))
     entries = (worker("1", "za"), worker("2", "zb"))
-    marked = service.mark_workers(entries)
+    marked = service.adjust_workers(entries)
     assert marked is not None
     assert [entry.draining for entry in marked] == [True, False]
     tallies.known = False
-    assert service.mark_workers(entries) is None
+    assert service.adjust_workers(entries) is None
--- a/tests/control_plane_process/test_worker_discovery.py
+++ b/tests/control_plane_process/test_worker_discovery.py
@@ -53,10 +53,10 @@
             self.worker_list,
             self.published.append,
             self.sent.extend,
-            self.mark_workers,
+            self.adjust_workers,
         )
 
-    def mark_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
+    def adjust_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
         if not self.known:
             return None
         return tuple(structs.replace(entry, draining=entry.draining or self.drained) for entry in entries)
