--- a/reedspoke/control_plane/tallies/peer_contacts.py
+++ b/reedspoke/control_plane/tallies/peer_contacts.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import math
 from collections.abc import Iterable, Mapping
 
 from msgspec import Struct, field
@@ -15,15 +15,8 @@
 from reedspoke.control_plane.tallies.settings import APART_AFTER_S, FORGET_PEER_S, FRESH_CONTACT_S
 from reedspoke.control_plane.tallies.version_vectors import covers
 
-REMEMBERED_DIGESTS = 32
 NEVER = float("-inf")
-
-
-class SentDigest(Struct, frozen=True):
-    """A digest that was sent to a peer, and when."""
-
-    sequence: int
-    at: float
+SEQUENCES_PER_S = 1_000_000  # a digest's sequence is the time at which it was sent, so that its echo tells it
 
 
 class Peer(Struct):
@@ -35,7 +28,6 @@
     previous_incarnation: int = 0
     received_sequence: int = 0
     sent_sequence: int = 0
-    sent: deque[SentDigest] = field(default_factory=lambda: deque(maxlen=REMEMBERED_DIGESTS))
     vector: Vector = field(default_factory=dict)
     writable: bool = True
     recovered: bool = False
@@ -77,8 +69,7 @@
     def digest_sent(self, address: str, now: float) -> int:
         """The sequence of the next digest to a peer."""
         peer = self._peer(address)
-        peer.sent_sequence += 1
-        peer.sent.append(SentDigest(peer.sent_sequence, now))
+        peer.sent_sequence = max(peer.sent_sequence + 1, math.ceil(now * SEQUENCES_PER_S))
         return peer.sent_sequence
 
     def digest_received(self, address: str, digest: TallyDigest, now: float) -> bool:
@@ -95,15 +86,10 @@
         peer.writable = digest.writable
         peer.recovered = digest.recovered
         peer.heard_at = now
-        if digest.echo_incarnation == self._incarnation:
-            self._echoed(peer, digest.echo)
+        if digest.echo_incarnation == self._incarnation and digest.echo:
+            peer.contact_as_of = max(peer.contact_as_of, digest.echo / SEQUENCES_PER_S)
         return True
 
-    def _echoed(self, peer: Peer, sequence: int) -> None:
-        for sent in peer.sent:
-            if sent.sequence == sequence:
-                peer.contact_as_of = max(peer.contact_as_of, sent.at)
-
     def _peer(self, address: str) -> Peer:
         return self._peers.setdefault(address, Peer(address))
 
--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -246,12 +246,12 @@
                 self._receive_chunk(now, sender, message)
 
     def _receive_digest(self, now: float, sender: str, digest: TallyDigest) -> None:
-        peer = self._contacts.peer(sender)
-        needs_reply = digest.incarnation != peer.incarnation or not self._contacts.is_fresh(peer, now)
+        is_new_process = digest.incarnation != self._contacts.peer(sender).incarnation
         if not self._contacts.digest_received(sender, digest, now):
             return
-        if needs_reply:
-            self._send_digest(now, sender)  # its echo tells that process that it is in contact
+        # One reply to each process: more would answer each other where messages take long, and never end.
+        if is_new_process:
+            self._send_digest(now, sender)
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
         self._complete_calls(now)
 
--- a/tests/control_plane/tallies/test_replica.py
+++ b/tests/control_plane/tallies/test_replica.py
@@ -24,6 +24,7 @@
     CALL_LIMIT_S,
     DISK_PROBE_S,
     DISK_STALL_S,
+    FRESH_CONTACT_S,
     FRESH_FOLDER_WAIT_S,
     PULL_TIMEOUT_S,
     max_ids,
@@ -148,6 +149,21 @@
     assert answer(steps, call) == WAITING
 
 
+def test_digests_are_not_answered_by_digests(steps: Steps) -> None:
+    steps.tick(FRESH_CONTACT_S + 0.1)  # nobody has answered for long
+    before = len(steps.sent)
+    for _ in range(50):
+        steps.digest("p1", {}, echoes=False)
+    assert len(steps.sent) == before
+
+
+def test_a_late_echo_is_a_round_trip_all_the_same(steps: Steps) -> None:
+    late = steps.last_digest("p1").sequence
+    steps.tick(0.9)  # many digests later
+    steps.receive("p1", TallyDigest("f-p1", 1, 10**12, 7, late, True, True, {}))
+    assert steps.replica._contacts.peer("p1").contact_as_of == pytest.approx(steps.now - 0.9, abs=0.01)
+
+
 def test_what_a_lost_disk_had_does_not_count(steps: Steps) -> None:
     call = steps.add(1)
     steps.stored()
