--- a/tests/control_plane/test_unexpected_errors.py
+++ b/tests/control_plane/test_unexpected_errors.py
@@ -78,10 +78,10 @@
 def test_a_link_to_a_peer_goes_on_after_an_unexpected_error(monkeypatch: pytest.MonkeyPatch) -> None:
     failures = [ZeroDivisionError]
 
-    async def open_or_fail(address: str) -> Channel:
+    async def open_or_fail(address: str, timeout: float) -> Channel:
         if failures:
             raise failures.pop()
-        return await open_channel(address)
+        return await open_channel(address, timeout)
 
     monkeypatch.setattr(peer_link, "open_channel", open_or_fail)
 
