--- a/reedspoke/common/early_signals.py
+++ b/reedspoke/common/early_signals.py
@@ -44,5 +44,12 @@
     _pending.clear()
 
 
+def ignore_signals(loop: AbstractEventLoop) -> None:
+    """Ignore what the loop has handled: once it is closed, a late signal would end the process by itself."""
+    for number in HANDLED_SIGNALS:
+        if loop.remove_signal_handler(number):
+            signal.signal(number, signal.SIG_IGN)
+
+
 def _record(number: int, frame: FrameType | None) -> None:
     _pending.append(number)
--- a/reedspoke/common/entry_point.py
+++ b/reedspoke/common/entry_point.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from reedspoke.common import json_log
+from reedspoke.common.early_signals import ignore_signals
 from reedspoke.common.errors import FleetError
 from reedspoke.common.node_settings import NodeSettings, load_settings
 from reedspoke.common.unhandled_errors import handle_all_errors
@@ -38,7 +39,10 @@
 
 async def _serve(serve: Serve, settings: NodeSettings) -> None:
     handle_all_errors()
-    await serve(settings)
+    try:
+        await serve(settings)
+    finally:
+        ignore_signals(asyncio.get_running_loop())
 
 
 def _log_unusable(error: FleetError) -> None:
--- a/tests/common/test_early_signals.py
+++ b/tests/common/test_early_signals.py
@@ -69,3 +69,19 @@
     )
     assert ended.returncode == 0, ended.stderr[-500:]
     assert f"{plane.split('_')[0]} plane ends".encode() in ended.stdout + ended.stderr
+
+
+def test_a_signal_after_the_end_does_not_end_the_process_by_itself() -> None:
+    """A process that had shut down ended with -1, as a SIGHUP came while its loop was being closed."""
+    code = (
+        "import asyncio, os, signal\n"
+        "from reedspoke.common.early_signals import handle_signals, ignore_signals\n"
+        "async def main():\n"
+        "    loop = asyncio.get_running_loop()\n"
+        "    handle_signals(loop, lambda: None, lambda: None)\n"
+        "    ignore_signals(loop)\n"
+        "asyncio.run(main())\n"
+        "for number in (signal.SIGHUP, signal.SIGTERM):\n"
+        "    os.kill(os.getpid(), number)\n"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
