--- a/tests/control_plane/tallies/simulated_tallies.py
+++ b/tests/control_plane/tallies/simulated_tallies.py
@@ -36,7 +36,7 @@
 HEARD_S = 0.1
 SETTLED_S = 0.5  # in calm times an acknowledged add is read everywhere after this
 DELAY_S = (0.0005, 0.004)
-SLOW_DELAY_S = (0.0005, 0.2)
+SLOW_DELAY_S = (0.0005, 0.3)
 SYNC_S = (0.001, 0.006)
 ANSWERED_S = 0.3  # in calm times a call is answered within this
 
