review: the cases end what they started when they are stopped, and leave no folder without a build

Cause: a case that was stopped by a signal left its processes running; without a build an empty temporary folder stayed. Change: SIGTERM and SIGINT cancel the case, which ends its processes; the build is looked for first.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -118,6 +118,7 @@
         self.record = record
         self.controls, self.edges, self.guarantees = controls, edges, guarantees
         self.bounds = BOUNDS | bounds
+        self._commands = self._read_commands()
         self.folder = Path(tempfile.mkdtemp(prefix="review-case-"))
         self.processes: dict[tuple[str, int], subprocess.Popen[bytes]] = {}
         self.instances: list[dict[str, object]] = []
@@ -125,7 +126,6 @@
         self.platform_answers.set()
         self._servers: list[asyncio.Server] = []
         self._bootstrap = True
-        self._commands = self._read_commands()
         source = SystemRandom()
         self._network = source.randrange(2, 250)
         first = source.randrange(20_000, 31_000)
@@ -416,12 +416,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that all processes are ended then, too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record, trouble)
 
     try:
         status = asyncio.run(limited())
-    except (CaseError, OSError, TimeoutError) as error:
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         record("the case could not run", error=repr(error))
         status = NOT_RUN
     record("end", exit=status, trouble=trouble)
