--- a/review/2/run.py
+++ b/review/2/run.py
@@ -139,13 +139,11 @@
     evacuated: set[str],
     acknowledged: float,
     counted_from: float,
-    late: int,
+    late: list[tuple[float, str, str]],
 ) -> None:
-    """Write what reached the workers of the zone, second by second, and what each machine says."""
-    by_second = traffic.by_second(evacuated, acknowledged)
-    record("requests at workers of the zone, by second since the acknowledgement", counts=by_second)
-    record("counted as late", after_s=round(counted_from - acknowledged, 2), requests=late)
-    record("answers to clients", by_status=traffic.answers)
+    """Write what was sent and run since the last acknowledgement, and what each machine says."""
+    traffic.write(record, evacuated, acknowledged, late)
+    record("counted as late", after_s=round(counted_from - acknowledged, 2), requests=len(late))
     for number in range(fleet.controls):
         record("status", control=number, evacuated=await evacuated_zones(fleet, number))
 
--- a/review/traffic.py
+++ b/review/traffic.py
@@ -5,25 +5,28 @@
 import asyncio
 import contextlib
 import time
+from collections import Counter
 
-from fleet import EDGE_SUBNET, ENDED, HOSTNAME, Fleet, read_body, read_head, render, status_of
+from fleet import EDGE_SUBNET, ENDED, HOSTNAME, Fleet, Record, read_body, read_head, render, status_of
 
 GAP_S = 0.05  # between an answer and the client's next request
 WORK_S = 0.01
+SHOWN = 20  # late requests that are written one by one
 
 
 class Traffic:
     """The requests of one run."""
 
     def __init__(self, fleet: Fleet) -> None:
-        self.arrivals: list[tuple[float, str]] = []  # when, and the worker's id
-        self.answers: dict[int, int] = {}  # to clients, by status
+        self.sent: list[float] = []  # when
+        self.answered: list[tuple[float, int]] = []  # when, and the status
+        self.arrivals: list[tuple[float, str, str]] = []  # when, the worker's id and the request's
         self._fleet = fleet
         self._count = 0
 
     async def work(self, instance_id: str, attempt_id: str) -> None:
         """A worker begins on a request."""
-        self.arrivals.append((time.monotonic(), instance_id))
+        self.arrivals.append((time.monotonic(), instance_id, attempt_id))
         await asyncio.sleep(WORK_S)
 
     async def client(self, number: int) -> None:
@@ -46,17 +49,35 @@
             "Reedspoke-Attempt-Id": f"{self._count:016x}",
             "Reedspoke-Deadline-Ms": 1000,
         }
+        self.sent.append(time.monotonic())
         writer.write(render("POST /check/1 HTTP/1.1", fields, b"{}"))
         first, answered = await read_head(reader)
         await read_body(reader, answered)
-        self.answers[status_of(first)] = self.answers.get(status_of(first), 0) + 1
+        self.answered.append((time.monotonic(), status_of(first)))
         await asyncio.sleep(GAP_S)
 
-    def arrived(self, workers: set[str], since: float, until: float) -> int:
-        """How many requests reached these workers in this time."""
-        return sum(name in workers and since < at <= until for at, name in self.arrivals)
+    def arrived(self, workers: set[str], since: float, until: float) -> list[tuple[float, str, str]]:
+        """The requests that reached these workers in this time."""
+        return [one for one in self.arrivals if one[1] in workers and since < one[0] <= until]
 
-    def by_second(self, workers: set[str], since: float) -> list[int]:
-        """How many requests reached these workers in each second since then."""
-        seconds = range(int(time.monotonic() - since) + 1)
-        return [self.arrived(workers, since + one, since + one + 1) for one in seconds]
+    def write(
+        self, record: Record, workers: set[str], since: float, late: list[tuple[float, str, str]]
+    ) -> None:
+        """Write second by second what was sent, answered and run, and the first of the late requests.
+
+        Seconds count from `since`; `workers` are those of the evacuated zone.
+        """
+        for second in range(int(self.sent[0] - since) - 1, int(time.monotonic() - since) + 1):
+            begins, ends = since + second, since + second + 1
+            answers = Counter(status for at, status in self.answered if begins < at <= ends)
+            inside = len(self.arrived(workers, begins, ends))
+            record(
+                "requests",
+                second=second,
+                sent=sum(begins < at <= ends for at in self.sent),
+                answered=dict(answers),
+                run_in_the_zone=inside,
+                run_elsewhere=sum(begins < at <= ends for at, *_ in self.arrivals) - inside,
+            )
+        for at, worker, attempt_id in late[:SHOWN]:
+            record("late", after_s=round(at - since, 3), worker=worker, attempt_id=attempt_id)
