Log why a chain that lacks members cannot be repaired

Cause: while a chain waits, the logs and the status call say the same as in a healthy fleet: a view stands and a majority is in reach.

Change: the member that would propose the next view logs "chain cannot be repaired" once for each reason, with the condition of each member of the chain (complete, incomplete, disk failed, unreachable).

--- a/reedspoke/control_plane/replication/chain_repair.py
+++ b/reedspoke/control_plane/replication/chain_repair.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from reedspoke.control_plane.replication.membership_observer import MembershipObserver
 from reedspoke.control_plane.replication.outbox import Outbox
 from reedspoke.control_plane.replication.settings import (
@@ -18,7 +20,13 @@
 from reedspoke.control_plane.replication.view import View
 from reedspoke.control_plane.views.agreement import ViewAgreement
 from reedspoke.control_plane.views.first_view import FIRST_VIEW_NUMBER, form_first_view
-from reedspoke.control_plane.views.next_view import MemberCondition, choose_next_view
+from reedspoke.control_plane.views.next_view import (
+    MemberCondition,
+    MembershipSnapshot,
+    RepairBlock,
+    choose_next_view,
+    find_repair_block,
+)
 from reedspoke.control_plane.views.quorum import majority_size
 
 # A seed counts as lost if its heartbeats have arrived for longer than this without the mark `bootstrap_seed`:
@@ -37,7 +45,7 @@
     """Proposes views.
 
     Owns two times: since when a better view has been possible, and from when on the time-outs of other
-    members are conclusive.
+    members are conclusive. Logs once what prevents a repair.
     """
 
     def __init__(
@@ -55,6 +63,7 @@
         self._started = outbox.now
         self._timeouts_valid_from = outbox.now + REACHABLE_TIMEOUT_S
         self._better_view_since: float | None = None
+        self._logged_block: RepairBlock | None = None
 
     def process_resumed(self) -> None:
         """Suspend repairs for `REACHABLE_TIMEOUT_S` after this process was stopped and has resumed.
@@ -67,6 +76,7 @@
     def enter_view(self, view: View) -> None:
         """Restart the proposal delay, as it was that of a view better than the previous one."""
         self._better_view_since = None
+        self._logged_block = None
         # Members of the first view may not have received each other's heartbeats yet.
         if view.number == FIRST_VIEW_NUMBER:
             self._timeouts_valid_from = max(self._timeouts_valid_from, self._outbox.now + REACHABLE_TIMEOUT_S)
@@ -118,9 +128,29 @@
             desired = View(view.number + 1, view.voters, view.chain)
         if desired == view:
             self._better_view_since = None
+            self._log_block(view, snapshot)
             return
         self._propose_after_delay(desired, rank)
 
+    def _log_block(self, view: View, snapshot: MembershipSnapshot) -> None:
+        """Log why the chain cannot be repaired, whenever the reason has changed."""
+        block = find_repair_block(view, snapshot)
+        if block is self._logged_block:
+            return
+        self._logged_block = block
+        if block is not None:
+            members = {
+                link.member.address: _describe(snapshot.conditions.get(link.member.folder_id))
+                for link in view.chain
+            }
+            self._outbox.log(
+                logging.WARNING,
+                "chain cannot be repaired",
+                view=view.number,
+                reason=block.value,
+                members=members,
+            )
+
     def _is_unfinished(self, view: View, folder_ids: list[str]) -> bool:
         """Whether a reachable voter has accepted a next view that may never have been decided."""
         return self._agreement.has_undecided_view or self._observer.sees_undecided_view(view, folder_ids)
@@ -145,3 +175,12 @@
             return
         if self._agreement.may_propose(self._observer.reachable):
             self._agreement.propose(desired)
+
+
+def _describe(condition: MemberCondition | None) -> str:
+    """The condition of a member of the chain, for the log."""
+    if condition is None:
+        return "unreachable"
+    if not condition.healthy:
+        return "disk failed"
+    return "complete" if condition.complete else "incomplete"
--- a/reedspoke/control_plane/views/next_view.py
+++ b/reedspoke/control_plane/views/next_view.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 
 from msgspec import Struct
 
@@ -39,6 +40,13 @@
     voters_target: int  # While there are no more voters than this, none is removed without a replacement.
 
 
+class RepairBlock(Enum):
+    """Why a chain that lacks members cannot be repaired at present; the value is written to the log."""
+
+    NO_COMPLETE_MEMBER = "no_complete_member"
+    TOO_FEW_MEMBERS = "too_few_members"
+
+
 def choose_next_view(view: View, snapshot: MembershipSnapshot) -> View:
     """The view that should follow; the present one if no better view is possible."""
     retained = _retained_chain(view, snapshot)
@@ -55,6 +63,18 @@
     return View(view.number + 1, voters, chain)
 
 
+def find_repair_block(view: View, snapshot: MembershipSnapshot) -> RepairBlock | None:
+    """What prevents the repair of this view's chain; None if it needs no repair, or can be repaired."""
+    retained = _retained_chain(view, snapshot)
+    if len(retained) == len(view.chain):
+        return None
+    if not retained:
+        return RepairBlock.NO_COMPLETE_MEMBER
+    possible = len(retained) + len(_joiners(view, retained, snapshot))
+    is_too_short = possible < snapshot.chain_minimum and possible < len(view.chain)
+    return RepairBlock.TOO_FEW_MEMBERS if is_too_short else None
+
+
 # ---- the chain ----
 
 
--- a/tests/control_plane/simulated_core.py
+++ b/tests/control_plane/simulated_core.py
@@ -19,6 +19,7 @@
     DeliverConfiguration,
     Effect,
     GetCompleted,
+    LogEvent,
     PutCompleted,
     SendMessage,
     StoreRecords,
@@ -71,6 +72,7 @@
         self.on_message: Hook | None = None
         self.on_store: Hook | None = None
         self.on_send: Callable[[SendMessage], None] | None = None
+        self.on_log: Callable[[str, LogEvent], None] | None = None
         self.lost_messages: set[int] = set()
         self.duplicated_messages: set[int] = set()
         self.late_messages: set[int] = set()
@@ -206,8 +208,9 @@
             case ViewChanged(view=view):
                 for component in self.components:
                     component.view_changed(self.machines[address], view)
-            case _:
-                pass
+            case LogEvent():
+                if self.on_log is not None:
+                    self.on_log(address, effect)
 
     def _answered_put(self, address: str, effect: PutCompleted) -> None:
         answer = structs.replace(effect, request_id=self._call_of(address, effect.request_id))
