Recover a chain without a complete member from a whole copy outside it

Cause: a view drops a member that has everything and appends one that has nothing yet; only members of the present chain counted as copies.

But that member forgot the chain before it, and no replica told for which view its copy is complete.

While no complete member of the chain is in reach, an appended one asks the others for their copies and searches the chain before its transfer, then the one before that. It closes its own transfer on disk before it relies on the result and proposes a view that begins with the copy that was found. Why this works: a closed transfer can't complete, so no view with that link has committed or will commit anything, and the members of the chain before it hold all; as for every view, a majority of the present view's voters decides. A copy that has lost entries is now marked as such on disk (it was forgotten as the member left the chain), so that it is never taken for whole.

--- a/reedspoke/control_plane/replication/chain.py
+++ b/reedspoke/control_plane/replication/chain.py
@@ -20,6 +20,7 @@
 from reedspoke.common.errors import ErrorCode
 from reedspoke.control_plane.replication.chain_position import ChainPosition, position_of
 from reedspoke.control_plane.replication.configuration_register import ConfigurationRegister
+from reedspoke.control_plane.replication.copy_state import is_complete_for
 from reedspoke.control_plane.replication.entry import CommittedConfiguration, Entry
 from reedspoke.control_plane.replication.messages import (
     AppendRequest,
@@ -28,10 +29,10 @@
     SuccessorStatus,
 )
 from reedspoke.control_plane.replication.outbox import Outbox
+from reedspoke.control_plane.replication.pending_transfers import PendingTransfers
 from reedspoke.control_plane.replication.settings import HEARTBEAT_INTERVAL_S, ReplicaSettings
 from reedspoke.control_plane.replication.successor_progress import SuccessorProgress
 from reedspoke.control_plane.replication.view import View
-from reedspoke.control_plane.views.first_view import FIRST_VIEW_NUMBER
 from reedspoke.telemetry.invariants import Invariant, check
 
 
@@ -47,6 +48,7 @@
         settings: ReplicaSettings,
         outbox: Outbox,
         register: ConfigurationRegister,
+        transfers: PendingTransfers,
         on_committed: Callable[[CommittedConfiguration], None],
         on_idle: Callable[[], None],
     ) -> None:
@@ -54,6 +56,7 @@
         self._minimum = settings.chain_minimum
         self._outbox = outbox
         self._register = register
+        self._transfers = transfers
         self._on_committed = on_committed
         self._on_idle = on_idle
         self._position: ChainPosition | None = None
@@ -95,18 +98,16 @@
         A member of the first view starts without any entries. A member that was appended later first has to
         store the snapshot that it gets from its predecessor.
         """
-        if self._position is None or self._register.installing_snapshot or self._outbox.synced_state_lost:
+        if self._position is None or self._register.installing_snapshot:
             return False
-        joined_view = self._position.own_link.joined_view
-        return joined_view == FIRST_VIEW_NUMBER or self._register.synced_since == joined_view
+        return is_complete_for(self._register.synced_since, self._position.own_link.joined_view)
 
     def enter_view(self, view: View) -> None:
         """Take the position of this replica in a newer view."""
         self._position = position_of(self._own, view)
         self._successor.enter_view()
         if self._position is None:
-            # Lost entries do not matter outside the chain: when this replica is appended again, it installs a
-            # snapshot first.
+            # The disk works; the register remembers that the copy is incomplete.
             self._outbox.synced_state_lost = False
         self._send_status()
         self._forward_or_commit()
@@ -183,13 +184,20 @@
         position = self._position
         if position is None or position.own_link.joined_view != message.joined_view or position.is_head:
             return
+        if self._transfers.refuses(message.joined_view):
+            return
         if self.complete or self._register.installing_snapshot or self._outbox.disk_failed:
             self._send_status()
             return
         self._register.install_snapshot(
-            message.entry, message.history, message.joined_view, self._entry_synced
+            message.entry, message.history, message.joined_view, self._snapshot_synced
         )
 
+    def _snapshot_synced(self, synced: bool) -> None:
+        if synced:
+            self._transfers.completed()
+        self._entry_synced(synced)
+
     def _entry_synced(self, synced: bool) -> None:
         if synced:
             self._send_status()
@@ -203,6 +211,8 @@
         position = self._position
         if position is None or position.predecessor is None:
             return
+        if self._transfers.refuses(position.own_link.joined_view):
+            return  # The predecessor would send a snapshot in reply.
         self._check_synced()
         status = SuccessorStatus(
             position.view.number,
@@ -275,6 +285,7 @@
         if sequence <= self._register.sequence:
             return
         self._outbox.synced_state_lost = True
+        self._register.record_lost_copy()
         self._outbox.log(
             logging.ERROR,
             "synced entries lost",
--- a/reedspoke/control_plane/replication/chain_repair.py
+++ b/reedspoke/control_plane/replication/chain_repair.py
@@ -9,6 +9,7 @@
 
 import logging
 
+from reedspoke.control_plane.replication.copy_recovery import CopyRecovery
 from reedspoke.control_plane.replication.membership_observer import MembershipObserver
 from reedspoke.control_plane.replication.outbox import Outbox
 from reedspoke.control_plane.replication.settings import (
@@ -54,12 +55,14 @@
         outbox: Outbox,
         agreement: ViewAgreement,
         observer: MembershipObserver,
+        recovery: CopyRecovery,
     ) -> None:
         self._own = settings.member
         self._voters_target = settings.voters_target
         self._outbox = outbox
         self._agreement = agreement
         self._observer = observer
+        self._recovery = recovery
         self._started = outbox.now
         self._timeouts_valid_from = outbox.now + REACHABLE_TIMEOUT_S
         self._better_view_since: float | None = None
@@ -122,6 +125,8 @@
         if rank is None:
             return
         desired = choose_next_view(view, snapshot)
+        if desired == view:
+            desired = self._recovery.next_view(view, snapshot) or view
         # Voters that have accepted another next view grant no leases. A view with the same members ends that
         # state, as its proposal decides either it or the view that they have accepted.
         if desired == view and self._is_unfinished(view, list(snapshot.conditions)):
--- a/reedspoke/control_plane/replication/configuration_register.py
+++ b/reedspoke/control_plane/replication/configuration_register.py
@@ -8,6 +8,7 @@
 
 from reedspoke.common.errors import ErrorCode
 from reedspoke.control_plane.replication.change_history import ChangeHistory
+from reedspoke.control_plane.replication.copy_state import LOST_COPY, NO_SNAPSHOT
 from reedspoke.control_plane.replication.entry import (
     ChangeId,
     CommittedConfiguration,
@@ -36,6 +37,7 @@
         self.committed: CommittedConfiguration | None = None
         self.installing_snapshot = False
         self.synced_since = restored.synced_since
+        self._synced_before = NO_SNAPSHOT  # what `synced_since` becomes if the snapshot cannot be stored
         # When `entry` was synced; None if the entry before it is not known to be committed.
         self._synced_at: float | None = None
         self._history = restored.history
@@ -62,6 +64,15 @@
         in_flight = self.pending_entry is not None or self.installing_snapshot
         return not in_flight and self.committed_sequence == self.sequence
 
+    @property
+    def reported_synced_since(self) -> int:
+        """What other replicas are told as `synced_since`.
+
+        While a snapshot is being stored, the log still holds the former state. It must not count as complete,
+        as a repair could otherwise rely on a copy that a crash would lose.
+        """
+        return self._synced_before if self.installing_snapshot else self.synced_since
+
     def committed_until(self, now: float) -> float | None:
         """A time up to which nothing newer than `committed` has been committed.
 
@@ -108,6 +119,7 @@
         self, entry: Entry | None, packed_history: bytes, joined_view: int, on_synced: OnSynced
     ) -> None:
         """Replace the state by a snapshot; `on_synced` is called with whether it is on disk."""
+        self._synced_before = min(self.synced_since, NO_SNAPSHOT)
         self.entry = entry
         self._synced_at = None
         self.pending_entry = None
@@ -118,11 +130,16 @@
         def on_end(error: ErrorCode | None) -> None:
             self.installing_snapshot = False
             if error is not None:
-                self.synced_since = 0
+                self.synced_since = self._synced_before
             on_synced(error is None)
 
         self._outbox.rewrite(on_end, self.sequence)
 
+    def record_lost_copy(self) -> None:
+        """Record that synced entries are lost: the copy is complete for no link until the next snapshot."""
+        self.synced_since = LOST_COPY
+        self._outbox.store([SyncedRecord(LOST_COPY)], _ignore)
+
     def commit(self) -> CommittedConfiguration | None:
         """Commit the newest synced entry; return its configuration if it was not known to be committed."""
         if self.entry is None or self.entry.sequence <= self.committed_sequence:
@@ -136,3 +153,7 @@
         records += [EntryRecord(entry) for entry in (self.entry, self.pending_entry) if entry is not None]
         records.append(SyncedRecord(self.synced_since))
         return records
+
+
+def _ignore(error: ErrorCode | None) -> None:
+    """Ignore the result of a store: a failed one is made good by the rewrite that follows it."""
--- a/reedspoke/control_plane/replication/copy_state.py
+++ b/reedspoke/control_plane/replication/copy_state.py
@@ -1,4 +1,4 @@
-"""For which membership in the chain a replica's copy of the entries is complete, as the number `synced_since`.
+"""For which membership in the chain a replica's copy of the entries is complete: the number `synced_since`.
 
 A replica is appended to the chain in some view, the `joined_view` of its link, and its copy is complete for
 that link once it has stored the snapshot. A copy stays complete for the link after the replica has left the
--- a/reedspoke/control_plane/replication/heartbeats.py
+++ b/reedspoke/control_plane/replication/heartbeats.py
@@ -16,6 +16,7 @@
 from reedspoke.control_plane.replication.grants import ReceivedGrants, VoterGrants
 from reedspoke.control_plane.replication.messages import Heartbeat
 from reedspoke.control_plane.replication.outbox import Outbox
+from reedspoke.control_plane.replication.pending_transfers import PendingTransfers
 from reedspoke.control_plane.replication.settings import HEARTBEAT_INTERVAL_S, ReplicaSettings
 from reedspoke.control_plane.replication.view import Member, View
 from reedspoke.control_plane.views.agreement import ViewAgreement
@@ -30,6 +31,7 @@
         outbox: Outbox,
         failure_detector: FailureDetector,
         register: ConfigurationRegister,
+        transfers: PendingTransfers,
         chain: Chain,
         agreement: ViewAgreement,
         first_start: FirstStart,
@@ -40,6 +42,7 @@
         self._outbox = outbox
         self._failure_detector = failure_detector
         self._register = register
+        self._transfers = transfers
         self._chain = chain
         self._agreement = agreement
         self._first_start = first_start
@@ -48,7 +51,7 @@
         self.draining = False
         self._view_members: frozenset[Member] = frozenset()
         self._last_sent = float("-inf")
-        self._last_condition = (True, False)  # whether the disk works, and whether this copy is complete
+        self._last_condition = (True, 0)  # whether the disk works, and what is reported of the copy
 
     def own(self) -> Heartbeat:
         """The heartbeat of this replica, as of now."""
@@ -58,9 +61,7 @@
             view_number=view.number if view else 0,
             receives_from=self._failure_detector.receives_from(self._view_members, self._outbox.now),
             disk_ok=self._outbox.disk_ok,
-            # While a snapshot is being stored, the log still holds the former state. It must not count as
-            # complete, as a repair could otherwise rely on a copy that a crash would lose.
-            synced_since=0 if self._register.installing_snapshot else self._register.synced_since,
+            synced_since=self._synced_since(),
             committed_sequence=self._register.committed_sequence,
             draining=self.draining,
             bootstrap_seed=self._first_start.is_participant,
@@ -107,8 +108,15 @@
             self._outbox.send(sender, self.own())
         self._chain.record_committed(heartbeat.view_number, heartbeat.committed_sequence)
 
-    def _condition(self) -> tuple[bool, bool]:
-        return (self._outbox.disk_ok, self._chain.complete)
+    def _synced_since(self) -> int:
+        """What is reported of this replica's copy."""
+        transfer = self._transfers.present
+        if transfer is not None and self._transfers.refuses(transfer.joined_view):
+            return -transfer.joined_view
+        return self._register.reported_synced_since
+
+    def _condition(self) -> tuple[bool, int]:
+        return (self._outbox.disk_ok, self._synced_since())
 
     def _addresses(self) -> set[str]:
         """Addresses of the view's members, the seeds and senders of recent heartbeats, except its own."""
--- a/reedspoke/control_plane/replication/log_records.py
+++ b/reedspoke/control_plane/replication/log_records.py
@@ -9,8 +9,10 @@
 
 from reedspoke.common.errors import ErrorCode, FleetError
 from reedspoke.control_plane.replication.change_history import ChangeHistory, check_packed
+from reedspoke.control_plane.replication.copy_state import LOST_COPY
 from reedspoke.control_plane.replication.entry import ChangeId, Entry, change_id_of
 from reedspoke.control_plane.replication.messages import ProposalNumber
+from reedspoke.control_plane.replication.pending_transfers import PendingTransfer, transfer_started
 from reedspoke.control_plane.replication.view import View
 
 NO_PROPOSAL = ProposalNumber()
@@ -59,7 +61,11 @@
 
 
 class SyncedRecord(Struct, tag="synced", array_like=True, frozen=True):
-    """The replica holds the snapshot that it received after it was appended in the view `joined_view`."""
+    """The replica holds the snapshot that it received after it was appended in the view `joined_view`.
+
+    `copy_state` describes the values 0 and -1. Any other negative value is that of a closed transfer: the
+    replica, appended in the view `-joined_view`, will store no snapshot for this link.
+    """
 
     joined_view: int
 
@@ -89,6 +95,13 @@
     entry: Entry | None = None
     history: ChangeHistory = field(default_factory=ChangeHistory)
     synced_since: int = 0
+    transfers: list[PendingTransfer] = field(default_factory=list)  # those to this replica, oldest first
+    closed_transfers: list[int] = field(default_factory=list)  # the `joined_view` of each closed one
+
+
+def closed_transfer_record(joined_view: int) -> SyncedRecord:
+    """The record of a transfer that is closed: that of the link with this `joined_view`."""
+    return SyncedRecord(-joined_view)
 
 
 def encode_record(record: Struct) -> bytes:
@@ -102,24 +115,27 @@
     return record
 
 
-def restore(records: Sequence[bytes]) -> RestoredState:
-    """The state after all these records. Raises FleetError STORAGE_CORRUPT for an unknown record."""
+def restore(records: Sequence[bytes], folder_id: str = "") -> RestoredState:
+    """The state after all these records of the replica with this folder id.
+
+    Raises FleetError STORAGE_CORRUPT for an unknown record.
+    """
     state = RestoredState()
     try:
         for payload in records:
-            _apply(state, decode_record(payload))
+            _apply(state, decode_record(payload), folder_id)
     except (ValidationError, ormsgpack.MsgpackDecodeError) as error:
         raise FleetError(ErrorCode.STORAGE_CORRUPT, f"The log holds an unknown record: {error}.") from error
     return state
 
 
-def _apply(state: RestoredState, record: Record) -> None:
+def _apply(state: RestoredState, record: Record, folder_id: str) -> None:
     match record:
         case BootstrapRecord(seeds=seeds):
             state.seeds = seeds
         case ViewRecord(view=view):
             if state.view is None or view.number > state.view.number:
-                state.view = view
+                _apply_view(state, view, folder_id)
         case AcceptorRecord(view_number=view_number):
             state.acceptors[view_number] = record
         case EntryRecord(entry=entry):
@@ -133,11 +149,26 @@
                 state.history.add(change)
             state.entry = None
         case SyncedRecord(joined_view=joined_view):
-            state.synced_since = joined_view
+            _apply_synced(state, joined_view)
         case ProbeRecord():
             pass
 
 
+def _apply_view(state: RestoredState, view: View, folder_id: str) -> None:
+    started = transfer_started(folder_id, state.view, view)
+    if started is not None:
+        state.transfers.append(started)
+    state.view = view
+
+
+def _apply_synced(state: RestoredState, joined_view: int) -> None:
+    if joined_view < LOST_COPY:
+        state.closed_transfers.append(-joined_view)
+        return
+    state.synced_since = joined_view
+    state.transfers = [transfer for transfer in state.transfers if transfer.joined_view > joined_view]
+
+
 def _apply_entry(state: RestoredState, entry: Entry) -> None:
     replaced = state.entry is not None and state.entry.sequence == entry.sequence
     if replaced:
--- a/reedspoke/control_plane/replication/membership_observer.py
+++ b/reedspoke/control_plane/replication/membership_observer.py
@@ -8,12 +8,12 @@
 
 from collections.abc import Callable
 
+from reedspoke.control_plane.replication.copy_state import is_complete_for
 from reedspoke.control_plane.replication.failure_detector import FailureDetector
 from reedspoke.control_plane.replication.messages import Heartbeat
 from reedspoke.control_plane.replication.outbox import Outbox
 from reedspoke.control_plane.replication.settings import ESTABLISHED_MIN_REACHABLE_S, ReplicaSettings
 from reedspoke.control_plane.replication.view import View
-from reedspoke.control_plane.views.first_view import FIRST_VIEW_NUMBER
 from reedspoke.control_plane.views.next_view import MemberCondition, MembershipSnapshot
 from reedspoke.control_plane.views.quorum import majority_size
 
@@ -123,10 +123,13 @@
     heartbeat: Heartbeat, joined_view: dict[str, int], steady: bool, established: bool
 ) -> MemberCondition:
     """The condition of a replica; `joined_view` maps chain members to the view that appended each."""
+    joined = joined_view.get(heartbeat.member.folder_id)
     return MemberCondition(
         member=heartbeat.member,
         healthy=heartbeat.disk_ok,
-        complete=joined_view.get(heartbeat.member.folder_id) in (FIRST_VIEW_NUMBER, heartbeat.synced_since),
+        complete=joined is not None and is_complete_for(heartbeat.synced_since, joined),
         steady=steady,
         established=established,
+        refuses_snapshot=joined is not None and heartbeat.synced_since == -joined,
+        committed_sequence=heartbeat.committed_sequence,
     )
--- a/reedspoke/control_plane/replication/messages.py
+++ b/reedspoke/control_plane/replication/messages.py
@@ -6,7 +6,7 @@
 
 from reedspoke.control_plane.replication.change_history import check_packed
 from reedspoke.control_plane.replication.entry import Entry
-from reedspoke.control_plane.replication.view import Member, View
+from reedspoke.control_plane.replication.view import ChainLink, Member, View
 
 
 class ProposalNumber(Struct, array_like=True, frozen=True, order=True):
@@ -23,7 +23,8 @@
     that requests a read lease sets `lease_requested_at`, a time of the same clock.
 
     `receives_from` has the folder ids of the replicas whose heartbeats reach the sender. `synced_since` is
-    the view that appended the sender to the chain, once it has stored the snapshot. `has_undecided_view` is
+    the view that appended the sender to the chain, once it has stored the snapshot (`copy_state`); while the
+    sender refuses the snapshot of its present link, it is the negative `joined_view`. `has_undecided_view` is
     set if the sender has accepted a next view that it does not know to be decided. `bootstrap_seed` is set by
     a seed that takes part in the first start, `bootstrap_joiner` by any other replica of the first start that
     has no view yet.
@@ -205,6 +206,34 @@
     entry: Entry | None = None
 
 
+class CopyStatusRequest(Struct, tag="copy_status_request", array_like=True, frozen=True):
+    """A member of the chain that reaches no complete one asks another replica for its `CopyStatus`."""
+
+    view_number: int
+
+
+class ClosedTransfer(Struct, array_like=True, frozen=True):
+    """A state transfer that will never complete; `sources` are the members of the chain before it."""
+
+    joined_view: int
+    sources: tuple[ChainLink, ...]
+
+
+class CopyStatus(Struct, tag="copy_status", array_like=True, frozen=True):
+    """The entries on the sender's disk, in response to a `CopyStatusRequest`.
+
+    `complete_for` is the `joined_view` of the newest link for which the copy is complete, `LOST_COPY` if it
+    is for none. `sequence` is that of its newest entry. `closed_transfers` are the transfers to the sender
+    since then that cannot complete.
+    """
+
+    member: Member
+    view_number: int
+    complete_for: int
+    sequence: int
+    closed_transfers: tuple[ClosedTransfer, ...] = ()
+
+
 ReplicaMessage = (
     Heartbeat
     | ViewConfirmation
@@ -225,4 +254,6 @@
     | PutReply
     | GetRequest
     | GetReply
+    | CopyStatusRequest
+    | CopyStatus
 )
--- a/reedspoke/control_plane/replication/pending_transfers.py
+++ b/reedspoke/control_plane/replication/pending_transfers.py
@@ -5,9 +5,9 @@
 everything that has been committed is held by the members of the chain of the view before, the *sources* of
 the transfer, as in the previous configurations of Vertical Paxos (Lamport, Malkhi, Zhou, 2009).
 
-A transfer is *closed* once it cannot complete any more: the replica was appended again or is not in the chain,
-or it has refused any further snapshot, which is on its disk before anybody learns of it. A closed transfer
-proves for good that the views whose chain contains its link have committed nothing.
+A transfer is *closed* once it cannot complete any more: the replica was appended again, or is not in the
+chain, or it has refused any further snapshot, which is on its disk before anybody learns of it. A closed
+transfer proves for good that the views whose chain contains its link have committed nothing.
 """
 
 from __future__ import annotations
@@ -87,7 +87,7 @@
 
     @property
     def present(self) -> PendingTransfer | None:
-        """The transfer to this replica as a member of the present chain; None if it is complete or outside."""
+        """The transfer for the link in the present chain; None if it has completed or there is no link."""
         for transfer in self._transfers:
             if transfer.joined_view == self._own_joined_view():
                 return transfer
--- a/reedspoke/control_plane/replication/replica.py
+++ b/reedspoke/control_plane/replication/replica.py
@@ -9,6 +9,7 @@
 * `ViewAgreement`: the view; `Chain`: this replica's position in it; `ConfigurationRegister`: the entries;
 * `HeadQueue`: the changes at the head; `TailReader`: the reads at the tail;
 * `PutForwarder` and `GetForwarder`: the requests of this node's operators;
+* `PendingTransfers`: the state transfers to this replica; `CopyRecovery`: copies outside the chain;
 * `Heartbeats` and `FailureDetector`: which replicas are reachable; `ChainRepair`: the next view to propose;
 * `VoterGrants`: the grants that this replica issues as a voter; `ReceivedGrants`: those that it holds;
 * `FirstStart`: the seeds; `Outbox`: the effects and the state of the disk.
@@ -17,7 +18,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from msgspec import Struct
 
@@ -25,6 +26,7 @@
 from reedspoke.control_plane.replication.chain import Chain
 from reedspoke.control_plane.replication.chain_repair import ChainRepair
 from reedspoke.control_plane.replication.configuration_register import ConfigurationRegister
+from reedspoke.control_plane.replication.copy_recovery import CopyRecovery
 from reedspoke.control_plane.replication.effects import (
     DeliverConfiguration,
     Effect,
@@ -50,9 +52,17 @@
 from reedspoke.control_plane.replication.head_queue import HeadQueue
 from reedspoke.control_plane.replication.heartbeats import Heartbeats
 from reedspoke.control_plane.replication.invariants import ReplicaInvariants
-from reedspoke.control_plane.replication.log_records import RestoredState, encode_record, restore
+from reedspoke.control_plane.replication.log_records import (
+    RestoredState,
+    ViewRecord,
+    closed_transfer_record,
+    encode_record,
+    restore,
+)
 from reedspoke.control_plane.replication.membership_observer import MembershipObserver
 from reedspoke.control_plane.replication.messages import (
+    CopyStatus,
+    CopyStatusRequest,
     GetReply,
     GetRequest,
     Heartbeat,
@@ -63,6 +73,7 @@
     ViewConfirmation,
 )
 from reedspoke.control_plane.replication.outbox import Outbox
+from reedspoke.control_plane.replication.pending_transfers import PendingTransfers
 from reedspoke.control_plane.replication.put_forwarding import PutForwarder
 from reedspoke.control_plane.replication.settings import (
     PROCESS_STOP_GAP_S,
@@ -99,7 +110,7 @@
         now: float,
         incarnation: str,
     ) -> None:
-        restored = restore(records)
+        restored = restore(records, settings.folder_id)
         self._settings = settings
         self._last_tick = now
         self._last_repair = now
@@ -118,7 +129,16 @@
         limit_s = settings.answer_limit_s
         self._failure_detector = FailureDetector(settings.member, outbox.now)
         self._register = ConfigurationRegister(outbox, restored)
-        self._chain = Chain(settings, outbox, self._register, self._deliver, self._advance_head)
+        self._transfers = PendingTransfers(
+            settings.folder_id,
+            restored.transfers,
+            restored.closed_transfers,
+            restored.view,
+            self._store_closed_transfer,
+        )
+        self._chain = Chain(
+            settings, outbox, self._register, self._transfers, self._deliver, self._advance_head
+        )
         self._head = HeadQueue(name, outbox, self._chain, self._register, limit_s)
         self._puts = PutForwarder(name, outbox, limit_s)
         self._gets = GetForwarder(name, outbox, self._register, limit_s)
@@ -132,6 +152,7 @@
             outbox,
             self._failure_detector,
             self._register,
+            self._transfers,
             self._chain,
             self._agreement,
             self._first_start,
@@ -139,7 +160,8 @@
             self._received_grants,
         )
         self._observer = MembershipObserver(settings, outbox, self._failure_detector, self._heartbeats.own)
-        self._repair = ChainRepair(settings, outbox, self._agreement, self._observer)
+        self._recovery = CopyRecovery(settings.member, outbox, self._register, self._transfers)
+        self._repair = ChainRepair(settings, outbox, self._agreement, self._observer, self._recovery)
 
     # ---- state for the driver ----
 
@@ -194,9 +216,19 @@
 
     def snapshot_records(self) -> tuple[bytes, ...]:
         """Records that restore the present state, for a rewritten log."""
-        records = [*self._first_start.records(), *self._agreement.records(), *self._register.records()]
+        records = [
+            *self._first_start.records(),
+            *map(ViewRecord, self._transfers.views()),
+            *self._agreement.records(),
+            *map(closed_transfer_record, self._transfers.refused_links()),
+            *self._register.records(),
+        ]
         return tuple(map(encode_record, records))
 
+    def _store_closed_transfer(self, joined_view: int, on_stored: Callable[[bool], None]) -> None:
+        record = closed_transfer_record(joined_view)
+        self._outbox.store([record], lambda error: on_stored(error is None))
+
     # ---- events ----
 
     def handle(self, now: float, event: Event) -> list[Effect]:
@@ -265,6 +297,10 @@
                 self._received_grants.receive_confirmation(message)
             case ReadLeaseReleaseRequest():
                 self._received_grants.release_read_lease(sender, message)
+            case CopyStatusRequest():
+                self._recovery.answer(sender, message)
+            case CopyStatus():
+                self._recovery.receive(message)
             case PutRequest():
                 self._head.receive(sender, message, self._reaches_majority())
             case PutReply():
@@ -314,7 +350,9 @@
         self._outbox.emit(ViewChanged(view))
         self._received_grants.enter_view()
         self._head.enter_view(view)
+        self._transfers.enter_view(view)
         self._chain.enter_view(view)
+        self._recovery.enter_view()
         self._repair.enter_view(view)
         self._heartbeats.enter_view(view)
         self._tick_forwarders()
--- a/reedspoke/control_plane/replication/settings.py
+++ b/reedspoke/control_plane/replication/settings.py
@@ -43,6 +43,11 @@
 PROPOSAL_TIMEOUT_S = 1.6
 PROPOSER_ACTIVE_TIMEOUT_S = 0.9  # no competing proposal for this long after a proposer's last request
 REJECTED_BACKOFF_S = 0.2
+# A chain recovers from a copy outside it once no complete member has been reachable for this long: members
+# that start again together need not be in reach at the same instant.
+COPY_RECOVERY_DELAY_S = 0.5
+COPY_STATUS_INTERVAL_S = 0.3  # interval of the requests for the copy status of other replicas
+COPY_STATUS_TTL_S = 1.0  # a copy status counts for this long
 
 # ---- messages of the chain and of calls ----
 
--- a/reedspoke/control_plane/views/agreement.py
+++ b/reedspoke/control_plane/views/agreement.py
@@ -106,9 +106,11 @@
         return self._acceptor.accepted_view(self._view_number() + 1) is not None
 
     def records(self) -> list[Struct]:
-        """Records of the newest view and of the acceptor, for a rewritten log."""
-        views: list[Struct] = [ViewRecord(self._learned)] if self._learned else []
-        return views + self._acceptor.records()
+        """Records of the present and the newest view, and of the acceptor, for a rewritten log."""
+        views = [self._view] if self._view is not None else []
+        if self._learned is not None and self.is_behind:
+            views.append(self._learned)
+        return [*map(ViewRecord, views), *self._acceptor.records()]
 
     # ---- proposals ----
 
--- a/reedspoke/control_plane/views/next_view.py
+++ b/reedspoke/control_plane/views/next_view.py
@@ -24,6 +24,9 @@
     complete: bool  # It is in the chain and holds all entries since it was appended.
     steady: bool  # It knows the present view, and has been reachable for long enough to be appended.
     established: bool  # It has been reachable for long enough to vote besides a sufficient number of voters.
+    # It is in the chain and will store no snapshot for its present link, so that it has to be appended again.
+    refuses_snapshot: bool = False
+    committed_sequence: int = 0  # sequence of the newest entry that it knows to be committed
 
 
 class MembershipSnapshot(Struct, frozen=True):
@@ -47,6 +50,24 @@
     TOO_FEW_MEMBERS = "too_few_members"
 
 
+def has_complete_member(view: View, snapshot: MembershipSnapshot) -> bool:
+    """Whether a complete member of the chain is reachable, so that the next view can keep it as the head."""
+    return bool(_retained_chain(view, snapshot))
+
+
+def choose_view_from_copy(view: View, head: ChainLink, snapshot: MembershipSnapshot) -> View | None:
+    """The next view if the chain has no complete member but `head` has everything that was committed.
+
+    All others are appended after it and get its entries in a snapshot. None while the chain would be shorter
+    than `chain_minimum`: what is lost meanwhile could take the only copy with it.
+    """
+    joiners = _connected_joiners((head,), {head.member.folder_id}, snapshot.chain_minimum - 1, snapshot)
+    chain = (head, *(ChainLink(joiner, view.number + 1) for joiner in joiners))
+    if len(chain) < snapshot.chain_minimum:
+        return None
+    return View(view.number + 1, _next_voters(view, chain, snapshot), chain)
+
+
 def choose_next_view(view: View, snapshot: MembershipSnapshot) -> View:
     """The view that should follow; the present one if no better view is possible."""
     retained = _retained_chain(view, snapshot)
@@ -110,7 +131,7 @@
 
 def _is_usable(link: ChainLink, snapshot: MembershipSnapshot) -> bool:
     condition = snapshot.conditions.get(link.member.folder_id)
-    return condition is not None and condition.healthy
+    return condition is not None and condition.healthy and not condition.refuses_snapshot
 
 
 def _is_complete(link: ChainLink, snapshot: MembershipSnapshot) -> bool:
@@ -125,9 +146,22 @@
     if not all(_is_complete(link, snapshot) for link in retained):
         return []
     limit = max(1, snapshot.chain_minimum - len(retained))
+    in_chain = {link.member.folder_id for link in view.chain if not _refuses_snapshot(link, snapshot)}
+    return _connected_joiners(retained, in_chain, limit, snapshot)
+
+
+def _refuses_snapshot(link: ChainLink, snapshot: MembershipSnapshot) -> bool:
+    condition = snapshot.conditions.get(link.member.folder_id)
+    return condition is not None and condition.refuses_snapshot
+
+
+def _connected_joiners(
+    retained: Links, excluded: set[str], limit: int, snapshot: MembershipSnapshot
+) -> list[Member]:
+    """Up to `limit` candidates that all retained members and all other joiners reach."""
     connected_to = [link.member.folder_id for link in retained]
     joiners: list[Member] = []
-    for candidate in _join_candidates(view, snapshot):
+    for candidate in _join_candidates(excluded, snapshot):
         is_connected = all(snapshot.is_connected(candidate.folder_id, other) for other in connected_to)
         if len(joiners) < limit and is_connected:
             joiners.append(candidate)
@@ -135,13 +169,12 @@
     return joiners
 
 
-def _join_candidates(view: View, snapshot: MembershipSnapshot) -> list[Member]:
-    """Members outside the present chain that may be appended, ordered by address."""
-    in_chain = {link.member.folder_id for link in view.chain}
+def _join_candidates(excluded: set[str], snapshot: MembershipSnapshot) -> list[Member]:
+    """Members that may be appended, but for those with an excluded folder id, ordered by address."""
     candidates = [
         condition.member
         for folder_id, condition in snapshot.conditions.items()
-        if folder_id not in in_chain and _may_join(condition, snapshot)
+        if folder_id not in excluded and _may_join(condition, snapshot)
     ]
     return sorted(candidates, key=lambda member: (member.address, member.folder_id))
 
--- a/tests/control_plane/chain_replica.py
+++ b/tests/control_plane/chain_replica.py
@@ -14,6 +14,7 @@
 from reedspoke.control_plane.replication.head_queue import HeadQueue
 from reedspoke.control_plane.replication.log_records import RestoredState
 from reedspoke.control_plane.replication.outbox import Outbox
+from reedspoke.control_plane.replication.pending_transfers import PendingTransfers
 from reedspoke.control_plane.replication.settings import ReplicaSettings
 from reedspoke.control_plane.replication.view import ChainLink, Member, View
 
@@ -71,7 +72,10 @@
             self.outbox, RestoredState(entry=held, history=history, synced_since=synced_since)
         )
         self.delivered: list[CommittedConfiguration] = []
-        self.chain = Chain(settings, self.outbox, self.register, self.delivered.append, self._advance_head)
+        self.transfers = PendingTransfers(own.folder_id, [], [], None, lambda joined_view, on_stored: None)
+        self.chain = Chain(
+            settings, self.outbox, self.register, self.transfers, self.delivered.append, self._advance_head
+        )
         self.head = HeadQueue("own:1", self.outbox, self.chain, self.register, ANSWER_LIMIT_S)
         self.stores: list[StoreRecords] = []
         self.head.enter_view(view)
--- a/tests/control_plane/simulated_parts.py
+++ b/tests/control_plane/simulated_parts.py
@@ -107,6 +107,37 @@
         """The replica acts in a newer view."""
 
 
+class IdleComponent:
+    """A component that does nothing; subclasses override what they need."""
+
+    def started(self, machine: Machine) -> None:
+        """Do nothing."""
+
+    def stopped(self, machine: Machine) -> None:
+        """Do nothing."""
+
+    def ticked(self, machine: Machine) -> None:
+        """Do nothing."""
+
+    def shutting_down(self, machine: Machine) -> None:
+        """Do nothing."""
+
+    def frozen(self, machine: Machine) -> None:
+        """Do nothing."""
+
+    def thawed(self, machine: Machine) -> None:
+        """Do nothing."""
+
+    def received(self, machine: Machine, sender: str, message: Struct) -> None:
+        """Do nothing."""
+
+    def delivered(self, machine: Machine, committed: CommittedConfiguration) -> None:
+        """Do nothing."""
+
+    def view_changed(self, machine: Machine, view: View) -> None:
+        """Do nothing."""
+
+
 @dataclass
 class Network:
     """The cut links, by direction, and the rates at which messages are lost, duplicated or late."""
--- a/tests/control_plane/test_guards_next_view.py
+++ b/tests/control_plane/test_guards_next_view.py
@@ -6,8 +6,19 @@
 
 from reedspoke.control_plane.replication.view import View
 from reedspoke.control_plane.views.largest_chain import largest_connected_chain
-from reedspoke.control_plane.views.next_view import MembershipSnapshot, choose_next_view
-from tests.control_plane.view_builders import chain_names, member_named, snapshot_of, view_of, voter_names
+from reedspoke.control_plane.views.next_view import (
+    MembershipSnapshot,
+    choose_next_view,
+    choose_view_from_copy,
+)
+from tests.control_plane.view_builders import (
+    chain_names,
+    links_of,
+    member_named,
+    snapshot_of,
+    view_of,
+    voter_names,
+)
 
 
 def _changed(snapshot: MembershipSnapshot, name: str, **changes: bool) -> MembershipSnapshot:
@@ -68,5 +79,26 @@
     assert found == (head,)
 
 
+def test_a_member_that_refuses_its_snapshot_is_appended_again() -> None:
+    """It would be incomplete for good, and nothing could be committed."""
+    view = view_of("ab", voters="abc")
+    snapshot = _changed(snapshot_of("ab", incomplete="b"), "b", refuses_snapshot=True)
+    following = choose_next_view(view, snapshot)
+    assert chain_names(following) == "ab"
+    assert [link.joined_view for link in following.chain] == [1, 6]
+
+
+def test_a_chain_from_a_copy_has_as_many_members_as_it_needs_to_acknowledge() -> None:
+    view = view_of("bc", voters="abc")
+    head = links_of("a")[0]
+    assert choose_view_from_copy(view, head, snapshot_of("a")) is None
+    following = choose_view_from_copy(view, head, snapshot_of("ac", incomplete="c"))
+    assert following is not None
+    assert chain_names(following) == "ac"
+    assert [link.joined_view for link in following.chain] == [1, 6]
+    apart = snapshot_of("ac", incomplete="c", apart=["ac"])
+    assert choose_view_from_copy(view, head, apart) is None
+
+
 def _differing(one: View, other: View) -> int:
     return len(set(one.voters) ^ set(other.voters))
--- a/tests/golden/replica_examples.py
+++ b/tests/golden/replica_examples.py
@@ -22,7 +22,10 @@
     AcceptRequest,
     AcceptResponse,
     AppendRequest,
+    ClosedTransfer,
     CommitNotification,
+    CopyStatus,
+    CopyStatusRequest,
     GetReply,
     GetRequest,
     Heartbeat,
@@ -234,6 +237,30 @@
         entry=Entry(sequence=4, view=5, generation=6, document=b"bytes7"),
     ),
     "get_reply by default": GetReply(view_number=1, request_id="text2", ready=True),
+    "copy_status_request": CopyStatusRequest(view_number=1),
+    "copy_status_request by default": CopyStatusRequest(view_number=1),
+    "copy_status": CopyStatus(
+        member=Member(folder_id="text1", address="text2", zone="text3"),
+        view_number=4,
+        complete_for=5,
+        sequence=6,
+        closed_transfers=(
+            ClosedTransfer(
+                joined_view=7,
+                sources=(
+                    ChainLink(
+                        member=Member(folder_id="text8", address="text9", zone="text10"), joined_view=11
+                    ),
+                ),
+            ),
+        ),
+    ),
+    "copy_status by default": CopyStatus(
+        member=Member(folder_id="text1", address="text2", zone="text3"),
+        view_number=4,
+        complete_for=5,
+        sequence=6,
+    ),
 }
 
 LOG_RECORDS: dict[str, Struct] = {
