Append members beside an incomplete one where the chain would else be too short

Cause: in a chain [a, b, d], d just appended and b lost for good, two rules block each other. [a, d] is shorter than a chain that acknowledges and shorter than the present one, so it is not proposed; and no member is appended beside the incomplete d.

Change: beside an incomplete member as many are appended as the chain lacks to have its minimum, so that d gets another predecessor. This drops a member that may hold everything (b, if it was only cut off) for one that has nothing yet; since the commit before such a copy still counts, so nothing acknowledged can be lost by it.

--- a/reedspoke/control_plane/views/next_view.py
+++ b/reedspoke/control_plane/views/next_view.py
@@ -139,13 +139,15 @@
 
 
 def _joiners(view: View, retained: Links, snapshot: MembershipSnapshot) -> list[Member]:
-    """The members to append: the first candidates by address, none while a retained member is incomplete.
+    """The members to append: the first candidates by address.
 
-    Each view appends one, or several if the chain would be shorter than `chain_minimum` with one.
+    Each view appends one, or as many as the chain lacks to have `chain_minimum` members. While a retained
+    member is incomplete, none is appended beyond that number. Up to it they are: if the predecessor of the
+    incomplete member is lost, no other view than a longer one can give the member another predecessor.
     """
-    if not all(_is_complete(link, snapshot) for link in retained):
-        return []
-    limit = max(1, snapshot.chain_minimum - len(retained))
+    lacking = max(0, snapshot.chain_minimum - len(retained))
+    all_complete = all(_is_complete(link, snapshot) for link in retained)
+    limit = max(1, lacking) if all_complete else lacking
     in_chain = {link.member.folder_id for link in view.chain if not _refuses_snapshot(link, snapshot)}
     return _connected_joiners(retained, in_chain, limit, snapshot)
 
--- a/tests/control_plane/test_copy_recovery.py
+++ b/tests/control_plane/test_copy_recovery.py
@@ -116,3 +116,39 @@
     simulation.start(second)
     simulation.start(third)
     assert recovers(simulation, 2)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("returns", ["former member", "replacement", "empty disk"])
+def test_a_member_whose_predecessor_is_gone_gets_another_one(seed: int, returns: str) -> None:
+    """Five machines of which two may be lost: [a, b, d] with d just appended, and b does not come back.
+
+    A view could neither drop b, as two members are too few, nor append another beside the incomplete d.
+    """
+    simulation = strong_core(seed, 5, 2)
+    first, second, third, fourth, fifth = simulation.chain()
+    for address in (fourth, fifth):
+        simulation.lose_power(address, restart_after=None)
+    wait_for_chain(simulation, [first, second, third])
+    change(simulation, first, 2)
+    simulation.run(0.3)
+    appended = when_appended(simulation, fourth, lambda: simulation.lose_disk(second, restart_after=None))
+    simulation.lose_power(third, restart_after=None)
+    simulation.start(fourth)
+    assert simulation.run_until(lambda: appended.done, 4.0)
+    assert simulation.chain() == [first, second, fourth]
+    simulation.run(1.0)
+    if returns == "former member":
+        simulation.start(third)
+    elif returns == "replacement":
+        simulation.start(fifth)
+        simulation.remove_machine(second)
+        simulation.add_machine("n1")
+    else:
+        simulation.start(fifth)
+        simulation.start(second)
+    assert recovers(simulation, 2)
+    for address in simulation.machines:
+        simulation.start(address)
+    simulation.settle()
+    check_end(simulation)
--- a/tests/control_plane/test_guards_next_view.py
+++ b/tests/control_plane/test_guards_next_view.py
@@ -88,6 +88,15 @@
     assert [link.joined_view for link in following.chain] == [1, 6]
 
 
+def test_beside_an_incomplete_member_only_as_many_join_as_the_chain_lacks() -> None:
+    """Else a member whose predecessor is lost could never get another one."""
+    view = view_of("abc", voters="abcde")
+    following = choose_next_view(view, snapshot_of("acde", incomplete="cde", tolerated=2))
+    assert chain_names(following) == "acd"
+    whole = snapshot_of("abcd", incomplete="cd", tolerated=2)
+    assert choose_next_view(view, whole) == view
+
+
 def test_a_chain_from_a_copy_has_as_many_members_as_it_needs_to_acknowledge() -> None:
     view = view_of("bc", voters="abc")
     head = links_of("a")[0]
