--- a/reedspoke/control_plane/replication/chain_repair.py
+++ b/reedspoke/control_plane/replication/chain_repair.py
@@ -21,13 +21,8 @@
 from reedspoke.control_plane.replication.view import View
 from reedspoke.control_plane.views.agreement import ViewAgreement
 from reedspoke.control_plane.views.first_view import FIRST_VIEW_NUMBER, form_first_view
-from reedspoke.control_plane.views.next_view import (
-    MemberCondition,
-    MembershipSnapshot,
-    RepairBlock,
-    choose_next_view,
-    find_repair_block,
-)
+from reedspoke.control_plane.views.membership_snapshot import MemberCondition, MembershipSnapshot
+from reedspoke.control_plane.views.next_view import RepairBlock, choose_next_view, find_repair_block
 from reedspoke.control_plane.views.quorum import majority_size
 
 # A seed counts as lost if its heartbeats have arrived for longer than this without the mark `bootstrap_seed`:
--- a/reedspoke/control_plane/replication/copy_recovery.py
+++ b/reedspoke/control_plane/replication/copy_recovery.py
@@ -29,11 +29,8 @@
 )
 from reedspoke.control_plane.replication.view import Member, View
 from reedspoke.control_plane.views.copy_search import find_whole_copy
-from reedspoke.control_plane.views.next_view import (
-    MembershipSnapshot,
-    choose_view_from_copy,
-    has_complete_member,
-)
+from reedspoke.control_plane.views.membership_snapshot import MembershipSnapshot
+from reedspoke.control_plane.views.next_view import choose_view_from_copy, has_complete_member
 
 
 class ReceivedStatus(Struct, frozen=True):
--- a/reedspoke/control_plane/replication/membership_observer.py
+++ b/reedspoke/control_plane/replication/membership_observer.py
@@ -14,7 +14,7 @@
 from reedspoke.control_plane.replication.outbox import Outbox
 from reedspoke.control_plane.replication.settings import ESTABLISHED_MIN_REACHABLE_S, ReplicaSettings
 from reedspoke.control_plane.replication.view import View
-from reedspoke.control_plane.views.next_view import MemberCondition, MembershipSnapshot
+from reedspoke.control_plane.views.membership_snapshot import MemberCondition, MembershipSnapshot
 from reedspoke.control_plane.views.quorum import majority_size
 
 OwnHeartbeat = Callable[[], Heartbeat]
--- a/tests/control_plane/test_copy_recovery_guards.py
+++ b/tests/control_plane/test_copy_recovery_guards.py
@@ -20,7 +20,7 @@
     DISK_STALL_TIMEOUT_S,
 )
 from reedspoke.control_plane.replication.view import ChainLink, View
-from reedspoke.control_plane.views.next_view import MembershipSnapshot
+from reedspoke.control_plane.views.membership_snapshot import MembershipSnapshot
 from tests.control_plane.chain_replica import entry, packed_history
 from tests.control_plane.view_builders import chain_names, member_named, snapshot_of
 
--- a/tests/control_plane/test_guards_next_view.py
+++ b/tests/control_plane/test_guards_next_view.py
@@ -6,11 +6,8 @@
 
 from reedspoke.control_plane.replication.view import View
 from reedspoke.control_plane.views.largest_chain import largest_connected_chain
-from reedspoke.control_plane.views.next_view import (
-    MembershipSnapshot,
-    choose_next_view,
-    choose_view_from_copy,
-)
+from reedspoke.control_plane.views.membership_snapshot import MembershipSnapshot
+from reedspoke.control_plane.views.next_view import choose_next_view, choose_view_from_copy
 from tests.control_plane.view_builders import (
     chain_names,
     links_of,
--- a/tests/control_plane/view_builders.py
+++ b/tests/control_plane/view_builders.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from reedspoke.control_plane.replication.view import ChainLink, Member, View
-from reedspoke.control_plane.views.next_view import MemberCondition, MembershipSnapshot
+from reedspoke.control_plane.views.membership_snapshot import MemberCondition, MembershipSnapshot
 
 
 def member_named(name: str, address: str = "") -> Member:
