Log the number of each evacuation order, and the numbers that are in force

Whether a zone changed by a new order or by an older one that came back could not be told from the log: 'evacuated zones changed' had the zones alone, and an order left no trace but its call. Each order now logs zone, effect, its number and the newest one known before it ('evacuation order numbered'); the change of the zones names the numbers in force ('order_numbers').

--- a/reedspoke/control_plane/evacuation/service.py
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -56,15 +56,26 @@
         if self._loop.time() > deadline:
             # The process was paused. Its caller may have sent a later order to another node since.
             raise FleetError(ErrorCode.NO_QUORUM, "too few of the other nodes answered in time")
-        order = next_order(zone, self._tallies.newest(tally_of(zone)), evacuated)
+        newest = self._tallies.newest(tally_of(zone))
+        order = next_order(zone, newest, evacuated)
+        log(
+            INFO,
+            "evacuation order numbered",
+            zone=zone,
+            evacuated=evacuated,
+            number=None if order is None else order.add_id,
+            newest=None if newest is None else newest.add_id,
+        )
         if order is not None:
             await self._tallies.add(order)
 
     def evacuated_zones(self) -> frozenset[str]:
         """The evacuated zones, as known to this node."""
-        zones = evacuated_zones(self._tallies.newest_by_prefix(ZONE_PREFIX))
+        newest_orders = self._tallies.newest_by_prefix(ZONE_PREFIX)
+        zones = evacuated_zones(newest_orders)
         if zones != self._logged_zones:
-            log(INFO, "evacuated zones changed", zones=sorted(zones))
+            numbers = {order.tally.removeprefix(ZONE_PREFIX): order.add_id for order in newest_orders}
+            log(INFO, "evacuated zones changed", zones=sorted(zones), order_numbers=numbers)
             self._logged_zones = zones
         return zones
 
