Do not carry out an evacuation order whose caller has hung up

Callers saw: an evacuation that was acknowledged is withdrawn by an older call that its caller had given up, as soon as the core machine that the call was sent to, and that stood still meanwhile, goes on; evacuations undo withdrawals in the same way.

Cause: the kernel keeps connection, call and end of the stream while the process is paused. The process then reads the call and numbers it as a new order, above the one acknowledged meanwhile. A connection is not read while a call is handled, so nothing noticed that the caller had left.

Replaced: the test that lists the fields of a request names the new one too.

--- a/reedspoke/control_plane/api/backend.py
+++ b/reedspoke/control_plane/api/backend.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from reedspoke.common.configuration import Configuration
@@ -40,9 +40,12 @@
         Raises FleetError while this node is still catching up.
         """
 
-    def order_evacuation(self, zone: str, evacuated: bool) -> Awaitable[None]:
-        """Order the evacuation of a zone, or withdraw the order. The operation is idempotent.
+    def order_evacuation(
+        self, zone: str, evacuated: bool, is_abandoned: Callable[[], bool]
+    ) -> Awaitable[None]:
+        """Order the evacuation of a zone, or withdraw the order. The operation may be repeated.
 
+        It has no effect if `is_abandoned` returns that the caller has given the call up by then.
         Raises FleetError: with TALLY_UNCLEAR the order may be in force, with any other code it is not.
         """
 
--- a/reedspoke/control_plane/api/http_connection.py
+++ b/reedspoke/control_plane/api/http_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Awaitable, Callable
 from typing import Protocol, cast
 
@@ -96,6 +97,19 @@
         if self._task is not None:
             self._task.cancel()
 
+    # ---- called by handlers ----
+
+    def is_closed_by_client(self) -> bool:
+        """Return whether the client has closed the connection, or its side of it.
+
+        While a handler runs the connection is not read, so the end of the stream is looked for directly.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     # ---- called by the server ----
 
     def is_overdue(self, now: float) -> bool:
@@ -142,7 +156,7 @@
             self._requests.expect(self._head.length() or 0)
             self._send_continue(self._head)
         body = self._requests.body()
-        return None if body is None else build_request(self._head, bytes(body))
+        return None if body is None else build_request(self._head, bytes(body), self.is_closed_by_client)
 
     def _send_continue(self, head: Head) -> None:
         if self._transport is not None and b"100-continue" in head.tokens(b"expect"):
--- a/reedspoke/control_plane/api/http_messages.py
+++ b/reedspoke/control_plane/api/http_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from msgspec import Struct, field
 
 from reedspoke.net.http import Head
@@ -23,13 +25,21 @@
 }
 
 
+def _stays_connected() -> bool:
+    return False
+
+
 class Request(Struct):
-    """A complete request. Header names are in lower case, and the path excludes the query string."""
+    """A complete request. Header names are in lower case, and the path excludes the query string.
+
+    `is_abandoned` returns whether its client has closed the connection, or its side of it, since.
+    """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    is_abandoned: Callable[[], bool] = _stays_connected
 
 
 class Response(Struct):
@@ -40,11 +50,11 @@
     headers: dict[str, str] = field(default_factory=lambda: {"Content-Type": "application/json"})
 
 
-def build_request(head: Head, body: bytes) -> Request:
+def build_request(head: Head, body: bytes, is_abandoned: Callable[[], bool]) -> Request:
     """Build a request. The parser has checked that `head` is ASCII except for its field values."""
     path, _, _ = bytes(head.target).decode("ascii").partition("?")
     headers = {name.decode("ascii"): bytes(value).decode("latin-1") for name, value in head.fields}
-    return Request(head.method.decode("ascii"), path, headers, body)
+    return Request(head.method.decode("ascii"), path, headers, body, is_abandoned)
 
 
 def encode_response(response: Response, keep_alive: bool) -> bytes:
--- a/reedspoke/control_plane/api/operator_api.py
+++ b/reedspoke/control_plane/api/operator_api.py
@@ -185,7 +185,7 @@
         zone = request.path.removeprefix(EVACUATION_PREFIX)
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                await self._backend.order_evacuation(zone, evacuated)
+                await self._backend.order_evacuation(zone, evacuated, request.is_abandoned)
         except TimeoutError:
             raise FleetError(ErrorCode.TALLY_UNCLEAR, "not stored on enough nodes in time; retry") from None
         return Response(200, b"{}")
@@ -239,6 +239,7 @@
     ErrorCode.TALLIES_BEHIND,
     ErrorCode.TALLY_UNCLEAR,
     ErrorCode.UNKNOWN_ZONE,
+    ErrorCode.CALLER_GONE,
 }
 
 OPERATIONS: dict[str, dict[str, Operation]] = {
--- a/reedspoke/control_plane/evacuation/service.py
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from msgspec import Struct
 
@@ -29,6 +29,10 @@
 ORDER_NUMBER_TIMEOUT_S = 0.9  # callers try another node after one second
 
 
+def _is_awaited() -> bool:
+    return False
+
+
 class AdjustedWorkers(Struct, frozen=True):
     """The cached result of `EvacuationService.adjust_workers`, which is called at each tick."""
 
@@ -50,15 +54,22 @@
         self._logged_zones: frozenset[str] = frozenset()
         self._adjusted: AdjustedWorkers | None = None
 
-    async def set_evacuated(self, zone: str, evacuated: bool) -> None:
+    async def set_evacuated(
+        self, zone: str, evacuated: bool, is_abandoned: Callable[[], bool] = _is_awaited
+    ) -> None:
         """Evacuate a zone or withdraw its evacuation. Each call is an order of its own; it may be repeated.
 
-        Raises FleetError: UNKNOWN_ZONE; NO_QUORUM if too few nodes are reachable; TALLY_UNCLEAR if the order
-        may or may not be in force.
+        `is_abandoned` returns whether the caller has given the call up; its order is not logged then.
+
+        Raises FleetError: UNKNOWN_ZONE; NO_QUORUM if too few nodes are reachable; CALLER_GONE;
+        TALLY_UNCLEAR if the order may or may not be in force.
         """
         if self._zones and zone not in self._zones:
             raise FleetError(ErrorCode.UNKNOWN_ZONE, f"unknown zone {zone}")
         number = await self._reserve_number(zone, self._loop.time() + ORDER_NUMBER_TIMEOUT_S)
+        if is_abandoned():
+            # The caller may have sent a later order to another node since, as after a pause of this process.
+            raise FleetError(ErrorCode.CALLER_GONE, "the caller has closed the connection")
         log(INFO, "evacuation order numbered", zone=zone, evacuated=evacuated, number=number)
         await self._tallies.add(order_add(zone, number, evacuated))
 
--- a/reedspoke/control_plane/node_backend.py
+++ b/reedspoke/control_plane/node_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from reedspoke.common.configuration import Configuration
 from reedspoke.common.errors import ErrorCode, FleetError
@@ -86,7 +87,7 @@
         """Return the sum of a tally's additions. Raises FleetError while this node is still catching up."""
         return self._tallies.total(tally)
 
-    async def order_evacuation(self, zone: str, evacuated: bool) -> None:
+    async def order_evacuation(self, zone: str, evacuated: bool, is_abandoned: Callable[[], bool]) -> None:
         """Order the evacuation of a zone, or withdraw the order.
 
         Raises FleetError. With TALLY_UNCLEAR the order may be in force.
@@ -94,7 +95,7 @@
         self._check_not_shutting_down()
         if not self.holds_majority():
             raise FleetError(ErrorCode.NO_QUORUM, "this node has no contact with a majority of voters")
-        await self._evacuations.set_evacuated(zone, evacuated)
+        await self._evacuations.set_evacuated(zone, evacuated, is_abandoned)
 
     def holds_majority(self) -> bool:
         """Return whether this node currently has contact with a majority of voters."""
--- a/tests/control_plane/tallies/test_orders.py
+++ b/tests/control_plane/tallies/test_orders.py
@@ -307,6 +307,21 @@
     assert tallies.orders == []
 
 
+@pytest.mark.parametrize("evacuated", [True, False])
+def test_an_order_whose_caller_is_gone_is_not_logged(evacuated: bool) -> None:
+    """Guards against an order that a paused process carries out after a later one of the same caller."""
+    tallies = FakeTallies()
+
+    async def run() -> None:
+        service = EvacuationService(cast(TallyService, tallies), ("za",))
+        await service.set_evacuated("za", evacuated, is_abandoned=lambda: bool(tallies.adds))
+
+    with pytest.raises(FleetError) as raised:
+        asyncio.run(run())
+    assert raised.value.code is ErrorCode.CALLER_GONE
+    assert tallies.orders == []
+
+
 def test_no_list_is_published_while_the_orders_are_unknown() -> None:
     tallies = FakeTallies()
     service = service_after(tallies, ("za", True))
--- a/tests/control_plane/test_puts_invalid.py
+++ b/tests/control_plane/test_puts_invalid.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -69,7 +70,7 @@
         """Not used here."""
         raise NotImplementedError
 
-    async def order_evacuation(self, zone: str, evacuated: bool) -> None:
+    async def order_evacuation(self, zone: str, evacuated: bool, is_abandoned: Callable[[], bool]) -> None:
         """Not used here."""
         raise NotImplementedError
 
--- a/tests/control_plane_process/test_given_up_orders.py
+++ b/tests/control_plane_process/test_given_up_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import threading
 import time
 from functools import partial
@@ -18,6 +19,7 @@
 PATH = f"/reedspoke/evacuation/{ZONE}"
 ACKNOWLEDGED_S = 8.0
 LOGGED_S = 2.0
+GIVE_UP_S = 0.4  # after which a caller hangs up; less than a paused node takes to lose its majority
 UNDISTURBED_S = 3.0  # after which all nodes have what any of them has
 MOST_ATTEMPTS = 8
 
@@ -102,6 +104,29 @@
     return False
 
 
+def send_and_hang_up(node: Node, evacuated: bool) -> None:
+    """Send an order to a node, wait for its answer in vain, and close the connection."""
+    host, port = node.operator_address.split(":")
+    with socket.create_connection((host, int(port)), timeout=GIVE_UP_S) as connection:
+        call = f"{method_of(evacuated)} {PATH} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+        connection.sendall(call.encode())
+        with pytest.raises(TimeoutError):
+            connection.recv(1)
+
+
+@pytest.mark.parametrize("last", [True, False], ids=["evacuated", "withdrawn"])
+def test_an_order_whose_caller_hung_up_is_not_carried_out_later(fleet: Fleet, last: bool) -> None:
+    """Guards against an order that a paused process reads only after a later one was acknowledged."""
+    node, other, _ = fleet.nodes
+    acknowledge(other, last)
+    wait_until(lambda: all(shows(one, last) for one in fleet.nodes), ACKNOWLEDGED_S, "known to all")
+    node.signal(signal.SIGSTOP)
+    send_and_hang_up(node, not last)
+    acknowledge(other, last)
+    node.signal(signal.SIGCONT)
+    assert always_shows(fleet.nodes, last)
+
+
 @pytest.mark.parametrize("last", [True, False], ids=["evacuated", "withdrawn"])
 def test_an_order_in_one_log_does_not_undo_the_order_acknowledged_after_it(fleet: Fleet, last: bool) -> None:
     """Guards against an acknowledged order that an older one undoes as its node comes back."""
--- a/tests/control_plane_process/test_http_server_edges.py
+++ b/tests/control_plane_process/test_http_server_edges.py
@@ -29,11 +29,13 @@
     """A handler whose responses wait until the `proceed` event is set."""
 
     paths: list[str] = field(default_factory=list)
+    requests: list[Request] = field(default_factory=list)
     proceed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def answer(self, request: Request) -> Response:
         """Record the path, wait for `proceed`, and echo the request."""
         self.paths.append(request.path)
+        self.requests.append(request)
         await self.proceed.wait()
         return Response(200, f"{request.method} {request.path} ".encode() + request.body)
 
@@ -87,6 +89,29 @@
         await asyncio.sleep(0.005)
 
 
+@pytest.mark.parametrize("ending", ["close", "half-close", "reset"])
+def test_a_handler_can_tell_that_its_client_is_gone(ending: str) -> None:
+    """Guards against an order that is carried out for a caller that has sent a later one elsewhere since."""
+
+    async def scene(operators: Operators, address: tuple[str, int]) -> None:
+        operators.proceed.clear()
+        with socket.create_connection(address, timeout=5) as client:
+            client.sendall(PUT)
+            await wait_until(lambda: bool(operators.requests))
+            (request,) = operators.requests
+            assert not request.is_abandoned()
+            if ending == "half-close":
+                client.shutdown(socket.SHUT_WR)
+            elif ending == "reset":
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            if ending != "half-close":
+                client.close()
+            await wait_until(request.is_abandoned)
+        operators.proceed.set()
+
+    with_server(scene)
+
+
 @pytest.mark.parametrize("reset", [False, True])
 def test_a_truncated_request_is_never_run(reset: bool) -> None:
     async def scene(operators: Operators, address: tuple[str, int]) -> None:
--- a/tests/control_plane_process/test_openapi.py
+++ b/tests/control_plane_process/test_openapi.py
@@ -128,4 +128,5 @@
 
 
 def test_a_request_has_the_fields_that_handlers_use() -> None:
-    assert {field.name for field in msgspec.structs.fields(Request)} == {"method", "path", "headers", "body"}
+    names = {field.name for field in msgspec.structs.fields(Request)}
+    assert names == {"method", "path", "headers", "body", "is_abandoned"}
--- a/tests/control_plane_process/test_operator_api.py
+++ b/tests/control_plane_process/test_operator_api.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 
 import pytest
 
@@ -72,8 +73,9 @@
         if self.get_answer is None:
             await asyncio.Event().wait()
 
-    async def order_evacuation(self, zone: str, evacuated: bool) -> None:
+    async def order_evacuation(self, zone: str, evacuated: bool, is_abandoned: Callable[[], bool]) -> None:
         """Record the order."""
+        assert not is_abandoned()
         self._raise()
         self.orders.append((zone, evacuated))
         if self.get_answer is None:
