Publish no list of workers by the orders that one restarted node has on its own disk

Callers saw: after all core machines lost power, an edge machine that starts with them gets a list in which the workers of an evacuated zone are usable, from a core machine that missed the evacuation or had logged an older withdrawal that nobody was told of. The list stays until a holder of the lease publishes, 1.2 s later at the earliest. A withdrawn evacuation comes back in the same way.

Cause: a node whose disk was not lost counted as one that has all orders, as soon as it had started. Its log has what its own machine acknowledged, not what others did while it was down.

Change: a node counts as knowing the orders once it has caught up with the others in reach, as for reads of tallies; at the first start of a fleet at once.

--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -161,10 +161,14 @@
         """
         if self._state.recovered or self._queue.waiting.recovered:
             return
-        is_first = self._settings.created and self._settings.bootstrap
-        if is_first or self._acknowledgements.covers_quorum(self._contacts.observed_since, own=0):
+        if self._is_first_start() or self._acknowledgements.covers_quorum(
+            self._contacts.observed_since, own=0
+        ):
             self._queue.waiting.recovered = True
 
+    def _is_first_start(self) -> bool:
+        return self._settings.created and self._settings.bootstrap
+
     # ---- the disk ----
 
     def _store_when_due(self, now: float) -> None:
@@ -392,11 +396,12 @@
         return [add for add in found if add is not None]
 
     def has_all_acknowledged(self) -> bool:
-        """Whether this node has everything that its machine ever acknowledged.
+        """Whether this node has what was acknowledged before it started, as far as it can reach the others.
 
-        After the loss of a disk, it has to get the adds from its peers first.
+        Its own log does not suffice: others may have acknowledged more while it was down, and it may hold an
+        order that nobody was told of and that does not prevail. At the first start there is nothing to get.
         """
-        return self._state.recovered or self._catch_up.has_caught_up
+        return self._catch_up.has_caught_up or self._is_first_start()
 
     def is_replicated(self, now: float) -> bool:
         """Whether every peer in contact has on its disk all that this node has."""
--- a/tests/control_plane/tallies/replica_steps.py
+++ b/tests/control_plane/tallies/replica_steps.py
@@ -25,11 +25,17 @@
 class Steps:
     """One replica of five with its log, and a clock that the test controls.
 
-    Without `records` its folder has recovered, or with `created` was just created.
+    Without `records` its folder has recovered, or with `created` was just created. `bootstrap` is set at the
+    first start of the fleet.
     """
 
     def __init__(
-        self, *, records: tuple[bytes, ...] | None = None, created: bool = False, max_ids: int = 1000
+        self,
+        *,
+        records: tuple[bytes, ...] | None = None,
+        created: bool = False,
+        bootstrap: bool = False,
+        max_ids: int = 1000,
     ) -> None:
         self.now = 100.0
         self.answers: dict[int, ErrorCode | None] = {}
@@ -39,7 +45,7 @@
         self.records = recovered if records is None else list(records)
         self._calls = 0
         self._sequences: dict[str, int] = {}
-        settings = TallySettings(OWN, 7, created, False, 2, max_ids)
+        settings = TallySettings(OWN, 7, created, bootstrap, 2, max_ids)
         self.replica = TallyReplica(settings, self.records, self.now)
         self.tick()
 
--- a/tests/control_plane/tallies/test_orders.py
+++ b/tests/control_plane/tallies/test_orders.py
@@ -33,6 +33,7 @@
 from reedspoke.control_plane.tallies.messages import TallyAdd, TallyEntries
 from reedspoke.control_plane.tallies.records import RecoveredRecord, encode_record
 from reedspoke.control_plane.tallies.service import TallyService
+from reedspoke.control_plane.tallies.settings import CONTACT_TIMEOUT_S
 from tests.control_plane.tallies.replica_steps import OWN, PEERS, Steps
 
 ZONE = "zone-a"
@@ -165,6 +166,34 @@
     assert restored.replica.metric_values(restored.now)["recovered"]
 
 
+@pytest.mark.parametrize("lost_disk", [True, False])
+def test_a_restarted_node_knows_all_orders_once_it_has_met_the_others(lost_disk: bool) -> None:
+    """Guards against a list of workers by the orders of one disk, some of which do not prevail."""
+    steps = Steps(created=True) if lost_disk else Steps(records=RECOVERED)
+    assert not steps.replica.has_all_acknowledged()
+    order = order_add(ZONE, next_number(0, 1), evacuated=True)
+    steps.in_contact(*PEERS, vector={"f-p1": 1})
+    steps.tick(0.05)
+    assert not steps.replica.has_all_acknowledged()
+    steps.receive("p1", TallyEntries("f-p1", 1, (order,)))
+    steps.stored()
+    steps.tick(0.05)
+    assert steps.replica.has_all_acknowledged()
+    assert is_evacuated(steps.replica.newest(order_tally(ZONE)))
+
+
+def test_a_restarted_node_that_reaches_nobody_knows_its_own_orders_after_a_while() -> None:
+    steps = Steps(records=RECOVERED)
+    steps.tick(CONTACT_TIMEOUT_S - 0.1)
+    assert not steps.replica.has_all_acknowledged()
+    steps.tick(0.2)
+    assert steps.replica.has_all_acknowledged()
+
+
+def test_at_the_first_start_of_a_fleet_there_are_no_orders_to_get() -> None:
+    assert Steps(created=True, bootstrap=True).replica.has_all_acknowledged()
+
+
 def test_a_sync_fails_with_too_few_reachable_nodes() -> None:
     steps = Steps(records=RECOVERED)
     for _ in range(10):
--- a/tests/control_plane_process/test_given_up_orders.py
+++ b/tests/control_plane_process/test_given_up_orders.py
@@ -10,10 +10,11 @@
 
 import pytest
 
+from reedspoke.common.messages import WorkerList
 from reedspoke.control_plane.evacuation.order_log import is_evacuated
 from tests.control_plane_process.fleet import Fleet, Node
 from tests.control_plane_process.logged_orders import logged_orders
-from tests.control_plane_process.stand_ins import send_request, wait_until
+from tests.control_plane_process.stand_ins import EdgeClient, fetch_new_workers, send_request, wait_until
 
 ZONE = "za"
 PATH = f"/reedspoke/evacuation/{ZONE}"
@@ -138,3 +139,38 @@
     node.start()
     wait_until(partial(answers_reads, node), ACKNOWLEDGED_S, "the first node has caught up")
     assert always_shows(fleet.nodes, last)
+
+
+def lists_of(node: Node, seconds: float) -> list[WorkerList]:
+    """The lists of workers that a node gives to a data plane node that has just started."""
+    edge = EdgeClient(node.peer_address)
+    found: list[WorkerList] = []
+    end = time.monotonic() + seconds
+    try:
+        while time.monotonic() < end:
+            workers = fetch_new_workers(edge)
+            found += [] if workers is None else [workers]
+    finally:
+        edge.close()
+    return found
+
+
+@pytest.mark.parametrize("last", [True, False], ids=["evacuated", "withdrawn"])
+def test_a_node_that_has_just_started_lists_no_workers_by_its_own_orders_alone(
+    fleet: Fleet, last: bool
+) -> None:
+    """Guards against requests to an evacuated zone while a restarted node has not met the others yet."""
+    node, other, third = fleet.nodes
+    assert any(log_at_one_node_alone(fleet, last) for _ in range(MOST_ATTEMPTS))
+    for one in (other, third):
+        one.start()
+    acknowledge(other, last)
+    wait_until(partial(shows, third, last), ACKNOWLEDGED_S, "known to the third node")
+    for one in (other, third):
+        one.kill()
+    for one in fleet.nodes:
+        one.start()
+    wait_until(lambda: bool(node.status()), ACKNOWLEDGED_S, "the first node is up")
+    lists = lists_of(node, UNDISTURBED_S)
+    assert lists
+    assert {worker.draining for listed in lists for worker in listed.workers} == {last}
