Count no lost disk among the nodes whose orders a restarted node waits for

While losses overlap (one core machine missed an order, one that has it lost its disk, the others are down), the first two start and publish a list of workers by the older order: an evacuated zone is used again.

Cause: a restarted node counted as knowing all orders once it had caught up with a majority, and a node whose disk was lost was counted in that majority, though it has nothing its machine had acknowledged.

Change: KnownOrders waits for a quorum of recovered nodes, as the numbering of an order does; without such a quorum (more disks lost than tolerated) until no node is missing.

Red before, on with the new tests: 2 failed, 191 passed (test_a_restarted_node_shows_no_older_order_while_losses_overlap, three machines of which one may be lost, both directions). Now 324 passed (tests of the tallies and test_evacuation.py).

--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -21,6 +21,7 @@
     SyncSubmitted,
     Tick,
 )
+from reedspoke.control_plane.tallies.known_orders import KnownOrders
 from reedspoke.control_plane.tallies.messages import (
     INTERNAL_TALLY_PREFIX,
     TallyAdd,
@@ -72,8 +73,7 @@
         self._queue = StoreQueue(self._state.log.vector)
         self._catch_up = CatchUp(now, waits_for_peer=settings.created and not settings.bootstrap)
         self._acknowledgements = Acknowledgements(settings.copies, self._state, self._contacts)
-        # Whether this node has the orders acknowledged before it started; at the first start there are none.
-        self._orders_known = self._is_first_start()
+        self._known_orders = KnownOrders(settings.copies, now, is_first_start=self._is_first_start())
         self._effects: list[Effect] = []
         self._ticked_at = now
         self._next_digests_at = now
@@ -168,14 +168,6 @@
         ):
             self._queue.waiting.recovered = True
 
-    def _learn_orders(self, now: float) -> None:
-        """Note that this node has caught up with a majority of all nodes, itself included."""
-        if self._orders_known or not self._catch_up.has_caught_up:
-            return
-        vector = self._state.log.vector
-        current = sum(covers(vector, peer.vector) for peer in self._contacts.in_contact(now))
-        self._orders_known = 2 * (1 + current) > self._contacts.node_count
-
     def _is_first_start(self) -> bool:
         return self._settings.created and self._settings.bootstrap
 
@@ -329,7 +321,7 @@
         self._ticked_at = now
         self._contacts.set_members(peers, now)
         self._catch_up.check_caught_up(self._contacts, self._state.log.vector, now)
-        self._learn_orders(now)
+        self._known_orders.update(self._contacts, self._state, now)
         self._recover()
         self._complete_calls(now)
         if now >= self._next_digests_at:
@@ -407,12 +399,8 @@
         return [add for add in found if add is not None]
 
     def has_all_acknowledged(self) -> bool:
-        """Whether this node has had the orders of a majority since it started.
-
-        Its own log does not suffice: others may have acknowledged more while it was down, and it may hold an
-        order that nobody was told of and that does not prevail.
-        """
-        return self._orders_known
+        """Whether this node has all orders that were acknowledged before it started."""
+        return self._known_orders.are_known
 
     def is_replicated(self, now: float) -> bool:
         """Whether every peer in contact has on its disk all that this node has."""
--- a/reedspoke/control_plane/tallies/service.py
+++ b/reedspoke/control_plane/tallies/service.py
@@ -132,7 +132,7 @@
         return [] if self._replica is None else self._replica.newest_by_prefix(prefix)
 
     def has_all_acknowledged(self) -> bool:
-        """Whether this node has had the orders of a majority since it started."""
+        """Whether this node has all orders that were acknowledged before it started."""
         return self._replica is not None and self._replica.has_all_acknowledged()
 
     def total(self, tally: str) -> int:
--- a/tests/control_plane/tallies/simulated_tallies.py
+++ b/tests/control_plane/tallies/simulated_tallies.py
@@ -100,6 +100,8 @@
         self.frozen_events: list[Event] | None = None  # set while the process is paused
         self.created = True
         self.bootstrap = True
+        self.acknowledged_before = 0  # the highest number of an order acknowledged before the process started
+        self.checks_orders = False  # set until the node knows the orders acknowledged before
 
 
 class Simulation:
@@ -177,6 +179,8 @@
             max_ids=self.max_ids,
         )
         node.replica = TallyReplica(settings, list(node.disk.records), self.now)
+        node.acknowledged_before = max((one.number for one in self.orders if one.acknowledged), default=0)
+        node.checks_orders = True
         node.created = node.bootstrap = False
         node.disk.is_failing = node.disk.is_stalled = False
         self.disturbed()
@@ -256,8 +260,19 @@
         peers = frozenset(self.nodes) - {node.name}
         if node.frozen_events is None:
             self.handle(node, Tick(peers))
+            self._check_known_orders(node)
         self.at(TICK_S, lambda: self._tick(node, process_number))
 
+    def _check_known_orders(self, node: Node) -> None:
+        """Check that a node publishes a list of workers only by the orders acknowledged before it started."""
+        if not node.checks_orders or node.replica is None or not node.replica.has_all_acknowledged():
+            return
+        node.checks_orders = False
+        newest = node.replica.newest(order_tally(ZONE))
+        number = 0 if newest is None else newest.add_id
+        if number < node.acknowledged_before:
+            self._problem(f"STALE: {node.name} publishes by order {number}, not {node.acknowledged_before}")
+
     def handle(self, node: Node, event: Event) -> None:
         """Let a process handle an event, and carry out the effects."""
         if node.replica is None:
--- a/tests/control_plane/tallies/test_given_up_orders.py
+++ b/tests/control_plane/tallies/test_given_up_orders.py
@@ -205,6 +205,52 @@
     assert simulation.evacuated_at_all_nodes() == {last}
 
 
+@pytest.mark.parametrize("fleet", FLEETS, ids=str)
+@pytest.mark.parametrize("last", [True, False], ids=["last=evacuated", "last=withdrawn"])
+def test_a_restarted_node_shows_no_older_order_while_losses_overlap(fleet: Fleet, last: bool) -> None:
+    """A node missed an order; those that have it are down or have lost their disks while it starts.
+
+    As many disks are lost as may be; all others that have the order return later.
+    """
+    simulation = simulated(fleet)
+    missing, *others = simulation.nodes.values()
+    acknowledge(simulation, others, not last)
+    simulation.run(0.5)
+    simulation.kill(missing)
+    simulation.run(GIVEN_UP_S)
+    acknowledge(simulation, others, last)
+    simulation.run(0.5)
+    lost, *down = others
+    for one in down:
+        simulation.kill(one)
+    simulation.lose_disk(lost)
+    simulation.start(lost)
+    simulation.start(missing)
+    simulation.run(GIVEN_UP_S)
+    assert missing.replica is not None
+    assert not missing.replica.has_all_acknowledged()
+    simulation.settle()
+    assert missing.replica.has_all_acknowledged()
+    assert simulation.problems == []
+    assert simulation.evacuated_at_all_nodes() == {last}
+
+
+@pytest.mark.parametrize("fleet", FLEETS, ids=str)
+def test_all_nodes_know_the_orders_though_most_disks_were_lost(fleet: Fleet) -> None:
+    """More disks are lost than may be: no quorum is left, but nobody is missing either."""
+    simulation = simulated(fleet)
+    first, *others = simulation.nodes.values()
+    for one in simulation.nodes.values():
+        simulation.kill(one)
+    for one in others:
+        simulation.lose_disk(one)
+    for one in simulation.nodes.values():
+        simulation.start(one)
+    simulation.run(GIVEN_UP_S)
+    replicas = [node.replica for node in simulation.nodes.values()]
+    assert all(replica is not None and replica.has_all_acknowledged() for replica in replicas)
+
+
 def test_an_order_that_nothing_holds_up_is_acknowledged_at_once() -> None:
     """An order does not wait for the next periodic digests: the nodes confirm its reservation at once."""
     slowest = 0.0
--- a/tests/control_plane/tallies/test_orders.py
+++ b/tests/control_plane/tallies/test_orders.py
@@ -182,7 +182,7 @@
     assert is_evacuated(steps.replica.newest(order_tally(ZONE)))
 
 
-def test_a_restarted_node_that_started_first_knows_all_orders_once_it_has_met_a_majority() -> None:
+def test_a_restarted_node_that_started_first_knows_all_orders_once_it_has_met_a_quorum() -> None:
     """Guards against a list by the orders of one disk that is made before the others are up."""
     steps = Steps(records=RECOVERED)
     steps.tick(CONTACT_TIMEOUT_S + 0.1)
