Give no status before it is known, and null for what stays unknown

Cause: the operator API listens before the logs are open, and zeros and empty lists were filled in for what was not there. Metrics did the same, in both programs.

Change: 503 state_unknown (313) before both logs are open, and for 10 s at most until the orders that were acknowledged before the start are known; then null. The metrics lack what is not known.

--- a/reedspoke/control_plane/api/backend.py
+++ b/reedspoke/control_plane/api/backend.py
@@ -53,7 +53,7 @@
         """Return whether this node currently has contact with a majority of voters."""
 
     def status(self) -> StatusAnswer:
-        """Return the state of this node."""
+        """Return the state of this node. Raises FleetError STATE_UNKNOWN while the node starts."""
 
     def call_completed(self, call: CompletedCall) -> None:
         """Record a call whose response is determined."""
--- a/reedspoke/control_plane/api/operator_api.py
+++ b/reedspoke/control_plane/api/operator_api.py
@@ -191,7 +191,10 @@
         return Response(200, b"{}")
 
     async def get_status(self, request: Request) -> Response:
-        """Return the state of this node. It is also available without a majority."""
+        """Return the state of this node. It is also available without a majority.
+
+        Raises FleetError STATE_UNKNOWN while the node starts.
+        """
         return Response(200, msgspec.json.encode(self._backend.status()))
 
 
@@ -221,7 +224,7 @@
     ErrorCode.STORAGE_FULL,
     ErrorCode.STORAGE_FAILED,
 }
-STATUS_ERRORS = frozenset((ErrorCode.OVERLOADED, ErrorCode.MALFORMED_REQUEST))
+STATUS_ERRORS = frozenset((ErrorCode.OVERLOADED, ErrorCode.MALFORMED_REQUEST, ErrorCode.STATE_UNKNOWN))
 GET_ERRORS = UNAVAILABLE_ERRORS | {ErrorCode.NO_CONFIGURATION, ErrorCode.MALFORMED_REQUEST}
 TALLY_ERRORS = frozenset(
     (
@@ -248,11 +251,7 @@
         "PUT": Operation(OperatorApi.put_configuration, PUT_ERRORS),
     },
     STATUS_PATH: {
-        "GET": Operation(
-            OperatorApi.get_status,
-            frozenset((ErrorCode.OVERLOADED, ErrorCode.MALFORMED_REQUEST)),
-            needs_majority=False,
-        )
+        "GET": Operation(OperatorApi.get_status, STATUS_ERRORS, needs_majority=False),
     },
     # A path that is missing here is answered with 404, even if another table or document describes it.
     # Tallies accept additions on either side of a network partition, so they need no majority.
--- a/reedspoke/control_plane/api/schemas.py
+++ b/reedspoke/control_plane/api/schemas.py
@@ -43,7 +43,7 @@
 
 
 class StatusAnswer(Struct):
-    """The state of this scheduler, for the command line."""
+    """The state of this scheduler, for the command line. What it does not know is null."""
 
     node_name: str
     address: str
@@ -51,11 +51,11 @@
     voters: tuple[str, ...]
     chain: tuple[str, ...]
     generation: int | None
-    sequence: int
+    sequence: int | None
     edges: tuple[str, ...]
     peers: tuple[str, ...]
-    workers: int
+    workers: int | None
     workers_version: tuple[int, int]
     holds_list_duty: bool
     holds_majority: bool = False
-    evacuated: list[str] = []
+    evacuated: list[str] | None = None
--- a/reedspoke/control_plane/evacuation/service.py
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -92,8 +92,10 @@
                 return step
             await self._reservation.reserve(zone, step.add)
 
-    def evacuated_zones(self) -> frozenset[str]:
-        """The evacuated zones, as known to this node."""
+    def evacuated_zones(self) -> frozenset[str] | None:
+        """The evacuated zones; None while this node may lack orders acknowledged before it started."""
+        if not self._tallies.has_all_acknowledged():
+            return None
         newest_orders = self._tallies.newest_by_prefix(ZONE_PREFIX)
         zones = evacuated_zones(newest_orders)
         if zones != self._logged_zones:
@@ -104,9 +106,9 @@
 
     def adjust_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
         """The list, with workers of evacuated zones marked as draining; None while the orders are unknown."""
-        if not self._tallies.has_all_acknowledged():
-            return None
         zones = self.evacuated_zones()
+        if zones is None:
+            return None
         if self._adjusted is None or self._adjusted.zones != zones or self._adjusted.entries is not entries:
             self._adjusted = AdjustedWorkers(entries, zones, drain_zones(entries, zones))
         return self._adjusted.adjusted
--- a/reedspoke/control_plane/metrics.py
+++ b/reedspoke/control_plane/metrics.py
@@ -11,8 +11,11 @@
 class MetricsSource(Protocol):
     """The values that the metrics read at each scrape."""
 
-    def status(self) -> StatusAnswer:
-        """Return the state of this node."""
+    def is_open(self) -> bool:
+        """Return whether the logs in the data folder are open, so that there is any state to tell."""
+
+    def state(self) -> StatusAnswer:
+        """Return the state of this node as far as it is known."""
 
     def open_sessions(self) -> int:
         """Return the number of connections from data plane nodes."""
@@ -28,21 +31,19 @@
 
 
 def add_state_metrics(registry: Registry, source: MetricsSource) -> None:
-    """Register one labelled gauge for the node's state and one for its tallies."""
+    """Register one labelled gauge for the node's state and one for its tallies.
+
+    What the node does not know has no value: a 0 could not be told from none.
+    """
 
     def values() -> dict[str, float]:
-        status = source.status()
-        return {
-            "view": status.view,
-            "voters": len(status.voters),
-            "chain": len(status.chain),
-            "generation": status.generation or 0,
-            "sequence": status.sequence,
-            "edges": len(status.edges),
-            "peers": len(status.peers),
-            "workers": status.workers,
-            "holds_list_duty": status.holds_list_duty,
-            "holds_majority": status.holds_majority,
+        state = source.state()
+        stored = _stored_values(state) if source.is_open() else {}
+        return stored | {
+            "edges": len(state.edges),
+            "peers": len(state.peers),
+            "holds_list_duty": state.holds_list_duty,
+            "holds_majority": state.holds_majority,
             "sessions": source.open_sessions(),
             "waiting_calls": source.pending_calls(),
             "disk_works": source.disk_works(),
@@ -52,3 +53,17 @@
     registry.labelled_gauge(
         "reedspoke_tally_state", "State of the tallies here.", "what", source.tally_figures
     )
+
+
+def _stored_values(state: StatusAnswer) -> dict[str, float]:
+    """The values that come from the node's logs and from other nodes, those that are known."""
+    values = {
+        "view": state.view,
+        "voters": len(state.voters),
+        "chain": len(state.chain),
+        "generation": state.generation,
+        "sequence": state.sequence,
+        "workers": state.workers,
+        "evacuated_zones": None if state.evacuated is None else len(state.evacuated),
+    }
+    return {name: value for name, value in values.items() if value is not None}
--- a/reedspoke/control_plane/node_backend.py
+++ b/reedspoke/control_plane/node_backend.py
@@ -20,6 +20,8 @@
 from reedspoke.control_plane.tallies.service import TallyService
 from reedspoke.control_plane.workers.discovery_lease import DiscoveryLease
 
+STARTUP_S = 10.0  # for which a node that has started answers no status until it knows the orders in force
+
 
 class NodeBackend:
     """Implements `api.backend.OperatorBackend` and `metrics.MetricsSource` with the node's components.
@@ -55,6 +57,7 @@
         self._evacuations = evacuations
         self._call_log = call_log
         self._loop = asyncio.get_running_loop()
+        self._starts_until = self._loop.time() + STARTUP_S
 
     # ---- operators' calls ----
 
@@ -112,11 +115,29 @@
     # ---- state ----
 
     def status(self) -> StatusAnswer:
-        """Return the state of this node."""
+        """Return the state of this node.
+
+        Raises FleetError STATE_UNKNOWN before the logs are open, and while the node starts and does not know
+        the evacuations in force. A node that stays without the others answers later, with null for these.
+        """
+        if not self.is_open():
+            raise FleetError(ErrorCode.STATE_UNKNOWN, "the data folder is not open yet")
+        answer = self.state()
+        if answer.evacuated is None and self._loop.time() < self._starts_until:
+            raise FleetError(ErrorCode.STATE_UNKNOWN, "the evacuations in force are not known yet")
+        return answer
+
+    def is_open(self) -> bool:
+        """Return whether the logs in the data folder are open, so that there is any state to tell."""
+        return self._driver.is_open and self._tallies.folder_id is not None
+
+    def state(self) -> StatusAnswer:
+        """Return the state of this node as far as it is known, also while it starts."""
         view = self._exchange.view
         committed = self._published.configuration.committed
         workers = self._published.workers
         membership = self._published.membership
+        evacuated = self._evacuations.evacuated_zones()
         now = self._loop.time()
         return StatusAnswer(
             node_name=self.node_name,
@@ -125,14 +146,14 @@
             voters=() if view is None else tuple(voter.address for voter in view.voters),
             chain=() if view is None else tuple(link.member.address for link in view.chain),
             generation=None if committed is None else committed.generation,
-            sequence=0 if committed is None else committed.sequence,
+            sequence=None if committed is None else committed.sequence,
             edges=tuple(edge.node_name for edge in membership.members.edges),
             peers=membership.live_peers(now),
-            workers=0 if workers.current is None else len(workers.current.workers),
+            workers=None if workers.current is None else len(workers.current.workers),
             workers_version=workers.version,
             holds_list_duty=self._lease.is_held(now),
             holds_majority=self.holds_majority(),
-            evacuated=sorted(self._evacuations.evacuated_zones()),
+            evacuated=None if evacuated is None else sorted(evacuated),
         )
 
     def open_sessions(self) -> int:
--- a/reedspoke/control_plane/replication/driver.py
+++ b/reedspoke/control_plane/replication/driver.py
@@ -161,6 +161,11 @@
         self.handle(GetSubmitted(request_id))
         return future
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the data folder is open."""
+        return self._replica is not None
+
     @property
     def pending_calls(self) -> int:
         """Number of operator calls without an answer."""
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -259,10 +259,10 @@
         """Whether the configuration in force may be out of date."""
         return self._admission.in_doubt()
 
-    def generation(self) -> int:
-        """The generation of the configuration in force; 0 before the first."""
+    def generation(self) -> int | None:
+        """The generation of the configuration in force; None before the first."""
         configuration = self._admission.routes.configuration
-        return 0 if configuration is None else configuration.generation
+        return None if configuration is None else configuration.generation
 
     def open_connections(self) -> int:
         """The number of client connections."""
@@ -276,10 +276,10 @@
         """The number of sessions with control plane nodes that have a majority."""
         return self._sessions.confirmed_sessions()
 
-    def known_workers(self) -> int:
-        """The number of workers on the list."""
+    def known_workers(self) -> int | None:
+        """The number of workers on the list; None before the first list."""
         workers = self._subscription.state.workers
-        return 0 if workers is None else len(workers.workers)
+        return None if workers is None else len(workers.workers)
 
     def avoided_workers(self) -> int:
         """The number of workers that several data plane nodes suspect."""
--- a/reedspoke/data_plane/process_metrics.py
+++ b/reedspoke/data_plane/process_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from reedspoke.telemetry.metrics import Registry
@@ -14,7 +15,7 @@
 
     def in_doubt(self) -> bool: ...
 
-    def generation(self) -> int: ...
+    def generation(self) -> int | None: ...
 
     def open_connections(self) -> int: ...
 
@@ -22,13 +23,13 @@
 
     def confirmed_sessions(self) -> int: ...
 
-    def known_workers(self) -> int: ...
+    def known_workers(self) -> int | None: ...
 
     def avoided_workers(self) -> int: ...
 
 
 def register_process_metrics(registry: Registry, state: ProcessState) -> None:
-    """Register a gauge for each method of `ProcessState`."""
+    """Register a gauge for each method of `ProcessState`; what is not known yet (None) has no value."""
     gauges = (
         ("ready", "Whether readiness is state.", state.is_ready),
         ("configuration_in_doubt", "Whether the configuration in force may be an old one.", state.in_doubt),
@@ -40,4 +41,14 @@
         ("avoided_workers", "Workers that several schedulers suspect.", state.avoided_workers),
     )
     for name, help_text, read in gauges:
-        registry.gauge(f"reedspoke_{name}", help_text, lambda read=read: float(read()))  # type: ignore[misc]
+        registry.gauge(f"reedspoke_{name}", help_text, _number(read))
+
+
+def _number(read: Callable[[], float | None]) -> Callable[[], float | None]:
+    """Read a flag or a count as a number."""
+
+    def number() -> float | None:
+        value = read()
+        return None if value is None else float(value)
+
+    return number
--- a/reedspoke/telemetry/metrics.py
+++ b/reedspoke/telemetry/metrics.py
@@ -115,9 +115,14 @@
         self._metrics.append(histogram)
         return histogram
 
-    def gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
-        """Adds a gauge whose value `read` returns."""
-        self._metrics.append(Gauge(name, help_text, lambda: [((), read())]))
+    def gauge(self, name: str, help_text: str, read: Callable[[], float | None]) -> None:
+        """Adds a gauge whose value `read` returns; None is an unknown value, which has no sample."""
+
+        def samples() -> list[Sample]:
+            value = read()
+            return [] if value is None else [((), value)]
+
+        self._metrics.append(Gauge(name, help_text, samples))
 
     def labelled_gauge(
         self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
--- a/tests/control_plane/tallies/test_evacuation_service.py
+++ b/tests/control_plane/tallies/test_evacuation_service.py
@@ -100,7 +100,7 @@
 def test_orders_and_repeated_orders() -> None:
     tallies = FakeTallies()
     service = service_after(tallies, ("za", True), ("za", True), ("zb", False))
-    assert service.evacuated_zones() == {"za"}
+    assert service.evacuated_zones() == frozenset({"za"})
     assert service_after(tallies, ("za", False)).evacuated_zones() == frozenset()
 
 
@@ -120,7 +120,7 @@
     tallies.learned = [order_add("za", 2**61, evacuated=False)]
     service = service_after(tallies, ("za", True))
     assert tallies.orders[-1].add_id > 2**61
-    assert service.evacuated_zones() == {"za"}
+    assert service.evacuated_zones() == frozenset({"za"})
 
 
 def test_an_order_gets_a_number_above_the_limits_of_those_that_do_not_answer() -> None:
@@ -209,3 +209,11 @@
     assert [entry.draining for entry in marked] == [True, False]
     tallies.known = False
     assert service.adjust_workers(entries) is None
+
+
+def test_unknown_orders_are_not_told_as_none() -> None:
+    tallies = FakeTallies()
+    service = service_after(tallies, ("za", False))
+    assert service.evacuated_zones() == frozenset()
+    tallies.known = False
+    assert service.evacuated_zones() is None
