--- a/reedspoke/common/messages.py
+++ b/reedspoke/common/messages.py
@@ -13,9 +13,11 @@
 - `configuration`: (view in which the chain's head took it, sequence on the chain)
 - `workers`: (term of the worker discovery lease, count within the term)
 - `members`: (0, count); it is local to one control plane node and compared for equality only.
+- `evacuations`: (1, hash of the orders); compared for equality only, and missing while they are not known.
 
 Compatibility: a message is an array on the wire, so the tag, the order of the fields and their defaults are
-fixed; a new field goes to the end, with a default. Names of classes and fields are free to change.
+fixed; a new field goes to the end, with a default, and is left out where it has its default (`ADDED_FIELDS`).
+Receivers ignore fields that they do not know. Names of classes and fields are free to change.
 """
 
 from __future__ import annotations
@@ -24,7 +26,7 @@
 from typing import Any
 
 import ormsgpack
-from msgspec import Struct, convert, field, to_builtins
+from msgspec import Struct, convert, field, structs, to_builtins
 
 Version = tuple[int, int]
 NO_VERSION: Version = (0, 0)
@@ -32,6 +34,7 @@
 CONFIGURATION = "configuration"
 WORKERS = "workers"
 MEMBERS = "members"
+EVACUATIONS = "evacuations"
 
 
 class WatchRequest(Struct, tag="watch", array_like=True):
@@ -119,11 +122,32 @@
     models: tuple[str, ...] = ()
 
 
+class ZoneOrder(Struct, array_like=True, frozen=True):
+    """The newest order of operators on a zone; the higher number is the newer order."""
+
+    zone: str
+    number: int
+    evacuated: bool
+
+
 class WorkerList(Struct, tag="workers", array_like=True):
-    """All workers that the platform lists."""
+    """All workers that the platform lists, those of evacuated zones marked as draining.
+
+    `evacuated` are the ids of workers that drain only because their zone is evacuated, and `orders` those by
+    which the list was marked.
+    """
 
     version: Version
     workers: tuple[WorkerEntry, ...]
+    evacuated: tuple[str, ...] = ()
+    orders: tuple[ZoneOrder, ...] = ()
+
+
+class EvacuationOrders(Struct, tag="evacuations", array_like=True):
+    """The newest order on each zone on which there are any, as one control plane node has them."""
+
+    version: Version
+    orders: tuple[ZoneOrder, ...]
 
 
 class ConfigurationSnapshot(Struct, tag="configuration", array_like=True):
@@ -204,13 +228,28 @@
     | ConfigurationSnapshot
     | ConfigurationDelta
     | MemberList
+    | EvacuationOrders
     | QuotaResponse
 )
 
+# The number of fields at the end that a message was given later.
+ADDED_FIELDS: dict[type[Struct], int] = {WorkerList: 2}
+
 
 def encode(message: Struct) -> bytes:
     """The MessagePack bytes of one message, without framing."""
-    return ormsgpack.packb(to_builtins(message, builtin_types=(bytes,)))
+    values = to_builtins(message, builtin_types=(bytes,))
+    for field_info in _added_fields(type(message)):
+        if getattr(message, field_info.name) != field_info.default:
+            break
+        values = values[:-1]
+    return ormsgpack.packb(values)
+
+
+def _added_fields(message_type: type[Struct]) -> list[structs.FieldInfo]:
+    """The fields that a message was given later, the last one first."""
+    count = ADDED_FIELDS.get(message_type, 0)
+    return list(reversed(structs.fields(message_type)[-count:])) if count else []
 
 
 def decode(payload: bytes, expected: Any) -> Any:
--- a/reedspoke/control_plane/delivery/published_state.py
+++ b/reedspoke/control_plane/delivery/published_state.py
@@ -9,15 +9,20 @@
 
 from reedspoke.common.messages import (
     CONFIGURATION,
+    EVACUATIONS,
     MEMBERS,
     NO_VERSION,
     WORKERS,
+    EvacuationOrders,
     Version,
+    WorkerList,
+    ZoneOrder,
     encode,
 )
+from reedspoke.common.worker_lists import subtract_elapsed
 from reedspoke.control_plane.delivery.configuration_cache import ConfigurationCache
 from reedspoke.control_plane.delivery.membership import Membership
-from reedspoke.control_plane.workers.worker_list import WorkerListState, subtract_elapsed
+from reedspoke.control_plane.workers.worker_list import WorkerListState
 
 # A list of workers that are still warming up contains their remaining times, so its encoding becomes
 # outdated.
@@ -31,7 +36,8 @@
     """The newest state of each source in this process. It owns only the encoded messages.
 
     `confirmed_as_of` returns the latest time, on the steady clock, at which this node's configuration was the
-    newest, or None while this node has no contact with a majority.
+    newest, or None while this node has no contact with a majority. `evacuations` are the newest orders of
+    operators, or None while this node does not know them.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
         self.configuration = configuration
         self.workers = workers
         self.membership = membership
+        self.evacuations: EvacuationOrders | None = None
         self._confirmed_as_of = confirmed_as_of
         self._encoded_workers = b""
         self._encoded_workers_version = NO_VERSION
@@ -59,13 +66,23 @@
         as_of = self._confirmed_as_of()
         return None if as_of is None else max(0.0, now - as_of)
 
+    def set_evacuations(self, orders: tuple[ZoneOrder, ...], version: Version) -> bool:
+        """Set the newest orders on zones. Return whether they have changed."""
+        if self.evacuations is not None and self.evacuations.version == version:
+            return False
+        self.evacuations = EvacuationOrders(version, orders)
+        return True
+
     def versions(self) -> dict[str, Version]:
-        """Return the newest version of each source."""
-        return {
+        """Return the newest version of each source that is known."""
+        versions = {
             CONFIGURATION: self.configuration.version,
             WORKERS: self.workers.version,
             MEMBERS: self.membership.members.version,
         }
+        if self.evacuations is not None:
+            versions[EVACUATIONS] = self.evacuations.version
+        return versions
 
     def has_update_for(self, known_versions: dict[str, Version]) -> bool:
         """Return whether a node with these versions is to be notified immediately."""
@@ -73,8 +90,15 @@
             self.configuration.version > known_versions.get(CONFIGURATION, NO_VERSION)
             or self.workers.version > known_versions.get(WORKERS, NO_VERSION)
             or self.membership.members.version != known_versions.get(MEMBERS, NO_VERSION)
+            or self._has_evacuations_for(known_versions)
         )
 
+    def _has_evacuations_for(self, known_versions: dict[str, Version]) -> bool:
+        """Return whether a node with these versions lacks the orders; earlier versions name none."""
+        if self.evacuations is None or EVACUATIONS not in known_versions:
+            return False
+        return known_versions[EVACUATIONS] != self.evacuations.version
+
     def encoded_update(self, source: str, known_version: Version, now: float) -> bytes | None:
         """Return the message of a source for a node with `known_version`.
 
@@ -84,6 +108,8 @@
             return self.configuration.encoded_update(known_version)
         if source == WORKERS:
             return self.encoded_workers(now) if self.workers.version > known_version else None
+        if source == EVACUATIONS:
+            return self._encoded_evacuations_update(known_version)
         return self._encoded_members_update(known_version) if source == MEMBERS else None
 
     def encoded_workers(self, now: float) -> bytes | None:
@@ -95,11 +121,19 @@
         outdated = warming_up and now - self._encoded_workers_at > ENCODED_WORKERS_MAX_AGE_S
         if outdated or current.version != self._encoded_workers_version:
             age_ms = (now - self.workers.received_at) * 1000
-            self._encoded_workers = encode(subtract_elapsed(current, age_ms))
+            entries = subtract_elapsed(current.workers, age_ms)
+            self._encoded_workers = encode(
+                WorkerList(current.version, entries, current.evacuated, current.orders)
+            )
             self._encoded_workers_version = current.version
             self._encoded_workers_at = now
         return self._encoded_workers
 
+    def _encoded_evacuations_update(self, known_version: Version) -> bytes | None:
+        if self.evacuations is None or self.evacuations.version == known_version:
+            return None
+        return encode(self.evacuations)
+
     def _encoded_members_update(self, known_version: Version) -> bytes | None:
         members = self.membership.members
         if members.version == known_version:
--- a/reedspoke/control_plane/evacuation/order_log.py
+++ b/reedspoke/control_plane/evacuation/order_log.py
@@ -19,9 +19,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from msgspec import structs
-
-from reedspoke.common.messages import WorkerEntry
+from reedspoke.common.messages import Version, ZoneOrder
 from reedspoke.control_plane.tallies.messages import INTERNAL_TALLY_PREFIX, TallyAdd
 
 ZONE_PREFIX = INTERNAL_TALLY_PREFIX + "evacuation/"
@@ -34,6 +32,7 @@
 RANDOM_TAG_BITS = 16  # the highest ones of a tag; the others are zero
 LIMIT_COUNTERS = 1024  # counters that a node reserves ahead
 OWNER_BYTES = 7  # fit into the 63 bits of an amount
+ORDERS_TERM, VERSION_BYTES = 1, 7  # of the version of all orders, which is not NO_VERSION
 
 
 def order_tally(zone: str) -> str:
@@ -85,13 +84,17 @@
     return newest is not None and newest.amount == EVACUATED
 
 
-def evacuated_zones(newest_orders: Iterable[TallyAdd]) -> frozenset[str]:
-    """The zones whose newest order is an evacuation."""
-    return frozenset(order.tally.removeprefix(ZONE_PREFIX) for order in newest_orders if is_evacuated(order))
+def zone_orders(newest_orders: Iterable[TallyAdd]) -> tuple[ZoneOrder, ...]:
+    """The newest orders as data plane nodes receive them, sorted by zone."""
+    orders = [
+        ZoneOrder(order.tally.removeprefix(ZONE_PREFIX), order.add_id, is_evacuated(order))
+        for order in newest_orders
+    ]
+    return tuple(sorted(orders, key=lambda order: order.zone))
 
 
-def drain_zones(entries: tuple[WorkerEntry, ...], zones: frozenset[str]) -> tuple[WorkerEntry, ...]:
-    """The list of workers, with the workers of these zones marked as draining."""
-    if not zones:
-        return entries
-    return tuple(structs.replace(entry, draining=True) if entry.zone in zones else entry for entry in entries)
+def orders_version(orders: tuple[ZoneOrder, ...]) -> Version:
+    """The version of these orders, which is the same at every node that has the same ones."""
+    content = repr([(order.zone, order.number, order.evacuated) for order in orders])
+    digest = blake2b(content.encode(), digest_size=VERSION_BYTES).digest()
+    return ORDERS_TERM, int.from_bytes(digest, "big")
--- a/reedspoke/control_plane/evacuation/service.py
+++ b/reedspoke/control_plane/evacuation/service.py
@@ -10,16 +10,17 @@
 
 from reedspoke.common.errors import ErrorCode, FleetError
 from reedspoke.common.json_log import INFO, log
-from reedspoke.common.messages import WorkerEntry
+from reedspoke.common.messages import WorkerEntry, ZoneOrder
+from reedspoke.common.worker_lists import MarkedWorkers, mark_evacuated
 from reedspoke.control_plane.evacuation.number_reservation import NumberReservation
 from reedspoke.control_plane.evacuation.order_log import (
     RANDOM_TAG_BITS,
     ZONE_PREFIX,
-    drain_zones,
-    evacuated_zones,
     random_tag,
+    zone_orders,
 )
 from reedspoke.control_plane.evacuation.order_numbering import LogOrder
+from reedspoke.control_plane.tallies.messages import TallyAdd
 from reedspoke.control_plane.tallies.service import TallyService
 
 ORDER_NUMBER_TIMEOUT_S = 0.9  # callers try another node after one second
@@ -29,16 +30,16 @@
     return False
 
 
-class AdjustedWorkers(Struct, frozen=True):
-    """The cached result of `EvacuationService.adjust_workers`, which is called at each tick."""
+class CachedMarks(Struct, frozen=True):
+    """The last result of `EvacuationService.mark_workers`, which is called at each tick."""
 
     entries: tuple[WorkerEntry, ...]
-    zones: frozenset[str]
-    adjusted: tuple[WorkerEntry, ...]
+    orders: tuple[ZoneOrder, ...]
+    marked: MarkedWorkers
 
 
 class EvacuationService:
-    """Reads and writes orders in the tallies; owns the last adjusted list of workers.
+    """Reads and writes orders in the tallies; owns the last result of each query.
 
     `zones` are the zones of the deployment; if it is empty, any zone name is accepted.
     """
@@ -48,8 +49,10 @@
         self._tallies = tallies
         self._zones = frozenset(zones)
         self._reservation = NumberReservation(tallies, zones)
-        self._logged_zones: frozenset[str] = frozenset()
-        self._adjusted: AdjustedWorkers | None = None
+        self._newest_orders: list[TallyAdd] = []
+        self._orders: tuple[ZoneOrder, ...] = ()
+        self._logged_zones: set[str] = set()
+        self._marks: CachedMarks | None = None
 
     def tick(self) -> None:
         """Handle the periodic timer: reserve numbers ahead of the next orders."""
@@ -92,23 +95,35 @@
                 return step
             await self._reservation.reserve(zone, step.add)
 
-    def evacuated_zones(self) -> frozenset[str] | None:
-        """The evacuated zones; None while this node may lack orders acknowledged before it started."""
+    def orders(self) -> tuple[ZoneOrder, ...] | None:
+        """The newest orders; None while this node may lack orders acknowledged before it started."""
         if not self._tallies.has_all_acknowledged():
             return None
         newest_orders = self._tallies.newest_by_prefix(ZONE_PREFIX)
-        zones = evacuated_zones(newest_orders)
+        if newest_orders != self._newest_orders:
+            self._newest_orders = newest_orders
+            self._orders = zone_orders(newest_orders)
+            self._log_zones()
+        return self._orders
+
+    def _log_zones(self) -> None:
+        zones = {order.zone for order in self._orders if order.evacuated}
         if zones != self._logged_zones:
-            numbers = {order.tally.removeprefix(ZONE_PREFIX): order.add_id for order in newest_orders}
+            numbers = {order.zone: order.number for order in self._orders}
             log(INFO, "evacuated zones changed", zones=sorted(zones), order_numbers=numbers)
             self._logged_zones = zones
-        return zones
 
-    def adjust_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
-        """The list, with workers of evacuated zones marked as draining; None while the orders are unknown."""
-        zones = self.evacuated_zones()
-        if zones is None:
+    def evacuated_zones(self) -> frozenset[str] | None:
+        """The evacuated zones; None while they are unknown, as for `orders`."""
+        orders = self.orders()
+        return None if orders is None else frozenset(order.zone for order in orders if order.evacuated)
+
+    def mark_workers(self, entries: tuple[WorkerEntry, ...]) -> MarkedWorkers | None:
+        """The platform's list, with workers of evacuated zones marked as draining; None as for `orders`."""
+        orders = self.orders()
+        if orders is None:
             return None
-        if self._adjusted is None or self._adjusted.zones != zones or self._adjusted.entries is not entries:
-            self._adjusted = AdjustedWorkers(entries, zones, drain_zones(entries, zones))
-        return self._adjusted.adjusted
+        cached = self._marks
+        if cached is None or cached.orders != orders or cached.entries is not entries:
+            cached = self._marks = CachedMarks(entries, orders, mark_evacuated(entries, orders))
+        return cached.marked
--- a/reedspoke/control_plane/process.py
+++ b/reedspoke/control_plane/process.py
@@ -29,6 +29,7 @@
 from reedspoke.control_plane.delivery.edge_sessions import EdgeSessions
 from reedspoke.control_plane.delivery.membership import Membership
 from reedspoke.control_plane.delivery.published_state import PublishedState
+from reedspoke.control_plane.evacuation.order_log import orders_version
 from reedspoke.control_plane.evacuation.service import EvacuationService
 from reedspoke.control_plane.graceful_shutdown import GracefulShutdown
 from reedspoke.control_plane.metrics import add_state_metrics
@@ -175,7 +176,7 @@
             self._workers,
             self._exchange.publish_workers,
             self._exchange.send_all,
-            self._evacuations.adjust_workers,
+            self._evacuations.mark_workers,
         )
 
     # ---- run ----
@@ -260,12 +261,19 @@
         self._quota.tick()
         self._tallies.tick()
         self._evacuations.tick()
+        self._deliver_evacuations()
         self._exchange.send_table_when_due(now)
         self._settings.check(now)
         if now >= self._next_maintenance_at:
             self._next_maintenance_at = now + MAINTENANCE_INTERVAL_S
             self._transport.close_idle()
 
+    def _deliver_evacuations(self) -> None:
+        """Notify data plane nodes of changed orders on zones; they obey them by any list of workers."""
+        orders = self._evacuations.orders()
+        if orders is not None and self._published.set_evacuations(orders, orders_version(orders)):
+            self._sessions.notify_update()
+
 
 async def serve(settings: NodeSettings) -> None:
     """Run a control plane node until SIGTERM."""
--- a/reedspoke/control_plane/workers/discovery.py
+++ b/reedspoke/control_plane/workers/discovery.py
@@ -3,6 +3,9 @@
 A process that has just started and has no list polls once without the lease. After a loss of all control
 plane nodes the lease cannot be granted until its full duration has passed, and an additional read does no
 harm. The list that it reads has a lower version than that of any lease holder.
+
+While the platform does not answer, the holder publishes the newest list again whenever the orders of
+operators change, also if another process has published it: the list tells how the platform has the workers.
 """
 
 from __future__ import annotations
@@ -13,6 +16,7 @@
 from reedspoke.common.json_log import INFO, WARNING, log
 from reedspoke.common.messages import Version, WorkerEntry, WorkerList
 from reedspoke.common.node_settings import CloudApi
+from reedspoke.common.worker_lists import MarkedWorkers
 from reedspoke.control_plane.workers.discovery_lease import DiscoveryLease, OutgoingMessage
 from reedspoke.control_plane.workers.platform_client import PlatformClient, PlatformError, PlatformRateError
 from reedspoke.control_plane.workers.platform_messages import PlatformPage, merge_pages
@@ -27,8 +31,8 @@
 UNLEASED_VERSION: Version = (UNLEASED_TERM, 1)
 
 Publish = Callable[[WorkerList], None]
-# Converts the platform's entries to the published ones; returns None while it lacks the information.
-AdjustWorkers = Callable[[tuple[WorkerEntry, ...]], tuple[WorkerEntry, ...] | None]
+# Marks the platform's entries by the orders of operators; returns None while these are unknown.
+MarkWorkers = Callable[[tuple[WorkerEntry, ...]], MarkedWorkers | None]
 Send = Callable[[list[OutgoingMessage]], None]
 
 
@@ -36,8 +40,8 @@
     """Polls while the lease is held. A task runs it for the lifetime of the process.
 
     It owns the connection to the platform and the newest response under the current lease. `worker_list` is
-    the state that the process shares with the delivery to data plane nodes. `adjust_workers` converts the
-    platform's entries to the published ones.
+    the state that the process shares with the delivery to data plane nodes. `mark_workers` marks the
+    platform's entries by the orders of operators.
     """
 
     def __init__(
@@ -47,18 +51,19 @@
         worker_list: WorkerListState,
         publish: Publish,
         send: Send,
-        adjust_workers: AdjustWorkers = lambda entries: entries,
+        mark_workers: MarkWorkers = MarkedWorkers,
     ) -> None:
         self._lease = lease
         self._worker_list = worker_list
         self._publish = publish
         self._send = send
-        self._adjust_workers = adjust_workers
+        self._mark_workers = mark_workers
         self._loop = asyncio.get_running_loop()
         self._failing_since: float | None = None
         self._lease_held = asyncio.Event()
         self._latest: tuple[WorkerEntry, ...] | None = None  # the platform's entries, read under this lease
-        self._adjusted: tuple[WorkerEntry, ...] | None = None  # the published entries
+        self._poll_failed = False  # whether a call under this lease has failed
+        self._held_since = 0.0  # when this process noticed that it holds the lease
         self._cloud_api = cloud_api
         self._client = PlatformClient(cloud_api.address)
 
@@ -72,18 +77,42 @@
     def check_lease(self) -> None:
         """Start or stop polling with the state of the lease; called periodically and when the lease changes.
 
-        If another process has a newer list, or the adjustment of workers has changed, the platform's last
+        If another process has a newer list, or the marks of workers have changed, the platform's last
         response is published again without waiting for the next poll.
         """
-        if not self._lease.is_held(self._loop.time()):
+        now = self._loop.time()
+        if not self._lease.is_held(now):
             self._lease_held.clear()
             self._latest = None
+            self._poll_failed = False
             return
-        self._lease_held.set()
-        if self._latest is None:
+        if not self._lease_held.is_set():
+            self._held_since = now
+            self._lease_held.set()
+        if self._latest is not None:
+            self._publish_again(self._latest)
+        elif self._poll_failed or now - self._held_since > MAX_FAILURE_PERIOD_S:
+            self._mark_newest_list(now)
+
+    def _publish_again(self, entries: tuple[WorkerEntry, ...]) -> None:
+        """Publish the platform's last response if it is no longer what was published last."""
+        marked = self._mark_workers(entries)
+        if marked is None:
             return
-        if self._worker_list.is_behind() or self._adjust_workers(self._latest) != self._adjusted:
-            self._publish_answer(self._latest)
+        if self._worker_list.is_behind() or not self._worker_list.is_marked_as(marked):
+            self._publish_answer(entries)
+
+    def _mark_newest_list(self, now: float) -> None:
+        """Publish the newest list of any process again if its marks are outdated.
+
+        Nothing is published while another process has a newer list, which would be replaced by an older one.
+        """
+        entries = self._worker_list.platform_entries(now)
+        if entries is None or self._worker_list.is_behind():
+            return
+        marked = self._mark_workers(entries)
+        if marked is not None and not self._worker_list.is_marked_as(marked):
+            self._publish_answer(entries, is_answer=False)
 
     async def run(self) -> None:
         """Poll and publish in a loop until cancelled."""
@@ -107,11 +136,11 @@
                 await asyncio.sleep(RETRY_BACKOFF_S)
                 continue
             assert pages is not None
-            adjusted = self._adjust_workers(merge_pages(pages))
-            if adjusted is None:
+            marked = self._mark_workers(merge_pages(pages))
+            if marked is None:
                 await asyncio.sleep(RETRY_BACKOFF_S)
                 continue
-            workers = WorkerList(UNLEASED_VERSION, adjusted)
+            workers = WorkerList(UNLEASED_VERSION, marked.workers, marked.evacuated, marked.orders)
             if self._worker_list.adopt(workers, self._loop.time()):
                 self._publish(workers)
         client.close()
@@ -155,26 +184,31 @@
         """Return the interval between calls that stays below the platform's rate limit."""
         return 1.0 / max(MIN_RATE_PER_S, self._cloud_api.rate_per_s * RATE_SHARE)
 
-    def _publish_answer(self, entries: tuple[WorkerEntry, ...]) -> None:
-        """Publish changes if the lease is still held. If the term is too low, first request a higher one."""
+    def _publish_answer(self, entries: tuple[WorkerEntry, ...], *, is_answer: bool = True) -> None:
+        """Publish changes if the lease is still held. If the term is too low, first request a higher one.
+
+        `is_answer` is whether the platform has answered with these entries under this lease.
+        """
         now = self._loop.time()
         if not self._lease.is_held(now):
             return
-        self._latest = entries
-        self._adjusted = self._adjust_workers(entries)
-        if self._adjusted is None:
+        if is_answer:
+            self._latest = entries
+        marked = self._mark_workers(entries)
+        if marked is None:
             return
         term_to_exceed = self._worker_list.term_to_exceed(self._lease.term)
         if term_to_exceed is not None:
             self._lease.require_term_above(term_to_exceed, now)
             return
-        published = self._worker_list.update_from_platform(self._lease.term, self._adjusted, now)
+        published = self._worker_list.update_from_platform(self._lease.term, marked, now)
         if published is not None:
             self._publish(published)
 
     def _handle_failure(self, reason: str) -> None:
         """Handle a failed call. A holder whose calls have failed for too long releases the lease."""
         now = self._loop.time()
+        self._poll_failed = True
         if self._failing_since is None:
             log(WARNING, "platform listing failed", reason=reason)
             self._failing_since = now
--- a/reedspoke/control_plane/workers/worker_list.py
+++ b/reedspoke/control_plane/workers/worker_list.py
@@ -9,28 +9,22 @@
 from msgspec import Struct, structs
 
 from reedspoke.common.messages import NO_VERSION, Version, WorkerEntry, WorkerList
+from reedspoke.common.worker_lists import MarkedWorkers, platform_entries, subtract_elapsed
 
 MAX_WORKERS = 20000
 RELAY_DELAY_S = 0.3  # A node without the lease waits this long after receiving a list before it relays it.
 UNLEASED_TERM = 0  # term of lists read without the lease, which may differ between processes
 
 
-def subtract_elapsed(workers: WorkerList, elapsed_ms: float) -> WorkerList:
-    """Return the list with the elapsed time subtracted from `cold_left_ms`."""
-    entries = tuple(
-        structs.replace(entry, cold_left_ms=max(0.0, entry.cold_left_ms - elapsed_ms))
-        if entry.cold_left_ms
-        else entry
-        for entry in workers.workers
-    )
-    return WorkerList(workers.version, entries)
-
+def _content(marked: MarkedWorkers) -> MarkedWorkers:
+    """Return what counts as a change of the list.
 
-def _without_warm_up(entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...]:
-    """Return the entries without warm-up times, which change with each poll and do not count as a change."""
-    return tuple(
-        structs.replace(entry, cold_left_ms=0.0) if entry.cold_left_ms else entry for entry in entries
+    Warm-up times do not, as they change with each poll, and neither do orders that change no mark.
+    """
+    workers = tuple(
+        structs.replace(entry, cold_left_ms=0.0) if entry.cold_left_ms else entry for entry in marked.workers
     )
+    return MarkedWorkers(workers, marked.evacuated)
 
 
 class WorkerListState(Struct):
@@ -42,7 +36,7 @@
     current: WorkerList | None = None
     received_at: float = 0.0
     highest_seen: Version = NO_VERSION
-    _published_entries: tuple[WorkerEntry, ...] = ()  # the entries of `current` without warm-up times
+    _published: MarkedWorkers = MarkedWorkers(())  # `current` without warm-up times
 
     @property
     def version(self) -> Version:
@@ -74,24 +68,32 @@
         self._replace(workers, now)
         return True
 
+    def platform_entries(self, now: float) -> tuple[WorkerEntry, ...] | None:
+        """Return the workers as the platform had them in the newest list here, or None before the first."""
+        if self.current is None:
+            return None
+        return subtract_elapsed(platform_entries(self.current), (now - self.received_at) * 1000)
+
+    def is_marked_as(self, marked: MarkedWorkers) -> bool:
+        """Return whether the newest list here has these marks, whatever the warm-up times."""
+        return _content(marked) == self._published
+
     def term_to_exceed(self, term: int) -> int | None:
         """Return the term that the holder's next one must exceed, or None if `term` is high enough."""
         must_rise = self.highest_seen[0] > term or self._is_overtaken_within(term)
         return self.highest_seen[0] if must_rise else None
 
-    def update_from_platform(
-        self, term: int, entries: tuple[WorkerEntry, ...], now: float
-    ) -> WorkerList | None:
+    def update_from_platform(self, term: int, marked: MarkedWorkers, now: float) -> WorkerList | None:
         """Return the list that the lease holder publishes for a platform response.
 
         It is None if nothing has changed, or if the holder first needs a higher term.
         """
         if self.term_to_exceed(term) is not None:
             return None
-        if self._is_shared_by_all() and _without_warm_up(entries) == self._published_entries:
+        if self._is_shared_by_all() and self.is_marked_as(marked):
             return None
         count = self.version[1] + 1 if self.version[0] == term else 1
-        published = WorkerList((term, count), entries)
+        published = WorkerList((term, count), marked.workers, marked.evacuated, marked.orders)
         self._replace(published, now)
         return published
 
@@ -106,5 +108,5 @@
     def _replace(self, workers: WorkerList, now: float) -> None:
         self.current = workers
         self.received_at = now
-        self._published_entries = _without_warm_up(workers.workers)
+        self._published = _content(MarkedWorkers(workers.workers, workers.evacuated))
         self.observe_version(workers.version)
--- a/reedspoke/data_plane/process.py
+++ b/reedspoke/data_plane/process.py
@@ -8,6 +8,8 @@
 from contextlib import suppress
 from random import Random
 
+from msgspec import structs
+
 from reedspoke.common.background import keep_running
 from reedspoke.common.configuration import Configuration, RequestLimits
 from reedspoke.common.early_signals import handle_signals
@@ -17,6 +19,7 @@
 from reedspoke.common.messages import CONFIGURATION, NO_VERSION, WORKERS, MemberList, Version, WorkerList
 from reedspoke.common.metrics_endpoint import serve_metrics
 from reedspoke.common.node_settings import NodeSettings, load_settings, split_address
+from reedspoke.common.worker_lists import subtract_elapsed
 from reedspoke.data_plane.client_connection import ClientConnection, ClientRequest, RequestHandler
 from reedspoke.data_plane.confirmation import Confirmation
 from reedspoke.data_plane.control_session import ControlSessions
@@ -50,6 +53,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._workers_version = NO_VERSION
+        self._workers_received_at = 0.0
         self._connections: set[ClientConnection] = set()
         self._closing = False
         self._stop_requested = asyncio.Event()
@@ -68,6 +72,7 @@
             on_members=self._on_members,
             on_peer_load=self._forwarder.set_others_load,
             on_peer_suspects=self._forwarder.set_others_suspicions,
+            on_evacuations=self._on_evacuations,
         )
         self._confirmation = Confirmation(settings.bounds.apply_ms / 1000, started=self._loop.time())
         self._subscription = Subscription(listener, self._confirmation)
@@ -208,9 +213,18 @@
             held=current,
             got=workers.version,
         )
+        self._workers_received_at = self._loop.time()
         self._forwarder.set_workers(workers)
         self._update_accepting()
 
+    def _on_evacuations(self, workers: WorkerList) -> None:
+        """Apply the list in force again after the orders on zones have changed."""
+        age_ms = (self._loop.time() - self._workers_received_at) * 1000
+        entries = subtract_elapsed(workers.workers, age_ms)
+        zones = sorted({worker.zone for worker in workers.workers if worker.instance_id in workers.evacuated})
+        log(INFO, "evacuations in force", zones=zones)
+        self._forwarder.set_workers(structs.replace(workers, workers=entries))
+
     def _on_members(self, members: MemberList) -> None:
         self._forwarder.set_fleet_size(len(members.edges))
 
--- a/reedspoke/data_plane/subscription.py
+++ b/reedspoke/data_plane/subscription.py
@@ -19,19 +19,21 @@
     ConfigurationDelta,
     ConfigurationSnapshot,
     ControlMessage,
+    EvacuationOrders,
     MemberList,
     Version,
     WatchResponse,
     WorkerList,
 )
 from reedspoke.data_plane.confirmation import Confirmation
+from reedspoke.data_plane.evacuations import Evacuations
 
 FETCH_TIMEOUT_S = 0.5  # after this time without a response, any session may fetch again
 UNCONFIRMED_FALLBACK_S = 4.0  # after this time without a confirmed report, unconfirmed state is accepted
 
 
 class FleetState(Struct):
-    """The newest state of each source, received over any session."""
+    """The newest state of each source, received over any session; `workers` as received."""
 
     versions: dict[str, Version] = field(default_factory=dict)
     configuration: Configuration | None = None
@@ -47,13 +49,18 @@
 
 
 class StateListener(Struct):
-    """Callbacks for newer state; load and suspects are those of the other data plane nodes."""
+    """Callbacks for newer state; load and suspects are those of the other data plane nodes.
+
+    Lists of workers are marked by the newest orders on zones; `on_evacuations` gets the list in force again,
+    with its warm-up times as received, after these orders have changed.
+    """
 
     on_configuration: Callable[[Configuration, Version], None]
     on_workers: Callable[[WorkerList], None]
     on_members: Callable[[MemberList], None]
     on_peer_load: Callable[[dict[str, tuple[int, int]]], None]
     on_peer_suspects: Callable[[dict[str, int]], None]
+    on_evacuations: Callable[[WorkerList], None]
 
 
 class Subscription:
@@ -62,6 +69,7 @@
     def __init__(self, listener: StateListener, confirmation: Confirmation) -> None:
         self.state = FleetState()
         self.confirmation = confirmation
+        self._evacuations = Evacuations()
         self._listener = listener
         self._pending: dict[str, PendingFetch] = {}
 
@@ -114,6 +122,8 @@
                 return self._apply_delta(message)
             case WorkerList():
                 return self._apply_workers(message)
+            case EvacuationOrders():
+                self._apply_evacuations(message)
             case MemberList():
                 self.state.members = message
                 self._listener.on_members(message)
@@ -147,5 +157,11 @@
             return False
         self.state.workers = message
         self.state.versions[WORKERS] = message.version
-        self._listener.on_workers(message)
+        self._evacuations.merge(message.orders)
+        self._listener.on_workers(self._evacuations.apply_to(message))
         return True
+
+    def _apply_evacuations(self, message: EvacuationOrders) -> None:
+        workers = self.state.workers
+        if self._evacuations.merge(message.orders) and workers is not None:
+            self._listener.on_evacuations(self._evacuations.apply_to(workers))
--- a/reedspoke/data_plane/watch_session.py
+++ b/reedspoke/data_plane/watch_session.py
@@ -12,6 +12,7 @@
 
 from reedspoke.common.messages import (
     CONFIGURATION,
+    EVACUATIONS,
     MEMBERS,
     NO_VERSION,
     WORKERS,
@@ -19,6 +20,7 @@
     ConfigurationSnapshot,
     ControlMember,
     ControlMessage,
+    EvacuationOrders,
     FetchRequest,
     MemberList,
     QuotaRequest,
@@ -96,7 +98,9 @@
         self._loop = asyncio.get_running_loop()
         self._request_id = 0
         self._watch_sent_at: float | None = None  # None: no `WatchRequest` is in flight
-        self._members_version: Version = NO_VERSION  # local to the control plane node of this session
+        # Versions that are compared with those of this session's control plane node for equality only.
+        self._members_version: Version = NO_VERSION
+        self._evacuations_version: Version = NO_VERSION
         self._fetching: dict[str, Version] = {}
         self._last_fetch_at = 0.0
         self._last_unconfirmed: UnconfirmedResponse | None = None  # None after a `WatchResponse`
@@ -150,6 +154,7 @@
             source: self._subscription.expected_version(source, now) for source in (CONFIGURATION, WORKERS)
         }
         versions[MEMBERS] = self._members_version
+        versions[EVACUATIONS] = self._evacuations_version
         self._watch_sent_at = now
         self._channel.send(
             WatchRequest(
@@ -170,6 +175,7 @@
         self._record_confirmation(message, now)
         self._on_response(message.request_id)
         self._subscription.apply(message)
+        self._fetch_evacuations(message)
         for source in self._subscription.sources_to_fetch(message.versions, now):
             self._subscription.begin_fetch(source, message.versions[source], now)
             self._fetch(source, message.versions[source], self._subscription.version(source))
@@ -178,6 +184,12 @@
             self._fetch(MEMBERS, offered, self._members_version)
         self._watch_if_idle()
 
+    def _fetch_evacuations(self, message: WatchResponse) -> None:
+        """Fetch the orders on zones before the list of workers, to which they apply."""
+        offered = message.versions.get(EVACUATIONS, self._evacuations_version)
+        if offered != self._evacuations_version:
+            self._fetch(EVACUATIONS, offered, self._evacuations_version)
+
     def _record_confirmation(self, message: WatchResponse, now: float) -> None:
         """Record the time as of which this response confirms its configuration version.
 
@@ -245,6 +257,8 @@
         if isinstance(message, MemberList):
             self._members_version = message.version
             self._choice.add_members(message.control, self._loop.time())
+        if isinstance(message, EvacuationOrders):
+            self._evacuations_version = message.version
         if self._last_unconfirmed is None or requested:
             useful = self._subscription.apply(message)
             if not useful and isinstance(message, ConfigurationDelta):
@@ -269,4 +283,6 @@
             return WORKERS
         case MemberList():
             return MEMBERS
+        case EvacuationOrders():
+            return EVACUATIONS
     return ""
--- a/tests/control_plane/fleet_judge.py
+++ b/tests/control_plane/fleet_judge.py
@@ -6,6 +6,7 @@
 
 from tests.control_plane.contact import ContactWatch
 from tests.control_plane.disturbances import STABLE_AFTER_S
+from tests.control_plane.evacuation_judge import EvacuationJudge
 from tests.control_plane.simulated_control import ControlSchedulers
 from tests.control_plane.simulated_data_plane import APPLY_S, DataPlane, DataPlaneScheduler
 from tests.control_plane.simulation import Simulation
@@ -26,6 +27,7 @@
         lists: WorkerListJudge,
     ) -> None:
         self.contact = ContactWatch(simulation)
+        self.evacuations: EvacuationJudge | None = None
         self.looks_in_touch = 0
         self.looks_certain = 0
         self._simulation = simulation
@@ -62,6 +64,8 @@
             if self.contact.in_touch(name):
                 workers = scheduler.workers
                 self._lists.check_known(name, workers.workers if workers else None)
+                if self.evacuations is not None and workers is not None:
+                    self.evacuations.check(name, workers.workers)
         for machine in self._simulation.running():
             if self.contact.in_touch(machine.address) and not machine.shutting_down:
                 workers_here = self._control.running[machine.address].workers()
--- a/tests/control_plane/simulated_control.py
+++ b/tests/control_plane/simulated_control.py
@@ -22,6 +22,7 @@
     decode,
 )
 from reedspoke.common.node_settings import NodeSettings
+from reedspoke.common.worker_lists import MarkedWorkers
 from reedspoke.control_plane.peers.messages import PeerMessage
 from reedspoke.control_plane.process import ControlProcess
 from reedspoke.control_plane.replication.effects import SendMessage
@@ -33,6 +34,7 @@
 from reedspoke.control_plane.workers.platform_messages import PlatformPage
 from tests.control_plane.process_loop import ProcessLoop
 from tests.control_plane.simulated_channel import SimulatedChannel
+from tests.control_plane.simulated_orders import SimulatedOrders
 from tests.control_plane.simulated_parts import Machine
 from tests.control_plane.simulated_platform import SimulatedPlatform, SimulatedPlatformClient
 from tests.control_plane.simulation import Simulation
@@ -117,6 +119,10 @@
     def folders_in_contact(self) -> None:
         """Return that no order can be stored here."""
 
+    def has_all_acknowledged(self) -> bool:
+        """Return that the orders on zones are not known."""
+        return False
+
 
 class SimulatedWorkerDiscovery(WorkerDiscovery):
     """Worker discovery with a client of the simulated platform."""
@@ -139,8 +145,10 @@
         judge: WorkerListJudge,
         settings: NodeSettings,
         prepare_s: tuple[float, float] = PREPARE_S,
+        orders: SimulatedOrders | None = None,
     ) -> None:
         self._prepare_s = prepare_s
+        self._orders = orders
         self.loop = loop
         self.channels: list[SimulatedChannel] = []
         self._simulation = simulation
@@ -162,7 +170,7 @@
         return DocumentsThread(self.loop, self._simulation.random, self._prepare_s)
 
     def _make_tallies(self, settings: NodeSettings, incarnation: int) -> Any:
-        return NoTallies()
+        return NoTallies() if self._orders is None else self._orders.process_started(self._machine)
 
     def _make_transport(self, settings: NodeSettings) -> Any:
         return PeerLinks(self._simulation, self._address)
@@ -174,6 +182,7 @@
             self._workers,
             self._publish_workers,
             self._exchange.send_all,
+            MarkedWorkers if self._orders is None else self._evacuations.mark_workers,
         )
         random = self._simulation.random
         discovery.platform_client = SimulatedPlatformClient(self._platform, self._simulation, random)
@@ -238,6 +247,7 @@
     def __init__(self, simulation: Simulation, platform: SimulatedPlatform, judge: WorkerListJudge) -> None:
         self.running: dict[str, ControlScheduler] = {}
         self.prepare_s = PREPARE_S
+        self.orders: SimulatedOrders | None = None  # without them no zone is ever evacuated
         self._simulation = simulation
         self._platform = platform
         self._judge = judge
@@ -256,7 +266,14 @@
 
         def build() -> None:
             scheduler = ControlScheduler(
-                self._simulation, machine, loop, self._platform, self._judge, settings, self.prepare_s
+                self._simulation,
+                machine,
+                loop,
+                self._platform,
+                self._judge,
+                settings,
+                self.prepare_s,
+                self.orders,
             )
             self.running[machine.address] = scheduler
             scheduler.begin()
--- a/tests/control_plane/simulated_data_plane.py
+++ b/tests/control_plane/simulated_data_plane.py
@@ -69,6 +69,7 @@
             self._members_received,
             self._load_received,
             self._suspects_received,
+            self._evacuations_received,
         )
         subscription = Subscription(listener, self.confirmation)
         sessions = SimulatedSessions(
@@ -96,6 +97,9 @@
         self.workers = workers
         self._world.list_judge.check_held(self._node.name, workers)
 
+    def _evacuations_received(self, workers: WorkerList) -> None:
+        self.workers = workers
+
     def _members_received(self, members: MemberList) -> None:
         """Ignore the members, which the simulation does not use."""
 
--- a/tests/control_plane/simulated_fleet.py
+++ b/tests/control_plane/simulated_fleet.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from tests.control_plane.evacuation_judge import EvacuationJudge
 from tests.control_plane.fleet_judge import FleetJudge
 from tests.control_plane.simulated_control import ControlSchedulers
 from tests.control_plane.simulated_data_plane import DataPlane
+from tests.control_plane.simulated_orders import SimulatedOrders
 from tests.control_plane.simulated_platform import SimulatedPlatform
 from tests.control_plane.simulation import Simulation
 from tests.control_plane.worker_list_judge import WorkerListJudge
@@ -22,6 +24,12 @@
         self.data_plane = DataPlane(simulation, self.control, self.lists, data_plane_schedulers)
         self.judge = FleetJudge(simulation, self.control, self.data_plane, self.lists)
 
+    def serve_orders(self, simulation: Simulation) -> SimulatedOrders:
+        """Let operators send orders on zones; called before the first start."""
+        orders = self.control.orders = SimulatedOrders(simulation, self.judge.contact)
+        self.judge.evacuations = EvacuationJudge(simulation, self.platform, orders)
+        return orders
+
     def heal(self) -> None:
         """End all faults outside the core."""
         self.data_plane.heal_partitions()
--- a/tests/control_plane/simulated_platform.py
+++ b/tests/control_plane/simulated_platform.py
@@ -18,6 +18,7 @@
 RESPONSE_TIME_S = (0.004, 0.03)
 DRAIN_S = 3.0
 INITIAL_WORKERS = 4
+ZONE = "zone-m1"  # of all workers
 BEFORE_START = float("-inf")
 
 
@@ -46,7 +47,7 @@
     def add_worker(self) -> None:
         """Add a worker to the list."""
         name = f"i-{next(self._names)}"
-        self._change(name, PlatformInstance(name, "service", "10.0.0.1:1", "zone-m1"))
+        self._change(name, PlatformInstance(name, "service", "10.0.0.1:1", ZONE))
 
     def drain_worker(self, rng: Random, lasts: float = DRAIN_S) -> None:
         """Drain a random worker, and remove it after `lasts` seconds."""
--- a/tests/control_plane/tallies/test_evacuation_service.py
+++ b/tests/control_plane/tallies/test_evacuation_service.py
@@ -204,11 +204,13 @@
     tallies = FakeTallies()
     service = service_after(tallies, ("za", True))
     entries = (worker("1", "za"), worker("2", "zb"))
-    marked = service.adjust_workers(entries)
+    marked = service.mark_workers(entries)
     assert marked is not None
-    assert [entry.draining for entry in marked] == [True, False]
+    assert [entry.draining for entry in marked.workers] == [True, False]
+    assert marked.evacuated == ("1",)
     tallies.known = False
-    assert service.adjust_workers(entries) is None
+    assert service.mark_workers(entries) is None
+    assert service.orders() is None
 
 
 def test_unknown_orders_are_not_told_as_none() -> None:
--- a/tests/control_plane/tallies/test_orders.py
+++ b/tests/control_plane/tallies/test_orders.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from reedspoke.common.errors import ErrorCode
-from reedspoke.common.messages import WorkerEntry
+from reedspoke.common.messages import NO_VERSION, ZoneOrder
 from reedspoke.control_plane.evacuation.order_log import (
     EVACUATED,
     LIMIT_PREFIX,
@@ -16,8 +16,6 @@
     UNOWNED,
     WITHDRAWN,
     ZONE_PREFIX,
-    drain_zones,
-    evacuated_zones,
     folder_owner,
     has_random_tag,
     is_evacuated,
@@ -25,7 +23,9 @@
     next_number,
     order_add,
     order_tally,
+    orders_version,
     random_tag,
+    zone_orders,
 )
 from reedspoke.control_plane.tallies.events import SyncSubmitted
 from reedspoke.control_plane.tallies.messages import (
@@ -71,7 +71,7 @@
         assert newest is None or order.add_id > newest.add_id
         newest = order
         assert is_evacuated(newest) == evacuated
-        assert evacuated_zones([newest]) == ({ZONE} if evacuated else set())
+        assert zone_orders([newest]) == (ZoneOrder(ZONE, newest.add_id, evacuated),)
 
 
 @given(st.integers(0, 2**40), tags, st.integers(1, 2**TAG_BITS - 1))
@@ -116,18 +116,13 @@
     assert EVACUATED < WITHDRAWN
 
 
-def worker(name: str, zone: str) -> WorkerEntry:
-    """An entry of the list of workers."""
-    return WorkerEntry(name, "u", "a:1", zone, "v1", 8, False)
-
-
-def test_the_workers_of_evacuated_zones_drain() -> None:
-    orders = [TallyAdd(order_tally("za"), 3, EVACUATED), TallyAdd(order_tally("zb"), 4, WITHDRAWN)]
-    zones = evacuated_zones(orders)
-    assert zones == {"za"}
-    entries = (worker("1", "za"), worker("2", "zb"))
-    assert [entry.draining for entry in drain_zones(entries, zones)] == [True, False]
-    assert drain_zones(entries, frozenset()) is entries
+def test_the_newest_order_on_each_zone_is_delivered() -> None:
+    orders = [TallyAdd(order_tally("zb"), 4, WITHDRAWN), TallyAdd(order_tally("za"), 3, EVACUATED)]
+    delivered = zone_orders(orders)
+    assert delivered == (ZoneOrder("za", 3, True), ZoneOrder("zb", 4, False))
+    assert orders_version(delivered) == orders_version(zone_orders(reversed(orders)))
+    assert orders_version(delivered) != orders_version(zone_orders(orders[:1]))
+    assert orders_version(()) != NO_VERSION
 
 
 # ---- quorums ----
--- a/tests/control_plane/worker_list_judge.py
+++ b/tests/control_plane/worker_list_judge.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from reedspoke.common.messages import NO_VERSION, Version, WorkerEntry, WorkerList
+from reedspoke.common.worker_lists import platform_entries
 from reedspoke.control_plane.workers.platform_messages import STATE_DRAINING
 from reedspoke.control_plane.workers.worker_list import UNLEASED_TERM
 from tests.control_plane.simulated_parts import VirtualTime
@@ -81,5 +82,5 @@
         return instance_id in self.platform.list_at(now)[1]
 
     def _state_of(self, workers: WorkerList) -> int:
-        draining = {worker.instance_id: worker.draining for worker in workers.workers}
+        draining = {worker.instance_id: worker.draining for worker in platform_entries(workers)}
         return self.platform.state_number_of(draining, self.virtual_time.now)
--- a/tests/control_plane_process/stand_ins.py
+++ b/tests/control_plane_process/stand_ins.py
@@ -17,6 +17,7 @@
 from reedspoke.common.messages import (
     ConfigurationDelta,
     ConfigurationSnapshot,
+    EvacuationOrders,
     FetchRequest,
     MemberList,
     UnconfirmedResponse,
@@ -35,8 +36,15 @@
 CHUNK = 50_000
 WORKERS_TIMEOUT_S = 6.0
 Answer = (
-    WatchResponse | UnconfirmedResponse | WorkerList | ConfigurationSnapshot | ConfigurationDelta | MemberList
+    WatchResponse
+    | UnconfirmedResponse
+    | WorkerList
+    | ConfigurationSnapshot
+    | ConfigurationDelta
+    | MemberList
+    | EvacuationOrders
 )
+EARLIER_SOURCES = ("configuration", "workers", "members")  # that the version before knows
 Found = TypeVar("Found")
 
 
@@ -123,9 +131,16 @@
 
 
 class EdgeClient:
-    """A session of a data plane node, with blocking calls."""
+    """A session of a data plane node, with blocking calls. `sources` are those that it knows."""
 
-    def __init__(self, address: str, node_name: str = "edge-1", incarnation: str = "1") -> None:
+    def __init__(
+        self,
+        address: str,
+        node_name: str = "edge-1",
+        incarnation: str = "1",
+        sources: tuple[str, ...] = EARLIER_SOURCES,
+    ) -> None:
+        self.sources = sources
         self.node_name = node_name
         self.incarnation = incarnation
         self.versions: dict[str, Version] = {}
@@ -180,7 +195,8 @@
         found: dict[str, Answer] = {}
         for source, version in self.watch().versions.items():
             held = self.versions.get(source, (0, 0))
-            if version > held or (source == "members" and version != held):
+            is_compared_for_equality = source in ("members", "evacuations")
+            if source in self.sources and (version > held or (is_compared_for_equality and version != held)):
                 found[source] = self.fetch(source, held)
                 self.versions[source] = getattr(found[source], "version")  # noqa: B009
         return found
--- a/tests/control_plane_process/test_edge_sessions.py
+++ b/tests/control_plane_process/test_edge_sessions.py
@@ -11,6 +11,7 @@
 from reedspoke.common.messages import (
     ConfigurationSnapshot,
     ControlMember,
+    EvacuationOrders,
     FetchRequest,
     MemberList,
     UnconfirmedResponse,
@@ -19,6 +20,7 @@
     WatchResponse,
     WorkerEntry,
     WorkerList,
+    ZoneOrder,
 )
 from reedspoke.common.transport import CONNECTION_ENDED, Channel, open_channel
 from reedspoke.control_plane.delivery import edge_sessions
@@ -218,6 +220,57 @@
     run_scene(scene)
 
 
+def test_the_marks_of_a_list_are_sent_with_it() -> None:
+    async def scene(side: ControlSide, edge: Edge) -> None:
+        marked = WorkerList((2, 2), (WORKER,), (WORKER.instance_id,), (ZoneOrder("za", 3, True),))
+        side.publish(marked)
+        side.workers.received_at -= 0.4  # so that it is encoded with other warm-up times
+        answer = await edge.fetch("workers")
+        assert isinstance(answer, WorkerList)
+        assert (answer.evacuated, answer.orders) == (marked.evacuated, marked.orders)
+
+    run_scene(scene)
+
+
+def test_a_node_is_notified_of_orders_on_zones_at_once() -> None:
+    async def scene(side: ControlSide, edge: Edge) -> None:
+        edge.known_versions = (await edge.watch_response()).versions | {"evacuations": (0, 0)}
+        edge.watch()
+        await asyncio.sleep(0.02)
+        orders = (ZoneOrder("za", 3, True),)
+        assert side.state.set_evacuations(orders, (1, 77))
+        assert not side.state.set_evacuations(orders, (1, 77))
+        side.sessions.notify_update()
+        took, answer = await timed(edge.versions())
+        assert took < HEARTBEAT_S / 2
+        assert answer.versions["evacuations"] == (1, 77)
+        assert await edge.fetch("evacuations") == EvacuationOrders((1, 77), orders)
+
+    run_scene(scene)
+
+
+def test_a_node_of_the_version_before_is_not_notified_of_orders_on_zones() -> None:
+    """It would answer each notification at once, as it fetches nothing."""
+
+    async def scene(side: ControlSide, edge: Edge) -> None:
+        edge.known_versions = (await edge.watch_response()).versions
+        edge.watch()
+        await asyncio.sleep(0.02)
+        assert side.state.set_evacuations((ZoneOrder("za", 3, True),), (1, 77))
+        side.sessions.notify_update()
+        took, _ = await timed(edge.versions())
+        assert took >= HEARTBEAT_S * 0.5
+
+    run_scene(scene)
+
+
+def test_unknown_orders_are_not_offered() -> None:
+    async def scene(side: ControlSide, edge: Edge) -> None:
+        assert "evacuations" not in (await edge.watch_response()).versions
+
+    run_scene(scene)
+
+
 def test_a_draining_node_is_not_a_member_after_its_session_is_closed() -> None:
     async def scene(side: ControlSide, edge: Edge) -> None:
         await edge.watch_response()
--- a/tests/control_plane_process/test_worker_discovery.py
+++ b/tests/control_plane_process/test_worker_discovery.py
@@ -6,10 +6,10 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
-from msgspec import structs
 
-from reedspoke.common.messages import WorkerEntry, WorkerList
+from reedspoke.common.messages import WorkerEntry, WorkerList, ZoneOrder
 from reedspoke.common.node_settings import CloudApi
+from reedspoke.common.worker_lists import MarkedWorkers, mark_evacuated
 from reedspoke.control_plane.workers import discovery, platform_client
 from reedspoke.control_plane.workers.discovery import WorkerDiscovery
 from reedspoke.control_plane.workers.discovery_lease import DiscoveryLease, OutgoingMessage
@@ -18,6 +18,7 @@
 from tests.control_plane_process.stand_ins import FakePlatform, platform_instance
 
 OWN = "own"
+ZONE = "za"  # of all workers of the platform
 
 
 @pytest.fixture
@@ -54,14 +55,14 @@
             self.worker_list,
             self.published.append,
             self.sent.extend,
-            self.adjust_workers,
+            self.mark_workers,
         )
 
-    def adjust_workers(self, entries: tuple[WorkerEntry, ...]) -> tuple[WorkerEntry, ...] | None:
-        """Adjust entries as the test sets it, or return None while the adjustment is unknown."""
+    def mark_workers(self, entries: tuple[WorkerEntry, ...]) -> MarkedWorkers | None:
+        """Mark entries as the test sets it, or return None while the orders are unknown."""
         if not self.known:
             return None
-        return tuple(structs.replace(entry, draining=entry.draining or self.drained) for entry in entries)
+        return mark_evacuated(entries, [ZoneOrder(ZONE, 1, self.drained)])
 
     def acquire_lease(self) -> None:
         """Make this process the only voter, which grants itself the lease."""
@@ -309,7 +310,7 @@
     run_scenario(platform, scenario)
 
 
-def test_a_changed_adjustment_is_published_without_the_platform(platform: FakePlatform) -> None:
+def test_a_changed_order_is_published_without_the_platform(platform: FakePlatform) -> None:
     async def scenario(harness: DiscoveryHarness) -> None:
         harness.acquire_lease()
         await harness.wait_until(lambda: harness.published)
@@ -323,7 +324,22 @@
     run_scenario(platform, scenario)
 
 
-def test_nothing_is_published_while_the_adjustment_is_unknown(platform: FakePlatform) -> None:
+def test_a_changed_order_does_not_wait_for_the_next_poll(
+    platform: FakePlatform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "POLL_INTERVAL_S", 60.0)
+
+    async def scenario(harness: DiscoveryHarness) -> None:
+        harness.acquire_lease()
+        await harness.wait_until(lambda: harness.published)
+        harness.drained = True
+        await harness.wait_until(lambda: len(harness.published) == 2)
+        assert all(worker.draining for worker in harness.published[-1].workers)
+
+    run_scenario(platform, scenario)
+
+
+def test_nothing_is_published_while_the_orders_are_unknown(platform: FakePlatform) -> None:
     async def scenario(harness: DiscoveryHarness) -> None:
         harness.known = False
         task = asyncio.create_task(harness.discovery.discover_without_lease())
@@ -335,3 +351,88 @@
         await asyncio.wait_for(task, 5)
 
     run_scenario(platform, scenario)
+
+
+def published_elsewhere(harness: DiscoveryHarness) -> WorkerList:
+    """A list that another process has published, and this one has adopted."""
+    up = WorkerEntry("i-1", "u1", "127.0.0.1:9", ZONE, "v1", 8, False)
+    leaving = WorkerEntry("i-2", "u1", "127.0.0.1:9", ZONE, "v1", 8, True)
+    marked = mark_evacuated((up, leaving), [ZoneOrder(ZONE, 1, harness.drained)])
+    workers = WorkerList((1, 5), marked.workers, marked.evacuated, marked.orders)
+    assert harness.worker_list.adopt(workers, harness.loop.time())
+    harness.lease.observe_term(1)
+    return workers
+
+
+@pytest.mark.parametrize("first", [False, True], ids=["evacuated", "withdrawn"])
+def test_a_holder_without_an_answer_marks_the_list_of_the_holder_before(
+    platform: FakePlatform, first: bool
+) -> None:
+    """Guards against an order that nobody publishes once the lease has passed on in an outage."""
+    platform.status = 503
+
+    async def scenario(harness: DiscoveryHarness) -> None:
+        harness.drained = first
+        published_elsewhere(harness)
+        harness.acquire_lease()
+        await harness.run_for(0.1)
+        assert harness.published == []
+        harness.drained = not first
+        await harness.wait_until(lambda: harness.published)
+        (workers,) = harness.published
+        assert workers.version[0] > 1
+        assert [worker.draining for worker in workers.workers] == [not first, True]
+        assert workers.evacuated == (() if first else ("i-1",))
+        await harness.run_for(0.1)
+        assert len(harness.published) == 1
+
+    run_scenario(platform, scenario)
+
+
+def test_a_holder_that_may_still_get_an_answer_does_not_mark_the_list_before(platform: FakePlatform) -> None:
+    """The platform's next answer is newer than any list."""
+
+    async def scenario(harness: DiscoveryHarness) -> None:
+        published_elsewhere(harness)
+        harness.drained = True
+        harness.acquire_lease()
+        await harness.wait_until(lambda: harness.published)
+        assert {worker.instance_id for worker in harness.published[0].workers} == {"i-1", "i-2", "i-3"}
+
+    run_scenario(platform, scenario)
+
+
+def test_an_older_list_is_not_marked_and_published_over_a_newer_one(platform: FakePlatform) -> None:
+    platform.status = 503
+
+    async def scenario(harness: DiscoveryHarness) -> None:
+        published_elsewhere(harness)
+        harness.worker_list.observe_version((1, 6))
+        harness.drained = True
+        harness.acquire_lease()
+        await harness.run_for(0.3)
+        assert harness.published == []
+
+    run_scenario(platform, scenario)
+
+
+@pytest.mark.parametrize("kind", ["rate limit", "silent"])
+def test_a_holder_that_gets_no_answer_marks_the_list_of_the_holder_before(
+    platform: FakePlatform, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also where calls do not count as failed, or last long."""
+    monkeypatch.setattr(platform_client, "CALL_TIMEOUT_S", 3.0)
+    platform.status = 429
+
+    async def scenario(harness: DiscoveryHarness) -> None:
+        published_elsewhere(harness)
+        if kind == "silent":
+            server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            harness.discovery.update_settings(CloudApi(f"{host}:{port}", 1000.0))
+        harness.drained = True
+        harness.acquire_lease()
+        await harness.wait_until(lambda: harness.published)
+        assert all(worker.draining for worker in harness.published[0].workers)
+
+    run_scenario(platform, scenario)
--- a/tests/data_plane/test_subscription.py
+++ b/tests/data_plane/test_subscription.py
@@ -53,6 +53,7 @@
         on_members=lambda members: updates.members.append(members.version),
         on_peer_load=updates.peer_load.append,
         on_peer_suspects=updates.suspects.append,
+        on_evacuations=lambda workers: None,
     )
     return Subscription(listener, Confirmation(apply_s, started=STARTED_AT)), updates
 
--- a/tests/data_plane/test_watch_session.py
+++ b/tests/data_plane/test_watch_session.py
@@ -11,10 +11,12 @@
 
 from reedspoke.common.messages import (
     CONFIGURATION,
+    EVACUATIONS,
     MEMBERS,
     WORKERS,
     ConfigurationSnapshot,
     ControlMember,
+    EvacuationOrders,
     FetchRequest,
     MemberList,
     WatchRequest,
@@ -56,7 +58,8 @@
     watch = control.channels[0].last_watch()
     assert (watch.node_name, watch.incarnation, watch.zone, watch.draining) == ("edge-1", "ab12", "za", False)
     assert watch.running == {"i-1": (2, 30)}
-    assert watch.versions == {CONFIGURATION: (0, 0), WORKERS: (0, 0), MEMBERS: (0, 0)}
+    unknown = (0, 0)
+    assert watch.versions == dict.fromkeys((CONFIGURATION, WORKERS, MEMBERS, EVACUATIONS), unknown)
 
 
 def test_newer_sources_are_fetched_and_then_watched(
@@ -68,10 +71,42 @@
     channel.deliver(snapshot(3), workers(1, 2), MemberList((0, 5), (), ()))
     assert updates.configurations == [(3, (3, 0))]
     assert updates.workers == [(1, 2)]
-    assert channel.last_watch().versions == {CONFIGURATION: (3, 0), WORKERS: (1, 2), MEMBERS: (0, 5)}
+    assert channel.last_watch().versions == {
+        CONFIGURATION: (3, 0),
+        WORKERS: (1, 2),
+        MEMBERS: (0, 5),
+        EVACUATIONS: (0, 0),
+    }
     assert channel.last_watch().request_id == 2
 
 
+def test_orders_on_zones_are_fetched_before_the_list_to_which_they_apply(
+    control: FakeControlPlane, updates: ReceivedUpdates
+) -> None:
+    """Guards against requests to an evacuated zone by a list that was published before the order."""
+    one, two = control.channels
+    one.respond(workers=(1, 2), evacuations=(1, 9))
+    assert one.fetches() == [FetchRequest(EVACUATIONS), FetchRequest(WORKERS)]
+    one.deliver(EvacuationOrders((1, 9), ()), workers(1, 2))
+    assert one.last_watch().versions[EVACUATIONS] == (1, 9)
+    # The versions of two nodes are compared for equality only, each with what its own session has fetched.
+    two.respond(evacuations=(1, 4))
+    assert two.fetches() == [FetchRequest(EVACUATIONS)]
+    two.deliver(EvacuationOrders((1, 4), ()))
+    assert two.last_watch().versions[EVACUATIONS] == (1, 4)
+
+
+def test_a_node_that_offers_no_orders_is_asked_for_none(control: FakeControlPlane) -> None:
+    """It is of the version before, or does not know them yet."""
+    channel = control.channels[0]
+    channel.respond(evacuations=(1, 9))
+    channel.deliver(EvacuationOrders((1, 9), ()))
+    channel.respond(configuration=(3, 0))
+    assert channel.fetches()[-1] == FetchRequest(CONFIGURATION)
+    channel.deliver(snapshot(3))
+    assert channel.last_watch().versions[EVACUATIONS] == (1, 9)
+
+
 def test_two_sessions_do_not_fetch_the_same_version(control: FakeControlPlane) -> None:
     one, two = control.channels
     one.respond(configuration=(3, 0))
--- a/tests/golden/session_examples.py
+++ b/tests/golden/session_examples.py
@@ -12,6 +12,7 @@
     ConfigurationSnapshot,
     ControlMember,
     EdgeMember,
+    EvacuationOrders,
     FetchRequest,
     MemberList,
     QuotaOutcome,
@@ -22,6 +23,7 @@
     WatchResponse,
     WorkerEntry,
     WorkerList,
+    ZoneOrder,
 )
 
 EDGE_MESSAGES: dict[str, Struct] = {
@@ -154,6 +156,18 @@
             ),
         ),
     ),
+    "workers with orders": WorkerList(
+        version=(1, 2),
+        workers=(),
+        evacuated=("text3", "text4"),
+        orders=(ZoneOrder(zone="text5", number=2**64 - 6, evacuated=True),),
+    ),
+    "workers with orders alone": WorkerList(
+        version=(1, 2), workers=(), orders=(ZoneOrder(zone="text3", number=4, evacuated=False),)
+    ),
+    "evacuations": EvacuationOrders(
+        version=(1, 2), orders=(ZoneOrder(zone="text3", number=4, evacuated=True),)
+    ),
     "workers by default": WorkerList(
         version=(
             1,
