Evacuate a zone in the soak, with an operator who gives orders up

The soak had no evacuations. Its operator now sends an order to one control machine after the other and gives some up, among all troubles. At the end all control machines have to show what may be in force by what was acknowledged, a last order has to be acknowledged in 5 s, and no request may reach the zone 5 s after its evacuation.

--- a/reedspoke/lab/fleet_soak/__main__.py
+++ b/reedspoke/lab/fleet_soak/__main__.py
@@ -70,10 +70,12 @@
     orders = ", ".join(f"{count} {name}" for name, count in report.operators.items())
     requests = ", ".join(f"{count} {name}" for name, count in report.outcomes.items())
     tallies = ", ".join(f"{count} {name}" for name, count in report.tallies.items())
+    evacuations = ", ".join(f"{count} {name}" for name, count in report.evacuations.items())
     verdict = f"{len(report.problems)} PROBLEMS" if report.problems else "sound"
     return (
         f"seed {report.seed}: {report.seconds:g} s, {sum(report.played.values())} troubles "
         f"({report.overlapping} overlapping); {orders}; requests: {requests}; tallies: {tallies}; "
+        f"evacuations: {evacuations}; "
         f"well after {report.recovery_s:g} s: {verdict}"
     )
 
--- a/reedspoke/lab/fleet_soak/soak_run.py
+++ b/reedspoke/lab/fleet_soak/soak_run.py
@@ -26,6 +26,7 @@
 from reedspoke.lab.fleet_emulator.tally import Outcome, Tally
 from reedspoke.lab.fleet_emulator.workload import KeyUse, RequestKind, Workload
 from reedspoke.lab.fleet_soak.applications import TALLIES, Application
+from reedspoke.lab.fleet_soak.evacuations import EVACUATE_S, ZONE, EvacuationOperator, ZoneOrderSent
 from reedspoke.lab.fleet_soak.figures_reader import evaluations_in, figures_of, value_in
 from reedspoke.lab.fleet_soak.findings import suspect_lines, unexplained
 from reedspoke.lab.fleet_soak.history import History, Order, Verdict
@@ -49,6 +50,7 @@
 PAUSE_S = 0.1
 IDLE_S = 8.0  # until nothing may be held any more
 FIRST, CALM_SEED, NUISANCE_SEED = 1, 7919, 104_729  # far apart: attempt ids are drawn from them
+EVACUATION_SEED = 15_485_863
 
 
 class SoakReport(Struct):
@@ -68,6 +70,7 @@
     recovery_s: float
     failed_tries: int
     tallies: dict[str, int]
+    evacuations: dict[str, int]
 
 
 class SoakRun:
@@ -89,6 +92,8 @@
         self._begun = time.monotonic()
         self._recovery_s = 0.0
         self._failed_tries: list[FailedTry] = []
+        self._evacuations = EvacuationOperator(lambda: self._fleet.seeds, plan.seed + EVACUATION_SEED)
+        self._last_evacuation: ZoneOrderSent | None = None
 
     async def play(self) -> SoakReport:
         """Start, trouble, calm, stop, judge."""
@@ -144,6 +149,7 @@
         seeds = [self.plan.seed * 10 + number for number in range(OPERATORS)]
         beside = [self._operator(f"operator-{seed}", seed).run() for seed in seeds]
         applications = [self._application(number).run() for number in range(self.plan.applications)]
+        beside.append(self._evacuations.run())
         with background(nuisance.run(), *beside, *applications, self._watch_processes()):
             load = asyncio.create_task(
                 self._load(self._tally, self.plan.seed, self.plan.seconds, TROUBLED_KEYS)
@@ -201,6 +207,7 @@
 
     async def _calm(self) -> None:
         """Load without troubles, then every machine is read, and then nothing may be held any more."""
+        await self._order_evacuation()
         await self._load(self._calm_tally, self.plan.seed + CALM_SEED, CALM_S, CALM_KEYS)
         reader = self._operator("reader", FIRST)
         until = time.monotonic() + READS_S
@@ -218,6 +225,30 @@
         seed = self.plan.seed * 100 + number
         return Application(self._tallies, lambda: self._fleet.seeds, self._fleet.life_of, seed)
 
+    async def _order_evacuation(self) -> None:
+        """The orders that were sent so far are in force as they should be; send a last one."""
+        self.problems += await self._evacuations.problems_at_the_end()
+        evacuated = self.plan.seed % 2 == 0
+        self._last_evacuation = await self._evacuations.order(evacuated=evacuated, gives_up=False)
+        if self._last_evacuation.acknowledged_at is None:
+            self.problems.append("the last order on the zone was not acknowledged in time")
+            return
+        self.problems += await self._evacuations.problems_at_the_end()
+        await asyncio.sleep(max(0.0, self._last_evacuation.acknowledged_at + EVACUATE_S - time.monotonic()))
+
+    def _late_runs(self) -> list[str]:
+        """The attempts that reached the zone after its last evacuation had to be obeyed."""
+        order = self._last_evacuation
+        if order is None or order.acknowledged_at is None or not order.evacuated:
+            return []
+        since = order.acknowledged_at + EVACUATE_S
+        return [
+            run.attempt_id
+            for runs in self._ledger.runs.values()
+            for run in runs
+            if run.at > since and self._workers.zones.get(run.instance_id) == ZONE
+        ]
+
     async def _read_tallies(self) -> None:
         """Every machine reads every tally; by now nothing has been wrong for longer than merging takes."""
         reader = self._application(self.plan.applications)
@@ -256,6 +287,8 @@
         self.problems += [f"mixed: {text}" for text in self._tally.mixed + self._calm_tally.mixed]
         self.problems += self._history.problems() + troubles.unclean_ends + self._tallies.problems()
         self.problems += quota_problems(self._ledger)
+        if late := self._late_runs():
+            self.problems.append(f"EVAC: {len(late)} requests reached the evacuated zone, {late[:5]}")
         asked = self._calm_tally.requests
         served = self._calm_tally.total(Outcome.SERVED) + self._calm_tally.total(Outcome.LATE)
         if asked and served < LEAST_SERVED * asked:
@@ -283,6 +316,7 @@
             recovery_s=round(self._recovery_s, 2),
             failed_tries=len(self._failed_tries),
             tallies=self._tallies.counts(),
+            evacuations=self._evacuations.counts(),
         )
 
 
--- a/reedspoke/lab/fleet_soak/soak_workers.py
+++ b/reedspoke/lab/fleet_soak/soak_workers.py
@@ -34,6 +34,7 @@
         self._count = count
         self._incarnations = 0
         self._listed: dict[str, ListedWorker] = {}
+        self.zones: dict[str, str] = {}  # by instance id, of all that there ever were
         self.places: list[EmulatedWorker | None] = [self._make(number) for number in range(count)]
         self.registry = WorkerRegistry(LIST_LAG_MS / 1000, time.monotonic)
         limit = RateLimit(layout.list_rate_per_s, time.monotonic)
@@ -42,7 +43,9 @@
     def _make(self, number: int) -> EmulatedWorker:
         self._incarnations += 1
         options = Options(workers=self._count, seed=self._seed * 1000 + self._incarnations, faults=FAULTS)
-        return make_worker(self._layout, number, options, self._ledger)
+        worker = make_worker(self._layout, number, options, self._ledger)
+        self.zones[worker.profile.instance_id] = worker.profile.zone
+        return worker
 
     async def open(self) -> None:
         """Start them all."""
--- a/tests/lab_fleet/test_soak.py
+++ b/tests/lab_fleet/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 from msgspec import structs
 
+from reedspoke.lab.fleet_soak.evacuations import EvacuationOperator, ZoneOrderSent
 from reedspoke.lab.fleet_soak.plan import Kind, Plan, Trouble, draw_plan
 from reedspoke.lab.fleet_soak.soak_run import SoakRun
 from reedspoke.telemetry.invariants import Invariant
@@ -53,3 +54,22 @@
     assert report.problems == []
     assert report.tallies["acknowledged"] > 0
     assert report.tallies["reads"] > 0
+    assert report.evacuations["acknowledged"] > 0
+
+
+def test_what_may_be_in_force_follows_from_the_orders() -> None:
+    operator = EvacuationOperator(lambda: (), seed=1)
+
+    def possible(*orders: tuple[bool, bool]) -> set[bool]:
+        """After these orders: what each asked for, and whether it was acknowledged."""
+        operator.orders = [
+            ZoneOrderSent(evacuated, 1.0 if is_known else None) for evacuated, is_known in orders
+        ]
+        return operator.possible_effects()
+
+    assert possible() == {False}
+    assert possible((True, False)) == {True, False}
+    assert possible((True, True)) == {True}
+    assert possible((True, True), (False, False)) == {True, False}
+    assert possible((True, True), (False, False), (True, True)) == {True}
+    assert possible((True, False), (False, True)) == {False}
