Move the transfer of a state out of the tally replica; more stories of orders; older versions beside

Names of tallies that hold orders are found without going through all tallies, as each tick asks for them now.

--- a/reedspoke/control_plane/tallies/counts.py
+++ b/reedspoke/control_plane/tallies/counts.py
@@ -58,9 +58,10 @@
             return None
         return TallyAdd(tally, highest, amounts.amount_of(highest))
 
-    def names(self, prefix: str) -> list[str]:
-        """The names of the tallies with this prefix, sorted."""
-        return sorted(name for name in self._tallies if name.startswith(prefix))
+    def order_tallies(self, prefix: str) -> list[str]:
+        """The names of the tallies that hold orders and have this prefix, sorted."""
+        names = {tally for tally, _ in self._highest_ids}
+        return sorted(name for name in names if name.startswith(prefix))
 
     def is_known(self, tally: str) -> bool:
         """Whether a tally has any adds."""
--- a/reedspoke/control_plane/tallies/replica.py
+++ b/reedspoke/control_plane/tallies/replica.py
@@ -7,7 +7,7 @@
 
 from reedspoke.common.errors import ErrorCode, FleetError
 from reedspoke.control_plane.tallies.acknowledgements import Acknowledgements, WaitingAdd
-from reedspoke.control_plane.tallies.catch_up import CatchUp, StateTransfer
+from reedspoke.control_plane.tallies.catch_up import CatchUp
 from reedspoke.control_plane.tallies.events import (
     AddSubmitted,
     CallCompleted,
@@ -57,7 +57,8 @@
     TallySettings,
 )
 from reedspoke.control_plane.tallies.state_exchange import answer_pull, state_chunk
-from reedspoke.control_plane.tallies.store_queue import Batch, ReceivedItems, StoreQueue, batch_records
+from reedspoke.control_plane.tallies.state_transfers import StateTransfers
+from reedspoke.control_plane.tallies.store_queue import Batch, StoreQueue, batch_records
 from reedspoke.control_plane.tallies.version_vectors import covers, lower_bound
 from reedspoke.telemetry.invariants import Invariant, check
 
@@ -77,6 +78,7 @@
         self._contacts = PeerContacts(settings.incarnation, now)
         self._queue = StoreQueue(self._state.log.vector)
         self._catch_up = CatchUp(now, waits_for_peer=settings.created and not settings.bootstrap)
+        self._transfers = StateTransfers(self._catch_up, self._state, self._queue)
         self._acknowledgements = Acknowledgements(settings.copies, self._state, self._contacts)
         self._syncs = OrderSyncs(settings.copies, settings.incarnation, self._contacts, self._own_numbers)
         self._known_orders = KnownOrders(settings.copies, now, is_first_start=self._is_first_start())
@@ -225,7 +227,7 @@
         for received in batch.entries:
             self._state.apply_entries(received.entries)
         for items in batch.items:
-            self._apply_items(now, items)
+            self._effects += self._transfers.chunk_stored(now, items)
         self._state.recovered |= batch.recovered
         for sender in sorted({received.sender for received in batch.entries}):
             self._send_digest(now, sender)
@@ -274,7 +276,7 @@
             case TallyStateRequest(after):
                 self._send_chunk(sender, after)
             case TallyStateChunk():
-                self._receive_chunk(now, sender, message)
+                self._transfers.receive_chunk(now, sender, message)
             case OrderNumbersRequest() | OrderNumbersReply():
                 self._receive_order_message(now, sender, message)
 
@@ -298,35 +300,6 @@
         chunk = state_chunk(self._state, after, self._settings.incarnation, MAX_IDS_PER_CHUNK)
         self._effects.append(SendMessage(sender, chunk))
 
-    def _receive_chunk(self, now: float, sender: str, chunk: TallyStateChunk) -> None:
-        self._catch_up.pull_answered(sender)
-        if not self._catch_up.accepts_chunk(sender, chunk, now):
-            return
-        transfer = self._catch_up.transfer
-        assert transfer is not None
-        self._queue.put_items(ReceivedItems(transfer, chunk.items, chunk.next))
-
-    def _apply_items(self, now: float, received: ReceivedItems) -> None:
-        for items in received.items:
-            self._state.counts.join(items)
-        if received.next is not None:
-            self._request_chunk(now, received.transfer, received.next)
-            return
-        self._state.log.advance(received.transfer.vector)
-        for origin, number in self._state.log.vector.items():
-            self._queue.expected[origin] = max(number, self._queue.expected.get(origin, 0))
-        if self._catch_up.transfer is received.transfer:
-            self._catch_up.transfer = None
-
-    def _request_chunk(self, now: float, transfer: StateTransfer, after: TallyCursor) -> None:
-        # Chunks of an earlier transfer do not count for the current one, which has another vector.
-        if self._catch_up.transfer is not transfer:
-            return
-        transfer.after = after
-        transfer.active_at = now
-        self._catch_up.pull_sent(transfer.source, now)
-        self._effects.append(SendMessage(transfer.source, TallyStateRequest(after)))
-
     # ---- timer ----
 
     def _detect_process_stop(self, now: float) -> None:
@@ -416,8 +389,8 @@
         return self._state.counts.newest(tally)
 
     def newest_by_prefix(self, prefix: str) -> list[TallyAdd]:
-        """The newest adds of the tallies whose names have this prefix."""
-        found = [self._state.counts.newest(name) for name in self._state.counts.names(prefix)]
+        """The newest adds of the tallies that hold orders and have this prefix."""
+        found = [self._state.counts.newest(name) for name in self._state.counts.order_tallies(prefix)]
         return [add for add in found if add is not None]
 
     @property
--- a/reedspoke/control_plane/tallies/service.py
+++ b/reedspoke/control_plane/tallies/service.py
@@ -136,7 +136,7 @@
         return None if self._replica is None else self._replica.newest(tally)
 
     def newest_by_prefix(self, prefix: str) -> list[TallyAdd]:
-        """The newest adds of the tallies whose names have this prefix."""
+        """The newest adds of the tallies that hold orders and have this prefix."""
         return [] if self._replica is None else self._replica.newest_by_prefix(prefix)
 
     @property
--- a/tests/control_plane/test_evacuations.py
+++ b/tests/control_plane/test_evacuations.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import pytest
@@ -66,15 +67,32 @@
 
     def kill_holder(self) -> None:
         """The process that holds the discovery lease is killed, and starts again."""
-        holders = [
-            address
-            for address, control in self.fleet.control.running.items()
-            if control.term_held() is not None
-        ]
-        for address in holders:
+        for address in self._holders():
             self.simulation.kill(address, RESTART_S)
         self.simulation.run(RESTART_S)
 
+    def hand_over(self) -> None:
+        """The process that holds the discovery lease ends after SIGTERM, and starts again."""
+        for address in self._holders():
+            self.simulation.shut_down(address)
+            self.simulation.at(self.simulation.now + RESTART_S, partial(self.simulation.start, address))
+        self.simulation.run(RECOVERED_S)
+
+    def cut_holder_off(self) -> None:
+        """The process that holds the discovery lease is cut off from all others for some time."""
+        self.simulation.cut_off(self._holders())
+        for address in self._holders():
+            for name in self.fleet.data_plane.nodes:
+                self.fleet.data_plane.partition(name, [address])
+        self.simulation.run(RECOVERED_S)
+        self.simulation.restore_links()
+        self.fleet.data_plane.heal_partitions()
+        self.simulation.run(RECOVERED_S)
+
+    def _holders(self) -> list[str]:
+        running = self.fleet.control.running.items()
+        return [address for address, control in running if control.term_held() is not None]
+
     def platform_is_back_with_another_list(self) -> None:
         """The platform answers again; a worker has come, and another one drains."""
         self.fleet.platform.add_worker()
@@ -90,6 +108,8 @@
 TROUBLES: list[Callable[[Story], None]] = [
     nothing,
     Story.kill_holder,
+    Story.hand_over,
+    Story.cut_holder_off,
     Story.restart_control,
     Story.restart_edges,
 ]
--- a/tests/golden/mixed_versions.py
+++ b/tests/golden/mixed_versions.py
@@ -16,8 +16,8 @@
 from pathlib import Path
 from types import TracebackType
 
-from reedspoke.common.messages import ConfigurationDelta, ConfigurationSnapshot
-from tests.control_plane_process.fleet import HEARTBEAT_MS, ROOT, Fleet
+from reedspoke.common.messages import ConfigurationDelta, ConfigurationSnapshot, WorkerList
+from tests.control_plane_process.fleet import HEARTBEAT_MS, ROOT, Fleet, Node
 from tests.control_plane_process.stand_ins import (
     EdgeClient,
     configuration_document,
@@ -31,6 +31,7 @@
 CHANGE_S = 20.0
 UP_S = 30.0  # programs without compiled files, on a busy machine
 NODES = 3
+EVACUATION_PATH = "/reedspoke/evacuation/za"  # of the zone of all workers
 
 
 class EdgeProcess:
@@ -92,7 +93,9 @@
         with EdgeProcess(fleet, edge_root) as edge:
             wait_until(edge.is_ready, UP_S, "the data plane scheduler is ready")
             play_changes(fleet, edge)
+            play_evacuations(fleet)
             play_restarts(fleet, edge, {*roots, edge_root})
+            play_evacuations(fleet)
     finally:
         fleet.close()
 
@@ -112,6 +115,40 @@
         client.close()
 
 
+def play_evacuations(fleet: Fleet) -> None:
+    """Each scheduler takes an order and the next one the opposite; each one's sessions bring them."""
+    for number, node in enumerate(fleet.nodes):
+        order(node, "POST")
+        check_marked(fleet, True)
+        order(fleet.nodes[(number + 1) % NODES], "DELETE")
+        check_marked(fleet, False)
+
+
+def order(node: Node, method: str) -> None:
+    """Repeat an order on the zone of all workers until it is acknowledged."""
+
+    def is_acknowledged() -> bool:
+        reply = send_request(node.operator_address, method, EVACUATION_PATH)
+        return reply is not None and reply.status == 200
+
+    wait_until(is_acknowledged, CHANGE_S, f"{node.name} acknowledges {method}")
+
+
+def check_marked(fleet: Fleet, expected: bool) -> None:
+    """The list of each scheduler marks all workers as draining, or none."""
+    for node in fleet.nodes:
+        client = EdgeClient(node.peer_address, node_name=f"edge-at-{node.name}")
+        lists: list[WorkerList] = []
+
+        def is_marked(client: EdgeClient = client, lists: list[WorkerList] = lists) -> bool:
+            answer = client.fetch_updates().get("workers")
+            lists.extend([answer] if isinstance(answer, WorkerList) else [])
+            return bool(lists) and {worker.draining for worker in lists[-1].workers} == {expected}
+
+        wait_until(is_marked, CHANGE_S, f"the list of {node.name} is marked: {expected}")
+        client.close()
+
+
 def play_restarts(fleet: Fleet, edge: EdgeProcess, roots: set[Path]) -> None:
     """One after the other goes on with the other version's program on the same disk."""
     for generation, node in enumerate(fleet.nodes, start=10):
